Add the core types and decisions of one search

Folders follow the lifetime of what they hold: request, connection, version, process. One task serves each connection, and a request's task waits on its inbox. Decisions import no encoding.

--- /dev/null
+++ b/packages/tier/src/corianderport_tier/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the query tier, independent of any encoding."""
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -0,0 +1,109 @@
+"""corianderport_tier.connection.transports
+
+Protocols of one connection to an upstream or a peer.
+"""
+
+import collections.abc
+import typing
+
+from corianderport_tier.process import membership
+from corianderport_tier.request import messages
+from corianderport_tier.version import configuration
+
+__all__ = [
+    'PeerDialer',
+    'PeerTransport',
+    'Platform',
+    'UpstreamDialer',
+    'UpstreamTransport',
+]
+
+
+class UpstreamTransport(typing.Protocol):
+    """One persistent connection to a searcher, used by one task."""
+
+    def search(
+        self, call: messages.UpstreamSearch, timeout_s: float
+    ) -> messages.UpstreamSearchReply | messages.UpstreamRefusal:
+        """Send one attempt and wait for its reply.
+
+        :raises ConnectionSilent: nothing arrived within the timeout.
+        :raises ConnectionBroken: the connection ended.
+        """
+
+    def act(
+        self, call: messages.UpstreamAction, timeout_s: float
+    ) -> messages.UpstreamActionReply | messages.UpstreamRefusal:
+        """Send one action and wait for its reply; errors as above."""
+
+    def cancel(self, attempt_id: str, timeout_s: float) -> None:
+        """Ask the searcher to stop an attempt."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class UpstreamDialer(typing.Protocol):
+    """Opens connections to searchers."""
+
+    def dial(
+        self, searcher: configuration.Searcher, timeout_s: float
+    ) -> UpstreamTransport:
+        """Open a connection.
+
+        :raises ConnectFailed: no connection within the timeout.
+        """
+
+
+class PeerTransport(typing.Protocol):
+    """One persistent connection to another host, used by one task."""
+
+    def search(
+        self, batch: messages.SubQueryBatch, timeout_s: float
+    ) -> messages.BatchAnswer:
+        """Send a batch to its owner and wait for the answer.
+
+        :raises NotOwner: the peer may not send to these searchers.
+        :raises ConnectionSilent: nothing arrived within the timeout.
+        :raises ConnectionBroken: the connection ended.
+        """
+
+    def configuration(
+        self, known_version: int, timeout_s: float
+    ) -> bytes | None:
+        """Return the peer's document when it is newer, else None."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class PeerDialer(typing.Protocol):
+    """Opens authenticated connections to other hosts."""
+
+    def dial(
+        self, member: membership.Member, timeout_s: float
+    ) -> PeerTransport:
+        """Open a connection.
+
+        :raises ConnectFailed: no connection within the timeout.
+        """
+
+
+class Platform(typing.Protocol):
+    """The platform's configuration service and host list, read only."""
+
+    def watch_configuration(
+        self, after: int, timeout_s: float
+    ) -> bytes | None:
+        """Wait for a document newer than a version, else None.
+
+        :raises TransportError: the service cannot be read.
+        """
+
+    def hosts(
+        self, timeout_s: float
+    ) -> collections.abc.Sequence[membership.Member]:
+        """Return the hosts that the platform lists.
+
+        :raises TransportError: the list cannot be read.
+        """
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -0,0 +1,72 @@
+"""corianderport_tier.process.aggregator
+
+The aggregator role: runs batches for the services that a host owns.
+"""
+
+import collections.abc
+import concurrent.futures
+import typing
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import owned_services
+from corianderport_tier.request import gather
+from corianderport_tier.request import messages
+
+__all__ = ['Aggregator', 'BatchResult', 'LocalAggregator']
+
+
+@attrs.frozen
+class BatchResult:
+    """The answer to a batch, or the error that ended it."""
+
+    batch: messages.SubQueryBatch
+    answer: messages.BatchAnswer | errors.CorianderportError
+
+
+Deliver = collections.abc.Callable[[BatchResult], None]
+
+
+class Aggregator(typing.Protocol):
+    """The owner of a set of services, on this host or on another."""
+
+    def submit(self, batch: messages.SubQueryBatch, deliver: Deliver) -> None:
+        """Start a batch; ``deliver`` gets its result once."""
+
+
+class LocalAggregator:
+    """The aggregator of this host."""
+
+    def __init__(
+        self,
+        services: owned_services.OwnedServices,
+        executor: concurrent.futures.Executor,
+        clock: clocks.Clock,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._services = services
+        self._executor = executor
+        self._clock = clock
+        self._log = log
+
+    def submit(self, batch: messages.SubQueryBatch, deliver: Deliver) -> None:
+        """Run the batch on a task of its own."""
+        self._executor.submit(lambda: deliver(self._result(batch)))
+
+    def run(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
+        """Run the batch on the calling task.
+
+        :raises NotReady: there is no configuration yet.
+        """
+        return gather.Gather(
+            batch, self._services, self._clock, self._log
+        ).run()
+
+    def _result(self, batch: messages.SubQueryBatch) -> BatchResult:
+        try:
+            return BatchResult(batch, self.run(batch))
+        except errors.CorianderportError as error:
+            return BatchResult(batch, error)
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/decision_log.py
@@ -0,0 +1,43 @@
+"""corianderport_tier.process.decision_log
+
+One structured log record for each routing or placement decision.
+"""
+
+import collections
+import logging
+
+import attrs
+
+__all__ = ['Decision', 'DecisionLog']
+
+_RECENT_DECISIONS = 256
+
+
+@attrs.frozen
+class Decision:
+    """A decision: what was chosen for which request, and why."""
+
+    kind: str
+    request_id: str
+    choice: str
+    reason: str
+    alternatives: tuple[str, ...] = ()
+
+
+class DecisionLog:
+    """Logs decisions and keeps the most recent ones."""
+
+    def __init__(self, logger: logging.Logger | None = None) -> None:
+        self._logger = logger or logging.getLogger('corianderport.decision')
+        self._recent: collections.deque[Decision] = collections.deque(
+            maxlen=_RECENT_DECISIONS
+        )
+
+    def record(self, decision: Decision) -> None:
+        """Log one decision; formatting is left to the handler."""
+        self._recent.append(decision)
+        self._logger.info('decision', extra={'decision': decision})
+
+    def recent(self) -> tuple[Decision, ...]:
+        """Return the most recent decisions, oldest first."""
+        return tuple(self._recent)
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -0,0 +1,151 @@
+"""corianderport_tier.process.owned_services
+
+The services that this host sends to, with their connections.
+"""
+
+import collections.abc
+import concurrent.futures
+import random
+import threading
+import types
+import typing
+
+from corianderport_tier import clocks
+from corianderport_tier.connection import pool
+from corianderport_tier.connection import transports
+from corianderport_tier import errors
+from corianderport_tier.process import configuration_store
+from corianderport_tier.process import selection
+from corianderport_tier.process import upstreams
+from corianderport_tier.version import configuration
+
+__all__ = ['OwnedService', 'OwnedServices', 'SearcherFilter']
+
+# Two owners may hold connections to a searcher while ownership moves, and
+# one more host may still close its own.
+_OWNERS_AT_ONCE = 3
+_DIAL_TIMEOUT_S = 1.0
+
+SearcherFilter = collections.abc.Callable[[configuration.Searcher], bool]
+UpstreamPool = pool.ConnectionPool[transports.UpstreamTransport]
+
+
+class OwnedService:
+    """One service: state of its searchers and their connections."""
+
+    def __init__(
+        self,
+        service: configuration.Service,
+        state: upstreams.ServiceUpstreams,
+        dialer: transports.UpstreamDialer,
+        executor: concurrent.futures.Executor,
+        clock: clocks.Clock,
+    ) -> None:
+        self.service = service
+        self.upstreams = state
+        self._dialer = dialer
+        self._executor = executor
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pools: dict[str, UpstreamPool] = {}
+
+    def pool(self, searcher: configuration.Searcher) -> UpstreamPool:
+        """Return the connections to a searcher's address."""
+        with self._lock:
+            found = self._pools.get(searcher.address)
+            if found is None:
+                found = self._new_pool(searcher)
+                self._pools[searcher.address] = found
+            return found
+
+    def update(self, service: configuration.Service) -> None:
+        """Take over a new version and close pools of gone addresses."""
+        self.service = service
+        self.upstreams.update(service)
+        addresses = {s.address for s in service.searchers}
+        with self._lock:
+            gone = [a for a in self._pools if a not in addresses]
+            closing = [self._pools.pop(address) for address in gone]
+        for old in closing:
+            old.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        with self._lock:
+            closing = list(self._pools.values())
+            self._pools.clear()
+        for old in closing:
+            old.close()
+
+    def _new_pool(self, searcher: configuration.Searcher) -> UpstreamPool:
+        limits = self.service.limits
+        return pool.ConnectionPool(
+            lambda: self._dialer.dial(searcher, _DIAL_TIMEOUT_S),
+            self._executor,
+            self._clock,
+            pool.PoolLimits(max(1, limits.connections // _OWNERS_AT_ONCE)),
+        )
+
+
+class OwnedServices:
+    """All services that this host has sent to."""
+
+    def __init__(
+        self,
+        store: configuration_store.ConfigurationStore,
+        dialer: transports.UpstreamDialer,
+        executor: concurrent.futures.Executor,
+        clock: clocks.Clock,
+        policy: selection.SelectionPolicy,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._dialer = dialer
+        self._executor = executor
+        self._clock = clock
+        self._policy = policy
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._services: dict[str, OwnedService] = {}
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        with self._lock:
+            services = list(self._services.values())
+            self._services.clear()
+        for owned in services:
+            owned.close()
+
+    def get(self, name: str) -> OwnedService:
+        """Return the state of a service, brought to the present version.
+
+        :raises UnknownService: the configuration has no such service.
+        """
+        service = self._store.current().services.get(name)
+        if service is None:
+            raise errors.UnknownService(f'unknown service {name!r}')
+        with self._lock:
+            owned = self._services.get(name)
+            if owned is None:
+                owned = self._new_service(service)
+                self._services[name] = owned
+        if owned.service is not service:
+            owned.update(service)
+        return owned
+
+    def allowed(self) -> SearcherFilter:
+        """Return the check of the version in force at this moment."""
+        return self._store.current().may_get_work
+
+    def _new_service(self, service: configuration.Service) -> OwnedService:
+        state = upstreams.ServiceUpstreams(service, self._policy, self._rng)
+        return OwnedService(
+            service, state, self._dialer, self._executor, self._clock
+        )
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/coverage.py
@@ -0,0 +1,45 @@
+"""corianderport_tier.request.coverage
+
+Coverage of an answer, computed from the shards that answered completely.
+"""
+
+import collections.abc
+
+from corianderport_tier.request import messages
+from corianderport_tier.version import snapshots
+
+__all__ = ['complete_answers', 'measure']
+
+
+def complete_answers(
+    asked: collections.abc.Sequence[snapshots.Shard],
+    answers: collections.abc.Iterable[messages.ShardAnswer],
+) -> dict[str, messages.ShardAnswer]:
+    """Return one complete answer for each shard that was asked for.
+
+    Truncated answers, repeats and shards outside the plan do not count.
+    """
+    names = {shard.name for shard in asked}
+    kept: dict[str, messages.ShardAnswer] = {}
+    for answer in answers:
+        if answer.complete and answer.shard in names:
+            kept.setdefault(answer.shard, answer)
+    return kept
+
+
+def measure(
+    asked: collections.abc.Sequence[snapshots.Shard],
+    answered: collections.abc.Container[str],
+) -> messages.Coverage:
+    """Return the covered share of the union of all asked ranges.
+
+    :param asked: the shards of the search in the pinned snapshot.
+    :param answered: names of the shards with a complete answer.
+    """
+    covered = [shard for shard in asked if shard.name in answered]
+    missing = tuple(s.name for s in asked if s.name not in answered)
+    whole = snapshots.union_length(asked)
+    if whole == 0:
+        return messages.Coverage(0.0 if missing else 1.0, missing)
+    fraction = snapshots.union_length(covered) / whole
+    return messages.Coverage(fraction, missing)
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/inboxes.py
@@ -0,0 +1,43 @@
+"""corianderport_tier.request.inboxes
+
+The mailbox on which a request's task waits for its results.
+"""
+
+import collections
+import threading
+import typing
+
+from corianderport_tier import clocks
+from corianderport_tier.request import deadlines
+
+__all__ = ['Inbox']
+
+T = typing.TypeVar('T')
+
+
+class Inbox(typing.Generic[T]):
+    """Results for one request, put by connection tasks."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._condition = threading.Condition()
+        self._items: collections.deque[T] = collections.deque()
+
+    def put(self, item: T) -> None:
+        """Add an item and wake the request's task."""
+        with self._condition:
+            self._items.append(item)
+            self._condition.notify()
+
+    def take(self, until: deadlines.Deadline) -> T | None:
+        """Wait for the next item.
+
+        :return: the item, or None when ``until`` has passed.
+        """
+        with self._condition:
+            while not self._items:
+                remaining = until.remaining(self._clock)
+                if remaining <= 0:
+                    return None
+                self._clock.wait(self._condition, remaining)
+            return self._items.popleft()
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/merging.py
@@ -0,0 +1,31 @@
+"""corianderport_tier.request.merging
+
+Merges the hits of shards into the best ones.
+"""
+
+import collections.abc
+import heapq
+
+from corianderport_tier.request import messages
+
+__all__ = ['top_hits']
+
+
+def _order(hit: messages.Hit) -> tuple[float, str]:
+    return (-hit.score, hit.document)
+
+
+def top_hits(
+    answers: collections.abc.Iterable[messages.ShardAnswer], limit: int
+) -> tuple[messages.Hit, ...]:
+    """Return the best hits, by score and then by document name.
+
+    A document that two overlapping shards return is kept once.
+    """
+    best: dict[str, messages.Hit] = {}
+    for answer in answers:
+        for hit in answer.hits:
+            known = best.get(hit.document)
+            if known is None or _order(hit) < _order(known):
+                best[hit.document] = hit
+    return tuple(heapq.nsmallest(limit, best.values(), key=_order))
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/search.py
@@ -0,0 +1,198 @@
+"""corianderport_tier.request.search
+
+The entry's work for one search: plan, split by owner, gather, answer.
+"""
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import aggregator
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import membership
+from corianderport_tier.process import routing
+from corianderport_tier.request import coverage
+from corianderport_tier.request import inboxes
+from corianderport_tier.request import merging
+from corianderport_tier.request import messages
+from corianderport_tier.request import planning
+from corianderport_tier import result_codes
+from corianderport_tier.version import configuration
+
+__all__ = ['SearchTask']
+
+# Time kept for merging and for the way back to the caller.
+_ANSWER_MARGIN_S = 0.003
+_MAX_PLANS = 3
+
+
+@attrs.define(eq=False)
+class _Gathered:
+    """What arrived for one plan."""
+
+    answers: list[messages.ShardAnswer] = attrs.Factory(list)
+    gone: set[tuple[str, int]] = attrs.Factory(set)
+    sub_requests: int = 0
+
+
+class SearchTask:
+    """Serves one search on the task of the caller's connection."""
+
+    def __init__(
+        self,
+        request: messages.SearchRequest,
+        accepted: configuration.Configuration,
+        router: routing.Router,
+        clock: clocks.Clock,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._request = request
+        self._accepted = accepted
+        self._router = router
+        self._clock = clock
+        self._log = log
+        self._gone: set[tuple[str, int]] = set()
+
+    def run(self) -> messages.SearchAnswer:
+        """Return the answer by the request's deadline.
+
+        A plan whose snapshot is gone is dropped as a whole, with all its
+        answers, and the search is planned again.
+
+        :raises UnknownService: the configuration has no such search.
+        :raises DeadlinePast: the deadline passed before sending.
+        """
+        if self._request.deadline.passed(self._clock):
+            raise errors.DeadlinePast('the deadline has passed')
+        sub_requests = 0
+        for number in range(_MAX_PLANS):
+            plan = planning.plan_search(
+                self._accepted, self._request, self._gone
+            )
+            gathered = self._gather(plan)
+            sub_requests += gathered.sub_requests
+            last = number == _MAX_PLANS - 1
+            new = gathered.gone - self._gone
+            if not new or last or self._request.deadline.passed(self._clock):
+                break
+            self._gone |= new
+        return self._answer(plan, gathered, sub_requests)
+
+    def _gather(self, plan: planning.SearchPlan) -> _Gathered:
+        inbox: inboxes.Inbox[aggregator.BatchResult] = inboxes.Inbox(
+            self._clock
+        )
+        outstanding = {
+            sub_query.service: 0 for sub_query in plan.sub_queries()
+        }
+        self._submit(plan, plan.sub_queries(), 0, inbox, outstanding)
+        until = self._request.deadline.earlier(_ANSWER_MARGIN_S)
+        gathered = _Gathered()
+        while outstanding:
+            result = inbox.take(until)
+            if result is None:
+                break
+            self._on_result(plan, result, inbox, outstanding, gathered)
+        return gathered
+
+    def _submit(
+        self,
+        plan: planning.SearchPlan,
+        sub_queries: tuple[messages.SubQuery, ...],
+        rank: int,
+        inbox: inboxes.Inbox[aggregator.BatchResult],
+        outstanding: dict[str, int],
+    ) -> None:
+        by_owner: dict[membership.Member, list[messages.SubQuery]] = {}
+        for sub_query in sub_queries:
+            owners = self._router.owners(sub_query.service)
+            if rank >= len(owners):
+                outstanding.pop(sub_query.service, None)
+                continue
+            outstanding[sub_query.service] = rank
+            by_owner.setdefault(owners[rank], []).append(sub_query)
+        for owner, owned in by_owner.items():
+            self._log.record(
+                decision_log.Decision(
+                    'owner',
+                    self._request.request_id,
+                    owner.name,
+                    f'owner {rank + 1} of {len(owned)} services',
+                )
+            )
+            batch = self._batch(plan, tuple(owned))
+            self._router.aggregator(owner).submit(batch, inbox.put)
+
+    def _batch(
+        self,
+        plan: planning.SearchPlan,
+        sub_queries: tuple[messages.SubQuery, ...],
+    ) -> messages.SubQueryBatch:
+        request = self._request
+        return messages.SubQueryBatch(
+            request_id=request.request_id,
+            index=plan.search.index,
+            snapshot=plan.snapshot.number,
+            query=request.query,
+            limit=request.limit,
+            deadline=request.deadline.earlier(2 * _ANSWER_MARGIN_S),
+            sub_queries=sub_queries,
+        )
+
+    def _on_result(
+        self,
+        plan: planning.SearchPlan,
+        result: aggregator.BatchResult,
+        inbox: inboxes.Inbox[aggregator.BatchResult],
+        outstanding: dict[str, int],
+        gathered: _Gathered,
+    ) -> None:
+        answer = result.answer
+        if isinstance(answer, errors.CorianderportError):
+            again = result.batch.sub_queries
+            rank = outstanding[again[0].service] + 1
+            self._submit(plan, again, rank, inbox, outstanding)
+            return
+        for sub_query in result.batch.sub_queries:
+            outstanding.pop(sub_query.service, None)
+        gathered.sub_requests += answer.sub_requests
+        if answer.snapshot != plan.snapshot.number:
+            return
+        gathered.answers.extend(answer.answers)
+        if answer.snapshot_gone:
+            gathered.gone.update(
+                (service, plan.snapshot.number) for service in answer.refused
+            )
+            outstanding.clear()
+
+    def _answer(
+        self,
+        plan: planning.SearchPlan,
+        gathered: _Gathered,
+        sub_requests: int,
+    ) -> messages.SearchAnswer:
+        complete = coverage.complete_answers(plan.shards, gathered.answers)
+        covered = coverage.measure(plan.shards, complete)
+        return messages.SearchAnswer(
+            code=_code(plan.search, covered),
+            request_id=self._request.request_id,
+            snapshot=plan.snapshot.number,
+            coverage=covered,
+            hits=merging.top_hits(complete.values(), self._request.limit),
+            sub_requests=sub_requests,
+        )
+
+
+def _code(
+    search: configuration.Search, covered: messages.Coverage
+) -> result_codes.ResultCode:
+    if not covered.missing:
+        return result_codes.ResultCode.OK
+    needed = {
+        configuration.CoverageGoal.BEST: 0.0,
+        configuration.CoverageGoal.AT_LEAST: search.minimum_coverage,
+        configuration.CoverageGoal.ALL: 1.0,
+    }[search.coverage_goal]
+    if covered.fraction < needed:
+        return result_codes.ResultCode.COVERAGE_NOT_MET
+    return result_codes.ResultCode.PARTIAL
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/result_codes.py
@@ -0,0 +1,56 @@
+"""corianderport_tier.result_codes
+
+Numbered result codes of answers and refusals.
+"""
+
+import enum
+
+__all__ = ['ResultCode', 'Ran']
+
+
+class Ran(enum.Enum):
+    """Whether an upstream acted on the request."""
+
+    YES = 'yes'
+    NO = 'no'
+    UNKNOWN = 'unknown'
+
+
+class ResultCode(enum.IntEnum):
+    """Outcome of a request; docs/result-codes.md has the table.
+
+    The hundreds give the kind: 0 answered, 1 refused before it ran, 2 ran
+    and failed, 3 outcome unknown, 4 configuration, 5 internal.
+    """
+
+    OK = 0
+    PARTIAL = 1
+    MALFORMED_REQUEST = 100
+    UNKNOWN_SERVICE = 101
+    BODY_TOO_LARGE = 102
+    DEADLINE_PAST = 103
+    NOT_READY = 104
+    OVERLOADED = 105
+    QUOTA_EXCEEDED = 106
+    NO_UPSTREAM = 107
+    TICKET_INVALID = 108
+    TICKET_EXPIRED = 109
+    UPSTREAM_REFUSED = 110
+    NOT_OWNER = 111
+    UNAUTHENTICATED = 112
+    UPSTREAM_FAILED = 200
+    COVERAGE_NOT_MET = 201
+    OUTCOME_UNKNOWN = 300
+    CONFIGURATION_INVALID = 400
+    CONFIGURATION_STALE = 401
+    SETTING_INVALID = 402
+    INTERNAL_ERROR = 500
+
+    @property
+    def ran(self) -> Ran:
+        """Whether a request with this code was acted on."""
+        if self in (ResultCode.OUTCOME_UNKNOWN, ResultCode.INTERNAL_ERROR):
+            return Ran.UNKNOWN
+        if 100 <= self < 200 or 400 <= self < 500:
+            return Ran.NO
+        return Ran.YES
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/version/configuration.py
@@ -0,0 +1,129 @@
+"""corianderport_tier.version.configuration
+
+One accepted configuration: what operators publish, immutable.
+"""
+
+import collections.abc
+import enum
+
+import attrs
+
+from corianderport_tier.version import snapshots
+
+__all__ = [
+    'Action',
+    'Configuration',
+    'CoverageGoal',
+    'Customer',
+    'DataCentre',
+    'Limits',
+    'Search',
+    'Searcher',
+    'Service',
+]
+
+
+class CoverageGoal(enum.Enum):
+    """What a search does when shards are missing at the deadline."""
+
+    BEST = 'best'
+    AT_LEAST = 'at-least'
+    ALL = 'all'
+
+
+@attrs.frozen
+class DataCentre:
+    """A data centre and whether it may get work."""
+
+    name: str
+    region: str
+    in_service: bool = True
+
+
+@attrs.frozen
+class Limits:
+    """Limits of each searcher of a service.
+
+    ``slots`` are requests that a warm searcher runs at once;
+    ``connections`` is its connection limit over all hosts.
+    """
+
+    slots: int
+    connections: int
+    connect_ms: float = 6.0
+
+
+@attrs.frozen
+class Searcher:
+    """One upstream process; ``address`` is ``ip:port``."""
+
+    name: str
+    address: str
+    data_centre: str
+    in_service: bool = True
+
+
+@attrs.frozen
+class Service:
+    """Searchers that are replicas of the same shards."""
+
+    name: str
+    region: str
+    limits: Limits
+    searchers: tuple[Searcher, ...]
+
+
+@attrs.frozen
+class Search:
+    """A search that callers may ask for.
+
+    ``deadline_ms`` is the default and the maximum; ``worth`` weighs an
+    answered request under overload.
+    """
+
+    name: str
+    index: str
+    services: tuple[str, ...]
+    deadline_ms: float
+    coverage_goal: CoverageGoal = CoverageGoal.BEST
+    minimum_coverage: float = 0.0
+    worth: float = 1.0
+
+
+@attrs.frozen
+class Action:
+    """A request that may not be repeated, run by a service."""
+
+    name: str
+    service: str
+    deadline_ms: float
+    worth: float = 1.0
+
+
+@attrs.frozen
+class Customer:
+    """A customer and its share of the capacity under overload."""
+
+    name: str
+    share: float
+
+
+@attrs.frozen
+class Configuration:
+    """A version of the whole configuration.
+
+    ``indexes`` maps the name of an index to its snapshots, newest first.
+    """
+
+    version: int
+    data_centres: collections.abc.Mapping[str, DataCentre]
+    services: collections.abc.Mapping[str, Service]
+    indexes: collections.abc.Mapping[str, tuple[snapshots.Snapshot, ...]]
+    searches: collections.abc.Mapping[str, Search]
+    actions: collections.abc.Mapping[str, Action]
+    customers: collections.abc.Mapping[str, Customer]
+
+    def may_get_work(self, searcher: Searcher) -> bool:
+        """Whether the searcher and its data centre are in service."""
+        centre = self.data_centres.get(searcher.data_centre)
+        return searcher.in_service and centre is not None and centre.in_service
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/version/snapshots.py
@@ -0,0 +1,50 @@
+"""corianderport_tier.version.snapshots
+
+A snapshot of an index and its shard map.
+"""
+
+import collections.abc
+
+import attrs
+
+__all__ = ['Shard', 'Snapshot', 'union_length']
+
+
+@attrs.frozen
+class Shard:
+    """A half-open range of document ordinals, held by one service."""
+
+    name: str
+    service: str
+    begin: int
+    end: int
+
+    @property
+    def weight(self) -> int:
+        """Number of document ordinals in the range."""
+        return self.end - self.begin
+
+
+@attrs.frozen
+class Snapshot:
+    """One version of an index; the shard map belongs to it."""
+
+    number: int
+    shards: tuple[Shard, ...]
+
+    def shards_of(
+        self, services: collections.abc.Collection[str]
+    ) -> tuple[Shard, ...]:
+        """Return the shards that the services hold, in map order."""
+        return tuple(s for s in self.shards if s.service in services)
+
+
+def union_length(shards: collections.abc.Iterable[Shard]) -> int:
+    """Return how many ordinals lie in at least one of the ranges."""
+    length = 0
+    reached: int | None = None
+    for shard in sorted(shards, key=lambda s: (s.begin, s.end)):
+        begin = shard.begin if reached is None else max(shard.begin, reached)
+        length += max(0, shard.end - begin)
+        reached = shard.end if reached is None else max(reached, shard.end)
+    return length
--- /dev/null
+++ b/tests/tier/test_coverage.py
@@ -0,0 +1,45 @@
+"""Coverage is computed from complete answers over the shard map."""
+
+import pytest
+
+from corianderport_tier.request import coverage
+from corianderport_tier.request import messages
+from corianderport_tier.version import snapshots
+
+_SHARDS = (
+    snapshots.Shard('a', 's', 0, 10),
+    snapshots.Shard('b', 's', 10, 30),
+    snapshots.Shard('c', 's', 20, 40),
+    snapshots.Shard('empty', 's', 40, 40),
+)
+
+
+@pytest.mark.parametrize(
+    ('answered', 'fraction', 'missing'),
+    [
+        ({'a', 'b', 'c', 'empty'}, 1.0, ()),
+        (set(), 0.0, ('a', 'b', 'c', 'empty')),
+        ({'a'}, 0.25, ('b', 'c', 'empty')),
+        ({'b', 'c'}, 0.75, ('a', 'empty')),
+        ({'a', 'b', 'c'}, 1.0, ('empty',)),
+    ],
+)
+def test_overlaps_count_once(
+    answered: set[str], fraction: float, missing: tuple[str, ...]
+) -> None:
+    """Guards against counting the overlap of two shards twice."""
+    measured = coverage.measure(_SHARDS, answered)
+    assert measured == messages.Coverage(fraction, missing)
+
+
+def test_only_complete_answers_of_the_plan_count() -> None:
+    """Guards against truncated, repeated and foreign shard answers."""
+    hit = messages.Hit('d', 1.0, 't')
+    answers = [
+        messages.ShardAnswer('a', False, (hit,)),
+        messages.ShardAnswer('b', True, (hit,)),
+        messages.ShardAnswer('b', True, ()),
+        messages.ShardAnswer('foreign', True, (hit,)),
+    ]
+    kept = coverage.complete_answers(_SHARDS, answers)
+    assert kept == {'b': answers[1]}
