--- /dev/null
+++ b/packages/daemon/src/corianderport_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry host."""
--- /dev/null
+++ b/packages/daemon/src/corianderport_daemon/main.py
@@ -0,0 +1,60 @@
+"""corianderport_daemon.main
+
+The binary ``corianderportd``: one entry host.
+"""
+
+import json
+import logging
+import os
+import signal
+import sys
+
+import fire
+
+from corianderport_daemon.process import daemon
+from corianderport_daemon.process import settings
+from corianderport_tier import errors
+
+__all__ = ['main', 'run']
+
+_EXIT_SETTINGS = 2
+
+
+def run(**flags: object) -> None:
+    """Run a host until SIGTERM or SIGINT.
+
+    Every setting is a flag or an environment variable with the prefix
+    CORIANDERPORT_; docs/settings.md lists them.
+    """
+    try:
+        loaded = settings.load(flags, os.environ)
+    except errors.SettingInvalid as error:
+        print(f'corianderportd: {error}', file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
+    logging.basicConfig(level=loaded.log_level)
+    with daemon.Daemon.from_settings(loaded) as host:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: host.stop())
+        _announce(host)
+        host.wait()
+    # Tasks that still wait for an upstream must not delay the exit.
+    logging.shutdown()
+    os._exit(0)
+
+
+def _announce(host: daemon.Daemon) -> None:
+    """Print the addresses listened on as one line of JSON."""
+    addresses = {
+        'caller_address': host.caller_address,
+        'peer_address': host.peer_address,
+    }
+    print(json.dumps(addresses), flush=True)
+
+
+def main() -> None:
+    """Parse the flags and run the daemon."""
+    fire.Fire(run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -0,0 +1,204 @@
+"""corianderport_daemon.process.daemon
+
+Builds the parts of one host and runs them.
+"""
+
+import concurrent.futures
+import contextlib
+import random
+import threading
+import types
+import typing
+
+from corianderport_daemon.process import settings as settings_module
+from corianderport_tier import clocks
+from corianderport_tier.process import aggregator
+from corianderport_tier.process import configuration_store
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import entry
+from corianderport_tier.process import membership
+from corianderport_tier.process import owned_services
+from corianderport_tier.process import peers
+from corianderport_tier.process import readers
+from corianderport_tier.process import routing
+from corianderport_tier.process import selection
+from corianderport_tier.request import messages
+from corianderport_wire.connection import http_server
+from corianderport_wire.connection import peer_client
+from corianderport_wire.connection import peer_server
+from corianderport_wire.connection import platform_client
+from corianderport_wire.connection import upstream_client
+from corianderport_wire.request import caller_app
+from corianderport_wire.version import document
+
+__all__ = ['Daemon']
+
+
+class _PeerCalls:
+    """What this host serves to others."""
+
+    def __init__(
+        self,
+        local: aggregator.LocalAggregator,
+        store: configuration_store.ConfigurationStore,
+    ) -> None:
+        self._local = local
+        self._store = store
+
+    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
+        return self._local.run(batch)
+
+    def document(self, known_version: int) -> tuple[int, bytes | None]:
+        accepted = self._store.accepted()
+        version = accepted.configuration.version
+        newer = version > known_version
+        return version, accepted.document if newer else None
+
+
+class Daemon:
+    """One host with both roles."""
+
+    def __init__(
+        self, settings: settings_module.Settings, clock: clocks.Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._stack = contextlib.ExitStack()
+        self._stopped = threading.Event()
+
+    @classmethod
+    def from_settings(cls, settings: settings_module.Settings) -> 'Daemon':
+        """Return a daemon that reads the clock of the runtime."""
+        return cls(settings, clocks.SystemClock())
+
+    def __enter__(self) -> typing.Self:
+        with self._stack:
+            self._start()
+            self._stack = self._stack.pop_all()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    @property
+    def caller_address(self) -> str:
+        """Where callers connect, ``ip:port``."""
+        return self._caller_server.address
+
+    @property
+    def peer_address(self) -> str:
+        """Where other hosts connect, ``ip:port``."""
+        return self._peer_server.address
+
+    def stop(self) -> None:
+        """End ``wait``."""
+        self._stopped.set()
+
+    def wait(self) -> None:
+        """Return when the daemon is asked to stop."""
+        self._stopped.wait()
+
+    def _start(self) -> None:
+        settings = self._settings
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            settings.tasks, thread_name_prefix='task'
+        )
+        self._stack.callback(self._executor.shutdown, wait=False)
+        self._log = decision_log.DecisionLog()
+        self._store = configuration_store.ConfigurationStore(
+            document.JsonDocument(), self._clock
+        )
+        self._start_aggregator()
+        self._start_peer_server()
+        self._start_entry()
+        self._start_readers()
+
+    def _start_aggregator(self) -> None:
+        services = self._stack.enter_context(
+            owned_services.OwnedServices(
+                self._store,
+                upstream_client.HttpUpstreamDialer(self._clock),
+                self._executor,
+                self._clock,
+                selection.policy(self._settings.selection),
+                random.Random(),
+            )
+        )
+        self._local = aggregator.LocalAggregator(
+            services, self._executor, self._clock, self._log
+        )
+
+    def _start_peer_server(self) -> None:
+        host, port = _split(self._settings.peer_address)
+        self._peer_server = peer_server.PeerServer(
+            host,
+            port,
+            _PeerCalls(self._local, self._store),
+            self._clock,
+            self._settings.peer_connections,
+        )
+        self._stack.callback(self._peer_server.close)
+        self._peer_server.start()
+
+    def _start_entry(self) -> None:
+        own = membership.Member(
+            self._settings.host,
+            self._settings.data_centre,
+            self._peer_server.address,
+        )
+        self._members = membership.Membership(own)
+        remote = self._stack.enter_context(
+            peers.Peers(
+                peer_client.ThriftPeerDialer(self._clock),
+                self._executor,
+                self._clock,
+            )
+        )
+        router = routing.Router(
+            self._store, self._members, self._local, remote
+        )
+        application = caller_app.CallerApp(
+            entry.Entry(self._store, router, self._clock, self._log),
+            self._clock,
+            caller_app.CallerLimits(body_bytes=self._settings.body_bytes),
+        )
+        host, port = _split(self._settings.caller_address)
+        self._caller_server = http_server.HttpServer(
+            host,
+            port,
+            application,
+            self._settings.caller_connections,
+            self._settings.caller_idle_s,
+        )
+        self._stack.callback(self._caller_server.close)
+        self._caller_server.start()
+
+    def _start_readers(self) -> None:
+        times = readers.ReaderTimes()
+        tasks: list[readers.ConfigurationReader | readers.HostListReader] = [
+            readers.ConfigurationReader(
+                platform_client.HttpPlatform(self._settings.platform),
+                self._store,
+                self._clock,
+                times,
+            ),
+            readers.HostListReader(
+                platform_client.HttpPlatform(self._settings.platform),
+                self._members,
+                self._clock,
+                times,
+            ),
+        ]
+        for task in tasks:
+            self._stack.callback(task.close)
+            self._executor.submit(task.run)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -0,0 +1,147 @@
+"""corianderport_daemon.process.settings
+
+The daemon's settings, from flags and environment variables.
+"""
+
+import collections.abc
+import ipaddress
+
+import environ
+
+from corianderport_tier import errors
+from corianderport_tier import options
+
+__all__ = ['PREFIX', 'Settings', 'load', 'names']
+
+PREFIX = 'CORIANDERPORT'
+
+
+def _text(name: str) -> collections.abc.Callable[[object], str]:
+    def convert(value: object) -> str:
+        return options.identifier(name, value, errors.SettingInvalid)
+
+    return convert
+
+
+def _number(
+    name: str, minimum: float, maximum: float
+) -> collections.abc.Callable[[object], float]:
+    def convert(value: object) -> float:
+        return options.number(
+            name, value, minimum, maximum, errors.SettingInvalid
+        )
+
+    return convert
+
+
+def _whole(
+    name: str, minimum: int, maximum: int
+) -> collections.abc.Callable[[object], int]:
+    def convert(value: object) -> int:
+        return int(_number(name, minimum, maximum)(value))
+
+    return convert
+
+
+def _address(name: str) -> collections.abc.Callable[[object], str]:
+    def convert(value: object) -> str:
+        host, _, port = str(value).rpartition(':')
+        try:
+            ipaddress.ip_address(host)
+        except ValueError as error:
+            raise errors.SettingInvalid(
+                f'{name}: {value!r} is not an IP number and a port'
+            ) from error
+        _whole(name, 0, 65_535)(port)
+        return str(value)
+
+    return convert
+
+
+@environ.config(prefix=PREFIX, frozen=True)
+class Settings:
+    """All settings of the daemon; times in the unit of their name."""
+
+    host: str = environ.var(
+        converter=_text('host'), help='Name of this host, unique.'
+    )
+    data_centre: str = environ.var(
+        converter=_text('data_centre'), help='Data centre of this host.'
+    )
+    platform: str = environ.var(
+        converter=_address('platform'),
+        help='Address of the configuration service and host list.',
+    )
+    caller_address: str = environ.var(
+        '127.0.0.1:0',
+        converter=_address('caller_address'),
+        help='Where callers connect; port 0 takes a free one.',
+    )
+    peer_address: str = environ.var(
+        '127.0.0.1:0',
+        converter=_address('peer_address'),
+        help='Where other hosts connect; port 0 takes a free one.',
+    )
+    caller_connections: int = environ.var(
+        256,
+        converter=_whole('caller_connections', 1, 10_000),
+        help='Connections of callers served at once.',
+    )
+    peer_connections: int = environ.var(
+        512,
+        converter=_whole('peer_connections', 1, 10_000),
+        help='Connections of other hosts served at once.',
+    )
+    caller_idle_s: float = environ.var(
+        30.0,
+        converter=_number('caller_idle_s', 0.1, 3_600),
+        help='Seconds after which an idle or slow caller is closed.',
+    )
+    body_bytes: int = environ.var(
+        65_536,
+        converter=_whole('body_bytes', 256, 16_777_216),
+        help='Largest request body, bytes.',
+    )
+    tasks: int = environ.var(
+        2_000,
+        converter=_whole('tasks', 16, 20_000),
+        help='Tasks for upstream and peer connections.',
+    )
+    selection: str = environ.var(
+        'power-of-two',
+        converter=_text('selection'),
+        help='Policy that chooses among the searchers of a service.',
+    )
+    log_level: str = environ.var(
+        'INFO', converter=_text('log_level'), help='Least level logged.'
+    )
+
+
+def names() -> tuple[str, ...]:
+    """Return the names of all settings."""
+    return tuple(Settings.__annotations__)
+
+
+def load(
+    flags: collections.abc.Mapping[str, object],
+    variables: collections.abc.Mapping[str, str],
+) -> Settings:
+    """Return the settings; a flag goes before its environment variable.
+
+    :raises SettingInvalid: a setting is unknown, missing or out of range.
+    """
+    known = names()
+    merged: dict[str, str] = {}
+    for variable, value in variables.items():
+        if variable.startswith(f'{PREFIX}_'):
+            name = variable.removeprefix(f'{PREFIX}_').lower()
+            options.choice(variable, name, known, errors.SettingInvalid)
+            merged[variable] = value
+    for name, flag in flags.items():
+        options.choice('flag', name, known, errors.SettingInvalid)
+        merged[f'{PREFIX}_{name.upper()}'] = str(flag)
+    try:
+        return environ.to_config(Settings, merged)
+    except environ.MissingEnvValueError as error:
+        name = str(error).removeprefix(f'{PREFIX}_').lower()
+        raise errors.SettingInvalid(f'{name}: missing') from error
--- /dev/null
+++ b/packages/operator/src/corianderport_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' library and command line."""
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, scenarios and the bench."""
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/demo.py
@@ -0,0 +1,77 @@
+"""corianderport_testkit.demo
+
+Shows a whole deployment while a host is killed and a data centre leaves.
+"""
+
+import collections
+import sys
+import time
+
+from corianderport_testkit.process import fleet
+from corianderport_testkit.version import deployments
+
+__all__ = ['main']
+
+_QUERIES = ('juggling clubs', 'painted stilts', 'rings Surat')
+_READY_S = 15.0
+_SETTLE_S = 1.5
+
+
+def _wait_ready(running: fleet.Fleet) -> None:
+    until = time.monotonic() + _READY_S
+    for name in running.hosts:
+        while running.search(name, 'stilts').body['code'] != 0:
+            if time.monotonic() > until:
+                raise RuntimeError(f'{name} is not ready')
+            time.sleep(0.1)
+
+
+def _search_all(running: fleet.Fleet, title: str) -> bool:
+    codes: collections.Counter[str] = collections.Counter()
+    coverage = []
+    latency_ms = []
+    for query in _QUERIES:
+        for name in running.hosts:
+            started = time.monotonic()
+            reply = running.search(name, query)
+            latency_ms.append((time.monotonic() - started) * 1e3)
+            codes[reply.body['name']] += 1
+            coverage.append(reply.body['coverage']['fraction'])
+    print(
+        f'{title}: {sum(codes.values())} searches, {dict(codes)}, '
+        f'coverage {min(coverage):.0%} to {max(coverage):.0%}, '
+        f'median {sorted(latency_ms)[len(latency_ms) // 2]:.1f} ms'
+    )
+    return set(codes) <= {'OK', 'PARTIAL'}
+
+
+def main() -> None:
+    """Run the demo; exit 0 when every search was answered."""
+    deployment = deployments.Deployment(services=6, shards=2, documents=1200)
+    with fleet.Fleet(deployment) as running:
+        _wait_ready(running)
+        answered = [_search_all(running, 'six hosts')]
+        hits = running.search('host-0', _QUERIES[0], limit=3).body['hits']
+        for hit in hits:
+            print(f'  {hit["document"]} {hit["score"]:.3f} {hit["title"]}')
+        running.kill('host-5')
+        answered.append(_search_all(running, 'host-5 killed'))
+        running.publish(out_of_service={'dc-b'})
+        time.sleep(_SETTLE_S)
+        before = _searches(running, 'dc-b')
+        answered.append(_search_all(running, 'dc-b taken out'))
+        late = _searches(running, 'dc-b') - before
+        print(f'searches at dc-b after it was taken out: {late}')
+        running.publish()
+        time.sleep(_SETTLE_S)
+        answered.append(_search_all(running, 'dc-b back'))
+    sys.exit(0 if all(answered) and late == 0 else 1)
+
+
+def _searches(running: fleet.Fleet, data_centre: str) -> int:
+    names = running.deployment.searcher_names(data_centre)
+    return sum(int(running.record(name)['searches']) for name in names)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/platform.py
@@ -0,0 +1,113 @@
+"""corianderport_testkit.process.platform
+
+A stand-in for the configuration service and the host list.
+"""
+
+import collections.abc
+import threading
+import typing
+
+import cattrs.preconf.orjson
+import orjson
+import werkzeug.wrappers
+
+from corianderport_tier.process import membership
+from corianderport_wire.connection import http_server
+
+__all__ = ['Platform']
+
+_CONNECTIONS = 256
+_IDLE_S = 60.0
+_CONVERTER = cattrs.preconf.orjson.make_converter()
+
+
+class Platform:
+    """Publishes documents and hosts; counts the calls."""
+
+    def __init__(self) -> None:
+        self._condition = threading.Condition()
+        self._version = 0
+        self._document: bytes | None = None
+        self._members: dict[str, membership.Member] = {}
+        self._server = http_server.HttpServer(
+            '127.0.0.1', 0, self._application, _CONNECTIONS, _IDLE_S
+        )
+        self.configuration_calls = 0
+        self.down = False
+
+    def __enter__(self) -> typing.Self:
+        self._server.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        with self._condition:
+            self.down = True
+            self._condition.notify_all()
+        self._server.close()
+
+    @property
+    def address(self) -> str:
+        """The address listened on, ``ip:port``."""
+        return self._server.address
+
+    def publish(self, version: int, document: bytes) -> None:
+        """Publish a document, whatever its content or version."""
+        with self._condition:
+            self._version = version
+            self._document = document
+            self._condition.notify_all()
+
+    def list_host(self, member: membership.Member) -> None:
+        """Add a host to the host list, or change its state."""
+        with self._condition:
+            self._members[member.name] = member
+
+    def unlist_host(self, name: str) -> None:
+        """Take a host off the host list."""
+        with self._condition:
+            self._members.pop(name, None)
+
+    def set_down(self, down: bool) -> None:
+        """Answer every call with an error, or stop doing so."""
+        with self._condition:
+            self.down = down
+            self._condition.notify_all()
+
+    def _application(
+        self, environ: typing.Any, start_response: typing.Any
+    ) -> collections.abc.Iterable[bytes]:
+        request = werkzeug.wrappers.Request(environ)
+        if self.down:
+            status, body = 503, b'{}'
+        elif request.path == '/hosts':
+            status, body = self._hosts()
+        elif request.path == '/configuration':
+            status, body = self._configuration(0, 0.0)
+        else:
+            status, body = self._configuration(
+                int(request.args['after']),
+                int(request.args['timeout_ms']) / 1e3,
+            )
+        response = werkzeug.wrappers.Response(
+            body, status, content_type='application/json'
+        )
+        return response(environ, start_response)
+
+    def _hosts(self) -> tuple[int, bytes]:
+        with self._condition:
+            members = list(self._members.values())
+        return 200, orjson.dumps(_CONVERTER.unstructure(members))
+
+    def _configuration(
+        self, after: int, timeout_s: float
+    ) -> tuple[int, bytes]:
+        with self._condition:
+            self.configuration_calls += 1
+            self._condition.wait_for(
+                lambda: self._version > after or self.down, timeout_s
+            )
+            if self.down:
+                return 503, b'{}'
+            if self._document is None or self._version <= after:
+                return 304, b''
+            return 200, self._document
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/searchers.py
@@ -0,0 +1,56 @@
+"""corianderport_testkit.process.searchers
+
+Runs the searchers of one data centre in a process of their own.
+"""
+
+import json
+import signal
+import threading
+
+import fire
+
+from corianderport_testkit.process import searcher
+from corianderport_testkit.version import deployments
+
+__all__ = ['main', 'run']
+
+
+def run(data_centre: str, deployment: str) -> None:
+    """Serve until SIGTERM; print the addresses as one line of JSON.
+
+    :param deployment: JSON object with the fields of a Deployment.
+    """
+    fields = json.loads(deployment)
+    fields['snapshot_numbers'] = tuple(fields['snapshot_numbers'])
+    built = deployments.Deployment(**fields)
+    stopped = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    servers = [
+        searcher.SearcherServer(
+            searcher.Searcher(
+                name,
+                built,
+                searcher.Behaviour(
+                    slots=built.slots, held=built.snapshot_numbers
+                ),
+            )
+        )
+        for name in built.searcher_names(data_centre)
+    ]
+    for server in servers:
+        server.start()
+    print(
+        json.dumps({s.searcher.name: s.address for s in servers}), flush=True
+    )
+    stopped.wait()
+    for server in servers:
+        server.close()
+
+
+def main() -> None:
+    """Parse the flags and serve."""
+    fire.Fire(run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP, JSON and thrift encodings of the tier's messages."""
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -0,0 +1,102 @@
+"""corianderport_wire.connection.curl_client
+
+One persistent HTTP/1.1 connection through pycurl.
+"""
+
+import io
+
+import attrs
+import pycurl
+
+from corianderport_tier import errors
+
+__all__ = ['CurlClient', 'HttpReply']
+
+_KEEP_ALIVE_S = 5
+_MAX_REPLY_BYTES = 16 * 1024 * 1024
+_NOT_SENT = frozenset(
+    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
+)
+
+
+@attrs.frozen
+class HttpReply:
+    """Status and body of one reply."""
+
+    status: int
+    body: bytes
+
+
+class CurlClient:
+    """A handle that keeps one connection to ``ip:port`` open."""
+
+    def __init__(self, address: str, connect_timeout_s: float) -> None:
+        self._address = address
+        handle = pycurl.Curl()
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.TCP_NODELAY, 1)
+        handle.setopt(pycurl.TCP_KEEPALIVE, 1)
+        handle.setopt(pycurl.TCP_KEEPIDLE, _KEEP_ALIVE_S)
+        handle.setopt(pycurl.TCP_KEEPINTVL, _KEEP_ALIVE_S)
+        handle.setopt(pycurl.MAXCONNECTS, 1)
+        handle.setopt(pycurl.PROXY, '')
+        handle.setopt(pycurl.MAXFILESIZE, _MAX_REPLY_BYTES)
+        handle.setopt(
+            pycurl.CONNECTTIMEOUT_MS, max(1, int(connect_timeout_s * 1e3))
+        )
+        # libcurl adds an Expect header to large bodies, which costs a
+        # round trip.
+        handle.setopt(
+            pycurl.HTTPHEADER, ['Content-Type: application/json', 'Expect:']
+        )
+        self._handle = handle
+
+    def post(
+        self, path: str, body: bytes, timeout_s: float, *, fresh: bool = False
+    ) -> HttpReply:
+        """Send a POST and wait for its reply.
+
+        :param fresh: open a new connection, on which libcurl never sends
+            a request a second time.
+        :raises ConnectFailed: no byte was sent.
+        :raises ConnectionSilent: no whole reply within the timeout.
+        :raises ConnectionBroken: the connection ended.
+        """
+        handle = self._handle
+        handle.setopt(pycurl.POST, 1)
+        handle.setopt(pycurl.POSTFIELDS, body)
+        return self._perform(path, timeout_s, fresh)
+
+    def get(self, path: str, timeout_s: float) -> HttpReply:
+        """Send a GET and wait for its reply; errors as for post."""
+        self._handle.setopt(pycurl.HTTPGET, 1)
+        return self._perform(path, timeout_s, False)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._handle.close()
+
+    def _perform(self, path: str, timeout_s: float, fresh: bool) -> HttpReply:
+        handle = self._handle
+        reply = io.BytesIO()
+        handle.setopt(pycurl.URL, f'http://{self._address}{path}')
+        handle.setopt(pycurl.WRITEFUNCTION, reply.write)
+        handle.setopt(pycurl.FRESH_CONNECT, int(fresh))
+        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1e3)))
+        try:
+            handle.perform()
+        except pycurl.error as error:
+            raise self._fault(error) from error
+        return HttpReply(
+            handle.getinfo(pycurl.RESPONSE_CODE), reply.getvalue()
+        )
+
+    def _fault(self, error: pycurl.error) -> errors.TransportError:
+        number, text = error.args
+        if number in _NOT_SENT:
+            return errors.ConnectFailed(f'{self._address}: {text}')
+        if number == pycurl.E_OPERATION_TIMEDOUT:
+            if self._handle.getinfo(pycurl.PRETRANSFER_TIME) == 0:
+                return errors.ConnectFailed(f'{self._address}: {text}')
+            return errors.ConnectionSilent(f'{self._address}: {text}')
+        return errors.ConnectionBroken(f'{self._address}: {text}')
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -0,0 +1,97 @@
+"""corianderport_wire.connection.peer_client
+
+Thrift connections to other hosts.
+"""
+
+import collections.abc
+import typing
+
+import thriftpy2.protocol
+import thriftpy2.thrift
+import thriftpy2.transport
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import membership
+from corianderport_tier.request import messages
+from corianderport_wire.connection import peer_codec
+from corianderport_wire import faults
+
+__all__ = ['ThriftPeerDialer', 'ThriftPeerTransport']
+
+T = typing.TypeVar('T')
+
+
+class ThriftPeerTransport:
+    """One persistent connection to another host."""
+
+    def __init__(self, socket: typing.Any, clock: clocks.Clock) -> None:
+        self._socket = socket
+        self._clock = clock
+        transport = thriftpy2.transport.TFramedTransport(socket)
+        protocol = thriftpy2.protocol.TBinaryProtocol(transport)
+        self._client = thriftpy2.thrift.TClient(peer_codec.PEER.Peer, protocol)
+
+    def search(
+        self, batch: messages.SubQueryBatch, timeout_s: float
+    ) -> messages.BatchAnswer:
+        """Send a batch and wait for its answer."""
+        fields = peer_codec.batch_to_thrift(batch, self._clock)
+        return peer_codec.answer_from_thrift(
+            self._call(self._client.search, fields, timeout_s)
+        )
+
+    def configuration(
+        self, known_version: int, timeout_s: float
+    ) -> bytes | None:
+        """Ask for a document newer than the known version."""
+        reply = self._call(
+            self._client.configuration, known_version, timeout_s
+        )
+        return typing.cast(bytes | None, reply.content)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
+
+    def _call(
+        self,
+        method: collections.abc.Callable[[typing.Any], typing.Any],
+        argument: object,
+        timeout_s: float,
+    ) -> typing.Any:
+        self._socket.set_timeout(max(1.0, timeout_s * 1e3))
+        try:
+            return method(argument)
+        except peer_codec.PEER.Refused as refused:
+            raise faults.from_code(refused.code, refused.text) from refused
+        except TimeoutError as error:
+            raise errors.ConnectionSilent(str(error)) from error
+        except (OSError, EOFError, thriftpy2.thrift.TException) as error:
+            raise errors.ConnectionBroken(str(error)) from error
+
+
+class ThriftPeerDialer:
+    """Opens connections to other hosts."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+
+    def dial(
+        self, member: membership.Member, timeout_s: float
+    ) -> ThriftPeerTransport:
+        """Open a connection.
+
+        :raises ConnectFailed: no connection within the timeout.
+        """
+        host, _, port = member.peer_address.rpartition(':')
+        socket = thriftpy2.transport.TSocket(
+            host, int(port), connect_timeout=timeout_s * 1e3
+        )
+        try:
+            socket.open()
+        except (OSError, thriftpy2.transport.TTransportException) as error:
+            raise errors.ConnectFailed(
+                f'{member.name} at {member.peer_address}: {error}'
+            ) from error
+        return ThriftPeerTransport(socket, self._clock)
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -0,0 +1,161 @@
+"""corianderport_wire.connection.peer_server
+
+The thrift listener for other hosts, one task for each connection.
+"""
+
+import concurrent.futures
+import logging
+import socket
+import threading
+import typing
+
+import thriftpy2.protocol
+import thriftpy2.thrift
+import thriftpy2.transport
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.request import messages
+from corianderport_wire.connection import peer_codec
+
+__all__ = ['PeerServer', 'PeerService']
+
+_LOG = logging.getLogger(__name__)
+_BACKLOG = 128
+
+
+class PeerService(typing.Protocol):
+    """What a host serves to others."""
+
+    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
+        """Run a batch as its owner.
+
+        :raises CorianderportError: its code goes to the peer.
+        """
+
+    def document(self, known_version: int) -> tuple[int, bytes | None]:
+        """Return the version in force, and its document when newer."""
+
+
+class _Handler:
+    """Decodes the calls of one connection and encodes the replies."""
+
+    def __init__(self, service: PeerService, clock: clocks.Clock) -> None:
+        self._service = service
+        self._clock = clock
+
+    def search(self, batch: typing.Any) -> typing.Any:
+        decoded = peer_codec.batch_from_thrift(batch, self._clock)
+        try:
+            answer = self._service.search(decoded)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return peer_codec.answer_to_thrift(answer)
+
+    def configuration(self, known_version: int) -> typing.Any:
+        try:
+            version, content = self._service.document(known_version)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return peer_codec.PEER.Document(version=version, content=content)
+
+
+def _refused(error: errors.CorianderportError) -> Exception:
+    refused: Exception = peer_codec.PEER.Refused(
+        code=int(error.code), text=str(error)
+    )
+    return refused
+
+
+class PeerServer:
+    """Accepts connections of other hosts.
+
+    :param host: IP number to listen on.
+    :param port: 0 takes a free port.
+    :param connections: connections served at once; more are closed.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        service: PeerService,
+        clock: clocks.Clock,
+        connections: int,
+    ) -> None:
+        self._service = service
+        self._clock = clock
+        self._listener = socket.create_server((host, port), backlog=_BACKLOG)
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            connections, thread_name_prefix='peer'
+        )
+        self._slots = threading.BoundedSemaphore(connections)
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self._closed = False
+
+    @property
+    def address(self) -> str:
+        """The address listened on, ``ip:port``."""
+        host, port = self._listener.getsockname()
+        return f'{host}:{port}'
+
+    def start(self) -> None:
+        """Accept connections on a thread of the server."""
+        threading.Thread(
+            target=self._accept, name='peer-accept', daemon=True
+        ).start()
+
+    def close(self) -> None:
+        """Stop accepting and close all connections."""
+        self._closed = True
+        _shut(self._listener)
+        self._listener.close()
+        with self._lock:
+            connections = list(self._open)
+        for connection in connections:
+            _shut(connection)
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def _accept(self) -> None:
+        while not self._closed:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            if not self._slots.acquire(blocking=False):
+                connection.close()
+                continue
+            with self._lock:
+                self._open.add(connection)
+            self._executor.submit(self._serve, connection)
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = thriftpy2.transport.TSocket()
+        stream.set_handle(connection)
+        transport = thriftpy2.transport.TFramedTransport(stream)
+        protocol = thriftpy2.protocol.TBinaryProtocol(transport)
+        processor = thriftpy2.thrift.TProcessor(
+            peer_codec.PEER.Peer, _Handler(self._service, self._clock)
+        )
+        try:
+            while not self._closed:
+                processor.process(protocol, protocol)
+        except (OSError, EOFError, thriftpy2.thrift.TException) as error:
+            _LOG.debug('peer connection ended: %s', error)
+        except Exception:
+            _LOG.exception('peer call failed')
+        finally:
+            with self._lock:
+                self._open.discard(connection)
+            connection.close()
+            self._slots.release()
+
+
+def _shut(connection: socket.socket) -> None:
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The peer has closed it already.
+        return
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -0,0 +1,54 @@
+// Messages between hosts. New fields are optional and get new numbers, so
+// that an old and a new host understand each other.
+
+struct Hit {
+    1: string document
+    2: double score
+    3: string title
+}
+
+struct ShardAnswer {
+    1: string shard
+    2: bool complete
+    3: list<Hit> hits
+}
+
+struct SubQuery {
+    1: string service_name
+    2: list<string> shards
+}
+
+struct SubQueryBatch {
+    1: string request_id
+    2: string index
+    3: i64 snapshot
+    4: string query
+    5: i32 limit
+    6: double remaining_ms
+    7: list<SubQuery> sub_queries
+}
+
+struct BatchAnswer {
+    1: string request_id
+    2: i64 snapshot
+    3: list<ShardAnswer> answers
+    4: list<string> refused
+    5: bool snapshot_gone
+    6: list<i64> held
+    7: i32 sub_requests
+}
+
+struct Document {
+    1: i64 version
+    2: optional binary content
+}
+
+exception Refused {
+    1: i32 code
+    2: string text
+}
+
+service Peer {
+    BatchAnswer search(1: SubQueryBatch batch) throws (1: Refused refused)
+    Document configuration(1: i64 known_version) throws (1: Refused refused)
+}
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/request/caller_app.py
@@ -0,0 +1,215 @@
+"""corianderport_wire.request.caller_app
+
+The HTTP interface to callers, as a WSGI application.
+"""
+
+import collections.abc
+import logging
+import typing
+import uuid
+
+import attrs
+import orjson
+import werkzeug.exceptions
+import werkzeug.routing
+import werkzeug.wrappers
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier import options
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import messages
+from corianderport_tier import result_codes
+
+if typing.TYPE_CHECKING:
+    import _typeshed.wsgi
+
+__all__ = ['CallerApp', 'CallerLimits', 'CallerService']
+
+
+_LOG = logging.getLogger(__name__)
+
+_MAX_LIMIT = 1000
+_DEFAULT_LIMIT = 10
+_MAX_DEADLINE_MS = 60_000.0
+_DEFAULT_CUSTOMER = 'default'
+
+_HTTP_STATUS = {
+    result_codes.ResultCode.OK: 200,
+    result_codes.ResultCode.PARTIAL: 200,
+    result_codes.ResultCode.MALFORMED_REQUEST: 400,
+    result_codes.ResultCode.UNKNOWN_SERVICE: 404,
+    result_codes.ResultCode.BODY_TOO_LARGE: 413,
+    result_codes.ResultCode.DEADLINE_PAST: 504,
+    result_codes.ResultCode.QUOTA_EXCEEDED: 429,
+    result_codes.ResultCode.TICKET_INVALID: 403,
+    result_codes.ResultCode.TICKET_EXPIRED: 403,
+    result_codes.ResultCode.COVERAGE_NOT_MET: 502,
+    result_codes.ResultCode.UPSTREAM_FAILED: 502,
+    result_codes.ResultCode.OUTCOME_UNKNOWN: 502,
+    result_codes.ResultCode.INTERNAL_ERROR: 500,
+}
+_REFUSED_STATUS = 503
+
+Json = dict[str, typing.Any]
+
+
+class CallerService(typing.Protocol):
+    """What the application serves: the entry role."""
+
+    def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
+        """Serve one search.
+
+        :raises CorianderportError: its code goes to the caller.
+        """
+
+
+@attrs.frozen
+class CallerLimits:
+    """Bounds on what a caller may send."""
+
+    body_bytes: int = 65_536
+    default_deadline_ms: float = 1_000.0
+
+
+class CallerApp:
+    """Decodes calls, asks the entry and encodes its answers."""
+
+    def __init__(
+        self,
+        service: CallerService,
+        clock: clocks.Clock,
+        limits: CallerLimits,
+    ) -> None:
+        self._service = service
+        self._clock = clock
+        self._limits = limits
+        rule = werkzeug.routing.Rule
+        self._urls = werkzeug.routing.Map(
+            [
+                rule('/v1/search/<name>', endpoint='search', methods=['POST']),
+            ]
+        )
+        self._endpoints: dict[
+            str, collections.abc.Callable[[str, Json], Json]
+        ] = {'search': self._search}
+
+    def __call__(
+        self,
+        environ: '_typeshed.wsgi.WSGIEnvironment',
+        start_response: '_typeshed.wsgi.StartResponse',
+    ) -> collections.abc.Iterable[bytes]:
+        """Serve one HTTP request."""
+        request = werkzeug.wrappers.Request(environ)
+        try:
+            endpoint, values = self._urls.bind_to_environ(environ).match()
+            fields = self._fields(request)
+            body = self._endpoints[endpoint](values.get('name', ''), fields)
+        except werkzeug.exceptions.HTTPException as error:
+            body = _error_body(errors.MalformedRequest(str(error)))
+        except errors.CorianderportError as error:
+            body = _error_body(error)
+        except Exception:
+            _LOG.exception('request failed')
+            body = _error_body(errors.CorianderportError('internal error'))
+        response = werkzeug.wrappers.Response(
+            orjson.dumps(body),
+            status=_status(body['code']),
+            content_type='application/json',
+        )
+        if body['code'] == result_codes.ResultCode.BODY_TOO_LARGE:
+            # The rest of the body stays unread.
+            response.headers['Connection'] = 'close'
+        return response(environ, start_response)
+
+    def _fields(self, request: werkzeug.wrappers.Request) -> Json:
+        length = request.content_length
+        if length is None:
+            raise errors.MalformedRequest('Content-Length is missing')
+        if length > self._limits.body_bytes:
+            raise errors.BodyTooLarge(
+                f'body of {length} bytes is over {self._limits.body_bytes}'
+            )
+        body = request.get_data(cache=False)
+        if len(body) != length:
+            raise errors.MalformedRequest('body is shorter than announced')
+        try:
+            fields = orjson.loads(body) if body else {}
+        except orjson.JSONDecodeError as error:
+            raise errors.MalformedRequest(f'body: {error}') from error
+        if not isinstance(fields, dict):
+            raise errors.MalformedRequest('body is not a JSON object')
+        return fields
+
+    def _search(self, name: str, fields: Json) -> Json:
+        query = fields.get('query')
+        if not isinstance(query, str):
+            raise errors.MalformedRequest('query: a string is needed')
+        limit = options.number(
+            'limit', fields.get('limit', _DEFAULT_LIMIT), 1, _MAX_LIMIT
+        )
+        answer = self._service.search(
+            messages.SearchRequest(
+                request_id=_request_id(fields),
+                search=name,
+                query=query,
+                limit=int(limit),
+                deadline=self._deadline(fields),
+                customer=_customer(fields),
+            )
+        )
+        return _search_body(answer)
+
+    def _deadline(self, fields: Json) -> deadlines.Deadline:
+        value = fields.get('deadline_ms', self._limits.default_deadline_ms)
+        milliseconds = options.number(
+            'deadline_ms', value, -_MAX_DEADLINE_MS, _MAX_DEADLINE_MS
+        )
+        if milliseconds <= 0:
+            raise errors.DeadlinePast('deadline_ms is not positive')
+        return deadlines.Deadline.after(self._clock, milliseconds / 1e3)
+
+
+def _request_id(fields: Json) -> str:
+    given = fields.get('request_id')
+    if given is None:
+        return uuid.uuid4().hex
+    return options.identifier('request_id', given)
+
+
+def _customer(fields: Json) -> str:
+    return options.identifier(
+        'customer', fields.get('customer', _DEFAULT_CUSTOMER)
+    )
+
+
+def _status(code: int) -> int:
+    return _HTTP_STATUS.get(result_codes.ResultCode(code), _REFUSED_STATUS)
+
+
+def _error_body(error: errors.CorianderportError) -> Json:
+    return {
+        'code': int(error.code),
+        'name': error.code.name,
+        'ran': error.code.ran.value,
+        'detail': str(error),
+    }
+
+
+def _search_body(answer: messages.SearchAnswer) -> Json:
+    return {
+        'code': int(answer.code),
+        'name': answer.code.name,
+        'ran': answer.code.ran.value,
+        'request_id': answer.request_id,
+        'snapshot': answer.snapshot,
+        'coverage': {
+            'fraction': answer.coverage.fraction,
+            'missing': list(answer.coverage.missing),
+        },
+        'whole': answer.whole,
+        'hits': [
+            {'document': h.document, 'score': h.score, 'title': h.title}
+            for h in answer.hits
+        ],
+    }
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/request/upstream_codec.py
@@ -0,0 +1,140 @@
+"""corianderport_wire.request.upstream_codec
+
+JSON bodies of the calls between an owner and a searcher.
+"""
+
+import typing
+
+import cattrs
+import cattrs.preconf.orjson
+import orjson
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import messages
+
+__all__ = [
+    'decode_action',
+    'decode_action_reply',
+    'decode_refusal',
+    'decode_search',
+    'decode_search_reply',
+    'encode_action',
+    'encode_action_reply',
+    'encode_refusal',
+    'encode_search',
+    'encode_search_reply',
+]
+
+_CONVERTER = cattrs.preconf.orjson.make_converter()
+
+T = typing.TypeVar('T')
+Json = dict[str, typing.Any]
+
+
+def _loads(body: bytes, kind: type[T]) -> T:
+    try:
+        return _CONVERTER.structure(orjson.loads(body), kind)
+    except (
+        orjson.JSONDecodeError,
+        cattrs.BaseValidationError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise errors.ConnectionBroken(
+            f'malformed {kind.__name__}: {error}'
+        ) from error
+
+
+def _with_deadline(message: object, clock: clocks.Clock) -> bytes:
+    """Encode a message with its deadline as milliseconds from now."""
+    fields: Json = _CONVERTER.unstructure(message)
+    point = deadlines.Deadline(fields.pop('deadline')['at_s'])
+    fields['deadline_ms'] = point.remaining(clock) * 1e3
+    return orjson.dumps(fields)
+
+
+def _from_remaining(body: bytes, kind: type[T], clock: clocks.Clock) -> T:
+    """Decode a message whose deadline is in milliseconds from now."""
+    try:
+        fields: Json = orjson.loads(body)
+        seconds = float(fields.pop('deadline_ms')) / 1e3
+        fields['deadline'] = {'at_s': clock.monotonic() + seconds}
+        return _CONVERTER.structure(fields, kind)
+    except (
+        orjson.JSONDecodeError,
+        cattrs.BaseValidationError,
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise errors.MalformedRequest(
+            f'malformed {kind.__name__}: {error}'
+        ) from error
+
+
+def encode_search(call: messages.UpstreamSearch, clock: clocks.Clock) -> bytes:
+    """Return the body of ``POST /search``."""
+    return _with_deadline(call, clock)
+
+
+def decode_search(body: bytes, clock: clocks.Clock) -> messages.UpstreamSearch:
+    """Return the call in a body of ``POST /search``.
+
+    :raises MalformedRequest: the body is not such a call.
+    """
+    return _from_remaining(body, messages.UpstreamSearch, clock)
+
+
+def encode_search_reply(reply: messages.UpstreamSearchReply) -> bytes:
+    """Return the body of a searcher's answer."""
+    return orjson.dumps(_CONVERTER.unstructure(reply))
+
+
+def decode_search_reply(body: bytes) -> messages.UpstreamSearchReply:
+    """Return a searcher's answer.
+
+    :raises ConnectionBroken: the body is not a whole answer.
+    """
+    return _loads(body, messages.UpstreamSearchReply)
+
+
+def encode_action(call: messages.UpstreamAction, clock: clocks.Clock) -> bytes:
+    """Return the body of ``POST /act``."""
+    return _with_deadline(call, clock)
+
+
+def decode_action(body: bytes, clock: clocks.Clock) -> messages.UpstreamAction:
+    """Return the call in a body of ``POST /act``.
+
+    :raises MalformedRequest: the body is not such a call.
+    """
+    return _from_remaining(body, messages.UpstreamAction, clock)
+
+
+def encode_action_reply(reply: messages.UpstreamActionReply) -> bytes:
+    """Return the body of a searcher's report."""
+    return orjson.dumps(_CONVERTER.unstructure(reply))
+
+
+def decode_action_reply(body: bytes) -> messages.UpstreamActionReply:
+    """Return a searcher's report.
+
+    :raises ConnectionBroken: the body is not a whole report.
+    """
+    return _loads(body, messages.UpstreamActionReply)
+
+
+def encode_refusal(refusal: messages.UpstreamRefusal) -> bytes:
+    """Return the body of a searcher's refusal."""
+    return orjson.dumps(_CONVERTER.unstructure(refusal))
+
+
+def decode_refusal(body: bytes) -> messages.UpstreamRefusal:
+    """Return a searcher's refusal.
+
+    :raises ConnectionBroken: the body is not a refusal.
+    """
+    return _loads(body, messages.UpstreamRefusal)
--- /dev/null
+++ b/tests/daemon/test_settings.py
@@ -0,0 +1,31 @@
+"""Settings are checked at start."""
+
+import pytest
+
+from corianderport_daemon.process import settings
+from corianderport_tier import errors
+
+_GOOD = {'host': 'h', 'data_centre': 'dc-a', 'platform': '127.0.0.1:1'}
+
+
+def test_flag_goes_before_variable() -> None:
+    """Guards against an environment variable that hides a flag."""
+    variables = {'CORIANDERPORT_HOST': 'other', 'CORIANDERPORT_TASKS': '50'}
+    loaded = settings.load(_GOOD, variables)
+    assert (loaded.host, loaded.tasks) == ('h', 50)
+
+
+@pytest.mark.parametrize(
+    ('flags', 'text'),
+    [
+        ({'host': 'h', 'data_centre': 'd'}, 'platform: missing'),
+        ({**_GOOD, 'nonsense': 1}, "flag: 'nonsense' is not one of"),
+        ({**_GOOD, 'tasks': 'x'}, "tasks: 'x' is not a number from 16"),
+        ({**_GOOD, 'tasks': 1}, "tasks: '1' is not a number from 16"),
+        ({**_GOOD, 'platform': 'x:1'}, "platform: 'x:1' is not an IP"),
+    ],
+)
+def test_bad_setting_is_named(flags: dict[str, object], text: str) -> None:
+    """Guards against a start with a setting that has no effect."""
+    with pytest.raises(errors.SettingInvalid, match=text):
+        settings.load(flags, {})
