--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -7,6 +7,7 @@
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
+from corianderport_tier.process import snapshot_availability
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
 
@@ -27,6 +28,7 @@
         self._router = router
         self._clock = clock
         self._log = log
+        self._availability = snapshot_availability.SnapshotAvailability(clock)
 
     def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
         """Serve one search on the calling task.
@@ -37,6 +39,7 @@
             request,
             self._store.current(),
             self._router,
+            self._availability,
             self._clock,
             self._log,
         ).run()
--- a/packages/tier/src/corianderport_tier/request/planning.py
+++ b/packages/tier/src/corianderport_tier/request/planning.py
@@ -8,12 +8,15 @@
 import attrs
 
 from corianderport_tier import errors
+from corianderport_tier.process import snapshot_availability
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
 from corianderport_tier.version import snapshots
 
 __all__ = ['SearchPlan', 'choose_snapshot', 'plan_search']
 
+Gone = collections.abc.Set[snapshot_availability.ServiceSnapshot]
+
 
 @attrs.frozen
 class SearchPlan:
@@ -36,32 +39,38 @@
 
 def choose_snapshot(
     published: collections.abc.Sequence[snapshots.Snapshot],
-    services: collections.abc.Collection[str],
-    unavailable: collections.abc.Container[tuple[str, int]],
+    search: configuration.Search,
+    gone: Gone,
 ) -> snapshots.Snapshot:
     """Return the newest snapshot that every service is thought to hold.
 
     When no snapshot is held by all, the one held by most services is
     chosen, the newest of them first.
 
-    :param published: snapshots of the index, newest first.
-    :param unavailable: pairs of service and snapshot number that were
-        reported gone.
+    :param published: snapshots of the index, in any order.
+    :param gone: snapshots that were reported gone.
     :raises NoUpstream: no snapshot is published.
     """
     if not published:
-        raise errors.NoUpstream('the index has no snapshot')
-
-    def missing(snapshot: snapshots.Snapshot) -> int:
-        return sum((s, snapshot.number) in unavailable for s in services)
+        raise errors.NoUpstream(f'index {search.index!r} has no snapshot')
+
+    def preference(snapshot: snapshots.Snapshot) -> tuple[int, int]:
+        missing = sum(
+            snapshot_availability.ServiceSnapshot(
+                search.index, service, snapshot.number
+            )
+            in gone
+            for service in search.services
+        )
+        return (missing, -snapshot.number)
 
-    return min(published, key=missing)
+    return min(published, key=preference)
 
 
 def plan_search(
     accepted: configuration.Configuration,
     request: messages.SearchRequest,
-    unavailable: collections.abc.Container[tuple[str, int]] = (),
+    gone: Gone = frozenset(),
 ) -> SearchPlan:
     """Plan a search on one snapshot.
 
@@ -72,6 +81,6 @@
     if search is None:
         raise errors.UnknownService(f'unknown search {request.search!r}')
     snapshot = choose_snapshot(
-        accepted.indexes.get(search.index, ()), search.services, unavailable
+        accepted.indexes.get(search.index, ()), search, gone
     )
     return SearchPlan(search, snapshot, snapshot.shards_of(search.services))
--- a/packages/tier/src/corianderport_tier/request/search.py
+++ b/packages/tier/src/corianderport_tier/request/search.py
@@ -11,6 +11,7 @@
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import membership
 from corianderport_tier.process import routing
+from corianderport_tier.process import snapshot_availability
 from corianderport_tier.request import coverage
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import merging
@@ -31,7 +32,7 @@
     """What arrived for one plan."""
 
     answers: list[messages.ShardAnswer] = attrs.Factory(list)
-    gone: set[tuple[str, int]] = attrs.Factory(set)
+    gone: frozenset[snapshot_availability.ServiceSnapshot] = frozenset()
     sub_requests: int = 0
 
 
@@ -43,15 +44,16 @@
         request: messages.SearchRequest,
         accepted: configuration.Configuration,
         router: routing.Router,
+        availability: snapshot_availability.SnapshotAvailability,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
         self._request = request
         self._accepted = accepted
         self._router = router
+        self._availability = availability
         self._clock = clock
         self._log = log
-        self._gone: set[tuple[str, int]] = set()
 
     def run(self) -> messages.SearchAnswer:
         """Return the answer by the request's deadline.
@@ -65,19 +67,19 @@
         if self._request.deadline.passed(self._clock):
             raise errors.DeadlinePast('the deadline has passed')
         sub_requests = 0
-        for number in range(_MAX_PLANS):
-            plan = planning.plan_search(
-                self._accepted, self._request, self._gone
-            )
+        for _ in range(_MAX_PLANS):
+            known = self._availability.gone()
+            plan = planning.plan_search(self._accepted, self._request, known)
             gathered = self._gather(plan)
             sub_requests += gathered.sub_requests
-            last = number == _MAX_PLANS - 1
-            new = gathered.gone - self._gone
-            if not new or last or self._request.deadline.passed(self._clock):
+            if gathered.gone <= known or self._too_late():
                 break
-            self._gone |= new
+            self._availability.report_gone(gathered.gone)
         return self._answer(plan, gathered, sub_requests)
 
+    def _too_late(self) -> bool:
+        return self._request.deadline.passed(self._clock)
+
     def _gather(self, plan: planning.SearchPlan) -> _Gathered:
         inbox: inboxes.Inbox[aggregator.BatchResult] = inboxes.Inbox(
             self._clock
@@ -105,7 +107,7 @@
     ) -> None:
         by_owner: dict[membership.Member, list[messages.SubQuery]] = {}
         for sub_query in sub_queries:
-            owners = self._router.owners(sub_query.service)
+            owners = self._owners(sub_query.service)
             if rank >= len(owners):
                 outstanding.pop(sub_query.service, None)
                 continue
@@ -123,6 +125,17 @@
             batch = self._batch(plan, tuple(owned))
             self._router.aggregator(owner).submit(batch, inbox.put)
 
+    def _owners(self, service: str) -> list[membership.Member]:
+        """Return the owners; none when the service has been removed.
+
+        Other services may have been asked already, so that the search as
+        a whole can no longer be refused as not run.
+        """
+        try:
+            return self._router.owners(service)
+        except errors.UnknownService:
+            return []
+
     def _batch(
         self,
         plan: planning.SearchPlan,
@@ -160,9 +173,7 @@
             return
         gathered.answers.extend(answer.answers)
         if answer.snapshot_gone:
-            gathered.gone.update(
-                (service, plan.snapshot.number) for service in answer.refused
-            )
+            gathered.gone = _gone(plan, answer)
             outstanding.clear()
 
     def _answer(
@@ -183,6 +194,17 @@
         )
 
 
+def _gone(
+    plan: planning.SearchPlan, answer: messages.BatchAnswer
+) -> frozenset[snapshot_availability.ServiceSnapshot]:
+    return frozenset(
+        snapshot_availability.ServiceSnapshot(
+            plan.search.index, service, plan.snapshot.number
+        )
+        for service in answer.refused
+    )
+
+
 def _code(
     search: configuration.Search, covered: messages.Coverage
 ) -> result_codes.ResultCode:
