--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/fan_out.py
@@ -0,0 +1,224 @@
+"""corianderport_testkit.process.fan_out
+
+Compares two ways to send one request to many searchers.
+
+A task for each connection is what the tier does; one CurlMulti in the
+request's task is the alternative.
+"""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import io
+import os
+import statistics
+import subprocess
+import sys
+import time
+import typing
+
+import attrs
+import fire
+import pycurl
+
+from corianderport_testkit import tables
+from corianderport_tier import clocks
+from corianderport_tier.connection import pool
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import inboxes
+from corianderport_wire.connection import curl_client
+
+__all__ = ['Cost', 'main', 'run']
+
+_SERVERS = 4
+_TIMEOUT_S = 10.0
+_BODY = b'{"query": "juggling clubs"}'
+
+
+@attrs.frozen
+class Cost:
+    """Cost of one fan-out: caller's CPU a sub-request, and latency."""
+
+    cpu_us: float
+    latency_ms: float
+
+
+class FanOut(typing.Protocol):
+    """One way to send a request to many addresses."""
+
+    def send(self) -> None:
+        """Send to all addresses and wait for all replies."""
+
+    def close(self) -> None:
+        """Close all connections."""
+
+
+@attrs.frozen
+class _Job:
+    """One sub-request on the connection's task."""
+
+    inbox: inboxes.Inbox[object]
+
+    def perform(self, transport: curl_client.CurlClient) -> object:
+        return transport.post('/', _BODY, _TIMEOUT_S)
+
+    def finish(self, reply: object) -> None:
+        self.inbox.put(reply)
+
+
+class TaskPerConnection:
+    """The tier's way."""
+
+    def __init__(self, addresses: collections.abc.Sequence[str]) -> None:
+        self._clock = clocks.SystemClock()
+        self._executor = concurrent.futures.ThreadPoolExecutor(len(addresses))
+        self._pools = [self._pool(address) for address in addresses]
+
+    def send(self) -> None:
+        """Submit one job to each pool and wait on the inbox."""
+        inbox: inboxes.Inbox[object] = inboxes.Inbox(self._clock)
+        deadline = deadlines.Deadline.after(self._clock, _TIMEOUT_S)
+        for connections in self._pools:
+            connections.submit(_Job(inbox))
+        for _ in self._pools:
+            reply = inbox.take(deadline)
+            assert isinstance(reply, curl_client.HttpReply), reply
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connections in self._pools:
+            connections.close()
+        self._executor.shutdown()
+
+    def _pool(
+        self, address: str
+    ) -> pool.ConnectionPool[curl_client.CurlClient]:
+        return pool.ConnectionPool(
+            lambda: curl_client.CurlClient(address, _TIMEOUT_S),
+            self._executor,
+            self._clock,
+            pool.PoolLimits(1),
+        )
+
+
+class MultiPerRequest:
+    """The alternative: one CurlMulti drives all transfers."""
+
+    def __init__(self, addresses: collections.abc.Sequence[str]) -> None:
+        self._multi = pycurl.CurlMulti()
+        self._handles = [self._handle(address) for address in addresses]
+
+    def send(self) -> None:
+        """Run all transfers on the calling task."""
+        for handle in self._handles:
+            handle.setopt(pycurl.WRITEFUNCTION, io.BytesIO().write)
+            self._multi.add_handle(handle)
+        active = len(self._handles)
+        while active:
+            _, active = self._multi.perform()
+            if active:
+                self._multi.select(_TIMEOUT_S)
+        for handle in self._handles:
+            assert handle.getinfo(pycurl.RESPONSE_CODE) == 200
+            self._multi.remove_handle(handle)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for handle in self._handles:
+            handle.close()
+        self._multi.close()
+
+    def _handle(self, address: str) -> typing.Any:
+        handle = pycurl.Curl()
+        handle.setopt(pycurl.URL, f'http://{address}/')
+        handle.setopt(pycurl.POSTFIELDS, _BODY)
+        handle.setopt(pycurl.TCP_NODELAY, 1)
+        handle.setopt(pycurl.TIMEOUT, int(_TIMEOUT_S))
+        return handle
+
+
+_WAYS: dict[str, type[TaskPerConnection] | type[MultiPerRequest]] = {
+    'task per connection': TaskPerConnection,
+    'CurlMulti per request': MultiPerRequest,
+}
+
+
+def _measure(way: FanOut, width: int, requests: int) -> Cost:
+    way.send()
+    latencies = []
+    cpu_s = time.process_time()
+    for _ in range(requests):
+        started_s = time.monotonic()
+        way.send()
+        latencies.append(time.monotonic() - started_s)
+    cpu_s = time.process_time() - cpu_s
+    return Cost(
+        cpu_s * 1e6 / (requests * width), statistics.median(latencies) * 1e3
+    )
+
+
+@contextlib.contextmanager
+def _servers() -> collections.abc.Iterator[list[str]]:
+    environment = dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path))
+    module = 'corianderport_testkit.process.instant_server'
+    started = [
+        subprocess.Popen(
+            [sys.executable, '-m', module],
+            env=environment,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for _ in range(_SERVERS)
+    ]
+    try:
+        yield [
+            process.stdout.readline().strip()
+            for process in started
+            if process.stdout is not None
+        ]
+    finally:
+        for process in started:
+            process.terminate()
+        for process in started:
+            process.wait()
+
+
+def run(widths: str = '1,25,75,510', runs: int = 5) -> None:
+    """Print the cost of each way, medians over the runs with the spread.
+
+    :param widths: numbers of searchers that one request is sent to.
+    """
+    rows: list[tuple[str, ...]] = []
+    with _servers() as addresses:
+        for width in tables.numbers(widths):
+            targets = [addresses[n % _SERVERS] for n in range(width)]
+            costs: dict[str, list[Cost]] = {name: [] for name in _WAYS}
+            for _ in range(runs):
+                for name, kind in _WAYS.items():
+                    way = kind(targets)
+                    requests = max(5, 1500 // width)
+                    costs[name].append(_measure(way, width, requests))
+                    way.close()
+            rows.extend(
+                (
+                    str(width),
+                    name,
+                    tables.spread([c.cpu_us for c in found]),
+                    tables.spread([c.latency_ms for c in found]),
+                )
+                for name, found in costs.items()
+            )
+    print(
+        tables.markdown(
+            ('searchers', 'way', 'CPU us a sub-request', 'latency ms'), rows
+        )
+    )
+
+
+def main() -> None:
+    """Parse the flags and measure."""
+    fire.Fire(run)
+
+
+if __name__ == '__main__':
+    main()
