Bound the time in which a caller may send a request

A timeout for each read let a caller hold a connection by sending one byte at a time. The time limit now covers the whole request, and the idle limit only the wait for its first byte.

--- a/packages/wire/src/corianderport_wire/connection/http_server.py
+++ b/packages/wire/src/corianderport_wire/connection/http_server.py
@@ -4,8 +4,10 @@
 """
 
 import concurrent.futures
+import io
 import socket
 import threading
+import time
 import typing
 
 import werkzeug.serving
@@ -17,6 +19,49 @@
 __all__ = ['HttpServer']
 
 _SHUTDOWN_POLL_S = 0.1
+_REQUEST_S = 10.0
+
+
+class _RequestReader(io.RawIOBase):
+    """Reads a connection with a time limit for each whole request.
+
+    A timeout for each read would let a caller hold a connection for ever
+    by sending one byte at a time.
+    """
+
+    def __init__(
+        self, connection: socket.socket, idle_s: float, request_s: float
+    ) -> None:
+        self._connection = connection
+        self._idle_s = idle_s
+        self._request_s = request_s
+        self._until_s: float | None = None
+
+    def readable(self) -> bool:
+        """Whether reading is allowed; always."""
+        return True
+
+    def start_request(self) -> None:
+        """Start the time limit anew with the next byte."""
+        self._until_s = None
+
+    def readinto(self, buffer: typing.Any) -> int:
+        """Read what has arrived.
+
+        :raises TimeoutError: the request takes too long.
+        """
+        now_s = time.monotonic()
+        timeout_s = self._idle_s
+        if self._until_s is not None:
+            timeout_s = self._until_s - now_s
+        if timeout_s <= 0:
+            raise TimeoutError('the request was sent too slowly')
+        self._connection.settimeout(timeout_s)
+        length = self._connection.recv_into(buffer)
+        self._connection.settimeout(self._idle_s)
+        if self._until_s is None:
+            self._until_s = time.monotonic() + self._request_s
+        return length
 
 
 class _Handler(werkzeug.serving.WSGIRequestHandler):
@@ -25,6 +70,22 @@
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
     wbufsize = -1
+    idle_s: typing.ClassVar[float]
+    request_s: typing.ClassVar[float]
+
+    def setup(self) -> None:
+        """Read through the limit for whole requests."""
+        super().setup()
+        self._reader = _RequestReader(
+            self.connection, self.idle_s, self.request_s
+        )
+        self.rfile.close()
+        self.rfile = io.BufferedReader(self._reader)
+
+    def handle_one_request(self) -> None:
+        """Serve one request within its time limit."""
+        self._reader.start_request()
+        super().handle_one_request()
 
     def run_wsgi(self) -> None:
         """Run the application and send its response.
@@ -61,8 +122,9 @@
     :param host: IP number to listen on.
     :param port: 0 takes a free port.
     :param connections: connections served at once; more are closed.
-    :param idle_s: a connection without a request for so long, or one that
-        sends its request slower, is closed.
+    :param idle_s: a connection without a request for so long is closed.
+    :param request_s: a connection whose request takes longer to arrive is
+        closed.
     """
 
     request_queue_size = 512
@@ -75,8 +137,10 @@
         application: '_typeshed.wsgi.WSGIApplication',
         connections: int,
         idle_s: float,
+        request_s: float = _REQUEST_S,
     ) -> None:
-        handler = type('_Handler', (_Handler,), {'timeout': idle_s})
+        limits = {'idle_s': idle_s, 'request_s': request_s}
+        handler = type('_Handler', (_Handler,), limits)
         super().__init__(host, port, application, handler)
         self._executor = concurrent.futures.ThreadPoolExecutor(
             connections, thread_name_prefix=f'http-{self.port}'
