--- /dev/null
+++ b/tests/tier/test_inboxes.py
@@ -0,0 +1,33 @@
+"""A request's task waits for results until its deadline."""
+
+import concurrent.futures
+
+from corianderport_testkit import clock as manual_clock
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import inboxes
+
+
+def test_wait_ends_at_the_deadline_without_an_item() -> None:
+    """Guards against a request that waits past its deadline."""
+    clock = manual_clock.ManualClock()
+    inbox: inboxes.Inbox[int] = inboxes.Inbox(clock)
+    deadline = deadlines.Deadline.after(clock, 1.0)
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        taken = executor.submit(inbox.take, deadline)
+        while not clock.waiting:
+            assert not taken.done()
+        clock.advance(0.5)
+        assert not taken.done()
+        clock.advance(0.5)
+        assert taken.result(timeout=20) is None
+
+
+def test_items_come_in_order_even_after_the_deadline() -> None:
+    """Guards against dropping a result that has already arrived."""
+    clock = manual_clock.ManualClock()
+    inbox: inboxes.Inbox[int] = inboxes.Inbox(clock)
+    deadline = deadlines.Deadline.after(clock, 1.0)
+    inbox.put(1)
+    inbox.put(2)
+    clock.advance(2.0)
+    assert [inbox.take(deadline) for _ in range(3)] == [1, 2, None]
