--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import concurrent.futures
+import logging
 import threading
 import typing
 
@@ -15,6 +16,8 @@
 
 __all__ = ['Connection', 'ConnectionPool', 'Job', 'PoolLimits']
 
+_LOG = logging.getLogger('corianderport.pool')
+
 
 class Closeable(typing.Protocol):
     """A transport that can be closed."""
@@ -37,7 +40,7 @@
         """
 
     def finish(self, reply: object) -> None:
-        """Take the reply, or the error that ended the call."""
+        """Take the reply, or the error that ended the call; called once."""
 
 
 @attrs.frozen
@@ -48,19 +51,40 @@
     idle_s: float = 30.0
 
 
+@attrs.frozen
+class _Assignment(typing.Generic[T]):
+    job: Job[T]
+    fresh: bool
+
+
 class Connection(typing.Generic[T]):
     """A connection and the task that serves it."""
 
-    def __init__(self, pool: 'ConnectionPool[T]', job: Job[T]) -> None:
+    def __init__(
+        self, pool: 'ConnectionPool[T]', job: Job[T], opened_s: float
+    ) -> None:
         self._pool = pool
         self._condition = threading.Condition()
-        self._job: Job[T] | None = job
+        self._assigned: _Assignment[T] | None = _Assignment(job, False)
         self._closed = False
+        self._replies = 0
+        self._verified_s = opened_s
+
+    @property
+    def verified_s(self) -> float:
+        """When the connection last carried a reply, or was opened."""
+        return self._verified_s
 
-    def assign(self, job: Job[T]) -> None:
+    @property
+    def has_job(self) -> bool:
+        """Whether a job is assigned that has not been started."""
+        with self._condition:
+            return self._assigned is not None
+
+    def assign(self, job: Job[T], fresh: bool) -> None:
         """Give the idle connection its next job."""
         with self._condition:
-            self._job = job
+            self._assigned = _Assignment(job, fresh)
             self._condition.notify()
 
     def close(self) -> None:
@@ -71,53 +95,90 @@
 
     def run(self) -> None:
         """Dial, then perform one job after another until closed."""
-        job = self._job
-        assert job is not None
+        try:
+            assignment = self._take()
+            while assignment is not None:
+                assignment = self._serve(assignment)
+        finally:
+            self._pool.forget(self)
+            self._fail_assigned()
+
+    def _serve(self, first: _Assignment[T]) -> _Assignment[T] | None:
+        """Dial and serve jobs until one asks for a fresh connection."""
         try:
             transport = self._pool.dial()
-        except errors.TransportError as error:
+        except Exception as error:
             self._pool.forget(self)
-            job.finish(error)
-            return
+            first.job.finish(_as_error(error))
+            return None
+        self._replies = 0
+        self._verified_s = self._pool.clock.monotonic()
         try:
-            self._serve(transport, job)
+            return self._serve_dialled(transport, first.job)
         finally:
             transport.close()
-            self._pool.forget(self)
 
-    def _serve(self, transport: T, first: Job[T]) -> None:
-        job: Job[T] | None = first
-        while job is not None:
-            try:
-                reply = job.perform(transport)
-            except errors.TransportError as error:
-                self._pool.forget(self)
-                job.finish(error)
-                return
-            except errors.CorianderportError as error:
-                reply = error
-            self._job = None
-            # The connection is idle before its result is delivered, so
-            # that the request's next attempt finds it.
-            self._pool.put_back(self)
-            job.finish(reply)
-            job = self._next_job()
-
-    def _next_job(self) -> Job[T] | None:
+    def _serve_dialled(
+        self, transport: T, job: Job[T]
+    ) -> _Assignment[T] | None:
+        while self._perform(transport, job):
+            assignment = self._next()
+            if assignment is None or assignment.fresh:
+                return assignment
+            job = assignment.job
+        return None
+
+    def _perform(self, transport: T, job: Job[T]) -> bool:
+        """Perform one job; False when the connection must be closed."""
+        started_s = self._pool.clock.monotonic()
+        try:
+            reply = job.perform(transport)
+        except errors.TransportError as error:
+            self._on_transport_error(error, started_s)
+            job.finish(error)
+            return False
+        except errors.CorianderportError as error:
+            reply = error
+        except Exception as error:
+            self._pool.forget(self)
+            job.finish(_as_error(error))
+            return False
+        self._replies += 1
+        self._verified_s = self._pool.clock.monotonic()
+        # The connection is idle before its result is delivered, so that
+        # the request's next attempt finds it.
+        self._pool.put_back(self)
+        job.finish(reply)
+        return True
+
+    def _on_transport_error(
+        self, error: errors.TransportError, started_s: float
+    ) -> None:
+        error.fresh = self._replies == 0
+        self._pool.forget(self)
+        if not error.fresh:
+            # The connections that have carried no reply since may be
+            # half-open for the same reason.
+            self._pool.close_unverified(started_s)
+
+    def _next(self) -> _Assignment[T] | None:
         with self._condition:
-            if self._job is None and not self._closed:
+            if self._assigned is None and not self._closed:
                 self._pool.clock.wait(
                     self._condition, self._pool.limits.idle_s
                 )
-            if self._job is not None:
-                return self._job
-        if self._pool.retire(self):
-            return None
-        # A job was assigned between the timeout and the removal.
+        # A job may be assigned until the pool has removed the connection.
+        return None if self._pool.retire(self) else self._take()
+
+    def _take(self) -> _Assignment[T] | None:
         with self._condition:
-            while self._job is None:
-                self._pool.clock.wait(self._condition, None)
-            return self._job
+            taken, self._assigned = self._assigned, None
+            return taken
+
+    def _fail_assigned(self) -> None:
+        left = self._take()
+        if left is not None:
+            left.job.finish(errors.NotReady('connection task has ended'))
 
 
 class ConnectionPool(typing.Generic[T]):
@@ -147,23 +208,33 @@
         """Number of connections, open or being opened."""
         return len(self._all)
 
-    def submit(self, job: Job[T]) -> None:
+    @property
+    def idle(self) -> int:
+        """Number of connections without a job."""
+        return len(self._idle)
+
+    def submit(self, job: Job[T], fresh: bool = False) -> None:
         """Run a job on an idle connection or on a new one.
 
+        :param fresh: use a connection that has carried nothing before. At
+            the limit of connections, an idle one is replaced.
         :raises Overloaded: the limit of connections is reached.
-        :raises NotReady: the pool is closed.
+        :raises NotReady: the pool or the executor is closed.
         """
         with self._lock:
             if self._closed:
                 raise errors.NotReady('connection pool is closed')
-            if self._idle:
-                self._idle.pop().assign(job)
+            full = len(self._all) >= self.limits.connections
+            if self._idle and (full or not fresh):
+                # The oldest one is replaced, the newest one is used.
+                idle = self._idle.pop(0 if fresh else -1)
+                idle.assign(job, fresh)
                 return
-            if len(self._all) >= self.limits.connections:
+            if full:
                 raise errors.Overloaded('connection limit reached')
-            connection = Connection(self, job)
+            connection = Connection(self, job, self.clock.monotonic())
             self._all.add(connection)
-        self._executor.submit(connection.run)
+        self._start(connection)
 
     def put_back(self, connection: Connection[T]) -> None:
         """Make a connection available again."""
@@ -174,17 +245,30 @@
                 self._idle.append(connection)
 
     def retire(self, connection: Connection[T]) -> bool:
-        """Remove an idle connection; False when it just got a job."""
+        """Remove an idle connection; False when it has a job."""
         with self._lock:
+            # Jobs are assigned under this lock, and only to connections
+            # that were idle.
+            if connection.has_job:
+                return False
             if connection in self._idle:
                 self._idle.remove(connection)
-                return True
-            return self._closed
+            return True
 
     def forget(self, connection: Connection[T]) -> None:
         """Drop a connection whose task ends."""
         with self._lock:
             self._all.discard(connection)
+            if connection in self._idle:
+                self._idle.remove(connection)
+
+    def close_unverified(self, since_s: float) -> None:
+        """Close the idle connections without a reply since that time."""
+        with self._lock:
+            suspect = [c for c in self._idle if c.verified_s <= since_s]
+            self._idle = [c for c in self._idle if c.verified_s > since_s]
+        for connection in suspect:
+            connection.close()
 
     def close(self) -> None:
         """End all idle connections; busy ones end after their job."""
@@ -194,3 +278,18 @@
             self._idle.clear()
         for connection in connections:
             connection.close()
+
+    def _start(self, connection: Connection[T]) -> None:
+        try:
+            self._executor.submit(connection.run)
+        except RuntimeError as error:
+            self.forget(connection)
+            raise errors.NotReady('executor is shut down') from error
+
+
+def _as_error(error: Exception) -> errors.CorianderportError:
+    if isinstance(error, errors.CorianderportError):
+        return error
+    _LOG.error('connection task failed', exc_info=error)
+    # The call may have been sent before the fault.
+    return errors.ConnectionBroken(f'connection task failed: {error!r}')
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -39,6 +39,12 @@
     def cancel(self, attempt_id: str, timeout_s: float) -> None:
         """Ask the searcher to stop an attempt."""
 
+    def abort(self) -> None:
+        """End the call in progress, from another task.
+
+        The call raises ConnectionBroken or ConnectFailed.
+        """
+
     def close(self) -> None:
         """Close the connection."""
 
--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -157,9 +157,14 @@
 
 
 class TransportError(CorianderportError):
-    """A connection to an upstream or a peer failed."""
+    """A connection to an upstream or a peer failed.
+
+    ``fresh`` says that the connection had carried no reply before, so
+    that it cannot have been half-open already.
+    """
 
     code = result_codes.ResultCode.OUTCOME_UNKNOWN
+    fresh: bool = False
 
 
 class ConnectFailed(TransportError):
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/budgets.py
@@ -0,0 +1,83 @@
+"""corianderport_tier.process.budgets
+
+Budgets of extra sub-requests, and the backoff before a retry.
+"""
+
+import collections
+import random
+
+import attrs
+
+__all__ = ['Backoff', 'Budget', 'BudgetShare']
+
+_BUCKET_S = 1.0
+_BUCKETS = 10
+
+
+@attrs.frozen
+class BudgetShare:
+    """What may be spent in a window of ten seconds.
+
+    ``share`` is a fraction of the sub-requests counted in the window.
+    """
+
+    share: float
+    minimum: int = 0
+
+
+@attrs.define
+class _Bucket:
+    number: int
+    requests: int = 0
+    spent: int = 0
+
+
+class Budget:
+    """Sub-requests and extra sub-requests of the last ten seconds."""
+
+    def __init__(self, share: BudgetShare) -> None:
+        self._share = share
+        self._buckets: collections.deque[_Bucket] = collections.deque()
+
+    def count_request(self, now_s: float) -> None:
+        """Count a sub-request that is the first for its shards."""
+        self._bucket(now_s).requests += 1
+
+    def try_spend(self, now_s: float, minimum: int = 0) -> bool:
+        """Take one extra sub-request, when the budget has one left.
+
+        :param minimum: allowed in a window whatever its share is.
+        """
+        bucket = self._bucket(now_s)
+        requests = sum(b.requests for b in self._buckets)
+        spent = sum(b.spent for b in self._buckets)
+        allowed = max(
+            self._share.share * requests, self._share.minimum, minimum
+        )
+        if spent + 1 > allowed:
+            return False
+        bucket.spent += 1
+        return True
+
+    def _bucket(self, now_s: float) -> _Bucket:
+        number = int(now_s // _BUCKET_S)
+        buckets = self._buckets
+        while buckets and buckets[0].number <= number - _BUCKETS:
+            buckets.popleft()
+        if not buckets or buckets[-1].number < number:
+            buckets.append(_Bucket(number))
+        return buckets[-1]
+
+
+@attrs.frozen
+class Backoff:
+    """Exponential delays with jitter, seconds."""
+
+    rng: random.Random
+    base_s: float = 0.002
+    maximum_s: float = 0.05
+
+    def delay_s(self, retries: int) -> float:
+        """Return the delay before the retry of that number, from 0."""
+        longest_s = min(self.maximum_s, self.base_s * 2.0**retries)
+        return longest_s * self.rng.uniform(0.5, 1.0)
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/capacity_queue.py
@@ -0,0 +1,72 @@
+"""corianderport_tier.process.capacity_queue
+
+The requests that wait for room at the searchers of one service.
+"""
+
+import bisect
+import collections.abc
+import typing
+
+import attrs
+
+from corianderport_tier.request import deadlines
+from corianderport_tier.version import configuration
+
+if typing.TYPE_CHECKING:
+    from corianderport_tier.process import upstreams
+
+__all__ = ['CapacityQueue', 'CapacityWaiter', 'Waiting']
+
+
+class CapacityWaiter(typing.Protocol):
+    """A request that waits for room at a searcher."""
+
+    def capacity_granted(
+        self, service: str, upstream: 'upstreams.Upstream | None'
+    ) -> bool:
+        """Take a searcher on which one request is already counted.
+
+        :param upstream: None when the request cannot finish any more.
+        :return: False when the request has ended; it is not counted then.
+        """
+
+
+@attrs.frozen
+class Waiting:
+    """A waiting request and the searchers that it may use."""
+
+    waiter: CapacityWaiter
+    deadline: deadlines.Deadline
+    allowed: collections.abc.Callable[[configuration.Searcher], bool]
+    excluded: frozenset[str] = frozenset()
+
+
+class CapacityQueue:
+    """Waiting requests in the order of their deadlines."""
+
+    def __init__(self) -> None:
+        self._entries: list[Waiting] = []
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __iter__(self) -> collections.abc.Iterator[Waiting]:
+        return iter(tuple(self._entries))
+
+    def ahead_of(self, deadline: deadlines.Deadline) -> int:
+        """Return how many requests are served before that deadline."""
+        return bisect.bisect_right(
+            self._entries, deadline, key=lambda e: e.deadline
+        )
+
+    def add(self, entry: Waiting) -> None:
+        """Add a request behind those with the same deadline."""
+        self._entries.insert(self.ahead_of(entry.deadline), entry)
+
+    def remove(self, entry: Waiting) -> None:
+        """Remove a request that was taken from the iteration."""
+        self._entries.remove(entry)
+
+    def discard(self, waiter: CapacityWaiter) -> None:
+        """Remove a request that has ended."""
+        self._entries = [e for e in self._entries if e.waiter is not waiter]
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -48,10 +48,16 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._pools: dict[str, UpstreamPool] = {}
+        self._addresses = {s.address for s in service.searchers}
 
     def pool(self, searcher: configuration.Searcher) -> UpstreamPool:
-        """Return the connections to a searcher's address."""
+        """Return the connections to a searcher's address.
+
+        :raises NoUpstream: the service has no such address any more.
+        """
         with self._lock:
+            if searcher.address not in self._addresses:
+                raise errors.NoUpstream(f'{searcher.name} is gone')
             found = self._pools.get(searcher.address)
             if found is None:
                 found = self._new_pool(searcher)
@@ -60,12 +66,14 @@
 
     def update(self, service: configuration.Service) -> None:
         """Take over a new version and close pools of gone addresses."""
-        self.service = service
         self.upstreams.update(service)
-        addresses = {s.address for s in service.searchers}
         with self._lock:
-            gone = [a for a in self._pools if a not in addresses]
+            self._addresses = {s.address for s in service.searchers}
+            gone = [a for a in self._pools if a not in self._addresses]
             closing = [self._pools.pop(address) for address in gone]
+        # Set last: readers without a lock take it as a sign that the
+        # version has been taken over.
+        self.service = service
         for old in closing:
             old.close()
 
@@ -128,24 +136,35 @@
 
         :raises UnknownService: the configuration has no such service.
         """
-        service = self._store.current().services.get(name)
-        if service is None:
-            raise errors.UnknownService(f'unknown service {name!r}')
+        owned = self._services.get(name)
+        if owned is not None and owned.service is self._configured(name):
+            return owned
         with self._lock:
+            # Read under the lock, so that no older version is taken over
+            # after a newer one.
+            service = self._configured(name)
             owned = self._services.get(name)
             if owned is None:
                 owned = self._new_service(service)
                 self._services[name] = owned
-        if owned.service is not service:
-            owned.update(service)
-        return owned
+            elif owned.service is not service:
+                owned.update(service)
+            return owned
 
     def allowed(self) -> SearcherFilter:
         """Return the check of the version in force at this moment."""
         return self._store.current().may_get_work
 
+    def _configured(self, name: str) -> configuration.Service:
+        service = self._store.current().services.get(name)
+        if service is None:
+            raise errors.UnknownService(f'unknown service {name!r}')
+        return service
+
     def _new_service(self, service: configuration.Service) -> OwnedService:
-        state = upstreams.ServiceUpstreams(service, self._policy, self._rng)
+        state = upstreams.ServiceUpstreams(
+            service, self._policy, self._rng, self._clock
+        )
         return OwnedService(
             service, state, self._dialer, self._executor, self._clock
         )
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/upstream.py
@@ -0,0 +1,229 @@
+"""corianderport_tier.process.upstream
+
+Load, limit, latency and health of one searcher.
+"""
+
+import collections.abc
+import random
+
+from corianderport_tier.process import health
+from corianderport_tier.process import latency
+from corianderport_tier.process import limits
+from corianderport_tier.process import outcomes
+from corianderport_tier.process import slow_start
+from corianderport_tier.version import configuration
+
+__all__ = ['Upstream']
+
+_SLOW_FACTOR = 4.0
+# Scheduling noise of the own process must not look like a slow searcher.
+_SLOW_MARGIN_S = 0.005
+# One half-open connection delays at most as many requests as a searcher
+# of two slots runs at once.
+_SLOW_TO_COOL = 2
+_SLOW_TO_PROBATION = 3
+_SAMPLES_TO_COMPARE = 5
+# Attempts are hedged after a high quantile of the latency, so that a few
+# in a row are unlikely to be overtaken by chance.
+_OVERTAKEN_TO_PROBATION = 4
+
+
+class Upstream:
+    """One searcher; guarded by the lock of its ``ServiceUpstreams``."""
+
+    def __init__(
+        self, searcher: configuration.Searcher, slots: int, rng: random.Random
+    ) -> None:
+        self.searcher = searcher
+        self.slow_start = slow_start.SlowStart(slots)
+        self.health = health.Health(rng)
+        self.occupancy = limits.Occupancy()
+        self.latency = latency.LatencyAverage()
+        self._slow_streak = 0
+        self._overtaken_streak = 0
+
+    @property
+    def name(self) -> str:
+        """Name of the searcher."""
+        return self.searcher.name
+
+    @property
+    def in_flight(self) -> int:
+        """Requests whose answer is awaited."""
+        return self.occupancy.in_flight
+
+    @property
+    def latency_s(self) -> float:
+        """Moving average of the latency, seconds."""
+        return self.latency.recent_s
+
+    @property
+    def limit(self) -> int:
+        """How many requests may be at the searcher now."""
+        return self.slow_start.limit
+
+    @property
+    def comparable(self) -> bool:
+        """Whether other searchers are measured against this one."""
+        return (
+            self.health.normal and self.latency.samples >= _SAMPLES_TO_COMPARE
+        )
+
+    def load(self, now_s: float) -> int:
+        """Return how many requests may be running at the searcher."""
+        return self.occupancy.total(now_s, self.slow_start.lowest)
+
+    def has_room(self, now_s: float) -> bool:
+        """Whether one more request may be sent."""
+        return self.load(now_s) < self.limit
+
+    def ready(self, now_s: float) -> bool:
+        """Whether an ordinary request may be sent."""
+        return self.health.normal and self.has_room(now_s)
+
+    def probe_ready(self, now_s: float) -> bool:
+        """Whether a probe may be sent, with nothing else running."""
+        return self.health.probe_due(now_s) and self.load(now_s) == 0
+
+    def next_change_s(self, now_s: float) -> float | None:
+        """Return when room may appear without an answer; None if never."""
+        points = (
+            self.health.retry_at_s,
+            self.occupancy.next_expiry_s(now_s),
+        )
+        later = [p for p in points if p is not None and p > now_s]
+        return min(later, default=None)
+
+    def start(self) -> None:
+        """Count a request that is about to be sent."""
+        if not self.health.normal:
+            self.health.start_probe()
+        self.occupancy.start()
+
+    def finish(
+        self,
+        outcome: outcomes.Outcome,
+        usual_s: float | None,
+        now_s: float,
+    ) -> None:
+        """Count the end of a request.
+
+        :param usual_s: latency of the replicas, None when unknown.
+        """
+        if outcome.kind.may_be_running:
+            self.occupancy.abandon(outcome.attempt_id, outcome.until_s)
+        else:
+            self.occupancy.finish()
+        if self.slow_start.see(outcome.incarnation):
+            self._slow_streak = 0
+        _HANDLERS[outcome.kind](self, outcome, usual_s, now_s)
+
+    def on_overtaken(self, has_replicas: bool, now_s: float) -> None:
+        """Count an attempt that a hedge overtook.
+
+        A searcher that stops cancelled requests at once shows no high
+        latency, because its slow requests are those that are cancelled.
+        """
+        self._overtaken_streak += 1
+        if has_replicas and self._overtaken_streak >= _OVERTAKEN_TO_PROBATION:
+            self._overtaken_streak = 0
+            self.slow_start.start_over()
+            self.health.on_slow(now_s)
+
+    def _on_answered(
+        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+    ) -> None:
+        if self._is_slow(outcome.elapsed_s, usual_s):
+            self.latency.record(outcome.elapsed_s)
+            self._on_slow(usual_s is not None, now_s)
+            return
+        self._slow_streak = 0
+        if not outcome.overtaken:
+            self._overtaken_streak = 0
+        if self.health.on_success(now_s):
+            # The average of the time before the probation would keep
+            # requests away.
+            self.latency = latency.LatencyAverage()
+            self.slow_start.start_over()
+        self.latency.record(outcome.elapsed_s)
+        self.slow_start.on_success(now_s)
+
+    def _on_shed(
+        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+    ) -> None:
+        if self.slow_start.lowest:
+            self.health.on_failure(now_s)
+        else:
+            self.health.end_probe()
+        self.slow_start.on_shed(now_s)
+
+    def _on_draining(
+        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+    ) -> None:
+        self.health.on_draining(now_s)
+        self.slow_start.start_over()
+
+    def _on_unreachable(
+        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+    ) -> None:
+        self.health.on_failure(now_s)
+        self.slow_start.suspect()
+
+    def _on_broken(
+        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+    ) -> None:
+        self.slow_start.suspect()
+        self._on_lost(outcome, usual_s, now_s)
+
+    def _on_lost(
+        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+    ) -> None:
+        # A connection that had worked may be half-open, which is no fault
+        # of the searcher.
+        if outcome.fresh:
+            self.health.on_failure(now_s)
+        else:
+            self.health.end_probe()
+        if self._is_slow(outcome.elapsed_s, usual_s):
+            self._on_slow(usual_s is not None, now_s)
+
+    def _on_neutral(
+        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+    ) -> None:
+        self.health.end_probe()
+
+    def _is_slow(self, elapsed_s: float, usual_s: float | None) -> bool:
+        reference_s = usual_s
+        if reference_s is None:
+            if self.latency.samples < _SAMPLES_TO_COMPARE:
+                return False
+            reference_s = self.latency.usual_s
+        return elapsed_s > _SLOW_FACTOR * reference_s + _SLOW_MARGIN_S
+
+    def _on_slow(self, has_replicas: bool, now_s: float) -> None:
+        self._slow_streak += 1
+        if self._slow_streak >= _SLOW_TO_COOL:
+            self.slow_start.start_over()
+        else:
+            self.slow_start.on_slow()
+        if has_replicas and (
+            self._slow_streak >= _SLOW_TO_PROBATION or not self.health.normal
+        ):
+            self.health.on_slow(now_s)
+
+
+_HANDLERS: dict[
+    outcomes.OutcomeKind,
+    collections.abc.Callable[
+        [Upstream, outcomes.Outcome, float | None, float], None
+    ],
+] = {
+    outcomes.OutcomeKind.ANSWERED: Upstream._on_answered,
+    outcomes.OutcomeKind.SHED: Upstream._on_shed,
+    outcomes.OutcomeKind.DRAINING: Upstream._on_draining,
+    outcomes.OutcomeKind.REFUSED: Upstream._on_neutral,
+    outcomes.OutcomeKind.NOT_SENT: Upstream._on_neutral,
+    outcomes.OutcomeKind.UNREACHABLE: Upstream._on_unreachable,
+    outcomes.OutcomeKind.BROKEN: Upstream._on_broken,
+    outcomes.OutcomeKind.SILENT: Upstream._on_lost,
+}
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -1,72 +1,39 @@
 """corianderport_tier.process.upstreams
 
-State of the searchers of one service that this host owns.
+The searchers of one service that this host owns: who gets a request.
 """
 
-import collections
 import collections.abc
 import random
+import statistics
 import threading
-import typing
 
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import budgets
+from corianderport_tier.process import capacity_queue
+from corianderport_tier.process import latency
+from corianderport_tier.process import outcomes
 from corianderport_tier.process import selection
+from corianderport_tier.process import upstream as upstream_module
 from corianderport_tier.version import configuration
 
-__all__ = ['CapacityWaiter', 'ServiceUpstreams', 'Upstream']
+__all__ = ['ServiceUpstreams']
 
-_LATENCY_WEIGHT = 0.2
+Upstream = upstream_module.Upstream
+SearcherFilter = collections.abc.Callable[[configuration.Searcher], bool]
 
-
-class CapacityWaiter(typing.Protocol):
-    """A request that waits for room at a searcher."""
-
-    def capacity_freed(self, service: str) -> None:
-        """Learn that a searcher of the service has room."""
-
-
-class Upstream:
-    """Load and latency of one searcher."""
-
-    def __init__(self, searcher: configuration.Searcher, limit: int) -> None:
-        self.searcher = searcher
-        self.limit = limit
-        self._in_flight = 0
-        self._latency_s = 0.0
-
-    @property
-    def name(self) -> str:
-        """Name of the searcher."""
-        return self.searcher.name
-
-    @property
-    def in_flight(self) -> int:
-        """Requests at the searcher now."""
-        return self._in_flight
-
-    @property
-    def latency_s(self) -> float:
-        """Moving average of the latency, seconds."""
-        return self._latency_s
-
-    @property
-    def has_room(self) -> bool:
-        """Whether one more request may be sent."""
-        return self._in_flight < self.limit
-
-    def start(self) -> None:
-        """Count a request that is about to be sent."""
-        self._in_flight += 1
-
-    def finish(self, latency_s: float | None) -> None:
-        """Count a request that ended; None when it has no latency."""
-        self._in_flight -= 1
-        if latency_s is None:
-            return
-        if self._latency_s == 0.0:
-            self._latency_s = latency_s
-        else:
-            delta = latency_s - self._latency_s
-            self._latency_s += _LATENCY_WEIGHT * delta
+_WAITERS_PER_SLOT = 32
+# Extra sub-requests add load; retries of what was not run do not.
+_EXTRA = budgets.BudgetShare(0.05)
+_RETRIES = budgets.BudgetShare(0.2, minimum=10)
+_PROBES_MINIMUM = 1
+_TIMEOUTS_MINIMUM = 8
+_HEDGE_QUANTILE = 0.97
+_USUAL_QUANTILE = 0.5
+_SHORTEST_HEDGE_S = 0.001
+_TIMEOUT_FACTOR = 8.0
+_SHORTEST_TIMEOUT_S = 0.05
 
 
 class ServiceUpstreams:
@@ -77,15 +44,37 @@
         service: configuration.Service,
         policy: selection.SelectionPolicy,
         rng: random.Random,
+        clock: clocks.Clock,
     ) -> None:
         self._name = service.name
         self._policy = policy
         self._rng = rng
+        self._clock = clock
         self._lock = threading.Lock()
         self._upstreams: dict[str, Upstream] = {}
-        self._waiters: collections.deque[CapacityWaiter] = collections.deque()
+        self._queue = capacity_queue.CapacityQueue()
+        self._window = latency.LatencyWindow()
+        self._extra = budgets.Budget(_EXTRA)
+        self._retries = budgets.Budget(_RETRIES)
+        self.backoff = budgets.Backoff(rng)
         self.update(service)
 
+    @property
+    def hedge_delay_s(self) -> float | None:
+        """When to hedge an attempt; None while too little was observed."""
+        with self._lock:
+            observed = self._window.quantile(_HEDGE_QUANTILE)
+        return observed and max(_SHORTEST_HEDGE_S, observed)
+
+    @property
+    def attempt_timeout_s(self) -> float | None:
+        """When to give an attempt up; None while too little is known."""
+        with self._lock:
+            observed = self._window.quantile(_HEDGE_QUANTILE)
+        return observed and max(
+            _SHORTEST_TIMEOUT_S, _TIMEOUT_FACTOR * observed
+        )
+
     def update(self, service: configuration.Service) -> None:
         """Take over a new version; known searchers keep their state."""
         with self._lock:
@@ -93,17 +82,26 @@
             self._upstreams = {}
             for searcher in service.searchers:
                 upstream = known.get(searcher.name)
-                same = upstream is not None and (
-                    upstream.searcher.address == searcher.address
-                )
-                if upstream is None or not same:
-                    upstream = Upstream(searcher, service.limits.slots)
+                if upstream is None or (
+                    upstream.searcher.address != searcher.address
+                ):
+                    upstream = Upstream(
+                        searcher, service.limits.slots, self._rng
+                    )
                 upstream.searcher = searcher
+                upstream.slow_start.slots = service.limits.slots
                 self._upstreams[searcher.name] = upstream
+            self._grant()
+
+    def start_over(self) -> None:
+        """Treat every searcher as cold, after another host owned them."""
+        with self._lock:
+            for upstream in self._upstreams.values():
+                upstream.slow_start.start_over()
 
     def try_acquire(
         self,
-        allowed: collections.abc.Callable[[configuration.Searcher], bool],
+        allowed: SearcherFilter,
         excluded: collections.abc.Container[str] = (),
     ) -> Upstream | None:
         """Choose a searcher with room and count one request on it.
@@ -112,36 +110,267 @@
         :param excluded: names of searchers that were tried already.
         """
         with self._lock:
-            with_room = [
-                u
-                for u in self._upstreams.values()
-                if u.has_room
-                and u.name not in excluded
-                and allowed(u.searcher)
-            ]
-            if not with_room:
+            chosen = self._choose(allowed, excluded)
+            if chosen is not None:
+                chosen.start()
+            return chosen
+
+    def try_hedge(
+        self,
+        allowed: SearcherFilter,
+        excluded: collections.abc.Container[str],
+    ) -> Upstream | None:
+        """Acquire another replica for a hedge, within the budget."""
+        with self._lock:
+            now_s = self._clock.monotonic()
+            chosen = self._choose_ready(allowed, excluded, now_s)
+            if chosen is None or not self._extra.try_spend(now_s):
                 return None
-            chosen = self._policy.choose(with_room, self._rng)
             chosen.start()
             return chosen
 
-    def release(self, upstream: Upstream, latency_s: float | None) -> None:
-        """Count the end of a request and tell the next waiter."""
+    def try_probe(
+        self,
+        allowed: SearcherFilter,
+        excluded: collections.abc.Container[str],
+    ) -> Upstream | None:
+        """Acquire a searcher on probation for a copy of a request."""
+        with self._lock:
+            now_s = self._clock.monotonic()
+            for upstream in self._eligible(allowed, excluded):
+                if upstream.probe_ready(now_s) and self._extra.try_spend(
+                    now_s, _PROBES_MINIMUM
+                ):
+                    upstream.start()
+                    return upstream
+            return None
+
+    def count_request(self) -> None:
+        """Count a sub-request that the budgets are a share of."""
         with self._lock:
-            upstream.finish(latency_s)
-            waiter = self._waiters.popleft() if self._waiters else None
-        if waiter is not None:
-            waiter.capacity_freed(self._name)
+            now_s = self._clock.monotonic()
+            self._extra.count_request(now_s)
+            self._retries.count_request(now_s)
 
-    def add_waiter(self, waiter: CapacityWaiter) -> None:
-        """Tell this request once when a searcher has room."""
+    def try_retry(self) -> bool:
+        """Whether the budget allows a retry of what was not run."""
         with self._lock:
-            self._waiters.append(waiter)
+            return self._retries.try_spend(self._clock.monotonic())
+
+    def try_abandon(self) -> bool:
+        """Whether the budget allows a retry of what may be running."""
+        with self._lock:
+            return self._extra.try_spend(
+                self._clock.monotonic(), _TIMEOUTS_MINIMUM
+            )
+
+    def may_send(self, upstream: Upstream, allowed: SearcherFilter) -> bool:
+        """Whether an acquired searcher may still get its request."""
+        with self._lock:
+            present = self._upstreams.get(upstream.name)
+            return present is upstream and allowed(upstream.searcher)
+
+    def release(
+        self,
+        upstream: Upstream,
+        latency_s: float | None,
+        outcome: outcomes.Outcome | None = None,
+    ) -> None:
+        """Count the end of a request and serve those that wait.
+
+        :param latency_s: seconds, None without an answer.
+        :param outcome: how it ended; derived from the latency if None.
+        """
+        if outcome is None:
+            outcome = _plain_outcome(latency_s)
+        with self._lock:
+            now_s = self._clock.monotonic()
+            self._record_latency(outcome)
+            upstream.finish(outcome, self._usual_s(upstream), now_s)
+            self._grant()
+
+    def stopped(self, upstream: Upstream, attempt_id: str) -> bool:
+        """Note a confirmed cancellation.
+
+        :return: whether the connection of the attempt may be closed; at
+            the lowest limit the answer is awaited instead, because it
+            shows when the searcher has really stopped.
+        """
+        with self._lock:
+            upstream.occupancy.stopped(attempt_id)
+            self._grant()
+            return not upstream.slow_start.lowest
+
+    def add_waiter(self, entry: capacity_queue.Waiting) -> None:
+        """Queue a request; it is granted a searcher or refused once.
+
+        :raises NoUpstream: no searcher is left for it.
+        :raises Overloaded: it cannot finish by its deadline.
+        """
+        with self._lock:
+            eligible = self._eligible(entry.allowed, entry.excluded)
+            if not eligible:
+                raise errors.NoUpstream('no searcher left to try')
+            self._check_wait(entry, eligible)
+            self._queue.add(entry)
+            # Room may have appeared since the request looked for it.
+            self._grant()
+
+    def discard_waiter(self, waiter: capacity_queue.CapacityWaiter) -> None:
+        """Remove a request that has ended."""
+        with self._lock:
+            self._queue.discard(waiter)
+
+    def poll(self) -> None:
+        """Serve waiting requests after time alone has made room."""
+        with self._lock:
+            self._grant()
+
+    def next_change_s(self) -> float | None:
+        """Return when time alone may make room; None if never."""
+        with self._lock:
+            now_s = self._clock.monotonic()
+            points = [u.next_change_s(now_s) for u in self._upstreams.values()]
+        return min((p for p in points if p is not None), default=None)
 
     def candidates(
         self,
-        allowed: collections.abc.Callable[[configuration.Searcher], bool],
+        allowed: SearcherFilter,
+        excluded: collections.abc.Container[str] = (),
     ) -> list[Upstream]:
-        """Return the searchers that may get work, with or without room."""
+        """Return the searchers that a request may wait for."""
         with self._lock:
-            return [u for u in self._upstreams.values() if allowed(u.searcher)]
+            now_s = self._clock.monotonic()
+            return [
+                u
+                for u in self._eligible(allowed, excluded)
+                if u.health.normal or u.health.probe_due(now_s)
+            ]
+
+    def overtaken(self, upstream: Upstream) -> None:
+        """Note that a later attempt at a replica was answered first."""
+        with self._lock:
+            usual_s = self._usual_s(upstream)
+            upstream.on_overtaken(usual_s is not None, self._clock.monotonic())
+
+    def _eligible(
+        self,
+        allowed: SearcherFilter,
+        excluded: collections.abc.Container[str],
+    ) -> list[Upstream]:
+        return [
+            u
+            for u in self._upstreams.values()
+            if u.name not in excluded and allowed(u.searcher)
+        ]
+
+    def _choose(
+        self,
+        allowed: SearcherFilter,
+        excluded: collections.abc.Container[str],
+    ) -> Upstream | None:
+        now_s = self._clock.monotonic()
+        chosen = self._choose_ready(allowed, excluded, now_s)
+        if chosen is not None:
+            return chosen
+        eligible = self._eligible(allowed, excluded)
+        if any(u.health.normal for u in eligible):
+            return None
+        # Only searchers on hold are left; one whose probe is due is better
+        # than none.
+        due = [u for u in eligible if u.probe_ready(now_s)]
+        return self._policy.choose(due, self._rng) if due else None
+
+    def _choose_ready(
+        self,
+        allowed: SearcherFilter,
+        excluded: collections.abc.Container[str],
+        now_s: float,
+    ) -> Upstream | None:
+        ready = [
+            u for u in self._eligible(allowed, excluded) if u.ready(now_s)
+        ]
+        return self._policy.choose(ready, self._rng) if ready else None
+
+    def _grant(self) -> None:
+        """Give room to waiting requests, in the order of deadlines."""
+        for entry in self._queue:
+            if not self._can_finish(entry):
+                self._queue.remove(entry)
+                entry.waiter.capacity_granted(self._name, None)
+                continue
+            chosen = self._choose(entry.allowed, entry.excluded)
+            if chosen is None:
+                if not self._any_room():
+                    return
+                continue
+            self._queue.remove(entry)
+            chosen.start()
+            if not entry.waiter.capacity_granted(self._name, chosen):
+                chosen.finish(
+                    _plain_outcome(None), None, self._clock.monotonic()
+                )
+
+    def _any_room(self) -> bool:
+        now_s = self._clock.monotonic()
+        return any(
+            u.ready(now_s) or u.probe_ready(now_s)
+            for u in self._upstreams.values()
+        )
+
+    def _can_finish(self, entry: capacity_queue.Waiting) -> bool:
+        usual_s = self._window.quantile(_USUAL_QUANTILE) or 0.0
+        return entry.deadline.remaining(self._clock) > usual_s
+
+    def _check_wait(
+        self,
+        entry: capacity_queue.Waiting,
+        eligible: collections.abc.Sequence[Upstream],
+    ) -> None:
+        self._check_hold(entry, eligible)
+        slots = sum(u.limit for u in eligible if u.health.normal) or 1
+        if len(self._queue) >= _WAITERS_PER_SLOT * slots:
+            raise errors.Overloaded('too many requests wait for the service')
+        usual_s = self._window.quantile(_USUAL_QUANTILE) or 0.0
+        turns = (self._queue.ahead_of(entry.deadline) + 1) / slots
+        needed_s = (turns + 1) * usual_s
+        if needed_s >= entry.deadline.remaining(self._clock):
+            raise errors.Overloaded(
+                f'{needed_s * 1e3:.0f} ms are needed, more than are left'
+            )
+
+    def _check_hold(
+        self,
+        entry: capacity_queue.Waiting,
+        eligible: collections.abc.Sequence[Upstream],
+    ) -> None:
+        holds = [u.health.retry_at_s for u in eligible if not u.health.normal]
+        if len(holds) < len(eligible):
+            return
+        until_s = min((h for h in holds if h is not None), default=None)
+        if until_s is not None and until_s >= entry.deadline.at_s:
+            raise errors.NoUpstream('every searcher is on hold')
+
+    def _record_latency(self, outcome: outcomes.Outcome) -> None:
+        # The time that an abandoned request took so far is a lower bound;
+        # without it, no answer would be seen when all searchers are slow.
+        if (
+            outcome.kind is outcomes.OutcomeKind.ANSWERED
+            or outcome.kind.may_be_running
+        ):
+            self._window.record(outcome.elapsed_s)
+
+    def _usual_s(self, upstream: Upstream) -> float | None:
+        """Return the median latency of the replicas of a searcher."""
+        others = [
+            u.latency_s
+            for u in self._upstreams.values()
+            if u is not upstream and u.comparable
+        ]
+        return statistics.median(others) if others else None
+
+
+def _plain_outcome(latency_s: float | None) -> outcomes.Outcome:
+    if latency_s is None:
+        return outcomes.Outcome(outcomes.OutcomeKind.NOT_SENT)
+    return outcomes.Outcome(outcomes.OutcomeKind.ANSWERED, latency_s)
--- a/packages/tier/src/corianderport_tier/request/attempts.py
+++ b/packages/tier/src/corianderport_tier/request/attempts.py
@@ -1,19 +1,23 @@
 """corianderport_tier.request.attempts
 
-One attempt of a sub-query at one searcher.
+One attempt of a sub-query at one searcher, and its cancellation.
 """
 
 import collections.abc
+import threading
 
 import attrs
 
 from corianderport_tier import clocks
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
-from corianderport_tier.process import upstreams
+from corianderport_tier.process import outcomes
+from corianderport_tier.process import upstream as upstream_module
 from corianderport_tier.request import messages
 
-__all__ = ['AttemptResult', 'SearchAttempt']
+__all__ = ['AttemptResult', 'CancelJob', 'SearchAttempt']
+
+_CANCEL_TIMEOUT_S = 0.25
 
 Reply = (
     messages.UpstreamSearchReply
@@ -30,32 +34,56 @@
     reply: Reply
     elapsed_s: float
 
+    @property
+    def outcome(self) -> outcomes.Outcome:
+        """What the result says about the searcher."""
+        call = self.attempt.call
+        plain = outcomes.Outcome.from_reply(
+            self.reply, self.elapsed_s, call.attempt_id, call.deadline.at_s
+        )
+        return attrs.evolve(plain, overtaken=self.attempt.overtaken)
+
 
 @attrs.define(eq=False)
 class SearchAttempt:
     """A job for one connection to the searcher.
 
-    ``deliver`` is called once, on the connection's task.
+    ``may_send`` is asked at the moment of sending. ``deliver`` is called
+    once, on the connection's task.
     """
 
-    sub_query: messages.SubQuery
+    service: str
     call: messages.UpstreamSearch
-    upstream: upstreams.Upstream
+    upstream: upstream_module.Upstream
     clock: clocks.Clock
+    may_send: collections.abc.Callable[[], bool]
     deliver: collections.abc.Callable[[AttemptResult], None]
     started_s: float
+    overtaken: bool = False
+    cancel_confirmed: bool = False
+    _condition: threading.Condition = attrs.Factory(threading.Condition)
+    _transport: transports.UpstreamTransport | None = None
+    _abandoned: bool = False
+    _finished: bool = False
+
+    @property
+    def given_up(self) -> bool:
+        """Whether the attempt was abandoned by its request."""
+        return self._abandoned
 
     def perform(self, transport: transports.UpstreamTransport) -> Reply:
         """Send the sub-request; a foreign reply breaks the connection."""
-        timeout_s = self.call.deadline.remaining(self.clock)
-        if timeout_s <= 0:
-            return errors.DeadlinePast('no time left to send the attempt')
-        reply = transport.search(self.call, timeout_s)
-        if isinstance(reply, messages.UpstreamSearchReply) and (
-            reply.attempt_id != self.call.attempt_id
-            or reply.request_id != self.call.request_id
-        ):
-            raise errors.ConnectionBroken('reply belongs to another attempt')
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        if not self._begin(transport):
+            return errors.DeadlinePast('given up before it was sent')
+        try:
+            reply = self._search(transport)
+        finally:
+            self._end()
+        if self._abandoned:
+            raise errors.ConnectionSilent('the attempt was given up')
         return reply
 
     def finish(self, reply: object) -> None:
@@ -67,4 +95,88 @@
             | errors.CorianderportError,
         )
         elapsed_s = self.clock.monotonic() - self.started_s
+        with self._condition:
+            self._finished = True
+            self._condition.notify_all()
         self.deliver(AttemptResult(self, reply, elapsed_s))
+
+    def abandon(self) -> None:
+        """Close the connection of the attempt if it is still waiting."""
+        with self._condition:
+            self._abandoned = True
+            if self._transport is not None:
+                self._transport.abort()
+
+    def wait_finished(self, until_s: float) -> bool:
+        """Wait for the end of the attempt; False at the time limit."""
+        with self._condition:
+            while not self._finished:
+                remaining_s = until_s - self.clock.monotonic()
+                if remaining_s <= 0:
+                    return False
+                self.clock.wait(self._condition, remaining_s)
+            return True
+
+    def _refusal(self) -> errors.CorianderportError | None:
+        # The job may have waited for a task or a connection.
+        if self.call.deadline.passed(self.clock):
+            return errors.DeadlinePast('no time left to send the attempt')
+        if not self.may_send():
+            return errors.NoUpstream('the searcher is out of service')
+        return None
+
+    def _begin(self, transport: transports.UpstreamTransport) -> bool:
+        with self._condition:
+            if not self._abandoned:
+                self._transport = transport
+            return not self._abandoned
+
+    def _end(self) -> None:
+        with self._condition:
+            self._transport = None
+
+    def _search(
+        self, transport: transports.UpstreamTransport
+    ) -> messages.UpstreamSearchReply | messages.UpstreamRefusal:
+        timeout_s = self.call.deadline.remaining(self.clock)
+        try:
+            reply = transport.search(self.call, timeout_s)
+        except errors.ConnectionBroken as error:
+            if self._abandoned:
+                raise errors.ConnectionSilent(str(error)) from error
+            raise
+        if isinstance(reply, messages.UpstreamSearchReply) and (
+            reply.attempt_id != self.call.attempt_id
+            or reply.request_id != self.call.request_id
+        ):
+            raise errors.ConnectionBroken('reply belongs to another attempt')
+        return reply
+
+
+@attrs.define(eq=False)
+class CancelJob:
+    """Asks a searcher to stop an attempt whose answer is not needed.
+
+    ``stopped`` is called when the searcher confirms; it returns whether
+    the connection of the attempt may be closed. The attempt is given
+    until ``grace_until_s``: a searcher that answers late is slow, one
+    that confirms on a new connection but never answers on the old one has
+    a half-open connection.
+    """
+
+    attempt: SearchAttempt
+    stopped: collections.abc.Callable[[], bool]
+    grace_until_s: float | None
+
+    def perform(self, transport: transports.UpstreamTransport) -> object:
+        """Send the cancellation and watch the attempt's connection."""
+        transport.cancel(self.attempt.call.attempt_id, _CANCEL_TIMEOUT_S)
+        may_close = self.stopped()
+        if not may_close or self.grace_until_s is None:
+            return None
+        if not self.attempt.wait_finished(self.grace_until_s):
+            self.attempt.abandon()
+        return None
+
+    def finish(self, reply: object) -> None:
+        """Do nothing; a cancellation is sent at best effort."""
--- a/packages/tier/src/corianderport_tier/request/gather.py
+++ b/packages/tier/src/corianderport_tier/request/gather.py
@@ -3,40 +3,43 @@
 The owner's work for one batch: attempts at the searchers of its services.
 """
 
-import collections.abc
-
 import attrs
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import outcomes
 from corianderport_tier.process import owned_services
-from corianderport_tier.process import upstreams
+from corianderport_tier.process import upstream as upstream_module
 from corianderport_tier.request import attempts
+from corianderport_tier.request import deadlines
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import messages
+from corianderport_tier.request import pending as pending_module
+from corianderport_tier.request import sending
+from corianderport_tier.request import validation
 
 __all__ = ['Gather']
 
+_MAX_SENDS = 8
 
-@attrs.define(eq=False)
-class _Pending:
-    """A sub-query without a usable reply."""
-
-    sub_query: messages.SubQuery
-    tried: set[str] = attrs.Factory(set)
-    waiting: bool = False
+Pending = pending_module.Pending
+Upstream = upstream_module.Upstream
 
 
 @attrs.frozen
-class _CapacityFreed:
-    """A searcher of the service has room."""
+class _Granted:
+    """A searcher for a sub-query that waited, None if it is too late."""
 
     service: str
+    upstream: Upstream | None
 
 
 class Gather:
-    """Runs one batch on the request's task."""
+    """Runs one batch on the request's task.
+
+    Hedges, retries and timeouts are timers of the task's own wait.
+    """
 
     def __init__(
         self,
@@ -49,163 +52,184 @@
         self._services = services
         self._clock = clock
         self._log = log
-        self._inbox: inboxes.Inbox[attempts.AttemptResult | _CapacityFreed] = (
+        self._inbox: inboxes.Inbox[attempts.AttemptResult | _Granted] = (
             inboxes.Inbox(clock)
         )
-        self._pending: dict[str, _Pending] = {}
+        self._sender = sending.Sender(
+            batch, services, clock, log, self._inbox.put
+        )
+        self._pending: dict[str, Pending] = {}
         self._answers: list[messages.ShardAnswer] = []
         self._refused: list[str] = []
+        self._gone: list[str] = []
         self._held: tuple[int, ...] = ()
-        self._snapshot_gone = False
-        self._sent = 0
 
     def run(self) -> messages.BatchAnswer:
         """Return what arrived by the batch's deadline."""
-        for sub_query in self._batch.sub_queries:
-            pending = _Pending(sub_query)
-            self._pending[sub_query.service] = pending
-            self._send(pending)
-        while self._pending and not self._snapshot_gone:
-            item = self._inbox.take(self._batch.deadline)
-            if item is None:
-                break
-            if isinstance(item, _CapacityFreed):
-                self._on_capacity(item)
-            else:
-                self._on_result(item)
+        try:
+            for sub_query in self._batch.sub_queries:
+                pending = Pending(sub_query)
+                self._pending[sub_query.service] = pending
+                self._send(pending)
+            self._gather()
+        finally:
+            self._end()
         return messages.BatchAnswer(
             request_id=self._batch.request_id,
             snapshot=self._batch.snapshot,
             answers=tuple(self._answers),
-            refused=tuple(self._refused),
-            snapshot_gone=self._snapshot_gone,
+            refused=tuple(self._gone or self._refused),
+            snapshot_gone=bool(self._gone),
             held=self._held,
-            sub_requests=self._sent,
+            sub_requests=self._sender.sent,
         )
 
-    def capacity_freed(self, service: str) -> None:
-        """Learn that a searcher of the service has room."""
-        self._inbox.put(_CapacityFreed(service))
+    def capacity_granted(
+        self, service: str, upstream: Upstream | None
+    ) -> bool:
+        """Take a searcher that a sub-query waited for."""
+        return self._inbox.offer(_Granted(service, upstream))
 
-    def _send(self, pending: _Pending) -> None:
-        service = pending.sub_query.service
-        try:
-            owned = self._services.get(service)
-            # Checked at the moment of sending: the configuration may have
-            # changed since the search was planned.
-            allowed = self._services.allowed()
-        except errors.CorianderportError as error:
-            self._give_up(pending, str(error))
-            return
-        upstream = owned.upstreams.try_acquire(allowed, pending.tried)
-        if upstream is None:
-            self._wait_for_capacity(pending, owned, allowed)
-            return
-        pending.tried.add(upstream.name)
-        self._start(pending, owned, upstream)
+    def _gather(self) -> None:
+        while self._pending and not self._gone:
+            item = self._inbox.take(self._next_timer())
+            if item is None:
+                if self._batch.deadline.passed(self._clock):
+                    return
+                self._on_timers()
+            elif isinstance(item, _Granted):
+                self._on_granted(item)
+            else:
+                self._on_result(item)
 
-    def _start(
-        self,
-        pending: _Pending,
-        owned: owned_services.OwnedService,
-        upstream: upstreams.Upstream,
-    ) -> None:
-        self._sent += 1
-        batch = self._batch
-        attempt = attempts.SearchAttempt(
-            sub_query=pending.sub_query,
-            call=messages.UpstreamSearch(
-                request_id=batch.request_id,
-                attempt_id=f'{batch.request_id}.{upstream.name}.{self._sent}',
-                index=batch.index,
-                snapshot=batch.snapshot,
-                shards=pending.sub_query.shards,
-                query=batch.query,
-                limit=batch.limit,
-                deadline=batch.deadline,
-            ),
-            upstream=upstream,
-            clock=self._clock,
-            deliver=self._deliver(owned),
-            started_s=self._clock.monotonic(),
-        )
-        self._log.record(
-            decision_log.Decision(
-                'route',
-                batch.request_id,
-                upstream.name,
-                f'attempt {len(pending.tried)} for '
-                f'{pending.sub_query.service}',
-            )
-        )
+    def _next_timer(self) -> deadlines.Deadline:
+        points = [self._batch.deadline.at_s]
+        for pending in self._pending.values():
+            timer_s = pending.next_timer_s()
+            if pending.waiting:
+                timer_s = self._sender.next_change_s(pending.service)
+            if timer_s is not None:
+                points.append(timer_s)
+        return deadlines.Deadline(min(points))
+
+    def _on_timers(self) -> None:
+        now_s = self._clock.monotonic()
+        for pending in list(self._pending.values()):
+            if pending.waiting:
+                self._sender.poll(pending.service)
+            elif _due(pending.retry_at_s, now_s):
+                pending.retry_at_s = None
+                self._send(pending)
+            for flight in list(pending.flights.values()):
+                if _due(flight.timeout_at_s, now_s):
+                    self._sender.give_up_attempt(flight)
+                if _due(flight.hedge_at_s, now_s):
+                    flight.hedge_at_s = None
+                    self._sender.hedge(pending)
+
+    def _send(self, pending: Pending) -> None:
         try:
-            owned.pool(upstream.searcher).submit(attempt)
+            if not self._sender.send(pending):
+                self._sender.wait(pending, self)
         except errors.CorianderportError as error:
-            attempt.finish(error)
-
-    def _deliver(
-        self, owned: owned_services.OwnedService
-    ) -> collections.abc.Callable[[attempts.AttemptResult], None]:
-        def deliver(result: attempts.AttemptResult) -> None:
-            # Released on the connection's task, so that the searcher's
-            # load is right even after the request has ended.
-            answered = isinstance(result.reply, messages.UpstreamSearchReply)
-            owned.upstreams.release(
-                result.attempt.upstream,
-                result.elapsed_s if answered else None,
-            )
-            self._inbox.put(result)
-
-        return deliver
+            self._drop(pending, str(error))
 
-    def _wait_for_capacity(
-        self,
-        pending: _Pending,
-        owned: owned_services.OwnedService,
-        allowed: owned_services.SearcherFilter,
-    ) -> None:
-        untried = [
-            u
-            for u in owned.upstreams.candidates(allowed)
-            if u.name not in pending.tried
-        ]
-        if not untried:
-            self._give_up(pending, 'no searcher left to try')
-            return
-        pending.waiting = True
-        owned.upstreams.add_waiter(self)
-
-    def _give_up(self, pending: _Pending, reason: str) -> None:
-        service = pending.sub_query.service
-        self._pending.pop(service, None)
-        self._refused.append(service)
-        self._log.record(
-            decision_log.Decision(
-                'give-up', self._batch.request_id, service, reason
-            )
-        )
-
-    def _on_capacity(self, item: _CapacityFreed) -> None:
+    def _on_granted(self, item: _Granted) -> None:
         pending = self._pending.get(item.service)
-        if pending is not None and pending.waiting:
-            pending.waiting = False
+        if pending is None or not pending.waiting:
+            self._undo(item)
+            return
+        pending.waiting = False
+        if item.upstream is None:
+            self._drop(pending, 'no time left after waiting for capacity')
+        elif not self._sender.send_granted(pending, item.upstream):
+            # The configuration changed during the wait.
+            self._undo(item)
             self._send(pending)
 
     def _on_result(self, result: attempts.AttemptResult) -> None:
-        pending = self._pending.get(result.attempt.sub_query.service)
-        reply = result.reply
+        pending = self._pending.get(result.attempt.service)
         if pending is None:
             return
+        pending.flights.pop(result.attempt.call.attempt_id, None)
+        reply = result.reply
+        if result.outcome.kind in _MAY_HAVE_RUN:
+            pending.may_have_run = True
         if isinstance(reply, messages.UpstreamSearchReply):
-            if reply.snapshot == self._batch.snapshot:
-                del self._pending[pending.sub_query.service]
-                self._answers.extend(reply.answers)
+            answers = validation.usable_answers(result.attempt.call, reply)
+            if pending.accept(answers):
+                self._complete(pending)
                 return
         elif isinstance(reply, messages.UpstreamRefusal) and (
             reply.reason is messages.RefusalReason.SNAPSHOT_GONE
         ):
-            self._snapshot_gone = True
+            pending.gone = True
             self._held = reply.held
-            self._refused.append(pending.sub_query.service)
+        if not pending.flights:
+            self._retry(pending, result)
+
+    def _complete(self, pending: Pending) -> None:
+        del self._pending[pending.service]
+        self._answers.extend(pending.answers)
+        for flight in pending.flights.values():
+            self._sender.cancel(flight, overtaken=flight.first)
+
+    def _retry(self, pending: Pending, result: attempts.AttemptResult) -> None:
+        others = self._sender.has_untried(pending)
+        if pending.gone and not others:
+            self._gone.append(pending.service)
             return
-        self._send(pending)
+        if pending.sends >= _MAX_SENDS or not self._sender.may_retry(
+            pending, result
+        ):
+            self._drop(pending, 'the budget allows no retry')
+            return
+        if not others:
+            pending.tried.clear()
+        # After a lost request, an idle connection may be half-open too.
+        pending.fresh = result.outcome.kind.may_be_running
+        pending.retries += 1
+        if others and pending.retries == 1:
+            self._send(pending)
+        else:
+            delay_s = self._sender.backoff_s(pending)
+            pending.retry_at_s = self._clock.monotonic() + delay_s
+
+    def _drop(self, pending: Pending, reason: str) -> None:
+        service = pending.service
+        self._pending.pop(service, None)
+        self._answers.extend(pending.answers)
+        for flight in pending.flights.values():
+            self._sender.cancel(flight, overtaken=False)
+        if not pending.may_have_run and not pending.flights:
+            self._refused.append(service)
+        self._log.record(
+            decision_log.Decision(
+                'give-up', self._batch.request_id, service, reason
+            )
+        )
+
+    def _undo(self, item: attempts.AttemptResult | _Granted | None) -> None:
+        """Return an unused searcher, so that another request gets it."""
+        if isinstance(item, _Granted) and item.upstream is not None:
+            self._sender.release_unused(item.service, item.upstream)
+
+    def _end(self) -> None:
+        for pending in list(self._pending.values()):
+            self._sender.stop_waiting(pending.service, self)
+            self._drop(pending, 'not answered in time')
+        for item in self._inbox.close():
+            self._undo(item)
+
+
+_MAY_HAVE_RUN = frozenset(
+    {
+        outcomes.OutcomeKind.ANSWERED,
+        outcomes.OutcomeKind.BROKEN,
+        outcomes.OutcomeKind.SILENT,
+    }
+)
+
+
+def _due(at_s: float | None, now_s: float) -> bool:
+    return at_s is not None and at_s <= now_s
--- a/packages/tier/src/corianderport_tier/request/inboxes.py
+++ b/packages/tier/src/corianderport_tier/request/inboxes.py
@@ -22,12 +22,31 @@
         self._clock = clock
         self._condition = threading.Condition()
         self._items: collections.deque[T] = collections.deque()
+        self._closed = False
 
     def put(self, item: T) -> None:
         """Add an item and wake the request's task."""
+        self.offer(item)
+
+    def offer(self, item: T) -> bool:
+        """Add an item and wake the request's task.
+
+        :return: False when the request has ended; the item is dropped.
+        """
         with self._condition:
+            if self._closed:
+                return False
             self._items.append(item)
             self._condition.notify()
+            return True
+
+    def close(self) -> tuple[T, ...]:
+        """Take no more items and return those that were not taken."""
+        with self._condition:
+            self._closed = True
+            left = tuple(self._items)
+            self._items.clear()
+            return left
 
     def take(self, until: deadlines.Deadline) -> T | None:
         """Wait for the next item.
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/pending.py
@@ -0,0 +1,88 @@
+"""corianderport_tier.request.pending
+
+The state of one sub-query while its attempts run.
+"""
+
+import collections.abc
+
+import attrs
+
+from corianderport_tier.request import attempts
+from corianderport_tier.request import messages
+
+__all__ = ['Flight', 'Pending']
+
+
+@attrs.define(eq=False)
+class Flight:
+    """An attempt whose answer is awaited; times in monotonic seconds.
+
+    ``first`` says that the attempt was not sent next to another one.
+    """
+
+    attempt: attempts.SearchAttempt
+    first: bool
+    hedge_at_s: float | None
+    timeout_at_s: float | None
+
+
+@attrs.define(eq=False)
+class Pending:
+    """A sub-query with shards that have no complete answer.
+
+    ``waiting`` says that the sub-query is queued for capacity;
+    ``retry_at_s`` when the next attempt may be made after a backoff.
+    """
+
+    sub_query: messages.SubQuery
+    tried: set[str] = attrs.Factory(set)
+    flights: dict[str, Flight] = attrs.Factory(dict)
+    sends: int = 0
+    retries: int = 0
+    waiting: bool = False
+    fresh: bool = False
+    retry_at_s: float | None = None
+    gone: bool = False
+    may_have_run: bool = False
+    _complete: dict[str, messages.ShardAnswer] = attrs.Factory(dict)
+    _truncated: dict[str, messages.ShardAnswer] = attrs.Factory(dict)
+
+    @property
+    def service(self) -> str:
+        """Name of the service."""
+        return self.sub_query.service
+
+    @property
+    def remaining(self) -> tuple[str, ...]:
+        """Shards without a complete answer, in the order asked for."""
+        return tuple(
+            s for s in self.sub_query.shards if s not in self._complete
+        )
+
+    @property
+    def answers(self) -> tuple[messages.ShardAnswer, ...]:
+        """Complete answers, and truncated ones of the other shards."""
+        return (
+            *self._complete.values(),
+            *(
+                answer
+                for shard, answer in self._truncated.items()
+                if shard not in self._complete
+            ),
+        )
+
+    def accept(
+        self, answers: collections.abc.Iterable[messages.ShardAnswer]
+    ) -> bool:
+        """Add answers, the first complete one counts; True when done."""
+        for answer in answers:
+            kept = self._complete if answer.complete else self._truncated
+            kept.setdefault(answer.shard, answer)
+        return not self.remaining
+
+    def next_timer_s(self) -> float | None:
+        """Return when something is to be done; None if nothing is."""
+        points = [self.retry_at_s]
+        for flight in self.flights.values():
+            points += [flight.hedge_at_s, flight.timeout_at_s]
+        return min((p for p in points if p is not None), default=None)
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/sending.py
@@ -0,0 +1,304 @@
+"""corianderport_tier.request.sending
+
+Sends the attempts of one batch, checking each at the moment of sending.
+"""
+
+import collections.abc
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import capacity_queue
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import outcomes
+from corianderport_tier.process import owned_services
+from corianderport_tier.process import upstream as upstream_module
+from corianderport_tier.request import attempts
+from corianderport_tier.request import messages
+from corianderport_tier.request import pending as pending_module
+from corianderport_tier.version import configuration
+
+__all__ = ['Sender']
+
+Pending = pending_module.Pending
+Flight = pending_module.Flight
+Upstream = upstream_module.Upstream
+Owned = owned_services.OwnedService
+Deliver = collections.abc.Callable[[attempts.AttemptResult], None]
+
+
+class Sender:
+    """Acquires searchers and starts attempts for one batch."""
+
+    def __init__(
+        self,
+        batch: messages.SubQueryBatch,
+        services: owned_services.OwnedServices,
+        clock: clocks.Clock,
+        log: decision_log.DecisionLog,
+        deliver: Deliver,
+    ) -> None:
+        self._batch = batch
+        self._services = services
+        self._clock = clock
+        self._log = log
+        self._deliver = deliver
+        self._owned: dict[str, Owned] = {}
+        self._sent = 0
+
+    @property
+    def sent(self) -> int:
+        """Number of attempts that were started."""
+        return self._sent
+
+    def send(self, pending: Pending) -> bool:
+        """Start an attempt; False when no searcher has room.
+
+        :raises CorianderportError: the sub-query cannot be sent any more.
+        """
+        self._check_deadline()
+        owned = self._current(pending.service)
+        upstream = owned.upstreams.try_acquire(
+            self._services.allowed(), pending.tried
+        )
+        if upstream is None:
+            return False
+        self._first(pending, owned, upstream)
+        return True
+
+    def send_granted(self, pending: Pending, upstream: Upstream) -> bool:
+        """Start an attempt at a searcher that was waited for.
+
+        :return: False when it may not be sent to any more.
+        """
+        if self._batch.deadline.passed(self._clock):
+            return False
+        if not self._may_send(pending.service, upstream):
+            return False
+        owned = self._owned[pending.service]
+        self._first(pending, owned, upstream)
+        return True
+
+    def hedge(self, pending: Pending) -> None:
+        """Start an attempt next to a slow one, within the budget."""
+        owned = self._owned[pending.service]
+        upstream = owned.upstreams.try_hedge(
+            self._services.allowed(), pending.tried
+        )
+        if upstream is not None:
+            self._start(pending, owned, upstream, 'hedge')
+
+    def give_up_attempt(self, flight: Flight) -> None:
+        """Close an attempt's connection, if the budget allows a retry."""
+        flight.timeout_at_s = None
+        owned = self._owned[flight.attempt.service]
+        if owned.upstreams.try_abandon():
+            flight.attempt.abandon()
+            self.cancel(flight, overtaken=False)
+
+    def cancel(self, flight: Flight, overtaken: bool) -> None:
+        """Ask the searcher to stop an attempt, on another task."""
+        attempt = flight.attempt
+        owned = self._owned[attempt.service]
+        if overtaken:
+            attempt.overtaken = True
+            owned.upstreams.overtaken(attempt.upstream)
+
+        def stopped() -> bool:
+            attempt.cancel_confirmed = True
+            return owned.upstreams.stopped(
+                attempt.upstream, attempt.call.attempt_id
+            )
+
+        job = attempts.CancelJob(attempt, stopped, self._grace(flight))
+        try:
+            owned.pool(attempt.upstream.searcher).submit(job, fresh=True)
+        except errors.CorianderportError as error:
+            self._record('cancel', attempt.upstream.name, str(error))
+
+    def wait(
+        self, pending: Pending, waiter: capacity_queue.CapacityWaiter
+    ) -> None:
+        """Queue a sub-query for capacity.
+
+        :raises NoUpstream: no searcher is left for it.
+        :raises Overloaded: it cannot finish by its deadline.
+        """
+        pending.waiting = True
+        self._owned[pending.service].upstreams.add_waiter(
+            capacity_queue.Waiting(
+                waiter,
+                self._batch.deadline,
+                self._allowed_now,
+                frozenset(pending.tried),
+            )
+        )
+
+    def stop_waiting(
+        self, service: str, waiter: capacity_queue.CapacityWaiter
+    ) -> None:
+        """Take a sub-query from the queue."""
+        owned = self._owned.get(service)
+        if owned is not None:
+            owned.upstreams.discard_waiter(waiter)
+
+    def poll(self, service: str) -> None:
+        """Serve waiting requests after time alone has made room."""
+        self._owned[service].upstreams.poll()
+
+    def next_change_s(self, service: str) -> float | None:
+        """Return when time alone may make room; None if never."""
+        return self._owned[service].upstreams.next_change_s()
+
+    def release_unused(self, service: str, upstream: Upstream) -> None:
+        """Return a searcher that nothing was sent to."""
+        self._owned[service].upstreams.release(upstream, None)
+
+    def has_untried(self, pending: Pending) -> bool:
+        """Whether another searcher can be tried."""
+        upstreams = self._owned[pending.service].upstreams
+        return bool(
+            upstreams.candidates(self._services.allowed(), pending.tried)
+        )
+
+    def may_retry(
+        self, pending: Pending, result: attempts.AttemptResult
+    ) -> bool:
+        """Whether the budgets allow a retry after this result."""
+        upstreams = self._owned[pending.service].upstreams
+        if not result.outcome.kind.may_be_running:
+            return upstreams.try_retry()
+        # The budget was asked before the attempt was given up.
+        return result.attempt.given_up or upstreams.try_abandon()
+
+    def backoff_s(self, pending: Pending) -> float:
+        """Return the delay before the next retry, seconds."""
+        upstreams = self._owned[pending.service].upstreams
+        return upstreams.backoff.delay_s(pending.retries)
+
+    def _check_deadline(self) -> None:
+        if self._batch.deadline.passed(self._clock):
+            raise errors.DeadlinePast('no time left to send')
+
+    def _current(self, service: str) -> Owned:
+        owned = self._services.get(service)
+        self._owned[service] = owned
+        return owned
+
+    def _allowed_now(self, searcher: configuration.Searcher) -> bool:
+        return self._services.allowed()(searcher)
+
+    def _may_send(self, service: str, upstream: Upstream) -> bool:
+        try:
+            upstreams = self._services.get(service).upstreams
+        except errors.CorianderportError:
+            return False
+        return upstreams.may_send(upstream, self._services.allowed())
+
+    def _first(
+        self, pending: Pending, owned: Owned, upstream: Upstream
+    ) -> None:
+        """Start an attempt that has no other one next to it."""
+        if pending.sends:
+            self._start(pending, owned, upstream, 'retry')
+            return
+        owned.upstreams.count_request()
+        self._start(pending, owned, upstream, 'route')
+        # A searcher on probation gets a copy of the request, which then
+        # does not depend on its answer.
+        probed = owned.upstreams.try_probe(
+            self._services.allowed(), pending.tried
+        )
+        if probed is not None:
+            self._start(pending, owned, probed, 'probe')
+
+    def _start(
+        self, pending: Pending, owned: Owned, upstream: Upstream, kind: str
+    ) -> None:
+        flight = self._flight(pending, owned, upstream)
+        attempt = flight.attempt
+        pending.tried.add(upstream.name)
+        pending.sends += 1
+        pending.flights[attempt.call.attempt_id] = flight
+        self._record(
+            kind,
+            upstream.name,
+            f'attempt {pending.sends} for {pending.service}',
+        )
+        try:
+            connections = owned.pool(upstream.searcher)
+            connections.submit(attempt, fresh=pending.fresh)
+        except errors.CorianderportError as error:
+            attempt.finish(error)
+
+    def _flight(
+        self, pending: Pending, owned: Owned, upstream: Upstream
+    ) -> Flight:
+        self._sent += 1
+        now_s = self._clock.monotonic()
+        first = not pending.flights
+        attempt = attempts.SearchAttempt(
+            service=pending.service,
+            call=self._call(pending, upstream),
+            upstream=upstream,
+            clock=self._clock,
+            may_send=lambda: self._may_send(pending.service, upstream),
+            deliver=self._delivery(owned),
+            started_s=now_s,
+        )
+        hedge_s = owned.upstreams.hedge_delay_s if first else None
+        return Flight(
+            attempt=attempt,
+            first=first,
+            hedge_at_s=None if hedge_s is None else now_s + hedge_s,
+            timeout_at_s=now_s + self._timeout_s(owned),
+        )
+
+    def _call(
+        self, pending: Pending, upstream: Upstream
+    ) -> messages.UpstreamSearch:
+        batch = self._batch
+        return messages.UpstreamSearch(
+            request_id=batch.request_id,
+            attempt_id=f'{batch.request_id}.{upstream.name}.{self._sent}',
+            index=batch.index,
+            snapshot=batch.snapshot,
+            shards=pending.remaining,
+            query=batch.query,
+            limit=batch.limit,
+            deadline=batch.deadline,
+        )
+
+    def _timeout_s(self, owned: Owned) -> float:
+        observed_s = owned.upstreams.attempt_timeout_s
+        if observed_s is not None:
+            return observed_s
+        return self._batch.deadline.remaining(self._clock) / 2
+
+    def _grace(self, flight: Flight) -> float:
+        attempt = flight.attempt
+        owned = self._owned[attempt.service]
+        until_s = attempt.started_s + self._timeout_s(owned)
+        return min(until_s, attempt.call.deadline.at_s)
+
+    def _delivery(self, owned: Owned) -> Deliver:
+        def deliver(result: attempts.AttemptResult) -> None:
+            # Released on the connection's task, so that the searcher's
+            # load is right even after the request has ended.
+            outcome = result.outcome
+            upstream = result.attempt.upstream
+            answered = outcome.kind is outcomes.OutcomeKind.ANSWERED
+            owned.upstreams.release(
+                upstream, result.elapsed_s if answered else None, outcome
+            )
+            if result.attempt.cancel_confirmed:
+                owned.upstreams.stopped(
+                    upstream, result.attempt.call.attempt_id
+                )
+            self._deliver(result)
+
+        return deliver
+
+    def _record(self, kind: str, choice: str, reason: str) -> None:
+        self._log.record(
+            decision_log.Decision(kind, self._batch.request_id, choice, reason)
+        )
--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -4,6 +4,8 @@
 """
 
 import io
+import socket
+import threading
 
 import attrs
 import pycurl
@@ -13,6 +15,10 @@
 __all__ = ['CurlClient', 'HttpReply']
 
 _KEEP_ALIVE_S = 5
+# Sent data that stays unacknowledged for longer ends the connection.
+_USER_TIMEOUT_MS = 2_000
+_MAX_IDLE_S = 30
+_NO_SOCKET: int = pycurl.SOCKET_BAD
 _MAX_REPLY_BYTES = 16 * 1024 * 1024
 _NOT_SENT = frozenset(
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
@@ -32,6 +38,9 @@
 
     def __init__(self, address: str, connect_timeout_s: float) -> None:
         self._address = address
+        self._lock = threading.Lock()
+        self._socket: socket.socket | None = None
+        self._aborted = False
         handle = pycurl.Curl()
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.TCP_NODELAY, 1)
@@ -39,6 +48,8 @@
         handle.setopt(pycurl.TCP_KEEPIDLE, _KEEP_ALIVE_S)
         handle.setopt(pycurl.TCP_KEEPINTVL, _KEEP_ALIVE_S)
         handle.setopt(pycurl.MAXCONNECTS, 1)
+        handle.setopt(pycurl.MAXAGE_CONN, _MAX_IDLE_S)
+        handle.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
         handle.setopt(pycurl.PROXY, '')
         handle.setopt(pycurl.MAXFILESIZE, _MAX_REPLY_BYTES)
         handle.setopt(
@@ -72,9 +83,41 @@
         self._handle.setopt(pycurl.HTTPGET, 1)
         return self._perform(path, timeout_s, False)
 
+    def abort(self) -> None:
+        """End the call in progress, from another thread.
+
+        The client cannot be used again.
+        """
+        with self._lock:
+            self._aborted = True
+            if self._socket is not None:
+                _shut_down(self._socket)
+
     def close(self) -> None:
         """Close the connection."""
         self._handle.close()
+        with self._lock:
+            if self._socket is not None:
+                self._socket.close()
+                self._socket = None
+
+    def _open_socket(
+        self, purpose: int, address: tuple[int, int, int, object]
+    ) -> socket.socket | int:
+        """Open a socket for libcurl, which duplicates its descriptor."""
+        family, kind, protocol, _ = address
+        opened = socket.socket(family, kind, protocol)
+        opened.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
+        )
+        with self._lock:
+            if self._aborted:
+                opened.close()
+                return _NO_SOCKET
+            if self._socket is not None:
+                self._socket.close()
+            self._socket = opened
+        return opened
 
     def _perform(self, path: str, timeout_s: float, fresh: bool) -> HttpReply:
         handle = self._handle
@@ -100,3 +143,11 @@
                 return errors.ConnectFailed(f'{self._address}: {text}')
             return errors.ConnectionSilent(f'{self._address}: {text}')
         return errors.ConnectionBroken(f'{self._address}: {text}')
+
+
+def _shut_down(connection: socket.socket) -> None:
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # Not connected, or closed by the other end.
+        return
--- a/packages/wire/src/corianderport_wire/connection/upstream_client.py
+++ b/packages/wire/src/corianderport_wire/connection/upstream_client.py
@@ -52,6 +52,10 @@
         body = orjson.dumps({'attempt_id': attempt_id})
         self._client.post('/cancel', body, timeout_s)
 
+    def abort(self) -> None:
+        """End the call in progress, from another task."""
+        self._client.abort()
+
     def close(self) -> None:
         """Close the connection."""
         self._client.close()
--- /dev/null
+++ b/tests/tier/test_pool.py
@@ -0,0 +1,119 @@
+"""The pool of connections loses no job and exceeds no limit."""
+
+import collections.abc
+import concurrent.futures
+import threading
+import typing
+
+import pytest
+
+from corianderport_testkit import clock as manual
+from corianderport_tier.connection import pool
+from corianderport_tier import errors
+
+
+class _Transport:
+    def __init__(self) -> None:
+        self.closed = False
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class _Job:
+    """Records its reply; ``perform`` runs a given function."""
+
+    def __init__(
+        self, perform: collections.abc.Callable[[], object] = lambda: 'reply'
+    ) -> None:
+        self._perform = perform
+        self.submitted = False
+        self.done: concurrent.futures.Future[object] = (
+            concurrent.futures.Future()
+        )
+
+    def perform(self, transport: _Transport) -> object:
+        return self._perform()
+
+    def finish(self, reply: object) -> None:
+        self.done.set_result(reply)
+
+
+class _Deferred(concurrent.futures.Executor):
+    """Keeps submitted calls until the test runs them."""
+
+    def __init__(self) -> None:
+        self.calls: list[collections.abc.Callable[..., typing.Any]] = []
+
+    def submit(
+        self, fn: typing.Any, /, *args: typing.Any, **kwargs: typing.Any
+    ) -> concurrent.futures.Future[typing.Any]:
+        self.calls.append(fn)
+        return concurrent.futures.Future()
+
+
+class _TimingOut(manual.ManualClock):
+    """A clock on which every wait times out at once."""
+
+    def wait(
+        self, condition: threading.Condition, timeout_s: float | None
+    ) -> bool:
+        return False
+
+
+def test_job_assigned_at_the_idle_limit_survives_close() -> None:
+    """Guards against a job that neither runs nor fails.
+
+    The idle wait times out; a job is assigned and the pool closed before
+    the connection retires.
+    """
+    executor = _Deferred()
+    connections: pool.ConnectionPool[_Transport] = pool.ConnectionPool(
+        _Transport, executor, _TimingOut(), pool.PoolLimits(1)
+    )
+    late = _Job()
+    connections.submit(_Job())
+    real = connections.retire
+
+    def retire(connection: pool.Connection[_Transport]) -> bool:
+        if not late.submitted:
+            late.submitted = True
+            connections.submit(late)
+            connections.close()
+        return real(connection)
+
+    connections.retire = retire  # type: ignore[method-assign]
+    executor.calls.pop()()
+    assert late.done.done()
+
+
+def test_job_that_fails_unexpectedly_is_finished() -> None:
+    """Guards against a fault in a job that leaves its request waiting."""
+    executor = _Deferred()
+    connections: pool.ConnectionPool[_Transport] = pool.ConnectionPool(
+        _Transport, executor, manual.ManualClock(), pool.PoolLimits(1)
+    )
+
+    def fault() -> object:
+        raise ValueError('fault')
+
+    job = _Job(fault)
+    connections.submit(job)
+    try:
+        executor.calls.pop()()
+    except ValueError:
+        pass
+    assert isinstance(job.done.result(0), errors.CorianderportError)
+    assert connections.size == 0
+
+
+def test_executor_that_is_shut_down_keeps_no_connection() -> None:
+    """Guards against a slot of the pool that is taken for ever."""
+    executor = concurrent.futures.ThreadPoolExecutor(1)
+    executor.shutdown()
+    connections: pool.ConnectionPool[_Transport] = pool.ConnectionPool(
+        _Transport, executor, manual.ManualClock(), pool.PoolLimits(1)
+    )
+    with pytest.raises(errors.NotReady):
+        connections.submit(_Job())
+    assert connections.size == 0
--- /dev/null
+++ b/tests/tier/test_waiting.py
@@ -0,0 +1,129 @@
+"""Requests that wait for a searcher's capacity."""
+
+import random
+
+import attrs
+import pytest
+
+from corianderport_testkit import clock as manual
+from corianderport_tier import errors
+from corianderport_tier.process import capacity_queue
+from corianderport_tier.process import outcomes
+from corianderport_tier.process import selection
+from corianderport_tier.process import upstream as upstream_module
+from corianderport_tier.process import upstreams
+from corianderport_tier.request import deadlines
+from corianderport_tier.version import configuration
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    ended: bool = False
+    granted: list[upstream_module.Upstream | None] = attrs.Factory(list)
+
+    def capacity_granted(
+        self, service: str, upstream: upstream_module.Upstream | None
+    ) -> bool:
+        self.granted.append(upstream)
+        return not self.ended
+
+
+class _Service:
+    """One searcher at limit 1 with its slot taken."""
+
+    def __init__(self) -> None:
+        self.clock = manual.ManualClock()
+        searcher = configuration.Searcher('a', '127.0.0.1:1', 'dc-a')
+        service = configuration.Service(
+            's', 'r', configuration.Limits(1, 3), (searcher,)
+        )
+        self.state = upstreams.ServiceUpstreams(
+            service, selection.policy('random'), random.Random(1), self.clock
+        )
+        taken = self.state.try_acquire(lambda s: True)
+        assert taken is not None
+        self.taken = taken
+
+    def wait(self, waiter: _Waiter, seconds: float = 1.0) -> None:
+        self.state.add_waiter(
+            capacity_queue.Waiting(
+                waiter,
+                deadlines.Deadline.after(self.clock, seconds),
+                lambda s: True,
+            )
+        )
+
+    def observe(self, seconds: float) -> None:
+        """Let the searcher answer with a latency, often enough."""
+        for _ in range(20):
+            self.state.release(self.taken, seconds)
+            assert self.state.try_acquire(lambda s: True) is self.taken
+
+
+def test_ended_waiter_does_not_swallow_the_wake_up() -> None:
+    """Guards against a waiting request that sleeps while there is room."""
+    service = _Service()
+    ended, live = _Waiter(ended=True), _Waiter()
+    service.wait(ended)
+    service.wait(live)
+    service.state.release(service.taken, 0.01)
+    assert live.granted == [service.taken]
+    assert service.taken.in_flight == 1
+
+
+def test_earliest_deadline_is_served_first() -> None:
+    """Guards against requests that time out behind patient ones."""
+    service = _Service()
+    late, early = _Waiter(), _Waiter()
+    service.wait(late, 2.0)
+    service.wait(early, 1.0)
+    service.state.release(service.taken, 0.01)
+    assert (early.granted, late.granted) == ([service.taken], [])
+
+
+def test_request_that_cannot_finish_is_refused_at_once() -> None:
+    """Guards against a queue that holds requests past their deadline."""
+    service = _Service()
+    service.observe(0.4)
+    service.wait(_Waiter(), 1.0)
+    with pytest.raises(errors.Overloaded):
+        service.wait(_Waiter(), 1.0)
+
+
+def test_request_that_waited_too_long_is_refused_when_it_is_due() -> None:
+    """Guards against room given to a request that cannot use it."""
+    service = _Service()
+    service.observe(0.4)
+    hopeless, live = _Waiter(), _Waiter()
+    service.wait(hopeless, 1.0)
+    service.wait(live, 3.0)
+    service.clock.advance(0.7)
+    service.state.release(service.taken, 0.4)
+    assert (hopeless.granted, live.granted) == ([None], [service.taken])
+
+
+def test_number_of_waiting_requests_is_bounded() -> None:
+    """Guards against a queue that grows before a latency is known."""
+    service = _Service()
+    with pytest.raises(errors.Overloaded):
+        for _ in range(1_000):
+            service.wait(_Waiter())
+
+
+def test_room_that_only_time_makes_is_granted() -> None:
+    """Guards against a request that waits for an answer that was lost."""
+    service = _Service()
+    waiter = _Waiter()
+    service.wait(waiter, 2.0)
+    lost = outcomes.Outcome(
+        outcomes.OutcomeKind.SILENT,
+        attempt_id='lost',
+        until_s=service.clock.monotonic() + 0.5,
+    )
+    service.state.release(service.taken, None, lost)
+    assert waiter.granted == []
+    due_s = service.state.next_change_s()
+    assert due_s == service.clock.monotonic() + 0.5
+    service.clock.advance(0.5)
+    service.state.poll()
+    assert waiter.granted == [service.taken]
