Let a searcher with an old high latency be chosen again

Its expected latency is now halved every 0.5 s without a sample; the test failed before.

A probe of a quiet service needs the budget's minimum twice, because a straggler returns after two good probes. Retries wait for a backoff only after a searcher shed the request or when no other one is left.

--- a/packages/testkit/src/corianderport_testkit/clock.py
+++ b/packages/testkit/src/corianderport_testkit/clock.py
@@ -12,7 +12,7 @@
     """Implements ``corianderport_tier.clocks.Clock`` for tests."""
 
     def __init__(self, start_s: float = 1_000.0) -> None:
-        self._lock = threading.Lock()
+        self._lock = threading.Condition()
         self._now_s = start_s
         self._waiting: dict[object, tuple[float, threading.Condition]] = {}
 
@@ -34,22 +34,34 @@
         with self._lock:
             until_s = self._now_s + timeout_s
             self._waiting[key] = (until_s, condition)
+            self._lock.notify_all()
         try:
             condition.wait()
         finally:
             with self._lock:
-                del self._waiting[key]
+                self._waiting.pop(key, None)
         return self._now_s < until_s
 
     def advance(self, seconds: float) -> None:
         """Move on and wake every wait whose timeout has passed."""
         with self._lock:
             self._now_s += seconds
-            due = [c for at, c in self._waiting.values() if at <= self._now_s]
-        for condition in due:
+            due = {
+                key: condition
+                for key, (at_s, condition) in self._waiting.items()
+                if at_s <= self._now_s
+            }
+            for key in due:
+                del self._waiting[key]
+        for condition in due.values():
             with condition:
                 condition.notify_all()
 
+    def await_waiting(self, count: int) -> None:
+        """Block until that many waits with a timeout have begun."""
+        with self._lock:
+            self._lock.wait_for(lambda: len(self._waiting) >= count)
+
     @property
     def waiting(self) -> int:
         """Number of waits with a timeout."""
--- a/packages/tier/src/corianderport_tier/process/latency.py
+++ b/packages/tier/src/corianderport_tier/process/latency.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import math
 
 import attrs
 
@@ -13,6 +14,7 @@
 _MIN_SAMPLES = 20
 _REFRESH_SAMPLES = 16
 _FAST_WEIGHT = 0.2
+_HALF_LIFE_S = 0.5
 _SLOW_WEIGHT = 0.02
 
 
@@ -23,9 +25,20 @@
     recent_s: float = 0.0
     usual_s: float = 0.0
     samples: int = 0
+    _sampled_s: float = 0.0
 
-    def record(self, seconds: float) -> None:
+    def expected_s(self, now_s: float) -> float:
+        """Return the recent average, halved with each half-life.
+
+        Without the decay, a searcher with one old high latency would not
+        be chosen again, so that its average would never change.
+        """
+        age_s = max(0.0, now_s - self._sampled_s)
+        return self.recent_s * math.exp2(-age_s / _HALF_LIFE_S)
+
+    def record(self, seconds: float, now_s: float) -> None:
         """Add a sample."""
+        self._sampled_s = now_s
         if self.samples == 0:
             self.recent_s = self.usual_s = seconds
         self.samples += 1
--- a/packages/tier/src/corianderport_tier/process/upstream.py
+++ b/packages/tier/src/corianderport_tier/process/upstream.py
@@ -39,6 +39,7 @@
         self.health = health.Health(rng)
         self.occupancy = limits.Occupancy()
         self.latency = latency.LatencyAverage()
+        self._expected_s = 0.0
         self._slow_streak = 0
         self._overtaken_streak = 0
 
@@ -54,8 +55,8 @@
 
     @property
     def latency_s(self) -> float:
-        """Moving average of the latency, seconds."""
-        return self.latency.recent_s
+        """Latency to expect, seconds; as of the last choice."""
+        return self._expected_s
 
     @property
     def limit(self) -> int:
@@ -81,6 +82,10 @@
         """Whether an ordinary request may be sent."""
         return self.health.normal and self.has_room(now_s)
 
+    def refresh(self, now_s: float) -> None:
+        """Bring the expected latency up to date before a choice."""
+        self._expected_s = self.latency.expected_s(now_s)
+
     def probe_ready(self, now_s: float) -> bool:
         """Whether a probe may be sent, with nothing else running."""
         return self.health.probe_due(now_s) and self.load(now_s) == 0
@@ -134,7 +139,7 @@
         self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
     ) -> None:
         if self._is_slow(outcome.elapsed_s, usual_s):
-            self.latency.record(outcome.elapsed_s)
+            self.latency.record(outcome.elapsed_s, now_s)
             self._on_slow(usual_s is not None, now_s)
             return
         self._slow_streak = 0
@@ -145,7 +150,7 @@
             # requests away.
             self.latency = latency.LatencyAverage()
             self.slow_start.start_over()
-        self.latency.record(outcome.elapsed_s)
+        self.latency.record(outcome.elapsed_s, now_s)
         self.slow_start.on_success(now_s)
 
     def _on_shed(
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -27,7 +27,7 @@
 # Extra sub-requests add load; retries of what was not run do not.
 _EXTRA = budgets.BudgetShare(0.05)
 _RETRIES = budgets.BudgetShare(0.2, minimum=10)
-_PROBES_MINIMUM = 1
+_PROBES_MINIMUM = 2
 _TIMEOUTS_MINIMUM = 8
 _HEDGE_QUANTILE = 0.97
 _USUAL_QUANTILE = 0.5
@@ -290,6 +290,8 @@
         ready = [
             u for u in self._eligible(allowed, excluded) if u.ready(now_s)
         ]
+        for upstream in ready:
+            upstream.refresh(now_s)
         return self._policy.choose(ready, self._rng) if ready else None
 
     def _grant(self) -> None:
@@ -363,7 +365,7 @@
     def _usual_s(self, upstream: Upstream) -> float | None:
         """Return the median latency of the replicas of a searcher."""
         others = [
-            u.latency_s
+            u.latency.recent_s
             for u in self._upstreams.values()
             if u is not upstream and u.comparable
         ]
--- a/packages/tier/src/corianderport_tier/request/gather.py
+++ b/packages/tier/src/corianderport_tier/request/gather.py
@@ -189,7 +189,8 @@
         # After a lost request, an idle connection may be half-open too.
         pending.fresh = result.outcome.kind.may_be_running
         pending.retries += 1
-        if others and pending.retries == 1:
+        shed = result.outcome.kind is outcomes.OutcomeKind.SHED
+        if others and (pending.retries == 1 or not shed):
             self._send(pending)
         else:
             delay_s = self._sender.backoff_s(pending)
--- /dev/null
+++ b/tests/tier/test_upstreams.py
@@ -0,0 +1,303 @@
+"""Which searcher of a service gets a request, and how many."""
+
+import random
+
+from corianderport_testkit import clock as manual
+from corianderport_tier.process import outcomes
+from corianderport_tier.process import selection
+from corianderport_tier.process import upstream as upstream_module
+from corianderport_tier.process import upstreams
+from corianderport_tier.version import configuration
+
+KIND = outcomes.OutcomeKind
+Upstream = upstream_module.Upstream
+
+
+def _everywhere(searcher: configuration.Searcher) -> bool:
+    return True
+
+
+class _Service:
+    """A service whose requests a test answers one by one."""
+
+    def __init__(self, searchers: int = 3, slots: int = 2) -> None:
+        self.clock = manual.ManualClock()
+        self.service = configuration.Service(
+            's',
+            'r',
+            configuration.Limits(slots, 25),
+            tuple(
+                configuration.Searcher(f's{n}', f'127.0.0.1:{n}', 'dc')
+                for n in range(searchers)
+            ),
+        )
+        self.state = upstreams.ServiceUpstreams(
+            self.service,
+            selection.policy('power-of-two'),
+            random.Random(1),
+            self.clock,
+        )
+
+    def acquire(self, *excluded: str) -> Upstream | None:
+        return self.state.try_acquire(_everywhere, excluded)
+
+    def take(self, *excluded: str) -> Upstream:
+        taken = self.acquire(*excluded)
+        assert taken is not None
+        return taken
+
+    def end(
+        self,
+        upstream: Upstream,
+        kind: outcomes.OutcomeKind = KIND.ANSWERED,
+        elapsed_s: float = 0.01,
+        incarnation: str = 'first',
+        fresh: bool = False,
+    ) -> None:
+        outcome = outcomes.Outcome(
+            kind,
+            elapsed_s,
+            incarnation if not kind.may_be_running else '',
+            fresh,
+            'attempt',
+            self.clock.monotonic() + 1.0,
+        )
+        self.state.release(upstream, None, outcome)
+
+    def serve(self, requests: int, seconds: float = 0.0) -> dict[str, int]:
+        """Answer requests one at a time; return who got them."""
+        seen: dict[str, int] = {}
+        for _ in range(requests):
+            self.state.count_request()
+            upstream = self.take()
+            seen[upstream.name] = seen.get(upstream.name, 0) + 1
+            self.clock.advance(seconds / requests)
+            self.end(upstream)
+        return seen
+
+    def warm(self) -> None:
+        self.serve(300, 6.0)
+        assert {u.limit for u in self.upstreams()} == {2}
+
+    def upstreams(self) -> list[Upstream]:
+        return self.state.candidates(_everywhere)
+
+    def only(self, name: str) -> Upstream:
+        """Acquire one named searcher."""
+        return self.take(
+            *(s.name for s in self.service.searchers if s.name != name)
+        )
+
+
+def test_unknown_searcher_starts_at_the_lowest_limit() -> None:
+    """Guards against a cold searcher that gets two requests at once."""
+    service = _Service(searchers=1)
+    service.take()
+    assert service.acquire() is None
+
+
+def test_searcher_reaches_its_slots_within_seconds_of_traffic() -> None:
+    """Guards against a slow start that never ends."""
+    service = _Service()
+    service.serve(150, 3.0)
+    assert {u.limit for u in service.upstreams()} == {2}
+
+
+def test_new_incarnation_starts_over() -> None:
+    """Guards against load on a searcher that was restarted."""
+    service = _Service()
+    service.warm()
+    upstream = service.take()
+    service.end(upstream, incarnation='second')
+    assert upstream.limit == 1
+
+
+def test_new_incarnation_in_a_refusal_starts_over() -> None:
+    """Guards against slow start that misses the first sign."""
+    service = _Service()
+    service.warm()
+    upstream = service.take()
+    service.end(upstream, KIND.REFUSED, incarnation='second')
+    assert upstream.limit == 1
+
+
+def test_broken_connection_lowers_the_limit_until_a_reply() -> None:
+    """Guards against load on a searcher that may have been restarted."""
+    service = _Service()
+    service.warm()
+    upstream = service.take()
+    service.end(upstream, KIND.BROKEN)
+    assert upstream.limit == 1
+    service.clock.advance(1.0)
+    service.end(service.only(upstream.name))
+    assert upstream.limit == 2
+
+
+def test_shed_lowers_the_limit() -> None:
+    """Guards against pressure on a searcher that cannot take it."""
+    service = _Service(searchers=1, slots=8)
+    service.serve(300, 6.0)
+    upstream = service.take()
+    assert upstream.limit == 8
+    service.end(upstream, KIND.SHED)
+    assert upstream.limit == 4
+    service.end(service.take(), KIND.SHED)
+    assert upstream.limit == 1
+
+
+def test_sudden_latency_of_one_searcher_falls_back() -> None:
+    """Guards against load on a searcher that turned cold unannounced."""
+    service = _Service()
+    service.warm()
+    for _ in range(2):
+        service.end(service.only('s0'), elapsed_s=0.2)
+    assert {u.name: u.limit for u in service.upstreams()} == {
+        's0': 1,
+        's1': 2,
+        's2': 2,
+    }
+
+
+def test_abandoned_request_counts_at_the_lowest_limit() -> None:
+    """Guards against a second request next to one that still runs.
+
+    The searcher confirmed the cancellation, which does not show that it
+    has stopped.
+    """
+    service = _Service(searchers=1)
+    upstream = service.take()
+    service.end(upstream, KIND.SILENT)
+    service.state.stopped(upstream, 'attempt')
+    assert service.acquire() is None
+    service.clock.advance(1.0)
+    assert service.acquire() is upstream
+
+
+def test_confirmed_cancellation_frees_a_warm_searcher() -> None:
+    """Guards against slots that half-open connections take away."""
+    service = _Service(searchers=1)
+    service.warm()
+    first, second = service.take(), service.take()
+    service.end(first, KIND.SILENT)
+    assert service.acquire() is None
+    assert service.state.stopped(first, 'attempt')
+    assert service.acquire() is second
+
+
+def test_draining_searcher_gets_nothing_until_a_probe_succeeds() -> None:
+    """Guards against new requests to a searcher that is leaving."""
+    service = _Service()
+    service.warm()
+    leaving = service.only('s0')
+    earlier = service.only('s0')
+    service.end(leaving, KIND.DRAINING)
+    service.end(earlier)
+    assert 's0' not in service.serve(100)
+    service.clock.advance(1.3)
+    probe = service.state.try_probe(_everywhere, ())
+    assert probe is leaving
+    assert service.state.try_probe(_everywhere, ()) is None
+    service.end(probe, KIND.DRAINING)
+    service.clock.advance(1.3)
+    assert service.state.try_probe(_everywhere, ()) is None
+    service.clock.advance(1.3)
+    service.serve(100)
+    probe = service.state.try_probe(_everywhere, ())
+    assert probe is leaving
+    service.end(probe)
+    assert leaving.limit == 1
+    assert 's0' in service.serve(100)
+
+
+def test_straggler_is_put_on_probation_and_let_back() -> None:
+    """Guards against requests that wait for one slow replica."""
+    service = _Service()
+    service.warm()
+    for _ in range(3):
+        service.end(service.only('s0'), elapsed_s=0.5)
+    assert 's0' not in service.serve(100)
+    for _ in range(2):
+        service.clock.advance(1.3)
+        service.serve(100)
+        probe = service.state.try_probe(_everywhere, ())
+        assert probe is not None
+        service.end(probe)
+    assert 's0' in service.serve(100)
+
+
+def test_searcher_that_is_always_overtaken_is_put_on_probation() -> None:
+    """Guards against a straggler that stops cancelled requests at once."""
+    service = _Service()
+    service.warm()
+    for _ in range(4):
+        upstream = service.only('s0')
+        service.state.overtaken(upstream)
+        service.end(upstream, KIND.REFUSED)
+    assert 's0' not in service.serve(100)
+
+
+def test_failures_open_the_circuit_breaker() -> None:
+    """Guards against attempts at a searcher that always fails."""
+    service = _Service()
+    service.warm()
+    for _ in range(5):
+        service.end(service.only('s0'), KIND.UNREACHABLE)
+    assert 's0' not in service.serve(100)
+
+
+def test_half_open_connections_do_not_open_the_breaker() -> None:
+    """Guards against a searcher that is given up for its connections."""
+    service = _Service()
+    service.warm()
+    for _ in range(10):
+        service.end(service.only('s0'), KIND.SILENT, elapsed_s=0.02)
+        service.clock.advance(1.0)
+    assert 's0' in service.serve(100)
+
+
+def test_searcher_with_one_old_high_latency_is_tried_again() -> None:
+    """Guards against a searcher that never gets a request again.
+
+    Its latency average changes only with requests, and power of two
+    choices never takes the slowest of three.
+    """
+    service = _Service()
+    service.end(service.only('s0'), elapsed_s=0.3)
+    assert 's0' in service.serve(300, 6.0)
+
+
+def test_all_searchers_slow_lose_no_capacity() -> None:
+    """Guards against limits that fall when every replica is slow."""
+    service = _Service()
+    service.warm()
+    for _ in range(30):
+        for name in ('s0', 's1', 's2'):
+            service.end(service.only(name), elapsed_s=0.025)
+    assert {u.limit for u in service.upstreams()} == {2}
+
+
+def test_hedges_stay_within_their_share() -> None:
+    """Guards against hedges that overload slow searchers."""
+    service = _Service()
+    hedges = 0
+    for _ in range(400):
+        service.state.count_request()
+        service.clock.advance(0.01)
+        hedge = service.state.try_hedge(_everywhere, ())
+        if hedge is not None:
+            hedges += 1
+            service.end(hedge)
+    assert 10 <= hedges <= 20
+
+
+def test_removed_searcher_may_not_be_sent_to() -> None:
+    """Guards against a request to a searcher that left the configuration."""
+    service = _Service()
+    upstream = service.take()
+    assert service.state.may_send(upstream, _everywhere)
+    rest = tuple(s for s in service.service.searchers if s.name != 's0')
+    removed = service.only('s0') if upstream.name != 's0' else upstream
+    service.state.update(
+        configuration.Service('s', 'r', service.service.limits, rest)
+    )
+    assert not service.state.may_send(removed, _everywhere)
