--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -6,6 +6,7 @@
 import collections.abc
 import typing
 
+from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
@@ -73,6 +74,11 @@
     ) -> bytes | None:
         """Return the peer's document when it is newer, else None."""
 
+    def heartbeat(
+        self, message: heartbeats.Heartbeat, timeout_s: float
+    ) -> heartbeats.Heartbeat:
+        """Exchange heartbeats; errors as above."""
+
     def close(self) -> None:
         """Close the connection."""
 
@@ -86,6 +92,7 @@
         """Open a connection.
 
         :raises ConnectFailed: no connection within the timeout.
+        :raises ConnectRefused: no process listens on the address.
         """
 
 
--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -12,6 +12,7 @@
     'ConfigurationInvalid',
     'ConfigurationStale',
     'ConnectFailed',
+    'ConnectRefused',
     'ConnectionBroken',
     'ConnectionSilent',
     'CorianderportError',
@@ -168,6 +169,10 @@
     code = result_codes.ResultCode.NO_UPSTREAM
 
 
+class ConnectRefused(ConnectFailed):
+    """The address answered that no process listens on it."""
+
+
 class ConnectionBroken(TransportError):
     """The connection ended after bytes may have been sent."""
 
--- a/packages/tier/src/corianderport_tier/process/configuration_store.py
+++ b/packages/tier/src/corianderport_tier/process/configuration_store.py
@@ -3,6 +3,7 @@
 The newest accepted configuration; never goes back.
 """
 
+import collections.abc
 import threading
 import typing
 
@@ -42,6 +43,7 @@
         self._clock = clock
         self._condition = threading.Condition()
         self._accepted: Accepted | None = None
+        self._listeners: list[collections.abc.Callable[[], None]] = []
 
     @property
     def version(self) -> int:
@@ -81,8 +83,16 @@
                 )
             self._accepted = Accepted(candidate, document)
             self._condition.notify_all()
+        for listener in self._listeners:
+            listener()
         return candidate
 
+    def add_listener(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Call this after each change of the version in force."""
+        self._listeners.append(listener)
+
     def wait_newer(self, version: int, until: deadlines.Deadline) -> bool:
         """Wait until a version newer than the given one is in force."""
         with self._condition:
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/contacts.py
@@ -0,0 +1,146 @@
+"""corianderport_tier.process.contacts
+
+One task for each host that this host sends heartbeats to.
+"""
+
+import collections.abc
+import logging
+import threading
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier.connection import transports
+from corianderport_tier import errors
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import membership
+
+__all__ = ['Contact', 'ContactTimes']
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class ContactTimes:
+    """Timing of heartbeats, in seconds."""
+
+    period_s: float = 1.0
+    timeout_s: float = 1.0
+
+
+class Contact:
+    """Sends heartbeats to one host over a persistent connection.
+
+    :param failed: called after the host could not be reached.
+    """
+
+    def __init__(
+        self,
+        member: membership.Member,
+        exchange: heartbeats.HeartbeatExchange,
+        members: membership.Membership,
+        dialer: transports.PeerDialer,
+        clock: clocks.Clock,
+        times: ContactTimes,
+        failed: collections.abc.Callable[[], None],
+    ) -> None:
+        self.member = member
+        self._exchange = exchange
+        self._members = members
+        self._dialer = dialer
+        self._clock = clock
+        self._times = times
+        self._failed = failed
+        self._condition = threading.Condition()
+        self._transport: transports.PeerTransport | None = None
+        self._closed = False
+        self._nudged = False
+        self._tried = False
+
+    @property
+    def tried(self) -> bool:
+        """Whether the first exchange has ended."""
+        return self._tried
+
+    def run(self) -> None:
+        """Exchange heartbeats until closed."""
+        try:
+            while not self._closed:
+                self.exchange()
+                self._tried = True
+                self._pause()
+        finally:
+            self._drop()
+
+    def probe(self) -> None:
+        """Exchange heartbeats once and close the connection."""
+        try:
+            self.exchange()
+        finally:
+            self._drop()
+
+    def nudge(self) -> None:
+        """Send the next heartbeat at once."""
+        with self._condition:
+            self._nudged = True
+            self._condition.notify_all()
+
+    def close(self) -> None:
+        """End the task after its present exchange."""
+        with self._condition:
+            self._closed = True
+            self._condition.notify_all()
+
+    def exchange(self) -> None:
+        """Exchange heartbeats once; suspect the host when it is silent.
+
+        A silent connection says nothing of the host: it is suspected only
+        when a new connection fails as well.
+        """
+        if self._transport is not None:
+            try:
+                self._send(self._transport)
+                return
+            except errors.TransportError as error:
+                _LOG.info(
+                    'new connection to %s: %s', self.member.name, error
+                )
+                self._drop()
+        try:
+            self._transport = self._dialer.dial(
+                self.member, self._times.timeout_s
+            )
+            self._send(self._transport)
+        except errors.ConnectRefused:
+            self._drop()
+            self._members.suspect(self.member, gone=True)
+            self._failed()
+        except errors.CorianderportError as error:
+            self._drop()
+            _LOG.info('%s suspected: %s', self.member.name, error)
+            self._members.suspect(self.member)
+            self._failed()
+
+    def _send(self, transport: transports.PeerTransport) -> None:
+        sent_s = self._clock.monotonic()
+        message = self._exchange.message(self.member, not self._tried)
+        reply = transport.heartbeat(message, self._times.timeout_s)
+        answering = reply.sender.member
+        if answering.name != self.member.name:
+            raise errors.ConnectionBroken(
+                f'{self.member.peer_address} belongs to {answering.name}'
+            )
+        self.member = answering
+        self._exchange.replied(reply, sent_s)
+
+    def _drop(self) -> None:
+        transport = self._transport
+        self._transport = None
+        if transport is not None:
+            transport.close()
+
+    def _pause(self) -> None:
+        with self._condition:
+            if not self._nudged and not self._closed:
+                self._clock.wait(self._condition, self._times.period_s)
+            self._nudged = False
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/control.py
@@ -0,0 +1,177 @@
+"""corianderport_tier.process.control
+
+The task that keeps this host's contacts, view and ownership up to date.
+"""
+
+import collections.abc
+import concurrent.futures
+import random
+import threading
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier.connection import transports
+from corianderport_tier.process import contacts
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import leases
+from corianderport_tier.process import membership
+from corianderport_tier.process import neighbours
+from corianderport_tier.process import ownership
+
+__all__ = ['Control', 'ControlTimes']
+
+
+@attrs.frozen
+class ControlTimes:
+    """Timing of the control task, in seconds."""
+
+    contact: contacts.ContactTimes = contacts.ContactTimes()
+    # The random contacts are chosen anew after this time.
+    random_s: float = 20.0
+
+
+class Control:
+    """Runs one task for each contact and one that looks after them."""
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        held: leases.Leases,
+        owners: ownership.OwnershipTable,
+        exchange: heartbeats.HeartbeatExchange,
+        dialer: transports.PeerDialer,
+        executor: concurrent.futures.Executor,
+        clock: clocks.Clock,
+        times: ControlTimes,
+        rng: random.Random,
+    ) -> None:
+        self._members = members
+        self._leases = held
+        self._owners = owners
+        self._exchange = exchange
+        self._dialer = dialer
+        self._executor = executor
+        self._clock = clock
+        self._times = times
+        self._rng = rng
+        self._condition = threading.Condition()
+        self._closed = False
+        self._nudged = False
+        self._contacts: dict[tuple[str, str], contacts.Contact] = {}
+        self._chosen: list[membership.Member] = []
+        self._chosen_epoch = -1
+        self._chosen_s = float('-inf')
+
+    @property
+    def contact_names(self) -> frozenset[str]:
+        """Names of the hosts that get heartbeats."""
+        return frozenset(name for name, _ in list(self._contacts))
+
+    @property
+    def joined(self) -> bool:
+        """Whether all first contacts have been asked."""
+        present = list(self._contacts.values())
+        return self._members.list_known and all(c.tried for c in present)
+
+    def run(self) -> None:
+        """Step until closed."""
+        while not self._closed:
+            self.step()
+            with self._condition:
+                if not self._nudged and not self._closed:
+                    self._clock.wait(
+                        self._condition, self._times.contact.period_s
+                    )
+                self._nudged = False
+        for contact in list(self._contacts.values()):
+            contact.close()
+
+    def step(self) -> None:
+        """Bring suspicions, ownership and contacts up to date."""
+        self._members.step()
+        self._leases.update(self._owners.ownership())
+        self._keep_contacts()
+
+    def nudge(self) -> None:
+        """Tell all contacts at once, for example of a new version."""
+        for contact in list(self._contacts.values()):
+            contact.nudge()
+
+    def wake(self) -> None:
+        """Step at once, for example after a change of the host list."""
+        with self._condition:
+            self._nudged = True
+            self._condition.notify_all()
+
+    def probe(self, member: membership.Member) -> None:
+        """Check at once whether a host is reachable, on a task."""
+        self._executor.submit(self._contact(member).probe)
+
+    def close(self) -> None:
+        """End all tasks."""
+        with self._condition:
+            self._closed = True
+            self._condition.notify_all()
+
+    def _keep_contacts(self) -> None:
+        wanted = {(m.name, m.peer_address): m for m in self._wanted()}
+        for key in self._contacts.keys() - wanted.keys():
+            self._contacts.pop(key).close()
+        for key in wanted.keys() - self._contacts.keys():
+            contact = self._contact(wanted[key])
+            self._contacts[key] = contact
+            self._executor.submit(contact.run)
+
+    def _wanted(self) -> collections.abc.Iterable[membership.Member]:
+        view = self._members.view
+        now_s = self._clock.monotonic()
+        stale = now_s - self._chosen_s >= self._times.random_s
+        if view.epoch != self._chosen_epoch or stale:
+            self._chosen_epoch = view.epoch
+            self._chosen_s = now_s
+            self._chosen = neighbours.choose(
+                self._members.own,
+                _reachable(view),
+                self._owners.region_of,
+                self._rng,
+            )
+        grantors = self._leases.grantors()
+        return [
+            *self._chosen,
+            *(m for m in view.live if m.name in grantors),
+            *self._retried(view),
+        ]
+
+    def _retried(
+        self, view: membership.View
+    ) -> collections.abc.Iterable[membership.Member]:
+        """Choose one dead host to try again, so that partitions heal."""
+        dead = [
+            m
+            for m in view.members
+            if view.standings[m.name] is membership.Standing.DEAD
+        ]
+        if not dead:
+            return ()
+        turn = int(self._clock.monotonic() / self._times.contact.period_s)
+        return (dead[turn // 2 % len(dead)],)
+
+    def _contact(self, member: membership.Member) -> contacts.Contact:
+        return contacts.Contact(
+            member,
+            self._exchange,
+            self._members,
+            self._dialer,
+            self._clock,
+            self._times.contact,
+            self.wake,
+        )
+
+
+def _reachable(view: membership.View) -> list[membership.Member]:
+    return [
+        m
+        for m in view.members
+        if view.standings[m.name] < membership.Standing.DEAD
+    ]
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/distribution.py
@@ -0,0 +1,112 @@
+"""corianderport_tier.process.distribution
+
+Fetches newer configurations from the hosts that have them.
+"""
+
+import logging
+import threading
+
+import attrs
+
+from corianderport_tier.connection import transports
+from corianderport_tier import errors
+from corianderport_tier.process import configuration_store
+from corianderport_tier.process import membership
+from corianderport_tier.process import peers
+
+__all__ = ['Distribution']
+
+_LOG = logging.getLogger(__name__)
+_PULL_TIMEOUT_S = 3.0
+
+
+@attrs.frozen
+class _PullJob:
+    """Asks one host for its document."""
+
+    distribution: 'Distribution'
+    member: membership.Member
+    known_version: int
+    told_version: int
+
+    def perform(self, transport: transports.PeerTransport) -> bytes | None:
+        """Return the host's document when it is newer."""
+        return transport.configuration(self.known_version, _PULL_TIMEOUT_S)
+
+    def finish(self, reply: object) -> None:
+        """Offer the document to the store."""
+        self.distribution.finish(self.member, self.told_version, reply)
+
+
+class Distribution:
+    """Pulls one document at a time, from a host that told of it."""
+
+    def __init__(
+        self,
+        store: configuration_store.ConfigurationStore,
+        remote: peers.Peers,
+    ) -> None:
+        self._store = store
+        self._remote = remote
+        self._lock = threading.Lock()
+        self._pulling = False
+        self._newest: tuple[int, membership.Member] | None = None
+        self._refused_version = 0
+
+    def heard(self, member: membership.Member, version: int) -> None:
+        """Learn which version a host has, and pull it when it is newer."""
+        with self._lock:
+            if version <= max(self._store.version, self._refused_version):
+                return
+            if self._newest is None or version >= self._newest[0]:
+                self._newest = (version, member)
+            if self._pulling:
+                return
+            self._pulling = True
+        self._pull(member, version)
+
+    def finish(
+        self, member: membership.Member, told_version: int, reply: object
+    ) -> None:
+        """Take the reply to a pull."""
+        if isinstance(reply, bytes):
+            self._offer(member, told_version, reply)
+        elif reply is not None:
+            _LOG.info('no configuration from %s: %s', member.name, reply)
+        with self._lock:
+            newest = self._newest
+            self._newest = None
+            self._pulling = newest is not None and (
+                isinstance(reply, bytes)
+                and newest[0] > max(self._store.version, self._refused_version)
+            )
+        if newest is not None and self._pulling:
+            self._pull(newest[1], newest[0])
+
+    def _pull(self, member: membership.Member, told_version: int) -> None:
+        job = _PullJob(self, member, self._store.version, told_version)
+        try:
+            self._remote.pool(member).submit(job)
+        except errors.CorianderportError as error:
+            job.finish(error)
+
+    def _offer(
+        self, member: membership.Member, told_version: int, document: bytes
+    ) -> None:
+        try:
+            accepted = self._store.offer(document)
+        except errors.ConfigurationStale as error:
+            _LOG.debug('document of %s: %s', member.name, error)
+        except errors.CorianderportError as error:
+            _LOG.error(
+                'configuration from %s refused: %s', member.name, error
+            )
+            with self._lock:
+                # Not asked for again with each heartbeat.
+                self._refused_version = told_version
+        else:
+            _LOG.info(
+                'configuration %d from %s is in force',
+                accepted.version,
+                member.name,
+            )
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/heartbeats.py
@@ -0,0 +1,102 @@
+"""corianderport_tier.process.heartbeats
+
+The message that hosts exchange periodically, and its receiver.
+"""
+
+import collections.abc
+
+import attrs
+
+from corianderport_tier.process import leases
+from corianderport_tier.process import membership
+
+__all__ = ['Heartbeat', 'HeartbeatExchange', 'VersionHeard']
+
+VersionHeard = collections.abc.Callable[[membership.Member, int], None]
+
+
+@attrs.frozen
+class Heartbeat:
+    """A heartbeat or its reply.
+
+    ``version`` is the sender's configuration version, 0 for none.
+    ``leases_granted`` is set in replies, by service.
+    """
+
+    sender: membership.Rumour
+    version: int
+    rumours: tuple[membership.Rumour, ...] = ()
+    lease_requests: tuple[leases.LeaseRequest, ...] = ()
+    leases_granted: tuple[str, ...] = ()
+    joining: bool = False
+
+
+class HeartbeatExchange:
+    """Builds heartbeats and takes those of others.
+
+    :param version: returns the version in force, 0 for none.
+    :param version_heard: is told of the version of each sender.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        held: leases.Leases,
+        version: collections.abc.Callable[[], int],
+        version_heard: VersionHeard,
+    ) -> None:
+        self._members = members
+        self._leases = held
+        self._version = version
+        self._version_heard = version_heard
+
+    def message(self, to: membership.Member, joining: bool) -> Heartbeat:
+        """Return a heartbeat for a host."""
+        return Heartbeat(
+            sender=self._members.own_rumour,
+            version=self._version(),
+            rumours=self._rumours(to, False),
+            lease_requests=self._leases.requests(to),
+            joining=joining,
+        )
+
+    def receive(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Take a heartbeat and return the reply."""
+        self._hear(heartbeat)
+        sender = heartbeat.sender.member
+        return Heartbeat(
+            sender=self._members.own_rumour,
+            version=self._version(),
+            rumours=self._rumours(sender, heartbeat.joining),
+            leases_granted=self._leases.grant(
+                sender, heartbeat.lease_requests
+            ),
+        )
+
+    def replied(self, reply: Heartbeat, sent_s: float) -> None:
+        """Take the reply to a heartbeat that was built at a time."""
+        self._members.confirm(sent_s)
+        self._hear(reply)
+        self._leases.granted(
+            reply.sender.member, reply.leases_granted, sent_s
+        )
+
+    def _hear(self, heartbeat: Heartbeat) -> None:
+        self._members.hear(heartbeat.sender)
+        for rumour in heartbeat.rumours:
+            self._members.hear(rumour)
+        self._version_heard(heartbeat.sender.member, heartbeat.version)
+
+    def _rumours(
+        self, receiver: membership.Member, joining: bool
+    ) -> tuple[membership.Rumour, ...]:
+        found = self._members.rumours(joining)
+        own_view = self._members.record(receiver.name)
+        if (
+            own_view is not None
+            and own_view.standing > membership.Standing.ALIVE
+            and own_view not in found
+        ):
+            # Gives the receiver the chance to refute it.
+            found = (*found, own_view)
+        return found
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -0,0 +1,313 @@
+"""corianderport_tier.process.leases
+
+Whether this host may send to the searchers of a service now.
+"""
+
+import collections.abc
+import enum
+import threading
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier.process import membership
+
+__all__ = [
+    'LeaseRequest',
+    'LeaseState',
+    'LeaseTimes',
+    'Leases',
+    'Ownership',
+]
+
+# The granting host waits this much longer than the lease, since the clocks
+# of two hosts run at different rates.
+_DRIFT = 1.01
+_PROBE_PERIOD_S = 0.2
+
+
+class LeaseState(enum.Enum):
+    """What this host may send to the searchers of a service.
+
+    ``RESTRICTED`` allows only searchers that are warm, at half their
+    limit; ``NONE`` allows nothing.
+    """
+
+    FULL = 'full'
+    RESTRICTED = 'restricted'
+    NONE = 'none'
+
+
+@attrs.frozen
+class LeaseRequest:
+    """A first owner's wish for a lease.
+
+    ``settled`` says that it has been an owner for so long that no lease
+    which it does not know of can be valid.
+    """
+
+    service: str
+    settled: bool = False
+
+
+@attrs.frozen
+class LeaseTimes:
+    """Duration of a lease, in seconds."""
+
+    lease_s: float = 3.0
+
+
+@attrs.frozen
+class Ownership:
+    """The owners in the present view, by service, the first one first.
+
+    :param majority: whether more than half of the region's hosts are
+        believed live.
+    :param complete: whether each of the region's hosts was heard and none
+        is suspected.
+    :param maximum_deadline_s: longest time that a request may run.
+    """
+
+    owners: collections.abc.Mapping[str, tuple[membership.Member, ...]]
+    majority: bool = True
+    complete: bool = True
+    maximum_deadline_s: float = 0.5
+
+
+@attrs.define(eq=False)
+class _Service:
+    """What this host knows as an owner; times of its own clock."""
+
+    since_s: float
+    position: int
+    lease_until_s: float = float('-inf')
+    lease_from: str = ''
+    grantee: membership.Member | None = None
+    granted_until_s: float = float('-inf')
+    blocked_until_s: float = float('-inf')
+    sent_s: float = float('-inf')
+    yield_until_s: float = float('-inf')
+    probed_s: float = float('-inf')
+
+
+class Leases:
+    """Leases that this host holds as first and grants as second owner.
+
+    :param probe: asks for a check whether a host is reachable; called
+        when requests for its services arrive at the second owner.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        clock: clocks.Clock,
+        times: LeaseTimes,
+        probe: collections.abc.Callable[[membership.Member], None],
+    ) -> None:
+        self._probe = probe
+        self._members = members
+        self._clock = clock
+        self._times = times
+        self._lock = threading.Lock()
+        self._ownership = Ownership({}, majority=False, complete=False)
+        self._services: dict[str, _Service] = {}
+
+    def update(self, ownership: Ownership) -> None:
+        """Take over a new view of who owns what."""
+        own = self._members.own.name
+        now_s = self._clock.monotonic()
+        with self._lock:
+            self._ownership = ownership
+            kept: dict[str, _Service] = {}
+            for name, owners in ownership.owners.items():
+                names = [member.name for member in owners]
+                if own in names:
+                    kept[name] = self._moved(name, names.index(own), now_s)
+            self._services = kept
+
+    def may_send(self, service: str) -> LeaseState:
+        """Return what may be sent now; to be asked before each send."""
+        allowed = self._may_send(service)
+        if allowed is LeaseState.NONE:
+            first = self._first_to_probe(service)
+            if first is not None:
+                self._probe(first)
+        return allowed
+
+    def _may_send(self, service: str) -> LeaseState:
+        now_s = self._clock.monotonic()
+        with self._lock:
+            state = self._services.get(service)
+            if state is None:
+                return LeaseState.NONE
+            self._note_gone(state, now_s)
+            if now_s < state.blocked_until_s or now_s < state.yield_until_s:
+                return LeaseState.NONE
+            if state.position > 0 and not self._first_unreachable(service):
+                return LeaseState.NONE
+            allowed = self._state(service, state, now_s)
+            state.sent_s = now_s
+            return allowed
+
+    def requests(self, member: membership.Member) -> tuple[LeaseRequest, ...]:
+        """Return the leases to ask of a host."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            wanted = []
+            for name, state in self._services.items():
+                self._note_gone(state, now_s)
+                if (
+                    state.position == 0
+                    and now_s >= state.blocked_until_s
+                    and self._second(name) == member.name
+                ):
+                    settled = self._settled(state, now_s)
+                    wanted.append(LeaseRequest(name, settled))
+            return tuple(wanted)
+
+    def grantors(self) -> frozenset[str]:
+        """Return the names of the hosts to ask for leases."""
+        with self._lock:
+            return frozenset(
+                second
+                for name, state in self._services.items()
+                if state.position == 0
+                and (second := self._second(name)) is not None
+            )
+
+    def grant(
+        self,
+        member: membership.Member,
+        requests: collections.abc.Iterable[LeaseRequest],
+    ) -> tuple[str, ...]:
+        """Grant the leases that a first owner asks for, if possible.
+
+        :return: the services for which the lease now runs.
+        """
+        now_s = self._clock.monotonic()
+        with self._lock:
+            return tuple(
+                request.service
+                for request in requests
+                if self._grant(member, request, now_s)
+            )
+
+    def granted(
+        self,
+        member: membership.Member,
+        services: collections.abc.Iterable[str],
+        asked_s: float,
+    ) -> None:
+        """Take leases granted in reply to a request.
+
+        :param asked_s: when the request was made, by this host's clock.
+        """
+        with self._lock:
+            for name in services:
+                state = self._services.get(name)
+                if state is not None and self._second(name) == member.name:
+                    state.lease_from = member.name
+                    state.lease_until_s = asked_s + self._times.lease_s
+
+    def _first_to_probe(self, service: str) -> membership.Member | None:
+        now_s = self._clock.monotonic()
+        with self._lock:
+            state = self._services.get(service)
+            if (
+                state is None
+                or state.position == 0
+                or now_s < state.probed_s + _PROBE_PERIOD_S
+            ):
+                return None
+            state.probed_s = now_s
+            return self._ownership.owners[service][0]
+
+    def _moved(self, name: str, position: int, now_s: float) -> _Service:
+        state = self._services.get(name)
+        if state is None:
+            return _Service(now_s, position)
+        if state.position == 0 and position > 0:
+            # It may have sent until now.
+            state.sent_s = now_s
+            state.yield_until_s = now_s + self._ownership.maximum_deadline_s
+        state.position = position
+        return state
+
+    def _state(
+        self, service: str, state: _Service, now_s: float
+    ) -> LeaseState:
+        if not self._ownership.majority or self._members.doubtful:
+            return LeaseState.RESTRICTED
+        second = self._second(service)
+        if state.position == 0 and second is not None:
+            valid = state.lease_from == second and now_s < state.lease_until_s
+        else:
+            valid = self._settled(state, now_s) or self._ownership.complete
+        return LeaseState.FULL if valid else LeaseState.RESTRICTED
+
+    def _grant(
+        self, member: membership.Member, request: LeaseRequest, now_s: float
+    ) -> bool:
+        state = self._services.get(request.service)
+        if (
+            state is None
+            or state.position != 1
+            or self._ownership.owners[request.service][0].name != member.name
+            or not self._ownership.majority
+            or self._members.doubtful
+        ):
+            return False
+        self._note_gone(state, now_s)
+        state.yield_until_s = now_s + self._times.lease_s
+        if not _same_process(state.grantee, member):
+            if now_s < state.blocked_until_s:
+                return False
+        if now_s < state.sent_s + self._ownership.maximum_deadline_s:
+            return False
+        if not (
+            request.settled
+            or self._settled(state, now_s)
+            or self._ownership.complete
+        ):
+            return False
+        state.grantee = member
+        state.granted_until_s = now_s + _DRIFT * self._times.lease_s
+        state.blocked_until_s = (
+            state.granted_until_s + self._ownership.maximum_deadline_s
+        )
+        return True
+
+    def _note_gone(self, state: _Service, now_s: float) -> None:
+        """Shorten the wait for a grantee whose process has ended."""
+        if state.grantee is None or now_s >= state.blocked_until_s:
+            return
+        if self._members.standing(state.grantee) is membership.Standing.GONE:
+            state.grantee = None
+            state.blocked_until_s = min(
+                state.blocked_until_s,
+                now_s + self._ownership.maximum_deadline_s,
+            )
+
+    def _settled(self, state: _Service, now_s: float) -> bool:
+        settle_s = (
+            2 * _DRIFT * self._times.lease_s
+            + self._ownership.maximum_deadline_s
+        )
+        return now_s >= state.since_s + settle_s
+
+    def _second(self, service: str) -> str | None:
+        owners = self._ownership.owners[service]
+        return owners[1].name if len(owners) > 1 else None
+
+    def _first_unreachable(self, service: str) -> bool:
+        first = self._ownership.owners[service][0]
+        standing = self._members.standing(first)
+        return standing >= membership.Standing.SUSPECT
+
+
+def _same_process(
+    one: membership.Member | None, other: membership.Member
+) -> bool:
+    return one is not None and (
+        (one.name, one.incarnation) == (other.name, other.incarnation)
+    )
--- a/packages/tier/src/corianderport_tier/process/readers.py
+++ b/packages/tier/src/corianderport_tier/process/readers.py
@@ -3,6 +3,7 @@
 Reads the platform: one task for the configuration, one for the host list.
 """
 
+import collections.abc
 import logging
 import threading
 
@@ -13,10 +14,18 @@
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import membership
+from corianderport_tier.process import owners
 
-__all__ = ['ConfigurationReader', 'HostListReader', 'ReaderTimes']
+__all__ = [
+    'ConfigurationReader',
+    'HostListReader',
+    'ReaderTimes',
+    'is_reader',
+]
 
 _LOG = logging.getLogger(__name__)
+_READERS = 2
+_MEMBER_BYTES = 120
 
 
 @attrs.frozen
@@ -27,6 +36,9 @@
     retry_s: float = 0.5
     host_list_period_s: float = 0.5
     timeout_s: float = 2.0
+    # Between two reads of a document that was refused.
+    refused_s: float = 2.0
+    host_list_bytes_per_s: float = 2_000.0
 
 
 class _Reader:
@@ -68,7 +80,10 @@
 
 
 class ConfigurationReader(_Reader):
-    """Watches the configuration service and offers what it publishes."""
+    """Watches the configuration service and offers what it publishes.
+
+    :param duty: whether this host is to call the service now.
+    """
 
     def __init__(
         self,
@@ -76,25 +91,52 @@
         store: configuration_store.ConfigurationStore,
         clock: clocks.Clock,
         times: ReaderTimes,
+        duty: collections.abc.Callable[[], bool],
     ) -> None:
         super().__init__(platform, clock, times)
         self._store = store
+        self._duty = duty
+        self._refused: bytes | None = None
 
     def _read(self) -> float:
+        if not self._duty():
+            return self._times.retry_s
         document = self._platform.watch_configuration(
             self._store.version, self._times.watch_s
         )
         if document is None:
             return 0.0
+        if document == self._refused:
+            return self._times.refused_s
         try:
             accepted = self._store.offer(document)
+        except errors.ConfigurationStale as error:
+            # A stale answer of the service, or a peer was faster.
+            _LOG.info('configuration not accepted: %s', error)
+            return self._times.retry_s
         except errors.CorianderportError as error:
-            _LOG.error('configuration not accepted: %s', error)
+            _LOG.error('configuration refused: %s', error)
+            self._refused = document
             return self._times.retry_s
         _LOG.info('configuration %d is in force', accepted.version)
         return 0.0
 
 
+def is_reader(members: membership.Membership) -> bool:
+    """Whether this host watches the service for its data centre.
+
+    No host does before it knows the others, so that the calls at the
+    start of a fleet do not grow with its size.
+    """
+    if not members.list_known:
+        return False
+    own = members.own
+    centre = own.data_centre
+    near = [m for m in members.live() if m.data_centre == centre]
+    chosen = owners.rank(f'readers of {centre}', near)[:_READERS]
+    return any(member.name == own.name for member in chosen)
+
+
 class HostListReader(_Reader):
     """Polls the host list."""
 
@@ -109,5 +151,10 @@
         self._members = members
 
     def _read(self) -> float:
-        self._members.replace(self._platform.hosts(self._times.timeout_s))
-        return self._times.host_list_period_s
+        listed = self._platform.hosts(self._times.timeout_s)
+        self._members.replace(listed)
+        # The period grows with the list, so that its cost does not.
+        return max(
+            self._times.host_list_period_s,
+            len(listed) * _MEMBER_BYTES / self._times.host_list_bytes_per_s,
+        )
