Wire membership, leases, distribution and peer authentication

Hosts exchange heartbeats with a bounded number of others and pull newer configurations from them; two readers in each data centre watch the configuration service. Peer connections start with a mutual HMAC challenge and carry bounded frames. The entry asks the second owner after half of the remaining time.

--- /dev/null
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -0,0 +1,187 @@
+"""corianderport_daemon.process.control_plane
+
+Builds the parts by which the hosts act together, and runs their tasks.
+"""
+
+import concurrent.futures
+import contextlib
+import random
+import secrets
+import types
+import typing
+
+from corianderport_daemon.process import settings as settings_module
+from corianderport_tier import clocks
+from corianderport_tier.process import aggregator
+from corianderport_tier.process import configuration_store
+from corianderport_tier.process import contacts
+from corianderport_tier.process import control
+from corianderport_tier.process import distribution
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import leases
+from corianderport_tier.process import membership
+from corianderport_tier.process import ownership
+from corianderport_tier.process import peers
+from corianderport_tier.process import readers
+from corianderport_tier.request import messages
+from corianderport_wire.connection import peer_authentication
+from corianderport_wire.connection import peer_client
+from corianderport_wire.connection import peer_server
+from corianderport_wire.connection import platform_client
+
+__all__ = ['ControlPlane', 'new_incarnation']
+
+_LEASE_PERIODS = 3
+_RANDOM_BYTES = 6
+
+
+def new_incarnation(clock: clocks.Clock) -> str:
+    """Return random text that sorts by the time of the call."""
+    return f'{int(clock.time() * 1e3):012x}.{secrets.token_hex(_RANDOM_BYTES)}'
+
+
+class _PeerCalls:
+    """What this host serves to others."""
+
+    def __init__(
+        self,
+        store: configuration_store.ConfigurationStore,
+        exchange: heartbeats.HeartbeatExchange,
+        local: aggregator.LocalAggregator,
+    ) -> None:
+        self._store = store
+        self._exchange = exchange
+        self._local = local
+
+    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
+        return self._local.run(batch)
+
+    def heartbeat(self, message: heartbeats.Heartbeat) -> heartbeats.Heartbeat:
+        return self._exchange.receive(message)
+
+    def document(self, known_version: int) -> tuple[int, bytes | None]:
+        accepted = self._store.accepted()
+        version = accepted.configuration.version
+        newer = version > known_version
+        return version, accepted.document if newer else None
+
+
+class ControlPlane:
+    """Membership, ownership, leases and configuration of one host."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        store: configuration_store.ConfigurationStore,
+        executor: concurrent.futures.Executor,
+        clock: clocks.Clock,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._executor = executor
+        self._clock = clock
+        self._stack = contextlib.ExitStack()
+        keys = peer_authentication.SharedKeys.from_text(settings.shared_keys)
+        self._dialer = peer_client.ThriftPeerDialer(clock, keys)
+        host, _, port = settings.peer_address.rpartition(':')
+        self._server = peer_server.PeerServer(
+            host, int(port), clock, settings.peer_connections, keys
+        )
+        self._stack.callback(self._server.close)
+        self._build()
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    @property
+    def peer_address(self) -> str:
+        """Where other hosts connect, ``ip:port``."""
+        return self._server.address
+
+    def start(self, local: aggregator.LocalAggregator) -> None:
+        """Serve other hosts and start all tasks."""
+        calls = _PeerCalls(self._store, self._exchange, local)
+        self._server.start(calls)
+        self._store.add_listener(self.control.nudge)
+        platform = self._settings.platform
+        times = readers.ReaderTimes()
+        tasks: list[
+            readers.ConfigurationReader
+            | readers.HostListReader
+            | control.Control
+        ] = [
+            self.control,
+            readers.ConfigurationReader(
+                platform_client.HttpPlatform(platform),
+                self._store,
+                self._clock,
+                times,
+                self._has_reader_duty,
+            ),
+            readers.HostListReader(
+                platform_client.HttpPlatform(platform),
+                self.members,
+                self._clock,
+                times,
+            ),
+        ]
+        for task in tasks:
+            self._stack.callback(task.close)
+            self._executor.submit(task.run)
+
+    def _build(self) -> None:
+        period_s = self._settings.heartbeat_s
+        own = membership.Member(
+            self._settings.host,
+            self._settings.data_centre,
+            self._server.address,
+            incarnation=new_incarnation(self._clock),
+        )
+        self.members = membership.Membership(
+            own,
+            self._clock,
+            lambda centre: ownership.region_of(self._store, centre),
+            membership.MembershipTimes(3 * period_s, 2.5 * period_s),
+        )
+        self.owners = ownership.OwnershipTable(self._store, self.members)
+        self.leases = leases.Leases(
+            self.members,
+            self._clock,
+            leases.LeaseTimes(_LEASE_PERIODS * period_s),
+            lambda member: self.control.probe(member),
+        )
+        self.remote = self._stack.enter_context(
+            peers.Peers(self._dialer, self._executor, self._clock)
+        )
+        pulls = distribution.Distribution(self._store, self.remote)
+        self._exchange = heartbeats.HeartbeatExchange(
+            self.members,
+            self.leases,
+            lambda: self._store.version,
+            pulls.heard,
+        )
+        self.control = control.Control(
+            self.members,
+            self.leases,
+            self.owners,
+            self._exchange,
+            self._dialer,
+            self._executor,
+            self._clock,
+            control.ControlTimes(contacts.ContactTimes(period_s, period_s)),
+            random.Random(),
+        )
+
+    def _has_reader_duty(self) -> bool:
+        # A host without a configuration asks its peers first, since the
+        # service may answer with an older one than they have.
+        ready = self._store.version > 0 or self.control.joined
+        return ready and readers.is_reader(self.members)
--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -10,23 +10,17 @@
 import types
 import typing
 
+from corianderport_daemon.process import control_plane
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
 from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import entry
-from corianderport_tier.process import membership
 from corianderport_tier.process import owned_services
-from corianderport_tier.process import peers
-from corianderport_tier.process import readers
 from corianderport_tier.process import routing
 from corianderport_tier.process import selection
-from corianderport_tier.request import messages
 from corianderport_wire.connection import http_server
-from corianderport_wire.connection import peer_client
-from corianderport_wire.connection import peer_server
-from corianderport_wire.connection import platform_client
 from corianderport_wire.connection import upstream_client
 from corianderport_wire.request import caller_app
 from corianderport_wire.version import document
@@ -34,27 +28,6 @@
 __all__ = ['Daemon']
 
 
-class _PeerCalls:
-    """What this host serves to others."""
-
-    def __init__(
-        self,
-        local: aggregator.LocalAggregator,
-        store: configuration_store.ConfigurationStore,
-    ) -> None:
-        self._local = local
-        self._store = store
-
-    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
-        return self._local.run(batch)
-
-    def document(self, known_version: int) -> tuple[int, bytes | None]:
-        accepted = self._store.accepted()
-        version = accepted.configuration.version
-        newer = version > known_version
-        return version, accepted.document if newer else None
-
-
 class Daemon:
     """One host with both roles."""
 
@@ -93,7 +66,7 @@
     @property
     def peer_address(self) -> str:
         """Where other hosts connect, ``ip:port``."""
-        return self._peer_server.address
+        return self._control.peer_address
 
     def stop(self) -> None:
         """End ``wait``."""
@@ -113,10 +86,17 @@
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
+        self._start_control()
         self._start_aggregator()
-        self._start_peer_server()
         self._start_entry()
-        self._start_readers()
+        self._control.start(self._local)
+
+    def _start_control(self) -> None:
+        self._control = self._stack.enter_context(
+            control_plane.ControlPlane(
+                self._settings, self._store, self._executor, self._clock
+            )
+        )
 
     def _start_aggregator(self) -> None:
         services = self._stack.enter_context(
@@ -130,37 +110,19 @@
             )
         )
         self._local = aggregator.LocalAggregator(
-            services, self._executor, self._clock, self._log
-        )
-
-    def _start_peer_server(self) -> None:
-        host, port = _split(self._settings.peer_address)
-        self._peer_server = peer_server.PeerServer(
-            host,
-            port,
-            _PeerCalls(self._local, self._store),
+            services,
+            self._executor,
             self._clock,
-            self._settings.peer_connections,
+            self._log,
+            self._control.leases,
         )
-        self._stack.callback(self._peer_server.close)
-        self._peer_server.start()
 
     def _start_entry(self) -> None:
-        own = membership.Member(
-            self._settings.host,
-            self._settings.data_centre,
-            self._peer_server.address,
-        )
-        self._members = membership.Membership(own)
-        remote = self._stack.enter_context(
-            peers.Peers(
-                peer_client.ThriftPeerDialer(self._clock),
-                self._executor,
-                self._clock,
-            )
-        )
         router = routing.Router(
-            self._store, self._members, self._local, remote
+            self._control.owners,
+            self._control.members,
+            self._local,
+            self._control.remote,
         )
         application = caller_app.CallerApp(
             entry.Entry(self._store, router, self._clock, self._log),
@@ -178,26 +140,6 @@
         self._stack.callback(self._caller_server.close)
         self._caller_server.start()
 
-    def _start_readers(self) -> None:
-        times = readers.ReaderTimes()
-        tasks: list[readers.ConfigurationReader | readers.HostListReader] = [
-            readers.ConfigurationReader(
-                platform_client.HttpPlatform(self._settings.platform),
-                self._store,
-                self._clock,
-                times,
-            ),
-            readers.HostListReader(
-                platform_client.HttpPlatform(self._settings.platform),
-                self._members,
-                self._clock,
-                times,
-            ),
-        ]
-        for task in tasks:
-            self._stack.callback(task.close)
-            self._executor.submit(task.run)
-
 
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
--- a/packages/daemon/src/corianderport_daemon/process/settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -112,6 +112,16 @@
         converter=_text('selection'),
         help='Policy that chooses among the searchers of a service.',
     )
+    shared_keys: str = environ.var(
+        'not-secret',
+        converter=_text('shared_keys'),
+        help='One key that all hosts share, or two separated by a comma.',
+    )
+    heartbeat_s: float = environ.var(
+        1.0,
+        converter=_number('heartbeat_s', 0.05, 10.0),
+        help='Seconds between two heartbeats; a lease lasts three times it.',
+    )
     log_level: str = environ.var(
         'INFO', converter=_text('log_level'), help='Least level logged.'
     )
--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -12,11 +12,12 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import leases
 from corianderport_tier.process import owned_services
 from corianderport_tier.request import gather
 from corianderport_tier.request import messages
 
-__all__ = ['Aggregator', 'BatchResult', 'LocalAggregator']
+__all__ = ['Aggregator', 'BatchResult', 'LeaseCheck', 'LocalAggregator']
 
 
 @attrs.frozen
@@ -37,6 +38,13 @@
         """Start a batch; ``deliver`` gets its result once."""
 
 
+class LeaseCheck(typing.Protocol):
+    """Says what an owner may send now."""
+
+    def may_send(self, service: str) -> leases.LeaseState:
+        """Return what may be sent to the searchers of a service."""
+
+
 class LocalAggregator:
     """The aggregator of this host."""
 
@@ -46,7 +54,9 @@
         executor: concurrent.futures.Executor,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
+        held: LeaseCheck,
     ) -> None:
+        self._leases = held
         self._services = services
         self._executor = executor
         self._clock = clock
@@ -60,10 +70,26 @@
         """Run the batch on the calling task.
 
         :raises NotReady: there is no configuration yet.
+        :raises NotOwner: this host may not send to any of the services.
         """
-        return gather.Gather(
-            batch, self._services, self._clock, self._log
+        not_owned = tuple(
+            sub_query.service
+            for sub_query in batch.sub_queries
+            if self._leases.may_send(sub_query.service)
+            is leases.LeaseState.NONE
+        )
+        owned = tuple(
+            s for s in batch.sub_queries if s.service not in not_owned
+        )
+        if not owned:
+            raise errors.NotOwner(f'not owner of {", ".join(not_owned)}')
+        answer = gather.Gather(
+            attrs.evolve(batch, sub_queries=owned),
+            self._services,
+            self._clock,
+            self._log,
         ).run()
+        return attrs.evolve(answer, not_owned=not_owned)
 
     def _result(self, batch: messages.SubQueryBatch) -> BatchResult:
         try:
--- a/packages/tier/src/corianderport_tier/process/contacts.py
+++ b/packages/tier/src/corianderport_tier/process/contacts.py
@@ -102,9 +102,7 @@
                 self._send(self._transport)
                 return
             except errors.TransportError as error:
-                _LOG.info(
-                    'new connection to %s: %s', self.member.name, error
-                )
+                _LOG.info('new connection to %s: %s', self.member.name, error)
                 self._drop()
         try:
             self._transport = self._dialer.dial(
--- a/packages/tier/src/corianderport_tier/process/control.py
+++ b/packages/tier/src/corianderport_tier/process/control.py
@@ -58,6 +58,7 @@
         self._condition = threading.Condition()
         self._closed = False
         self._nudged = False
+        self._knew_list = False
         self._contacts: dict[tuple[str, str], contacts.Contact] = {}
         self._chosen: list[membership.Member] = []
         self._chosen_epoch = -1
@@ -72,7 +73,7 @@
     def joined(self) -> bool:
         """Whether all first contacts have been asked."""
         present = list(self._contacts.values())
-        return self._members.list_known and all(c.tried for c in present)
+        return self._knew_list and all(c.tried for c in present)
 
     def run(self) -> None:
         """Step until closed."""
@@ -91,7 +92,9 @@
         """Bring suspicions, ownership and contacts up to date."""
         self._members.step()
         self._leases.update(self._owners.ownership())
+        list_known = self._members.list_known
         self._keep_contacts()
+        self._knew_list = list_known
 
     def nudge(self) -> None:
         """Tell all contacts at once, for example of a new version."""
--- a/packages/tier/src/corianderport_tier/process/distribution.py
+++ b/packages/tier/src/corianderport_tier/process/distribution.py
@@ -98,9 +98,7 @@
         except errors.ConfigurationStale as error:
             _LOG.debug('document of %s: %s', member.name, error)
         except errors.CorianderportError as error:
-            _LOG.error(
-                'configuration from %s refused: %s', member.name, error
-            )
+            _LOG.error('configuration from %s refused: %s', member.name, error)
             with self._lock:
                 # Not asked for again with each heartbeat.
                 self._refused_version = told_version
--- a/packages/tier/src/corianderport_tier/process/heartbeats.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeats.py
@@ -77,9 +77,7 @@
         """Take the reply to a heartbeat that was built at a time."""
         self._members.confirm(sent_s)
         self._hear(reply)
-        self._leases.granted(
-            reply.sender.member, reply.leases_granted, sent_s
-        )
+        self._leases.granted(reply.sender.member, reply.leases_granted, sent_s)
 
     def _hear(self, heartbeat: Heartbeat) -> None:
         self._members.hear(heartbeat.sender)
--- a/packages/tier/src/corianderport_tier/process/neighbours.py
+++ b/packages/tier/src/corianderport_tier/process/neighbours.py
@@ -29,8 +29,8 @@
     each other.
     """
     region = region_of(own.data_centre)
-    near = []
-    far = []
+    near: list[membership.Member] = []
+    far: list[membership.Member] = []
     for member in members:
         if member.name == own.name:
             continue
--- a/packages/tier/src/corianderport_tier/process/ownership.py
+++ b/packages/tier/src/corianderport_tier/process/ownership.py
@@ -68,7 +68,11 @@
             accepted = self._store.current()
         except errors.NotReady:
             return leases.Ownership({}, majority=False, complete=False)
-        key = (accepted.version, self._members.view.epoch, self._members.list_known)
+        key = (
+            accepted.version,
+            self._members.view.epoch,
+            self._members.list_known,
+        )
         if self._ownership is None or self._ownership[0] != key:
             self._ownership = (key, self._new_ownership(accepted))
         return self._ownership[1]
--- a/packages/tier/src/corianderport_tier/process/routing.py
+++ b/packages/tier/src/corianderport_tier/process/routing.py
@@ -26,12 +26,12 @@
         self._local = local
         self._remote = remote
 
-    def owners(self, service: str) -> tuple[membership.Member, ...]:
+    def owners(self, service: str) -> list[membership.Member]:
         """Return the first and the second owner of a service.
 
         :raises UnknownService: the configuration has no such service.
         """
-        return self._table.owners(service)
+        return list(self._table.owners(service))
 
     def aggregator(self, member: membership.Member) -> aggregator.Aggregator:
         """Return the aggregator of a host."""
--- a/packages/tier/src/corianderport_tier/request/messages.py
+++ b/packages/tier/src/corianderport_tier/request/messages.py
@@ -112,7 +112,9 @@
     """An owner's answer to a batch.
 
     ``snapshot_gone`` says that a searcher no longer holds the snapshot;
-    ``refused`` lists the services that the owner did not send to.
+    ``refused`` lists the services that the owner did not send to;
+    ``not_owned`` lists those that it may not send to, so that another
+    owner is to be asked.
     """
 
     request_id: str
@@ -122,6 +124,7 @@
     snapshot_gone: bool = False
     held: tuple[int, ...] = ()
     sub_requests: int = 0
+    not_owned: tuple[str, ...] = ()
 
 
 class RefusalReason(enum.Enum):
--- a/packages/tier/src/corianderport_tier/request/search.py
+++ b/packages/tier/src/corianderport_tier/request/search.py
@@ -13,6 +13,7 @@
 from corianderport_tier.process import routing
 from corianderport_tier.process import snapshot_availability
 from corianderport_tier.request import coverage
+from corianderport_tier.request import deadlines
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import merging
 from corianderport_tier.request import messages
@@ -25,6 +26,17 @@
 # Time kept for merging and for the way back to the caller.
 _ANSWER_MARGIN_S = 0.003
 _MAX_PLANS = 3
+# Part of the time after which an owner that is silent is not relied on.
+_FIRST_OWNER_SHARE = 0.5
+
+
+@attrs.define(eq=False)
+class _Outstanding:
+    """A service without an answer and the batches that may bring one."""
+
+    sub_query: messages.SubQuery
+    rank: int = 0
+    batches: int = 0
 
 
 @attrs.define(eq=False)
@@ -85,33 +97,56 @@
             self._clock
         )
         outstanding = {
-            sub_query.service: 0 for sub_query in plan.sub_queries()
+            sub_query.service: _Outstanding(sub_query)
+            for sub_query in plan.sub_queries()
         }
         self._submit(plan, plan.sub_queries(), 0, inbox, outstanding)
         until = self._request.deadline.earlier(_ANSWER_MARGIN_S)
+        patience_s = until.remaining(self._clock) * _FIRST_OWNER_SHARE
+        first_until = deadlines.Deadline.after(self._clock, patience_s)
         gathered = _Gathered()
+        failed_over = False
         while outstanding:
-            result = inbox.take(until)
-            if result is None:
+            result = inbox.take(until if failed_over else first_until)
+            if result is not None:
+                self._on_result(plan, result, inbox, outstanding, gathered)
+            elif failed_over:
                 break
-            self._on_result(plan, result, inbox, outstanding, gathered)
+            else:
+                failed_over = True
+                self._fail_over(plan, inbox, outstanding)
         return gathered
 
+    def _fail_over(
+        self,
+        plan: planning.SearchPlan,
+        inbox: inboxes.Inbox[aggregator.BatchResult],
+        outstanding: dict[str, _Outstanding],
+    ) -> None:
+        """Ask the second owners too; the first ones may still answer."""
+        waiting = tuple(
+            o.sub_query for o in outstanding.values() if o.rank == 0
+        )
+        self._submit(plan, waiting, 1, inbox, outstanding)
+
     def _submit(
         self,
         plan: planning.SearchPlan,
         sub_queries: tuple[messages.SubQuery, ...],
         rank: int,
         inbox: inboxes.Inbox[aggregator.BatchResult],
-        outstanding: dict[str, int],
+        outstanding: dict[str, _Outstanding],
     ) -> None:
         by_owner: dict[membership.Member, list[messages.SubQuery]] = {}
         for sub_query in sub_queries:
             owners = self._owners(sub_query.service)
+            waiting = outstanding[sub_query.service]
             if rank >= len(owners):
-                outstanding.pop(sub_query.service, None)
+                if waiting.batches == 0:
+                    del outstanding[sub_query.service]
                 continue
-            outstanding[sub_query.service] = rank
+            waiting.rank = rank
+            waiting.batches += 1
             by_owner.setdefault(owners[rank], []).append(sub_query)
         for owner, owned in by_owner.items():
             self._log.record(
@@ -157,17 +192,28 @@
         plan: planning.SearchPlan,
         result: aggregator.BatchResult,
         inbox: inboxes.Inbox[aggregator.BatchResult],
-        outstanding: dict[str, int],
+        outstanding: dict[str, _Outstanding],
         gathered: _Gathered,
     ) -> None:
         answer = result.answer
         if isinstance(answer, errors.CorianderportError):
-            again = result.batch.sub_queries
-            rank = outstanding[again[0].service] + 1
-            self._submit(plan, again, rank, inbox, outstanding)
-            return
+            refused = {s.service for s in result.batch.sub_queries}
+        else:
+            refused = set(answer.not_owned)
+        again: dict[int, list[messages.SubQuery]] = {}
         for sub_query in result.batch.sub_queries:
-            outstanding.pop(sub_query.service, None)
+            waiting = outstanding.get(sub_query.service)
+            if waiting is None:
+                continue
+            waiting.batches -= 1
+            if sub_query.service in refused:
+                again.setdefault(waiting.rank + 1, []).append(sub_query)
+            else:
+                del outstanding[sub_query.service]
+        for rank, sub_queries in again.items():
+            self._submit(plan, tuple(sub_queries), rank, inbox, outstanding)
+        if isinstance(answer, errors.CorianderportError):
+            return
         gathered.sub_requests += answer.sub_requests
         if answer.snapshot != plan.snapshot.number:
             return
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/heartbeat_codec.py
@@ -0,0 +1,76 @@
+"""corianderport_wire.connection.heartbeat_codec
+
+Thrift structures of heartbeats.
+"""
+
+import typing
+
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import leases
+from corianderport_tier.process import membership
+from corianderport_wire.connection import peer_codec
+
+__all__ = ['heartbeat_from_thrift', 'heartbeat_to_thrift']
+
+_PEER = peer_codec.PEER
+_LEAVING = membership.MemberState.LEAVING
+
+
+def heartbeat_to_thrift(message: heartbeats.Heartbeat) -> typing.Any:
+    """Return the structure of a heartbeat; empty fields are left out."""
+    return _PEER.Heartbeat(
+        sender=_rumour_to_thrift(message.sender),
+        version=message.version,
+        rumours=[_rumour_to_thrift(r) for r in message.rumours] or None,
+        lease_requests=[
+            _PEER.LeaseRequest(service_name=r.service, settled=r.settled)
+            for r in message.lease_requests
+        ]
+        or None,
+        leases_granted=list(message.leases_granted) or None,
+        joining=message.joining or None,
+    )
+
+
+def heartbeat_from_thrift(fields: typing.Any) -> heartbeats.Heartbeat:
+    """Return the heartbeat of a structure."""
+    return heartbeats.Heartbeat(
+        sender=_rumour_from_thrift(fields.sender),
+        version=fields.version,
+        rumours=tuple(_rumour_from_thrift(r) for r in fields.rumours or ()),
+        lease_requests=tuple(
+            leases.LeaseRequest(r.service_name, bool(r.settled))
+            for r in fields.lease_requests or ()
+        ),
+        leases_granted=tuple(fields.leases_granted or ()),
+        joining=bool(fields.joining),
+    )
+
+
+def _rumour_to_thrift(rumour: membership.Rumour) -> typing.Any:
+    return _PEER.MemberRumour(
+        name=rumour.member.name,
+        data_centre=rumour.member.data_centre,
+        peer_address=rumour.member.peer_address,
+        state=rumour.member.state.value,
+        incarnation=rumour.member.incarnation,
+        standing=int(rumour.standing),
+        refutation=rumour.refutation,
+    )
+
+
+def _rumour_from_thrift(fields: typing.Any) -> membership.Rumour:
+    leaving = fields.state == _LEAVING.value
+    # A later version may know more standings between these bounds.
+    standing = min(max(fields.standing, 0), int(membership.Standing.GONE))
+    return membership.Rumour(
+        member=membership.Member(
+            name=fields.name,
+            data_centre=fields.data_centre,
+            peer_address=fields.peer_address,
+            state=_LEAVING if leaving else membership.MemberState.LIVE,
+            incarnation=fields.incarnation,
+        ),
+        standing=membership.Standing(standing),
+        refutation=fields.refutation,
+    )
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/peer_authentication.py
@@ -0,0 +1,181 @@
+"""corianderport_wire.connection.peer_authentication
+
+Mutual HMAC challenge on a new peer connection, and bounded frames.
+
+The client sends ``CRP1`` and its nonce, the server its nonce, the client
+one proof for each of two keys, and the server its proof with the key that
+matched. A stranger gets a nonce and nothing else. Each message has a fixed
+size, so that nothing that a stranger sends decides how much is read.
+"""
+
+import hashlib
+import hmac
+import io
+import secrets
+import socket
+import struct
+import typing
+
+import attrs
+import thriftpy2.transport
+import thriftpy2.transport.base
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.request import deadlines
+
+__all__ = ['BoundedFrames', 'SharedKeys', 'prove', 'verify']
+
+_MAGIC = b'CRP1'
+_NONCE_BYTES = 32
+_PROOF_BYTES = 32
+_FRAME_LENGTH_BYTES = 4
+
+
+@attrs.frozen
+class SharedKeys:
+    """One key, or two while keys are rotated; the first one is preferred."""
+
+    keys: tuple[bytes, ...] = attrs.field(repr=False)
+
+    @classmethod
+    def from_text(cls, text: str) -> 'SharedKeys':
+        """Return the keys of a comma-separated text.
+
+        :raises SettingInvalid: there are not one or two keys.
+        """
+        keys = tuple(key.strip().encode() for key in text.split(','))
+        if not 1 <= len(keys) <= 2 or not all(keys):
+            raise errors.SettingInvalid('shared_keys: not one or two keys')
+        return cls(keys)
+
+    def pair(self) -> tuple[bytes, bytes]:
+        """Return two keys, the same one twice when there is only one."""
+        return self.keys[0], self.keys[-1]
+
+
+_Framed: typing.Any = thriftpy2.transport.TFramedTransport
+
+
+class BoundedFrames(_Framed):  # type: ignore[misc]
+    """Framed transport that refuses frames over a limit."""
+
+    def __init__(self, trans: typing.Any, limit_bytes: int) -> None:
+        super().__init__(trans)
+        self._limit_bytes = limit_bytes
+
+    def read_frame(self) -> None:
+        """Read one frame.
+
+        :raises TTransportException: the frame is too long.
+        """
+        header = thriftpy2.transport.base.readall(
+            self._trans.read, _FRAME_LENGTH_BYTES
+        )
+        (size,) = struct.unpack('!i', header)
+        if not 0 <= size <= self._limit_bytes:
+            raise thriftpy2.transport.TTransportException(
+                message=f'frame of {size} bytes is over {self._limit_bytes}'
+            )
+        frame = thriftpy2.transport.base.readall(self._trans.read, size)
+        self._rbuf = io.BytesIO(frame)
+
+
+def prove(
+    connection: socket.socket,
+    keys: SharedKeys,
+    clock: clocks.Clock,
+    timeout_s: float,
+) -> None:
+    """Authenticate as the side that connected.
+
+    :raises Unauthenticated: the server does not have a key of this host.
+    :raises OSError: the connection failed or was too slow.
+    """
+    reader = _Reader(connection, clock, timeout_s)
+    own = secrets.token_bytes(_NONCE_BYTES)
+    connection.settimeout(timeout_s)
+    connection.sendall(_MAGIC + own)
+    nonces = own + reader.read(_NONCE_BYTES)
+    proofs = [_proof(key, b'client', nonces) for key in keys.pair()]
+    connection.sendall(b''.join(proofs))
+    answer = reader.read(_PROOF_BYTES)
+    if _matching(keys, b'server', nonces, (answer,)) is None:
+        raise errors.Unauthenticated('the server has none of our keys')
+
+
+def verify(
+    connection: socket.socket,
+    keys: SharedKeys,
+    clock: clocks.Clock,
+    timeout_s: float,
+) -> None:
+    """Authenticate as the side that accepted the connection.
+
+    :raises Unauthenticated: the client does not have a key of this host.
+    :raises OSError: the connection failed or was too slow.
+    """
+    reader = _Reader(connection, clock, timeout_s)
+    connection.settimeout(timeout_s)
+    hello = reader.read(len(_MAGIC) + _NONCE_BYTES)
+    if not hello.startswith(_MAGIC):
+        raise errors.Unauthenticated('not a peer of this version')
+    own = secrets.token_bytes(_NONCE_BYTES)
+    connection.sendall(own)
+    nonces = hello[len(_MAGIC) :] + own
+    proofs = reader.read(2 * _PROOF_BYTES)
+    key = _matching(
+        keys,
+        b'client',
+        nonces,
+        (proofs[:_PROOF_BYTES], proofs[_PROOF_BYTES:]),
+    )
+    if key is None:
+        raise errors.Unauthenticated('the client has none of our keys')
+    connection.sendall(_proof(key, b'server', nonces))
+
+
+def _proof(key: bytes, side: bytes, nonces: bytes) -> bytes:
+    return hmac.new(key, side + nonces, hashlib.sha256).digest()
+
+
+def _matching(
+    keys: SharedKeys, side: bytes, nonces: bytes, proofs: tuple[bytes, ...]
+) -> bytes | None:
+    for key in keys.keys:
+        expected = _proof(key, side, nonces)
+        if any(hmac.compare_digest(expected, proof) for proof in proofs):
+            return key
+    return None
+
+
+class _Reader:
+    """Reads the messages of one authentication.
+
+    One limit holds for the whole of it: a byte now and then does not
+    prolong it.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        clock: clocks.Clock,
+        timeout_s: float,
+    ) -> None:
+        self._connection = connection
+        self._clock = clock
+        self._until = deadlines.Deadline.after(clock, timeout_s)
+
+    def read(self, size: int) -> bytes:
+        """Return exactly this many bytes."""
+        received = b''
+        while len(received) < size:
+            remaining_s = self._until.remaining(self._clock)
+            if remaining_s <= 0:
+                raise TimeoutError('peer authentication is too slow')
+            self._connection.settimeout(remaining_s)
+            part = self._connection.recv(size - len(received))
+            if not part:
+                raise ConnectionResetError('closed during authentication')
+            received += part
+        return received
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -4,6 +4,7 @@
 """
 
 import collections.abc
+import socket
 import typing
 
 import thriftpy2.protocol
@@ -12,8 +13,11 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
 from corianderport_tier.request import messages
+from corianderport_wire.connection import heartbeat_codec
+from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
 from corianderport_wire import faults
 
@@ -25,10 +29,12 @@
 class ThriftPeerTransport:
     """One persistent connection to another host."""
 
-    def __init__(self, socket: typing.Any, clock: clocks.Clock) -> None:
-        self._socket = socket
+    def __init__(self, stream: typing.Any, clock: clocks.Clock) -> None:
+        self._stream = stream
         self._clock = clock
-        transport = thriftpy2.transport.TFramedTransport(socket)
+        transport = peer_authentication.BoundedFrames(
+            stream, peer_codec.FRAME_BYTES
+        )
         protocol = thriftpy2.protocol.TBinaryProtocol(transport)
         self._client = thriftpy2.thrift.TClient(peer_codec.PEER.Peer, protocol)
 
@@ -50,9 +56,18 @@
         )
         return typing.cast(bytes | None, reply.content)
 
+    def heartbeat(
+        self, message: heartbeats.Heartbeat, timeout_s: float
+    ) -> heartbeats.Heartbeat:
+        """Send a heartbeat and wait for the reply."""
+        fields = heartbeat_codec.heartbeat_to_thrift(message)
+        return heartbeat_codec.heartbeat_from_thrift(
+            self._call(self._client.heartbeat, fields, timeout_s)
+        )
+
     def close(self) -> None:
         """Close the connection."""
-        self._socket.close()
+        self._stream.close()
 
     def _call(
         self,
@@ -60,7 +75,7 @@
         argument: object,
         timeout_s: float,
     ) -> typing.Any:
-        self._socket.set_timeout(max(1.0, timeout_s * 1e3))
+        self._stream.set_timeout(max(1.0, timeout_s * 1e3))
         try:
             return method(argument)
         except peer_codec.PEER.Refused as refused:
@@ -74,24 +89,35 @@
 class ThriftPeerDialer:
     """Opens connections to other hosts."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self, clock: clocks.Clock, keys: peer_authentication.SharedKeys
+    ) -> None:
         self._clock = clock
+        self._keys = keys
 
     def dial(
         self, member: membership.Member, timeout_s: float
     ) -> ThriftPeerTransport:
-        """Open a connection.
+        """Open a connection and authenticate both sides.
 
         :raises ConnectFailed: no connection within the timeout.
+        :raises ConnectRefused: no process listens on the address.
         """
         host, _, port = member.peer_address.rpartition(':')
-        socket = thriftpy2.transport.TSocket(
-            host, int(port), connect_timeout=timeout_s * 1e3
-        )
+        where = f'{member.name} at {member.peer_address}'
+        try:
+            connection = socket.create_connection((host, int(port)), timeout_s)
+        except ConnectionRefusedError as error:
+            raise errors.ConnectRefused(f'{where}: {error}') from error
+        except OSError as error:
+            raise errors.ConnectFailed(f'{where}: {error}') from error
         try:
-            socket.open()
-        except (OSError, thriftpy2.transport.TTransportException) as error:
-            raise errors.ConnectFailed(
-                f'{member.name} at {member.peer_address}: {error}'
-            ) from error
-        return ThriftPeerTransport(socket, self._clock)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            peer_authentication.prove(
+                connection, self._keys, self._clock, timeout_s
+            )
+        except (OSError, errors.Unauthenticated) as error:
+            connection.close()
+            raise errors.ConnectFailed(f'{where}: {error}') from error
+        stream = thriftpy2.transport.TSocket(sock=connection)
+        return ThriftPeerTransport(stream, self._clock)
--- a/packages/wire/src/corianderport_wire/connection/peer_codec.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_codec.py
@@ -13,6 +13,7 @@
 from corianderport_tier.request import messages
 
 __all__ = [
+    'FRAME_BYTES',
     'PEER',
     'batch_from_thrift',
     'batch_to_thrift',
@@ -22,6 +23,9 @@
 
 _IDL = pathlib.Path(__file__).parent.parent / 'peer.thrift'
 
+# A document of 1 MB and room for the largest answer.
+FRAME_BYTES = 4_194_304
+
 PEER: typing.Any = thriftpy2.load(str(_IDL), module_name='peer_thrift')
 
 
@@ -80,6 +84,7 @@
         snapshot_gone=answer.snapshot_gone,
         held=list(answer.held),
         sub_requests=answer.sub_requests,
+        not_owned=list(answer.not_owned) or None,
     )
 
 
@@ -103,4 +108,5 @@
         snapshot_gone=bool(fields.snapshot_gone),
         held=tuple(fields.held or ()),
         sub_requests=fields.sub_requests or 0,
+        not_owned=tuple(fields.not_owned or ()),
     )
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -15,13 +15,19 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import heartbeats
 from corianderport_tier.request import messages
+from corianderport_wire.connection import heartbeat_codec
+from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
 
 __all__ = ['PeerServer', 'PeerService']
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG = 128
+# Connections that are being authenticated at once.
+_STRANGERS = 32
+_AUTHENTICATION_S = 1.0
 
 
 class PeerService(typing.Protocol):
@@ -33,6 +39,9 @@
         :raises CorianderportError: its code goes to the peer.
         """
 
+    def heartbeat(self, message: heartbeats.Heartbeat) -> heartbeats.Heartbeat:
+        """Take a heartbeat and return the reply."""
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the version in force, and its document when newer."""
 
@@ -52,6 +61,12 @@
             raise _refused(error) from error
         return peer_codec.answer_to_thrift(answer)
 
+    def heartbeat(self, message: typing.Any) -> typing.Any:
+        decoded = heartbeat_codec.heartbeat_from_thrift(message)
+        return heartbeat_codec.heartbeat_to_thrift(
+            self._service.heartbeat(decoded)
+        )
+
     def configuration(self, known_version: int) -> typing.Any:
         try:
             version, content = self._service.document(known_version)
@@ -73,17 +88,20 @@
     :param host: IP number to listen on.
     :param port: 0 takes a free port.
     :param connections: connections served at once; more are closed.
+    :param keys: a client has to prove that it has one of them.
     """
 
     def __init__(
         self,
         host: str,
         port: int,
-        service: PeerService,
         clock: clocks.Clock,
         connections: int,
+        keys: peer_authentication.SharedKeys,
     ) -> None:
-        self._service = service
+        self._keys = keys
+        self._strangers = threading.BoundedSemaphore(_STRANGERS)
+        self._service: PeerService | None = None
         self._clock = clock
         self._listener = socket.create_server((host, port), backlog=_BACKLOG)
         self._executor = concurrent.futures.ThreadPoolExecutor(
@@ -100,8 +118,9 @@
         host, port = self._listener.getsockname()
         return f'{host}:{port}'
 
-    def start(self) -> None:
+    def start(self, service: PeerService) -> None:
         """Accept connections on a thread of the server."""
+        self._service = service
         threading.Thread(
             target=self._accept, name='peer-accept', daemon=True
         ).start()
@@ -123,19 +142,53 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
-            if not self._slots.acquire(blocking=False):
+            if not self._admit():
                 connection.close()
                 continue
             with self._lock:
                 self._open.add(connection)
             self._executor.submit(self._serve, connection)
 
+    def _admit(self) -> bool:
+        if not self._strangers.acquire(blocking=False):
+            return False
+        if self._slots.acquire(blocking=False):
+            return True
+        self._strangers.release()
+        return False
+
     def _serve(self, connection: socket.socket) -> None:
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            if self._authenticated(connection):
+                self._serve_peer(connection)
+        finally:
+            with self._lock:
+                self._open.discard(connection)
+            connection.close()
+            self._slots.release()
+
+    def _authenticated(self, connection: socket.socket) -> bool:
+        try:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            peer_authentication.verify(
+                connection, self._keys, self._clock, _AUTHENTICATION_S
+            )
+            connection.settimeout(None)
+        except (OSError, errors.Unauthenticated) as error:
+            _LOG.info('peer connection refused: %s', error)
+            return False
+        finally:
+            self._strangers.release()
+        return True
+
+    def _serve_peer(self, connection: socket.socket) -> None:
         stream = thriftpy2.transport.TSocket()
         stream.set_handle(connection)
-        transport = thriftpy2.transport.TFramedTransport(stream)
+        transport = peer_authentication.BoundedFrames(
+            stream, peer_codec.FRAME_BYTES
+        )
         protocol = thriftpy2.protocol.TBinaryProtocol(transport)
+        assert self._service is not None
         processor = thriftpy2.thrift.TProcessor(
             peer_codec.PEER.Peer, _Handler(self._service, self._clock)
         )
@@ -146,11 +199,6 @@
             _LOG.debug('peer connection ended: %s', error)
         except Exception:
             _LOG.exception('peer call failed')
-        finally:
-            with self._lock:
-                self._open.discard(connection)
-            connection.close()
-            self._slots.release()
 
 
 def _shut(connection: socket.socket) -> None:
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -36,6 +36,7 @@
     5: bool snapshot_gone
     6: list<i64> held
     7: i32 sub_requests
+    8: optional list<string> not_owned
 }
 
 struct Document {
@@ -43,6 +44,30 @@
     2: optional binary content
 }
 
+struct MemberRumour {
+    1: string name
+    2: string data_centre
+    3: string peer_address
+    4: string state
+    5: string incarnation
+    6: i32 standing
+    7: i64 refutation
+}
+
+struct LeaseRequest {
+    1: string service_name
+    2: bool settled
+}
+
+struct Heartbeat {
+    1: MemberRumour sender
+    2: i64 version
+    3: optional list<MemberRumour> rumours
+    4: optional list<LeaseRequest> lease_requests
+    5: optional list<string> leases_granted
+    6: optional bool joining
+}
+
 exception Refused {
     1: i32 code
     2: string text
@@ -50,5 +75,6 @@
 
 service Peer {
     BatchAnswer search(1: SubQueryBatch batch) throws (1: Refused refused)
+    Heartbeat heartbeat(1: Heartbeat message) throws (1: Refused refused)
     Document configuration(1: i64 known_version) throws (1: Refused refused)
 }
