Release leases on a change of owners, and settle new owners

A new pair of owners waited for the leases of the earlier ones to expire, which left services without an owner for 2.5 s when a data centre was taken out. Earlier owners now tell the next ones when they stop.

--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -110,7 +110,7 @@
         """Serve other hosts and start all tasks."""
         calls = _PeerCalls(self._store, self._exchange, local)
         self._server.start(calls)
-        self._store.add_listener(self.control.nudge)
+        self._store.add_listener(self.control.version_changed)
         platform = self._settings.platform
         times = readers.ReaderTimes()
         tasks: list[
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/control_group.py
@@ -0,0 +1,246 @@
+"""corianderport_testkit.process.control_group
+
+Several hosts' control parts on one manual clock, joined by fake links.
+"""
+
+import collections.abc
+import concurrent.futures
+import random
+import typing
+
+from corianderport_testkit import clock as testkit_clock
+from corianderport_testkit.version import deployments
+from corianderport_tier import errors
+from corianderport_tier.process import configuration_store
+from corianderport_tier.process import contacts
+from corianderport_tier.process import control
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import leases
+from corianderport_tier.process import membership
+from corianderport_tier.process import ownership
+from corianderport_wire.version import document
+
+__all__ = ['SERVICES', 'ControlGroup', 'Host', 'build_document']
+
+_DEPLOYMENT = deployments.Deployment(services=4, shards=1, documents=8)
+_ADDRESSES = {
+    name: '127.0.0.1:1'
+    for centre in deployments.DATA_CENTRES
+    for name in _DEPLOYMENT.searcher_names(centre)
+}
+SERVICES = _DEPLOYMENT.service_names()
+MAXIMUM_DEADLINE_S = _DEPLOYMENT.deadline_ms / 1e3
+
+
+def build_document(
+    version: int, out_of_service: collections.abc.Container[str] = ()
+) -> bytes:
+    """Return a valid document."""
+    accepted = _DEPLOYMENT.build(version, _ADDRESSES, out_of_service)
+    return document.JsonDocument().encode(accepted)
+
+
+class _InlineExecutor(concurrent.futures.Executor):
+    """Runs pull jobs at once; contact tasks are stepped by the test."""
+
+    def submit(  # type: ignore[override]
+        self, call: typing.Any, /, *arguments: typing.Any
+    ) -> typing.Any:
+        if getattr(call, '__func__', None) is not contacts.Contact.run:
+            call(*arguments)
+
+
+class _Link:
+    """A connection that asks the network on each call."""
+
+    def __init__(
+        self, group: 'ControlGroup', source: str, target: str
+    ) -> None:
+        self._group = group
+        self._source = source
+        self._target = target
+        self._incarnation = group.hosts[target].incarnation
+
+    def heartbeat(
+        self, message: heartbeats.Heartbeat, timeout_s: float
+    ) -> heartbeats.Heartbeat:
+        host = self._reach()
+        reply = host.exchange.receive(message)
+        self._reach()
+        return reply
+
+    def configuration(
+        self, known_version: int, timeout_s: float
+    ) -> bytes | None:
+        accepted = self._reach().store.accepted()
+        newer = accepted.configuration.version > known_version
+        return accepted.document if newer else None
+
+    def search(self, batch: typing.Any, timeout_s: float) -> typing.Any:
+        raise NotImplementedError
+
+    def close(self) -> None:
+        return
+
+    def _reach(self) -> 'Host':
+        host = self._group.hosts.get(self._target)
+        if host is None or host.incarnation != self._incarnation:
+            raise errors.ConnectionBroken('reset')
+        if not self._group.connected(self._source, self._target):
+            raise errors.ConnectionSilent('no reply')
+        return host
+
+
+class _Dialer:
+    def __init__(self, group: 'ControlGroup', source: str) -> None:
+        self._group = group
+        self._source = source
+
+    def dial(self, member: membership.Member, timeout_s: float) -> _Link:
+        if not self._group.connected(self._source, member.name):
+            raise errors.ConnectFailed('no route')
+        host = self._group.hosts.get(member.name)
+        if host is None or host.own.peer_address != member.peer_address:
+            raise errors.ConnectRefused('nothing listens')
+        return _Link(self._group, self._source, member.name)
+
+
+class Host:
+    """The control parts of one host."""
+
+    def __init__(self, group: 'ControlGroup', own: membership.Member) -> None:
+        clock = group.clock
+        self.own = own
+        self.store = configuration_store.ConfigurationStore(
+            document.JsonDocument(), clock
+        )
+        self.members = membership.Membership(own, clock, self._region_of)
+        self.owners = ownership.OwnershipTable(self.store, self.members)
+        self.probed: list[membership.Member] = []
+        self.leases = leases.Leases(
+            self.members, clock, leases.LeaseTimes(), self.probed.append
+        )
+        executor = _InlineExecutor()
+        dialer = _Dialer(group, own.name)
+        self.exchange = heartbeats.HeartbeatExchange(
+            self.members,
+            self.leases,
+            lambda: self.store.version,
+            group.heard(self),
+        )
+        self.control = control.Control(
+            self.members,
+            self.leases,
+            self.owners,
+            self.exchange,
+            dialer,
+            executor,
+            clock,
+            control.ControlTimes(),
+            random.Random(own.name),
+        )
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the process."""
+        return self.own.incarnation
+
+    def step(self) -> None:
+        """Do what the tasks of this host do in one period."""
+        self.control.step()
+        for contact in self.control.active:
+            contact.exchange()
+        probing, self.probed[:] = list(self.probed), []
+        for member in probing:
+            self.control.probe(member)
+        self.control.step()
+
+    def _region_of(self, data_centre: str) -> str | None:
+        return ownership.region_of(self.store, data_centre)
+
+
+class ControlGroup:
+    """The hosts, the links between them and the host list."""
+
+    def __init__(self, names: collections.abc.Sequence[str]) -> None:
+        self.clock = testkit_clock.ManualClock()
+        self.hosts: dict[str, Host] = {}
+        self.listed: dict[str, membership.Member] = {}
+        self.paused: set[str] = set()
+        self._groups: dict[str, int] = {}
+        self._started = 0
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> Host:
+        """Start a host, or a new process of one."""
+        self._started += 1
+        number = int(name.rpartition('-')[2])
+        own = membership.Member(
+            name,
+            deployments.DATA_CENTRES[number % 3],
+            f'127.0.0.1:{self._started}',
+            incarnation=f'{self._started:06d}',
+        )
+        host = Host(self, own)
+        self.hosts[name] = host
+        self.listed[name] = membership.Member(
+            name, own.data_centre, own.peer_address
+        )
+        return host
+
+    def kill(self, name: str) -> None:
+        """End a process; the host list still has it."""
+        del self.hosts[name]
+
+    def partition(self, *groups: collections.abc.Iterable[str]) -> None:
+        """Let only hosts of the same group reach each other."""
+        self._groups = {
+            name: number
+            for number, group in enumerate(groups)
+            for name in group
+        }
+
+    def connected(self, one: str, other: str) -> bool:
+        """Whether a message passes."""
+        if one in self.paused or other in self.paused:
+            return False
+        return self._groups.get(one, -1) == self._groups.get(other, -1)
+
+    def heard(self, host: Host) -> heartbeats.VersionHeard:
+        """Return the pull of a host, made without a task of its own."""
+
+        def pull(member: membership.Member, version: int) -> None:
+            if version <= host.store.version:
+                return
+            try:
+                link = _Dialer(self, host.own.name).dial(member, 1.0)
+                content = link.configuration(host.store.version, 1.0)
+                if content is not None:
+                    host.store.offer(content)
+            except errors.CorianderportError:
+                return
+
+        return pull
+
+    def list_hosts(self) -> None:
+        """Let every running host read the host list."""
+        for name, host in self.hosts.items():
+            if name not in self.paused:
+                host.members.replace(self.listed.values())
+
+    def run(self, seconds: float, step_s: float = 0.5) -> None:
+        """Advance all hosts that are not paused."""
+        for _ in range(int(seconds / step_s)):
+            self.clock.advance(step_s)
+            for name in sorted(self.hosts):
+                if name not in self.paused:
+                    self.hosts[name].step()
+
+    def full(self, service: str) -> list[str]:
+        """Return the hosts that may send to cold searchers now."""
+        return [
+            name
+            for name, host in sorted(self.hosts.items())
+            if host.leases.may_send(service) is leases.LeaseState.FULL
+        ]
--- a/packages/tier/src/corianderport_tier/process/control.py
+++ b/packages/tier/src/corianderport_tier/process/control.py
@@ -65,9 +65,9 @@
         self._chosen_s = float('-inf')
 
     @property
-    def contact_names(self) -> frozenset[str]:
-        """Names of the hosts that get heartbeats."""
-        return frozenset(name for name, _ in list(self._contacts))
+    def active(self) -> tuple[contacts.Contact, ...]:
+        """The hosts that get heartbeats."""
+        return tuple(self._contacts.values())
 
     @property
     def joined(self) -> bool:
@@ -92,12 +92,16 @@
         """Bring suspicions, ownership and contacts up to date."""
         self._members.step()
         self._leases.update(self._owners.ownership())
+        self._tell_releases()
         list_known = self._members.list_known
         self._keep_contacts()
         self._knew_list = list_known
 
-    def nudge(self) -> None:
-        """Tell all contacts at once, for example of a new version."""
+    def version_changed(self) -> None:
+        """Take over a new version and tell all contacts of it at once."""
+        for contact in list(self._contacts.values()):
+            contact.nudge()
+        self.wake()
         for contact in list(self._contacts.values()):
             contact.nudge()
 
@@ -117,6 +121,13 @@
             self._closed = True
             self._condition.notify_all()
 
+    def _tell_releases(self) -> None:
+        """Tell at once, since the next owner waits for it."""
+        grantors = self._leases.releasing()
+        for contact in list(self._contacts.values()):
+            if contact.member.name in grantors:
+                contact.nudge()
+
     def _keep_contacts(self) -> None:
         wanted = {(m.name, m.peer_address): m for m in self._wanted()}
         for key in self._contacts.keys() - wanted.keys():
--- a/packages/tier/src/corianderport_tier/process/heartbeats.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeats.py
@@ -28,7 +28,9 @@
     rumours: tuple[membership.Rumour, ...] = ()
     lease_requests: tuple[leases.LeaseRequest, ...] = ()
     leases_granted: tuple[str, ...] = ()
+    leases_released: tuple[str, ...] = ()
     joining: bool = False
+    established: bool = True
 
 
 class HeartbeatExchange:
@@ -57,17 +59,21 @@
             version=self._version(),
             rumours=self._rumours(to, False),
             lease_requests=self._leases.requests(to),
+            leases_released=self._leases.releases(to),
             joining=joining,
+            established=self._leases.established,
         )
 
     def receive(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take a heartbeat and return the reply."""
         self._hear(heartbeat)
         sender = heartbeat.sender.member
+        self._leases.released(sender, heartbeat.leases_released)
         return Heartbeat(
             sender=self._members.own_rumour,
             version=self._version(),
             rumours=self._rumours(sender, heartbeat.joining),
+            established=self._leases.established,
             leases_granted=self._leases.grant(
                 sender, heartbeat.lease_requests
             ),
@@ -81,6 +87,9 @@
 
     def _hear(self, heartbeat: Heartbeat) -> None:
         self._members.hear(heartbeat.sender)
+        self._members.note_established(
+            heartbeat.sender.member, heartbeat.established
+        )
         for rumour in heartbeat.rumours:
             self._members.hear(rumour)
         self._version_heard(heartbeat.sender.member, heartbeat.version)
--- a/packages/tier/src/corianderport_tier/process/leases.py
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -63,14 +63,14 @@
 
     :param majority: whether more than half of the region's hosts are
         believed live.
-    :param complete: whether each of the region's hosts was heard and none
-        is suspected.
+    :param starting: whether each of the region's hosts is reached and has
+        started only just now, so that no earlier owner can exist.
     :param maximum_deadline_s: longest time that a request may run.
     """
 
     owners: collections.abc.Mapping[str, tuple[membership.Member, ...]]
     majority: bool = True
-    complete: bool = True
+    starting: bool = False
     maximum_deadline_s: float = 0.5
 
 
@@ -88,6 +88,16 @@
     sent_s: float = float('-inf')
     yield_until_s: float = float('-inf')
     probed_s: float = float('-inf')
+    settled_s: float = float('inf')
+    predecessors: dict[str, membership.Member] = attrs.Factory(dict)
+
+
+@attrs.frozen
+class _Released:
+    """A service given up, to be told to the hosts that wait for it."""
+
+    targets: frozenset[str]
+    until_s: float
 
 
 class Leases:
@@ -109,20 +119,31 @@
         self._clock = clock
         self._times = times
         self._lock = threading.Lock()
-        self._ownership = Ownership({}, majority=False, complete=False)
+        self._ownership = Ownership({}, majority=False)
         self._services: dict[str, _Service] = {}
+        self._released: dict[str, _Released] = {}
+        self._first_full_s = float('inf')
 
     def update(self, ownership: Ownership) -> None:
         """Take over a new view of who owns what."""
         own = self._members.own.name
         now_s = self._clock.monotonic()
         with self._lock:
+            before = self._ownership
+            if ownership is before:
+                return
             self._ownership = ownership
             kept: dict[str, _Service] = {}
             for name, owners in ownership.owners.items():
                 names = [member.name for member in owners]
                 if own in names:
-                    kept[name] = self._moved(name, names.index(own), now_s)
+                    kept[name] = self._moved(
+                        name, names.index(own), before.owners.get(name, ())
+                    )
+                    self._released.pop(name, None)
+            for name, state in self._services.items():
+                if name not in kept or kept[name].position > 0:
+                    self._release(name, state, now_s)
             self._services = kept
 
     def may_send(self, service: str) -> LeaseState:
@@ -147,8 +168,20 @@
                 return LeaseState.NONE
             allowed = self._state(service, state, now_s)
             state.sent_s = now_s
+            if allowed is LeaseState.FULL:
+                self._first_full_s = min(self._first_full_s, now_s)
             return allowed
 
+    @property
+    def established(self) -> bool:
+        """Whether this host has sent to searchers for some time.
+
+        A host is not at first, so that the hosts of a fleet that starts
+        need not wait for each other's leases to expire.
+        """
+        now_s = self._clock.monotonic()
+        return now_s >= self._first_full_s + self._times.lease_s
+
     def requests(self, member: membership.Member) -> tuple[LeaseRequest, ...]:
         """Return the leases to ask of a host."""
         now_s = self._clock.monotonic()
@@ -168,13 +201,52 @@
     def grantors(self) -> frozenset[str]:
         """Return the names of the hosts to ask for leases."""
         with self._lock:
-            return frozenset(
-                second
-                for name, state in self._services.items()
-                if state.position == 0
-                and (second := self._second(name)) is not None
+            return (
+                frozenset(
+                    second
+                    for name, state in self._services.items()
+                    if state.position == 0
+                    and (second := self._second(name)) is not None
+                )
+                | self._releasing()
             )
 
+    def releasing(self) -> frozenset[str]:
+        """Return the names of the hosts to tell of released leases."""
+        with self._lock:
+            return self._releasing()
+
+    def releases(self, member: membership.Member) -> tuple[str, ...]:
+        """Return the services whose lease from a host was given up."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            self._released = {
+                name: released
+                for name, released in self._released.items()
+                if now_s < released.until_s
+            }
+            return tuple(
+                name
+                for name, released in self._released.items()
+                if member.name in released.targets
+            )
+
+    def released(
+        self,
+        member: membership.Member,
+        services: collections.abc.Iterable[str],
+    ) -> None:
+        """Learn that a host sends nothing more under a granted lease."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            for name in services:
+                state = self._services.get(name)
+                if state is None:
+                    continue
+                if _same_process(state.grantee, member):
+                    self._end_grant(state, now_s)
+                self._predecessor_ended(state, member.name, now_s)
+
     def grant(
         self,
         member: membership.Member,
@@ -202,10 +274,12 @@
 
         :param asked_s: when the request was made, by this host's clock.
         """
+        now_s = self._clock.monotonic()
         with self._lock:
             for name in services:
                 state = self._services.get(name)
                 if state is not None and self._second(name) == member.name:
+                    state.settled_s = min(state.settled_s, now_s)
                     state.lease_from = member.name
                     state.lease_until_s = asked_s + self._times.lease_s
 
@@ -222,14 +296,40 @@
             state.probed_s = now_s
             return self._ownership.owners[service][0]
 
-    def _moved(self, name: str, position: int, now_s: float) -> _Service:
+    def _releasing(self) -> frozenset[str]:
+        return frozenset(
+            target
+            for released in self._released.values()
+            for target in released.targets
+        )
+
+    def _release(self, name: str, state: _Service, now_s: float) -> None:
+        owners = self._ownership.owners.get(name, ())
+        targets = {member.name for member in owners} | {state.lease_from}
+        targets -= {self._members.own.name, ''}
+        self._released[name] = _Released(
+            frozenset(targets), now_s + self._settle_s
+        )
+        state.lease_until_s = float('-inf')
+
+    def _moved(
+        self,
+        name: str,
+        position: int,
+        before: tuple[membership.Member, ...],
+    ) -> _Service:
+        now_s = self._clock.monotonic()
         state = self._services.get(name)
         if state is None:
-            return _Service(now_s, position)
+            # Without an earlier view its owners are unknown.
+            return _Service(
+                now_s, position, predecessors={m.name: m for m in before}
+            )
         if state.position == 0 and position > 0:
             # It may have sent until now.
             state.sent_s = now_s
-            state.yield_until_s = now_s + self._ownership.maximum_deadline_s
+        if position == 0:
+            state.yield_until_s = float('-inf')
         state.position = position
         return state
 
@@ -242,7 +342,7 @@
         if state.position == 0 and second is not None:
             valid = state.lease_from == second and now_s < state.lease_until_s
         else:
-            valid = self._settled(state, now_s) or self._ownership.complete
+            valid = self._settled(state, now_s)
         return LeaseState.FULL if valid else LeaseState.RESTRICTED
 
     def _grant(
@@ -264,12 +364,10 @@
                 return False
         if now_s < state.sent_s + self._ownership.maximum_deadline_s:
             return False
-        if not (
-            request.settled
-            or self._settled(state, now_s)
-            or self._ownership.complete
-        ):
+        if not (request.settled or self._settled(state, now_s)):
             return False
+        # From now on this host knows of every lease.
+        state.settled_s = min(state.settled_s, now_s)
         state.grantee = member
         state.granted_until_s = now_s + _DRIFT * self._times.lease_s
         state.blocked_until_s = (
@@ -282,18 +380,40 @@
         if state.grantee is None or now_s >= state.blocked_until_s:
             return
         if self._members.standing(state.grantee) is membership.Standing.GONE:
-            state.grantee = None
-            state.blocked_until_s = min(
-                state.blocked_until_s,
-                now_s + self._ownership.maximum_deadline_s,
-            )
+            self._end_grant(state, now_s)
+
+    def _end_grant(self, state: _Service, now_s: float) -> None:
+        state.grantee = None
+        state.yield_until_s = float('-inf')
+        state.blocked_until_s = min(
+            state.blocked_until_s,
+            now_s + self._ownership.maximum_deadline_s,
+        )
 
-    def _settled(self, state: _Service, now_s: float) -> bool:
-        settle_s = (
+    @property
+    def _settle_s(self) -> float:
+        """Time after which no lease of an earlier owner can be valid."""
+        return (
             2 * _DRIFT * self._times.lease_s
             + self._ownership.maximum_deadline_s
         )
-        return now_s >= state.since_s + settle_s
+
+    def _settled(self, state: _Service, now_s: float) -> bool:
+        for name, member in list(state.predecessors.items()):
+            if self._members.standing(member) is membership.Standing.GONE:
+                self._predecessor_ended(state, name, now_s)
+        return (
+            now_s >= state.since_s + self._settle_s
+            or now_s >= state.settled_s
+            or self._ownership.starting
+        )
+
+    def _predecessor_ended(
+        self, state: _Service, name: str, now_s: float
+    ) -> None:
+        known = state.predecessors.pop(name, None)
+        if known is not None and not state.predecessors:
+            state.settled_s = now_s + self._ownership.maximum_deadline_s
 
     def _second(self, service: str) -> str | None:
         owners = self._ownership.owners[service]
--- a/packages/tier/src/corianderport_tier/process/membership.py
+++ b/packages/tier/src/corianderport_tier/process/membership.py
@@ -132,6 +132,7 @@
         self._ended: dict[str, str] = {}
         self._suspected_s: dict[str, float] = {}
         self._sends: dict[str, int] = {}
+        self._starting: dict[str, str] = {}
         self._last_step_s = self._clock.monotonic()
         self._doubtful = False
         self._doubtful_since_s = 0.0
@@ -217,6 +218,26 @@
             self._store(rumour)
             return True
 
+    def note_established(self, member: Member, established: bool) -> None:
+        """Learn from a host itself whether it has been an owner."""
+        with self._lock:
+            if established:
+                self._starting.pop(member.name, None)
+            else:
+                self._starting[member.name] = member.incarnation
+
+    def starting(self, members: collections.abc.Iterable[Member]) -> bool:
+        """Whether all these hosts said that they have just started."""
+        with self._lock:
+            return all(
+                member.name == self._own.member.name
+                or (
+                    member.incarnation != ''
+                    and self._starting.get(member.name) == member.incarnation
+                )
+                for member in members
+            )
+
     def confirm(self, sent_s: float) -> None:
         """Learn that a host replied to a message sent at this time.
 
--- a/packages/tier/src/corianderport_tier/process/ownership.py
+++ b/packages/tier/src/corianderport_tier/process/ownership.py
@@ -67,42 +67,35 @@
         try:
             accepted = self._store.current()
         except errors.NotReady:
-            return leases.Ownership({}, majority=False, complete=False)
-        key = (
-            accepted.version,
-            self._members.view.epoch,
-            self._members.list_known,
-        )
-        if self._ownership is None or self._ownership[0] != key:
-            self._ownership = (key, self._new_ownership(accepted))
-        return self._ownership[1]
-
-    def _new_ownership(
-        self, accepted: configuration.Configuration
-    ) -> leases.Ownership:
-        region = self.region_of(self._members.own.data_centre)
-        found = {
-            service.name: self._owners(accepted, service)
-            for service in accepted.services.values()
-            if service.region == region
-        }
+            return leases.Ownership({}, majority=False)
         view = self._members.view
+        region = self.region_of(self._members.own.data_centre)
         near = [
             m
             for m in view.members
             if self.region_of(m.data_centre) == region
             and view.standings[m.name] is not membership.Standing.GONE
         ]
-        standings = [view.standings[m.name] for m in near]
-        alive = sum(s <= membership.Standing.SUSPECT for s in standings)
-        return leases.Ownership(
-            owners=found,
-            majority=2 * alive > len(standings),
-            complete=self._members.list_known
-            and all(s is membership.Standing.ALIVE for s in standings)
-            and all(m.incarnation for m in near),
-            maximum_deadline_s=_maximum_deadline_s(accepted),
-        )
+        starting = self._members.list_known and self._members.starting(near)
+        key = (accepted.version, view.epoch, starting)
+        if self._ownership is None or self._ownership[0] != key:
+            found = {
+                service.name: self._owners(accepted, service)
+                for service in accepted.services.values()
+                if service.region == region
+            }
+            alive = sum(
+                view.standings[m.name] <= membership.Standing.SUSPECT
+                for m in near
+            )
+            made = leases.Ownership(
+                owners=found,
+                majority=2 * alive > len(near),
+                starting=starting,
+                maximum_deadline_s=_maximum_deadline_s(accepted),
+            )
+            self._ownership = (key, made)
+        return self._ownership[1]
 
     def _owners(
         self,
--- a/packages/wire/src/corianderport_wire/connection/heartbeat_codec.py
+++ b/packages/wire/src/corianderport_wire/connection/heartbeat_codec.py
@@ -29,6 +29,8 @@
         or None,
         leases_granted=list(message.leases_granted) or None,
         joining=message.joining or None,
+        starting=not message.established or None,
+        leases_released=list(message.leases_released) or None,
     )
 
 
@@ -44,6 +46,8 @@
         ),
         leases_granted=tuple(fields.leases_granted or ()),
         joining=bool(fields.joining),
+        established=not fields.starting,
+        leases_released=tuple(fields.leases_released or ()),
     )
 
 
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -66,6 +66,8 @@
     4: optional list<LeaseRequest> lease_requests
     5: optional list<string> leases_granted
     6: optional bool joining
+    7: optional list<string> leases_released
+    8: optional bool starting
 }
 
 exception Refused {
