Run actions at most once, with signed tickets

Callers had no route for requests that may not be repeated.

POST /v1/tickets issues a ticket that is signed with the first shared key and accepted with any of them. POST /v1/actions/<action> runs an action without a ticket with one attempt, and an action with a ticket in the process that issued the ticket. Other hosts forward to that process. Every outcome of a ticket is final, also a refusal, so that "not run" stays true when the caller repeats the request elsewhere.

"Not sent" is decided by libcurl's pre-request callback instead of by its timings: it is called on the open connection before the first byte, and it also checks the deadline and the searcher's service state at that moment.

The setting shared_keys is required: a default key would let anyone sign.

--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -9,19 +9,25 @@
 import threading
 import types
 import typing
+import uuid
 
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
+from corianderport_tier.process import action_service
 from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import entry
+from corianderport_tier.process import handed_over
 from corianderport_tier.process import membership
 from corianderport_tier.process import owned_services
 from corianderport_tier.process import peers
 from corianderport_tier.process import readers
 from corianderport_tier.process import routing
 from corianderport_tier.process import selection
+from corianderport_tier.process import ticket_table
+from corianderport_tier.process import tickets
+from corianderport_tier.request import actions
 from corianderport_tier.request import messages
 from corianderport_wire.connection import http_server
 from corianderport_wire.connection import peer_client
@@ -35,19 +41,37 @@
 
 
 class _PeerCalls:
-    """What this host serves to others."""
+    """What this host serves to others.
+
+    ``actions`` is set before the first call.
+    """
+
+    actions: action_service.ActionService
 
     def __init__(
         self,
         local: aggregator.LocalAggregator,
         store: configuration_store.ConfigurationStore,
+        kept: handed_over.HandedOverTickets,
     ) -> None:
         self._local = local
         self._store = store
+        self._kept = kept
 
     def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
         return self._local.run(batch)
 
+    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
+        return self._local.act(call)
+
+    def act_with_ticket(
+        self, request: messages.ActionRequest
+    ) -> messages.ActionAnswer:
+        return self.actions.act_with_ticket(request)
+
+    def hand_over(self, part: handed_over.HandOver) -> None:
+        self._kept.accept(part)
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         accepted = self._store.accepted()
         version = accepted.configuration.version
@@ -113,8 +137,9 @@
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
+        self._kept = handed_over.HandedOverTickets(self._clock)
         self._start_aggregator()
-        self._start_peer_server()
+        self._listen_for_peers()
         self._start_entry()
         self._start_readers()
 
@@ -133,17 +158,17 @@
             services, self._executor, self._clock, self._log
         )
 
-    def _start_peer_server(self) -> None:
+    def _listen_for_peers(self) -> None:
         host, port = _split(self._settings.peer_address)
+        self._peer_calls = _PeerCalls(self._local, self._store, self._kept)
         self._peer_server = peer_server.PeerServer(
             host,
             port,
-            _PeerCalls(self._local, self._store),
+            self._peer_calls,
             self._clock,
             self._settings.peer_connections,
         )
         self._stack.callback(self._peer_server.close)
-        self._peer_server.start()
 
     def _start_entry(self) -> None:
         own = membership.Member(
@@ -162,8 +187,11 @@
         router = routing.Router(
             self._store, self._members, self._local, remote
         )
+        service = self._build_actions(router, remote)
+        self._peer_calls.actions = service
+        self._peer_server.start()
         application = caller_app.CallerApp(
-            entry.Entry(self._store, router, self._clock, self._log),
+            entry.Entry(self._store, router, service, self._clock, self._log),
             self._clock,
             caller_app.CallerLimits(body_bytes=self._settings.body_bytes),
         )
@@ -178,6 +206,38 @@
         self._stack.callback(self._caller_server.close)
         self._caller_server.start()
 
+    def _build_actions(
+        self, router: routing.Router, remote: peers.Peers
+    ) -> action_service.ActionService:
+        settings = self._settings
+        signer = tickets.TicketSigner.from_config(settings.shared_keys)
+        self._tickets = ticket_table.TicketTable(
+            settings.host,
+            uuid.uuid4().hex,
+            signer,
+            ticket_table.TicketLimits(
+                settings.ticket_lifetime_ms,
+                settings.ticket_retention_ms,
+                settings.open_tickets,
+            ),
+            self._clock,
+        )
+
+        def run(request: messages.ActionRequest) -> messages.ActionAnswer:
+            return actions.ActionTask(
+                request, self._store.current(), router, self._clock, self._log
+            ).run()
+
+        return action_service.ActionService(
+            self._tickets,
+            self._kept,
+            signer,
+            self._members,
+            remote,
+            run,
+            self._clock,
+        )
+
     def _start_readers(self) -> None:
         times = readers.ReaderTimes()
         tasks: list[readers.ConfigurationReader | readers.HostListReader] = [
--- a/packages/daemon/src/corianderport_daemon/process/settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -10,6 +10,7 @@
 
 from corianderport_tier import errors
 from corianderport_tier import options
+from corianderport_tier.process import tickets
 
 __all__ = ['PREFIX', 'Settings', 'load', 'names']
 
@@ -58,6 +59,12 @@
     return convert
 
 
+def _shared_keys(value: object) -> str:
+    text = str(value)
+    tickets.TicketSigner.from_config(text)
+    return text
+
+
 @environ.config(prefix=PREFIX, frozen=True)
 class Settings:
     """All settings of the daemon; times in the unit of their name."""
@@ -72,6 +79,10 @@
         converter=_address('platform'),
         help='Address of the configuration service and host list.',
     )
+    shared_keys: str = environ.var(
+        converter=_shared_keys,
+        help='Keys of all hosts, comma-separated; the first one signs.',
+    )
     caller_address: str = environ.var(
         '127.0.0.1:0',
         converter=_address('caller_address'),
@@ -107,6 +118,21 @@
         converter=_whole('tasks', 16, 20_000),
         help='Tasks for upstream and peer connections.',
     )
+    ticket_lifetime_ms: int = environ.var(
+        60_000,
+        converter=_whole('ticket_lifetime_ms', 100, 600_000),
+        help='Milliseconds after which a ticket expires.',
+    )
+    ticket_retention_ms: int = environ.var(
+        60_000,
+        converter=_whole('ticket_retention_ms', 0, 600_000),
+        help='Milliseconds that an outcome is kept after the expiry.',
+    )
+    open_tickets: int = environ.var(
+        20_000,
+        converter=_whole('open_tickets', 1, 1_000_000),
+        help='Tickets of this host that have not expired.',
+    )
     selection: str = environ.var(
         'power-of-two',
         converter=_text('selection'),
@@ -139,9 +165,16 @@
             merged[variable] = value
     for name, flag in flags.items():
         options.choice('flag', name, known, errors.SettingInvalid)
-        merged[f'{PREFIX}_{name.upper()}'] = str(flag)
+        # The command line parser splits values at commas.
+        parts = flag if isinstance(flag, tuple) else (flag,)
+        merged[f'{PREFIX}_{name.upper()}'] = ','.join(str(p) for p in parts)
     try:
         return environ.to_config(Settings, merged)
     except environ.MissingEnvValueError as error:
-        name = str(error).removeprefix(f'{PREFIX}_').lower()
-        raise errors.SettingInvalid(f'{name}: missing') from error
+        missing = sorted(
+            str(variable).removeprefix(f'{PREFIX}_').lower()
+            for variable in error.args
+        )
+        raise errors.SettingInvalid(
+            '; '.join(f'{name}: missing' for name in missing)
+        ) from error
--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -26,6 +26,7 @@
 _CONNECT_S = 2.0
 _TIMEOUT_S = 10.0
 _EXIT_S = 15.0
+_SHARED_KEYS = 'shared key of the test fleet'
 
 Json = dict[str, typing.Any]
 
@@ -50,7 +51,11 @@
 
 
 def _spawn(module: str, arguments: list[str]) -> subprocess.Popen[str]:
-    environment = dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path))
+    environment = dict(
+        os.environ,
+        PYTHONPATH=os.pathsep.join(sys.path),
+        CORIANDERPORT_SHARED_KEYS=_SHARED_KEYS,
+    )
     return subprocess.Popen(
         [sys.executable, '-m', module, *arguments],
         env=environment,
--- a/packages/testkit/src/corianderport_testkit/process/searcher.py
+++ b/packages/testkit/src/corianderport_testkit/process/searcher.py
@@ -36,7 +36,8 @@
     ``cold_requests`` is how many requests one at a time warm the searcher
     up; while it is cold, a second request at once makes it fall over,
     which the record counts. ``silent`` accepts requests and never answers
-    them on connections that were open when it was set.
+    them on connections that were open when it was set. ``act_cut`` closes
+    the connection of an action ``before`` it runs or ``after`` it has run.
     """
 
     slots: int = 2
@@ -278,7 +279,12 @@
 
     def _act(self, body: bytes) -> tuple[int, bytes]:
         call = upstream_codec.decode_action(body, self._clock)
+        cut = self.searcher.behaviour.act_cut
+        if cut == 'before':
+            raise ConnectionAbortedError('cut before the action runs')
         reply = self.searcher.act(call)
+        if cut == 'after':
+            raise ConnectionAbortedError('cut after the action has run')
         if isinstance(reply, messages.UpstreamRefusal):
             return _refused(reply)
         return 200, upstream_codec.encode_action_reply(reply)
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -6,6 +6,7 @@
 import collections.abc
 import typing
 
+from corianderport_tier.process import handed_over
 from corianderport_tier.process import membership
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
@@ -14,11 +15,16 @@
     'PeerDialer',
     'PeerTransport',
     'Platform',
+    'SendCheck',
     'UpstreamDialer',
     'UpstreamTransport',
 ]
 
 
+# Raises a Refusal when the request may no longer be sent.
+SendCheck = collections.abc.Callable[[], None]
+
+
 class UpstreamTransport(typing.Protocol):
     """One persistent connection to a searcher, used by one task."""
 
@@ -32,9 +38,19 @@
         """
 
     def act(
-        self, call: messages.UpstreamAction, timeout_s: float
+        self,
+        call: messages.UpstreamAction,
+        timeout_s: float,
+        check: SendCheck,
     ) -> messages.UpstreamActionReply | messages.UpstreamRefusal:
-        """Send one action and wait for its reply; errors as above."""
+        """Send one action once and wait for its reply.
+
+        :param check: called on a new connection, before the first byte is
+            sent; its Refusal ends the call with nothing sent.
+        :raises ConnectFailed: no connection was opened; nothing was sent.
+        :raises ConnectionSilent: nothing arrived within the timeout.
+        :raises ConnectionBroken: the connection ended.
+        """
 
     def cancel(self, attempt_id: str, timeout_s: float) -> None:
         """Ask the searcher to stop an attempt."""
@@ -68,6 +84,22 @@
         :raises ConnectionBroken: the connection ended.
         """
 
+    def act(
+        self, call: messages.ActionCall, timeout_s: float
+    ) -> messages.ActionAnswer:
+        """Send an action to the owner of its service; errors as above."""
+
+    def act_with_ticket(
+        self, request: messages.ActionRequest, timeout_s: float
+    ) -> messages.ActionAnswer:
+        """Send an action to the host that knows its ticket.
+
+        :raises NotOwner: the peer knows nothing of the ticket.
+        """
+
+    def hand_over(self, part: handed_over.HandOver, timeout_s: float) -> None:
+        """Send ticket outcomes to a successor."""
+
     def configuration(
         self, known_version: int, timeout_s: float
     ) -> bytes | None:
--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -13,6 +13,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import owned_services
+from corianderport_tier.request import action_attempts
 from corianderport_tier.request import gather
 from corianderport_tier.request import messages
 
@@ -36,6 +37,14 @@
     def submit(self, batch: messages.SubQueryBatch, deliver: Deliver) -> None:
         """Start a batch; ``deliver`` gets its result once."""
 
+    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
+        """Run an action, with one attempt at one searcher.
+
+        :raises Refusal: no searcher ran the action, and none will.
+        :raises ConnectFailed: the owner was not reached.
+        :raises CorianderportError: whether it ran is not known.
+        """
+
 
 class LocalAggregator:
     """The aggregator of this host."""
@@ -65,6 +74,12 @@
             batch, self._services, self._clock, self._log
         ).run()
 
+    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
+        """Run the action on the calling task."""
+        return action_attempts.OwnerAction(
+            call, self._services, self._clock, self._log
+        ).run()
+
     def _result(self, batch: messages.SubQueryBatch) -> BatchResult:
         try:
             return BatchResult(batch, self.run(batch))
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -4,9 +4,11 @@
 """
 
 from corianderport_tier import clocks
+from corianderport_tier.process import action_service
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
+from corianderport_tier.process import ticket_table
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
 
@@ -20,11 +22,13 @@
         self,
         store: configuration_store.ConfigurationStore,
         router: routing.Router,
+        actions: action_service.ActionService,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
         self._store = store
         self._router = router
+        self._actions = actions
         self._clock = clock
         self._log = log
 
@@ -40,3 +44,19 @@
             self._clock,
             self._log,
         ).run()
+
+    def issue_ticket(self) -> ticket_table.IssuedTicket:
+        """Return a ticket for one action.
+
+        :raises NotReady: the host is shutting down.
+        :raises Overloaded: too many tickets have not expired yet.
+        """
+        return self._actions.issue_ticket()
+
+    def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
+        """Serve one action on the calling task.
+
+        :raises Refusal: the action did not run and will not run.
+        :raises OutcomeUnknown: it may run, have run, or never run.
+        """
+        return self._actions.act(request)
--- a/packages/tier/src/corianderport_tier/process/peers.py
+++ b/packages/tier/src/corianderport_tier/process/peers.py
@@ -3,6 +3,7 @@
 Connections to the other hosts, and their aggregators.
 """
 
+import collections.abc
 import concurrent.futures
 import threading
 import types
@@ -22,8 +23,11 @@
 
 _CONNECTIONS_PER_PEER = 32
 _DIAL_TIMEOUT_S = 1.0
+# An owner that reports at the deadline is still heard.
+_REPLY_MARGIN_S = 0.003
 
 PeerPool = pool.ConnectionPool[transports.PeerTransport]
+Dial = collections.abc.Callable[[float], transports.PeerTransport]
 
 
 @attrs.frozen
@@ -57,8 +61,11 @@
 class PeerAggregator:
     """The aggregator of another host."""
 
-    def __init__(self, connections: PeerPool, clock: clocks.Clock) -> None:
+    def __init__(
+        self, connections: PeerPool, dial: Dial, clock: clocks.Clock
+    ) -> None:
         self._connections = connections
+        self._dial = dial
         self._clock = clock
 
     def submit(
@@ -71,6 +78,21 @@
         except errors.CorianderportError as error:
             job.finish(error)
 
+    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
+        """Send the action on a connection of its own."""
+        deadline = call.request.deadline
+        transport = self._dial(deadline.remaining(self._clock))
+        try:
+            timeout_s = deadline.remaining(self._clock)
+            if timeout_s <= 0:
+                raise errors.DeadlinePast('no time left to send the action')
+            answer = transport.act(call, timeout_s + _REPLY_MARGIN_S)
+        finally:
+            transport.close()
+        if answer.request_id != call.request.request_id:
+            raise errors.OutcomeUnknown('answer belongs to another request')
+        return answer
+
 
 class Peers:
     """The connections of this host to all other hosts."""
@@ -104,7 +126,23 @@
 
     def aggregator(self, member: membership.Member) -> PeerAggregator:
         """Return the aggregator of a host."""
-        return PeerAggregator(self.pool(member), self._clock)
+        return PeerAggregator(
+            self.pool(member),
+            lambda timeout_s: self.dial(member, timeout_s),
+            self._clock,
+        )
+
+    def dial(
+        self, member: membership.Member, timeout_s: float
+    ) -> transports.PeerTransport:
+        """Open a connection that the caller uses alone and closes.
+
+        :raises ConnectFailed: no connection within the timeout.
+        """
+        limit_s = min(_DIAL_TIMEOUT_S, timeout_s)
+        if limit_s <= 0:
+            raise errors.ConnectFailed('no time left to connect')
+        return self._dialer.dial(member, limit_s)
 
     def pool(self, member: membership.Member) -> PeerPool:
         """Return the connections to a host's present address."""
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/action_attempts.py
@@ -0,0 +1,263 @@
+"""corianderport_tier.request.action_attempts
+
+The owner's work for one action: one attempt at one searcher.
+"""
+
+import collections.abc
+import threading
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier.connection import transports
+from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import owned_services
+from corianderport_tier.process import upstreams
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import inboxes
+from corianderport_tier.request import messages
+from corianderport_tier import result_codes
+
+__all__ = ['ActionAttempt', 'OwnerAction']
+
+# A request that waits for room may miss a wake-up that went to a request
+# that had already ended, so it looks again after this time.
+_CAPACITY_RECHECK_S = 0.1
+
+Reply = (
+    messages.UpstreamActionReply
+    | messages.UpstreamRefusal
+    | errors.CorianderportError
+)
+Deliver = collections.abc.Callable[['ActionAttempt', Reply], None]
+
+
+class _CapacityFreed:
+    """A searcher of the service has room."""
+
+
+@attrs.define(eq=False)
+class ActionAttempt:
+    """A job for one connection to the searcher.
+
+    ``check`` is called right before sending; ``deliver`` is called once, on
+    the connection's task.
+    """
+
+    call: messages.UpstreamAction
+    upstream: upstreams.Upstream
+    check: transports.SendCheck
+    deliver: Deliver
+    clock: clocks.Clock
+    started_s: float
+    _lock: threading.Lock = attrs.Factory(threading.Lock)
+    _sending: bool = False
+    _cancelled: bool = False
+
+    def perform(self, transport: transports.UpstreamTransport) -> Reply:
+        """Send the action; a foreign reply breaks the connection."""
+        timeout_s = self.call.deadline.remaining(self.clock)
+        if timeout_s <= 0:
+            raise errors.DeadlinePast('no time left to send the action')
+        reply = transport.act(self.call, timeout_s, self._start_sending)
+        if isinstance(reply, messages.UpstreamActionReply) and (
+            reply.attempt_id != self.call.attempt_id
+            or reply.request_id != self.call.request_id
+        ):
+            raise errors.ConnectionBroken('reply belongs to another attempt')
+        return reply
+
+    def finish(self, reply: object) -> None:
+        """Deliver the result to the request."""
+        assert isinstance(
+            reply,
+            messages.UpstreamActionReply
+            | messages.UpstreamRefusal
+            | errors.CorianderportError,
+        )
+        self.deliver(self, reply)
+
+    def cancel(self) -> bool:
+        """Prevent the sending; False when it has begun."""
+        with self._lock:
+            self._cancelled = True
+            return not self._sending
+
+    def _start_sending(self) -> None:
+        self.check()
+        with self._lock:
+            if self._cancelled:
+                raise errors.DeadlinePast('the request has ended')
+            self._sending = True
+
+
+class OwnerAction:
+    """Runs one action on the request's task.
+
+    Another searcher is tried only when no byte was sent or the searcher
+    refused explicitly.
+    """
+
+    def __init__(
+        self,
+        call: messages.ActionCall,
+        services: owned_services.OwnedServices,
+        clock: clocks.Clock,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._call = call
+        self._request = call.request
+        self._services = services
+        self._clock = clock
+        self._log = log
+        self._tried: set[str] = set()
+        self._refused = False
+        self._inbox: inboxes.Inbox[Reply | _CapacityFreed] = inboxes.Inbox(
+            clock
+        )
+
+    def run(self) -> messages.ActionAnswer:
+        """Return what the searcher reported.
+
+        :raises Refusal: no searcher ran the action, and none will.
+        :raises OutcomeUnknown: a searcher may have run it.
+        """
+        owned = self._services.get(self._call.service)
+        while True:
+            upstream = self._acquire(owned)
+            reply = self._attempt(owned, upstream)
+            if isinstance(reply, messages.UpstreamActionReply):
+                return self._answer(reply)
+            self._check_not_run(upstream, reply)
+
+    def capacity_freed(self, service: str) -> None:
+        """Learn that a searcher of the service has room."""
+        self._inbox.put(_CapacityFreed())
+
+    def _acquire(
+        self, owned: owned_services.OwnedService
+    ) -> upstreams.Upstream:
+        registered = False
+        while True:
+            if self._request.deadline.passed(self._clock):
+                raise errors.DeadlinePast('the deadline has passed')
+            allowed = self._services.allowed()
+            upstream = owned.upstreams.try_acquire(allowed, self._tried)
+            if upstream is not None:
+                return upstream
+            candidates = owned.upstreams.candidates(allowed)
+            if all(u.name in self._tried for u in candidates):
+                raise self._none_left()
+            if registered:
+                recheck = deadlines.Deadline.after(
+                    self._clock, _CAPACITY_RECHECK_S
+                )
+                item = self._inbox.take(min(recheck, self._request.deadline))
+                registered = item is None
+            else:
+                # Room may appear before the waiter is known, so the
+                # searchers are tried once more before the wait.
+                owned.upstreams.add_waiter(self)
+                registered = True
+
+    def _none_left(self) -> errors.Refusal:
+        if self._refused:
+            return errors.UpstreamRefused('every searcher refused the action')
+        return errors.NoUpstream('no searcher can be reached')
+
+    def _attempt(
+        self,
+        owned: owned_services.OwnedService,
+        upstream: upstreams.Upstream,
+    ) -> Reply:
+        self._tried.add(upstream.name)
+        attempt = self._new_attempt(owned, upstream)
+        self._log.record(
+            decision_log.Decision(
+                'act',
+                self._request.request_id,
+                upstream.name,
+                f'attempt {len(self._tried)} for {self._call.service}',
+            )
+        )
+        try:
+            owned.pool(upstream.searcher).submit(attempt)
+        except errors.CorianderportError as error:
+            attempt.finish(error)
+        while True:
+            item = self._inbox.take(self._request.deadline)
+            if item is None and attempt.cancel():
+                return errors.DeadlinePast('the deadline has passed')
+            if item is None:
+                return errors.OutcomeUnknown('no answer by the deadline')
+            if not isinstance(item, _CapacityFreed):
+                return item
+
+    def _new_attempt(
+        self,
+        owned: owned_services.OwnedService,
+        upstream: upstreams.Upstream,
+    ) -> ActionAttempt:
+        request = self._request
+
+        def deliver(attempt: ActionAttempt, reply: Reply) -> None:
+            # Released on the connection's task: the searcher stays loaded
+            # while it works on an action whose request has ended.
+            answered = isinstance(reply, messages.UpstreamActionReply)
+            elapsed_s = self._clock.monotonic() - attempt.started_s
+            owned.upstreams.release(upstream, elapsed_s if answered else None)
+            self._inbox.put(reply)
+
+        def check() -> None:
+            if request.deadline.passed(self._clock):
+                raise errors.DeadlinePast('the deadline has passed')
+            if not self._services.allowed()(upstream.searcher):
+                raise errors.NoUpstream(f'{upstream.name} is out of service')
+
+        return ActionAttempt(
+            call=messages.UpstreamAction(
+                request_id=request.request_id,
+                attempt_id=f'{request.request_id}.{len(self._tried)}',
+                action=request.action,
+                payload=request.payload,
+                deadline=request.deadline,
+            ),
+            upstream=upstream,
+            check=check,
+            deliver=deliver,
+            clock=self._clock,
+            started_s=self._clock.monotonic(),
+        )
+
+    def _answer(
+        self, reply: messages.UpstreamActionReply
+    ) -> messages.ActionAnswer:
+        code = (
+            result_codes.ResultCode.OK
+            if reply.succeeded
+            else result_codes.ResultCode.UPSTREAM_FAILED
+        )
+        return messages.ActionAnswer(
+            code, self._request.request_id, reply.outcome
+        )
+
+    def _check_not_run(
+        self,
+        upstream: upstreams.Upstream,
+        reply: messages.UpstreamRefusal | errors.CorianderportError,
+    ) -> None:
+        if isinstance(reply, errors.DeadlinePast):
+            raise reply
+        if isinstance(reply, messages.UpstreamRefusal):
+            self._refused = True
+            reason = reply.reason.value
+        elif isinstance(reply, errors.Refusal | errors.ConnectFailed):
+            reason = str(reply)
+        else:
+            raise errors.OutcomeUnknown(f'{upstream.name}: {reply}')
+        self._log.record(
+            decision_log.Decision(
+                'act-not-run', self._request.request_id, upstream.name, reason
+            )
+        )
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/actions.py
@@ -0,0 +1,84 @@
+"""corianderport_tier.request.actions
+
+The entry's work for one action: find the owner and send it once.
+"""
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import routing
+from corianderport_tier.request import messages
+from corianderport_tier.version import configuration
+
+__all__ = ['ActionTask']
+
+# Time kept for the way back to the caller.
+_ANSWER_MARGIN_S = 0.003
+
+# Refusals of one owner that leave the next owner to be tried.
+_TRY_NEXT = (
+    errors.ConnectFailed,
+    errors.PeerUnavailable,
+    errors.NotOwner,
+    errors.NotReady,
+    errors.Unauthenticated,
+)
+
+
+class ActionTask:
+    """Runs one action on the task of the caller's connection."""
+
+    def __init__(
+        self,
+        request: messages.ActionRequest,
+        accepted: configuration.Configuration,
+        router: routing.Router,
+        clock: clocks.Clock,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._request = request
+        self._accepted = accepted
+        self._router = router
+        self._clock = clock
+        self._log = log
+
+    def run(self) -> messages.ActionAnswer:
+        """Return the outcome.
+
+        The second owner is tried only when nothing was sent to the first,
+        or when the first refused.
+
+        :raises Refusal: the action did not run and will not run.
+        :raises OutcomeUnknown: it may run, have run, or never run.
+        """
+        action = self._accepted.actions.get(self._request.action)
+        if action is None:
+            raise errors.UnknownService(
+                f'unknown action {self._request.action!r}'
+            )
+        deadline = self._request.deadline.earlier(2 * _ANSWER_MARGIN_S)
+        call = messages.ActionCall(
+            attrs.evolve(self._request, deadline=deadline), action.service
+        )
+        last: errors.CorianderportError = errors.NoUpstream('no owner')
+        for owner in self._router.owners(action.service):
+            if deadline.passed(self._clock):
+                raise errors.DeadlinePast('the deadline has passed')
+            self._log.record(
+                decision_log.Decision(
+                    'owner', self._request.request_id, owner.name, 'action'
+                )
+            )
+            try:
+                return self._router.aggregator(owner).act(call)
+            except _TRY_NEXT as error:
+                last = error
+            except errors.TransportError as error:
+                raise errors.OutcomeUnknown(
+                    f'{owner.name}: {error}'
+                ) from error
+        if isinstance(last, errors.Refusal):
+            raise last
+        raise errors.NoUpstream(str(last)) from last
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/action_codec.py
@@ -0,0 +1,138 @@
+"""corianderport_wire.connection.action_codec
+
+Thrift structures of the messages about actions.
+"""
+
+import typing
+
+from corianderport_tier import clocks
+from corianderport_tier.process import handed_over
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import messages
+from corianderport_tier import result_codes
+from corianderport_wire.connection import peer_codec
+
+__all__ = [
+    'answer_from_thrift',
+    'answer_to_thrift',
+    'call_from_thrift',
+    'call_to_thrift',
+    'part_from_thrift',
+    'part_to_thrift',
+    'request_from_thrift',
+    'request_to_thrift',
+]
+
+_PEER = peer_codec.PEER
+
+
+def request_to_thrift(
+    request: messages.ActionRequest, clock: clocks.Clock
+) -> typing.Any:
+    """Return the structure of a request, its deadline as remaining ms."""
+    return _PEER.ActionRequest(
+        request_id=request.request_id,
+        action=request.action,
+        payload=request.payload,
+        remaining_ms=request.deadline.remaining(clock) * 1e3,
+        customer=request.customer,
+        ticket=request.ticket,
+    )
+
+
+def request_from_thrift(
+    fields: typing.Any, clock: clocks.Clock
+) -> messages.ActionRequest:
+    """Return the request of a structure."""
+    return messages.ActionRequest(
+        request_id=fields.request_id,
+        action=fields.action,
+        payload=fields.payload,
+        deadline=deadlines.Deadline.after(clock, fields.remaining_ms / 1e3),
+        customer=fields.customer,
+        ticket=fields.ticket,
+    )
+
+
+def call_to_thrift(
+    call: messages.ActionCall, clock: clocks.Clock
+) -> typing.Any:
+    """Return the structure of a call to an owner."""
+    return _PEER.ActionCall(
+        request=request_to_thrift(call.request, clock),
+        service_name=call.service,
+    )
+
+
+def call_from_thrift(
+    fields: typing.Any, clock: clocks.Clock
+) -> messages.ActionCall:
+    """Return the call of a structure."""
+    return messages.ActionCall(
+        request_from_thrift(fields.request, clock), fields.service_name
+    )
+
+
+def answer_to_thrift(answer: messages.ActionAnswer) -> typing.Any:
+    """Return the structure of an answer."""
+    return _PEER.ActionAnswer(
+        code=int(answer.code),
+        request_id=answer.request_id,
+        outcome=answer.outcome,
+        detail=answer.detail,
+    )
+
+
+def answer_from_thrift(fields: typing.Any) -> messages.ActionAnswer:
+    """Return the answer of a structure; an unknown code is unknown."""
+    try:
+        code = result_codes.ResultCode(fields.code)
+    except ValueError:
+        code = result_codes.ResultCode.OUTCOME_UNKNOWN
+    return messages.ActionAnswer(
+        code, fields.request_id, fields.outcome, fields.detail
+    )
+
+
+def part_to_thrift(
+    part: handed_over.HandOver, clock: clocks.Clock
+) -> typing.Any:
+    """Return the structure of a part, its keeping time as remaining ms."""
+    return _PEER.HandOver(
+        host=part.host,
+        incarnation=part.incarnation,
+        part=part.part,
+        parts=part.parts,
+        forgotten_until_ms=part.forgotten_until_ms,
+        keep_ms=part.keep_until.remaining(clock) * 1e3,
+        outcomes=[
+            _PEER.TicketOutcome(
+                nonce=outcome.nonce,
+                digest=outcome.digest,
+                answer=answer_to_thrift(outcome.answer),
+            )
+            for outcome in part.outcomes
+        ],
+    )
+
+
+def part_from_thrift(
+    fields: typing.Any, clock: clocks.Clock
+) -> handed_over.HandOver:
+    """Return the part of a structure."""
+    return handed_over.HandOver(
+        host=fields.host,
+        incarnation=fields.incarnation,
+        part=fields.part,
+        parts=fields.parts,
+        forgotten_until_ms=fields.forgotten_until_ms,
+        keep_until=deadlines.Deadline.after(clock, fields.keep_ms / 1e3),
+        outcomes=tuple(
+            handed_over.TicketOutcome(
+                outcome.nonce,
+                outcome.digest,
+                answer_from_thrift(outcome.answer),
+            )
+            for outcome in fields.outcomes
+        ),
+    )
--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -3,6 +3,7 @@
 One persistent HTTP/1.1 connection through pycurl.
 """
 
+import collections.abc
 import io
 
 import attrs
@@ -18,6 +19,8 @@
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
 )
 
+Check = collections.abc.Callable[[], None]
+
 
 @attrs.frozen
 class HttpReply:
@@ -27,6 +30,25 @@
     body: bytes
 
 
+@attrs.define(eq=False)
+class _SendGate:
+    """libcurl calls it when it has connected and before it sends."""
+
+    check: Check
+    passed: bool = False
+    refusal: errors.CorianderportError | None = None
+
+    def __call__(self, *addresses: object) -> int:
+        # libcurl must not get an exception from a callback.
+        try:
+            self.check()
+        except errors.CorianderportError as error:
+            self.refusal = error
+            return int(pycurl.PREREQFUNC_ABORT)
+        self.passed = True
+        return int(pycurl.PREREQFUNC_OK)
+
+
 class CurlClient:
     """A handle that keeps one connection to ``ip:port`` open."""
 
@@ -51,13 +73,9 @@
         )
         self._handle = handle
 
-    def post(
-        self, path: str, body: bytes, timeout_s: float, *, fresh: bool = False
-    ) -> HttpReply:
+    def post(self, path: str, body: bytes, timeout_s: float) -> HttpReply:
         """Send a POST and wait for its reply.
 
-        :param fresh: open a new connection, on which libcurl never sends
-            a request a second time.
         :raises ConnectFailed: no byte was sent.
         :raises ConnectionSilent: no whole reply within the timeout.
         :raises ConnectionBroken: the connection ended.
@@ -65,23 +83,54 @@
         handle = self._handle
         handle.setopt(pycurl.POST, 1)
         handle.setopt(pycurl.POSTFIELDS, body)
-        return self._perform(path, timeout_s, fresh)
+        return self._perform(path, timeout_s)
+
+    def post_once(
+        self, path: str, body: bytes, timeout_s: float, check: Check
+    ) -> HttpReply:
+        """Send a POST at most once, on a new connection.
+
+        libcurl sends a request again when a reused connection turns out to
+        be closed, but never on a new one.
+
+        :param check: called on the open connection before the first byte
+            is sent; what it raises ends the call with nothing sent.
+        :raises ConnectFailed: no byte was sent.
+        :raises ConnectionSilent: no whole reply within the timeout.
+        :raises ConnectionBroken: the connection ended.
+        """
+        handle = self._handle
+        gate = _SendGate(check)
+        handle.setopt(pycurl.FRESH_CONNECT, 1)
+        handle.setopt(pycurl.PREREQFUNCTION, gate)
+        try:
+            return self.post(path, body, timeout_s)
+        except errors.TransportError as error:
+            if gate.refusal is not None:
+                raise gate.refusal from error
+            if not gate.passed:
+                raise errors.ConnectFailed(str(error)) from error
+            if isinstance(error, errors.ConnectFailed):
+                raise errors.ConnectionBroken(str(error)) from error
+            raise
+        finally:
+            handle.unsetopt(pycurl.PREREQFUNCTION)
+            handle.setopt(pycurl.FRESH_CONNECT, 0)
 
     def get(self, path: str, timeout_s: float) -> HttpReply:
         """Send a GET and wait for its reply; errors as for post."""
         self._handle.setopt(pycurl.HTTPGET, 1)
-        return self._perform(path, timeout_s, False)
+        return self._perform(path, timeout_s)
 
     def close(self) -> None:
         """Close the connection."""
         self._handle.close()
 
-    def _perform(self, path: str, timeout_s: float, fresh: bool) -> HttpReply:
+    def _perform(self, path: str, timeout_s: float) -> HttpReply:
         handle = self._handle
         reply = io.BytesIO()
         handle.setopt(pycurl.URL, f'http://{self._address}{path}')
         handle.setopt(pycurl.WRITEFUNCTION, reply.write)
-        handle.setopt(pycurl.FRESH_CONNECT, int(fresh))
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1e3)))
         try:
             handle.perform()
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -12,8 +12,10 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import handed_over
 from corianderport_tier.process import membership
 from corianderport_tier.request import messages
+from corianderport_wire.connection import action_codec
 from corianderport_wire.connection import peer_codec
 from corianderport_wire import faults
 
@@ -41,6 +43,29 @@
             self._call(self._client.search, fields, timeout_s)
         )
 
+    def act(
+        self, call: messages.ActionCall, timeout_s: float
+    ) -> messages.ActionAnswer:
+        """Send an action to its owner and wait for the outcome."""
+        fields = action_codec.call_to_thrift(call, self._clock)
+        return action_codec.answer_from_thrift(
+            self._call(self._client.act, fields, timeout_s)
+        )
+
+    def act_with_ticket(
+        self, request: messages.ActionRequest, timeout_s: float
+    ) -> messages.ActionAnswer:
+        """Send an action to the host that knows its ticket."""
+        fields = action_codec.request_to_thrift(request, self._clock)
+        return action_codec.answer_from_thrift(
+            self._call(self._client.act_with_ticket, fields, timeout_s)
+        )
+
+    def hand_over(self, part: handed_over.HandOver, timeout_s: float) -> None:
+        """Send ticket outcomes and wait until they are kept."""
+        fields = action_codec.part_to_thrift(part, self._clock)
+        self._call(self._client.hand_over, fields, timeout_s)
+
     def configuration(
         self, known_version: int, timeout_s: float
     ) -> bytes | None:
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -15,7 +15,9 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import handed_over
 from corianderport_tier.request import messages
+from corianderport_wire.connection import action_codec
 from corianderport_wire.connection import peer_codec
 
 __all__ = ['PeerServer', 'PeerService']
@@ -33,6 +35,17 @@
         :raises CorianderportError: its code goes to the peer.
         """
 
+    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
+        """Run an action as its owner; errors as above."""
+
+    def act_with_ticket(
+        self, request: messages.ActionRequest
+    ) -> messages.ActionAnswer:
+        """Serve an action whose ticket this host may know."""
+
+    def hand_over(self, part: handed_over.HandOver) -> None:
+        """Keep ticket outcomes of a host that stops."""
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the version in force, and its document when newer."""
 
@@ -52,6 +65,29 @@
             raise _refused(error) from error
         return peer_codec.answer_to_thrift(answer)
 
+    def act(self, call: typing.Any) -> typing.Any:
+        decoded = action_codec.call_from_thrift(call, self._clock)
+        try:
+            answer = self._service.act(decoded)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return action_codec.answer_to_thrift(answer)
+
+    def act_with_ticket(self, request: typing.Any) -> typing.Any:
+        decoded = action_codec.request_from_thrift(request, self._clock)
+        try:
+            answer = self._service.act_with_ticket(decoded)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return action_codec.answer_to_thrift(answer)
+
+    def hand_over(self, part: typing.Any) -> None:
+        decoded = action_codec.part_from_thrift(part, self._clock)
+        try:
+            self._service.hand_over(decoded)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+
     def configuration(self, known_version: int) -> typing.Any:
         try:
             version, content = self._service.document(known_version)
--- a/packages/wire/src/corianderport_wire/connection/upstream_client.py
+++ b/packages/wire/src/corianderport_wire/connection/upstream_client.py
@@ -6,6 +6,7 @@
 import orjson
 
 from corianderport_tier import clocks
+from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
@@ -38,11 +39,14 @@
         return _refusal(reply)
 
     def act(
-        self, call: messages.UpstreamAction, timeout_s: float
+        self,
+        call: messages.UpstreamAction,
+        timeout_s: float,
+        check: transports.SendCheck,
     ) -> messages.UpstreamActionReply | messages.UpstreamRefusal:
         """Send ``POST /act`` once, on a connection of its own."""
         body = upstream_codec.encode_action(call, self._clock)
-        reply = self._client.post('/act', body, timeout_s, fresh=True)
+        reply = self._client.post_once('/act', body, timeout_s, check)
         if reply.status == _OK:
             return upstream_codec.decode_action_reply(reply.body)
         return _refusal(reply)
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -43,6 +43,43 @@
     2: optional binary content
 }
 
+struct ActionRequest {
+    1: string request_id
+    2: string action
+    3: string payload
+    4: double remaining_ms
+    5: string customer
+    6: optional string ticket
+}
+
+struct ActionCall {
+    1: ActionRequest request
+    2: string service_name
+}
+
+struct ActionAnswer {
+    1: i32 code
+    2: string request_id
+    3: string outcome
+    4: string detail
+}
+
+struct TicketOutcome {
+    1: string nonce
+    2: string digest
+    3: ActionAnswer answer
+}
+
+struct HandOver {
+    1: string host
+    2: string incarnation
+    3: i32 part
+    4: i32 parts
+    5: i64 forgotten_until_ms
+    6: double keep_ms
+    7: list<TicketOutcome> outcomes
+}
+
 exception Refused {
     1: i32 code
     2: string text
@@ -50,5 +87,9 @@
 
 service Peer {
     BatchAnswer search(1: SubQueryBatch batch) throws (1: Refused refused)
+    ActionAnswer act(1: ActionCall call) throws (1: Refused refused)
+    ActionAnswer act_with_ticket(1: ActionRequest request)
+        throws (1: Refused refused)
+    void hand_over(1: HandOver part) throws (1: Refused refused)
     Document configuration(1: i64 known_version) throws (1: Refused refused)
 }
--- a/packages/wire/src/corianderport_wire/request/caller_app.py
+++ b/packages/wire/src/corianderport_wire/request/caller_app.py
@@ -17,6 +17,7 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier import options
+from corianderport_tier.process import ticket_table
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import messages
 from corianderport_tier import result_codes
@@ -63,6 +64,12 @@
         :raises CorianderportError: its code goes to the caller.
         """
 
+    def issue_ticket(self) -> ticket_table.IssuedTicket:
+        """Return a ticket for one action; errors as above."""
+
+    def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
+        """Serve one action; errors as above."""
+
 
 @attrs.frozen
 class CallerLimits:
@@ -88,11 +95,17 @@
         self._urls = werkzeug.routing.Map(
             [
                 rule('/v1/search/<name>', endpoint='search', methods=['POST']),
+                rule('/v1/tickets', endpoint='tickets', methods=['POST']),
+                rule('/v1/actions/<name>', endpoint='act', methods=['POST']),
             ]
         )
         self._endpoints: dict[
             str, collections.abc.Callable[[str, Json], Json]
-        ] = {'search': self._search}
+        ] = {
+            'search': self._search,
+            'tickets': self._issue_ticket,
+            'act': self._act,
+        }
 
     def __call__(
         self,
@@ -160,15 +173,51 @@
         )
         return _search_body(answer)
 
-    def _deadline(self, fields: Json) -> deadlines.Deadline:
-        value = fields.get('deadline_ms', self._limits.default_deadline_ms)
-        milliseconds = options.number(
-            'deadline_ms', value, -_MAX_DEADLINE_MS, _MAX_DEADLINE_MS
+    def _issue_ticket(self, name: str, fields: Json) -> Json:
+        issued = self._service.issue_ticket()
+        code = result_codes.ResultCode.OK
+        return {
+            'code': int(code),
+            'name': code.name,
+            'ticket': issued.text,
+            'expires_in_ms': issued.expires_in_ms,
+        }
+
+    def _act(self, name: str, fields: Json) -> Json:
+        payload = fields.get('payload')
+        if not isinstance(payload, str):
+            raise errors.MalformedRequest('payload: a string is needed')
+        ticket = fields.get('ticket')
+        if ticket is not None and not isinstance(ticket, str):
+            raise errors.MalformedRequest('ticket: not a string')
+        answer = self._service.act(
+            messages.ActionRequest(
+                request_id=_request_id(fields),
+                action=name,
+                payload=payload,
+                # The host that issued the ticket decides on a deadline that
+                # has passed: the ticket may have been used before.
+                deadline=deadlines.Deadline.after(
+                    self._clock, self._deadline_ms(fields) / 1e3
+                ),
+                customer=_customer(fields),
+                ticket=ticket,
+            )
         )
+        return _action_body(answer)
+
+    def _deadline(self, fields: Json) -> deadlines.Deadline:
+        milliseconds = self._deadline_ms(fields)
         if milliseconds <= 0:
             raise errors.DeadlinePast('deadline_ms is not positive')
         return deadlines.Deadline.after(self._clock, milliseconds / 1e3)
 
+    def _deadline_ms(self, fields: Json) -> float:
+        value = fields.get('deadline_ms', self._limits.default_deadline_ms)
+        return options.number(
+            'deadline_ms', value, -_MAX_DEADLINE_MS, _MAX_DEADLINE_MS
+        )
+
 
 def _request_id(fields: Json) -> str:
     given = fields.get('request_id')
@@ -196,6 +245,19 @@
     }
 
 
+def _action_body(answer: messages.ActionAnswer) -> Json:
+    body = {
+        'code': int(answer.code),
+        'name': answer.code.name,
+        'ran': answer.code.ran.value,
+        'request_id': answer.request_id,
+        'outcome': answer.outcome,
+    }
+    if answer.detail:
+        body['detail'] = answer.detail
+    return body
+
+
 def _search_body(answer: messages.SearchAnswer) -> Json:
     return {
         'code': int(answer.code),
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -5,7 +5,12 @@
 from corianderport_daemon.process import settings
 from corianderport_tier import errors
 
-_GOOD = {'host': 'h', 'data_centre': 'dc-a', 'platform': '127.0.0.1:1'}
+_GOOD = {
+    'host': 'h',
+    'data_centre': 'dc-a',
+    'platform': '127.0.0.1:1',
+    'shared_keys': 'first key,second key',
+}
 
 
 def test_flag_goes_before_variable() -> None:
@@ -19,6 +24,7 @@
     ('flags', 'text'),
     [
         ({'host': 'h', 'data_centre': 'd'}, 'platform: missing'),
+        ({**_GOOD, 'shared_keys': 'first key,'}, 'shared_keys: a key has'),
         ({**_GOOD, 'nonsense': 1}, "flag: 'nonsense' is not one of"),
         ({**_GOOD, 'tasks': 'x'}, "tasks: 'x' is not a number from 16"),
         ({**_GOOD, 'tasks': 1}, "tasks: '1' is not a number from 16"),
