--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -8,6 +8,7 @@
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
+from corianderport_tier.process import snapshot_availability
 from corianderport_tier.process import ticket_table
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
@@ -31,6 +32,7 @@
         self._actions = actions
         self._clock = clock
         self._log = log
+        self._availability = snapshot_availability.SnapshotAvailability(clock)
 
     def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
         """Serve one search on the calling task.
@@ -41,6 +43,7 @@
             request,
             self._store.current(),
             self._router,
+            self._availability,
             self._clock,
             self._log,
         ).run()
