Stop a host step by step and hand over its ticket outcomes

SIGTERM ended the process at once: running requests were cut off, and the outcome of every ticket that the host had issued was lost.

On the first signal GET /ready reports 503, the host serves for drain_lag_s, refuses new requests with NOT_READY, finishes running requests of callers and then of other hosts for up to drain_limit_s, hands the ticket outcomes to two hosts and exits with status 0. A second signal ends the waits; requests that were cut are counted in the log.

An action with a ticket is not refused with NOT_READY, because the ticket may have been used before; its issuer answers. The issuer's table is sealed when refusals begin, so a successor may say "not run" for a ticket that the table does not hold. It may not for tickets that expired before the greatest expiry that the table has dropped.

Servers close the reading side first and wait up to a second, so that a response that is being written is complete. Signals are taken by one thread with sigwait, because a handler could run while the main thread holds a lock.

--- a/packages/daemon/src/corianderport_daemon/main.py
+++ b/packages/daemon/src/corianderport_daemon/main.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import threading
 
 import fire
 
@@ -18,10 +19,11 @@
 __all__ = ['main', 'run']
 
 _EXIT_SETTINGS = 2
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run(**flags: object) -> None:
-    """Run a host until SIGTERM or SIGINT.
+    """Run a host until SIGTERM or SIGINT; a second signal cuts the stop.
 
     Every setting is a flag or an environment variable with the prefix
     CORIANDERPORT_; docs/settings.md lists them.
@@ -32,9 +34,13 @@
         print(f'corianderportd: {error}', file=sys.stderr)
         sys.exit(_EXIT_SETTINGS)
     logging.basicConfig(level=loaded.log_level)
+    # All threads inherit the mask, so that one thread takes the signals and
+    # no handler runs while a lock is held.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
     with daemon.Daemon.from_settings(loaded) as host:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: host.stop())
+        threading.Thread(
+            target=_take_signals, args=(host,), name='signals', daemon=True
+        ).start()
         _announce(host)
         host.wait()
     # Tasks that still wait for an upstream must not delay the exit.
@@ -42,6 +48,12 @@
     os._exit(0)
 
 
+def _take_signals(host: daemon.Daemon) -> None:
+    while True:
+        signal.sigwait(_SIGNALS)
+        host.stop()
+
+
 def _announce(host: daemon.Daemon) -> None:
     """Print the addresses listened on as one line of JSON."""
     addresses = {
--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -18,6 +18,7 @@
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import entry
+from corianderport_tier.process import hand_over
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import membership
 from corianderport_tier.process import owned_services
@@ -25,6 +26,7 @@
 from corianderport_tier.process import readers
 from corianderport_tier.process import routing
 from corianderport_tier.process import selection
+from corianderport_tier.process import shutdown
 from corianderport_tier.process import ticket_table
 from corianderport_tier.process import tickets
 from corianderport_tier.request import actions
@@ -53,21 +55,26 @@
         local: aggregator.LocalAggregator,
         store: configuration_store.ConfigurationStore,
         kept: handed_over.HandedOverTickets,
+        gate: shutdown.RequestGate,
     ) -> None:
         self._local = local
         self._store = store
         self._kept = kept
+        self._gate = gate
 
     def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
-        return self._local.run(batch)
+        with self._gate.enter():
+            return self._local.run(batch)
 
     def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
-        return self._local.act(call)
+        with self._gate.enter():
+            return self._local.act(call)
 
     def act_with_ticket(
         self, request: messages.ActionRequest
     ) -> messages.ActionAnswer:
-        return self.actions.act_with_ticket(request)
+        with self._gate.count():
+            return self.actions.act_with_ticket(request)
 
     def hand_over(self, part: handed_over.HandOver) -> None:
         self._kept.accept(part)
@@ -89,6 +96,8 @@
         self._clock = clock
         self._stack = contextlib.ExitStack()
         self._stopped = threading.Event()
+        self._caller_gate = shutdown.RequestGate(clock)
+        self._peer_gate = shutdown.RequestGate(clock)
 
     @classmethod
     def from_settings(cls, settings: settings_module.Settings) -> 'Daemon':
@@ -120,12 +129,15 @@
         return self._peer_server.address
 
     def stop(self) -> None:
-        """End ``wait``."""
+        """Begin the planned stop; a second call ends it at once."""
+        if self._stopped.is_set():
+            self._planned_stop.interrupt()
         self._stopped.set()
 
-    def wait(self) -> None:
-        """Return when the daemon is asked to stop."""
+    def wait(self) -> shutdown.StopReport:
+        """Return when the planned stop has ended."""
         self._stopped.wait()
+        return self._planned_stop.run()
 
     def _start(self) -> None:
         settings = self._settings
@@ -137,6 +149,7 @@
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
+        self._readiness = shutdown.Readiness(self._store)
         self._kept = handed_over.HandedOverTickets(self._clock)
         self._start_aggregator()
         self._listen_for_peers()
@@ -160,7 +173,9 @@
 
     def _listen_for_peers(self) -> None:
         host, port = _split(self._settings.peer_address)
-        self._peer_calls = _PeerCalls(self._local, self._store, self._kept)
+        self._peer_calls = _PeerCalls(
+            self._local, self._store, self._kept, self._peer_gate
+        )
         self._peer_server = peer_server.PeerServer(
             host,
             port,
@@ -190,10 +205,19 @@
         service = self._build_actions(router, remote)
         self._peer_calls.actions = service
         self._peer_server.start()
+        self._planned_stop = self._build_stop(remote)
         application = caller_app.CallerApp(
-            entry.Entry(self._store, router, service, self._clock, self._log),
+            entry.Entry(
+                self._store,
+                router,
+                service,
+                self._caller_gate,
+                self._clock,
+                self._log,
+            ),
             self._clock,
             caller_app.CallerLimits(body_bytes=self._settings.body_bytes),
+            self._readiness,
         )
         host, port = _split(self._settings.caller_address)
         self._caller_server = http_server.HttpServer(
@@ -238,6 +262,22 @@
             self._clock,
         )
 
+    def _build_stop(self, remote: peers.Peers) -> shutdown.PlannedStop:
+        task = hand_over.HandOverTask(
+            self._tickets, self._kept, self._members, remote, self._clock
+        )
+        return shutdown.PlannedStop(
+            self._readiness,
+            self._caller_gate,
+            self._peer_gate,
+            self._tickets.seal,
+            task.run,
+            shutdown.StopTimes(
+                self._settings.drain_lag_s, self._settings.drain_limit_s
+            ),
+            self._clock,
+        )
+
     def _start_readers(self) -> None:
         times = readers.ReaderTimes()
         tasks: list[readers.ConfigurationReader | readers.HostListReader] = [
--- a/packages/daemon/src/corianderport_daemon/process/settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -133,6 +133,16 @@
         converter=_whole('open_tickets', 1, 1_000_000),
         help='Tickets of this host that have not expired.',
     )
+    drain_lag_s: float = environ.var(
+        5.0,
+        converter=_number('drain_lag_s', 0, 600),
+        help='Seconds that a stopping host still serves new requests.',
+    )
+    drain_limit_s: float = environ.var(
+        10.0,
+        converter=_number('drain_limit_s', 0, 600),
+        help='Seconds for running requests to end before the host exits.',
+    )
     selection: str = environ.var(
         'power-of-two',
         converter=_text('selection'),
--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -55,6 +55,8 @@
         os.environ,
         PYTHONPATH=os.pathsep.join(sys.path),
         CORIANDERPORT_SHARED_KEYS=_SHARED_KEYS,
+        CORIANDERPORT_DRAIN_LAG_S='0',
+        CORIANDERPORT_DRAIN_LIMIT_S='1',
     )
     return subprocess.Popen(
         [sys.executable, '-m', module, *arguments],
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -8,6 +8,7 @@
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
+from corianderport_tier.process import shutdown
 from corianderport_tier.process import snapshot_availability
 from corianderport_tier.process import ticket_table
 from corianderport_tier.request import messages
@@ -24,12 +25,14 @@
         store: configuration_store.ConfigurationStore,
         router: routing.Router,
         actions: action_service.ActionService,
+        gate: shutdown.RequestGate,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
         self._store = store
         self._router = router
         self._actions = actions
+        self._gate = gate
         self._clock = clock
         self._log = log
         self._availability = snapshot_availability.SnapshotAvailability(clock)
@@ -39,14 +42,15 @@
 
         :raises Refusal: nothing was sent to any upstream.
         """
-        return search.SearchTask(
-            request,
-            self._store.current(),
-            self._router,
-            self._availability,
-            self._clock,
-            self._log,
-        ).run()
+        with self._gate.enter():
+            return search.SearchTask(
+                request,
+                self._store.current(),
+                self._router,
+                self._availability,
+                self._clock,
+                self._log,
+            ).run()
 
     def issue_ticket(self) -> ticket_table.IssuedTicket:
         """Return a ticket for one action.
@@ -54,7 +58,8 @@
         :raises NotReady: the host is shutting down.
         :raises Overloaded: too many tickets have not expired yet.
         """
-        return self._actions.issue_ticket()
+        with self._gate.enter():
+            return self._actions.issue_ticket()
 
     def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
         """Serve one action on the calling task.
@@ -62,4 +67,10 @@
         :raises Refusal: the action did not run and will not run.
         :raises OutcomeUnknown: it may run, have run, or never run.
         """
-        return self._actions.act(request)
+        if request.ticket is None:
+            with self._gate.enter():
+                return self._actions.act(request)
+        # "Not run" would be wrong if the ticket had been used before; the
+        # ticket's host knows.
+        with self._gate.count():
+            return self._actions.act(request)
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/hand_over.py
@@ -0,0 +1,73 @@
+"""corianderport_tier.process.hand_over
+
+Sends the ticket outcomes of a host that stops to its successors.
+"""
+
+import logging
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import action_service
+from corianderport_tier.process import handed_over
+from corianderport_tier.process import membership
+from corianderport_tier.process import owners
+from corianderport_tier.process import ticket_table
+
+__all__ = ['HandOverTask']
+
+_LOG = logging.getLogger(__name__)
+
+# A successor may fail, or be replaced at the same time.
+_COPIES = 2
+_HOSTS_TRIED = 6
+_TIMEOUT_S = 1.0
+
+
+class HandOverTask:
+    """Hands over this process's outcomes and those that it keeps."""
+
+    def __init__(
+        self,
+        table: ticket_table.TicketTable,
+        kept: handed_over.HandedOverTickets,
+        members: membership.Membership,
+        dialer: action_service.Dialer,
+        clock: clocks.Clock,
+    ) -> None:
+        self._table = table
+        self._kept = kept
+        self._members = members
+        self._dialer = dialer
+        self._clock = clock
+
+    def run(self) -> int:
+        """Return how many hosts have all outcomes."""
+        parts = [
+            part
+            for whole in (self._table.export(), *self._kept.export())
+            for part in handed_over.parts_of(whole)
+        ]
+        own = self._members.own.name
+        others = [m for m in self._members.live() if m.name != own]
+        ranked = owners.rank(self._table.incarnation, others)
+        copies = 0
+        for member in ranked[:_HOSTS_TRIED]:
+            if copies == _COPIES:
+                break
+            copies += self._send(member, parts)
+        return copies
+
+    def _send(
+        self, member: membership.Member, parts: list[handed_over.HandOver]
+    ) -> bool:
+        try:
+            transport = self._dialer.dial(member, _TIMEOUT_S)
+            try:
+                for part in parts:
+                    transport.hand_over(part, _TIMEOUT_S)
+            finally:
+                transport.close()
+        except errors.CorianderportError as error:
+            _LOG.warning('cannot hand over to %s: %s', member.name, error)
+            return False
+        return True
--- a/packages/tier/src/corianderport_tier/process/handed_over.py
+++ b/packages/tier/src/corianderport_tier/process/handed_over.py
@@ -4,6 +4,7 @@
 """
 
 import collections.abc
+import secrets
 import threading
 
 import attrs
@@ -56,10 +57,14 @@
 
 @attrs.frozen
 class HandOver:
-    """One part of a process's outcomes, small enough for one message."""
+    """One part of a process's outcomes, small enough for one message.
+
+    Parts of another ``series`` divide the outcomes differently.
+    """
 
     host: str
     incarnation: str
+    series: str
     part: int
     parts: int
     forgotten_until_ms: int
@@ -70,11 +75,13 @@
 def parts_of(whole: HandedOver) -> tuple[HandOver, ...]:
     """Split outcomes into messages; there is at least one."""
     outcomes = tuple(whole.outcomes.values())
+    series = secrets.token_hex(8)
     starts = range(0, max(1, len(outcomes)), _OUTCOMES_PER_PART)
     return tuple(
         HandOver(
             host=whole.host,
             incarnation=whole.incarnation,
+            series=series,
             part=number,
             parts=len(starts),
             forgotten_until_ms=whole.forgotten_until_ms,
@@ -87,40 +94,30 @@
 
 @attrs.define(eq=False)
 class _Incoming:
-    """The parts of one process that have arrived."""
+    """What has arrived of one process's outcomes."""
 
-    parts: int
-    arrived: dict[int, HandOver] = attrs.Factory(dict)
+    first: HandOver
+    arrived: set[int] = attrs.Factory(set)
+    outcomes: dict[str, TicketOutcome] = attrs.Factory(dict)
 
     @property
     def complete(self) -> bool:
         """Whether all parts have arrived."""
-        return len(self.arrived) == self.parts
+        return len(self.arrived) == self.first.parts
 
-    @property
-    def size(self) -> int:
-        """Number of outcomes that have arrived."""
-        return sum(len(p.outcomes) for p in self.arrived.values())
-
-    def find(self, nonce: str) -> TicketOutcome | None:
-        """Return the outcome of a ticket."""
-        for part in self.arrived.values():
-            for outcome in part.outcomes:
-                if outcome.nonce == nonce:
-                    return outcome
-        return None
+    def add(self, part: HandOver) -> None:
+        """Add a part of the same series."""
+        self.arrived.add(part.part)
+        self.outcomes.update((o.nonce, o) for o in part.outcomes)
 
     def whole(self) -> HandedOver:
-        """Return all parts as one."""
-        first = next(iter(self.arrived.values()))
+        """Return what has arrived, for a successor."""
         return HandedOver(
-            host=first.host,
-            incarnation=first.incarnation,
-            forgotten_until_ms=first.forgotten_until_ms,
-            keep_until=first.keep_until,
-            outcomes={
-                o.nonce: o for p in self.arrived.values() for o in p.outcomes
-            },
+            host=self.first.host,
+            incarnation=self.first.incarnation,
+            forgotten_until_ms=self.first.forgotten_until_ms,
+            keep_until=self.first.keep_until,
+            outcomes=dict(self.outcomes),
         )
 
 
@@ -131,28 +128,31 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._incoming: dict[str, _Incoming] = {}
+        self._exported = False
 
     def accept(self, part: HandOver) -> None:
         """Keep a part until its tickets no longer matter.
 
         :raises Overloaded: as much is kept as this host may keep.
+        :raises NotReady: this host has handed over already.
         """
         with self._lock:
+            if self._exported:
+                raise errors.NotReady('the host is shutting down')
             self._drop_old()
             incoming = self._incoming.get(part.incarnation)
-            kept = sum(i.size for i in self._incoming.values())
-            if kept + len(part.outcomes) > _MAX_OUTCOMES:
-                raise errors.Overloaded('too many outcomes are kept')
-            if incoming is None:
-                if len(self._incoming) >= _MAX_INCARNATIONS:
-                    raise errors.Overloaded('too many processes are kept')
-                incoming = _Incoming(part.parts)
-                self._incoming[part.incarnation] = incoming
-            incoming.arrived[part.part] = part
+            if incoming is None or incoming.first.series != part.series:
+                if incoming is not None and incoming.complete:
+                    return
+                incoming = _Incoming(part)
+            self._check_room(part)
+            self._incoming[part.incarnation] = incoming
+            incoming.add(part)
 
     def export(self) -> tuple[HandedOver, ...]:
-        """Return what was handed over completely, for a successor."""
+        """Return what was handed over completely; accept no more."""
         with self._lock:
+            self._exported = True
             self._drop_old()
             return tuple(
                 i.whole() for i in self._incoming.values() if i.complete
@@ -171,9 +171,9 @@
             incoming = self._incoming.get(ticket.incarnation)
             if incoming is None:
                 return None
-            found = incoming.find(ticket.nonce)
+            found = incoming.outcomes.get(ticket.nonce)
             unused = incoming.complete and (
-                ticket.expires_ms > incoming.whole().forgotten_until_ms
+                ticket.expires_ms > incoming.first.forgotten_until_ms
             )
         if found is None:
             if unused:
@@ -183,14 +183,19 @@
             raise errors.TicketInvalid('the ticket was used otherwise')
         return attrs.evolve(found.answer, request_id=request_id)
 
+    def _check_room(self, part: HandOver) -> None:
+        kept = sum(len(i.outcomes) for i in self._incoming.values())
+        if kept + len(part.outcomes) > _MAX_OUTCOMES:
+            raise errors.Overloaded('too many outcomes are kept')
+        known = part.incarnation in self._incoming
+        if not known and len(self._incoming) >= _MAX_INCARNATIONS:
+            raise errors.Overloaded('too many processes are kept')
+
     def _drop_old(self) -> None:
         old = [
             incarnation
             for incarnation, incoming in self._incoming.items()
-            if any(
-                p.keep_until.passed(self._clock)
-                for p in incoming.arrived.values()
-            )
+            if incoming.first.keep_until.passed(self._clock)
         ]
         for incarnation in old:
             del self._incoming[incarnation]
--- a/packages/wire/src/corianderport_wire/connection/action_codec.py
+++ b/packages/wire/src/corianderport_wire/connection/action_codec.py
@@ -101,6 +101,7 @@
     return _PEER.HandOver(
         host=part.host,
         incarnation=part.incarnation,
+        series=part.series,
         part=part.part,
         parts=part.parts,
         forgotten_until_ms=part.forgotten_until_ms,
@@ -123,6 +124,7 @@
     return handed_over.HandOver(
         host=fields.host,
         incarnation=fields.incarnation,
+        series=fields.series,
         part=fields.part,
         parts=fields.parts,
         forgotten_until_ms=fields.forgotten_until_ms,
--- a/packages/wire/src/corianderport_wire/connection/http_server.py
+++ b/packages/wire/src/corianderport_wire/connection/http_server.py
@@ -20,6 +20,7 @@
 
 _SHUTDOWN_POLL_S = 0.1
 _REQUEST_S = 10.0
+_CLOSE_S = 1.0
 
 
 class _RequestReader(io.RawIOBase):
@@ -146,7 +147,7 @@
             connections, thread_name_prefix=f'http-{self.port}'
         )
         self._slots = threading.BoundedSemaphore(connections)
-        self._lock = threading.Lock()
+        self._condition = threading.Condition()
         self._open: set[socket.socket] = set()
 
     @property
@@ -161,7 +162,7 @@
         if not self._slots.acquire(blocking=False):
             self.shutdown_request(request)
             return
-        with self._lock:
+        with self._condition:
             self._open.add(request)
         self._executor.submit(self._serve, request, client_address)
 
@@ -180,13 +181,16 @@
         ).start()
 
     def close(self) -> None:
-        """Stop accepting and close all connections."""
+        """Stop accepting and close all connections.
+
+        A response that is being written gets a moment to be completed.
+        """
         self.shutdown()
         self.server_close()
-        with self._lock:
-            connections = list(self._open)
-        for connection in connections:
-            _shut(connection)
+        self._shut_all(socket.SHUT_RD)
+        with self._condition:
+            self._condition.wait_for(lambda: not self._open, _CLOSE_S)
+        self._shut_all(socket.SHUT_RDWR)
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _serve(self, request: typing.Any, client_address: typing.Any) -> None:
@@ -195,15 +199,18 @@
         except OSError:
             self.handle_error(request, client_address)
         finally:
-            with self._lock:
-                self._open.discard(request)
             self.shutdown_request(request)
+            with self._condition:
+                self._open.discard(request)
+                self._condition.notify_all()
             self._slots.release()
 
-
-def _shut(connection: socket.socket) -> None:
-    try:
-        connection.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The peer has closed it already.
-        return
+    def _shut_all(self, how: int) -> None:
+        with self._condition:
+            connections = list(self._open)
+        for connection in connections:
+            try:
+                connection.shutdown(how)
+            except OSError:
+                # The peer has closed it already.
+                continue
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -24,6 +24,7 @@
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG = 128
+_CLOSE_S = 1.0
 
 
 class PeerService(typing.Protocol):
@@ -126,7 +127,7 @@
             connections, thread_name_prefix='peer'
         )
         self._slots = threading.BoundedSemaphore(connections)
-        self._lock = threading.Lock()
+        self._condition = threading.Condition()
         self._open: set[socket.socket] = set()
         self._closed = False
 
@@ -143,14 +144,17 @@
         ).start()
 
     def close(self) -> None:
-        """Stop accepting and close all connections."""
+        """Stop accepting and close all connections.
+
+        An answer that is being written gets a moment to be completed.
+        """
         self._closed = True
-        _shut(self._listener)
+        _shut(self._listener, socket.SHUT_RDWR)
         self._listener.close()
-        with self._lock:
-            connections = list(self._open)
-        for connection in connections:
-            _shut(connection)
+        self._shut_all(socket.SHUT_RD)
+        with self._condition:
+            self._condition.wait_for(lambda: not self._open, _CLOSE_S)
+        self._shut_all(socket.SHUT_RDWR)
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _accept(self) -> None:
@@ -162,7 +166,7 @@
             if not self._slots.acquire(blocking=False):
                 connection.close()
                 continue
-            with self._lock:
+            with self._condition:
                 self._open.add(connection)
             self._executor.submit(self._serve, connection)
 
@@ -183,15 +187,22 @@
         except Exception:
             _LOG.exception('peer call failed')
         finally:
-            with self._lock:
-                self._open.discard(connection)
             connection.close()
+            with self._condition:
+                self._open.discard(connection)
+                self._condition.notify_all()
             self._slots.release()
 
+    def _shut_all(self, how: int) -> None:
+        with self._condition:
+            connections = list(self._open)
+        for connection in connections:
+            _shut(connection, how)
+
 
-def _shut(connection: socket.socket) -> None:
+def _shut(connection: socket.socket, how: int) -> None:
     try:
-        connection.shutdown(socket.SHUT_RDWR)
+        connection.shutdown(how)
     except OSError:
         # The peer has closed it already.
         return
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -78,6 +78,7 @@
     5: i64 forgotten_until_ms
     6: double keep_ms
     7: list<TicketOutcome> outcomes
+    8: string series
 }
 
 exception Refused {
--- a/packages/wire/src/corianderport_wire/request/caller_app.py
+++ b/packages/wire/src/corianderport_wire/request/caller_app.py
@@ -25,7 +25,7 @@
 if typing.TYPE_CHECKING:
     import _typeshed.wsgi
 
-__all__ = ['CallerApp', 'CallerLimits', 'CallerService']
+__all__ = ['CallerApp', 'CallerLimits', 'CallerService', 'HostState']
 
 
 _LOG = logging.getLogger(__name__)
@@ -71,6 +71,23 @@
         """Serve one action; errors as above."""
 
 
+class HostState(typing.Protocol):
+    """What a load balancer is told."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether the host should get new requests."""
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+
+
+class _AlwaysReady:
+    ready = True
+    stopping = False
+
+
 @attrs.frozen
 class CallerLimits:
     """Bounds on what a caller may send."""
@@ -87,14 +104,17 @@
         service: CallerService,
         clock: clocks.Clock,
         limits: CallerLimits,
+        state: HostState = _AlwaysReady(),
     ) -> None:
         self._service = service
         self._clock = clock
         self._limits = limits
+        self._state = state
         rule = werkzeug.routing.Rule
         self._urls = werkzeug.routing.Map(
             [
                 rule('/v1/search/<name>', endpoint='search', methods=['POST']),
+                rule('/ready', endpoint='ready', methods=['GET']),
                 rule('/v1/tickets', endpoint='tickets', methods=['POST']),
                 rule('/v1/actions/<name>', endpoint='act', methods=['POST']),
             ]
@@ -102,6 +122,7 @@
         self._endpoints: dict[
             str, collections.abc.Callable[[str, Json], Json]
         ] = {
+            'ready': self._ready,
             'search': self._search,
             'tickets': self._issue_ticket,
             'act': self._act,
@@ -133,10 +154,16 @@
         if body['code'] == result_codes.ResultCode.BODY_TOO_LARGE:
             # The rest of the body stays unread.
             response.headers['Connection'] = 'close'
+        if self._state.stopping:
+            # No connection is left on which a caller sends a request while
+            # the host exits.
+            response.headers['Connection'] = 'close'
         return response(environ, start_response)
 
     def _fields(self, request: werkzeug.wrappers.Request) -> Json:
         length = request.content_length
+        if length is None and request.method == 'GET':
+            return {}
         if length is None:
             raise errors.MalformedRequest('Content-Length is missing')
         if length > self._limits.body_bytes:
@@ -154,6 +181,12 @@
             raise errors.MalformedRequest('body is not a JSON object')
         return fields
 
+    def _ready(self, name: str, fields: Json) -> Json:
+        if not self._state.ready:
+            raise errors.NotReady('no configuration, or shutting down')
+        code = result_codes.ResultCode.OK
+        return {'code': int(code), 'name': code.name, 'ready': True}
+
     def _search(self, name: str, fields: Json) -> Json:
         query = fields.get('query')
         if not isinstance(query, str):
--- /dev/null
+++ b/tests/tier/test_tickets.py
@@ -0,0 +1,243 @@
+"""Tickets are signed, and each starts its action at most once."""
+
+import concurrent.futures
+import threading
+import time
+
+import attrs
+import pytest
+
+from corianderport_testkit import clock as manual_clock
+from corianderport_tier import errors
+from corianderport_tier.process import handed_over
+from corianderport_tier.process import ticket_table
+from corianderport_tier.process import tickets
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import messages
+from corianderport_tier import result_codes
+
+_LIMITS = ticket_table.TicketLimits(1_000, 5_000, 3)
+_OK = result_codes.ResultCode.OK
+_SIGNER = tickets.TicketSigner.from_config('first key,second key')
+
+
+@attrs.define(eq=False)
+class _Case:
+    """A table and a count of the actions that it started."""
+
+    clock: manual_clock.ManualClock = attrs.Factory(manual_clock.ManualClock)
+    runs: int = 0
+    table: ticket_table.TicketTable = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.table = ticket_table.TicketTable(
+            'h', 'i', _SIGNER, _LIMITS, self.clock
+        )
+
+    def ticket(self) -> tickets.Ticket:
+        """Issue a ticket."""
+        return _SIGNER.verify(self.table.issue().text)
+
+    def request(self, payload: str = 'p') -> messages.ActionRequest:
+        """Return a request with two seconds left."""
+        deadline = deadlines.Deadline.after(self.clock, 2)
+        return messages.ActionRequest('r', 'act', payload, deadline, 'c', 't')
+
+    def use(
+        self, ticket: tickets.Ticket, payload: str = 'p'
+    ) -> messages.ActionAnswer:
+        """Use a ticket."""
+
+        def run() -> messages.ActionAnswer:
+            self.runs += 1
+            return messages.ActionAnswer(_OK, 'r', f'run {self.runs}')
+
+        return self.table.run_once(ticket, self.request(payload), run)
+
+
+def test_tickets_of_all_shared_keys_are_accepted() -> None:
+    """Guards against refusing tickets while keys are rotated."""
+    ticket = tickets.Ticket('h', 'i', 5, 'n')
+    old = tickets.TicketSigner.from_config('second key')
+    assert _SIGNER.verify(old.sign(ticket)) == ticket
+    with pytest.raises(errors.TicketInvalid):
+        old.verify(_SIGNER.sign(ticket))
+
+
+@pytest.mark.parametrize('position', [0, 10, 40, -2])
+def test_changed_ticket_is_invalid(position: int) -> None:
+    """Guards against a caller that forges a ticket."""
+    text = list(_SIGNER.sign(tickets.Ticket('h', 'i', 5, 'nonce')))
+    text[position] = 'A' if text[position] != 'A' else 'B'
+    with pytest.raises(errors.TicketInvalid):
+        _SIGNER.verify(''.join(text))
+
+
+@pytest.mark.parametrize('text', ['', '.', 'é.é', 'AAAA', 'AAAA.AAAA'])
+def test_malformed_ticket_is_invalid(text: str) -> None:
+    """Guards against bad input that is reported as a fault of the host."""
+    with pytest.raises(errors.TicketInvalid):
+        _SIGNER.verify(text)
+
+
+def test_repeats_get_the_first_outcome() -> None:
+    """Guards against a second run, also just after the expiry."""
+    case = _Case()
+    ticket = case.ticket()
+    first = case.use(ticket)
+    case.clock.advance(3)
+    assert case.use(ticket) == first
+    assert case.runs == 1
+
+
+def test_repeat_waits_for_the_running_action() -> None:
+    """Guards against a second run while the first has no outcome."""
+    case = _Case()
+    ticket = case.ticket()
+    started, release = threading.Event(), threading.Event()
+
+    def run() -> messages.ActionAnswer:
+        started.set()
+        release.wait()
+        return messages.ActionAnswer(_OK, 'r', 'first')
+
+    with concurrent.futures.ThreadPoolExecutor(2) as executor:
+        first = executor.submit(
+            case.table.run_once, ticket, case.request(), run
+        )
+        started.wait()
+        repeat = executor.submit(case.use, ticket)
+        while case.clock.waiting == 0:
+            time.sleep(0)
+        case.clock.advance(2)
+        with pytest.raises(errors.OutcomeUnknown):
+            repeat.result()
+        release.set()
+        assert first.result().outcome == 'first'
+    assert case.use(ticket).outcome == 'first'
+    assert case.runs == 0
+
+
+def test_ticket_is_bound_to_its_first_use() -> None:
+    """Guards against answering one action with another's outcome."""
+    case = _Case()
+    ticket = case.ticket()
+    case.use(ticket)
+    with pytest.raises(errors.TicketInvalid):
+        case.use(ticket, 'other')
+    assert case.runs == 1
+
+
+def test_refusal_is_final() -> None:
+    """Guards against 'not run' for an action that a repeat starts."""
+    case = _Case()
+    ticket = case.ticket()
+
+    def refuse() -> messages.ActionAnswer:
+        raise errors.Overloaded('busy')
+
+    case.table.run_once(ticket, case.request(), refuse)
+    assert case.use(ticket).code is result_codes.ResultCode.OVERLOADED
+    assert case.runs == 0
+
+
+def test_unexpected_error_leaves_the_outcome_unknown() -> None:
+    """Guards against repeats that wait for ever, or run again."""
+    case = _Case()
+    ticket = case.ticket()
+
+    def fail() -> messages.ActionAnswer:
+        raise ValueError('fault')
+
+    with pytest.raises(ValueError, match='fault'):
+        case.table.run_once(ticket, case.request(), fail)
+    assert case.use(ticket).code is result_codes.ResultCode.OUTCOME_UNKNOWN
+
+
+def test_unused_ticket_expires() -> None:
+    """Guards against an old ticket that starts an action late."""
+    case = _Case()
+    ticket = case.ticket()
+    case.clock.advance(1)
+    with pytest.raises(errors.TicketExpired):
+        case.use(ticket)
+    assert case.runs == 0
+
+
+def test_dropped_ticket_is_unknown_and_never_runs() -> None:
+    """Guards against 'expired unused' for a ticket that was used."""
+    case = _Case()
+    used, unused = case.ticket(), case.ticket()
+    case.use(used)
+    case.clock.advance(10)
+    later = case.ticket()
+    assert case.table.size == 0
+    for ticket in (used, unused):
+        with pytest.raises(errors.OutcomeUnknown):
+            case.use(ticket)
+    # The wall clock is set back to the time when the ticket was valid.
+    case.clock.advance(-10)
+    with pytest.raises(errors.OutcomeUnknown):
+        case.use(used)
+    assert case.runs == 1
+    case.use(later)
+    assert case.runs == 2
+
+
+def test_open_tickets_are_bounded() -> None:
+    """Guards against memory that callers fill with tickets."""
+    case = _Case()
+    for _ in range(_LIMITS.unexpired):
+        case.use(case.ticket())
+    with pytest.raises(errors.Overloaded):
+        case.ticket()
+    case.clock.advance(1)
+    case.ticket()
+
+
+def _hand_over(case: _Case) -> handed_over.HandedOverTickets:
+    case.table.seal()
+    kept = handed_over.HandedOverTickets(case.clock)
+    for part in handed_over.parts_of(case.table.export()):
+        kept.accept(part)
+    return kept
+
+
+def test_successor_answers_for_a_sealed_table() -> None:
+    """Guards against losing outcomes, or inventing them, at a stop."""
+    case = _Case()
+    used, unused = case.ticket(), case.ticket()
+    first = case.use(used)
+    kept = _hand_over(case)
+    wanted = ticket_table.digest(case.request())
+    assert kept.answer(used, 'r', wanted) == first
+    with pytest.raises(errors.TicketInvalid):
+        kept.answer(used, 'r', 'other')
+    with pytest.raises(errors.NotReady):
+        kept.answer(unused, 'r', wanted)
+    with pytest.raises(errors.NotReady):
+        case.use(unused)
+    assert case.runs == 1
+
+
+def test_successor_knows_nothing_of_dropped_tickets() -> None:
+    """Guards against 'not run' for a ticket dropped before the stop."""
+    case = _Case()
+    used = case.ticket()
+    case.use(used)
+    case.clock.advance(10)
+    case.use(case.ticket())
+    kept = _hand_over(case)
+    assert kept.answer(used, 'r', ticket_table.digest(case.request())) is None
+
+
+def test_partial_hand_over_is_no_proof() -> None:
+    """Guards against 'not run' while parts of a hand-over are missing."""
+    case = _Case()
+    unused = case.ticket()
+    case.table.seal()
+    whole = case.table.export()
+    part = attrs.evolve(handed_over.parts_of(whole)[0], parts=2)
+    kept = handed_over.HandedOverTickets(case.clock)
+    kept.accept(part)
+    assert kept.answer(unused, 'r', 'digest') is None
