--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -12,7 +12,6 @@
 
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
-from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import contacts
 from corianderport_tier.process import control
@@ -23,7 +22,6 @@
 from corianderport_tier.process import ownership
 from corianderport_tier.process import peers
 from corianderport_tier.process import readers
-from corianderport_tier.request import messages
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_client
 from corianderport_wire.connection import peer_server
@@ -40,32 +38,6 @@
     return f'{int(clock.time() * 1e3):012x}.{secrets.token_hex(_RANDOM_BYTES)}'
 
 
-class _PeerCalls:
-    """What this host serves to others."""
-
-    def __init__(
-        self,
-        store: configuration_store.ConfigurationStore,
-        exchange: heartbeats.HeartbeatExchange,
-        local: aggregator.LocalAggregator,
-    ) -> None:
-        self._store = store
-        self._exchange = exchange
-        self._local = local
-
-    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
-        return self._local.run(batch)
-
-    def heartbeat(self, message: heartbeats.Heartbeat) -> heartbeats.Heartbeat:
-        return self._exchange.receive(message)
-
-    def document(self, known_version: int) -> tuple[int, bytes | None]:
-        accepted = self._store.accepted()
-        version = accepted.configuration.version
-        newer = version > known_version
-        return version, accepted.document if newer else None
-
-
 class ControlPlane:
     """Membership, ownership, leases and configuration of one host."""
 
@@ -106,9 +78,8 @@
         """Where other hosts connect, ``ip:port``."""
         return self._server.address
 
-    def start(self, local: aggregator.LocalAggregator) -> None:
+    def start(self, calls: peer_server.PeerService) -> None:
         """Serve other hosts and start all tasks."""
-        calls = _PeerCalls(self._store, self._exchange, local)
         self._server.start(calls)
         self._store.add_listener(self.control.version_changed)
         platform = self._settings.platform
@@ -162,7 +133,7 @@
             peers.Peers(self._dialer, self._executor, self._clock)
         )
         pulls = distribution.Distribution(self._store, self.remote)
-        self._exchange = heartbeats.HeartbeatExchange(
+        self.exchange = heartbeats.HeartbeatExchange(
             self.members,
             self.leases,
             lambda: self._store.version,
@@ -172,7 +143,7 @@
             self.members,
             self.leases,
             self.owners,
-            self._exchange,
+            self.exchange,
             self._dialer,
             self._executor,
             self._clock,
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -15,8 +15,10 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
 from corianderport_tier.request import messages
+from corianderport_wire.connection import action_codec
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
@@ -28,6 +30,7 @@
 # Connections that are being authenticated at once.
 _STRANGERS = 32
 _AUTHENTICATION_S = 1.0
+_CLOSE_S = 1.0
 
 
 class PeerService(typing.Protocol):
@@ -42,6 +45,17 @@
     def heartbeat(self, message: heartbeats.Heartbeat) -> heartbeats.Heartbeat:
         """Take a heartbeat and return the reply."""
 
+    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
+        """Run an action as its owner; errors as above."""
+
+    def act_with_ticket(
+        self, request: messages.ActionRequest
+    ) -> messages.ActionAnswer:
+        """Serve an action whose ticket this host may know."""
+
+    def hand_over(self, part: handed_over.HandOver) -> None:
+        """Keep ticket outcomes of a host that stops."""
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the version in force, and its document when newer."""
 
@@ -67,6 +81,29 @@
             self._service.heartbeat(decoded)
         )
 
+    def act(self, call: typing.Any) -> typing.Any:
+        decoded = action_codec.call_from_thrift(call, self._clock)
+        try:
+            answer = self._service.act(decoded)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return action_codec.answer_to_thrift(answer)
+
+    def act_with_ticket(self, request: typing.Any) -> typing.Any:
+        decoded = action_codec.request_from_thrift(request, self._clock)
+        try:
+            answer = self._service.act_with_ticket(decoded)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return action_codec.answer_to_thrift(answer)
+
+    def hand_over(self, part: typing.Any) -> None:
+        decoded = action_codec.part_from_thrift(part, self._clock)
+        try:
+            self._service.hand_over(decoded)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+
     def configuration(self, known_version: int) -> typing.Any:
         try:
             version, content = self._service.document(known_version)
@@ -108,7 +145,7 @@
             connections, thread_name_prefix='peer'
         )
         self._slots = threading.BoundedSemaphore(connections)
-        self._lock = threading.Lock()
+        self._condition = threading.Condition()
         self._open: set[socket.socket] = set()
         self._closed = False
 
@@ -126,14 +163,17 @@
         ).start()
 
     def close(self) -> None:
-        """Stop accepting and close all connections."""
+        """Stop accepting and close all connections.
+
+        An answer that is being written gets a moment to be completed.
+        """
         self._closed = True
-        _shut(self._listener)
+        _shut(self._listener, socket.SHUT_RDWR)
         self._listener.close()
-        with self._lock:
-            connections = list(self._open)
-        for connection in connections:
-            _shut(connection)
+        self._shut_all(socket.SHUT_RD)
+        with self._condition:
+            self._condition.wait_for(lambda: not self._open, _CLOSE_S)
+        self._shut_all(socket.SHUT_RDWR)
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _accept(self) -> None:
@@ -145,7 +185,7 @@
             if not self._admit():
                 connection.close()
                 continue
-            with self._lock:
+            with self._condition:
                 self._open.add(connection)
             self._executor.submit(self._serve, connection)
 
@@ -162,9 +202,10 @@
             if self._authenticated(connection):
                 self._serve_peer(connection)
         finally:
-            with self._lock:
-                self._open.discard(connection)
             connection.close()
+            with self._condition:
+                self._open.discard(connection)
+                self._condition.notify_all()
             self._slots.release()
 
     def _authenticated(self, connection: socket.socket) -> bool:
@@ -200,10 +241,16 @@
         except Exception:
             _LOG.exception('peer call failed')
 
+    def _shut_all(self, how: int) -> None:
+        with self._condition:
+            connections = list(self._open)
+        for connection in connections:
+            _shut(connection, how)
+
 
-def _shut(connection: socket.socket) -> None:
+def _shut(connection: socket.socket, how: int) -> None:
     try:
-        connection.shutdown(socket.SHUT_RDWR)
+        connection.shutdown(how)
     except OSError:
         # The peer has closed it already.
         return
