Check a configuration and list its faults by number

A host accepted any document of the right shape: a search over an unknown service, two searchers at one address or a negative shard range came into force and failed at request time. The document is now checked when it is decoded, and refused with numbered faults that name the place.

Empty shards and overlapping ranges stay allowed; an empty range inside another shard's range is refused.

The printed document has one entity on each line in a stable order, so that a line comparison of two versions shows what changes.

--- /dev/null
+++ b/tests/tier/test_checks.py
@@ -0,0 +1,242 @@
+"""A configuration with a fault is found out, with number and place."""
+
+import collections.abc
+import math
+import pathlib
+
+import attrs
+import pytest
+
+from corianderport_tier import errors
+from corianderport_tier.version import checks
+from corianderport_tier.version import configuration
+from corianderport_tier.version import faults
+from corianderport_tier.version import snapshots
+
+_PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'result-codes.md'
+
+Configuration = configuration.Configuration
+Change = collections.abc.Callable[[Configuration], Configuration]
+
+
+def _base() -> Configuration:
+    def service(name: str, port: int) -> configuration.Service:
+        searchers = tuple(
+            configuration.Searcher(f'{name}-{c}', f'127.0.0.1:{port + n}', c)
+            for n, c in enumerate(('dc-a', 'dc-b'))
+        )
+        return configuration.Service(
+            name, 'west', configuration.Limits(2, 6), searchers
+        )
+
+    return Configuration(
+        version=1,
+        data_centres={
+            'dc-a': configuration.DataCentre('dc-a', 'west'),
+            'dc-b': configuration.DataCentre('dc-b', 'west'),
+            'dc-e': configuration.DataCentre('dc-e', 'east'),
+        },
+        services={n: service(n, p) for n, p in (('s', 100), ('t', 200))},
+        indexes={
+            'i': (
+                snapshots.Snapshot(
+                    2,
+                    (
+                        snapshots.Shard('a', 's', 0, 10),
+                        snapshots.Shard('b', 't', 10, 20),
+                        snapshots.Shard('c', 't', 20, 20),
+                    ),
+                ),
+                snapshots.Snapshot(
+                    1,
+                    (
+                        snapshots.Shard('a', 's', 0, 12),
+                        snapshots.Shard('b', 't', 8, 20),
+                    ),
+                ),
+            )
+        },
+        searches={'q': configuration.Search('q', 'i', ('s', 't'), 100.0)},
+        actions={'act': configuration.Action('act', 's', 100.0)},
+        customers={'default': configuration.Customer('default', 1.0)},
+    )
+
+
+def _service(**fields: object) -> Change:
+    def change(base: Configuration) -> Configuration:
+        changed = attrs.evolve(base.services['s'], **fields)
+        return attrs.evolve(base, services={**base.services, 's': changed})
+
+    return change
+
+
+def _searcher(**fields: object) -> Change:
+    def change(base: Configuration) -> Configuration:
+        first, *others = base.services['s'].searchers
+        changed = attrs.evolve(first, **fields)
+        return _service(searchers=(changed, *others))(base)
+
+    return change
+
+
+def _search(**fields: object) -> Change:
+    def change(base: Configuration) -> Configuration:
+        changed = attrs.evolve(base.searches['q'], **fields)
+        return attrs.evolve(base, searches={'q': changed})
+
+    return change
+
+
+def _action(**fields: object) -> Change:
+    def change(base: Configuration) -> Configuration:
+        changed = attrs.evolve(base.actions['act'], **fields)
+        return attrs.evolve(base, actions={'act': changed})
+
+    return change
+
+
+def _shard(number: int, **fields: object) -> Change:
+    def change(base: Configuration) -> Configuration:
+        newest, *older = base.indexes['i']
+        shards = list(newest.shards)
+        shards[number] = attrs.evolve(shards[number], **fields)
+        changed = attrs.evolve(newest, shards=tuple(shards))
+        return attrs.evolve(base, indexes={'i': (changed, *older)})
+
+    return change
+
+
+def _indexes(
+    pick: collections.abc.Callable[
+        [tuple[snapshots.Snapshot, ...]], tuple[snapshots.Snapshot, ...]
+    ],
+) -> Change:
+    def change(base: Configuration) -> Configuration:
+        return attrs.evolve(base, indexes={'i': pick(base.indexes['i'])})
+
+    return change
+
+
+def _customers(**shares: float) -> Change:
+    customers = {n: configuration.Customer(n, s) for n, s in shares.items()}
+    return lambda base: attrs.evolve(base, customers=customers)
+
+
+def _out(*names: str) -> Change:
+    def change(base: Configuration) -> Configuration:
+        centres = {
+            name: attrs.evolve(centre, in_service=name not in names)
+            for name, centre in base.data_centres.items()
+        }
+        return attrs.evolve(base, data_centres=centres)
+
+    return change
+
+
+def _limits(slots: int, connections: int, connect_ms: float = 6.0) -> Change:
+    return _service(
+        limits=configuration.Limits(slots, connections, connect_ms)
+    )
+
+
+_CASES: list[tuple[Change, str, str]] = [
+    (lambda b: attrs.evolve(b, version=0), 'F01', 'version'),
+    (_searcher(data_centre='x'), 'F02', 'service s, searcher s-dc-a'),
+    (_search(services=('s', 't', 'x')), 'F03', 'search q'),
+    (_action(service='x'), 'F03', 'action act'),
+    (_shard(0, service='x'), 'F03', 'index i, snapshot 2, shard a'),
+    (_search(index='x'), 'F04', 'search q'),
+    (_service(region='x'), 'F05', 'service s'),
+    (_service(searchers=()), 'F06', 'service s'),
+    (_indexes(lambda i: ()), 'F07', 'search q'),
+    (
+        _indexes(lambda i: (attrs.evolve(i[0], shards=()), i[1])),
+        'F07',
+        'search q',
+    ),
+    (_searcher(address='127.0.0.1:200'), 'F08', 'address 127.0.0.1:200'),
+    (_searcher(name='t-dc-a'), 'F09', 'searcher t-dc-a'),
+    (_shard(1, name='a'), 'F09', 'index i, snapshot 2, shard a'),
+    (_search(services=('s', 's', 't')), 'F09', 'search q'),
+    (_searcher(address='h:1'), 'F10', 'service s, searcher s-dc-a'),
+    (_searcher(address='127.0.0.1:0'), 'F10', 'service s, searcher s-dc-a'),
+    (_searcher(address='127.0.0.1'), 'F10', 'service s, searcher s-dc-a'),
+    (_limits(0, 25), 'F11', 'service s'),
+    (_limits(2, 5), 'F11', 'service s'),
+    (_limits(2, 6, 0.0), 'F11', 'service s'),
+    (_search(minimum_coverage=1.1), 'F12', 'search q'),
+    (_search(minimum_coverage=math.nan), 'F12', 'search q'),
+    (_customers(default=-0.1), 'F12', 'customer default'),
+    (_search(worth=-1.0), 'F13', 'search q'),
+    (_action(worth=math.inf), 'F13', 'action act'),
+    (_search(deadline_ms=0.0), 'F14', 'search q'),
+    (_action(deadline_ms=math.nan), 'F14', 'action act'),
+    (_shard(0, begin=-1), 'F15', 'index i, snapshot 2, shard a'),
+    (_shard(0, begin=11), 'F15', 'index i, snapshot 2, shard a'),
+    (_shard(2, begin=15, end=15), 'F16', 'index i, snapshot 2, shard c'),
+    (_indexes(lambda i: (i[1], i[0])), 'F17', 'index i'),
+    (_indexes(lambda i: (i[0], i[0])), 'F17', 'index i'),
+    (_out('dc-a', 'dc-b'), 'W01', 'service s'),
+    (
+        lambda b: _search(services=('s',))(b),
+        'W02',
+        'service t',
+    ),
+    (
+        _indexes(lambda i: (i[0], attrs.evolve(i[1], shards=i[1].shards[1:]))),
+        'W03',
+        'search q',
+    ),
+    (_searcher(data_centre='dc-e'), 'W04', 'service s, searcher s-dc-a'),
+    (_customers(other=0.5), 'W05', 'customers'),
+    (_customers(default=0.5, other=0.6), 'W06', 'customers'),
+]
+
+
+def test_base_has_no_finding() -> None:
+    """Guards against a check that refuses overlaps and empty shards."""
+    assert checks.check(_base()) == ()
+
+
+@pytest.mark.parametrize(('change', 'number', 'place'), _CASES)
+def test_finding_names_its_place(
+    change: Change, number: str, place: str
+) -> None:
+    """Guards against a fault that reaches the hosts unseen."""
+    candidate = change(_base())
+    found = checks.check(candidate)
+    assert (number, place) in [(f.number.value, f.place) for f in found]
+    if number.startswith('F'):
+        with pytest.raises(errors.ConfigurationInvalid, match=place):
+            checks.require_valid(candidate)
+    else:
+        checks.require_valid(candidate)
+
+
+def test_one_data_centre_out_of_service_is_no_finding() -> None:
+    """Guards against warnings on the usual maintenance."""
+    assert checks.check(_out('dc-a')(_base())) == ()
+
+
+def test_long_lists_are_cut() -> None:
+    """Guards against an error text that grows with the configuration."""
+    base = _base()
+    services = {
+        f's{n}': attrs.evolve(base.services['s'], name=f's{n}', region='x')
+        for n in range(50)
+    }
+    candidate = attrs.evolve(base, services={**base.services, **services})
+    with pytest.raises(errors.ConfigurationInvalid, match='and 34 more'):
+        checks.require_valid(candidate)
+
+
+def test_every_number_has_a_case_and_a_line_on_the_page() -> None:
+    """Guards against a number that operators cannot look up."""
+    numbers = {number.value for number in faults.FaultNumber}
+    assert {number for _, number, _ in _CASES} == numbers
+    listed = [
+        tuple(cell.strip() for cell in line.split('|')[1:3])
+        for line in _PAGE.read_text().splitlines()
+        if line.startswith(('| F', '| W'))
+    ]
+    assert listed == [(n.value, n.name) for n in faults.FaultNumber]
--- /dev/null
+++ b/tests/wire/test_document.py
@@ -0,0 +1,57 @@
+"""The printed document is stable and read back without loss."""
+
+import json
+
+import pytest
+
+from corianderport_testkit.version import deployments
+from corianderport_tier import errors
+from corianderport_wire.version import document
+
+
+def _encoded(out_of_service: set[str] = set()) -> bytes:
+    deployment = deployments.Deployment(snapshot_numbers=(1, 2))
+    names = [
+        name
+        for centre in deployments.DATA_CENTRES
+        for name in deployment.searcher_names(centre)
+    ]
+    addresses = {n: f'127.0.0.1:{i + 1}' for i, n in enumerate(names)}
+    built = deployment.build(7, addresses, out_of_service)
+    return document.JsonDocument().encode(built)
+
+
+def test_one_change_changes_one_line() -> None:
+    """Guards against a review that has to read the whole document."""
+    before = _encoded().decode().splitlines()
+    after = _encoded({'catalogue-02-dc-b'}).decode().splitlines()
+    changed = [b for a, b in zip(before, after, strict=True) if a != b]
+    assert len(changed) == 1
+    assert json.loads(changed[0].strip(' ,'))['name'] == 'catalogue-02-dc-b'
+
+
+def test_whole_numbers_are_printed_as_they_are_read() -> None:
+    """Guards against two printed forms of one configuration."""
+    encoded = _encoded()
+    typed = encoded.replace(b'500.0', b'500')
+    assert typed != encoded
+    documents = document.JsonDocument()
+    assert documents.encode(documents.decode(typed)) == encoded
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'text'),
+    [
+        (b'"version": 7', b'"version": 0', 'F01 version'),
+        (b'"slots": 2', b'"slots": 0', 'F11 service catalogue-00: slots'),
+        (b'"slots": 2', b'"slot": 2', 'slot'),
+        (b'"dc-a", "region"', b'"dc-b", "region"', 'stands twice'),
+        (b'{', b'[', 'Expecting'),
+    ],
+)
+def test_fault_is_refused(old: bytes, new: bytes, text: str) -> None:
+    """Guards against a document that comes into force with a fault."""
+    encoded = _encoded()
+    assert old in encoded
+    with pytest.raises(errors.ConfigurationInvalid, match=text):
+        document.JsonDocument().decode(encoded.replace(old, new))
