Add the administration interface, counters and JSON log lines

Each host serves its state read-only on admin_address: readiness, version, peers, owners, upstreams with the reason of their state, decisions, counters in the Prometheus text format and the configuration in force.

Counts are kept for each thread and added up at a scrape, because the design allows no lock that all connections share. Log records go to a QueueListener and are formatted there as JSON lines; beyond 20,000 queued records they are dropped and counted, so that a blocked output neither blocks requests nor takes up all memory. aioprometheus collectors are built at a scrape: their increments read and write in two steps, so concurrent tasks would lose counts.

--- a/packages/daemon/src/corianderport_daemon/main.py
+++ b/packages/daemon/src/corianderport_daemon/main.py
@@ -14,6 +14,7 @@
 from corianderport_daemon.process import daemon
 from corianderport_daemon.process import settings
 from corianderport_tier import errors
+from corianderport_wire.process import json_log
 
 __all__ = ['main', 'run']
 
@@ -31,8 +32,10 @@
     except errors.SettingInvalid as error:
         print(f'corianderportd: {error}', file=sys.stderr)
         sys.exit(_EXIT_SETTINGS)
-    logging.basicConfig(level=loaded.log_level)
-    with daemon.Daemon.from_settings(loaded) as host:
+    with (
+        json_log.JsonLog(sys.stderr, loaded.log_level),
+        daemon.Daemon.from_settings(loaded) as host,
+    ):
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: host.stop())
         _announce(host)
@@ -47,6 +50,7 @@
     addresses = {
         'caller_address': host.caller_address,
         'peer_address': host.peer_address,
+        'admin_address': host.admin_address,
     }
     print(json.dumps(addresses), flush=True)
 
--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -12,11 +12,13 @@
 
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
+from corianderport_tier.process import administration
 from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import entry
 from corianderport_tier.process import membership
+from corianderport_tier.process import metrics
 from corianderport_tier.process import owned_services
 from corianderport_tier.process import peers
 from corianderport_tier.process import readers
@@ -28,11 +30,14 @@
 from corianderport_wire.connection import peer_server
 from corianderport_wire.connection import platform_client
 from corianderport_wire.connection import upstream_client
+from corianderport_wire.request import admin_app
 from corianderport_wire.request import caller_app
 from corianderport_wire.version import document
 
 __all__ = ['Daemon']
 
+_ADMIN_CONNECTIONS = 8
+
 
 class _PeerCalls:
     """What this host serves to others."""
@@ -95,6 +100,11 @@
         """Where other hosts connect, ``ip:port``."""
         return self._peer_server.address
 
+    @property
+    def admin_address(self) -> str:
+        """Where operators read the state, ``ip:port``."""
+        return self._admin_server.address
+
     def stop(self) -> None:
         """End ``wait``."""
         self._stopped.set()
@@ -109,7 +119,8 @@
             settings.tasks, thread_name_prefix='task'
         )
         self._stack.callback(self._executor.shutdown, wait=False)
-        self._log = decision_log.DecisionLog()
+        self._metrics = metrics.Metrics()
+        self._log = decision_log.DecisionLog(observer=self._metrics)
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
@@ -119,7 +130,7 @@
         self._start_readers()
 
     def _start_aggregator(self) -> None:
-        services = self._stack.enter_context(
+        self._services = self._stack.enter_context(
             owned_services.OwnedServices(
                 self._store,
                 upstream_client.HttpUpstreamDialer(self._clock),
@@ -130,7 +141,7 @@
             )
         )
         self._local = aggregator.LocalAggregator(
-            services, self._executor, self._clock, self._log
+            self._services, self._executor, self._clock, self._log
         )
 
     def _start_peer_server(self) -> None:
@@ -162,10 +173,12 @@
         router = routing.Router(
             self._store, self._members, self._local, remote
         )
+        self._start_administration(router)
         application = caller_app.CallerApp(
             entry.Entry(self._store, router, self._clock, self._log),
             self._clock,
             caller_app.CallerLimits(body_bytes=self._settings.body_bytes),
+            self._metrics,
         )
         host, port = _split(self._settings.caller_address)
         self._caller_server = http_server.HttpServer(
@@ -178,6 +191,27 @@
         self._stack.callback(self._caller_server.close)
         self._caller_server.start()
 
+    def _start_administration(self, router: routing.Router) -> None:
+        view = administration.Administration(
+            self._store,
+            self._members,
+            router,
+            self._services,
+            self._log,
+            self._metrics,
+            self._stopped.is_set,
+        )
+        host, port = _split(self._settings.admin_address)
+        self._admin_server = http_server.HttpServer(
+            host,
+            port,
+            admin_app.AdminApp(view),
+            _ADMIN_CONNECTIONS,
+            self._settings.caller_idle_s,
+        )
+        self._stack.callback(self._admin_server.close)
+        self._admin_server.start()
+
     def _start_readers(self) -> None:
         times = readers.ReaderTimes()
         tasks: list[readers.ConfigurationReader | readers.HostListReader] = [
--- a/packages/daemon/src/corianderport_daemon/process/settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -10,6 +10,7 @@
 
 from corianderport_tier import errors
 from corianderport_tier import options
+from corianderport_wire.process import json_log
 
 __all__ = ['PREFIX', 'Settings', 'load', 'names']
 
@@ -23,6 +24,15 @@
     return convert
 
 
+def _choice(
+    name: str, allowed: collections.abc.Collection[str]
+) -> collections.abc.Callable[[object], str]:
+    def convert(value: object) -> str:
+        return options.choice(name, value, allowed, errors.SettingInvalid)
+
+    return convert
+
+
 def _number(
     name: str, minimum: float, maximum: float
 ) -> collections.abc.Callable[[object], float]:
@@ -82,6 +92,11 @@
         converter=_address('peer_address'),
         help='Where other hosts connect; port 0 takes a free one.',
     )
+    admin_address: str = environ.var(
+        '127.0.0.1:0',
+        converter=_address('admin_address'),
+        help='Where operators read the state; port 0 takes a free one.',
+    )
     caller_connections: int = environ.var(
         256,
         converter=_whole('caller_connections', 1, 10_000),
@@ -113,7 +128,9 @@
         help='Policy that chooses among the searchers of a service.',
     )
     log_level: str = environ.var(
-        'INFO', converter=_text('log_level'), help='Least level logged.'
+        'INFO',
+        converter=_choice('log_level', json_log.LEVELS),
+        help='Least level logged.',
     )
 
 
--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -47,6 +47,7 @@
     process: subprocess.Popen[str]
     caller_address: str
     peer_address: str
+    admin_address: str
 
 
 def _spawn(module: str, arguments: list[str]) -> subprocess.Popen[str]:
@@ -191,6 +192,7 @@
             process,
             addresses['caller_address'],
             addresses['peer_address'],
+            addresses['admin_address'],
         )
         self.hosts[name] = host
         self.platform.list_host(
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/administration.py
@@ -0,0 +1,236 @@
+"""corianderport_tier.process.administration
+
+What a host shows to operators; reads state and changes none.
+"""
+
+import collections.abc
+import typing
+
+import attrs
+
+from corianderport_tier.process import configuration_store
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import membership
+from corianderport_tier.process import metrics
+from corianderport_tier.version import configuration
+
+__all__ = [
+    'Administration',
+    'OwnerLookup',
+    'OwnerView',
+    'PeerView',
+    'ReadyView',
+    'ServiceSource',
+    'UpstreamSource',
+    'UpstreamView',
+    'VersionView',
+]
+
+
+class UpstreamSource(typing.Protocol):
+    """What is read of the state of one searcher."""
+
+    @property
+    def searcher(self) -> configuration.Searcher:
+        """The searcher as it is configured."""
+
+    @property
+    def limit(self) -> int:
+        """Requests that may be at the searcher at once."""
+
+    @property
+    def in_flight(self) -> int:
+        """Requests at the searcher now."""
+
+    @property
+    def latency_s(self) -> float:
+        """Moving average of the latency, seconds."""
+
+
+class ServiceSource(typing.Protocol):
+    """Lists the searchers that this host sends to."""
+
+    def states(
+        self,
+    ) -> collections.abc.Mapping[
+        str, collections.abc.Sequence[UpstreamSource]
+    ]:
+        """Return the state of each searcher, by service."""
+
+
+class OwnerLookup(typing.Protocol):
+    """Finds the owners of a service."""
+
+    def owners(self, service: str) -> list[membership.Member]:
+        """Return the first and the second owner."""
+
+
+@attrs.frozen
+class ReadyView:
+    """Whether the host serves callers, and why not."""
+
+    ready: bool
+    reason: str
+
+
+@attrs.frozen
+class VersionView:
+    """The host and the configuration that it has in force."""
+
+    host: str
+    data_centre: str
+    version: int
+
+
+@attrs.frozen
+class PeerView:
+    """A host of the host list, as this host sees it."""
+
+    name: str
+    data_centre: str
+    peer_address: str
+    state: str
+
+
+@attrs.frozen
+class OwnerView:
+    """A service and its owners, the first owner first."""
+
+    service: str
+    owners: tuple[str, ...]
+
+
+@attrs.frozen
+class UpstreamView:
+    """State of a searcher that this host sends to.
+
+    ``state`` is ``in-service``, ``full`` or ``out-of-service``; ``reason``
+    says why.
+    """
+
+    service: str
+    name: str
+    address: str
+    data_centre: str
+    state: str
+    reason: str
+    limit: int
+    in_flight: int
+    latency_ms: float
+
+
+class Administration:
+    """Answers operators' questions from the state of one host."""
+
+    def __init__(
+        self,
+        store: configuration_store.ConfigurationStore,
+        members: membership.Membership,
+        owners: OwnerLookup,
+        services: ServiceSource,
+        log: decision_log.DecisionLog,
+        counted: metrics.Metrics,
+        stopping: collections.abc.Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._members = members
+        self._owners = owners
+        self._services = services
+        self._log = log
+        self._counted = counted
+        self._stopping = stopping
+
+    def ready(self) -> ReadyView:
+        """Return whether callers may be sent to this host."""
+        if self._stopping():
+            return ReadyView(False, 'the host is stopping')
+        if self._store.version == 0:
+            return ReadyView(False, 'no configuration has been accepted')
+        return ReadyView(True, f'version {self._store.version} is in force')
+
+    def version(self) -> VersionView:
+        """Return the version in force, 0 when there is none."""
+        own = self._members.own
+        return VersionView(own.name, own.data_centre, self._store.version)
+
+    def peers(self) -> tuple[PeerView, ...]:
+        """Return all listed hosts, with this one."""
+        return tuple(
+            PeerView(m.name, m.data_centre, m.peer_address, m.state.value)
+            for m in self._members.members()
+        )
+
+    def owners(self) -> tuple[OwnerView, ...]:
+        """Return the owners of each service that is configured.
+
+        :raises NotReady: no configuration has been accepted.
+        """
+        names = sorted(self._store.current().services)
+        return tuple(
+            OwnerView(name, tuple(m.name for m in self._owners.owners(name)))
+            for name in names
+        )
+
+    def upstreams(self) -> tuple[UpstreamView, ...]:
+        """Return the searchers that this host has sent to.
+
+        :raises NotReady: no configuration has been accepted.
+        """
+        accepted = self._store.current()
+        return tuple(
+            _upstream(accepted, service, source)
+            for service, sources in sorted(self._services.states().items())
+            for source in sources
+        )
+
+    def decisions(self) -> tuple[decision_log.Decision, ...]:
+        """Return the most recent decisions, oldest first."""
+        return self._log.recent()
+
+    def totals(self) -> metrics.Totals:
+        """Return the counters."""
+        return self._counted.totals()
+
+    def document(self) -> bytes:
+        """Return the configuration in force as it was published.
+
+        :raises NotReady: no configuration has been accepted.
+        """
+        return self._store.accepted().document
+
+
+def _upstream(
+    accepted: configuration.Configuration,
+    service: str,
+    source: UpstreamSource,
+) -> UpstreamView:
+    searcher = source.searcher
+    state, reason = _state(accepted, service, source)
+    return UpstreamView(
+        service=service,
+        name=searcher.name,
+        address=searcher.address,
+        data_centre=searcher.data_centre,
+        state=state,
+        reason=reason,
+        limit=source.limit,
+        in_flight=source.in_flight,
+        latency_ms=round(source.latency_s * 1e3, 3),
+    )
+
+
+def _state(
+    accepted: configuration.Configuration,
+    service: str,
+    source: UpstreamSource,
+) -> tuple[str, str]:
+    searcher = source.searcher
+    known = accepted.services.get(service)
+    if known is None or searcher not in known.searchers:
+        return 'out-of-service', 'not in the configuration in force'
+    reason = accepted.why_no_work(searcher)
+    if reason is not None:
+        return 'out-of-service', reason
+    if source.in_flight >= source.limit:
+        return 'full', f'{source.in_flight} of {source.limit} in flight'
+    return 'in-service', f'{source.in_flight} of {source.limit} in flight'
--- a/packages/tier/src/corianderport_tier/process/decision_log.py
+++ b/packages/tier/src/corianderport_tier/process/decision_log.py
@@ -5,10 +5,11 @@
 
 import collections
 import logging
+import typing
 
 import attrs
 
-__all__ = ['Decision', 'DecisionLog']
+__all__ = ['Decision', 'DecisionLog', 'DecisionObserver']
 
 _RECENT_DECISIONS = 256
 
@@ -24,11 +25,23 @@
     alternatives: tuple[str, ...] = ()
 
 
+class DecisionObserver(typing.Protocol):
+    """Counts decisions."""
+
+    def decided(self, decision: Decision) -> None:
+        """Learn of one decision, on the task that took it."""
+
+
 class DecisionLog:
     """Logs decisions and keeps the most recent ones."""
 
-    def __init__(self, logger: logging.Logger | None = None) -> None:
+    def __init__(
+        self,
+        logger: logging.Logger | None = None,
+        observer: DecisionObserver | None = None,
+    ) -> None:
         self._logger = logger or logging.getLogger('corianderport.decision')
+        self._observer = observer
         self._recent: collections.deque[Decision] = collections.deque(
             maxlen=_RECENT_DECISIONS
         )
@@ -36,8 +49,10 @@
     def record(self, decision: Decision) -> None:
         """Log one decision; formatting is left to the handler."""
         self._recent.append(decision)
+        if self._observer is not None:
+            self._observer.decided(decision)
         self._logger.info('decision', extra={'decision': decision})
 
     def recent(self) -> tuple[Decision, ...]:
         """Return the most recent decisions, oldest first."""
-        return tuple(self._recent)
+        return tuple(self._recent.copy())
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -144,6 +144,15 @@
         """Return the check of the version in force at this moment."""
         return self._store.current().may_get_work
 
+    def states(self) -> dict[str, list[upstreams.Upstream]]:
+        """Return the state of each searcher, by service."""
+        with self._lock:
+            owned = dict(self._services)
+        return {
+            name: service.upstreams.candidates(lambda _: True)
+            for name, service in owned.items()
+        }
+
     def _new_service(self, service: configuration.Service) -> OwnedService:
         state = upstreams.ServiceUpstreams(service, self._policy, self._rng)
         return OwnedService(
--- a/packages/tier/src/corianderport_tier/version/configuration.py
+++ b/packages/tier/src/corianderport_tier/version/configuration.py
@@ -125,5 +125,15 @@
 
     def may_get_work(self, searcher: Searcher) -> bool:
         """Whether the searcher and its data centre are in service."""
+        return self.why_no_work(searcher) is None
+
+    def why_no_work(self, searcher: Searcher) -> str | None:
+        """Return why a searcher may not get work; None when it may."""
+        if not searcher.in_service:
+            return f'searcher {searcher.name} is out of service'
         centre = self.data_centres.get(searcher.data_centre)
-        return searcher.in_service and centre is not None and centre.in_service
+        if centre is None:
+            return f'data centre {searcher.data_centre} is not described'
+        if not centre.in_service:
+            return f'data centre {centre.name} is out of service'
+        return None
--- a/packages/wire/src/corianderport_wire/request/caller_app.py
+++ b/packages/wire/src/corianderport_wire/request/caller_app.py
@@ -24,7 +24,7 @@
 if typing.TYPE_CHECKING:
     import _typeshed.wsgi
 
-__all__ = ['CallerApp', 'CallerLimits', 'CallerService']
+__all__ = ['CallerApp', 'CallerLimits', 'CallerService', 'RequestObserver']
 
 
 _LOG = logging.getLogger(__name__)
@@ -33,6 +33,7 @@
 _DEFAULT_LIMIT = 10
 _MAX_DEADLINE_MS = 60_000.0
 _DEFAULT_CUSTOMER = 'default'
+_UNKNOWN_ENDPOINT = 'unknown'
 
 _HTTP_STATUS = {
     result_codes.ResultCode.OK: 200,
@@ -64,6 +65,15 @@
         """
 
 
+class RequestObserver(typing.Protocol):
+    """Counts the requests of callers."""
+
+    def finished(
+        self, request: str, code: result_codes.ResultCode, latency_s: float
+    ) -> None:
+        """Learn of the result of one request."""
+
+
 @attrs.frozen
 class CallerLimits:
     """Bounds on what a caller may send."""
@@ -80,8 +90,10 @@
         service: CallerService,
         clock: clocks.Clock,
         limits: CallerLimits,
+        observer: RequestObserver | None = None,
     ) -> None:
         self._service = service
+        self._observer = observer
         self._clock = clock
         self._limits = limits
         rule = werkzeug.routing.Rule
@@ -101,6 +113,8 @@
     ) -> collections.abc.Iterable[bytes]:
         """Serve one HTTP request."""
         request = werkzeug.wrappers.Request(environ)
+        started_s = self._clock.monotonic()
+        endpoint = _UNKNOWN_ENDPOINT
         try:
             endpoint, values = self._urls.bind_to_environ(environ).match()
             fields = self._fields(request)
@@ -112,6 +126,12 @@
         except Exception:
             _LOG.exception('request failed')
             body = _error_body(errors.CorianderportError('internal error'))
+        if self._observer is not None:
+            self._observer.finished(
+                endpoint,
+                result_codes.ResultCode(body['code']),
+                self._clock.monotonic() - started_s,
+            )
         response = werkzeug.wrappers.Response(
             orjson.dumps(body),
             status=_status(body['code']),
--- /dev/null
+++ b/tests/tier/test_metrics.py
@@ -0,0 +1,42 @@
+"""Counters add up over all tasks."""
+
+import concurrent.futures
+
+import pytest
+
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import metrics
+from corianderport_tier import result_codes
+
+_Code = result_codes.ResultCode
+
+
+def test_counts_of_all_tasks_are_added_up() -> None:
+    """Guards against increments that two tasks lose to each other."""
+    counted = metrics.Metrics()
+
+    def work(number: int) -> None:
+        for _ in range(500):
+            counted.finished('search', _Code.OK, 0.004)
+            counted.decided(decision_log.Decision('route', 'r', 's', ''))
+        counted.decided(decision_log.Decision('hedge', 'r', 's', ''))
+
+    with concurrent.futures.ThreadPoolExecutor(8) as executor:
+        list(executor.map(work, range(8)))
+    totals = counted.totals()
+    assert totals.results == {('search', _Code.OK): 4000}
+    assert (totals.sub_requests, totals.hedges) == (4008, 8)
+    latencies = totals.latencies['search']
+    assert latencies.counts[2] == sum(latencies.counts) == 4000
+    assert latencies.sum_s == pytest.approx(16.0)
+
+
+def test_only_requests_that_did_not_run_are_refusals() -> None:
+    """Guards against a refusal count that hides failures."""
+    counted = metrics.Metrics()
+    for code in (_Code.OK, _Code.OVERLOADED, _Code.OUTCOME_UNKNOWN):
+        counted.finished('search', code, 0.1)
+    counted.finished('action', _Code.OVERLOADED, 100.0)
+    totals = counted.totals()
+    assert totals.refusals == {_Code.OVERLOADED: 2}
+    assert totals.latencies['action'].counts[-1] == 1
--- /dev/null
+++ b/tests/wire/test_json_log.py
@@ -0,0 +1,82 @@
+"""Log records become JSON lines."""
+
+import io
+import json
+import logging
+import threading
+
+from corianderport_tier.process import decision_log
+from corianderport_wire.process import json_log
+
+
+def _logger(name: str) -> logging.Logger:
+    logger = logging.getLogger(f'test.{name}')
+    logger.propagate = False
+    return logger
+
+
+def test_each_decision_is_one_line() -> None:
+    """Guards against a decision that cannot be found by its request."""
+    stream = io.StringIO()
+    logger = _logger('decision')
+    with json_log.JsonLog(stream, 'INFO', logger):
+        log = decision_log.DecisionLog(logger)
+        log.record(
+            decision_log.Decision('route', 'r1', 's-a', 'line\nbreak', ('b',))
+        )
+        logger.debug('not written')
+    fields = json.loads(stream.getvalue())
+    assert fields.pop('time') > 0
+    assert fields == {
+        'level': 'INFO',
+        'logger': 'test.decision',
+        'event': 'decision',
+        'kind': 'route',
+        'request_id': 'r1',
+        'choice': 's-a',
+        'reason': 'line\nbreak',
+        'alternatives': ['b'],
+    }
+
+
+def test_exception_is_part_of_the_line() -> None:
+    """Guards against a trace that breaks the lines."""
+    stream = io.StringIO()
+    logger = _logger('exception')
+    with json_log.JsonLog(stream, 'INFO', logger):
+        try:
+            raise ValueError('bad')
+        except ValueError:
+            logger.exception('failed %d', 7)
+    fields = json.loads(stream.getvalue())
+    assert fields['event'] == 'failed 7'
+    assert 'ValueError: bad' in fields['exception']
+
+
+class _Blocked(io.StringIO):
+    """A stream that takes nothing until it is released."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.released = threading.Event()
+        self.thread = ''
+
+    def write(self, text: str) -> int:
+        self.thread = threading.current_thread().name
+        self.released.wait()
+        return super().write(text)
+
+
+def test_blocked_output_blocks_no_request() -> None:
+    """Guards against a full pipe that stops requests or fills memory."""
+    stream = _Blocked()
+    logger = _logger('blocked')
+    with json_log.JsonLog(stream, 'INFO', logger) as log:
+        for number in range(20_100):
+            logger.info('%d', number)
+        # One record may be with the listener, the others are queued.
+        assert 99 <= log.dropped <= 100
+        stream.released.set()
+    assert stream.thread != threading.current_thread().name
+    written = len(stream.getvalue().splitlines())
+    assert written + log.dropped == 20_100
