--- /dev/null
+++ b/packages/operator/src/corianderport_operator/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Complete deployments to copy and change."""
--- /dev/null
+++ b/packages/operator/src/corianderport_operator/examples/cooperative.py
@@ -0,0 +1,116 @@
+"""corianderport_operator.examples.cooperative
+
+The deployment of the Fossil Coast Walkers Co-operative.
+
+    corianderport print cooperative.py > cooperative.json
+"""
+
+from corianderport_operator.version import builder
+from corianderport_operator.version import printing
+from corianderport_tier.version import configuration
+
+__all__ = ['describe', 'main']
+
+DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c')
+WALKER_APPS = [f'walker-app-{number:02d}' for number in range(1, 11)]
+GUIDE_ROSTERS = [f'guide-roster-{number:02d}' for number in range(1, 16)]
+
+
+def searchers(port: int, *counts: int) -> dict[str, list[str]]:
+    """Return addresses; ``counts`` has a number for each data centre."""
+    return {
+        centre: [f'10.{net}.0.{host}:{port}' for host in range(1, count + 1)]
+        for net, (centre, count) in enumerate(zip(DATA_CENTRES, counts), 21)
+    }
+
+
+def describe() -> builder.Deployment:
+    """Describe what is in force; raise the version with each change."""
+    walkers = builder.Deployment(version=1, region='fossil-coast')
+    for centre in DATA_CENTRES:
+        walkers.data_centre(centre)
+    # A data centre under maintenance: walkers.out_of_service('dc-b')
+
+    for number, name in enumerate(WALKER_APPS + GUIDE_ROSTERS):
+        walkers.service(
+            name,
+            searchers(8701 + number, 1, 1, 1),
+            slots=2,
+            connections=25,
+            connect_ms=6,
+        )
+    walkers.service(
+        'booking-desk',
+        searchers(8801, 2, 1, 1),
+        slots=6,
+        connections=50,
+        connect_ms=1,
+    )
+    walkers.service(
+        'member-accounts',
+        searchers(8802, 1, 1, 1),
+        slots=6,
+        connections=50,
+        connect_ms=1,
+    )
+
+    walkers.snapshot('walks', 1, builder.even_shards(WALKER_APPS, 2, 4_000))
+    walkers.snapshot('rosters', 1, builder.even_shards(GUIDE_ROSTERS, 2, 3000))
+    walkers.snapshot(
+        'departures', 1, builder.even_shards(['booking-desk'], 4, 2_000)
+    )
+    walkers.snapshot(
+        'members', 1, builder.even_shards(['member-accounts'], 2, 1_000)
+    )
+
+    walkers.search(
+        'tide-windows',
+        index='walks',
+        spans=WALKER_APPS,
+        deadline_ms=400,
+        coverage=configuration.CoverageGoal.ALL,
+        worth=2,
+    )
+    walkers.search(
+        'guides',
+        index='rosters',
+        spans=GUIDE_ROSTERS,
+        deadline_ms=600,
+        coverage=configuration.CoverageGoal.AT_LEAST,
+        minimum_coverage=0.95,
+    )
+    walkers.search(
+        'open-departures',
+        index='departures',
+        spans=['booking-desk'],
+        deadline_ms=400,
+        coverage=configuration.CoverageGoal.ALL,
+        worth=2,
+    )
+    walkers.search(
+        'members',
+        index='members',
+        spans=['member-accounts'],
+        deadline_ms=500,
+        coverage=configuration.CoverageGoal.ALL,
+    )
+
+    # A reservation runs at most once; see docs/operators.md, tickets.
+    walkers.action(
+        'reserve-seat', service='booking-desk', deadline_ms=2_000, worth=4
+    )
+
+    walkers.customer('default', share=0.2)
+    walkers.customer('walker-app', share=0.5)
+    walkers.customer('guides', share=0.2)
+    walkers.customer('office', share=0.1)
+    return walkers
+
+
+def main() -> None:
+    """Print the document."""
+    print(printing.printed(describe().build()), end='')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/operator/test_examples.py
@@ -0,0 +1,40 @@
+"""The example deployments are complete and of the users' size."""
+
+import types
+
+import pytest
+
+from corianderport_operator.examples import board
+from corianderport_operator.examples import cooperative
+from corianderport_operator.version import printing
+from corianderport_tier.version import checks
+
+
+@pytest.mark.parametrize(
+    ('example', 'searchers', 'connections', 'services'),
+    [(board, 86, 2_975, 27), (cooperative, 82, 2_225, 27)],
+)
+def test_example_has_the_size_of_its_user(
+    example: types.ModuleType, searchers: int, connections: int, services: int
+) -> None:
+    """Guards against examples that nobody could start from."""
+    built = example.describe().build()
+    assert checks.check(built) == ()
+    assert len(built.services) == services
+    assert len(built.data_centres) == 3
+    assert searchers == sum(len(s.searchers) for s in built.services.values())
+    assert connections == sum(
+        s.limits.connections * len(s.searchers)
+        for s in built.services.values()
+    )
+
+
+@pytest.mark.parametrize('example', [board, cooperative])
+def test_example_prints_its_document(
+    example: types.ModuleType, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a script whose output hosts refuse."""
+    example.main()
+    text = capsys.readouterr().out
+    assert printing.read(text) == example.describe().build()
+    assert printing.printed(printing.read(text)) == text
