Add the commands print, check, diff, explain, status and search

Operators work with a description, a document or a running host through the same commands; an error of the user is one line with the name, the value and what is allowed, and exit codes are fixed (0, 1 fault or difference, 2 usage).

Fire turns texts such as 1 into numbers, so positional arguments are quoted before it reads them; its own SetParseFn was ruled out, since it appears in the help of each command.

The second scrape of /metrics failed, because aioprometheus registers a collector with the registry of the process unless it is given another one; the test now scrapes twice.

--- /dev/null
+++ b/packages/operator/src/corianderport_operator/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one connection."""
--- a/packages/operator/src/corianderport_operator/main.py
+++ b/packages/operator/src/corianderport_operator/main.py
@@ -3,37 +3,69 @@
 The binary ``corianderport``: the operators' tool.
 """
 
-import pathlib
+import collections.abc
 import sys
+import typing
 
 import fire
 
+from corianderport_operator.process import commands
+from corianderport_operator.process import live_commands
 from corianderport_tier import errors
-from corianderport_wire.version import document
 
-__all__ = ['check', 'main']
+__all__ = ['main']
 
-_EXIT_INVALID = 1
+_EXIT_FAULT = 1
+_EXIT_USAGE = 2
+_EXIT_INTERRUPTED = 130
 
+Command = collections.abc.Callable[..., None]
 
-def check(path: str) -> None:
-    """Check a configuration document.
+_COMMANDS: dict[str, Command] = {
+    'print': commands.print_,
+    'check': commands.check,
+    'diff': commands.diff,
+    'explain': commands.explain,
+    'status': live_commands.status,
+    'search': live_commands.search,
+}
 
-    Example: corianderport check configuration.json
-    """
+# Flags whose values are texts. Fire would turn a query such as ``1`` or a
+# file name such as ``None`` into a value of another type.
+_TEXTS = (
+    '--source', '--output_file', '--old', '--new', '--search', '--hosts',
+    '--platform', '--host', '--name', '--query', '--customer',
+)  # fmt: skip
+
+
+def main(arguments: collections.abc.Sequence[str] | None = None) -> None:
+    """Run one command; errors of the user are one line each."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    command = given[:1] + [_quoted(argument) for argument in given[1:]]
     try:
-        accepted = document.JsonDocument().decode(
-            pathlib.Path(path).read_bytes()
-        )
-    except (errors.ConfigurationInvalid, OSError) as error:
-        print(f'corianderport: {path}: {error}', file=sys.stderr)
-        sys.exit(_EXIT_INVALID)
-    print(f'version {accepted.version}: no fault')
-
-
-def main() -> None:
-    """Parse the command line."""
-    fire.Fire({'check': check})
+        fire.Fire(_COMMANDS, command=command, name='corianderport')
+    except errors.SettingInvalid as error:
+        _fail(error, _EXIT_USAGE)
+    except errors.CorianderportError as error:
+        _fail(error, _EXIT_FAULT)
+    except KeyboardInterrupt:
+        sys.exit(_EXIT_INTERRUPTED)
+
+
+def _quoted(argument: str) -> str:
+    """Quote a positional argument or the text of a flag for Fire."""
+    if not argument.startswith('-'):
+        return repr(argument)
+    flag, separator, value = argument.partition('=')
+    if separator and flag in _TEXTS:
+        return f'{flag}={value!r}'
+    return argument
+
+
+def _fail(error: Exception, code: int) -> typing.NoReturn:
+    text = ' '.join(str(error).split())
+    print(f'corianderport: {text}', file=sys.stderr)
+    sys.exit(code)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/operator/src/corianderport_operator/process/sources.py
@@ -0,0 +1,116 @@
+"""corianderport_operator.process.sources
+
+Loads a configuration from a script, a document or a host.
+"""
+
+import collections.abc
+import ipaddress
+import pathlib
+import runpy
+import traceback
+
+from corianderport_operator.connection import admin_client
+from corianderport_operator.version import builder
+from corianderport_operator.version import printing
+from corianderport_tier import errors
+from corianderport_tier.version import configuration
+
+__all__ = ['address', 'addresses', 'load']
+
+_MAX_PORT = 65_535
+
+
+def load(source: str) -> configuration.Configuration:
+    """Return the configuration of a source, valid or not.
+
+    :param source: a Python file with a function ``describe`` that returns
+        a Deployment, a JSON document, or the ``admin_address`` of a host.
+    :raises SettingInvalid: the source cannot be read.
+    :raises ConfigurationInvalid: the source describes none.
+    """
+    path = pathlib.Path(source)
+    if not path.exists() and _is_address(source):
+        with admin_client.AdminClient(source) as host:
+            return printing.read(host.configuration().decode())
+    if path.suffix == '.py' and path.is_file():
+        return _run(path)
+    try:
+        text = path.read_text()
+    except UnicodeDecodeError as error:
+        raise errors.ConfigurationInvalid(f'{source}: {error}') from error
+    except OSError as error:
+        raise errors.SettingInvalid(
+            f'source: {source!r} is not a Python file, a JSON document or '
+            f'the admin_address of a host ({error.strerror})'
+        ) from error
+    try:
+        return printing.read(text)
+    except errors.ConfigurationInvalid as error:
+        raise errors.ConfigurationInvalid(f'{source}: {error}') from error
+
+
+def address(name: str, value: str) -> str:
+    """Return the value when it is ``ip:port``.
+
+    :raises SettingInvalid: it is not.
+    """
+    if not _is_address(value):
+        raise errors.SettingInvalid(
+            f'{name}: {value!r} is not an IP number and a port, such as '
+            '127.0.0.1:8700'
+        )
+    return value
+
+
+def addresses(name: str, value: str) -> tuple[str, ...]:
+    """Return the addresses of a list that is separated by commas.
+
+    :raises SettingInvalid: one is not ``ip:port``, or there is none.
+    """
+    parts = [part.strip() for part in value.split(',')]
+    return tuple(address(name, part) for part in parts)
+
+
+def _is_address(value: str) -> bool:
+    host, _, port = value.rpartition(':')
+    try:
+        ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 1 <= int(port) <= _MAX_PORT
+
+
+def _run(path: pathlib.Path) -> configuration.Configuration:
+    try:
+        described = _describe(path)
+        if isinstance(described, builder.Deployment):
+            return described.build()
+    except errors.ConfigurationInvalid as error:
+        raise errors.ConfigurationInvalid(f'{path}: {error}') from error
+    except Exception as error:
+        line = _line(path, error)
+        raise errors.ConfigurationInvalid(
+            f'{path}, line {line}: {type(error).__name__}: {error}'
+        ) from error
+    raise errors.ConfigurationInvalid(
+        f'{path}: describe() returns {type(described).__name__}, not a '
+        'Deployment'
+    )
+
+
+def _describe(path: pathlib.Path) -> object:
+    namespace = runpy.run_path(str(path))
+    describe: collections.abc.Callable[[], object] | None
+    describe = namespace.get('describe')
+    if describe is None:
+        raise errors.ConfigurationInvalid('there is no function describe')
+    return describe()
+
+
+def _line(path: pathlib.Path, error: Exception) -> int:
+    """Return the last line of the file that the error passed through."""
+    if isinstance(error, SyntaxError):
+        return error.lineno or 0
+    frames = traceback.extract_tb(error.__traceback__)
+    lines = [f.lineno for f in frames if f.filename == str(path)]
+    return (lines[-1] if lines else 0) or 0
--- /dev/null
+++ b/packages/operator/src/corianderport_operator/version/impact.py
@@ -0,0 +1,111 @@
+"""corianderport_operator.version.impact
+
+Finds out which searches and actions a change affects.
+"""
+
+import collections.abc
+import enum
+
+import attrs
+
+from corianderport_tier.version import configuration
+
+__all__ = [
+    'Change',
+    'all_names',
+    'fields',
+    'loses_last_searcher',
+    'searchers_in',
+    'users_of_data_centre',
+    'users_of_services',
+]
+
+Configuration = configuration.Configuration
+
+
+@attrs.frozen
+class Change:
+    """A change at a place; ``affects`` lists for whom it matters."""
+
+    place: str
+    text: str
+    affects: tuple[str, ...]
+
+    def __str__(self) -> str:
+        whom = f' (for {", ".join(self.affects)})' if self.affects else ''
+        return f'{self.place}: {self.text}{whom}'
+
+
+def all_names(
+    old: collections.abc.Iterable[str], new: collections.abc.Iterable[str]
+) -> list[str]:
+    """Return the names in either version, sorted."""
+    return sorted({*old, *new})
+
+
+def fields(
+    place: str,
+    before: object,
+    after: object,
+    names: collections.abc.Iterable[str],
+    affects: tuple[str, ...],
+) -> collections.abc.Iterator[Change]:
+    """Return a change for each field whose value differs."""
+    for name in names:
+        old = getattr(before, name)
+        new = getattr(after, name)
+        if old != new:
+            text = f'{name}: {_word(old)} becomes {_word(new)}'
+            yield Change(place, text, affects)
+
+
+def users_of_services(
+    old: Configuration, new: Configuration, names: collections.abc.Set[str]
+) -> tuple[str, ...]:
+    """Return the searches and actions that use one of the services."""
+    users: set[str] = set()
+    for version in (old, new):
+        for search in version.searches.values():
+            if names & set(search.services):
+                users.add(f'search {search.name}')
+        for action in version.actions.values():
+            if action.service in names:
+                users.add(f'action {action.name}')
+    return tuple(sorted(users))
+
+
+def users_of_data_centre(
+    old: Configuration, new: Configuration, name: str
+) -> tuple[str, ...]:
+    """Return the searches and actions with a searcher in a data centre."""
+    services = {
+        service.name
+        for version in (old, new)
+        for service in version.services.values()
+        if any(s.data_centre == name for s in service.searchers)
+    }
+    return users_of_services(old, new, services)
+
+
+def searchers_in(version: Configuration, name: str) -> int:
+    """Return how many searchers are in a data centre."""
+    return sum(
+        searcher.data_centre == name
+        for service in version.services.values()
+        for searcher in service.searchers
+    )
+
+
+def loses_last_searcher(
+    old: Configuration, new: Configuration, name: str
+) -> bool:
+    """Whether a service had a searcher in service and has none now."""
+    before = map(old.may_get_work, old.services[name].searchers)
+    after = map(new.may_get_work, new.services[name].searchers)
+    return any(before) and not any(after)
+
+
+def _word(value: object) -> str:
+    if isinstance(value, enum.Enum):
+        return str(value.value)
+    return f'{value:g}' if isinstance(value, float) else str(value)
--- a/packages/wire/src/corianderport_wire/process/metrics_text.py
+++ b/packages/wire/src/corianderport_wire/process/metrics_text.py
@@ -15,29 +15,29 @@
 
 CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
+Registry = aioprometheus.collectors.Registry
+Counter = aioprometheus.collectors.Counter
+
 
 def render(totals: metrics.Totals) -> bytes:
     """Return the text of one scrape."""
-    registry = aioprometheus.collectors.Registry()
-    for collector in (
-        _results(totals),
-        _decisions(totals),
-        _sub_requests(totals),
-        _hedges(totals),
-        _refusals(totals),
-        _latencies(totals),
-    ):
-        registry.register(collector)
+    registry = Registry()
+    _add_results(registry, totals)
+    _add_refusals(registry, totals)
+    _add_decisions(registry, totals)
+    _add_latencies(registry, totals)
     formatter = aioprometheus.formats.text.TextFormatter()
     return formatter.marshall(registry)
 
 
-def _counter(name: str, doc: str) -> aioprometheus.collectors.Counter:
-    return aioprometheus.collectors.Counter(f'corianderport_{name}', doc)
+def _counter(registry: Registry, name: str, doc: str) -> Counter:
+    return Counter(f'corianderport_{name}', doc, registry=registry)
 
 
-def _results(totals: metrics.Totals) -> aioprometheus.collectors.Counter:
-    counter = _counter('results_total', 'Requests of callers by result.')
+def _add_results(registry: Registry, totals: metrics.Totals) -> None:
+    counter = _counter(
+        registry, 'results_total', 'Requests of callers by result.'
+    )
     for (request, code), count in sorted(totals.results.items()):
         labels = {
             'request': request,
@@ -46,44 +46,39 @@
             'ran': code.ran.value,
         }
         counter.set(labels, count)
-    return counter
 
 
-def _decisions(totals: metrics.Totals) -> aioprometheus.collectors.Counter:
-    counter = _counter('decisions_total', 'Decisions by kind.')
-    for kind, count in sorted(totals.decisions.items()):
-        counter.set({'kind': kind}, count)
-    return counter
+def _add_refusals(registry: Registry, totals: metrics.Totals) -> None:
+    counter = _counter(
+        registry, 'refusals_total', 'Requests that were not run.'
+    )
+    for code, count in sorted(totals.refusals.items()):
+        counter.set({'code': str(int(code)), 'name': code.name}, count)
 
 
-def _sub_requests(totals: metrics.Totals) -> aioprometheus.collectors.Counter:
-    counter = _counter('sub_requests_total', 'Sub-requests to searchers.')
+def _add_decisions(registry: Registry, totals: metrics.Totals) -> None:
+    counter = _counter(registry, 'decisions_total', 'Decisions by kind.')
+    for kind, count in sorted(totals.decisions.items()):
+        counter.set({'kind': kind}, count)
+    counter = _counter(
+        registry, 'sub_requests_total', 'Sub-requests to searchers.'
+    )
     counter.set({}, totals.sub_requests)
-    return counter
-
-
-def _hedges(totals: metrics.Totals) -> aioprometheus.collectors.Counter:
-    counter = _counter('hedges_total', 'Sub-requests that were hedges.')
+    counter = _counter(
+        registry, 'hedges_total', 'Sub-requests that were hedges.'
+    )
     counter.set({}, totals.hedges)
-    return counter
-
-
-def _refusals(totals: metrics.Totals) -> aioprometheus.collectors.Counter:
-    counter = _counter('refusals_total', 'Requests that were not run.')
-    for code, count in sorted(totals.refusals.items()):
-        counter.set({'code': str(int(code)), 'name': code.name}, count)
-    return counter
 
 
-def _latencies(totals: metrics.Totals) -> aioprometheus.collectors.Histogram:
+def _add_latencies(registry: Registry, totals: metrics.Totals) -> None:
     bounds = (*metrics.LATENCY_BOUNDS_S, math.inf)
     histogram = aioprometheus.collectors.Histogram(
         'corianderport_latency_seconds',
         'Time from a request to its answer.',
+        registry=registry,
         buckets=bounds,
     )
     for request, latencies in sorted(totals.latencies.items()):
-        labels = {'request': request}
         values = aioprometheus.histogram.Histogram(*bounds)
         reached = 0
         for bound, count in zip(bounds, latencies.counts, strict=True):
@@ -91,5 +86,4 @@
             values.buckets[bound] = reached
         values.observations = reached
         values.sum = latencies.sum_s
-        histogram.set_value(labels, values)
-    return histogram
+        histogram.set_value({'request': request}, values)
--- /dev/null
+++ b/tests/operator/test_commands.py
@@ -0,0 +1,389 @@
+"""Commands print what they promise and exit with a fixed code."""
+
+import collections.abc
+import json
+import pathlib
+
+import pytest
+
+from corianderport_operator import main
+from corianderport_testkit.process import platform
+from corianderport_tier.process import administration
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import membership
+from corianderport_tier.process import metrics
+from corianderport_tier import result_codes
+from corianderport_wire.connection import http_server
+from corianderport_wire.request import admin_app
+
+_SCRIPT = """
+from corianderport_operator.version import builder
+
+
+def describe():
+    described = builder.Deployment(version=VERSION, region='west')
+    described.data_centre('dc-a')
+    described.data_centre('dc-b')
+    for number, name in enumerate(('s', 't', 'spare')):
+        described.service(
+            name,
+            {
+                'dc-a': [f'127.0.0.1:{700 + number}'],
+                'dc-b': [f'127.0.0.1:{800 + number}'],
+            },
+            slots=SLOTS,
+            connections=25,
+        )
+    described.snapshot('i', 3, builder.even_shards(['s', 't'], 1, 10))
+    described.search('q', index='i', spans=['s', 't'], deadline_ms=100)
+    described.action('act', service='spare', deadline_ms=50)
+    described.customer('default', share=SHARE)
+    MORE
+    return described
+"""
+
+
+def _script(
+    folder: pathlib.Path,
+    name: str = 'd.py',
+    version: int = 1,
+    slots: str = '2',
+    share: float = 1.0,
+    more: str = 'pass',
+) -> str:
+    path = folder / name
+    path.write_text(
+        _SCRIPT.replace('VERSION', str(version))
+        .replace('SLOTS', slots)
+        .replace('SHARE', str(share))
+        .replace('MORE', more)
+    )
+    return str(path)
+
+
+def _run(*arguments: str) -> int:
+    """Return the exit code of a command."""
+    try:
+        main.main(arguments)
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else 1
+    return 0
+
+
+Capture = pytest.CaptureFixture[str]
+
+
+def test_print_is_read_back(tmp_path: pathlib.Path, capsys: Capture) -> None:
+    """Guards against a printed document that the commands cannot read."""
+    script = _script(tmp_path)
+    assert _run('print', script) == 0
+    text = capsys.readouterr().out
+    document = str(tmp_path / 'd.json')
+    assert _run('print', script, '--output_file', document) == 0
+    assert pathlib.Path(document).read_text() == text
+    assert _run('print', document) == 0
+    assert capsys.readouterr().out == text
+    assert _run('diff', script, document) == 0
+    assert capsys.readouterr().out == 'no difference\n'
+
+
+@pytest.mark.parametrize(
+    ('changes', 'code', 'text'),
+    [
+        ({}, 0, '0 faults, 0 warnings'),
+        ({'slots': '0'}, 1, 'slots: 0 is less than 1'),
+        ({'share': 1.5}, 1, 'F12'),
+        ({'more': "described.out_of_service('dc-a', 'dc-b')"}, 0, 'W01'),
+    ],
+)
+def test_check_lists_findings(
+    changes: dict[str, str],
+    code: int,
+    text: str,
+    tmp_path: pathlib.Path,
+    capsys: Capture,
+) -> None:
+    """Guards against a fault that is first seen by the hosts."""
+    script = _script(tmp_path, **changes)  # type: ignore[arg-type]
+    assert _run('check', script) == code
+    assert text in capsys.readouterr().out
+    assert _run('check', script, '--json') == code
+    assert json.loads(capsys.readouterr().out)['accepted'] is (code == 0)
+    assert _run('print', script) == code
+
+
+@pytest.mark.parametrize(
+    ('changes', 'expected'),
+    [
+        (
+            {'more': "described.out_of_service('dc-b')"},
+            [
+                'data centre dc-b: taken out of service; 3 searchers get no '
+                'requests (for action act, search q)'
+            ],
+        ),
+        (
+            {'more': "described.out_of_service('s-dc-a-1', 's-dc-b-1')"},
+            [
+                'service s, searcher s-dc-a-1: taken out of service (for '
+                'search q)',
+                'service s, searcher s-dc-b-1: taken out of service (for '
+                'search q)',
+                'service s: no searcher is left in service; its shards will '
+                'be missing (for search q)',
+            ],
+        ),
+        (
+            {'slots': '3 if name == "spare" else 2'},
+            ['service spare: slots: 2 becomes 3 (for action act)'],
+        ),
+        (
+            {'share': 0.5},
+            ['customer default: share: 1 becomes 0.5 (for customer default)'],
+        ),
+        (
+            {
+                'more': "described.snapshot('i', 4, "
+                "builder.even_shards(['s', 't'], 2, 12))"
+            },
+            [
+                'index i, snapshot 4: published: 4 shards, 12 documents '
+                '(for search q)'
+            ],
+        ),
+        (
+            {
+                'more': "described.search('new', index='i', spans=['s'], "
+                'deadline_ms=5)'
+            },
+            ['search new: offered from now on (for search new)'],
+        ),
+    ],
+)
+def test_diff_says_what_changes_for_whom(
+    changes: dict[str, str],
+    expected: list[str],
+    tmp_path: pathlib.Path,
+    capsys: Capture,
+) -> None:
+    """Guards against a change that a reviewer cannot judge."""
+    old = _script(tmp_path, 'old.py')
+    new = _script(
+        tmp_path,
+        'new.py',
+        version=2,
+        **changes,  # type: ignore[arg-type]
+    )
+    assert _run('diff', old, new) == 1
+    assert capsys.readouterr().out.splitlines() == expected
+
+
+def test_diff_warns_of_a_version_that_is_not_newer(
+    tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    """Guards against a change that no host takes over."""
+    old = _script(tmp_path, 'old.py')
+    assert _run('diff', old, _script(tmp_path, 'new.py', share=0.5)) == 1
+    assert '1 is not newer than 1' in capsys.readouterr().out
+
+
+def test_explain_names_use_and_reasons(
+    tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    """Guards against a missing shard without an explanation."""
+    more = "described.out_of_service('dc-a', 's-dc-b-1')"
+    script = _script(tmp_path, more=more)
+    assert _run('explain', script, 'q', '--json') == 1
+    explained = json.loads(capsys.readouterr().out)
+    assert explained['expected_coverage'] == 0.5
+    assert [
+        (searcher['name'], searcher['why_not'])
+        for service in explained['services']
+        for searcher in service['searchers']
+    ] == [
+        ('s-dc-a-1', 'data centre dc-a is out of service'),
+        ('s-dc-b-1', 'searcher s-dc-b-1 is out of service'),
+        ('t-dc-a-1', 'data centre dc-a is out of service'),
+        ('t-dc-b-1', ''),
+    ]
+    assert _run('explain', script, 'q') == 1
+    out = capsys.readouterr().out
+    assert 'expected coverage 50.0%' in out
+    assert 'not asked, because the search does not span it: spare' in out
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'code', 'text'),
+    [
+        (['check', 'no-such-file'], 2, "source: 'no-such-file' is not a"),
+        (['check', '1'], 2, "source: '1' is not a"),
+        (['explain', 'SCRIPT', 'x'], 2, "search: 'x' is not one of q"),
+        (['status'], 2, 'hosts, platform: give one of them'),
+        (['status', '--hosts', 'h:1'], 2, "hosts: 'h:1' is not an IP"),
+        (
+            ['status', '--platform=127.0.0.1:1', '--admin_port=0'],
+            2,
+            'admin_port: 0 is not a number from 1',
+        ),
+        (['search', '127.0.0.1', 'q', 'x'], 2, "host: '127.0.0.1' is not"),
+        (
+            ['search', '127.0.0.1:1', 'q', '7', '--limit', '0'],
+            2,
+            "limit: '0' is not a number from 1 to 1000",
+        ),
+        (['print', 'BROKEN'], 1, 'line 4: NameError'),
+        (['print', 'TEXT'], 1, 'Expecting value'),
+        (['print', 'SCRIPT', '--output_file=/no/x'], 2, "output_file: '/no/x"),
+    ],
+)
+def test_user_error_is_one_line(
+    arguments: list[str],
+    code: int,
+    text: str,
+    tmp_path: pathlib.Path,
+    capsys: Capture,
+) -> None:
+    """Guards against a traceback instead of name, value and range."""
+    broken = tmp_path / 'broken.py'
+    broken.write_text('import os\n\ndef describe():\n    return unknown\n')
+    (tmp_path / 'text.json').write_text('nonsense')
+    files = {
+        'SCRIPT': _script(tmp_path),
+        'BROKEN': str(broken),
+        'TEXT': str(tmp_path / 'text.json'),
+    }
+    assert _run(*(files.get(a, a) for a in arguments)) == code
+    captured = capsys.readouterr()
+    assert captured.out == ''
+    assert len(captured.err.splitlines()) == 1
+    assert captured.err.startswith('corianderport: ')
+    assert text in captured.err
+
+
+@pytest.mark.parametrize(
+    'command', ['print', 'check', 'diff', 'explain', 'status', 'search']
+)
+def test_help_has_an_example(command: str, capsys: Capture) -> None:
+    """Guards against a command that nobody can use at first sight."""
+    assert _run(command, '--help') == 0
+    captured = capsys.readouterr()
+    text = captured.out + captured.err
+    assert f'Example: corianderport {command} ' in text
+    assert 'Exit codes: 0' in text
+    assert 'FIRE' not in text
+
+
+class _View:
+    """A host as its administration interface shows it."""
+
+    def __init__(self, name: str, version: int, document: str) -> None:
+        self._name = name
+        self._version = version
+        self._document = document
+
+    def ready(self) -> administration.ReadyView:
+        if self._version:
+            return administration.ReadyView(True, '')
+        return administration.ReadyView(False, 'the host is stopping')
+
+    def version(self) -> administration.VersionView:
+        return administration.VersionView(self._name, 'dc-a', self._version)
+
+    def peers(self) -> tuple[administration.PeerView, ...]:
+        return ()
+
+    def owners(self) -> tuple[administration.OwnerView, ...]:
+        return (administration.OwnerView('s', ('host-0', 'host-1')),)
+
+    def upstreams(self) -> tuple[administration.UpstreamView, ...]:
+        return (
+            administration.UpstreamView(
+                's', 's-1', '127.0.0.1:1', 'dc-a', 'full', '2 of 2', 2, 2, 1.5
+            ),
+        )
+
+    def decisions(self) -> tuple[decision_log.Decision, ...]:
+        return ()
+
+    def totals(self) -> metrics.Totals:
+        code = result_codes.ResultCode.OVERLOADED
+        return metrics.Totals({('search', code): 7}, {}, {})
+
+    def document(self) -> bytes:
+        return self._document.encode()
+
+
+Serve = collections.abc.Callable[..., str]
+
+
+@pytest.fixture
+def serve() -> collections.abc.Iterator[Serve]:
+    """Serve views on loopback; the function returns their address."""
+    servers = []
+
+    def start(name: str, version: int, document: str = '') -> str:
+        application = admin_app.AdminApp(_View(name, version, document))
+        server = http_server.HttpServer('127.0.0.1', 0, application, 4, 5.0)
+        server.start()
+        servers.append(server)
+        return server.address
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ('versions', 'code', 'text'),
+    [
+        ((4, 4), 0, '7 OVERLOADED'),
+        ((4, 4), 0, '2 of 2'),
+        ((4, 5), 1, 'problem: hosts have different versions in force: 4, 5'),
+        ((4, 0), 1, 'problem: host-1: the host is stopping'),
+    ],
+)
+def test_status_shows_what_needs_a_look(
+    versions: tuple[int, ...],
+    code: int,
+    text: str,
+    serve: Serve,
+    capsys: Capture,
+) -> None:
+    """Guards against a host that is left behind unseen."""
+    hosts = [serve(f'host-{n}', v) for n, v in enumerate(versions)]
+    assert _run('status', '--hosts', ','.join(hosts)) == code
+    assert text in capsys.readouterr().out
+
+
+def test_status_reads_the_host_list(serve: Serve, capsys: Capture) -> None:
+    """Guards against hosts that are asked under a wrong address."""
+    port = serve('host-0', 4).rpartition(':')[2]
+    with platform.Platform() as listed:
+        listed.list_host(membership.Member('host-0', 'dc-a', '127.0.0.1:9'))
+        code = _run(
+            'status', '--platform', listed.address, '--admin_port', port,
+            '--json',
+        )  # fmt: skip
+    assert code == 0
+    (host,) = json.loads(capsys.readouterr().out)['hosts']
+    assert (host['host'], host['version']) == ('host-0', 4)
+    assert host['refusals'] == {'OVERLOADED': 7}
+
+
+def test_status_names_a_host_that_does_not_answer(capsys: Capture) -> None:
+    """Guards against one dead host that hides the others."""
+    assert _run('status', '--hosts', '127.0.0.1:1') == 1
+    out = capsys.readouterr().out
+    assert 'problem: 127.0.0.1:1: Failed to connect' in out
+
+
+def test_diff_reads_what_is_in_force(
+    serve: Serve, tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    """Guards against a review against a version that is not in force."""
+    old = _script(tmp_path, 'old.py')
+    assert _run('print', old) == 0
+    host = serve('host-0', 1, capsys.readouterr().out)
+    new = _script(tmp_path, 'new.py', version=2, share=0.5)
+    assert _run('diff', host, new) == 1
+    assert 'share: 1 becomes 0.5' in capsys.readouterr().out
--- a/tests/wire/test_admin_app.py
+++ b/tests/wire/test_admin_app.py
@@ -156,6 +156,8 @@
     host.metrics.finished('search', code.OK, 0.004)
     host.metrics.finished('search', code.OVERLOADED, 0.04)
     lines = host.client.get('/metrics').text.splitlines()
+    # aioprometheus refused the collectors of a second scrape.
+    assert host.client.get('/metrics').text.splitlines() == lines
     for line in (
         'corianderport_results_total{code="0",name="OK",ran="yes",'
         'request="search"} 1',
