Let the demo serve a described deployment

Operators try a change on a copy of an example: the demo starts searchers at the addresses of the description and six hosts at fixed loopback addresses, and publishes each saved version. The searchers' content is made up from the shard map, so that any description works.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	touch $(STAMP)
 
 demo: install
-	$(PYTHON) -m corianderport_testkit.demo
+	$(PYTHON) -m corianderport_testkit.demo $(DEMO)
 
 test: install
 	$(PYTHON) -m pytest
--- a/packages/operator/src/corianderport_operator/examples/board.py
+++ b/packages/operator/src/corianderport_operator/examples/board.py
@@ -11,6 +11,7 @@
 
 __all__ = ['describe', 'main']
 
+NETWORK = '10'
 DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c')
 CATALOGUES = [f'catalogue-{number:02d}' for number in range(1, 11)]
 REPAIR_DESKS = [f'repair-desk-{number:02d}' for number in range(1, 16)]
@@ -19,7 +20,9 @@
 def searchers(port: int, *counts: int) -> dict[str, list[str]]:
     """Return addresses; ``counts`` has a number for each data centre."""
     return {
-        centre: [f'10.{net}.0.{host}:{port}' for host in range(1, count + 1)]
+        centre: [
+            f'{NETWORK}.{net}.0.{host}:{port}' for host in range(1, count + 1)
+        ]
         for net, (centre, count) in enumerate(zip(DATA_CENTRES, counts), 1)
     }
 
--- a/packages/testkit/src/corianderport_testkit/demo.py
+++ b/packages/testkit/src/corianderport_testkit/demo.py
@@ -7,14 +7,19 @@
 import sys
 import time
 
+import fire
+
 from corianderport_testkit.process import fleet
+from corianderport_testkit.process import served_deployment
 from corianderport_testkit.version import deployments
+from corianderport_tier import errors
 
-__all__ = ['main']
+__all__ = ['main', 'run']
 
 _QUERIES = ('juggling clubs', 'painted stilts', 'rings Surat')
 _READY_S = 15.0
 _SETTLE_S = 1.5
+_REFRESH_S = 0.5
 
 
 def _wait_ready(running: fleet.Fleet) -> None:
@@ -45,8 +50,17 @@
     return set(codes) <= {'OK', 'PARTIAL'}
 
 
-def main() -> None:
-    """Run the demo; exit 0 when every search was answered."""
+def run(source: str = '', serve_s: float = 600.0) -> None:
+    """Run the demo; exit 0 when every search was answered.
+
+    :param source: description to serve instead, such as a copy of an
+        example whose addresses are on the loopback network; each saved
+        change is published.
+    :param serve_s: seconds for which the description is served.
+    """
+    if source:
+        _serve(str(source), float(serve_s))
+        return
     deployment = deployments.Deployment(services=6, shards=2, documents=1200)
     with fleet.Fleet(deployment) as running:
         _wait_ready(running)
@@ -68,6 +82,32 @@
     sys.exit(0 if all(answered) and late == 0 else 1)
 
 
+def _serve(source: str, serve_s: float) -> None:
+    until = time.monotonic() + serve_s
+    with served_deployment.ServedDeployment(source) as served:
+        print(f'platform {served.platform.address}')
+        for host in served.hosts:
+            print(
+                f'{host.name} in {host.data_centre}: callers '
+                f'{host.caller_address}, administration {host.admin_address}',
+                flush=True,
+            )
+        while time.monotonic() < until:
+            time.sleep(_REFRESH_S)
+            try:
+                version = served.refresh()
+            except errors.CorianderportError as error:
+                print(f'not published: {error}', flush=True)
+                continue
+            if version:
+                print(f'version {version} published', flush=True)
+
+
+def main() -> None:
+    """Parse the flags and run the demo."""
+    fire.Fire(run)
+
+
 def _searches(running: fleet.Fleet, data_centre: str) -> int:
     names = running.deployment.searcher_names(data_centre)
     return sum(int(running.record(name)['searches']) for name in names)
--- a/packages/testkit/src/corianderport_testkit/process/searcher.py
+++ b/packages/testkit/src/corianderport_testkit/process/searcher.py
@@ -16,14 +16,14 @@
 import werkzeug.wrappers
 
 from corianderport_testkit.version import corpus
-from corianderport_testkit.version import deployments
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.request import messages
+from corianderport_tier.version import snapshots
 from corianderport_wire.connection import http_server
 from corianderport_wire.request import upstream_codec
 
-__all__ = ['Behaviour', 'Record', 'Searcher', 'SearcherServer']
+__all__ = ['Behaviour', 'Content', 'Record', 'Searcher', 'SearcherServer']
 
 _CONNECTIONS = 128
 _IDLE_S = 120.0
@@ -51,6 +51,17 @@
     held: tuple[int, ...] = (1,)
 
 
+class Content(typing.Protocol):
+    """The documents and shards of a searcher."""
+
+    @property
+    def documents(self) -> int:
+        """Number of documents of the index."""
+
+    def shard_map(self) -> tuple[snapshots.Shard, ...]:
+        """Return the shards that may be asked for."""
+
+
 @attrs.define
 class Record:
     """What the searcher saw."""
@@ -78,7 +89,7 @@
     def __init__(
         self,
         name: str,
-        deployment: deployments.Deployment,
+        deployment: Content,
         behaviour: Behaviour,
     ) -> None:
         self.name = name
@@ -210,7 +221,9 @@
 class SearcherServer:
     """Serves a searcher over HTTP, with a control interface for tests."""
 
-    def __init__(self, searcher: Searcher, host: str = '127.0.0.1') -> None:
+    def __init__(
+        self, searcher: Searcher, host: str = '127.0.0.1', port: int = 0
+    ) -> None:
         self.searcher = searcher
         self._clock = clocks.SystemClock()
         self._silenced: set[tuple[str, str]] = set()
@@ -228,7 +241,7 @@
             '/record': self._record,
         }
         self._server = http_server.HttpServer(
-            host, 0, self._application, _CONNECTIONS, _IDLE_S
+            host, port, self._application, _CONNECTIONS, _IDLE_S
         )
 
     @property
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/served_deployment.py
@@ -0,0 +1,180 @@
+"""corianderport_testkit.process.served_deployment
+
+Runs a described deployment in processes and publishes its new versions.
+"""
+
+import contextlib
+import ipaddress
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import typing
+
+import attrs
+
+from corianderport_operator.process import sources
+from corianderport_operator.version import printing
+from corianderport_testkit.process import platform
+from corianderport_tier import errors
+from corianderport_tier.process import membership
+from corianderport_tier.version import checks
+from corianderport_tier.version import configuration
+
+__all__ = ['ServedDeployment', 'ServedHost']
+
+_EXIT_S = 15.0
+_HOSTS = 6
+_CALLER_PORT = 8700
+_PEER_PORT = 8701
+_ADMIN_PORT = 8703
+_QUIET = subprocess.DEVNULL
+
+Process = subprocess.Popen[str]
+
+
+@attrs.frozen
+class ServedHost:
+    """Addresses of one host."""
+
+    name: str
+    data_centre: str
+    caller_address: str
+    admin_address: str
+
+
+class ServedDeployment:
+    """Searchers at the document's addresses, and six hosts.
+
+    The hosts listen on ``127.9.0.1`` to ``127.9.0.6``.
+
+    :param source: file with the description, read again by ``refresh``.
+    :raises ConfigurationInvalid: an address is not on the loopback network.
+    """
+
+    def __init__(self, source: str) -> None:
+        self._source = source
+        self._first = _load(source)
+        _require_loopback(self._first)
+        self._published = ''
+        self._stack = contextlib.ExitStack()
+        self.platform = platform.Platform()
+        self.hosts: list[ServedHost] = []
+
+    def __enter__(self) -> typing.Self:
+        with self._stack:
+            self._stack.enter_context(self.platform)
+            self.refresh()
+            self._start_searchers()
+            self._start_hosts()
+            self._stack = self._stack.pop_all()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._stack.close()
+
+    def refresh(self) -> int:
+        """Publish what the source describes now, when it has changed.
+
+        :return: the version that was published, 0 when none was.
+        :raises ConfigurationInvalid: the description has faults.
+        """
+        described = _load(self._source)
+        text = printing.printed(described)
+        if text == self._published:
+            return 0
+        self._published = text
+        self.platform.publish(described.version, text.encode())
+        return described.version
+
+    def _start_searchers(self) -> None:
+        folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder) / 'document.json'
+        path.write_text(printing.printed(self._first))
+        started = [
+            self._spawn(
+                'corianderport_testkit.process.document_searchers',
+                [f'--data_centre={centre}', f'--path={path}'],
+            )
+            for centre in self._first.data_centres
+        ]
+        for process in started:
+            _first_line(process)
+
+    def _start_hosts(self) -> None:
+        centres = sorted(self._first.data_centres)
+        started = []
+        for number in range(_HOSTS):
+            network = f'127.9.0.{number + 1}'
+            host = ServedHost(
+                f'host-{number}',
+                centres[number % len(centres)],
+                f'{network}:{_CALLER_PORT}',
+                f'{network}:{_ADMIN_PORT}',
+            )
+            peer = f'{network}:{_PEER_PORT}'
+            process = self._spawn(
+                'corianderport_daemon.main',
+                [
+                    f'--host={host.name}',
+                    f'--data_centre={host.data_centre}',
+                    f'--platform={self.platform.address}',
+                    f'--caller_address={host.caller_address}',
+                    f'--peer_address={peer}',
+                    f'--admin_address={host.admin_address}',
+                ],
+            )
+            started.append((host, peer, process))
+        for host, peer, process in started:
+            _first_line(process)
+            self.hosts.append(host)
+            self.platform.list_host(
+                membership.Member(host.name, host.data_centre, peer)
+            )
+
+    def _spawn(self, module: str, arguments: list[str]) -> Process:
+        environment = dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path))
+        process = subprocess.Popen(
+            [sys.executable, '-m', module, *arguments],
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=None if os.environ.get('FLEET_LOGS') else _QUIET,
+            text=True,
+        )
+        self._stack.callback(_end, process)
+        return process
+
+
+def _load(source: str) -> configuration.Configuration:
+    described = sources.load(source)
+    checks.require_valid(described)
+    return described
+
+
+def _require_loopback(described: configuration.Configuration) -> None:
+    for service in described.services.values():
+        for searcher in service.searchers:
+            host = searcher.address.rpartition(':')[0]
+            if not ipaddress.ip_address(host).is_loopback:
+                raise errors.ConfigurationInvalid(
+                    f'searcher {searcher.name}: {searcher.address} is not '
+                    'on the loopback network 127.0.0.0/8'
+                )
+
+
+def _first_line(process: Process) -> None:
+    assert process.stdout is not None
+    if not process.stdout.readline():
+        raise RuntimeError(f'{process.args!r} ended before it was ready')
+
+
+def _end(process: Process) -> None:
+    process.terminate()
+    try:
+        process.wait(_EXIT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+    if process.stdout is not None:
+        process.stdout.close()
