--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -36,7 +36,7 @@
 
 __all__ = ['Daemon']
 
-_ADMIN_CONNECTIONS = 8
+_ADMIN_CONNECTIONS = 32
 
 
 class _PeerCalls:
--- a/packages/daemon/src/corianderport_daemon/process/settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -10,6 +10,7 @@
 
 from corianderport_tier import errors
 from corianderport_tier import options
+from corianderport_tier.process import selection
 from corianderport_wire.process import json_log
 
 __all__ = ['PREFIX', 'Settings', 'load', 'names']
@@ -53,6 +54,12 @@
     return convert
 
 
+def _policy(value: object) -> str:
+    """Return the name of a selection policy that exists."""
+    selection.policy(str(value))
+    return str(value)
+
+
 def _address(name: str) -> collections.abc.Callable[[object], str]:
     def convert(value: object) -> str:
         host, _, port = str(value).rpartition(':')
@@ -124,7 +131,7 @@
     )
     selection: str = environ.var(
         'power-of-two',
-        converter=_text('selection'),
+        converter=_policy,
         help='Policy that chooses among the searchers of a service.',
     )
     log_level: str = environ.var(
--- a/packages/operator/src/corianderport_operator/main.py
+++ b/packages/operator/src/corianderport_operator/main.py
@@ -13,7 +13,7 @@
 from corianderport_operator.process import live_commands
 from corianderport_tier import errors
 
-__all__ = ['main']
+__all__ = ['COMMANDS', 'main']
 
 _EXIT_FAULT = 1
 _EXIT_USAGE = 2
@@ -21,7 +21,7 @@
 
 Command = collections.abc.Callable[..., None]
 
-_COMMANDS: dict[str, Command] = {
+COMMANDS: dict[str, Command] = {
     'print': commands.print_,
     'check': commands.check,
     'diff': commands.diff,
@@ -43,7 +43,7 @@
     given = list(sys.argv[1:] if arguments is None else arguments)
     command = given[:1] + [_quoted(argument) for argument in given[1:]]
     try:
-        fire.Fire(_COMMANDS, command=command, name='corianderport')
+        fire.Fire(COMMANDS, command=command, name='corianderport')
     except errors.SettingInvalid as error:
         _fail(error, _EXIT_USAGE)
     except errors.CorianderportError as error:
--- a/packages/testkit/src/corianderport_testkit/demo.py
+++ b/packages/testkit/src/corianderport_testkit/demo.py
@@ -87,13 +87,11 @@
     with served_deployment.ServedDeployment(source) as served:
         print(f'platform {served.platform.address}')
         for host in served.hosts:
-            print(
-                f'{host.name} in {host.data_centre}: callers '
-                f'{host.caller_address}, administration {host.admin_address}',
-                flush=True,
-            )
+            print(host, flush=True)
         while time.monotonic() < until:
             time.sleep(_REFRESH_S)
+            for host in served.replace_ended():
+                print(f'replaced: {host}', flush=True)
             try:
                 version = served.refresh()
             except errors.CorianderportError as error:
--- a/packages/testkit/src/corianderport_testkit/process/served_deployment.py
+++ b/packages/testkit/src/corianderport_testkit/process/served_deployment.py
@@ -36,12 +36,19 @@
 
 @attrs.frozen
 class ServedHost:
-    """Addresses of one host."""
+    """One host; ``network`` is its IP number."""
 
     name: str
     data_centre: str
-    caller_address: str
-    admin_address: str
+    network: str
+    process: Process
+
+    def __str__(self) -> str:
+        return (
+            f'{self.name} in {self.data_centre}: process {self.process.pid}, '
+            f'callers {self.network}:{_CALLER_PORT}, administration '
+            f'{self.network}:{_ADMIN_PORT}'
+        )
 
 
 class ServedDeployment:
@@ -61,6 +68,7 @@
         self._stack = contextlib.ExitStack()
         self.platform = platform.Platform()
         self.hosts: list[ServedHost] = []
+        self._next_number = _HOSTS
 
     def __enter__(self) -> typing.Self:
         with self._stack:
@@ -88,6 +96,24 @@
         self.platform.publish(described.version, text.encode())
         return described.version
 
+    def replace_ended(self) -> list[ServedHost]:
+        """Start a successor for each host that has ended.
+
+        :return: the successors, which have new names.
+        """
+        ended = [h for h in self.hosts if h.process.poll() is not None]
+        successors = []
+        for host in ended:
+            self.hosts.remove(host)
+            self.platform.unlist_host(host.name)
+            successor = self._start_host(
+                self._next_number, host.network, host.data_centre
+            )
+            self._next_number += 1
+            self._list(successor)
+            successors.append(successor)
+        return successors
+
     def _start_searchers(self) -> None:
         folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         path = pathlib.Path(folder) / 'document.json'
@@ -104,34 +130,40 @@
 
     def _start_hosts(self) -> None:
         centres = sorted(self._first.data_centres)
-        started = []
-        for number in range(_HOSTS):
-            network = f'127.9.0.{number + 1}'
-            host = ServedHost(
-                f'host-{number}',
-                centres[number % len(centres)],
-                f'{network}:{_CALLER_PORT}',
-                f'{network}:{_ADMIN_PORT}',
-            )
-            peer = f'{network}:{_PEER_PORT}'
-            process = self._spawn(
-                'corianderport_daemon.main',
-                [
-                    f'--host={host.name}',
-                    f'--data_centre={host.data_centre}',
-                    f'--platform={self.platform.address}',
-                    f'--caller_address={host.caller_address}',
-                    f'--peer_address={peer}',
-                    f'--admin_address={host.admin_address}',
-                ],
+        started = [
+            self._start_host(
+                number, f'127.9.0.{number + 1}', centres[number % len(centres)]
             )
-            started.append((host, peer, process))
-        for host, peer, process in started:
-            _first_line(process)
-            self.hosts.append(host)
-            self.platform.list_host(
-                membership.Member(host.name, host.data_centre, peer)
+            for number in range(_HOSTS)
+        ]
+        for host in started:
+            self._list(host)
+
+    def _start_host(
+        self, number: int, network: str, data_centre: str
+    ) -> ServedHost:
+        name = f'host-{number}'
+        process = self._spawn(
+            'corianderport_daemon.main',
+            [
+                f'--host={name}',
+                f'--data_centre={data_centre}',
+                f'--platform={self.platform.address}',
+                f'--caller_address={network}:{_CALLER_PORT}',
+                f'--peer_address={network}:{_PEER_PORT}',
+                f'--admin_address={network}:{_ADMIN_PORT}',
+            ],
+        )
+        return ServedHost(name, data_centre, network, process)
+
+    def _list(self, host: ServedHost) -> None:
+        _first_line(host.process)
+        self.hosts.append(host)
+        self.platform.list_host(
+            membership.Member(
+                host.name, host.data_centre, f'{host.network}:{_PEER_PORT}'
             )
+        )
 
     def _spawn(self, module: str, arguments: list[str]) -> Process:
         environment = dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path))
--- /dev/null
+++ b/tests/daemon/test_settings_page.py
@@ -0,0 +1,82 @@
+"""docs/settings.md says what the code accepts."""
+
+import pathlib
+
+import attrs
+import pytest
+
+from corianderport_daemon.process import settings
+from corianderport_tier import errors
+
+_PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'settings.md'
+_NEEDED = {'host': 'h', 'data_centre': 'dc-a', 'platform': '127.0.0.1:1'}
+
+
+@attrs.frozen
+class _Row:
+    name: str
+    unit: str
+    default: str
+    allowed: str
+    meaning: str
+
+
+def _rows() -> list[_Row]:
+    return [
+        _Row(*(cell.strip().strip('`') for cell in line.split('|')[1:6]))
+        for line in _PAGE.read_text().splitlines()
+        if line.startswith('| `')
+    ]
+
+
+def _accepts(name: str, value: object) -> bool:
+    try:
+        settings.load({**_NEEDED, name: value}, {})
+    except errors.SettingInvalid as error:
+        assert str(error).startswith(f'{name}: ')
+        return False
+    return True
+
+
+def test_page_lists_every_setting_with_its_default() -> None:
+    """Guards against a setting that operators cannot look up."""
+    rows = _rows()
+    assert tuple(row.name for row in rows) == settings.names()
+    loaded = settings.load(_NEEDED, {})
+    for row in rows:
+        if row.name in _NEEDED:
+            assert row.default == 'none'
+        else:
+            assert row.default == str(getattr(loaded, row.name)), row.name
+
+
+@pytest.mark.parametrize('row', _rows(), ids=lambda row: row.name)
+def test_range_on_the_page_is_the_range_of_the_code(row: _Row) -> None:
+    """Guards against a range that has changed in one place only."""
+    if row.allowed.startswith('one of '):
+        for value in row.allowed.removeprefix('one of ').split(', '):
+            assert _accepts(row.name, value)
+        assert not _accepts(row.name, 'other')
+    elif row.allowed == 'IP number and port':
+        assert _accepts(row.name, '127.0.0.1:65535')
+        assert not _accepts(row.name, 'localhost:80')
+        assert not _accepts(row.name, '127.0.0.1:65536')
+    elif row.allowed == '1 to 200 characters':
+        assert _accepts(row.name, 'x' * 200)
+        assert not _accepts(row.name, 'x' * 201)
+        assert not _accepts(row.name, '')
+    else:
+        least, most = map(float, row.allowed.split(' to '))
+        assert _accepts(row.name, least)
+        assert _accepts(row.name, most)
+        assert not _accepts(row.name, least * 0.99)
+        assert not _accepts(row.name, most * 1.01)
+
+
+def test_page_says_what_the_help_says() -> None:
+    """Guards against two meanings of one setting."""
+    described = {
+        field.name: field.metadata for field in attrs.fields(settings.Settings)
+    }
+    for row in _rows():
+        assert row.meaning in str(described[row.name])
--- /dev/null
+++ b/tests/testkit/test_served_deployment.py
@@ -0,0 +1,28 @@
+"""A described deployment is served with made-up content."""
+
+import pathlib
+
+import pytest
+
+from corianderport_operator.examples import board
+from corianderport_testkit.process import document_searchers
+from corianderport_testkit.process import served_deployment
+from corianderport_tier import errors
+
+
+def test_searchers_outside_the_loopback_network_are_refused() -> None:
+    """Guards against a demo that sends to the addresses of real hosts."""
+    with pytest.raises(errors.ConfigurationInvalid, match='10.1.0.1:8801'):
+        served_deployment.ServedDeployment(str(pathlib.Path(board.__file__)))
+
+
+def test_service_content_has_the_shards_of_its_service() -> None:
+    """Guards against a demo whose searchers answer for other shards."""
+    content = document_searchers.ServiceContent.from_configuration(
+        board.describe().build(), 'grant-records'
+    )
+    assert [shard.name for shard in content.shard_map()] == [
+        'grant-records-1',
+        'grant-records-2',
+    ]
+    assert content.documents == 1_000
