--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -15,12 +15,14 @@
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
 from corianderport_tier.process import action_service
+from corianderport_tier.process import administration
 from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import entry
 from corianderport_tier.process import hand_over
 from corianderport_tier.process import handed_over
+from corianderport_tier.process import metrics
 from corianderport_tier.process import owned_services
 from corianderport_tier.process import routing
 from corianderport_tier.process import selection
@@ -31,11 +33,14 @@
 from corianderport_tier.request import messages
 from corianderport_wire.connection import http_server
 from corianderport_wire.connection import upstream_client
+from corianderport_wire.request import admin_app
 from corianderport_wire.request import caller_app
 from corianderport_wire.version import document
 
 __all__ = ['Daemon']
 
+_ADMIN_CONNECTIONS = 32
+
 
 class Daemon:
     """One host with both roles."""
@@ -79,6 +84,11 @@
         """Where other hosts connect, ``ip:port``."""
         return self._control.peer_address
 
+    @property
+    def admin_address(self) -> str:
+        """Where operators read the state, ``ip:port``."""
+        return self._admin_server.address
+
     def stop(self) -> None:
         """Begin the planned stop; a second call ends it at once."""
         if self._stopped.is_set():
@@ -96,7 +106,8 @@
             settings.tasks, thread_name_prefix='task'
         )
         self._stack.callback(self._executor.shutdown, wait=False)
-        self._log = decision_log.DecisionLog()
+        self._metrics = metrics.Metrics()
+        self._log = decision_log.DecisionLog(observer=self._metrics)
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
@@ -115,7 +126,7 @@
         )
 
     def _start_aggregator(self) -> None:
-        services = self._stack.enter_context(
+        self._services = self._stack.enter_context(
             owned_services.OwnedServices(
                 self._store,
                 upstream_client.HttpUpstreamDialer(self._clock),
@@ -126,7 +137,7 @@
             )
         )
         self._local = aggregator.LocalAggregator(
-            services,
+            self._services,
             self._executor,
             self._clock,
             self._log,
@@ -150,6 +161,7 @@
             self._peer_gate,
         )
         self._planned_stop = self._build_stop()
+        self._start_administration(router)
         application = caller_app.CallerApp(
             entry.Entry(
                 self._store,
@@ -162,6 +174,7 @@
             self._clock,
             caller_app.CallerLimits(body_bytes=self._settings.body_bytes),
             self._readiness,
+            self._metrics,
         )
         host, port = _split(self._settings.caller_address)
         self._caller_server = http_server.HttpServer(
@@ -174,6 +187,27 @@
         self._stack.callback(self._caller_server.close)
         self._caller_server.start()
 
+    def _start_administration(self, router: routing.Router) -> None:
+        view = administration.Administration(
+            self._store,
+            self._control.members,
+            router,
+            self._services,
+            self._log,
+            self._metrics,
+            self._stopped.is_set,
+        )
+        host, port = _split(self._settings.admin_address)
+        self._admin_server = http_server.HttpServer(
+            host,
+            port,
+            admin_app.AdminApp(view),
+            _ADMIN_CONNECTIONS,
+            self._settings.caller_idle_s,
+        )
+        self._stack.callback(self._admin_server.close)
+        self._admin_server.start()
+
     def _build_actions(
         self, router: routing.Router
     ) -> action_service.ActionService:
--- a/packages/daemon/src/corianderport_daemon/process/settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -10,7 +10,10 @@
 
 from corianderport_tier import errors
 from corianderport_tier import options
+from corianderport_tier.process import selection
 from corianderport_tier.process import tickets
+from corianderport_wire.connection import peer_authentication
+from corianderport_wire.process import json_log
 
 __all__ = ['PREFIX', 'Settings', 'load', 'names']
 
@@ -24,6 +27,15 @@
     return convert
 
 
+def _choice(
+    name: str, allowed: collections.abc.Collection[str]
+) -> collections.abc.Callable[[object], str]:
+    def convert(value: object) -> str:
+        return options.choice(name, value, allowed, errors.SettingInvalid)
+
+    return convert
+
+
 def _number(
     name: str, minimum: float, maximum: float
 ) -> collections.abc.Callable[[object], float]:
@@ -44,6 +56,12 @@
     return convert
 
 
+def _policy(value: object) -> str:
+    """Return the name of a selection policy that exists."""
+    selection.policy(str(value))
+    return str(value)
+
+
 def _address(name: str) -> collections.abc.Callable[[object], str]:
     def convert(value: object) -> str:
         host, _, port = str(value).rpartition(':')
@@ -62,6 +80,7 @@
 def _shared_keys(value: object) -> str:
     text = str(value)
     tickets.TicketSigner.from_config(text)
+    peer_authentication.SharedKeys.from_text(text)
     return text
 
 
@@ -93,6 +112,11 @@
         converter=_address('peer_address'),
         help='Where other hosts connect; port 0 takes a free one.',
     )
+    admin_address: str = environ.var(
+        '127.0.0.1:0',
+        converter=_address('admin_address'),
+        help='Where operators read the state; port 0 takes a free one.',
+    )
     caller_connections: int = environ.var(
         256,
         converter=_whole('caller_connections', 1, 10_000),
@@ -145,7 +169,7 @@
     )
     selection: str = environ.var(
         'power-of-two',
-        converter=_text('selection'),
+        converter=_policy,
         help='Policy that chooses among the searchers of a service.',
     )
     heartbeat_s: float = environ.var(
@@ -154,7 +178,9 @@
         help='Seconds between two heartbeats; a lease lasts three times it.',
     )
     log_level: str = environ.var(
-        'INFO', converter=_text('log_level'), help='Least level logged.'
+        'INFO',
+        converter=_choice('log_level', json_log.LEVELS),
+        help='Least level logged.',
     )
 
 
