Add admission control by worth and customer share

An entry host ran every request that its connections carried, so overload made all of them late. The host now runs a bounded number of searches at once; the bound rises while requests end in time and falls when they use most of their deadline. The queue before it is bounded by a count and by each request's deadline. Under overload customers below their share go first, then requests of more worth. A limit on arrivals per second was ruled out: it does not follow a change of the service time.

A refused request was never handed to a task that sends.

--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/admission_queue.py
@@ -0,0 +1,225 @@
+"""corianderport_tier.process.admission_queue
+
+Decides which requests run, wait or are refused; no thread waits here.
+"""
+
+import collections
+import enum
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import admission_limit
+from corianderport_tier.request import deadlines
+
+__all__ = ['AdmissionQueue', 'Ask', 'Place', 'State']
+
+_ACTIVE_S = 1.0
+
+
+@attrs.frozen
+class Ask:
+    """What admission knows of a request; ``share`` is its customer's."""
+
+    customer: str
+    share: float
+    worth: float
+    deadline: deadlines.Deadline
+
+
+class State(enum.Enum):
+    """Where a request stands."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    REFUSED = 'refused'
+    FINISHED = 'finished'
+
+
+@attrs.define(eq=False)
+class Place:
+    """The place of one request; times on the host's monotonic clock."""
+
+    ask: Ask
+    arrived_s: float
+    state: State = State.WAITING
+    refusal: errors.Refusal | None = None
+    started_s: float = 0.0
+    had_s: float = 0.0
+
+
+@attrs.define
+class _Customer:
+    """Use of the host by one customer."""
+
+    share: float
+    seen_s: float
+    running: int = 0
+
+
+class AdmissionQueue:
+    """Requests that run and a bounded number that wait.
+
+    While the host is full, customers below their share go first, then
+    requests of more worth, then older ones. A customer's share counts
+    against the customers that asked within the last second, so capacity
+    that nobody else asks for is not withheld.
+    """
+
+    def __init__(
+        self, limits: admission_limit.AdmissionLimits, clock: clocks.Clock
+    ) -> None:
+        self._limits = limits
+        self._clock = clock
+        self._limit = admission_limit.RunningLimit(limits)
+        self._running = 0
+        self._waiting: list[Place] = []
+        self._customers: dict[str, _Customer] = {}
+
+    @property
+    def running(self) -> int:
+        """Requests that run now."""
+        return self._running
+
+    @property
+    def waiting(self) -> tuple[Place, ...]:
+        """Places of the requests that wait."""
+        return tuple(self._waiting)
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run at once."""
+        return self._limit.value
+
+    def latest_start_s(self, place: Place) -> float:
+        """Return when a waiting request can no longer finish in time."""
+        return place.ask.deadline.at_s - self._limit.mean_s
+
+    def offer(self, ask: Ask) -> tuple[Place, list[Place]]:
+        """Start, queue or refuse a request.
+
+        :return: its place, and other places whose state changed.
+        """
+        now_s = self._clock.monotonic()
+        place = Place(ask, now_s)
+        self._note(ask, now_s)
+        changed = self._refuse_expired(now_s)
+        if self._hopeless(place, now_s):
+            self._refuse(place, 'cannot finish by its deadline')
+        elif self._running < self.limit and not self._waiting:
+            self._start(place, now_s)
+        else:
+            self._waiting.append(place)
+            changed += self._refuse_excess(now_s)
+        return place, [p for p in changed if p is not place]
+
+    def finish(self, place: Place) -> list[Place]:
+        """Count the end of a running request.
+
+        :return: places whose state changed.
+        """
+        now_s = self._clock.monotonic()
+        self._limit.finished(
+            now_s, now_s - place.started_s, place.had_s, self._running
+        )
+        place.state = State.FINISHED
+        self._running -= 1
+        self._customers[place.ask.customer].running -= 1
+        return self._refuse_expired(now_s) + self._fill(now_s)
+
+    def expire(self) -> list[Place]:
+        """Refuse waiting requests that can no longer finish in time."""
+        return self._refuse_expired(self._clock.monotonic())
+
+    def _note(self, ask: Ask, now_s: float) -> None:
+        known = self._customers
+        for name in [
+            n
+            for n, c in known.items()
+            if not c.running and now_s - c.seen_s > _ACTIVE_S
+        ]:
+            del known[name]
+        customer = known.setdefault(ask.customer, _Customer(ask.share, now_s))
+        customer.share = ask.share
+        customer.seen_s = now_s
+
+    def _over_share(self, name: str, waiting: int = 0) -> bool:
+        """Whether a customer uses its share of the running limit."""
+        customer = self._customers.get(name)
+        if customer is None:
+            return False
+        total = sum(c.share for c in self._customers.values())
+        used = customer.running + waiting
+        return used * total >= self._limit.value * customer.share
+
+    def _ordered(self) -> list[Place]:
+        """Return the waiting requests, the next to start first."""
+        ahead: collections.Counter[str] = collections.Counter()
+        keyed = []
+        for place in sorted(
+            self._waiting, key=lambda p: (-p.ask.worth, p.arrived_s)
+        ):
+            name = place.ask.customer
+            keyed.append((self._over_share(name, ahead[name]), place))
+            ahead[name] += 1
+        return [p for over, p in sorted(keyed, key=lambda k: k[0])]
+
+    def _hopeless(self, place: Place, now_s: float) -> bool:
+        # An idle host runs everything, so that a run time that was once
+        # long is measured again.
+        left_s = place.ask.deadline.at_s - now_s
+        needed_s = self._limit.fastest_s if self._running else 0.0
+        return left_s <= needed_s
+
+    def _start(self, place: Place, now_s: float) -> None:
+        place.state = State.RUNNING
+        place.started_s = now_s
+        place.had_s = place.ask.deadline.at_s - now_s
+        self._running += 1
+        customer = self._customers.setdefault(
+            place.ask.customer, _Customer(place.ask.share, now_s)
+        )
+        customer.running += 1
+
+    def _refuse(self, place: Place, reason: str) -> None:
+        place.state = State.REFUSED
+        name = place.ask.customer
+        if len(self._customers) > 1 and self._over_share(name):
+            place.refusal = errors.QuotaExceeded(
+                f'customer {name} is over its share: {reason}'
+            )
+        else:
+            place.refusal = errors.Overloaded(reason)
+
+    def _refuse_expired(self, now_s: float) -> list[Place]:
+        late = [p for p in self._waiting if now_s >= self.latest_start_s(p)]
+        for place in late:
+            self._waiting.remove(place)
+            self._refuse(place, 'waited too long to finish in time')
+        return late
+
+    def _refuse_excess(self, now_s: float) -> list[Place]:
+        """Refuse those that would start too late, the last ones first."""
+        refused: list[Place] = []
+        ordered = self._ordered()
+        for position, place in enumerate(ordered):
+            wait_s = (position + 1) * self._limit.mean_s / self.limit
+            starts_s = now_s + wait_s
+            if position - len(
+                refused
+            ) >= self._limits.queue or starts_s >= self.latest_start_s(place):
+                refused.append(place)
+        for place in refused:
+            self._waiting.remove(place)
+            self._refuse(place, 'would start too late to finish in time')
+        return refused
+
+    def _fill(self, now_s: float) -> list[Place]:
+        started = []
+        while self._waiting and self._running < self.limit:
+            place = self._ordered()[0]
+            self._waiting.remove(place)
+            self._start(place, now_s)
+            started.append(place)
+        return started
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -4,6 +4,7 @@
 """
 
 from corianderport_tier import clocks
+from corianderport_tier.process import admission
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
@@ -27,16 +28,19 @@
         self._router = router
         self._clock = clock
         self._log = log
+        self._admission = admission.Admission(clock)
 
     def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
         """Serve one search on the calling task.
 
         :raises Refusal: nothing was sent to any upstream.
         """
-        return search.SearchTask(
-            request,
-            self._store.current(),
-            self._router,
-            self._clock,
-            self._log,
-        ).run()
+        accepted = self._store.current()
+        found = accepted.searches.get(request.search)
+        worth = found.worth if found is not None else 0.0
+        with self._admission.admit(
+            accepted, request.customer, worth, request.deadline
+        ):
+            return search.SearchTask(
+                request, accepted, self._router, self._clock, self._log
+            ).run()
--- /dev/null
+++ b/tests/tier/test_admission.py
@@ -0,0 +1,225 @@
+"""Admission under overload: bounds, worth, shares, deadlines."""
+
+import threading
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from corianderport_testkit import clock as manual
+from corianderport_tier import errors
+from corianderport_tier.process import admission
+from corianderport_tier.process import admission_limit
+from corianderport_tier.process import admission_queue
+from corianderport_tier.request import deadlines
+from corianderport_tier.version import configuration
+
+_ACCEPTED = configuration.Configuration(
+    version=1,
+    data_centres={},
+    services={},
+    indexes={},
+    searches={},
+    actions={},
+    customers={
+        'board': configuration.Customer('board', 1.0),
+        'walkers': configuration.Customer('walkers', 1.0),
+    },
+)
+_SMALL = admission_limit.AdmissionLimits.from_config(1, 2, 4, 3)
+_STATES = admission_queue.State
+
+
+def _queue(
+    clock: manual.ManualClock,
+    limits: admission_limit.AdmissionLimits = _SMALL,
+) -> admission_queue.AdmissionQueue:
+    return admission_queue.AdmissionQueue(limits, clock)
+
+
+def _ask(
+    clock: manual.ManualClock,
+    customer: str = 'board',
+    worth: float = 1.0,
+    seconds: float = 1.0,
+) -> admission_queue.Ask:
+    deadline = deadlines.Deadline.after(clock, seconds)
+    return admission_queue.Ask(customer, 1.0, worth, deadline)
+
+
+def test_lower_worth_is_refused_first() -> None:
+    """Guards against a full queue that keeps what is worth less."""
+    clock = manual.ManualClock()
+    queue = _queue(clock)
+    for _ in range(2):
+        queue.offer(_ask(clock))
+    low = [queue.offer(_ask(clock, worth=1.0))[0] for _ in range(3)]
+    high, changed = queue.offer(_ask(clock, worth=5.0))
+    assert high.state is _STATES.WAITING
+    assert changed == [low[-1]]
+    assert isinstance(low[-1].refusal, errors.Overloaded)
+
+
+def test_flood_of_one_customer_leaves_room_for_another() -> None:
+    """Guards against a customer that starves the others by its rate."""
+    clock = manual.ManualClock()
+    queue = _queue(clock)
+    running = [queue.offer(_ask(clock, 'walkers', 9.0))[0] for _ in range(2)]
+    for _ in range(20):
+        queue.offer(_ask(clock, 'walkers', 9.0))
+    other, _ = queue.offer(_ask(clock, 'board', 1.0))
+    clock.advance(0.01)
+    assert queue.finish(running[0]) == [other]
+    assert other.state is _STATES.RUNNING
+    queue.offer(_ask(clock, 'walkers', 9.0))
+    refused, _ = queue.offer(_ask(clock, 'walkers', 1.0))
+    assert isinstance(refused.refusal, errors.QuotaExceeded)
+
+
+def test_request_that_cannot_finish_is_refused_at_once() -> None:
+    """Guards against requests that wait for an answer they cannot get."""
+    clock = manual.ManualClock()
+    queue = _queue(clock)
+    for _ in range(30):
+        place, _ = queue.offer(_ask(clock, seconds=5.0))
+        clock.advance(0.5)
+        queue.finish(place)
+    queue.offer(_ask(clock, seconds=5.0))
+    late, _ = queue.offer(_ask(clock, seconds=0.1))
+    assert late.state is _STATES.REFUSED
+    assert isinstance(late.refusal, errors.Overloaded)
+
+
+def test_idle_host_runs_a_request_after_slow_ones() -> None:
+    """Guards against an estimate that refuses everything for ever."""
+    clock = manual.ManualClock()
+    queue = _queue(clock)
+    place, _ = queue.offer(_ask(clock, seconds=5.0))
+    clock.advance(5.0)
+    queue.finish(place)
+    assert queue.offer(_ask(clock, seconds=0.1))[0].state is _STATES.RUNNING
+
+
+def test_limit_follows_what_ends_in_time() -> None:
+    """Guards against a limit that stays high under overload or low after."""
+    limit = admission_limit.RunningLimit(
+        admission_limit.AdmissionLimits.from_config(2, 20, 40, 0)
+    )
+    now_s = 0.0
+    for _ in range(100):
+        now_s += 1.0
+        limit.finished(now_s, 0.95, 1.0, running=limit.value)
+    assert limit.value == 2
+    for _ in range(100):
+        now_s += 1.0
+        limit.finished(now_s, 0.05, 1.0, running=1)
+    assert limit.value == 2
+    for _ in range(2_000):
+        now_s += 1.0
+        limit.finished(now_s, 0.05, 1.0, running=limit.value)
+    assert limit.value == 40
+
+
+def test_past_deadline_is_refused_as_such() -> None:
+    """Guards against a refusal that names the wrong reason."""
+    clock = manual.ManualClock()
+    control = admission.Admission(clock)
+    past = deadlines.Deadline.after(clock, -1.0)
+    with pytest.raises(errors.DeadlinePast):
+        with control.admit(_ACCEPTED, 'board', 1.0, past):
+            raise AssertionError('the block ran')
+
+
+def test_waiting_task_is_woken_by_room_and_by_time() -> None:
+    """Guards against a lost wake-up, and a wait beyond the deadline."""
+    clock = manual.ManualClock()
+    control = admission.Admission(clock, _SMALL)
+    outcomes: list[str] = []
+
+    def run() -> None:
+        deadline = deadlines.Deadline.after(clock, 1.0)
+        try:
+            with control.admit(_ACCEPTED, 'unlisted', 1.0, deadline):
+                outcomes.append('ran')
+        except errors.Overloaded:
+            outcomes.append('refused')
+
+    for ending in ('ran', 'refused'):
+        deadline = deadlines.Deadline.after(clock, 9.0)
+        with control.admit(_ACCEPTED, 'board', 1.0, deadline):
+            with control.admit(_ACCEPTED, 'board', 1.0, deadline):
+                task = threading.Thread(target=run)
+                task.start()
+                while not clock.waiting:
+                    assert task.is_alive()
+                if ending == 'refused':
+                    clock.advance(1.0)
+                    task.join()
+        task.join()
+        assert outcomes[-1] == ending
+    assert control.running == 0
+
+
+class AdmissionMachine(stateful.RuleBasedStateMachine):
+    """Any order of arrivals, ends and pauses."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = manual.ManualClock()
+        self.queue = _queue(self.clock)
+        self.places: list[admission_queue.Place] = []
+
+    @stateful.rule(
+        customer=strategies.sampled_from(['board', 'walkers', 'default']),
+        worth=strategies.sampled_from([0.5, 1.0, 5.0]),
+        seconds=strategies.floats(0.01, 2.0),
+    )
+    def arrive(self, customer: str, worth: float, seconds: float) -> None:
+        """Offer a request."""
+        place, _ = self.queue.offer(_ask(self.clock, customer, worth, seconds))
+        self.places.append(place)
+
+    @stateful.rule(data=strategies.data())
+    def end(self, data: strategies.DataObject) -> None:
+        """End one of the running requests."""
+        running = [p for p in self.places if p.state is _STATES.RUNNING]
+        if running:
+            self.queue.finish(data.draw(strategies.sampled_from(running)))
+
+    @stateful.rule(seconds=strategies.floats(0.0, 1.0))
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass, as the waiting tasks' timeouts do."""
+        self.clock.advance(seconds)
+        self.queue.expire()
+
+    @stateful.invariant()
+    def counts_agree(self) -> None:
+        """The counters equal the states of the places."""
+        running = [p for p in self.places if p.state is _STATES.RUNNING]
+        waiting = [p for p in self.places if p.state is _STATES.WAITING]
+        assert self.queue.running == len(running) <= _SMALL.maximum
+        assert set(self.queue.waiting) == set(waiting)
+        assert len(waiting) <= _SMALL.queue
+        assert _SMALL.minimum <= self.queue.limit <= _SMALL.maximum
+
+    @stateful.invariant()
+    def nothing_waits_in_vain(self) -> None:
+        """Nothing waits beside free room or past its last start."""
+        now_s = self.clock.monotonic()
+        for place in self.queue.waiting:
+            assert self.queue.running >= self.queue.limit
+            assert now_s < self.queue.latest_start_s(place)
+
+    @stateful.invariant()
+    def refusals_have_a_reason(self) -> None:
+        """A refused request never started and carries its error."""
+        for place in self.places:
+            refused = place.state is _STATES.REFUSED
+            assert refused == (place.refusal is not None)
+            assert not (refused and place.started_s)
+
+
+TestAdmissionMachine = hypothesis.settings(max_examples=60)(
+    AdmissionMachine
+).TestCase
