Add the scenario language and ten scenarios

Failures of a whole deployment had no common form. A scenario is a text file with one step a line, parsed with lark and played on real processes.

--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -81,6 +81,7 @@
         self.version = 0
         self._host_count = hosts
         self._processes: list[subprocess.Popen[str]] = []
+        self._searchers: dict[str, subprocess.Popen[str]] = {}
         self._stack = contextlib.ExitStack()
 
     def __enter__(self) -> typing.Self:
@@ -138,6 +139,20 @@
         host.process.send_signal(signal.SIGKILL)
         host.process.wait()
 
+    def kill_searchers(self, data_centre: str) -> None:
+        """End all searchers of a data centre without warning."""
+        process = self._searchers.pop(data_centre)
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a daemon's process; ``resume`` lets it run on."""
+        self.hosts[name].process.send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a stopped process run on."""
+        self.hosts[name].process.send_signal(signal.SIGCONT)
+
     def search(
         self,
         host: str,
@@ -172,12 +187,12 @@
     def _start_searchers(self) -> None:
         encoded = json.dumps(attrs.asdict(self.deployment))
         for centre in deployments.DATA_CENTRES:
-            self._processes.append(
-                _spawn(
-                    'corianderport_testkit.process.searchers',
-                    [f'--data_centre={centre}', '--deployment', repr(encoded)],
-                )
+            process = _spawn(
+                'corianderport_testkit.process.searchers',
+                [f'--data_centre={centre}', '--deployment', repr(encoded)],
             )
+            self._processes.append(process)
+            self._searchers[centre] = process
         for process in list(self._processes):
             self.addresses.update(_first_line(process))
 
@@ -200,6 +215,8 @@
     def _end_processes(self) -> None:
         for process in self._processes:
             process.terminate()
+            # A stopped process takes the signal only once it runs on.
+            process.send_signal(signal.SIGCONT)
         for process in self._processes:
             try:
                 process.wait(_EXIT_S)
--- a/packages/testkit/src/corianderport_testkit/version/naive.py
+++ b/packages/testkit/src/corianderport_testkit/version/naive.py
@@ -3,6 +3,9 @@
 A naive search over all documents, for differential tests.
 """
 
+import collections.abc
+import functools
+
 from corianderport_testkit.version import corpus
 from corianderport_testkit.version import deployments
 from corianderport_tier.request import messages
@@ -11,8 +14,30 @@
 
 
 def search_all(
-    deployment: deployments.Deployment, snapshot: int, query: str, limit: int
+    deployment: deployments.Deployment,
+    snapshot: int,
+    query: str,
+    limit: int,
+    missing: collections.abc.Iterable[str] = (),
 ) -> tuple[messages.Hit, ...]:
-    """Return the hits of one index over all documents of a snapshot."""
+    """Return the hits of one index over the documents of a snapshot.
+
+    :param missing: shards whose documents do not count.
+    """
+    index = _index(deployment, snapshot, frozenset(missing))
+    return index.search(query, limit)
+
+
+@functools.lru_cache(64)
+def _index(
+    deployment: deployments.Deployment,
+    snapshot: int,
+    missing: frozenset[str],
+) -> corpus.TextIndex:
     content = corpus.documents(deployment.documents, snapshot)
-    return corpus.TextIndex(content).search(query, limit)
+    return corpus.TextIndex(
+        document
+        for shard in deployment.shard_map()
+        if shard.name not in missing
+        for document in content[shard.begin : shard.end]
+    )
--- /dev/null
+++ b/tests/testkit/test_scenarios.py
@@ -0,0 +1,40 @@
+"""Plays the scenarios, each one a failure written down."""
+
+import pathlib
+
+import pytest
+
+from corianderport_testkit.process import stage
+from corianderport_testkit.version import scenarios
+
+_FOLDER = pathlib.Path(__file__).parent / 'scenarios'
+_PATHS = sorted(_FOLDER.glob('*.scenario'))
+
+
+@pytest.mark.parametrize('path', _PATHS, ids=lambda path: path.stem)
+def test_scenario(path: pathlib.Path) -> None:
+    """Guards against the failure that the file's comment describes."""
+    with stage.Stage() as played:
+        played.play(path.read_text('utf-8'))
+
+
+def test_steps_keep_their_line_and_values() -> None:
+    """Guards against a grammar that drops or confuses values."""
+    steps = scenarios.parse(
+        '# comment\n\nstart hosts=2\nset a-* held=1,2 shed=true # end\n'
+        'search "painted stilts" times=3'
+    )
+    assert [s.kind for s in steps] == [
+        'start_fleet',
+        'set_behaviour',
+        'search',
+    ]
+    assert [s.line for s in steps] == [3, 4, 5]
+    assert steps[1].options == {'held': (1.0, 2.0), 'shed': 'true'}
+    assert steps[2].words == ('painted stilts',)
+
+
+def test_unknown_step_names_its_line() -> None:
+    """Guards against a misspelt step that is passed over."""
+    with pytest.raises(scenarios.ScenarioInvalid, match='line 2'):
+        scenarios.parse('start\nexplode host-0\n')
