--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -23,6 +23,7 @@
 
 __all__ = ['Fleet', 'Host', 'Reply']
 
+NAIVE_MODULE = 'corianderport_testkit.process.naive_tier'
 _CONNECT_S = 2.0
 _TIMEOUT_S = 10.0
 _EXIT_S = 15.0
@@ -113,6 +114,7 @@
         self,
         names: collections.abc.Sequence[str],
         flags: collections.abc.Sequence[str] = (),
+        module: str = 'corianderport_daemon.main',
     ) -> None:
         """Start daemons and list them once they are listening."""
         started = []
@@ -127,7 +129,7 @@
                 f'--platform={self.platform.address}',
                 *flags,
             ]
-            process = _spawn('corianderport_daemon.main', arguments)
+            process = _spawn(module, arguments)
             self._processes.append(process)
             started.append((name, centre, process))
         for name, centre, process in started:
@@ -196,6 +198,12 @@
         for process in list(self._processes):
             self.addresses.update(_first_line(process))
 
+    def start_naive_hosts(
+        self, names: collections.abc.Sequence[str], hosts: int
+    ) -> None:
+        """Start hosts of the naive tier, each with a static share."""
+        self.start_hosts(names, [f'--hosts={hosts}'], NAIVE_MODULE)
+
     def _list(
         self, name: str, centre: str, process: subprocess.Popen[str]
     ) -> None:
@@ -208,6 +216,9 @@
             addresses['peer_address'],
         )
         self.hosts[name] = host
+        if not host.peer_address:
+            # A host of the naive tier owns nothing.
+            return
         self.platform.list_host(
             membership.Member(name, centre, host.peer_address)
         )
--- a/packages/testkit/src/corianderport_testkit/process/stage.py
+++ b/packages/testkit/src/corianderport_testkit/process/stage.py
@@ -78,8 +78,13 @@
                 ) from error
 
     def start(self, step: scenarios.Step) -> None:
-        """Start a deployment and wait until every host answers."""
-        options = {name: _whole(value) for name, value in step.options.items()}
+        """Start a deployment and wait until every host answers.
+
+        ``tier=naive`` starts hosts of the naive tier.
+        """
+        given = dict(step.options)
+        naive_tier = given.pop('tier', '') == 'naive'
+        options = {name: _whole(value) for name, value in given.items()}
         hosts = options.pop('hosts', 2)
         snapshots = tuple(range(1, options.pop('snapshots', 1) + 1))
         deployment = deployments.Deployment(
@@ -87,7 +92,12 @@
             deadline_ms=_DEADLINE_MS,
             **options,
         )
-        self._fleet = self._stack.enter_context(fleet.Fleet(deployment, hosts))
+        self._fleet = self._stack.enter_context(
+            fleet.Fleet(deployment, 0 if naive_tier else hosts)
+        )
+        if naive_tier:
+            names = [f'naive-{number}' for number in range(hosts)]
+            self._fleet.start_naive_hosts(names, hosts)
         self.wait_whole(step)
 
     def set_behaviour(self, step: scenarios.Step) -> None:
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -8,6 +8,7 @@
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
+from corianderport_tier.process import snapshot_availability
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
 
@@ -28,6 +29,7 @@
         self._router = router
         self._clock = clock
         self._log = log
+        self._availability = snapshot_availability.SnapshotAvailability(clock)
         self._admission = admission.Admission(clock)
 
     def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
@@ -42,5 +44,10 @@
             accepted, request.customer, worth, request.deadline
         ):
             return search.SearchTask(
-                request, accepted, self._router, self._clock, self._log
+                request,
+                accepted,
+                self._router,
+                self._availability,
+                self._clock,
+                self._log,
             ).run()
--- a/tests/testkit/test_scenarios.py
+++ b/tests/testkit/test_scenarios.py
@@ -18,6 +18,14 @@
         played.play(path.read_text('utf-8'))
 
 
+@pytest.mark.parametrize('name', ['searchers_killed', 'truncated'])
+def test_naive_tier_answers_alike(name: str) -> None:
+    """Guards against a baseline that answers differently under faults."""
+    text = (_FOLDER / f'{name}.scenario').read_text('utf-8')
+    with stage.Stage() as played:
+        played.play(text.replace('\nstart ', '\nstart tier=naive '))
+
+
 def test_steps_keep_their_line_and_values() -> None:
     """Guards against a grammar that drops or confuses values."""
     steps = scenarios.parse(
