Add the load tool and nine experiments

The bench sends an open-loop load, counts latency from the scheduled time, measures each side in turn in every run, and writes tables, JSON and plots. The tier and the naive tier stand before the same searchers.

A request waits for admission at most for 0.08 of its time, so that a refusal takes less than a tenth of the deadline, and the running limit falls faster: with the former values an overload of two seconds would have passed before the limit reached the searchers' capacity (worked out, not measured).

--- a/packages/testkit/src/corianderport_testkit/bench.py
+++ b/packages/testkit/src/corianderport_testkit/bench.py
@@ -3,12 +3,75 @@
 The load and experiment tool.
 """
 
-__all__ = ['main']
+import pathlib
+import sys
+
+import fire
+import rich.console
+
+from corianderport_testkit.process import bench_output
+from corianderport_testkit.process import experiments
+
+__all__ = ['main', 'run']
+
+_OUTPUT = '/tmp/corianderport-bench'
+
+
+def _measure(
+    name: str, runs: int, quick: bool, console: rich.console.Console
+) -> tuple[experiments.Experiment, list[bench_output.Run]]:
+    """Run all sides in turn, as often as asked."""
+    measured: list[bench_output.Run] = []
+    with experiments.open_one(name) as experiment:
+        for number in range(runs):
+            scale = experiments.Scale(number + 1, quick)
+            outcomes = {}
+            for side in experiment.sides:
+                console.print(f'{name}: run {number + 1}, {side}')
+                outcomes[side] = experiment.measure(side, scale)
+            measured.append(outcomes)
+    return experiment, measured
+
+
+def run(
+    *names: str, runs: int = 5, quick: bool = False, output: str = _OUTPUT
+) -> None:
+    """Run experiments and write tables, JSON and plots.
+
+    :param names: experiments; all of them when none is given.
+    :param runs: how often each side is measured, in turn with the others.
+    :param quick: shorter loads, for trying an experiment.
+    :param output: folder for the results.
+    """
+    known = experiments.names()
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        print(
+            f'unknown experiment {unknown[0]!r}; known: {", ".join(known)}',
+            file=sys.stderr,
+        )
+        sys.exit(2)
+    console = rich.console.Console(stderr=True)
+    folder = pathlib.Path(output)
+    folder.mkdir(parents=True, exist_ok=True)
+    for name in names or known:
+        experiment, measured = _measure(name, runs, quick, console)
+        text = '\n\n'.join(
+            (
+                f'## {name}',
+                bench_output.figures_table(measured),
+                bench_output.bounds_table(experiment.bounds, measured),
+            )
+        )
+        print(text + '\n', flush=True)
+        (folder / f'{name}.md').write_text(text + '\n', 'utf-8')
+        bench_output.write_json(folder / f'{name}.json', measured)
+        bench_output.plot(folder / f'{name}.svg', name, measured[-1])
 
 
 def main() -> None:
-    """Run the experiments; none is registered yet."""
-    print('no experiment is registered')
+    """Parse the flags and run."""
+    fire.Fire(run)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/bench_output.py
@@ -0,0 +1,99 @@
+"""corianderport_testkit.process.bench_output
+
+Tables, JSON and plots of an experiment's runs.
+"""
+
+import collections.abc
+import json
+import pathlib
+import statistics
+
+import attrs
+import matplotlib
+import matplotlib.figure
+
+from corianderport_testkit.process import experiments
+from corianderport_testkit import tables
+
+__all__ = ['bounds_table', 'figures_table', 'plot', 'write_json']
+
+Run = collections.abc.Mapping[str, experiments.Outcome]
+
+_SHOWN = frozenset({
+    'answered', 'cold_in_flight', 'configuration_calls_per_s',
+    'coverage_least', 'cpu_ms', 'cpu_percent', 'extra', 'failed',
+    'full_share_s', 'late_searches', 'memory_mb', 'overruns', 'p50_ms',
+    'p99_ms', 'recovered_s', 'refusal_p99_ms', 'worst_second_p99_ms',
+    'worth_answered',
+})  # fmt: skip
+
+
+def figures_table(runs: collections.abc.Sequence[Run]) -> str:
+    """Return the median and spread of each figure, a column a side."""
+    sides = list(runs[0])
+    names = sorted(
+        {name for side in sides for name in runs[0][side].figures} & _SHOWN
+    )
+    rows = []
+    for name in names:
+        cells = [
+            tables.spread([run[side].figures[name] for run in runs])
+            if name in runs[0][side].figures
+            else ''
+            for side in sides
+        ]
+        rows.append((name, *cells))
+    return tables.markdown(('figure', *sides), rows)
+
+
+def bounds_table(
+    bounds: collections.abc.Iterable[experiments.Bound],
+    runs: collections.abc.Sequence[Run],
+) -> str:
+    """Return each bound with its value, the median over the runs."""
+    rows = []
+    for bound in bounds:
+        values = [bound.value(run) for run in runs]
+        met = bound.holds(statistics.median(values))
+        rows.append(
+            (bound.describe(), tables.spread(values), 'yes' if met else 'NO')
+        )
+    return tables.markdown(('bound', 'value', 'met'), rows)
+
+
+def write_json(
+    path: pathlib.Path, runs: collections.abc.Sequence[Run]
+) -> None:
+    """Write all figures of all runs."""
+    content = [
+        {side: attrs.asdict(outcome) for side, outcome in run.items()}
+        for run in runs
+    ]
+    path.write_text(json.dumps(content, indent=1), 'utf-8')
+
+
+def plot(path: pathlib.Path, title: str, run: Run) -> bool:
+    """Draw p99, coverage and errors of each second of one run.
+
+    :return: False when the experiment has no course over time.
+    """
+    sides = {name: o.seconds for name, o in run.items() if o.seconds}
+    if not sides:
+        return False
+    matplotlib.use('svg')
+    figure = matplotlib.figure.Figure((8, 7), layout='constrained')
+    latency, coverage, failed = figure.subplots(3, sharex=True)
+    for name, seconds in sides.items():
+        at = [s.second for s in seconds]
+        latency.plot(at, [s.p99_ms for s in seconds], label=name)
+        coverage.plot(at, [s.coverage for s in seconds], label=name)
+        failed.plot(at, [s.errors for s in seconds], label=name)
+    latency.set_ylabel('p99, ms')
+    latency.set_yscale('log')
+    coverage.set_ylabel('mean coverage')
+    failed.set_ylabel('errors in a second')
+    failed.set_xlabel('seconds')
+    latency.set_title(title)
+    latency.legend()
+    figure.savefig(path)
+    return True
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/change_experiments.py
@@ -0,0 +1,132 @@
+"""corianderport_testkit.process.change_experiments
+
+Experiments with a cold searcher and with a data centre that leaves.
+"""
+
+import attrs
+
+from corianderport_testkit.process import experiments
+from corianderport_testkit.process import grounds
+from corianderport_testkit.process import load
+from corianderport_testkit.process import summaries
+from corianderport_testkit.version import deployments
+
+__all__ = ['Cold', 'DataCentre']
+
+_HOSTS = 3
+_USUAL_S = 0.005
+_RATE = 30.0
+_DEADLINE_MS = 1_000.0
+_COLD_REQUESTS = 20
+_COLD_SERVICE = 'catalogue-00-*'
+_FULL_SHARE = 0.8
+_LATE_S = 5.0
+
+
+@attrs.define
+class Cold(experiments.GroundExperiment):
+    """One searcher turns cold and can handle one request at a time."""
+
+    sides = ('tier', 'tier-cold', 'naive-cold')
+    bounds = (
+        experiments.Bound('tier-cold', 'cold_in_flight', 1.0),
+        experiments.Bound('tier-cold', 'full_share_s', 5.0),
+        experiments.Bound('tier-cold', 'p99_ms', 1.5, 'tier'),
+    )
+
+    @classmethod
+    def from_config(cls) -> 'Cold':
+        """Return the experiment with four services."""
+        deployment = deployments.Deployment(
+            services=4, shards=1, documents=200, deadline_ms=_DEADLINE_MS
+        )
+        return cls(grounds.Ground(deployment, _HOSTS, _HOSTS))
+
+    def measure(
+        self, side: str, scale: experiments.Scale
+    ) -> experiments.Outcome:
+        """Send the load; the searcher turns cold after a second.
+
+        ``full_share_s`` counts from there to the first second in which it
+        gets 0.8 of its share, a third of the service's requests.
+        """
+        self.ground.set('*', latency_s=_USUAL_S, reset=True)
+        cold = 'catalogue-00-dc-a'
+        counts: list[tuple[int, int]] = []
+
+        def observe() -> None:
+            own = self.ground.total(cold, 'searches')
+            counts.append((own, self.ground.total(_COLD_SERVICE, 'searches')))
+
+        def turn_cold() -> None:
+            self.ground.set(cold, restart=_COLD_REQUESTS)
+
+        events = []
+        if side.endswith('cold'):
+            events = [load.Event(1.0, turn_cold)]
+            events += [load.Event(float(at), observe) for at in range(1, 9)]
+        planned = load.Load(_RATE, 8.0, scale.seed, _DEADLINE_MS)
+        _, figures, seconds = self.loaded(side, planned, events)
+        record = self.ground.fleet.record(cold)
+        figures['cold_in_flight'] = float(record['max_in_flight_cold'])
+        figures['overruns'] = float(record['overruns'])
+        figures['full_share_s'] = _full_share_s(counts)
+        self.ground.set(cold, cold_requests=0)
+        return experiments.Outcome(figures, tuple(seconds))
+
+
+def _full_share_s(counts: list[tuple[int, int]]) -> float:
+    """Return the first of the seconds in which the share is full."""
+    for second, (before, after) in enumerate(zip(counts, counts[1:])):
+        own = after[0] - before[0]
+        service = after[1] - before[1]
+        if own * 3 >= _FULL_SHARE * service > 0:
+            return second + 1.0
+    return float('inf') if counts else 0.0
+
+
+@attrs.define
+class DataCentre(experiments.GroundExperiment):
+    """A data centre is taken out of service and put back."""
+
+    sides = ('tier', 'naive')
+    bounds = (
+        experiments.Bound('tier', 'late_searches', 0.0),
+        experiments.Bound('tier', 'failed', 0.0),
+        experiments.Bound('tier', 'coverage_least', 1.0, None, True),
+    )
+
+    @classmethod
+    def from_config(cls) -> 'DataCentre':
+        """Return the experiment with six services."""
+        deployment = deployments.Deployment(
+            services=6, shards=1, documents=300, deadline_ms=_DEADLINE_MS
+        )
+        return cls(grounds.Ground(deployment, _HOSTS, _HOSTS))
+
+    def measure(
+        self, side: str, scale: experiments.Scale
+    ) -> experiments.Outcome:
+        """Send the load; dc-b is out from second 2 to second 9."""
+        self.ground.set('*', latency_s=_USUAL_S)
+        counts: list[int] = []
+        running = self.ground.fleet
+
+        def observe() -> None:
+            counts.append(self.ground.total('*-dc-b', 'searches'))
+
+        events = [
+            load.Event(2.0, lambda: running.publish({'dc-b'})),
+            load.Event(2.0 + _LATE_S, observe),
+            load.Event(8.9, observe),
+            load.Event(9.0, running.publish),
+        ]
+        planned = load.Load(_RATE, 13.0, scale.seed, _DEADLINE_MS)
+        _, figures, seconds = self.loaded(side, planned, events)
+        figures['late_searches'] = float(counts[1] - counts[0])
+        figures['worst_second_p99_ms'] = _worst(seconds)
+        return experiments.Outcome(figures, tuple(seconds))
+
+
+def _worst(seconds: list[summaries.Second]) -> float:
+    return max(second.p99_ms for second in seconds)
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/cost_experiments.py
@@ -0,0 +1,223 @@
+"""corianderport_testkit.process.cost_experiments
+
+Experiments on what the tier itself costs.
+"""
+
+import contextlib
+import statistics
+import time
+import typing
+
+import attrs
+import orjson
+
+from corianderport_testkit.process import experiments
+from corianderport_testkit.process import grounds
+from corianderport_testkit.process import load
+from corianderport_testkit.process import summaries
+from corianderport_testkit.version import deployments
+from corianderport_wire.connection import curl_client
+
+__all__ = ['Cost', 'Idle', 'LogCost']
+
+_DEADLINE_MS = 10_000.0
+_WIDTHS = (1, 10, 25, 75)
+_SUB_REQUESTS = 3_000.0
+_DIRECT = 200
+_SECONDS = 4.0
+_IDLE_S = 6.0
+_LOG_RATE = 20.0
+_TIMEOUT_S = 10.0
+
+
+@attrs.define
+class Cost:
+    """Cost of a search over 1, 10, 25 and 75 services of one shard."""
+
+    bounds = ()
+    sides = (
+        'direct',
+        *(f'tier-{width}' for width in _WIDTHS),
+        *(f'naive-{width}' for width in _WIDTHS),
+    )
+    _grounds: dict[int, grounds.Ground]
+    _stack: contextlib.ExitStack = attrs.Factory(contextlib.ExitStack)
+
+    @classmethod
+    def from_config(cls) -> 'Cost':
+        """Return the experiment with one host for each width."""
+        made = {}
+        for width in _WIDTHS:
+            deployment = deployments.Deployment(
+                services=width,
+                shards=1,
+                documents=4 * width,
+                deadline_ms=_DEADLINE_MS,
+            )
+            made[width] = grounds.Ground(deployment, 1, 1)
+        return cls(made)
+
+    def __enter__(self) -> typing.Self:
+        with self._stack:
+            for ground in self._grounds.values():
+                self._stack.enter_context(ground)
+                ground.warm(grounds.TIER)
+                ground.warm(grounds.NAIVE)
+            self._stack = self._stack.pop_all()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._stack.close()
+
+    def measure(
+        self, side: str, scale: experiments.Scale
+    ) -> experiments.Outcome:
+        """Send at a low rate; processor time is that of the host."""
+        if side == 'direct':
+            return experiments.Outcome({'p50_ms': self._direct_ms()})
+        width = int(side.partition('-')[2])
+        ground = self._grounds[width]
+        rate = min(50.0, _SUB_REQUESTS / 10 / width)
+        host = ground.hosts(side)[0]
+        before_s = ground.fleet.cpu_s(host)
+        planned = load.Load(
+            rate, scale.seconds(_SECONDS), scale.seed, _DEADLINE_MS
+        )
+        summary = summaries.summarize(ground.send(side, planned))
+        used_s = ground.fleet.cpu_s(host) - before_s
+        figures = {
+            'p50_ms': summary.p50_ms,
+            'p99_ms': summary.p99_ms,
+            'cpu_ms': used_s * 1e3 / summary.requests,
+            'memory_mb': ground.fleet.memory_bytes(host) / 1e6,
+            'requests': float(summary.requests),
+        }
+        return experiments.Outcome(figures)
+
+    def _direct_ms(self) -> float:
+        """Return the median latency of a call to a searcher itself."""
+        running = self._grounds[1].fleet
+        address = running.addresses['catalogue-00-dc-a']
+        client = curl_client.CurlClient(address, 1.0)
+        latencies = []
+        fields = {
+            'request_id': 'direct',
+            'attempt_id': 'direct',
+            'index': 'catalogue',
+            'snapshot': 1,
+            'shards': ['shard-000'],
+            'query': 'painted stilts',
+            'limit': 10,
+            'deadline_ms': _DEADLINE_MS,
+        }
+        try:
+            for _ in range(_DIRECT):
+                started_s = time.monotonic()
+                client.post('/search', orjson.dumps(fields), _TIMEOUT_S)
+                latencies.append(time.monotonic() - started_s)
+        finally:
+            client.close()
+        return statistics.median(latencies) * 1e3
+
+
+@attrs.define
+class LogCost:
+    """Cost of the decision log: level INFO against WARNING."""
+
+    bounds = ()
+    sides = ('WARNING', 'INFO')
+    _grounds: dict[str, grounds.Ground]
+    _stack: contextlib.ExitStack = attrs.Factory(contextlib.ExitStack)
+
+    @classmethod
+    def from_config(cls) -> 'LogCost':
+        """Return the experiment with 25 services and one host a level."""
+        deployment = deployments.Deployment(
+            services=25, shards=1, documents=100, deadline_ms=_DEADLINE_MS
+        )
+        return cls(
+            {
+                level: grounds.Ground(
+                    deployment, 1, 0, [f'--log_level={level}']
+                )
+                for level in cls.sides
+            }
+        )
+
+    def __enter__(self) -> typing.Self:
+        with self._stack:
+            for ground in self._grounds.values():
+                self._stack.enter_context(ground)
+                ground.warm(grounds.TIER)
+            self._stack = self._stack.pop_all()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._stack.close()
+
+    def measure(
+        self, side: str, scale: experiments.Scale
+    ) -> experiments.Outcome:
+        """Send at a low rate; processor time is that of the host."""
+        ground = self._grounds[side]
+        host = ground.hosts(grounds.TIER)[0]
+        before_s = ground.fleet.cpu_s(host)
+        planned = load.Load(
+            _LOG_RATE, scale.seconds(_SECONDS), scale.seed, _DEADLINE_MS
+        )
+        samples = ground.send(grounds.TIER, planned)
+        used_s = ground.fleet.cpu_s(host) - before_s
+        summary = summaries.summarize(samples)
+        return experiments.Outcome(
+            {
+                'cpu_ms': used_s * 1e3 / summary.requests,
+                'p50_ms': summary.p50_ms,
+            }
+        )
+
+
+@attrs.define
+class Idle:
+    """Processor time and memory of hosts without any requests."""
+
+    sides = ('hosts-2', 'hosts-4', 'hosts-8')
+    bounds = (
+        experiments.Bound('hosts-8', 'cpu_percent', 1.4),
+        experiments.Bound('hosts-8', 'memory_mb', 64.0),
+    )
+
+    @classmethod
+    def from_config(cls) -> 'Idle':
+        """Return the experiment; each side starts its own hosts."""
+        return cls()
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        pass
+
+    def measure(
+        self, side: str, scale: experiments.Scale
+    ) -> experiments.Outcome:
+        """Start hosts, let them idle, and average over them."""
+        count = int(side.partition('-')[2])
+        deployment = deployments.Deployment(services=4, shards=1)
+        with grounds.Ground(deployment, count, 0) as ground:
+            ground.settle()
+            running = ground.fleet
+            names = ground.hosts(grounds.TIER)
+            before_s = [running.cpu_s(name) for name in names]
+            calls = running.platform.configuration_calls
+            seconds = scale.seconds(_IDLE_S)
+            time.sleep(seconds)
+            used_s = sum(running.cpu_s(name) for name in names) - sum(before_s)
+            calls = running.platform.configuration_calls - calls
+            memory = [running.memory_bytes(name) for name in names]
+        return experiments.Outcome(
+            {
+                'cpu_percent': 100.0 * used_s / seconds / count,
+                'memory_mb': max(memory) / 1e6,
+                'configuration_calls_per_s': calls / seconds,
+            }
+        )
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/fault_experiments.py
@@ -0,0 +1,134 @@
+"""corianderport_testkit.process.fault_experiments
+
+Experiments with searchers that are slow or do not answer.
+"""
+
+import attrs
+
+from corianderport_testkit.process import experiments
+from corianderport_testkit.process import grounds
+from corianderport_testkit.process import load
+from corianderport_testkit.version import deployments
+
+__all__ = ['AllSlow', 'HalfOpen', 'Straggler']
+
+_HOSTS = 3
+_USUAL_S = 0.005
+_SLOWER = 50.0
+_ALL_SLOWER = 10.0
+_RATE = 12.0
+_SECONDS = 8.0
+_SILENT_AT_S = 2.0
+_DEADLINE_MS = 1_000.0
+_RECOVERED = 1.5
+
+
+@attrs.define
+class Straggler(experiments.GroundExperiment):
+    """One searcher of 75 answers 50 times slower."""
+
+    sides = ('tier', 'tier-straggler', 'naive', 'naive-straggler')
+    bounds = (
+        experiments.Bound('tier-straggler', 'p99_ms', 1.5, 'tier'),
+        experiments.Bound('tier-straggler', 'coverage_least', 1.0, None, True),
+        experiments.Bound('tier-straggler', 'extra', 0.05),
+    )
+
+    @classmethod
+    def from_config(cls) -> 'Straggler':
+        """Return the experiment with 25 services of 3 searchers."""
+        deployment = deployments.Deployment(
+            services=25, shards=1, documents=1_000, deadline_ms=_DEADLINE_MS
+        )
+        return cls(grounds.Ground(deployment, _HOSTS, _HOSTS))
+
+    def measure(
+        self, side: str, scale: experiments.Scale
+    ) -> experiments.Outcome:
+        """Send the load with or without the straggler."""
+        self.ground.set('*', latency_s=_USUAL_S)
+        if side.endswith('straggler'):
+            slow_s = _USUAL_S * _SLOWER
+            self.ground.set('catalogue-00-dc-a', latency_s=slow_s)
+        planned = load.Load(
+            _RATE, scale.seconds(_SECONDS), scale.seed, _DEADLINE_MS
+        )
+        _, figures, seconds = self.loaded(side, planned)
+        return experiments.Outcome(figures, tuple(seconds))
+
+
+@attrs.define
+class AllSlow(experiments.GroundExperiment):
+    """All searchers answer ten times slower."""
+
+    sides = ('tier', 'tier-slow', 'naive-slow')
+    bounds = (
+        experiments.Bound('tier-slow', 'extra', 0.05),
+        experiments.Bound('tier-slow', 'coverage_least', 1.0, None, True),
+    )
+
+    @classmethod
+    def from_config(cls) -> 'AllSlow':
+        """Return the experiment with ten services."""
+        deployment = deployments.Deployment(
+            services=10, shards=1, documents=400, deadline_ms=_DEADLINE_MS
+        )
+        return cls(grounds.Ground(deployment, _HOSTS, _HOSTS))
+
+    def measure(
+        self, side: str, scale: experiments.Scale
+    ) -> experiments.Outcome:
+        """Send the load while all searchers are usual or slow."""
+        slower = _ALL_SLOWER if side.endswith('slow') else 1.0
+        self.ground.set('*', latency_s=_USUAL_S * slower)
+        planned = load.Load(
+            _RATE, scale.seconds(_SECONDS), scale.seed, _DEADLINE_MS
+        )
+        _, figures, seconds = self.loaded(side, planned)
+        return experiments.Outcome(figures, tuple(seconds))
+
+
+@attrs.define
+class HalfOpen(experiments.GroundExperiment):
+    """Half of the searchers go silent on the connections that are open."""
+
+    sides = ('tier', 'tier-half-open', 'naive-half-open')
+    bounds = (
+        experiments.Bound('tier-half-open', 'failed', 0.0),
+        experiments.Bound('tier-half-open', 'recovered_s', 2.0),
+    )
+
+    @classmethod
+    def from_config(cls) -> 'HalfOpen':
+        """Return the experiment with six services."""
+        deployment = deployments.Deployment(
+            services=6, shards=1, documents=300, deadline_ms=_DEADLINE_MS
+        )
+        return cls(grounds.Ground(deployment, _HOSTS, _HOSTS))
+
+    def measure(
+        self, side: str, scale: experiments.Scale
+    ) -> experiments.Outcome:
+        """Send the load; the connections go silent after two seconds."""
+        self.ground.set('*', latency_s=_USUAL_S)
+        planned = load.Load(2 * _RATE, _SECONDS, scale.seed, _DEADLINE_MS)
+        events = []
+        if side.endswith('half-open'):
+            events.append(load.Event(_SILENT_AT_S, self._silence))
+        _, figures, seconds = self.loaded(side, planned, events)
+        self.ground.set('*', silent=False)
+        usual = [s.p99_ms for s in seconds if s.second < _SILENT_AT_S]
+        allowed_ms = _RECOVERED * max(usual, default=0.0)
+        slow = [
+            s.second
+            for s in seconds
+            if s.second >= _SILENT_AT_S and s.p99_ms > allowed_ms
+        ]
+        last = max(slow, default=_SILENT_AT_S - 1)
+        figures['recovered_s'] = last + 1 - _SILENT_AT_S
+        return experiments.Outcome(figures, tuple(seconds))
+
+    def _silence(self) -> None:
+        # All of one data centre and half of another.
+        self.ground.set('*-dc-a', silent=True)
+        self.ground.set('catalogue-0[024]-dc-b', silent=True)
--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -177,6 +177,14 @@
         """Return what a searcher saw."""
         return self.post(self.addresses[searcher], '/record', {}).body
 
+    def cpu_s(self, host: str) -> float:
+        """Return the processor time that a daemon has used, seconds."""
+        return self._usage(host)[0]
+
+    def memory_bytes(self, host: str) -> int:
+        """Return the resident memory of a daemon."""
+        return self._usage(host)[1]
+
     def post(self, address: str, path: str, fields: Json) -> Reply:
         """Send a JSON body and decode the JSON reply."""
         client = curl_client.CurlClient(address, _CONNECT_S)
@@ -186,6 +194,18 @@
             client.close()
         return Reply(reply.status, orjson.loads(reply.body))
 
+    def _usage(self, host: str) -> tuple[float, int]:
+        number = self.hosts[host].process.pid
+        with open(f'/proc/{number}/stat') as status:
+            fields = status.read().rpartition(')')[2].split()
+        # User time, system time and resident pages, see proc(5).
+        ticks = int(fields[11]) + int(fields[12])
+        pages = int(fields[21])
+        return (
+            ticks / os.sysconf('SC_CLK_TCK'),
+            pages * os.sysconf('SC_PAGE_SIZE'),
+        )
+
     def _start_searchers(self) -> None:
         encoded = json.dumps(attrs.asdict(self.deployment))
         for centre in deployments.DATA_CENTRES:
--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/load_experiments.py
@@ -0,0 +1,65 @@
+"""corianderport_testkit.process.load_experiments
+
+An experiment with more load than the searchers can handle.
+"""
+
+import attrs
+
+from corianderport_testkit.process import experiments
+from corianderport_testkit.process import grounds
+from corianderport_testkit.process import load
+from corianderport_testkit.version import deployments
+
+__all__ = ['Overload']
+
+_HOSTS = 3
+_LATENCY_S = 0.1
+_SLOTS = 2
+_REPLICAS = 3
+_DEADLINE_MS = 1_000.0
+_SECONDS = 10.0
+# Nine searches of worth 1 to one of worth 5.
+_LOW, _HIGH = 1.0, 5.0
+_MIX = 10
+
+
+@attrs.define
+class Overload(experiments.GroundExperiment):
+    """Load at and at twice the capacity of the searchers' slots."""
+
+    sides = ('tier', 'tier-twice', 'naive', 'naive-twice')
+    bounds = (
+        experiments.Bound('tier-twice', 'worth_answered', 0.9, 'tier', True),
+        experiments.Bound('tier-twice', 'refusal_p99_ms', _DEADLINE_MS / 10),
+    )
+
+    @classmethod
+    def from_config(cls) -> 'Overload':
+        """Return the experiment with two services."""
+        deployment = deployments.Deployment(
+            services=2,
+            shards=1,
+            documents=100,
+            slots=_SLOTS,
+            deadline_ms=_DEADLINE_MS,
+            worths=(('stock', _LOW), ('booking', _HIGH)),
+        )
+        return cls(grounds.Ground(deployment, _HOSTS, _HOSTS))
+
+    def measure(
+        self, side: str, scale: experiments.Scale
+    ) -> experiments.Outcome:
+        """Send the load; a search takes one slot in each service."""
+        self.ground.set('*', latency_s=_LATENCY_S)
+        capacity = _SLOTS * _REPLICAS / _LATENCY_S
+        twice = side.endswith('twice')
+        planned = load.Load(
+            capacity * (2.0 if twice else 1.0),
+            scale.seconds(_SECONDS),
+            scale.seed,
+            _DEADLINE_MS,
+            ('stock',) * (_MIX - 1) + ('booking',),
+            (_LOW,) * (_MIX - 1) + (_HIGH,),
+        )
+        _, figures, seconds = self.loaded(side, planned)
+        return experiments.Outcome(figures, tuple(seconds))
--- a/packages/testkit/src/corianderport_testkit/process/searcher.py
+++ b/packages/testkit/src/corianderport_testkit/process/searcher.py
@@ -299,6 +299,9 @@
             if name == 'restart':
                 self.searcher.restart(value)
                 continue
+            if name == 'reset':
+                self.searcher.record = Record()
+                continue
             setattr(self.searcher.behaviour, name, value)
             if name == 'silent':
                 self._silenced = set(self._seen) if value else set()
--- a/packages/testkit/src/corianderport_testkit/process/stage.py
+++ b/packages/testkit/src/corianderport_testkit/process/stage.py
@@ -84,7 +84,9 @@
         """
         given = dict(step.options)
         naive_tier = given.pop('tier', '') == 'naive'
-        options = {name: _whole(value) for name, value in given.items()}
+        options: dict[str, typing.Any] = {
+            name: _whole(value) for name, value in given.items()
+        }
         hosts = options.pop('hosts', 2)
         snapshots = tuple(range(1, options.pop('snapshots', 1) + 1))
         deployment = deployments.Deployment(
--- a/packages/testkit/src/corianderport_testkit/version/deployments.py
+++ b/packages/testkit/src/corianderport_testkit/version/deployments.py
@@ -20,7 +20,8 @@
 class Deployment:
     """Services with one searcher in each data centre.
 
-    ``documents`` are spread evenly over ``services`` x ``shards``.
+    ``documents`` are spread evenly over ``services`` x ``shards``;
+    ``worths`` gives the searches over all of them, with their worth.
     """
 
     services: int = 4
@@ -30,6 +31,7 @@
     connections: int = 25
     deadline_ms: float = 500.0
     snapshot_numbers: tuple[int, ...] = (1,)
+    worths: tuple[tuple[str, float], ...] = (('stock', 1.0),)
 
     def service_names(self) -> tuple[str, ...]:
         """Return the names of the search services."""
@@ -83,12 +85,14 @@
                 )
             },
             searches={
-                'stock': configuration.Search(
-                    name='stock',
+                name: configuration.Search(
+                    name=name,
                     index='catalogue',
                     services=self.service_names(),
                     deadline_ms=self.deadline_ms,
+                    worth=worth,
                 )
+                for name, worth in self.worths
             },
             actions={
                 'reserve': configuration.Action(
--- a/packages/tier/src/corianderport_tier/process/admission_limit.py
+++ b/packages/tier/src/corianderport_tier/process/admission_limit.py
@@ -11,7 +11,7 @@
 __all__ = ['AdmissionLimits', 'RunningLimit']
 
 _LATE_SHARE = 0.8
-_DECREASE = 0.9
+_DECREASE = 0.8
 _MEAN_WEIGHT = 0.1
 _FASTEST_DRIFT = 0.01
 
@@ -21,7 +21,7 @@
     """Bounds of the running limit, and of the queue before it."""
 
     minimum: int = 4
-    initial: int = 32
+    initial: int = 16
     maximum: int = 256
     queue: int = 64
 
--- a/packages/tier/src/corianderport_tier/process/admission_queue.py
+++ b/packages/tier/src/corianderport_tier/process/admission_queue.py
@@ -16,6 +16,8 @@
 __all__ = ['AdmissionQueue', 'Ask', 'Place', 'State']
 
 _ACTIVE_S = 1.0
+# A refusal must reach the caller within a tenth of its deadline.
+_WAIT_SHARE = 0.08
 
 
 @attrs.frozen
@@ -93,8 +95,10 @@
         return self._limit.value
 
     def latest_start_s(self, place: Place) -> float:
-        """Return when a waiting request can no longer finish in time."""
-        return place.ask.deadline.at_s - self._limit.mean_s
+        """Return until when a request may wait."""
+        at_s = place.ask.deadline.at_s
+        wait_s = _WAIT_SHARE * (at_s - place.arrived_s)
+        return min(at_s - self._limit.mean_s, place.arrived_s + wait_s)
 
     def offer(self, ask: Ask) -> tuple[Place, list[Place]]:
         """Start, queue or refuse a request.
@@ -204,7 +208,7 @@
         refused: list[Place] = []
         ordered = self._ordered()
         for position, place in enumerate(ordered):
-            wait_s = (position + 1) * self._limit.mean_s / self.limit
+            wait_s = position * self._limit.mean_s / self.limit
             starts_s = now_s + wait_s
             if position - len(
                 refused
--- a/tests/tier/test_admission.py
+++ b/tests/tier/test_admission.py
@@ -205,11 +205,13 @@
 
     @stateful.invariant()
     def nothing_waits_in_vain(self) -> None:
-        """Nothing waits beside free room or past its last start."""
+        """Nothing waits beside free room or for a tenth of its deadline."""
         now_s = self.clock.monotonic()
         for place in self.queue.waiting:
             assert self.queue.running >= self.queue.limit
             assert now_s < self.queue.latest_start_s(place)
+            allowed_s = place.ask.deadline.at_s - place.arrived_s
+            assert now_s - place.arrived_s < 0.1 * allowed_s
 
     @stateful.invariant()
     def refusals_have_a_reason(self) -> None:
