--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -23,6 +23,7 @@
 
 __all__ = ['Fleet', 'Host', 'Reply']
 
+NAIVE_MODULE = 'corianderport_testkit.process.naive_tier'
 _CONNECT_S = 2.0
 _TIMEOUT_S = 10.0
 _EXIT_S = 15.0
@@ -89,6 +90,7 @@
         self.version = 0
         self._host_count = hosts
         self._processes: list[subprocess.Popen[str]] = []
+        self._searchers: dict[str, subprocess.Popen[str]] = {}
         self._stack = contextlib.ExitStack()
 
     def __enter__(self) -> typing.Self:
@@ -120,6 +122,7 @@
         self,
         names: collections.abc.Sequence[str],
         flags: collections.abc.Sequence[str] = (),
+        module: str = 'corianderport_daemon.main',
     ) -> None:
         """Start daemons and list them once they are listening."""
         started = []
@@ -134,7 +137,7 @@
                 f'--platform={self.platform.address}',
                 *flags,
             ]
-            process = _spawn('corianderport_daemon.main', arguments)
+            process = _spawn(module, arguments)
             self._processes.append(process)
             started.append((name, centre, process))
         for name, centre, process in started:
@@ -146,6 +149,20 @@
         host.process.send_signal(signal.SIGKILL)
         host.process.wait()
 
+    def kill_searchers(self, data_centre: str) -> None:
+        """End all searchers of a data centre without warning."""
+        process = self._searchers.pop(data_centre)
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a daemon's process; ``resume`` lets it run on."""
+        self.hosts[name].process.send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a stopped process run on."""
+        self.hosts[name].process.send_signal(signal.SIGCONT)
+
     def search(
         self,
         host: str,
@@ -168,6 +185,14 @@
         """Return what a searcher saw."""
         return self.post(self.addresses[searcher], '/record', {}).body
 
+    def cpu_s(self, host: str) -> float:
+        """Return the processor time that a daemon has used, seconds."""
+        return self._usage(host)[0]
+
+    def memory_bytes(self, host: str) -> int:
+        """Return the resident memory of a daemon."""
+        return self._usage(host)[1]
+
     def post(self, address: str, path: str, fields: Json) -> Reply:
         """Send a JSON body and decode the JSON reply."""
         client = curl_client.CurlClient(address, _CONNECT_S)
@@ -177,18 +202,36 @@
             client.close()
         return Reply(reply.status, orjson.loads(reply.body))
 
+    def _usage(self, host: str) -> tuple[float, int]:
+        number = self.hosts[host].process.pid
+        with open(f'/proc/{number}/stat') as status:
+            fields = status.read().rpartition(')')[2].split()
+        # User time, system time and resident pages, see proc(5).
+        ticks = int(fields[11]) + int(fields[12])
+        pages = int(fields[21])
+        return (
+            ticks / os.sysconf('SC_CLK_TCK'),
+            pages * os.sysconf('SC_PAGE_SIZE'),
+        )
+
     def _start_searchers(self) -> None:
         encoded = json.dumps(attrs.asdict(self.deployment))
         for centre in deployments.DATA_CENTRES:
-            self._processes.append(
-                _spawn(
-                    'corianderport_testkit.process.searchers',
-                    [f'--data_centre={centre}', '--deployment', repr(encoded)],
-                )
+            process = _spawn(
+                'corianderport_testkit.process.searchers',
+                [f'--data_centre={centre}', '--deployment', repr(encoded)],
             )
+            self._processes.append(process)
+            self._searchers[centre] = process
         for process in list(self._processes):
             self.addresses.update(_first_line(process))
 
+    def start_naive_hosts(
+        self, names: collections.abc.Sequence[str], hosts: int
+    ) -> None:
+        """Start hosts of the naive tier, each with a static share."""
+        self.start_hosts(names, [f'--hosts={hosts}'], NAIVE_MODULE)
+
     def _list(
         self, name: str, centre: str, process: subprocess.Popen[str]
     ) -> None:
@@ -199,9 +242,12 @@
             process,
             addresses['caller_address'],
             addresses['peer_address'],
-            addresses['admin_address'],
+            addresses.get('admin_address', ''),
         )
         self.hosts[name] = host
+        if not host.peer_address:
+            # A host of the naive tier owns nothing.
+            return
         self.platform.list_host(
             membership.Member(name, centre, host.peer_address)
         )
@@ -209,6 +255,8 @@
     def _end_processes(self) -> None:
         for process in self._processes:
             process.terminate()
+            # A stopped process takes the signal only once it runs on.
+            process.send_signal(signal.SIGCONT)
         for process in self._processes:
             try:
                 process.wait(_EXIT_S)
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -3,16 +3,22 @@
 The entry role: serves the requests of callers.
 """
 
+import attrs
+
 from corianderport_tier import clocks
+from corianderport_tier import errors
 from corianderport_tier.process import action_service
+from corianderport_tier.process import admission
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
 from corianderport_tier.process import shutdown
 from corianderport_tier.process import snapshot_availability
 from corianderport_tier.process import ticket_table
+from corianderport_tier.request import deadlines
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
+from corianderport_tier.version import configuration
 
 __all__ = ['Entry']
 
@@ -36,6 +42,7 @@
         self._clock = clock
         self._log = log
         self._availability = snapshot_availability.SnapshotAvailability(clock)
+        self._admission = admission.Admission(clock)
 
     def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
         """Serve one search on the calling task.
@@ -43,14 +50,24 @@
         :raises Refusal: nothing was sent to any upstream.
         """
         with self._gate.enter():
-            return search.SearchTask(
-                request,
-                self._store.current(),
-                self._router,
-                self._availability,
-                self._clock,
-                self._log,
-            ).run()
+            accepted = self._store.current()
+            found = accepted.searches.get(request.search)
+            if found is None:
+                raise errors.UnknownService(
+                    f'unknown search {request.search!r}'
+                )
+            request = self._limited(request, found)
+            with self._admission.admit(
+                accepted, request.customer, found.worth, request.deadline
+            ):
+                return search.SearchTask(
+                    request,
+                    accepted,
+                    self._router,
+                    self._availability,
+                    self._clock,
+                    self._log,
+                ).run()
 
     def issue_ticket(self) -> ticket_table.IssuedTicket:
         """Return a ticket for one action.
@@ -74,3 +91,10 @@
         # ticket's host knows.
         with self._gate.count():
             return self._actions.act(request)
+
+    def _limited(
+        self, request: messages.SearchRequest, found: configuration.Search
+    ) -> messages.SearchRequest:
+        """Return the request with the search's own limit on its time."""
+        limit = deadlines.Deadline.after(self._clock, found.deadline_ms / 1e3)
+        return attrs.evolve(request, deadline=min(request.deadline, limit))
