--- a/packages/testkit/src/corianderport_testkit/process/control_group.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_group.py
@@ -20,7 +20,14 @@
 from corianderport_tier.process import ownership
 from corianderport_wire.version import document
 
-__all__ = ['SERVICES', 'ControlGroup', 'Host', 'build_document']
+__all__ = [
+    'MAXIMUM_DEADLINE_S',
+    'SERVICES',
+    'ControlGroup',
+    'Host',
+    'build_document',
+    'offer',
+]
 
 _DEPLOYMENT = deployments.Deployment(services=4, shards=1, documents=8)
 _ADDRESSES = {
@@ -40,6 +47,18 @@
     return document.JsonDocument().encode(accepted)
 
 
+def offer(
+    host: 'Host',
+    version: int,
+    out_of_service: collections.abc.Container[str] = (),
+) -> None:
+    """Let a host read a version that the service publishes."""
+    try:
+        host.store.offer(build_document(version, out_of_service))
+    except errors.ConfigurationStale:
+        return
+
+
 class _InlineExecutor(concurrent.futures.Executor):
     """Runs pull jobs at once; contact tasks are stepped by the test."""
 
--- a/packages/tier/src/corianderport_tier/process/contacts.py
+++ b/packages/tier/src/corianderport_tier/process/contacts.py
@@ -67,7 +67,6 @@
         try:
             while not self._closed:
                 self.exchange()
-                self._tried = True
                 self._pause()
         finally:
             self._drop()
@@ -97,6 +96,10 @@
         A silent connection says nothing of the host: it is suspected only
         when a new connection fails as well.
         """
+        self._exchange_once()
+        self._tried = True
+
+    def _exchange_once(self) -> None:
         if self._transport is not None:
             try:
                 self._send(self._transport)
--- /dev/null
+++ b/tests/tier/test_control_group.py
@@ -0,0 +1,106 @@
+"""Several hosts keep one configuration, one view and one owner."""
+
+import pytest
+
+from corianderport_testkit.process import control_group
+from corianderport_tier import errors
+from corianderport_tier.process import membership
+from corianderport_tier.process import readers
+
+_NAMES = [f'host-{n}' for n in range(6)]
+_STANDING = membership.Standing
+
+
+def _settled() -> control_group.ControlGroup:
+    group = control_group.ControlGroup(_NAMES)
+    group.hosts['host-0'].store.offer(control_group.build_document(1))
+    group.list_hosts()
+    group.run(4.0)
+    return group
+
+
+def test_version_reaches_all_within_two_periods() -> None:
+    """Guards against a version that waits for the next poll."""
+    group = _settled()
+    control_group.offer(group.hosts['host-3'], 2)
+    group.run(1.0)
+    assert {h.store.version for h in group.hosts.values()} == {2}
+
+
+def test_invalid_document_is_not_applied() -> None:
+    """Guards against a version that is applied in part."""
+    group = _settled()
+    with pytest.raises(errors.ConfigurationInvalid):
+        group.hosts['host-0'].store.offer(b'{"version": 9}')
+    group.run(2.0)
+    assert {h.store.version for h in group.hosts.values()} == {1}
+
+
+def test_reader_duty_moves_when_a_reader_dies() -> None:
+    """Guards against a data centre without a reader."""
+    group = control_group.ControlGroup([f'host-{n}' for n in range(12)])
+    group.hosts['host-0'].store.offer(control_group.build_document(1))
+    group.list_hosts()
+    group.run(4.0)
+
+    def on_duty() -> dict[str, int]:
+        count: dict[str, int] = {}
+        for host in group.hosts.values():
+            if readers.is_reader(host.members):
+                centre = host.own.data_centre
+                count[centre] = count.get(centre, 0) + 1
+        return count
+
+    assert on_duty() == {'dc-a': 2, 'dc-b': 2, 'dc-c': 2}
+    reader = next(
+        n for n, h in group.hosts.items() if readers.is_reader(h.members)
+    )
+    group.kill(reader)
+    group.run(8.0)
+    assert on_duty() == {'dc-a': 2, 'dc-b': 2, 'dc-c': 2}
+
+
+def test_new_host_without_a_service_gets_the_peers_version() -> None:
+    """Guards against a restarted host that goes back to an old version."""
+    group = _settled()
+    control_group.offer(group.hosts['host-5'], 7)
+    group.run(2.0)
+    for name in _NAMES[:5]:
+        group.kill(name)
+        group.start(name)
+    group.list_hosts()
+    for name in _NAMES[:5]:
+        assert not group.hosts[name].control.joined
+    group.run(2.0)
+    assert all(h.control.joined for h in group.hosts.values())
+    assert {h.store.version for h in group.hosts.values()} == {7}
+
+
+def test_paused_host_suspects_itself_first() -> None:
+    """Guards against a resumed host that declares the others dead."""
+    group = _settled()
+    group.paused.add('host-2')
+    group.run(20.0)
+    group.partition({'host-2'}, set(_NAMES) - {'host-2'})
+    group.paused.clear()
+    group.run(5.0)
+    standings = group.hosts['host-2'].members.view.standings
+    assert set(standings.values()) == {_STANDING.ALIVE}
+    assert group.hosts['host-2'].members.doubtful
+    assert (
+        group.hosts['host-0'].members.view.standings['host-2']
+        is _STANDING.DEAD
+    )
+
+
+def test_contacts_do_not_grow_with_the_fleet() -> None:
+    """Guards against heartbeats to all hosts."""
+    group = control_group.ControlGroup([f'host-{n}' for n in range(60)])
+    group.hosts['host-0'].store.offer(control_group.build_document(1))
+    group.list_hosts()
+    group.run(2.0)
+    sent = [len(h.control.active) for h in group.hosts.values()]
+    # Four on the ring, two at random, and the second owners of at most
+    # all services.
+    assert max(sent) <= 6 + len(control_group.SERVICES)
+    assert {h.store.version for h in group.hosts.values()} == {1}
