--- a/packages/daemon/src/corianderport_daemon/process/settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -10,6 +10,10 @@
 
 from corianderport_tier import errors
 from corianderport_tier import options
+from corianderport_tier.process import selection
+from corianderport_tier.process import tickets
+from corianderport_wire.connection import peer_authentication
+from corianderport_wire.process import json_log
 
 __all__ = ['PREFIX', 'Settings', 'load', 'names']
 
@@ -23,6 +27,15 @@
     return convert
 
 
+def _choice(
+    name: str, allowed: collections.abc.Collection[str]
+) -> collections.abc.Callable[[object], str]:
+    def convert(value: object) -> str:
+        return options.choice(name, value, allowed, errors.SettingInvalid)
+
+    return convert
+
+
 def _number(
     name: str, minimum: float, maximum: float
 ) -> collections.abc.Callable[[object], float]:
@@ -43,6 +56,12 @@
     return convert
 
 
+def _policy(value: object) -> str:
+    """Return the name of a selection policy that exists."""
+    selection.policy(str(value))
+    return str(value)
+
+
 def _address(name: str) -> collections.abc.Callable[[object], str]:
     def convert(value: object) -> str:
         host, _, port = str(value).rpartition(':')
@@ -58,6 +77,13 @@
     return convert
 
 
+def _shared_keys(value: object) -> str:
+    text = str(value)
+    tickets.TicketSigner.from_config(text)
+    peer_authentication.SharedKeys.from_text(text)
+    return text
+
+
 @environ.config(prefix=PREFIX, frozen=True)
 class Settings:
     """All settings of the daemon; times in the unit of their name."""
@@ -72,6 +98,10 @@
         converter=_address('platform'),
         help='Address of the configuration service and host list.',
     )
+    shared_keys: str = environ.var(
+        converter=_shared_keys,
+        help='Keys of all hosts, comma-separated; the first one signs.',
+    )
     caller_address: str = environ.var(
         '127.0.0.1:0',
         converter=_address('caller_address'),
@@ -82,6 +112,11 @@
         converter=_address('peer_address'),
         help='Where other hosts connect; port 0 takes a free one.',
     )
+    admin_address: str = environ.var(
+        '127.0.0.1:0',
+        converter=_address('admin_address'),
+        help='Where operators read the state; port 0 takes a free one.',
+    )
     caller_connections: int = environ.var(
         256,
         converter=_whole('caller_connections', 1, 10_000),
@@ -107,23 +142,45 @@
         converter=_whole('tasks', 16, 20_000),
         help='Tasks for upstream and peer connections.',
     )
+    ticket_lifetime_ms: int = environ.var(
+        60_000,
+        converter=_whole('ticket_lifetime_ms', 100, 600_000),
+        help='Milliseconds after which a ticket expires.',
+    )
+    ticket_retention_ms: int = environ.var(
+        60_000,
+        converter=_whole('ticket_retention_ms', 0, 600_000),
+        help='Milliseconds that an outcome is kept after the expiry.',
+    )
+    open_tickets: int = environ.var(
+        20_000,
+        converter=_whole('open_tickets', 1, 1_000_000),
+        help='Tickets of this host that have not expired.',
+    )
+    drain_lag_s: float = environ.var(
+        5.0,
+        converter=_number('drain_lag_s', 0, 600),
+        help='Seconds that a stopping host still serves new requests.',
+    )
+    drain_limit_s: float = environ.var(
+        10.0,
+        converter=_number('drain_limit_s', 0, 600),
+        help='Seconds for running requests to end before the host exits.',
+    )
     selection: str = environ.var(
         'power-of-two',
-        converter=_text('selection'),
+        converter=_policy,
         help='Policy that chooses among the searchers of a service.',
     )
-    shared_keys: str = environ.var(
-        'not-secret',
-        converter=_text('shared_keys'),
-        help='One key that all hosts share, or two separated by a comma.',
-    )
     heartbeat_s: float = environ.var(
         1.0,
         converter=_number('heartbeat_s', 0.05, 10.0),
         help='Seconds between two heartbeats; a lease lasts three times it.',
     )
     log_level: str = environ.var(
-        'INFO', converter=_text('log_level'), help='Least level logged.'
+        'INFO',
+        converter=_choice('log_level', json_log.LEVELS),
+        help='Least level logged.',
     )
 
 
@@ -149,9 +206,16 @@
             merged[variable] = value
     for name, flag in flags.items():
         options.choice('flag', name, known, errors.SettingInvalid)
-        merged[f'{PREFIX}_{name.upper()}'] = str(flag)
+        # The command line parser splits values at commas.
+        parts = flag if isinstance(flag, tuple) else (flag,)
+        merged[f'{PREFIX}_{name.upper()}'] = ','.join(str(p) for p in parts)
     try:
         return environ.to_config(Settings, merged)
     except environ.MissingEnvValueError as error:
-        name = str(error).removeprefix(f'{PREFIX}_').lower()
-        raise errors.SettingInvalid(f'{name}: missing') from error
+        missing = sorted(
+            str(variable).removeprefix(f'{PREFIX}_').lower()
+            for variable in error.args
+        )
+        raise errors.SettingInvalid(
+            '; '.join(f'{name}: missing' for name in missing)
+        ) from error
