Let only a first owner with a lease send, and settle owners anew

A state machine over six hosts with partitions, pauses, kills and versions found two hosts that sent to one service at the same time: a second owner that acted while it still believed in its majority, owners that regained a majority and took each other for settled, and hosts that relied on an old word that others had just started. A second owner now takes over only by becoming the first one; a lost second owner, a regained majority and an old word make the owners wait until earlier leases have expired.

--- a/packages/testkit/src/corianderport_testkit/process/control_group.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_group.py
@@ -30,10 +30,13 @@
 ]
 
 _DEPLOYMENT = deployments.Deployment(services=4, shards=1, documents=8)
-_ADDRESSES = {
-    name: '127.0.0.1:1'
+_SEARCHERS = [
+    name
     for centre in deployments.DATA_CENTRES
     for name in _DEPLOYMENT.searcher_names(centre)
+]
+_ADDRESSES = {
+    name: f'127.0.0.1:{number + 1}' for number, name in enumerate(_SEARCHERS)
 }
 SERVICES = _DEPLOYMENT.service_names()
 MAXIMUM_DEADLINE_S = _DEPLOYMENT.deadline_ms / 1e3
--- a/packages/tier/src/corianderport_tier/process/leases.py
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -86,7 +86,6 @@
     granted_until_s: float = float('-inf')
     blocked_until_s: float = float('-inf')
     sent_s: float = float('-inf')
-    yield_until_s: float = float('-inf')
     probed_s: float = float('-inf')
     settled_s: float = float('inf')
     predecessors: dict[str, membership.Member] = attrs.Factory(dict)
@@ -145,6 +144,8 @@
                 if name not in kept or kept[name].position > 0:
                     self._release(name, state, now_s)
             self._services = kept
+            if ownership.majority and not before.majority:
+                self._unsettle(now_s)
 
     def may_send(self, service: str) -> LeaseState:
         """Return what may be sent now; to be asked before each send."""
@@ -159,12 +160,10 @@
         now_s = self._clock.monotonic()
         with self._lock:
             state = self._services.get(service)
-            if state is None:
+            if state is None or state.position > 0:
                 return LeaseState.NONE
             self._note_gone(state, now_s)
-            if now_s < state.blocked_until_s or now_s < state.yield_until_s:
-                return LeaseState.NONE
-            if state.position > 0 and not self._first_unreachable(service):
+            if now_s < state.blocked_until_s:
                 return LeaseState.NONE
             allowed = self._state(service, state, now_s)
             state.sent_s = now_s
@@ -328,8 +327,17 @@
         if state.position == 0 and position > 0:
             # It may have sent until now.
             state.sent_s = now_s
-        if position == 0:
-            state.yield_until_s = float('-inf')
+        lost = {m.name: m for m in before[1:]} if position == 0 else {}
+        owners = self._ownership.owners[name]
+        for member in owners:
+            lost.pop(member.name, None)
+        lost.pop(self._members.own.name, None)
+        if lost:
+            # The former second owner may take over on the other side of
+            # a partition, unless it tells that it does not.
+            state.since_s = now_s
+            state.settled_s = float('inf')
+            state.predecessors = lost
         state.position = position
         return state
 
@@ -338,11 +346,10 @@
     ) -> LeaseState:
         if not self._ownership.majority or self._members.doubtful:
             return LeaseState.RESTRICTED
-        second = self._second(service)
-        if state.position == 0 and second is not None:
-            valid = state.lease_from == second and now_s < state.lease_until_s
-        else:
-            valid = self._settled(state, now_s)
+        # A lease holds after its grantor stopped being the second owner.
+        valid = now_s < state.lease_until_s or (
+            self._second(service) is None and self._settled(state, now_s)
+        )
         return LeaseState.FULL if valid else LeaseState.RESTRICTED
 
     def _grant(
@@ -358,7 +365,6 @@
         ):
             return False
         self._note_gone(state, now_s)
-        state.yield_until_s = now_s + self._times.lease_s
         if not _same_process(state.grantee, member):
             if now_s < state.blocked_until_s:
                 return False
@@ -384,7 +390,6 @@
 
     def _end_grant(self, state: _Service, now_s: float) -> None:
         state.grantee = None
-        state.yield_until_s = float('-inf')
         state.blocked_until_s = min(
             state.blocked_until_s,
             now_s + self._ownership.maximum_deadline_s,
@@ -408,6 +413,13 @@
             or self._ownership.starting
         )
 
+    def _unsettle(self, now_s: float) -> None:
+        """Assume other owners while this host was in a minority."""
+        for state in self._services.values():
+            state.since_s = now_s
+            state.settled_s = float('inf')
+            state.predecessors = {}
+
     def _predecessor_ended(
         self, state: _Service, name: str, now_s: float
     ) -> None:
@@ -419,11 +431,6 @@
         owners = self._ownership.owners[service]
         return owners[1].name if len(owners) > 1 else None
 
-    def _first_unreachable(self, service: str) -> bool:
-        first = self._ownership.owners[service][0]
-        standing = self._members.standing(first)
-        return standing >= membership.Standing.SUSPECT
-
 
 def _same_process(
     one: membership.Member | None, other: membership.Member
--- a/packages/tier/src/corianderport_tier/process/membership.py
+++ b/packages/tier/src/corianderport_tier/process/membership.py
@@ -132,7 +132,7 @@
         self._ended: dict[str, str] = {}
         self._suspected_s: dict[str, float] = {}
         self._sends: dict[str, int] = {}
-        self._starting: dict[str, str] = {}
+        self._starting: dict[str, tuple[str, float]] = {}
         self._last_step_s = self._clock.monotonic()
         self._doubtful = False
         self._doubtful_since_s = 0.0
@@ -224,20 +224,32 @@
             if established:
                 self._starting.pop(member.name, None)
             else:
-                self._starting[member.name] = member.incarnation
+                self._starting[member.name] = (
+                    member.incarnation,
+                    self._clock.monotonic(),
+                )
 
     def starting(self, members: collections.abc.Iterable[Member]) -> bool:
-        """Whether all these hosts said that they have just started."""
+        """Whether all these hosts said just now that they have started.
+
+        What they said before a partition proves nothing.
+        """
+        now_s = self._clock.monotonic()
         with self._lock:
             return all(
                 member.name == self._own.member.name
-                or (
-                    member.incarnation != ''
-                    and self._starting.get(member.name) == member.incarnation
-                )
+                or self._is_starting(member, now_s)
                 for member in members
             )
 
+    def _is_starting(self, member: Member, now_s: float) -> bool:
+        incarnation, heard_s = self._starting.get(member.name, ('', 0.0))
+        return (
+            incarnation != ''
+            and incarnation == member.incarnation
+            and now_s - heard_s <= self._times.pause_s
+        )
+
     def confirm(self, sent_s: float) -> None:
         """Learn that a host replied to a message sent at this time.
 
