--- a/tests/wire/test_admin_app.py
+++ b/tests/wire/test_admin_app.py
@@ -1,5 +1,6 @@
 """The administration interface shows the state and changes nothing."""
 
+import random
 import re
 
 import attrs
@@ -11,8 +12,10 @@
 from corianderport_tier.process import administration
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import health
 from corianderport_tier.process import membership
 from corianderport_tier.process import metrics
+from corianderport_tier.process import slow_start
 from corianderport_tier import result_codes
 from corianderport_tier.version import configuration
 from corianderport_wire.request import admin_app
@@ -22,12 +25,29 @@
 _OWN = membership.Member('host-0', 'dc-a', '127.0.0.1:1')
 
 
+Health = health.Health
+SlowStart = slow_start.SlowStart
+
+
+def _health() -> Health:
+    return health.Health(random.Random(1))
+
+
 @attrs.define
 class _Upstream:
     searcher: configuration.Searcher
     limit: int = 2
     in_flight: int = 0
     latency_s: float = 0.0123456
+    health: Health = attrs.field(factory=_health)
+    slow_start: SlowStart = attrs.field(factory=lambda: SlowStart(2))
+
+
+def _held(
+    searcher: configuration.Searcher, state: health.HealthState
+) -> _Upstream:
+    held = health.Health(random.Random(1), state)
+    return _Upstream(searcher, health=held)
 
 
 class _Services:
@@ -56,7 +76,7 @@
         )
         view = administration.Administration(
             self.store,
-            membership.Membership(_OWN),
+            membership.Membership(_OWN, clock.ManualClock()),
             _Owners(),
             self.services,
             self.log,
@@ -122,8 +142,8 @@
         for name in _DEPLOYMENT.service_names()
     ]
     peers = host.client.get('/peers').json
-    assert [(p['name'], p['state']) for p in peers or []] == [
-        ('host-0', 'live')
+    assert [(p['name'], p['state'], p['standing']) for p in peers or []] == [
+        ('host-0', 'live', 'alive')
     ]
 
 
@@ -132,9 +152,13 @@
     host = _Host()
     host.publish(4, {'dc-b', 'catalogue-00-dc-c'})
     service = host.store.current().services['catalogue-00']
+    states = health.HealthState
+    held = (states.SLOW, states.FAILING, states.DRAINING)
     host.services.known['catalogue-00'] = [
         _Upstream(service.searchers[0], in_flight=2),
         _Upstream(service.searchers[0], in_flight=1),
+        _Upstream(service.searchers[0], limit=1),
+        *(_held(service.searchers[0], state) for state in held),
         *(_Upstream(searcher) for searcher in service.searchers[1:]),
         _Upstream(attrs.evolve(service.searchers[0], address='127.0.0.2:1')),
     ]
@@ -142,6 +166,10 @@
     assert [(u['state'], u['reason']) for u in upstreams or []] == [
         ('full', '2 of 2 in flight'),
         ('in-service', '1 of 2 in flight'),
+        ('warming-up', '0 of 1 in flight, 2 when warm'),
+        ('slow', 'much slower than its replicas; it is probed'),
+        ('failing', 'failed several times; it is probed'),
+        ('draining', 'it said that it is leaving; it is probed'),
         ('out-of-service', 'data centre dc-b is out of service'),
         ('out-of-service', 'searcher catalogue-00-dc-c is out of service'),
         ('out-of-service', 'not in the configuration in force'),
