--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -11,17 +11,26 @@
 import typing
 
 from corianderport_daemon.process import control_plane
+from corianderport_daemon.process import peer_calls
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
+from corianderport_tier.process import action_service
 from corianderport_tier.process import administration
 from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import entry
+from corianderport_tier.process import hand_over
+from corianderport_tier.process import handed_over
 from corianderport_tier.process import metrics
 from corianderport_tier.process import owned_services
 from corianderport_tier.process import routing
 from corianderport_tier.process import selection
+from corianderport_tier.process import shutdown
+from corianderport_tier.process import ticket_table
+from corianderport_tier.process import tickets
+from corianderport_tier.request import actions
+from corianderport_tier.request import messages
 from corianderport_wire.connection import http_server
 from corianderport_wire.connection import upstream_client
 from corianderport_wire.request import admin_app
@@ -43,6 +52,8 @@
         self._clock = clock
         self._stack = contextlib.ExitStack()
         self._stopped = threading.Event()
+        self._caller_gate = shutdown.RequestGate(clock)
+        self._peer_gate = shutdown.RequestGate(clock)
 
     @classmethod
     def from_settings(cls, settings: settings_module.Settings) -> 'Daemon':
@@ -79,12 +90,15 @@
         return self._admin_server.address
 
     def stop(self) -> None:
-        """End ``wait``."""
+        """Begin the planned stop; a second call ends it at once."""
+        if self._stopped.is_set():
+            self._planned_stop.interrupt()
         self._stopped.set()
 
-    def wait(self) -> None:
-        """Return when the daemon is asked to stop."""
+    def wait(self) -> shutdown.StopReport:
+        """Return when the planned stop has ended."""
         self._stopped.wait()
+        return self._planned_stop.run()
 
     def _start(self) -> None:
         settings = self._settings
@@ -97,10 +111,12 @@
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
+        self._readiness = shutdown.Readiness(self._store)
+        self._kept = handed_over.HandedOverTickets(self._clock)
         self._start_control()
         self._start_aggregator()
         self._start_entry()
-        self._control.start(self._local)
+        self._control.start(self._peer_calls)
 
     def _start_control(self) -> None:
         self._control = self._stack.enter_context(
@@ -135,11 +151,29 @@
             self._local,
             self._control.remote,
         )
+        service = self._build_actions(router)
+        self._peer_calls = peer_calls.PeerCalls(
+            self._store,
+            self._control.exchange,
+            self._local,
+            service,
+            self._kept,
+            self._peer_gate,
+        )
+        self._planned_stop = self._build_stop()
         self._start_administration()
         application = caller_app.CallerApp(
-            entry.Entry(self._store, router, self._clock, self._log),
+            entry.Entry(
+                self._store,
+                router,
+                service,
+                self._caller_gate,
+                self._clock,
+                self._log,
+            ),
             self._clock,
             caller_app.CallerLimits(body_bytes=self._settings.body_bytes),
+            self._readiness,
             self._metrics,
         )
         host, port = _split(self._settings.caller_address)
@@ -174,6 +208,58 @@
         self._stack.callback(self._admin_server.close)
         self._admin_server.start()
 
+    def _build_actions(
+        self, router: routing.Router
+    ) -> action_service.ActionService:
+        settings = self._settings
+        signer = tickets.TicketSigner.from_config(settings.shared_keys)
+        self._tickets = ticket_table.TicketTable(
+            settings.host,
+            self._control.members.own.incarnation,
+            signer,
+            ticket_table.TicketLimits(
+                settings.ticket_lifetime_ms,
+                settings.ticket_retention_ms,
+                settings.open_tickets,
+            ),
+            self._clock,
+        )
+
+        def run(request: messages.ActionRequest) -> messages.ActionAnswer:
+            return actions.ActionTask(
+                request, self._store.current(), router, self._clock, self._log
+            ).run()
+
+        return action_service.ActionService(
+            self._tickets,
+            self._kept,
+            signer,
+            self._control.members,
+            self._control.remote,
+            run,
+            self._clock,
+        )
+
+    def _build_stop(self) -> shutdown.PlannedStop:
+        task = hand_over.HandOverTask(
+            self._tickets,
+            self._kept,
+            self._control.members,
+            self._control.remote,
+            self._clock,
+        )
+        return shutdown.PlannedStop(
+            self._readiness,
+            self._caller_gate,
+            self._peer_gate,
+            self._tickets.seal,
+            task.run,
+            shutdown.StopTimes(
+                self._settings.drain_lag_s, self._settings.drain_limit_s
+            ),
+            self._clock,
+        )
+
 
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
--- a/packages/testkit/src/corianderport_testkit/process/control_group.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_group.py
@@ -79,6 +79,17 @@
     def search(self, batch: typing.Any, timeout_s: float) -> typing.Any:
         raise NotImplementedError
 
+    def act(self, call: typing.Any, timeout_s: float) -> typing.Any:
+        raise NotImplementedError
+
+    def act_with_ticket(
+        self, request: typing.Any, timeout_s: float
+    ) -> typing.Any:
+        raise NotImplementedError
+
+    def hand_over(self, part: typing.Any, timeout_s: float) -> None:
+        raise NotImplementedError
+
     def close(self) -> None:
         return
 
--- a/packages/tier/src/corianderport_tier/process/administration.py
+++ b/packages/tier/src/corianderport_tier/process/administration.py
@@ -94,11 +94,15 @@
 
 @attrs.frozen
 class VersionView:
-    """The host and the configuration that it has in force."""
+    """The host and the configuration that it has in force.
+
+    ``refused`` lists the faults of a later document that was refused.
+    """
 
     host: str
     data_centre: str
     version: int
+    refused: str = ''
 
 
 @attrs.frozen
@@ -174,7 +178,12 @@
     def version(self) -> VersionView:
         """Return the version in force, 0 when there is none."""
         own = self._members.own
-        return VersionView(own.name, own.data_centre, self._store.version)
+        return VersionView(
+            own.name,
+            own.data_centre,
+            self._store.version,
+            self._store.refusal,
+        )
 
     def peers(self) -> tuple[PeerView, ...]:
         """Return all listed hosts, with this one."""
--- a/packages/wire/src/corianderport_wire/request/caller_app.py
+++ b/packages/wire/src/corianderport_wire/request/caller_app.py
@@ -17,6 +17,7 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier import options
+from corianderport_tier.process import ticket_table
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import messages
 from corianderport_tier import result_codes
@@ -24,7 +25,13 @@
 if typing.TYPE_CHECKING:
     import _typeshed.wsgi
 
-__all__ = ['CallerApp', 'CallerLimits', 'CallerService', 'RequestObserver']
+__all__ = [
+    'CallerApp',
+    'CallerLimits',
+    'CallerService',
+    'HostState',
+    'RequestObserver',
+]
 
 
 _LOG = logging.getLogger(__name__)
@@ -64,6 +71,29 @@
         :raises CorianderportError: its code goes to the caller.
         """
 
+    def issue_ticket(self) -> ticket_table.IssuedTicket:
+        """Return a ticket for one action; errors as above."""
+
+    def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
+        """Serve one action; errors as above."""
+
+
+class HostState(typing.Protocol):
+    """What a load balancer is told."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether the host should get new requests."""
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+
+
+class _AlwaysReady:
+    ready = True
+    stopping = False
+
 
 class RequestObserver(typing.Protocol):
     """Counts the requests of callers."""
@@ -90,21 +120,31 @@
         service: CallerService,
         clock: clocks.Clock,
         limits: CallerLimits,
+        state: HostState = _AlwaysReady(),
         observer: RequestObserver | None = None,
     ) -> None:
         self._service = service
         self._observer = observer
         self._clock = clock
         self._limits = limits
+        self._state = state
         rule = werkzeug.routing.Rule
         self._urls = werkzeug.routing.Map(
             [
                 rule('/v1/search/<name>', endpoint='search', methods=['POST']),
+                rule('/ready', endpoint='ready', methods=['GET']),
+                rule('/v1/tickets', endpoint='tickets', methods=['POST']),
+                rule('/v1/actions/<name>', endpoint='act', methods=['POST']),
             ]
         )
         self._endpoints: dict[
             str, collections.abc.Callable[[str, Json], Json]
-        ] = {'search': self._search}
+        ] = {
+            'ready': self._ready,
+            'search': self._search,
+            'tickets': self._issue_ticket,
+            'act': self._act,
+        }
 
     def __call__(
         self,
@@ -140,10 +180,16 @@
         if body['code'] == result_codes.ResultCode.BODY_TOO_LARGE:
             # The rest of the body stays unread.
             response.headers['Connection'] = 'close'
+        if self._state.stopping:
+            # No connection is left on which a caller sends a request while
+            # the host exits.
+            response.headers['Connection'] = 'close'
         return response(environ, start_response)
 
     def _fields(self, request: werkzeug.wrappers.Request) -> Json:
         length = request.content_length
+        if length is None and request.method == 'GET':
+            return {}
         if length is None:
             raise errors.MalformedRequest('Content-Length is missing')
         if length > self._limits.body_bytes:
@@ -161,6 +207,12 @@
             raise errors.MalformedRequest('body is not a JSON object')
         return fields
 
+    def _ready(self, name: str, fields: Json) -> Json:
+        if not self._state.ready:
+            raise errors.NotReady('no configuration, or shutting down')
+        code = result_codes.ResultCode.OK
+        return {'code': int(code), 'name': code.name, 'ready': True}
+
     def _search(self, name: str, fields: Json) -> Json:
         query = fields.get('query')
         if not isinstance(query, str):
@@ -180,15 +232,51 @@
         )
         return _search_body(answer)
 
-    def _deadline(self, fields: Json) -> deadlines.Deadline:
-        value = fields.get('deadline_ms', self._limits.default_deadline_ms)
-        milliseconds = options.number(
-            'deadline_ms', value, -_MAX_DEADLINE_MS, _MAX_DEADLINE_MS
+    def _issue_ticket(self, name: str, fields: Json) -> Json:
+        issued = self._service.issue_ticket()
+        code = result_codes.ResultCode.OK
+        return {
+            'code': int(code),
+            'name': code.name,
+            'ticket': issued.text,
+            'expires_in_ms': issued.expires_in_ms,
+        }
+
+    def _act(self, name: str, fields: Json) -> Json:
+        payload = fields.get('payload')
+        if not isinstance(payload, str):
+            raise errors.MalformedRequest('payload: a string is needed')
+        ticket = fields.get('ticket')
+        if ticket is not None and not isinstance(ticket, str):
+            raise errors.MalformedRequest('ticket: not a string')
+        answer = self._service.act(
+            messages.ActionRequest(
+                request_id=_request_id(fields),
+                action=name,
+                payload=payload,
+                # The host that issued the ticket decides on a deadline that
+                # has passed: the ticket may have been used before.
+                deadline=deadlines.Deadline.after(
+                    self._clock, self._deadline_ms(fields) / 1e3
+                ),
+                customer=_customer(fields),
+                ticket=ticket,
+            )
         )
+        return _action_body(answer)
+
+    def _deadline(self, fields: Json) -> deadlines.Deadline:
+        milliseconds = self._deadline_ms(fields)
         if milliseconds <= 0:
             raise errors.DeadlinePast('deadline_ms is not positive')
         return deadlines.Deadline.after(self._clock, milliseconds / 1e3)
 
+    def _deadline_ms(self, fields: Json) -> float:
+        value = fields.get('deadline_ms', self._limits.default_deadline_ms)
+        return options.number(
+            'deadline_ms', value, -_MAX_DEADLINE_MS, _MAX_DEADLINE_MS
+        )
+
 
 def _request_id(fields: Json) -> str:
     given = fields.get('request_id')
@@ -216,6 +304,19 @@
     }
 
 
+def _action_body(answer: messages.ActionAnswer) -> Json:
+    body = {
+        'code': int(answer.code),
+        'name': answer.code.name,
+        'ran': answer.code.ran.value,
+        'request_id': answer.request_id,
+        'outcome': answer.outcome,
+    }
+    if answer.detail:
+        body['detail'] = answer.detail
+    return body
+
+
 def _search_body(answer: messages.SearchAnswer) -> Json:
     return {
         'code': int(answer.code),
--- a/tests/daemon/test_settings_page.py
+++ b/tests/daemon/test_settings_page.py
@@ -9,7 +9,12 @@
 from corianderport_tier import errors
 
 _PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'settings.md'
-_NEEDED = {'host': 'h', 'data_centre': 'dc-a', 'platform': '127.0.0.1:1'}
+_NEEDED = {
+    'host': 'h',
+    'data_centre': 'dc-a',
+    'platform': '127.0.0.1:1',
+    'shared_keys': 'first key,second key',
+}
 
 
 @attrs.frozen
@@ -61,6 +66,11 @@
         assert _accepts(row.name, '127.0.0.1:65535')
         assert not _accepts(row.name, 'localhost:80')
         assert not _accepts(row.name, '127.0.0.1:65536')
+    elif row.allowed == 'one or two keys of at least 8 bytes':
+        assert _accepts(row.name, 'x' * 8)
+        assert _accepts(row.name, 'first key,second key')
+        assert not _accepts(row.name, 'x' * 7)
+        assert not _accepts(row.name, 'first key,second key,third key')
     elif row.allowed == '1 to 200 characters':
         assert _accepts(row.name, 'x' * 200)
         assert not _accepts(row.name, 'x' * 201)
@@ -69,7 +79,7 @@
         least, most = map(float, row.allowed.split(' to '))
         assert _accepts(row.name, least)
         assert _accepts(row.name, most)
-        assert not _accepts(row.name, least * 0.99)
+        assert not _accepts(row.name, least - 0.01 * max(least, 1))
         assert not _accepts(row.name, most * 1.01)
 
 
--- a/tests/wire/test_admin_app.py
+++ b/tests/wire/test_admin_app.py
@@ -9,6 +9,7 @@
 
 from corianderport_testkit import clock
 from corianderport_testkit.version import deployments
+from corianderport_tier import errors
 from corianderport_tier.process import administration
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
@@ -135,6 +136,7 @@
         'host': 'host-0',
         'data_centre': 'dc-a',
         'version': 4,
+        'refused': '',
     }
     assert host.client.get('/configuration').data == encoded
     assert host.client.get('/owners').json == [
@@ -147,6 +149,23 @@
     ]
 
 
+def test_refused_document_leaves_the_last_one_in_force() -> None:
+    """Guards against a refusal that operators do not learn of."""
+    host = _Host()
+    encoded = host.publish(4, set())
+    faulty = encoded.replace(b'"version": 4', b'"version": 5')
+    faulty = faulty.replace(b'"slots": 2', b'"slots": 0')
+    with pytest.raises(errors.ConfigurationInvalid):
+        host.store.offer(faulty)
+    assert host.client.get('/configuration').data == encoded
+    view = host.client.get('/version').json or {}
+    assert view['version'] == 4
+    assert view['refused'].startswith('F11 service catalogue-00: slots: 0')
+    host.publish(6, set())
+    view = host.client.get('/version').json or {}
+    assert (view['version'], view['refused']) == (6, '')
+
+
 def test_upstream_state_has_its_reason() -> None:
     """Guards against a searcher without work and without a reason."""
     host = _Host()
