Keep requests within the deadline of their search or action

The configuration says that deadline_ms is the default and the maximum, but nothing applied it: a caller could ask for 60 s, while a new owner waits for one maximum deadline only before it sends to a searcher. The entry's tasks now take the earlier deadline. A caller that names none gets that of the configuration, instead of 1 s.

The load balancer's probes were counted as requests, and as refusals while a host starts or stops; they are no longer counted.

--- a/packages/operator/src/corianderport_operator/process/live_commands.py
+++ b/packages/operator/src/corianderport_operator/process/live_commands.py
@@ -88,7 +88,8 @@
         host: caller_address of a host.
         name: name of the search.
         query: text to search for.
-        deadline_ms: time in which the answer is needed.
+        deadline_ms: time in which the answer is needed; at most that of
+            the search.
         limit: number of hits.
         customer: customer on whose behalf the search is made.
         json: print JSON instead of a table.
--- a/packages/tier/src/corianderport_tier/request/actions.py
+++ b/packages/tier/src/corianderport_tier/request/actions.py
@@ -58,7 +58,10 @@
             raise errors.UnknownService(
                 f'unknown action {self._request.action!r}'
             )
-        deadline = self._request.deadline.earlier(2 * _ANSWER_MARGIN_S)
+        bounded = self._request.deadline.within(
+            self._clock, action.deadline_ms
+        )
+        deadline = bounded.earlier(2 * _ANSWER_MARGIN_S)
         call = messages.ActionCall(
             attrs.evolve(self._request, deadline=deadline), action.service
         )
--- a/packages/tier/src/corianderport_tier/request/deadlines.py
+++ b/packages/tier/src/corianderport_tier/request/deadlines.py
@@ -29,6 +29,10 @@
         """Whether no time is left."""
         return clock.monotonic() >= self.at_s
 
+    def within(self, clock: clocks.Clock, milliseconds: float) -> 'Deadline':
+        """Return this deadline, or the one that long from now if sooner."""
+        return min(self, Deadline.after(clock, milliseconds / 1e3))
+
     def earlier(self, seconds: float) -> 'Deadline':
         """Return a deadline that many seconds before this one."""
         return Deadline(self.at_s - seconds)
--- a/packages/tier/src/corianderport_tier/request/search.py
+++ b/packages/tier/src/corianderport_tier/request/search.py
@@ -60,7 +60,7 @@
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
-        self._request = request
+        self._request = _bounded(request, accepted, clock)
         self._accepted = accepted
         self._router = router
         self._availability = availability
@@ -251,6 +251,19 @@
     )
 
 
+def _bounded(
+    request: messages.SearchRequest,
+    accepted: configuration.Configuration,
+    clock: clocks.Clock,
+) -> messages.SearchRequest:
+    """Return the request with at most the deadline of its search."""
+    known = accepted.searches.get(request.search)
+    if known is None:
+        return request
+    deadline = request.deadline.within(clock, known.deadline_ms)
+    return attrs.evolve(request, deadline=deadline)
+
+
 def _code(
     search: configuration.Search, covered: messages.Coverage
 ) -> result_codes.ResultCode:
--- a/packages/wire/src/corianderport_wire/request/caller_app.py
+++ b/packages/wire/src/corianderport_wire/request/caller_app.py
@@ -41,6 +41,7 @@
 _MAX_DEADLINE_MS = 60_000.0
 _DEFAULT_CUSTOMER = 'default'
 _UNKNOWN_ENDPOINT = 'unknown'
+_PROBE_ENDPOINT = 'ready'
 
 _HTTP_STATUS = {
     result_codes.ResultCode.OK: 200,
@@ -106,10 +107,14 @@
 
 @attrs.frozen
 class CallerLimits:
-    """Bounds on what a caller may send."""
+    """Bounds on what a caller may send.
+
+    The configuration has the deadline of each search and action, which
+    bounds the default here.
+    """
 
     body_bytes: int = 65_536
-    default_deadline_ms: float = 1_000.0
+    default_deadline_ms: float = _MAX_DEADLINE_MS
 
 
 class CallerApp:
@@ -166,7 +171,7 @@
         except Exception:
             _LOG.exception('request failed')
             body = _error_body(errors.CorianderportError('internal error'))
-        if self._observer is not None:
+        if self._observer is not None and endpoint != _PROBE_ENDPOINT:
             self._observer.finished(
                 endpoint,
                 result_codes.ResultCode(body['code']),
--- a/tests/tier/test_search.py
+++ b/tests/tier/test_search.py
@@ -162,3 +162,15 @@
     router = _Router({'a': _Owner(_whole)}, frozenset({'catalogue-01'}))
     result = _run(router)
     assert result.coverage.missing == ('shard-002', 'shard-003')
+
+
+def test_deadline_is_at_most_that_of_the_configuration() -> None:
+    """Guards against a request that outlives a change of owners.
+
+    A new owner waits for one maximum deadline before it sends.
+    """
+    owner = _Owner(_whole)
+    clock = manual_clock.ManualClock()
+    _run(_Router({'a': owner}), clock)
+    (batch,) = owner.batches
+    assert 0.4 < batch.deadline.remaining(clock) < 0.5
--- a/tests/wire/test_caller_app.py
+++ b/tests/wire/test_caller_app.py
@@ -126,3 +126,41 @@
     reply = _client(entry).post('/v1/search/stock', json={'query': 'x'})
     body = json.loads(reply.data)
     assert (body['name'], body['ran']) == (name, ran)
+
+
+class _Observer:
+    def __init__(self) -> None:
+        self.finished_requests: list[tuple[str, int]] = []
+
+    def finished(
+        self, request: str, code: result_codes.ResultCode, latency_s: float
+    ) -> None:
+        self.finished_requests.append((request, int(code)))
+
+
+def test_requests_are_counted_and_readiness_probes_are_not() -> None:
+    """Guards against refusals that are only the load balancer's probes."""
+    observer = _Observer()
+    app = caller_app.CallerApp(
+        _Entry(),
+        manual_clock.ManualClock(),
+        caller_app.CallerLimits(),
+        observer=observer,
+    )
+    client = werkzeug.test.Client(app)
+    client.get('/ready')
+    client.post('/v1/search/stock', json={'query': 'stilts'})
+    client.post('/v1/search/stock', json={})
+    client.post('/v2/unknown', json={})
+    assert observer.finished_requests == [
+        ('search', 1),
+        ('search', 100),
+        ('unknown', 100),
+    ]
+
+
+def test_without_a_deadline_the_configuration_decides() -> None:
+    """Guards against a default that is shorter than the search's own."""
+    entry = _Entry()
+    _client(entry).post('/v1/search/stock', json={'query': 'stilts'})
+    assert entry.requests[0].deadline.at_s == pytest.approx(1_060.0)
