Bound the time in which an action is forwarded to its ticket's host

The entry forwarded an action with the caller's own deadline, so that a host that does not answer could hold the caller for 60 s. The entry now applies the action's deadline before it forwards; without a configuration or with an unknown action it leaves the decision to the ticket's host, because the ticket may have been used before.

--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -3,7 +3,10 @@
 The entry role: serves the requests of callers.
 """
 
+import attrs
+
 from corianderport_tier import clocks
+from corianderport_tier import errors
 from corianderport_tier.process import action_service
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
@@ -67,6 +70,7 @@
         :raises Refusal: the action did not run and will not run.
         :raises OutcomeUnknown: it may run, have run, or never run.
         """
+        request = self._bounded(request)
         if request.ticket is None:
             with self._gate.enter():
                 return self._actions.act(request)
@@ -74,3 +78,19 @@
         # ticket's host knows.
         with self._gate.count():
             return self._actions.act(request)
+
+    def _bounded(
+        self, request: messages.ActionRequest
+    ) -> messages.ActionRequest:
+        """Return the request with at most the deadline of its action.
+
+        What the configuration does not tell is left to the ticket's host.
+        """
+        try:
+            known = self._store.current().actions.get(request.action)
+        except errors.NotReady:
+            return request
+        if known is None:
+            return request
+        deadline = request.deadline.within(self._clock, known.deadline_ms)
+        return attrs.evolve(request, deadline=deadline)
--- /dev/null
+++ b/tests/tier/test_entry.py
@@ -0,0 +1,70 @@
+"""The entry role takes requests over from callers."""
+
+import typing
+
+import pytest
+
+from corianderport_testkit import clock as manual_clock
+from corianderport_testkit.version import deployments
+from corianderport_tier.process import action_service
+from corianderport_tier.process import configuration_store
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import entry
+from corianderport_tier.process import routing
+from corianderport_tier.process import shutdown
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import messages
+from corianderport_tier import result_codes
+from corianderport_tier.version import configuration
+
+_DEPLOYMENT = deployments.Deployment(services=1, deadline_ms=200.0)
+
+
+class _Decoder:
+    def decode(self, document: bytes) -> configuration.Configuration:
+        names = [
+            name
+            for centre in deployments.DATA_CENTRES
+            for name in _DEPLOYMENT.searcher_names(centre)
+        ]
+        return _DEPLOYMENT.build(1, {name: '127.0.0.1:1' for name in names})
+
+
+class _Actions:
+    def __init__(self) -> None:
+        self.requests: list[messages.ActionRequest] = []
+
+    def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
+        self.requests.append(request)
+        return messages.ActionAnswer(
+            result_codes.ResultCode.OK, request.request_id, 'done'
+        )
+
+
+@pytest.mark.parametrize(
+    ('configured', 'action', 'expected_s'),
+    [(True, 'reserve', 0.2), (True, 'other', 30.0), (False, 'reserve', 30.0)],
+)
+def test_action_is_forwarded_with_the_deadline_of_the_configuration(
+    configured: bool, action: str, expected_s: float
+) -> None:
+    """Guards against a host that waits too long for the ticket's host."""
+    clock = manual_clock.ManualClock()
+    store = configuration_store.ConfigurationStore(_Decoder(), clock)
+    if configured:
+        store.offer(b'')
+    actions = _Actions()
+    role = entry.Entry(
+        store,
+        typing.cast(routing.Router, None),
+        typing.cast(action_service.ActionService, actions),
+        shutdown.RequestGate(clock),
+        clock,
+        decision_log.DecisionLog(),
+    )
+    deadline = deadlines.Deadline.after(clock, 30.0)
+    role.act(
+        messages.ActionRequest('r', action, 'x', deadline, 'default', 'ticket')
+    )
+    (request,) = actions.requests
+    assert request.deadline.remaining(clock) == pytest.approx(expected_s)
