--- a/packages/operator/src/corianderport_operator/process/status.py
+++ b/packages/operator/src/corianderport_operator/process/status.py
@@ -23,13 +23,17 @@
 
 @attrs.frozen
 class HostStatus:
-    """State of one host; ``problem`` is empty when it serves callers."""
+    """State of one host; ``problem`` is empty when it serves callers.
+
+    ``refused`` lists the faults of a document that the host refused.
+    """
 
     address: str
     problem: str = ''
     host: str = ''
     data_centre: str = ''
     version: int = 0
+    refused: str = ''
     owners: tuple[administration.OwnerView, ...] = ()
     upstreams: tuple[administration.UpstreamView, ...] = ()
     refusals: collections.abc.Mapping[str, int] = attrs.field(factory=dict)
@@ -66,6 +70,11 @@
             for host in self.hosts
             if host.problem
         ]
+        found.extend(
+            f'{host.host}: refused a configuration: {host.refused}'
+            for host in self.hosts
+            if host.refused
+        )
         if len(self.versions) > 1:
             numbers = ', '.join(map(str, self.versions))
             found.append(f'hosts have different versions in force: {numbers}')
@@ -108,6 +117,7 @@
                 host=version.host,
                 data_centre=version.data_centre,
                 version=version.version,
+                refused=version.refused,
                 refusals=host.refusals(),
             )
             ready = host.ready()
--- a/packages/tier/src/corianderport_tier/process/configuration_store.py
+++ b/packages/tier/src/corianderport_tier/process/configuration_store.py
@@ -43,6 +43,7 @@
         self._clock = clock
         self._condition = threading.Condition()
         self._accepted: Accepted | None = None
+        self._refusal = ''
         self._listeners: list[collections.abc.Callable[[], None]] = []
 
     @property
@@ -51,6 +52,11 @@
         accepted = self._accepted
         return 0 if accepted is None else accepted.configuration.version
 
+    @property
+    def refusal(self) -> str:
+        """Faults of a document refused since the last accepted one."""
+        return self._refusal
+
     def current(self) -> configuration.Configuration:
         """Return the configuration in force.
 
@@ -74,7 +80,11 @@
         :raises ConfigurationInvalid: the document has faults.
         :raises ConfigurationStale: its version is not newer.
         """
-        candidate = self._decoder.decode(document)
+        try:
+            candidate = self._decoder.decode(document)
+        except errors.ConfigurationInvalid as error:
+            self._refusal = str(error)
+            raise
         with self._condition:
             if candidate.version <= self.version:
                 raise errors.ConfigurationStale(
@@ -82,6 +92,7 @@
                     f'{self.version}'
                 )
             self._accepted = Accepted(candidate, document)
+            self._refusal = ''
             self._condition.notify_all()
         for listener in self._listeners:
             listener()
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -15,10 +15,8 @@
 from corianderport_tier.process import shutdown
 from corianderport_tier.process import snapshot_availability
 from corianderport_tier.process import ticket_table
-from corianderport_tier.request import deadlines
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
-from corianderport_tier.version import configuration
 
 __all__ = ['Entry']
 
@@ -56,9 +54,9 @@
                 raise errors.UnknownService(
                     f'unknown search {request.search!r}'
                 )
-            request = self._limited(request, found)
+            deadline = request.deadline.within(self._clock, found.deadline_ms)
             with self._admission.admit(
-                accepted, request.customer, found.worth, request.deadline
+                accepted, request.customer, found.worth, deadline
             ):
                 return search.SearchTask(
                     request,
@@ -84,6 +82,7 @@
         :raises Refusal: the action did not run and will not run.
         :raises OutcomeUnknown: it may run, have run, or never run.
         """
+        request = self._bounded(request)
         if request.ticket is None:
             with self._gate.enter():
                 return self._actions.act(request)
@@ -92,9 +91,18 @@
         with self._gate.count():
             return self._actions.act(request)
 
-    def _limited(
-        self, request: messages.SearchRequest, found: configuration.Search
-    ) -> messages.SearchRequest:
-        """Return the request with the search's own limit on its time."""
-        limit = deadlines.Deadline.after(self._clock, found.deadline_ms / 1e3)
-        return attrs.evolve(request, deadline=min(request.deadline, limit))
+    def _bounded(
+        self, request: messages.ActionRequest
+    ) -> messages.ActionRequest:
+        """Return the request with at most the deadline of its action.
+
+        What the configuration does not tell is left to the ticket's host.
+        """
+        try:
+            known = self._store.current().actions.get(request.action)
+        except errors.NotReady:
+            return request
+        if known is None:
+            return request
+        deadline = request.deadline.within(self._clock, known.deadline_ms)
+        return attrs.evolve(request, deadline=deadline)
