--- a/packages/testkit/src/corianderport_testkit/process/bench_output.py
+++ b/packages/testkit/src/corianderport_testkit/process/bench_output.py
@@ -24,7 +24,7 @@
     'coverage_least', 'cpu_ms', 'cpu_percent', 'extra', 'failed',
     'full_share_s', 'late_searches', 'memory_mb', 'overruns', 'p50_ms',
     'p99_ms', 'recovered_s', 'refusal_p99_ms', 'worst_second_p99_ms',
-    'worth_answered',
+    'worth_answered', 'worth_share',
 })  # fmt: skip
 
 
--- a/packages/testkit/src/corianderport_testkit/process/load.py
+++ b/packages/testkit/src/corianderport_testkit/process/load.py
@@ -36,8 +36,8 @@
 class Load:
     """An open-loop load.
 
-    Arrivals are a Poisson process of ``rate`` a second; ``searches`` are
-    the names asked for in turn, and ``worths`` their worth.
+    Arrivals are a Poisson process of ``rate`` a second, each for one of
+    ``searches`` with equal probability; ``worths`` are their worth.
     """
 
     rate: float
@@ -63,6 +63,7 @@
     number: int
     at_s: float
     query: str
+    kind: int
 
 
 class _Sender:
@@ -100,9 +101,8 @@
         self, arrival: _Arrival, stack: contextlib.ExitStack
     ) -> summaries.Sample:
         load = self._load
-        kind = arrival.number % len(load.searches)
-        turn = arrival.number // len(load.searches)
-        address = self._addresses[turn % len(self._addresses)]
+        kind = arrival.kind
+        address = self._addresses[arrival.number % len(self._addresses)]
         body = self._post(address, load.searches[kind], arrival.query, stack)
         ended_s = time.monotonic() - self._started_s
         covered = body.get('coverage', {})
@@ -112,6 +112,7 @@
             name=body['name'],
             coverage=covered.get('fraction', 0.0),
             worth=load.worths[kind],
+            deadline_s=load.deadline_ms / 1e3,
         )
 
     def _post(
@@ -145,7 +146,12 @@
     end_s = _FIRST_ARRIVAL_S + load.seconds
     scheduled = itertools.takewhile(lambda at_s: at_s < end_s, times)
     return collections.deque(
-        _Arrival(number, at_s, rng.choice(_WORDS))
+        _Arrival(
+            number,
+            at_s,
+            rng.choice(_WORDS),
+            rng.randrange(len(load.searches)),
+        )
         for number, at_s in enumerate(list(scheduled))
     )
 
--- a/packages/testkit/src/corianderport_testkit/process/summaries.py
+++ b/packages/testkit/src/corianderport_testkit/process/summaries.py
@@ -13,6 +13,8 @@
 
 _MAX_US = 120_000_000
 _DIGITS = 3
+# A share of the deadline for the way back and the sender's own delay.
+_ALLOWANCE = 1.05
 _ANSWERED = frozenset({'OK', 'PARTIAL'})
 _REFUSED = frozenset({'OVERLOADED', 'QUOTA_EXCEEDED', 'NOT_READY'})
 
@@ -26,6 +28,13 @@
     name: str
     coverage: float
     worth: float
+    deadline_s: float
+
+    @property
+    def worth_answered(self) -> float:
+        """Worth times coverage of an answer that came in time."""
+        in_time = self.latency_s <= _ALLOWANCE * self.deadline_s
+        return self.worth * self.coverage * (self.answered and in_time)
 
     @property
     def answered(self) -> bool:
@@ -50,6 +59,7 @@
     coverage_mean: float
     coverage_least: float
     worth_answered: float
+    worth_share: float
     refusal_p99_ms: float
 
 
@@ -80,6 +90,7 @@
     """Return the figures of a load."""
     answered = [s for s in samples if s.answered]
     recorded = _recorded(answered)
+    worth = sum(s.worth_answered for s in answered)
     coverage = [s.coverage for s in answered] or [0.0]
     return Summary(
         requests=len(samples),
@@ -89,7 +100,8 @@
         p99_ms=_ms(recorded, 99),
         coverage_mean=sum(coverage) / len(coverage),
         coverage_least=min(coverage),
-        worth_answered=sum(s.worth * s.coverage for s in answered),
+        worth_answered=worth,
+        worth_share=worth / (sum(s.worth for s in samples) or 1.0),
         refusal_p99_ms=_ms(_recorded(s for s in samples if s.refused), 99),
     )
 
--- a/tests/testkit/test_bench.py
+++ b/tests/testkit/test_bench.py
@@ -1,6 +1,7 @@
 """The bench's arithmetic: percentiles, seconds, bounds, open loop."""
 
 import pathlib
+import socket
 
 import pytest
 
@@ -13,7 +14,7 @@
 def _sample(
     at_s: float, latency_s: float, name: str = 'OK', coverage: float = 1.0
 ) -> summaries.Sample:
-    return summaries.Sample(at_s, latency_s, name, coverage, 2.0)
+    return summaries.Sample(at_s, latency_s, name, coverage, 2.0, 1.0)
 
 
 def test_summary_keeps_refusals_out_of_the_latency() -> None:
@@ -34,6 +35,12 @@
     assert summary.worth_answered == 2.0 * 50 + 2.0 * 0.5 * 50
 
 
+def test_late_answers_have_no_worth() -> None:
+    """Guards against an overloaded side that answers after the deadline."""
+    summary = summaries.summarize([_sample(0.0, 0.9), _sample(0.1, 1.2)])
+    assert (summary.worth_answered, summary.worth_share) == (2.0, 0.5)
+
+
 def test_seconds_group_by_the_scheduled_time() -> None:
     """Guards against a stall that hides in a later second."""
     seconds = summaries.by_second(
@@ -46,9 +53,12 @@
 def test_latency_counts_from_the_scheduled_time() -> None:
     """Guards against a closed loop: a dead tier must not slow arrivals."""
     planned = load.Load(rate=200.0, seconds=0.5, seed=3)
-    # Port 9 of the loopback address: nothing listens, each send fails.
-    samples = load.send(planned, ['127.0.0.1:9'])
-    again = load.send(planned, ['127.0.0.1:9'])
+    with socket.socket() as deaf:
+        # Bound but not listening, so that each connection is refused.
+        deaf.bind(('127.0.0.1', 0))
+        address = f'127.0.0.1:{deaf.getsockname()[1]}'
+        samples = load.send(planned, [address])
+        again = load.send(planned, [address])
     assert {s.name for s in samples} == {'NO_REPLY'}
     assert [s.at_s for s in samples] == [s.at_s for s in again]
     assert all(s.latency_s > 0 for s in samples)
