--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -27,6 +27,7 @@
 _CONNECT_S = 2.0
 _TIMEOUT_S = 10.0
 _EXIT_S = 15.0
+_SHARED_KEYS = 'shared key of the test fleet'
 
 Json = dict[str, typing.Any]
 
@@ -48,10 +49,17 @@
     process: subprocess.Popen[str]
     caller_address: str
     peer_address: str
+    admin_address: str
 
 
 def _spawn(module: str, arguments: list[str]) -> subprocess.Popen[str]:
-    environment = dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path))
+    environment = dict(
+        os.environ,
+        PYTHONPATH=os.pathsep.join(sys.path),
+        CORIANDERPORT_SHARED_KEYS=_SHARED_KEYS,
+        CORIANDERPORT_DRAIN_LAG_S='0',
+        CORIANDERPORT_DRAIN_LIMIT_S='1',
+    )
     return subprocess.Popen(
         [sys.executable, '-m', module, *arguments],
         env=environment,
@@ -234,6 +242,7 @@
             process,
             addresses['caller_address'],
             addresses['peer_address'],
+            addresses['admin_address'],
         )
         self.hosts[name] = host
         if not host.peer_address:
--- a/packages/testkit/src/corianderport_testkit/process/naive_tier.py
+++ b/packages/testkit/src/corianderport_testkit/process/naive_tier.py
@@ -20,6 +20,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import readers
+from corianderport_tier.process import ticket_table
 from corianderport_tier.request import coverage
 from corianderport_tier.request import merging
 from corianderport_tier.request import messages
@@ -110,6 +111,14 @@
             sub_requests=len(futures),
         )
 
+    def issue_ticket(self) -> ticket_table.IssuedTicket:
+        """Refuse: this tier has no actions."""
+        raise errors.UnknownService('the naive tier has no actions')
+
+    def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
+        """Refuse: this tier has no actions."""
+        raise errors.UnknownService('the naive tier has no actions')
+
     def _ask(
         self,
         accepted: configuration.Configuration,
@@ -186,6 +195,7 @@
         store,
         clock,
         readers.ReaderTimes(),
+        lambda: True,
     )
     threading.Thread(target=reader.run, daemon=True).start()
     server = http_server.HttpServer(
@@ -202,7 +212,11 @@
     stopped = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
     server.start()
-    addresses = {'caller_address': server.address, 'peer_address': ''}
+    addresses = {
+        'caller_address': server.address,
+        'peer_address': '',
+        'admin_address': '',
+    }
     print(json.dumps(addresses), flush=True)
     stopped.wait()
     reader.close()
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -3,14 +3,20 @@
 The entry role: serves the requests of callers.
 """
 
+import contextlib
+
 from corianderport_tier import clocks
+from corianderport_tier.process import action_service
 from corianderport_tier.process import admission
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
+from corianderport_tier.process import shutdown
 from corianderport_tier.process import snapshot_availability
+from corianderport_tier.process import ticket_table
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
+from corianderport_tier.version import configuration
 
 __all__ = ['Entry']
 
@@ -22,11 +28,15 @@
         self,
         store: configuration_store.ConfigurationStore,
         router: routing.Router,
+        actions: action_service.ActionService,
+        gate: shutdown.RequestGate,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
         self._store = store
         self._router = router
+        self._actions = actions
+        self._gate = gate
         self._clock = clock
         self._log = log
         self._availability = snapshot_availability.SnapshotAvailability(clock)
@@ -39,10 +49,7 @@
         """
         accepted = self._store.current()
         found = accepted.searches.get(request.search)
-        worth = found.worth if found is not None else 0.0
-        with self._admission.admit(
-            accepted, request.customer, worth, request.deadline
-        ):
+        with self._gate.enter(), self._admit(accepted, found, request):
             return search.SearchTask(
                 request,
                 accepted,
@@ -51,3 +58,39 @@
                 self._clock,
                 self._log,
             ).run()
+
+    def issue_ticket(self) -> ticket_table.IssuedTicket:
+        """Return a ticket for one action.
+
+        :raises NotReady: the host is shutting down.
+        :raises Overloaded: too many tickets have not expired yet.
+        """
+        with self._gate.enter():
+            return self._actions.issue_ticket()
+
+    def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
+        """Serve one action on the calling task.
+
+        :raises Refusal: the action did not run and will not run.
+        :raises OutcomeUnknown: it may run, have run, or never run.
+        """
+        if request.ticket is None:
+            accepted = self._store.current()
+            found = accepted.actions.get(request.action)
+            with self._gate.enter(), self._admit(accepted, found, request):
+                return self._actions.act(request)
+        # "Not run" would be wrong if the ticket had been used before; the
+        # ticket's host knows.
+        with self._gate.count():
+            return self._actions.act(request)
+
+    def _admit(
+        self,
+        accepted: configuration.Configuration,
+        found: configuration.Search | configuration.Action | None,
+        request: messages.SearchRequest | messages.ActionRequest,
+    ) -> contextlib.AbstractContextManager[None]:
+        worth = found.worth if found is not None else 0.0
+        return self._admission.admit(
+            accepted, request.customer, worth, request.deadline
+        )
