Spend less CPU on the decisions for a sub-request

The outcome of an attempt is built once, quantiles are sorted once for 16 samples and read without the lock, and probes, waiting requests and abandoned requests cost nothing while there are none.

--- a/packages/tier/src/corianderport_tier/process/latency.py
+++ b/packages/tier/src/corianderport_tier/process/latency.py
@@ -8,16 +8,34 @@
 
 import attrs
 
-__all__ = ['LatencyAverage', 'LatencyWindow']
+__all__ = ['AttemptTimes', 'LatencyAverage', 'LatencyWindow']
 
 _WINDOW_SAMPLES = 512
 _MIN_SAMPLES = 20
 _REFRESH_SAMPLES = 16
+_HEDGE_QUANTILE = 0.97
+_USUAL_QUANTILE = 0.5
+_SHORTEST_HEDGE_S = 0.001
+_TIMEOUT_FACTOR = 8.0
+_SHORTEST_TIMEOUT_S = 0.05
 _FAST_WEIGHT = 0.2
 _HALF_LIFE_S = 0.5
 _SLOW_WEIGHT = 0.02
 
 
+@attrs.frozen
+class AttemptTimes:
+    """Times derived from the observed latency, seconds.
+
+    ``hedge_s`` and ``timeout_s`` are None with too few samples;
+    ``usual_s`` is 0 then.
+    """
+
+    usual_s: float = 0.0
+    hedge_s: float | None = None
+    timeout_s: float | None = None
+
+
 @attrs.define
 class LatencyAverage:
     """Moving averages of one searcher, seconds; 0 without a sample."""
@@ -53,20 +71,31 @@
         self._samples: collections.deque[float] = collections.deque(
             maxlen=_WINDOW_SAMPLES
         )
-        self._sorted: list[float] = []
         self._new = 0
+        self._times = AttemptTimes()
+
+    @property
+    def times(self) -> AttemptTimes:
+        """Times that follow from the samples; may be read unguarded."""
+        return self._times
 
     def record(self, seconds: float) -> None:
         """Add a sample."""
         self._samples.append(seconds)
         self._new += 1
-
-    def quantile(self, fraction: float) -> float | None:
-        """Return a quantile, seconds; None with too few samples."""
         if len(self._samples) < _MIN_SAMPLES:
-            return None
-        if not self._sorted or self._new >= _REFRESH_SAMPLES:
-            self._sorted = sorted(self._samples)
+            return
+        # Sorting at each sample would cost more than the rest of the
+        # decisions for a request.
+        if self._new >= _REFRESH_SAMPLES or self._times.hedge_s is None:
             self._new = 0
-        index = int(fraction * len(self._sorted))
-        return self._sorted[min(index, len(self._sorted) - 1)]
+            self._times = self._derive()
+
+    def _derive(self) -> AttemptTimes:
+        ordered = sorted(self._samples)
+        high_s = ordered[int(_HEDGE_QUANTILE * len(ordered))]
+        return AttemptTimes(
+            usual_s=ordered[int(_USUAL_QUANTILE * len(ordered))],
+            hedge_s=max(_SHORTEST_HEDGE_S, high_s),
+            timeout_s=max(_SHORTEST_TIMEOUT_S, _TIMEOUT_FACTOR * high_s),
+        )
--- a/packages/tier/src/corianderport_tier/process/limits.py
+++ b/packages/tier/src/corianderport_tier/process/limits.py
@@ -64,6 +64,8 @@
 
         :param strict: whether cancelled requests count.
         """
+        if not self._abandoned:
+            return self._in_flight
         self._expire(now_s)
         counted = sum(
             strict or not a.stopped for a in self._abandoned.values()
--- a/packages/tier/src/corianderport_tier/process/outcomes.py
+++ b/packages/tier/src/corianderport_tier/process/outcomes.py
@@ -63,7 +63,12 @@
 
     @classmethod
     def from_reply(
-        cls, reply: Reply, elapsed_s: float, attempt_id: str, until_s: float
+        cls,
+        reply: Reply,
+        elapsed_s: float,
+        attempt_id: str,
+        until_s: float,
+        overtaken: bool = False,
     ) -> 'Outcome':
         """Return the outcome of a reply or of the error in its place."""
         return cls(
@@ -73,6 +78,7 @@
             fresh=getattr(reply, 'fresh', False),
             attempt_id=attempt_id,
             until_s=until_s,
+            overtaken=overtaken,
         )
 
 
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -5,7 +5,6 @@
 
 import collections.abc
 import random
-import statistics
 import threading
 
 from corianderport_tier import clocks
@@ -29,11 +28,6 @@
 _RETRIES = budgets.BudgetShare(0.2, minimum=10)
 _PROBES_MINIMUM = 2
 _TIMEOUTS_MINIMUM = 8
-_HEDGE_QUANTILE = 0.97
-_USUAL_QUANTILE = 0.5
-_SHORTEST_HEDGE_S = 0.001
-_TIMEOUT_FACTOR = 8.0
-_SHORTEST_TIMEOUT_S = 0.05
 
 
 class ServiceUpstreams:
@@ -60,20 +54,9 @@
         self.update(service)
 
     @property
-    def hedge_delay_s(self) -> float | None:
-        """When to hedge an attempt; None while too little was observed."""
-        with self._lock:
-            observed = self._window.quantile(_HEDGE_QUANTILE)
-        return observed and max(_SHORTEST_HEDGE_S, observed)
-
-    @property
-    def attempt_timeout_s(self) -> float | None:
-        """When to give an attempt up; None while too little is known."""
-        with self._lock:
-            observed = self._window.quantile(_HEDGE_QUANTILE)
-        return observed and max(
-            _SHORTEST_TIMEOUT_S, _TIMEOUT_FACTOR * observed
-        )
+    def attempt_times(self) -> latency.AttemptTimes:
+        """When to hedge an attempt and when to give it up."""
+        return self._window.times
 
     def update(self, service: configuration.Service) -> None:
         """Take over a new version; known searchers keep their state."""
@@ -135,6 +118,8 @@
         excluded: collections.abc.Container[str],
     ) -> Upstream | None:
         """Acquire a searcher on probation for a copy of a request."""
+        if all(u.health.normal for u in list(self._upstreams.values())):
+            return None
         with self._lock:
             now_s = self._clock.monotonic()
             for upstream in self._eligible(allowed, excluded):
@@ -288,7 +273,11 @@
         now_s: float,
     ) -> Upstream | None:
         ready = [
-            u for u in self._eligible(allowed, excluded) if u.ready(now_s)
+            u
+            for u in self._upstreams.values()
+            if u.ready(now_s)
+            and u.name not in excluded
+            and allowed(u.searcher)
         ]
         for upstream in ready:
             upstream.refresh(now_s)
@@ -296,6 +285,8 @@
 
     def _grant(self) -> None:
         """Give room to waiting requests, in the order of deadlines."""
+        if not self._queue:
+            return
         for entry in self._queue:
             if not self._can_finish(entry):
                 self._queue.remove(entry)
@@ -321,7 +312,7 @@
         )
 
     def _can_finish(self, entry: capacity_queue.Waiting) -> bool:
-        usual_s = self._window.quantile(_USUAL_QUANTILE) or 0.0
+        usual_s = self._window.times.usual_s
         return entry.deadline.remaining(self._clock) > usual_s
 
     def _check_wait(
@@ -333,7 +324,7 @@
         slots = sum(u.limit for u in eligible if u.health.normal) or 1
         if len(self._queue) >= _WAITERS_PER_SLOT * slots:
             raise errors.Overloaded('too many requests wait for the service')
-        usual_s = self._window.quantile(_USUAL_QUANTILE) or 0.0
+        usual_s = self._window.times.usual_s
         turns = (self._queue.ahead_of(entry.deadline) + 1) / slots
         needed_s = (turns + 1) * usual_s
         if needed_s >= entry.deadline.remaining(self._clock):
@@ -369,7 +360,8 @@
             for u in self._upstreams.values()
             if u is not upstream and u.comparable
         ]
-        return statistics.median(others) if others else None
+        others.sort()
+        return others[len(others) // 2] if others else None
 
 
 def _plain_outcome(latency_s: float | None) -> outcomes.Outcome:
--- a/packages/tier/src/corianderport_tier/request/attempts.py
+++ b/packages/tier/src/corianderport_tier/request/attempts.py
@@ -28,20 +28,11 @@
 
 @attrs.frozen
 class AttemptResult:
-    """How an attempt ended, with its duration in seconds."""
+    """How an attempt ended, and what that says about the searcher."""
 
     attempt: 'SearchAttempt'
     reply: Reply
-    elapsed_s: float
-
-    @property
-    def outcome(self) -> outcomes.Outcome:
-        """What the result says about the searcher."""
-        call = self.attempt.call
-        plain = outcomes.Outcome.from_reply(
-            self.reply, self.elapsed_s, call.attempt_id, call.deadline.at_s
-        )
-        return attrs.evolve(plain, overtaken=self.attempt.overtaken)
+    outcome: outcomes.Outcome
 
 
 @attrs.define(eq=False)
@@ -94,11 +85,17 @@
             | messages.UpstreamRefusal
             | errors.CorianderportError,
         )
-        elapsed_s = self.clock.monotonic() - self.started_s
+        outcome = outcomes.Outcome.from_reply(
+            reply,
+            self.clock.monotonic() - self.started_s,
+            self.call.attempt_id,
+            self.call.deadline.at_s,
+            self.overtaken,
+        )
         with self._condition:
             self._finished = True
             self._condition.notify_all()
-        self.deliver(AttemptResult(self, reply, elapsed_s))
+        self.deliver(AttemptResult(self, reply, outcome))
 
     def abandon(self) -> None:
         """Close the connection of the attempt if it is still waiting."""
--- a/packages/tier/src/corianderport_tier/request/sending.py
+++ b/packages/tier/src/corianderport_tier/request/sending.py
@@ -9,7 +9,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import capacity_queue
 from corianderport_tier.process import decision_log
-from corianderport_tier.process import outcomes
+from corianderport_tier.process import latency
 from corianderport_tier.process import owned_services
 from corianderport_tier.process import upstream as upstream_module
 from corianderport_tier.request import attempts
@@ -245,12 +245,13 @@
             deliver=self._delivery(owned),
             started_s=now_s,
         )
-        hedge_s = owned.upstreams.hedge_delay_s if first else None
+        times = owned.upstreams.attempt_times
+        hedge_s = times.hedge_s if first else None
         return Flight(
             attempt=attempt,
             first=first,
             hedge_at_s=None if hedge_s is None else now_s + hedge_s,
-            timeout_at_s=now_s + self._timeout_s(owned),
+            timeout_at_s=now_s + self._timeout_s(times),
         )
 
     def _call(
@@ -268,16 +269,16 @@
             deadline=batch.deadline,
         )
 
-    def _timeout_s(self, owned: Owned) -> float:
-        observed_s = owned.upstreams.attempt_timeout_s
-        if observed_s is not None:
-            return observed_s
+    def _timeout_s(self, times: latency.AttemptTimes) -> float:
+        if times.timeout_s is not None:
+            return times.timeout_s
         return self._batch.deadline.remaining(self._clock) / 2
 
     def _grace(self, flight: Flight) -> float:
         attempt = flight.attempt
         owned = self._owned[attempt.service]
-        until_s = attempt.started_s + self._timeout_s(owned)
+        times = owned.upstreams.attempt_times
+        until_s = attempt.started_s + self._timeout_s(times)
         return min(until_s, attempt.call.deadline.at_s)
 
     def _delivery(self, owned: Owned) -> Deliver:
@@ -286,10 +287,7 @@
             # load is right even after the request has ended.
             outcome = result.outcome
             upstream = result.attempt.upstream
-            answered = outcome.kind is outcomes.OutcomeKind.ANSWERED
-            owned.upstreams.release(
-                upstream, result.elapsed_s if answered else None, outcome
-            )
+            owned.upstreams.release(upstream, None, outcome)
             if result.attempt.cancel_confirmed:
                 owned.upstreams.stopped(
                     upstream, result.attempt.call.attempt_id
--- a/packages/tier/src/corianderport_tier/request/validation.py
+++ b/packages/tier/src/corianderport_tier/request/validation.py
@@ -3,8 +3,6 @@
 Checks a searcher's reply against what was asked.
 """
 
-import collections
-
 from corianderport_tier.request import messages
 
 __all__ = ['usable_answers']
@@ -24,9 +22,9 @@
         or reply.snapshot != call.snapshot
     ):
         return ()
-    counts = collections.Counter(a.shard for a in reply.answers)
+    shards = [a.shard for a in reply.answers]
     return tuple(
         answer
         for answer in reply.answers
-        if answer.shard in call.shards and counts[answer.shard] == 1
+        if answer.shard in call.shards and shards.count(answer.shard) == 1
     )
