Check the lease before each send and start over in a new term

Without a lease only warm searchers get requests, at half of their limits. A host that regains a service after another one may have sent to it treats all searchers as cold.

--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -134,6 +134,7 @@
                 self._clock,
                 selection.policy(self._settings.selection),
                 random.Random(),
+                self._control.leases,
             )
         )
         self._local = aggregator.LocalAggregator(
--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -18,7 +18,7 @@
 from corianderport_tier.request import gather
 from corianderport_tier.request import messages
 
-__all__ = ['Aggregator', 'BatchResult', 'LeaseCheck', 'LocalAggregator']
+__all__ = ['Aggregator', 'BatchResult', 'LocalAggregator']
 
 
 @attrs.frozen
@@ -47,13 +47,6 @@
         """
 
 
-class LeaseCheck(typing.Protocol):
-    """Says what an owner may send now."""
-
-    def may_send(self, service: str) -> leases.LeaseState:
-        """Return what may be sent to the searchers of a service."""
-
-
 class LocalAggregator:
     """The aggregator of this host."""
 
@@ -63,7 +56,7 @@
         executor: concurrent.futures.Executor,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
-        held: LeaseCheck,
+        held: leases.LeaseCheck,
     ) -> None:
         self._leases = held
         self._services = services
@@ -102,6 +95,8 @@
 
     def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
         """Run the action on the calling task."""
+        if self._leases.may_send(call.service) is leases.LeaseState.NONE:
+            raise errors.NotOwner(f'not owner of {call.service}')
         return action_attempts.OwnerAction(
             call, self._services, self._clock, self._log
         ).run()
--- a/packages/tier/src/corianderport_tier/process/leases.py
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -6,6 +6,7 @@
 import collections.abc
 import enum
 import threading
+import typing
 
 import attrs
 
@@ -13,6 +14,8 @@
 from corianderport_tier.process import membership
 
 __all__ = [
+    'AlwaysFull',
+    'LeaseCheck',
     'LeaseRequest',
     'LeaseState',
     'LeaseTimes',
@@ -38,6 +41,31 @@
     NONE = 'none'
 
 
+class LeaseCheck(typing.Protocol):
+    """Says what an owner may send now."""
+
+    def may_send(self, service: str) -> LeaseState:
+        """Return what may be sent to the searchers of a service."""
+
+    def term(self, service: str) -> int:
+        """Return a number that changes when ownership was interrupted.
+
+        What is known of the searchers from an earlier term is outdated.
+        """
+
+
+class AlwaysFull:
+    """Lets a host send that is the only one."""
+
+    def may_send(self, service: str) -> LeaseState:
+        """Return ``FULL``."""
+        return LeaseState.FULL
+
+    def term(self, service: str) -> int:
+        """Return the same number always."""
+        return 0
+
+
 @attrs.frozen
 class LeaseRequest:
     """A first owner's wish for a lease.
@@ -89,6 +117,7 @@
     probed_s: float = float('-inf')
     settled_s: float = float('inf')
     predecessors: dict[str, membership.Member] = attrs.Factory(dict)
+    term: int = 0
 
 
 @attrs.frozen
@@ -122,6 +151,7 @@
         self._services: dict[str, _Service] = {}
         self._released: dict[str, _Released] = {}
         self._first_full_s = float('inf')
+        self._terms = 0
 
     def update(self, ownership: Ownership) -> None:
         """Take over a new view of who owns what."""
@@ -181,6 +211,12 @@
         now_s = self._clock.monotonic()
         return now_s >= self._first_full_s + self._times.lease_s
 
+    def term(self, service: str) -> int:
+        """Return a number that changes when ownership was interrupted."""
+        with self._lock:
+            state = self._services.get(service)
+            return 0 if state is None else state.term
+
     def requests(self, member: membership.Member) -> tuple[LeaseRequest, ...]:
         """Return the leases to ask of a host."""
         now_s = self._clock.monotonic()
@@ -279,9 +315,17 @@
                 state = self._services.get(name)
                 if state is not None and self._second(name) == member.name:
                     state.settled_s = min(state.settled_s, now_s)
+                    self._note_gap(state, asked_s)
                     state.lease_from = member.name
                     state.lease_until_s = asked_s + self._times.lease_s
 
+    def _note_gap(self, state: _Service, asked_s: float) -> None:
+        """Begin a term when another host may have sent meanwhile."""
+        silent_s = asked_s - state.lease_until_s
+        if silent_s > self._ownership.maximum_deadline_s:
+            self._terms += 1
+            state.term = self._terms
+
     def _first_to_probe(self, service: str) -> membership.Member | None:
         now_s = self._clock.monotonic()
         with self._lock:
@@ -321,8 +365,12 @@
         state = self._services.get(name)
         if state is None:
             # Without an earlier view its owners are unknown.
+            self._terms += 1
             return _Service(
-                now_s, position, predecessors={m.name: m for m in before}
+                now_s,
+                position,
+                predecessors={m.name: m for m in before},
+                term=self._terms,
             )
         if state.position == 0 and position > 0:
             # It may have sent until now.
@@ -338,6 +386,9 @@
             state.since_s = now_s
             state.settled_s = float('inf')
             state.predecessors = lost
+        if state.position > 0 and position == 0:
+            self._terms += 1
+            state.term = self._terms
         state.position = position
         return state
 
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -15,6 +15,7 @@
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
+from corianderport_tier.process import leases
 from corianderport_tier.process import selection
 from corianderport_tier.process import upstreams
 from corianderport_tier.version import configuration
@@ -46,6 +47,8 @@
         self._dialer = dialer
         self._executor = executor
         self._clock = clock
+        self.lock = threading.Lock()
+        self.term = 0
         self._lock = threading.Lock()
         self._pools: dict[str, UpstreamPool] = {}
         self._addresses = {s.address for s in service.searchers}
@@ -106,7 +109,10 @@
         clock: clocks.Clock,
         policy: selection.SelectionPolicy,
         rng: random.Random,
+        held: leases.LeaseCheck | None = None,
     ) -> None:
+        self._leases = leases.AlwaysFull() if held is None else held
+        self._by_searcher: dict[str, OwnedService] = {}
         self._store = store
         self._dialer = dialer
         self._executor = executor
@@ -136,6 +142,15 @@
 
         :raises UnknownService: the configuration has no such service.
         """
+        owned = self._current(name)
+        term = self._leases.term(name)
+        with owned.lock:
+            if owned.term != term:
+                owned.term = term
+                owned.upstreams.start_over()
+        return owned
+
+    def _current(self, name: str) -> OwnedService:
         owned = self._services.get(name)
         if owned is not None and owned.service is self._configured(name):
             return owned
@@ -149,11 +164,27 @@
                 self._services[name] = owned
             elif owned.service is not service:
                 owned.update(service)
+            for searcher in service.searchers:
+                self._by_searcher[searcher.name] = owned
             return owned
 
     def allowed(self) -> SearcherFilter:
-        """Return the check of the version in force at this moment."""
-        return self._store.current().may_get_work
+        """Return the check of the version and the lease at this moment."""
+        may_get_work = self._store.current().may_get_work
+
+        def allowed(searcher: configuration.Searcher) -> bool:
+            return may_get_work(searcher) and self._lease_allows(searcher)
+
+        return allowed
+
+    def _lease_allows(self, searcher: configuration.Searcher) -> bool:
+        owned = self._by_searcher.get(searcher.name)
+        if owned is None:
+            return True
+        state = self._leases.may_send(owned.service.name)
+        if state is leases.LeaseState.RESTRICTED:
+            return owned.upstreams.is_warm_and_half_free(searcher.name)
+        return state is leases.LeaseState.FULL
 
     def _configured(self, name: str) -> configuration.Service:
         service = self._store.current().services.get(name)
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -99,6 +99,18 @@
             for upstream in self._upstreams.values():
                 upstream.slow_start.start_over()
 
+    def is_warm_and_half_free(self, name: str) -> bool:
+        """Whether a searcher may get work without a lease.
+
+        Read without the lock, since filters are called under it.
+        """
+        upstream = self._upstreams.get(name)
+        return (
+            upstream is not None
+            and upstream.limit >= upstream.slow_start.slots
+            and 2 * upstream.in_flight < upstream.limit
+        )
+
     def try_acquire(
         self,
         allowed: SearcherFilter,
