Bound peer frames below the compiled transport

The compiled framed transport reads frames without calling an overridden read_frame, so that a frame over the limit was waited for. The length is now checked in the stream below it.

--- a/packages/wire/src/corianderport_wire/connection/peer_authentication.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_authentication.py
@@ -10,7 +10,6 @@
 
 import hashlib
 import hmac
-import io
 import secrets
 import socket
 import struct
@@ -18,7 +17,6 @@
 
 import attrs
 import thriftpy2.transport
-import thriftpy2.transport.base
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
@@ -54,31 +52,65 @@
         return self.keys[0], self.keys[-1]
 
 
-_Framed: typing.Any = thriftpy2.transport.TFramedTransport
+class BoundedFrames:
+    """Stream below a framed transport that refuses frames over a limit.
 
+    The compiled framed transport reserves memory for a frame as soon as it
+    has read the length, so that the length is checked here.
+    """
 
-class BoundedFrames(_Framed):  # type: ignore[misc]
-    """Framed transport that refuses frames over a limit."""
-
-    def __init__(self, trans: typing.Any, limit_bytes: int) -> None:
-        super().__init__(trans)
+    def __init__(self, stream: typing.Any, limit_bytes: int) -> None:
+        self._stream = stream
         self._limit_bytes = limit_bytes
+        self._header = b''
+        self._remaining = 0
 
-    def read_frame(self) -> None:
-        """Read one frame.
+    def read(self, size: int) -> bytes:
+        """Return at most this many bytes.
 
-        :raises TTransportException: the frame is too long.
+        :raises TTransportException: a frame is too long.
         """
-        header = thriftpy2.transport.base.readall(
-            self._trans.read, _FRAME_LENGTH_BYTES
-        )
+        received: bytes = self._stream.read(size)
+        self._scan(received)
+        return received
+
+    def write(self, content: bytes) -> None:
+        """Send all bytes."""
+        self._stream.write(content)
+
+    def flush(self) -> None:
+        """Send what is buffered."""
+        self._stream.flush()
+
+    def is_open(self) -> bool:
+        """Whether the connection is open."""
+        return bool(self._stream.is_open())
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+    def _scan(self, received: bytes) -> None:
+        at = 0
+        while at < len(received):
+            skipped = min(self._remaining, len(received) - at)
+            self._remaining -= skipped
+            at += skipped
+            if self._remaining == 0 and at < len(received):
+                missing = _FRAME_LENGTH_BYTES - len(self._header)
+                self._header += received[at : at + missing]
+                at += missing
+                if len(self._header) == _FRAME_LENGTH_BYTES:
+                    self._remaining = self._checked(self._header)
+                    self._header = b''
+
+    def _checked(self, header: bytes) -> int:
         (size,) = struct.unpack('!i', header)
         if not 0 <= size <= self._limit_bytes:
             raise thriftpy2.transport.TTransportException(
                 message=f'frame of {size} bytes is over {self._limit_bytes}'
             )
-        frame = thriftpy2.transport.base.readall(self._trans.read, size)
-        self._rbuf = io.BytesIO(frame)
+        return int(size)
 
 
 def prove(
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -34,8 +34,8 @@
     def __init__(self, stream: typing.Any, clock: clocks.Clock) -> None:
         self._stream = stream
         self._clock = clock
-        transport = peer_authentication.BoundedFrames(
-            stream, peer_codec.FRAME_BYTES
+        transport = thriftpy2.transport.TFramedTransport(
+            peer_authentication.BoundedFrames(stream, peer_codec.FRAME_BYTES)
         )
         protocol = thriftpy2.protocol.TBinaryProtocol(transport)
         self._client = thriftpy2.thrift.TClient(peer_codec.PEER.Peer, protocol)
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -225,8 +225,8 @@
     def _serve_peer(self, connection: socket.socket) -> None:
         stream = thriftpy2.transport.TSocket()
         stream.set_handle(connection)
-        transport = peer_authentication.BoundedFrames(
-            stream, peer_codec.FRAME_BYTES
+        transport = thriftpy2.transport.TFramedTransport(
+            peer_authentication.BoundedFrames(stream, peer_codec.FRAME_BYTES)
         )
         protocol = thriftpy2.protocol.TBinaryProtocol(transport)
         assert self._service is not None
--- /dev/null
+++ b/tests/wire/test_peer_versions.py
@@ -0,0 +1,89 @@
+"""Hosts of an old and of a new version understand each other."""
+
+import pathlib
+import re
+import typing
+
+import pytest
+import thriftpy2
+import thriftpy2.protocol
+import thriftpy2.transport
+
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import leases
+from corianderport_tier.process import membership
+from corianderport_wire.connection import heartbeat_codec
+from corianderport_wire.connection import peer_codec
+
+_IDL = pathlib.Path(peer_codec.__file__).parent.parent / 'peer.thrift'
+_ADDED = """
+struct Later {
+    1: list<map<string, i64>> counts
+}
+"""
+
+
+@pytest.fixture(scope='module')
+def later(tmp_path_factory: pytest.TempPathFactory) -> typing.Any:
+    """A later IDL: each structure has got two optional fields."""
+    text = re.sub(
+        r'(struct \w+ \{)',
+        r'\1\n    98: optional string added\n    99: optional Later more',
+        _IDL.read_text(),
+    )
+    path = tmp_path_factory.mktemp('idl') / 'later.thrift'
+    path.write_text(_ADDED + text)
+    return thriftpy2.load(str(path), module_name='later_thrift')
+
+
+def _rumour() -> membership.Rumour:
+    return membership.Rumour(
+        membership.Member('h', 'dc-a', '127.0.0.1:1', incarnation='i'),
+        membership.Standing.SUSPECT,
+        3,
+    )
+
+
+_MESSAGE = heartbeats.Heartbeat(
+    sender=_rumour(),
+    version=7,
+    rumours=(_rumour(),),
+    lease_requests=(leases.LeaseRequest('s', True),),
+    leases_granted=('t',),
+    leases_released=('u',),
+    joining=True,
+    established=False,
+)
+
+
+def _transfer(source: typing.Any, target: typing.Any) -> typing.Any:
+    buffer = thriftpy2.transport.TMemoryBuffer()
+    thriftpy2.protocol.TBinaryProtocol(buffer).write_struct(source)
+    thriftpy2.protocol.TBinaryProtocol(buffer).read_struct(target)
+    return target
+
+
+def test_later_version_reads_heartbeat(later: typing.Any) -> None:
+    """Guards against a required new field."""
+    fields = heartbeat_codec.heartbeat_to_thrift(_MESSAGE)
+    read = _transfer(fields, later.Heartbeat())
+    assert (read.version, read.added, read.more) == (7, None, None)
+    assert heartbeat_codec.heartbeat_from_thrift(read) == _MESSAGE
+
+
+def test_old_version_reads_heartbeat(later: typing.Any) -> None:
+    """Guards against a host that fails on unknown fields."""
+    fields = _transfer(
+        heartbeat_codec.heartbeat_to_thrift(_MESSAGE), later.Heartbeat()
+    )
+    fields.added = 'x'
+    fields.more = later.Later(counts=[{'a': 1}])
+    fields.sender.more = later.Later(counts=[])
+    # A standing that the old version does not know.
+    fields.rumours[0].standing = 9
+    read = heartbeat_codec.heartbeat_from_thrift(
+        _transfer(fields, peer_codec.PEER.Heartbeat())
+    )
+    assert read.rumours[0].standing is membership.Standing.GONE
+    assert read.sender == _MESSAGE.sender
+    assert read.lease_requests == _MESSAGE.lease_requests
