--- a/packages/operator/src/corianderport_operator/main.py
+++ b/packages/operator/src/corianderport_operator/main.py
@@ -4,6 +4,7 @@
 """
 
 import collections.abc
+import os
 import sys
 import typing
 
@@ -43,7 +44,13 @@
     given = list(sys.argv[1:] if arguments is None else arguments)
     command = given[:1] + [_quoted(argument) for argument in given[1:]]
     try:
-        fire.Fire(COMMANDS, command=command, name='corianderport')
+        try:
+            fire.Fire(COMMANDS, command=command, name='corianderport')
+        finally:
+            sys.stdout.flush()
+    except BrokenPipeError:
+        _close_output()
+        sys.exit(_EXIT_FAULT)
     except errors.SettingInvalid as error:
         _fail(error, _EXIT_USAGE)
     except errors.CorianderportError as error:
@@ -62,6 +69,13 @@
     return argument
 
 
+def _close_output() -> None:
+    """Keep the interpreter from writing to the closed output at its end."""
+    null = os.open(os.devnull, os.O_WRONLY)
+    os.dup2(null, sys.stdout.fileno())
+    os.close(null)
+
+
 def _fail(error: Exception, code: int) -> typing.NoReturn:
     text = ' '.join(str(error).split())
     print(f'corianderport: {text}', file=sys.stderr)
--- a/packages/tier/src/corianderport_tier/process/administration.py
+++ b/packages/tier/src/corianderport_tier/process/administration.py
@@ -10,8 +10,10 @@
 
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import health
 from corianderport_tier.process import membership
 from corianderport_tier.process import metrics
+from corianderport_tier.process import slow_start
 from corianderport_tier.version import configuration
 
 __all__ = [
@@ -27,6 +29,13 @@
 ]
 
 
+_HELD = {
+    health.HealthState.SLOW: 'much slower than its replicas; it is probed',
+    health.HealthState.FAILING: 'failed several times; it is probed',
+    health.HealthState.DRAINING: 'it said that it is leaving; it is probed',
+}
+
+
 class UpstreamSource(typing.Protocol):
     """What is read of the state of one searcher."""
 
@@ -44,7 +53,15 @@
 
     @property
     def latency_s(self) -> float:
-        """Moving average of the latency, seconds."""
+        """Latency to expect, seconds."""
+
+    @property
+    def health(self) -> health.Health:
+        """Circuit breaker, drain and probation."""
+
+    @property
+    def slow_start(self) -> slow_start.SlowStart:
+        """Limit while the searcher warms up."""
 
 
 class ServiceSource(typing.Protocol):
@@ -61,7 +78,9 @@
 class OwnerLookup(typing.Protocol):
     """Finds the owners of a service."""
 
-    def owners(self, service: str) -> list[membership.Member]:
+    def owners(
+        self, service: str
+    ) -> collections.abc.Sequence[membership.Member]:
         """Return the first and the second owner."""
 
 
@@ -75,21 +94,29 @@
 
 @attrs.frozen
 class VersionView:
-    """The host and the configuration that it has in force."""
+    """The host and the configuration that it has in force.
+
+    ``refused`` lists the faults of a later document that was refused.
+    """
 
     host: str
     data_centre: str
     version: int
+    refused: str = ''
 
 
 @attrs.frozen
 class PeerView:
-    """A host of the host list, as this host sees it."""
+    """A host of the host list, as this host sees it.
+
+    ``state`` is that of the host list; ``standing`` comes from heartbeats.
+    """
 
     name: str
     data_centre: str
     peer_address: str
     state: str
+    standing: str
 
 
 @attrs.frozen
@@ -104,8 +131,8 @@
 class UpstreamView:
     """State of a searcher that this host sends to.
 
-    ``state`` is ``in-service``, ``full`` or ``out-of-service``; ``reason``
-    says why.
+    ``state`` is ``in-service``, ``full``, ``warming-up``, ``slow``,
+    ``failing``, ``draining`` or ``out-of-service``; ``reason`` says why.
     """
 
     service: str
@@ -151,13 +178,25 @@
     def version(self) -> VersionView:
         """Return the version in force, 0 when there is none."""
         own = self._members.own
-        return VersionView(own.name, own.data_centre, self._store.version)
+        return VersionView(
+            own.name,
+            own.data_centre,
+            self._store.version,
+            self._store.refusal,
+        )
 
     def peers(self) -> tuple[PeerView, ...]:
         """Return all listed hosts, with this one."""
+        view = self._members.view
         return tuple(
-            PeerView(m.name, m.data_centre, m.peer_address, m.state.value)
-            for m in self._members.members()
+            PeerView(
+                member.name,
+                member.data_centre,
+                member.peer_address,
+                member.state.value,
+                view.standings[member.name].name.lower(),
+            )
+            for member in view.members
         )
 
     def owners(self) -> tuple[OwnerView, ...]:
@@ -231,6 +270,13 @@
     reason = accepted.why_no_work(searcher)
     if reason is not None:
         return 'out-of-service', reason
+    if not source.health.normal:
+        held = source.health.state
+        return held.value, _HELD[held]
+    in_flight = f'{source.in_flight} of {source.limit} in flight'
+    slots = source.slow_start.slots
+    if source.limit < slots:
+        return 'warming-up', f'{in_flight}, {slots} when warm'
     if source.in_flight >= source.limit:
-        return 'full', f'{source.in_flight} of {source.limit} in flight'
-    return 'in-service', f'{source.in_flight} of {source.limit} in flight'
+        return 'full', in_flight
+    return 'in-service', in_flight
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -3,8 +3,12 @@
 The entry role: serves the requests of callers.
 """
 
+import attrs
+
 from corianderport_tier import clocks
+from corianderport_tier import errors
 from corianderport_tier.process import action_service
+from corianderport_tier.process import admission
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
@@ -36,6 +40,7 @@
         self._clock = clock
         self._log = log
         self._availability = snapshot_availability.SnapshotAvailability(clock)
+        self._admission = admission.Admission(clock)
 
     def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
         """Serve one search on the calling task.
@@ -43,14 +48,24 @@
         :raises Refusal: nothing was sent to any upstream.
         """
         with self._gate.enter():
-            return search.SearchTask(
-                request,
-                self._store.current(),
-                self._router,
-                self._availability,
-                self._clock,
-                self._log,
-            ).run()
+            accepted = self._store.current()
+            found = accepted.searches.get(request.search)
+            if found is None:
+                raise errors.UnknownService(
+                    f'unknown search {request.search!r}'
+                )
+            deadline = request.deadline.within(self._clock, found.deadline_ms)
+            with self._admission.admit(
+                accepted, request.customer, found.worth, deadline
+            ):
+                return search.SearchTask(
+                    request,
+                    accepted,
+                    self._router,
+                    self._availability,
+                    self._clock,
+                    self._log,
+                ).run()
 
     def issue_ticket(self) -> ticket_table.IssuedTicket:
         """Return a ticket for one action.
@@ -67,6 +82,7 @@
         :raises Refusal: the action did not run and will not run.
         :raises OutcomeUnknown: it may run, have run, or never run.
         """
+        request = self._bounded(request)
         if request.ticket is None:
             with self._gate.enter():
                 return self._actions.act(request)
@@ -74,3 +90,19 @@
         # ticket's host knows.
         with self._gate.count():
             return self._actions.act(request)
+
+    def _bounded(
+        self, request: messages.ActionRequest
+    ) -> messages.ActionRequest:
+        """Return the request with at most the deadline of its action.
+
+        What the configuration does not tell is left to the ticket's host.
+        """
+        try:
+            known = self._store.current().actions.get(request.action)
+        except errors.NotReady:
+            return request
+        if known is None:
+            return request
+        deadline = request.deadline.within(self._clock, known.deadline_ms)
+        return attrs.evolve(request, deadline=deadline)
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -186,21 +186,20 @@
             return owned.upstreams.is_warm_and_half_free(searcher.name)
         return state is leases.LeaseState.FULL
 
-    def _configured(self, name: str) -> configuration.Service:
-        service = self._store.current().services.get(name)
-        if service is None:
-            raise errors.UnknownService(f'unknown service {name!r}')
-        return service
-
     def states(self) -> dict[str, list[upstreams.Upstream]]:
         """Return the state of each searcher, by service."""
         with self._lock:
             owned = dict(self._services)
         return {
-            name: service.upstreams.candidates(lambda _: True)
-            for name, service in owned.items()
+            name: service.upstreams.states() for name, service in owned.items()
         }
 
+    def _configured(self, name: str) -> configuration.Service:
+        service = self._store.current().services.get(name)
+        if service is None:
+            raise errors.UnknownService(f'unknown service {name!r}')
+        return service
+
     def _new_service(self, service: configuration.Service) -> OwnedService:
         state = upstreams.ServiceUpstreams(
             service, self._policy, self._rng, self._clock
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -259,6 +259,11 @@
                 if u.health.normal or u.health.probe_due(now_s)
             ]
 
+    def states(self) -> list[Upstream]:
+        """Return all searchers, for operators to look at."""
+        with self._lock:
+            return list(self._upstreams.values())
+
     def overtaken(self, upstream: Upstream) -> None:
         """Note that a later attempt at a replica was answered first."""
         with self._lock:
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -2,7 +2,10 @@
 
 import collections.abc
 import json
+import os
 import pathlib
+import subprocess
+import sys
 
 import pytest
 
@@ -273,6 +276,9 @@
     assert 'FIRE' not in text
 
 
+_REFUSING = 13
+
+
 class _View:
     """A host as its administration interface shows it."""
 
@@ -287,7 +293,10 @@
         return administration.ReadyView(False, 'the host is stopping')
 
     def version(self) -> administration.VersionView:
-        return administration.VersionView(self._name, 'dc-a', self._version)
+        refused = 'F01 version' if self._version == _REFUSING else ''
+        return administration.VersionView(
+            self._name, 'dc-a', self._version, refused
+        )
 
     def peers(self) -> tuple[administration.PeerView, ...]:
         return ()
@@ -340,6 +349,11 @@
         ((4, 4), 0, '2 of 2'),
         ((4, 5), 1, 'problem: hosts have different versions in force: 4, 5'),
         ((4, 0), 1, 'problem: host-1: the host is stopping'),
+        (
+            (_REFUSING, _REFUSING),
+            1,
+            'problem: host-0: refused a configuration: F01 version',
+        ),
     ],
 )
 def test_status_shows_what_needs_a_look(
@@ -377,6 +391,28 @@
     assert 'problem: 127.0.0.1:1: Failed to connect' in out
 
 
+def test_closed_output_is_no_traceback(tmp_path: pathlib.Path) -> None:
+    """Guards against a traceback when the output goes to ``head``."""
+    for module in ('board', 'cooperative'):
+        source = f'import corianderport_operator.examples.{module} as m'
+        path = tmp_path / f'{module}.py'
+        path.write_text(f'{source}\ndescribe = m.describe\n')
+    command = [sys.executable, '-m', 'corianderport_operator.main', 'diff']
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    try:
+        ended = subprocess.run(
+            [*command, 'board.py', 'cooperative.py'],
+            cwd=tmp_path,
+            env=dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path)),
+            stdout=write_end,
+            stderr=subprocess.PIPE,
+        )
+    finally:
+        os.close(write_end)
+    assert (ended.returncode, ended.stderr) == (1, b'')
+
+
 def test_diff_reads_what_is_in_force(
     serve: Serve, tmp_path: pathlib.Path, capsys: Capture
 ) -> None:
