Test actions under seeded faults on every link

The claims that an action runs at most once and that "not run" is true were not tested.

One test runs 1,000 seeded scenarios over three in-process hosts: cuts before and after the send, late answers and deliveries, refusals, pauses, killed and stopped hosts, repeats at other hosts and with other payloads. It compares every answer with what the stand-ins ran. Tests of single points cover pauses while connecting, configuration changes, stuck connections and limits.

The lock in ActionAttempt that orders cancelling and sending is not covered.

--- /dev/null
+++ b/tests/tier/test_action_faults.py
@@ -0,0 +1,153 @@
+"""An action runs at most once, and "not run" is true, under any fault."""
+
+import collections
+import collections.abc
+import concurrent.futures
+import random
+
+import pytest
+
+from corianderport_testkit.process import action_hosts
+from corianderport_tier import errors
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import messages
+from corianderport_tier import result_codes
+
+_SCENARIOS = 1_000
+_MIN_FAULTS = 1_000
+_NAMES = ('host-0', 'host-1', 'host-2')
+_LIMIT_S = 60.0
+
+Answers = dict[str, list[result_codes.ResultCode]]
+
+
+@pytest.fixture(scope='module')
+def executor() -> collections.abc.Iterator[
+    concurrent.futures.ThreadPoolExecutor
+]:
+    """Threads for the connections of all scenarios."""
+    with concurrent.futures.ThreadPoolExecutor(128) as started:
+        yield started
+
+
+class _Scenario:
+    """One action, its caller's tries, and what happens between them."""
+
+    def __init__(self, seed: int, world: action_hosts.World) -> None:
+        self._seed = seed
+        self._world = world
+        self._rng = random.Random(seed)
+        self._ticket: str | None = None
+        self.answers: Answers = collections.defaultdict(list)
+
+    def run(self) -> None:
+        """Try at several hosts, and only once without a ticket."""
+        if self._rng.random() < 0.8:
+            host = self._world.hosts[self._rng.choice(_NAMES)]
+            self._ticket = host.entry.issue_ticket().text
+        self._disturb()
+        self._try(f'{self._seed}')
+        if self._ticket is not None:
+            for _ in range(self._rng.randint(1, 4)):
+                self._disturb()
+                self._repeat()
+        self._world.deliver_late()
+        if self._ticket is not None:
+            self._ask_all()
+
+    def _repeat(self) -> None:
+        choice = self._rng.random()
+        if choice < 0.1:
+            self._try(f'{self._seed}-other')
+        elif choice < 0.4:
+            tries = [
+                self._world.executor.submit(self._try, f'{self._seed}')
+                for _ in range(2)
+            ]
+            for future in tries:
+                future.result(_LIMIT_S)
+        else:
+            self._try(f'{self._seed}')
+
+    def _try(self, payload: str, name: str | None = None) -> None:
+        world = self._world
+        host = world.hosts[name or self._rng.choice(_NAMES)]
+        request = messages.ActionRequest(
+            request_id=f'request-{self._rng.random()}',
+            action='reserve',
+            payload=payload,
+            deadline=deadlines.Deadline.after(
+                world.clock, self._rng.choice((-1.0, 0.3, 2.0, 20.0))
+            ),
+            customer='c',
+            ticket=self._ticket,
+        )
+        if not host.alive:
+            return
+        try:
+            answer = host.entry.act(request)
+            assert answer.request_id == request.request_id
+            self.answers[payload].append(answer.code)
+        except errors.CorianderportError as error:
+            self.answers[payload].append(error.code)
+
+    def _disturb(self) -> None:
+        world = self._world
+        name = self._rng.choice(_NAMES)
+        event = self._rng.choices(
+            ('none', 'kill', 'stop', 'time', 'long', 'late', 'view'),
+            (6, 1, 2, 2, 1, 2, 2),
+        )[0]
+        if event in ('kill', 'stop'):
+            if event == 'stop':
+                world.hosts[name].stop()
+            if event == 'kill' or self._rng.random() < 0.5:
+                world.hosts[name].kill()
+                world.start(name)
+            if self._rng.random() < 0.5:
+                world.update_membership()
+        elif event == 'time':
+            world.clock.advance(1.5)
+        elif event == 'long':
+            world.clock.advance(20.0)
+        elif event == 'late':
+            world.deliver_late()
+        elif event == 'view':
+            world.update_membership()
+
+    def _ask_all(self) -> None:
+        self._world.fault_rate = 0.0
+        self._world.update_membership()
+        for name in _NAMES:
+            self._try(f'{self._seed}', name)
+
+
+def _check(answers: Answers, runs: collections.Counter[str]) -> None:
+    for payload in {*answers, *runs}:
+        assert runs[payload] <= 1
+        for code in answers[payload]:
+            if code.ran is result_codes.Ran.NO:
+                assert runs[payload] == 0, code.name
+            if code.ran is result_codes.Ran.YES:
+                assert runs[payload] == 1, code.name
+
+
+def test_action_runs_at_most_once(
+    executor: concurrent.futures.ThreadPoolExecutor,
+) -> None:
+    """Guards against a second run, and against an untrue 'not run'."""
+    faults: collections.Counter[action_hosts.Fault] = collections.Counter()
+    codes: collections.Counter[str] = collections.Counter()
+    for seed in range(_SCENARIOS):
+        with action_hosts.World(seed, 0.45, _NAMES, executor) as world:
+            scenario = _Scenario(seed, world)
+            scenario.run()
+            _check(scenario.answers, world.runs)
+        faults.update(world.faults)
+        for answers in scenario.answers.values():
+            codes.update(code.name for code in answers)
+    print(dict(faults), dict(codes))
+    assert sum(faults.values()) >= _MIN_FAULTS
+    assert len(faults) == len(action_hosts.Fault) - 1
+    # Otherwise the faults leave nothing of the usual work.
+    assert codes['OK'] > 100
--- /dev/null
+++ b/tests/tier/test_action_sending.py
@@ -0,0 +1,145 @@
+"""What is checked right before an action is sent, and while it runs."""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import threading
+import time
+
+import pytest
+
+from corianderport_testkit.process import action_hosts
+from corianderport_testkit.version import deployments
+from corianderport_tier import errors
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import messages
+
+_HOST = 'host-0'
+_CONNECTED = action_hosts.Stage.CONNECTED
+_RUNNING = action_hosts.Stage.RUNNING
+
+
+@contextlib.contextmanager
+def _build() -> collections.abc.Iterator[action_hosts.World]:
+    """Build one host in front of three searchers, without faults.
+
+    All connections have ended when the context is left.
+    """
+    with concurrent.futures.ThreadPoolExecutor(32) as executor:
+        with action_hosts.World(1, 0.0, [_HOST], executor) as built:
+            yield built
+
+
+@pytest.fixture
+def world() -> collections.abc.Iterator[action_hosts.World]:
+    """One host in front of three searchers, without faults."""
+    with _build() as built:
+        yield built
+
+
+def _act(
+    world: action_hosts.World, ticket: str | None = None, payload: str = 'p'
+) -> messages.ActionAnswer:
+    deadline = deadlines.Deadline.after(world.clock, 20)
+    return world.hosts[_HOST].entry.act(
+        messages.ActionRequest('r', 'reserve', payload, deadline, 'c', ticket)
+    )
+
+
+def _at(
+    wanted: action_hosts.Stage, act: collections.abc.Callable[[], None]
+) -> collections.abc.Callable[[action_hosts.Stage], None]:
+    def step_in(stage: action_hosts.Stage) -> None:
+        if stage is wanted:
+            act()
+
+    return step_in
+
+
+@pytest.mark.parametrize(('with_ticket', 'pause_s'), [(0, 30), (1, 6)])
+def test_paused_process_sends_nothing(
+    world: action_hosts.World, with_ticket: bool, pause_s: float
+) -> None:
+    """Guards against sending after the deadline or the ticket's expiry."""
+    ticket = world.hosts[_HOST].entry.issue_ticket().text
+    world.on_stage = _at(_CONNECTED, lambda: world.clock.advance(pause_s))
+    try:
+        code = _act(world, ticket if with_ticket else None).code
+    except errors.DeadlinePast as error:
+        code = error.code
+    assert code is errors.DeadlinePast.code
+    assert not world.runs
+
+
+def test_data_centres_out_of_service_get_nothing(
+    world: action_hosts.World,
+) -> None:
+    """Guards against sending by a configuration that was replaced."""
+    versions = iter(range(2, 9))
+    world.on_stage = _at(
+        _CONNECTED,
+        lambda: world.publish(next(versions), deployments.DATA_CENTRES),
+    )
+    with pytest.raises(errors.NoUpstream):
+        _act(world)
+    assert not world.runs
+
+
+@pytest.mark.parametrize(
+    ('stage', 'error', 'runs'),
+    [
+        (_CONNECTED, errors.DeadlinePast, 0),
+        (_RUNNING, errors.OutcomeUnknown, 1),
+    ],
+)
+def test_deadline_passes_while_the_connection_is_stuck(
+    stage: action_hosts.Stage,
+    error: type[errors.CorianderportError],
+    runs: int,
+) -> None:
+    """Guards against 'not run' for an action that is sent later."""
+    reached, release = threading.Event(), threading.Event()
+
+    def block() -> None:
+        reached.set()
+        release.wait()
+
+    with _build() as world:
+        world.on_stage = _at(stage, block)
+        future = world.executor.submit(_act, world)
+        reached.wait()
+        world.clock.advance(30)
+        try:
+            with pytest.raises(error):
+                future.result()
+        finally:
+            release.set()
+    assert world.runs['p'] == runs
+
+
+def test_actions_stay_within_the_limits_of_the_searchers(
+    world: action_hosts.World,
+) -> None:
+    """Guards against actions that bypass the limit of a searcher."""
+    slots = deployments.Deployment().slots * len(deployments.DATA_CENTRES)
+    running = threading.Semaphore(0)
+    release = threading.Event()
+
+    def block() -> None:
+        running.release()
+        release.wait()
+
+    world.on_stage = _at(_RUNNING, block)
+    futures = [
+        world.executor.submit(_act, world, None, f'p{number}')
+        for number in range(slots + 1)
+    ]
+    for _ in range(slots):
+        running.acquire()
+    while world.clock.waiting <= slots:
+        time.sleep(0)
+    assert world.runs.total() == slots
+    release.set()
+    for future in futures:
+        future.result()
+    assert world.runs.total() == slots + 1
