--- a/packages/daemon/src/corianderport_daemon/main.py
+++ b/packages/daemon/src/corianderport_daemon/main.py
@@ -15,6 +15,7 @@
 from corianderport_daemon.process import daemon
 from corianderport_daemon.process import settings
 from corianderport_tier import errors
+from corianderport_wire.process import json_log
 
 __all__ = ['main', 'run']
 
@@ -33,11 +34,13 @@
     except errors.SettingInvalid as error:
         print(f'corianderportd: {error}', file=sys.stderr)
         sys.exit(_EXIT_SETTINGS)
-    logging.basicConfig(level=loaded.log_level)
     # All threads inherit the mask, so that one thread takes the signals and
     # no handler runs while a lock is held.
     signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
-    with daemon.Daemon.from_settings(loaded) as host:
+    with (
+        json_log.JsonLog(sys.stderr, loaded.log_level),
+        daemon.Daemon.from_settings(loaded) as host,
+    ):
         threading.Thread(
             target=_take_signals, args=(host,), name='signals', daemon=True
         ).start()
@@ -59,6 +62,7 @@
     addresses = {
         'caller_address': host.caller_address,
         'peer_address': host.peer_address,
+        'admin_address': host.admin_address,
     }
     print(json.dumps(addresses), flush=True)
 
--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -9,21 +9,21 @@
 import threading
 import types
 import typing
-import uuid
 
+from corianderport_daemon.process import control_plane
+from corianderport_daemon.process import peer_calls
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
 from corianderport_tier.process import action_service
+from corianderport_tier.process import administration
 from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import entry
 from corianderport_tier.process import hand_over
 from corianderport_tier.process import handed_over
-from corianderport_tier.process import membership
+from corianderport_tier.process import metrics
 from corianderport_tier.process import owned_services
-from corianderport_tier.process import peers
-from corianderport_tier.process import readers
 from corianderport_tier.process import routing
 from corianderport_tier.process import selection
 from corianderport_tier.process import shutdown
@@ -32,58 +32,14 @@
 from corianderport_tier.request import actions
 from corianderport_tier.request import messages
 from corianderport_wire.connection import http_server
-from corianderport_wire.connection import peer_client
-from corianderport_wire.connection import peer_server
-from corianderport_wire.connection import platform_client
 from corianderport_wire.connection import upstream_client
+from corianderport_wire.request import admin_app
 from corianderport_wire.request import caller_app
 from corianderport_wire.version import document
 
 __all__ = ['Daemon']
 
-
-class _PeerCalls:
-    """What this host serves to others.
-
-    ``actions`` is set before the first call.
-    """
-
-    actions: action_service.ActionService
-
-    def __init__(
-        self,
-        local: aggregator.LocalAggregator,
-        store: configuration_store.ConfigurationStore,
-        kept: handed_over.HandedOverTickets,
-        gate: shutdown.RequestGate,
-    ) -> None:
-        self._local = local
-        self._store = store
-        self._kept = kept
-        self._gate = gate
-
-    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
-        with self._gate.enter():
-            return self._local.run(batch)
-
-    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
-        with self._gate.enter():
-            return self._local.act(call)
-
-    def act_with_ticket(
-        self, request: messages.ActionRequest
-    ) -> messages.ActionAnswer:
-        with self._gate.count():
-            return self.actions.act_with_ticket(request)
-
-    def hand_over(self, part: handed_over.HandOver) -> None:
-        self._kept.accept(part)
-
-    def document(self, known_version: int) -> tuple[int, bytes | None]:
-        accepted = self._store.accepted()
-        version = accepted.configuration.version
-        newer = version > known_version
-        return version, accepted.document if newer else None
+_ADMIN_CONNECTIONS = 32
 
 
 class Daemon:
@@ -126,7 +82,12 @@
     @property
     def peer_address(self) -> str:
         """Where other hosts connect, ``ip:port``."""
-        return self._peer_server.address
+        return self._control.peer_address
+
+    @property
+    def admin_address(self) -> str:
+        """Where operators read the state, ``ip:port``."""
+        return self._admin_server.address
 
     def stop(self) -> None:
         """Begin the planned stop; a second call ends it at once."""
@@ -145,19 +106,27 @@
             settings.tasks, thread_name_prefix='task'
         )
         self._stack.callback(self._executor.shutdown, wait=False)
-        self._log = decision_log.DecisionLog()
+        self._metrics = metrics.Metrics()
+        self._log = decision_log.DecisionLog(observer=self._metrics)
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
         self._readiness = shutdown.Readiness(self._store)
         self._kept = handed_over.HandedOverTickets(self._clock)
+        self._start_control()
         self._start_aggregator()
-        self._listen_for_peers()
         self._start_entry()
-        self._start_readers()
+        self._control.start(self._peer_calls)
+
+    def _start_control(self) -> None:
+        self._control = self._stack.enter_context(
+            control_plane.ControlPlane(
+                self._settings, self._store, self._executor, self._clock
+            )
+        )
 
     def _start_aggregator(self) -> None:
-        services = self._stack.enter_context(
+        self._services = self._stack.enter_context(
             owned_services.OwnedServices(
                 self._store,
                 upstream_client.HttpUpstreamDialer(self._clock),
@@ -168,44 +137,31 @@
             )
         )
         self._local = aggregator.LocalAggregator(
-            services, self._executor, self._clock, self._log
-        )
-
-    def _listen_for_peers(self) -> None:
-        host, port = _split(self._settings.peer_address)
-        self._peer_calls = _PeerCalls(
-            self._local, self._store, self._kept, self._peer_gate
-        )
-        self._peer_server = peer_server.PeerServer(
-            host,
-            port,
-            self._peer_calls,
+            self._services,
+            self._executor,
             self._clock,
-            self._settings.peer_connections,
+            self._log,
+            self._control.leases,
         )
-        self._stack.callback(self._peer_server.close)
 
     def _start_entry(self) -> None:
-        own = membership.Member(
-            self._settings.host,
-            self._settings.data_centre,
-            self._peer_server.address,
-        )
-        self._members = membership.Membership(own)
-        remote = self._stack.enter_context(
-            peers.Peers(
-                peer_client.ThriftPeerDialer(self._clock),
-                self._executor,
-                self._clock,
-            )
-        )
         router = routing.Router(
-            self._store, self._members, self._local, remote
+            self._control.owners,
+            self._control.members,
+            self._local,
+            self._control.remote,
         )
-        service = self._build_actions(router, remote)
-        self._peer_calls.actions = service
-        self._peer_server.start()
-        self._planned_stop = self._build_stop(remote)
+        service = self._build_actions(router)
+        self._peer_calls = peer_calls.PeerCalls(
+            self._store,
+            self._control.exchange,
+            self._local,
+            service,
+            self._kept,
+            self._peer_gate,
+        )
+        self._planned_stop = self._build_stop()
+        self._start_administration(router)
         application = caller_app.CallerApp(
             entry.Entry(
                 self._store,
@@ -218,6 +174,7 @@
             self._clock,
             caller_app.CallerLimits(body_bytes=self._settings.body_bytes),
             self._readiness,
+            self._metrics,
         )
         host, port = _split(self._settings.caller_address)
         self._caller_server = http_server.HttpServer(
@@ -230,14 +187,35 @@
         self._stack.callback(self._caller_server.close)
         self._caller_server.start()
 
+    def _start_administration(self, router: routing.Router) -> None:
+        view = administration.Administration(
+            self._store,
+            self._control.members,
+            router,
+            self._services,
+            self._log,
+            self._metrics,
+            self._stopped.is_set,
+        )
+        host, port = _split(self._settings.admin_address)
+        self._admin_server = http_server.HttpServer(
+            host,
+            port,
+            admin_app.AdminApp(view),
+            _ADMIN_CONNECTIONS,
+            self._settings.caller_idle_s,
+        )
+        self._stack.callback(self._admin_server.close)
+        self._admin_server.start()
+
     def _build_actions(
-        self, router: routing.Router, remote: peers.Peers
+        self, router: routing.Router
     ) -> action_service.ActionService:
         settings = self._settings
         signer = tickets.TicketSigner.from_config(settings.shared_keys)
         self._tickets = ticket_table.TicketTable(
             settings.host,
-            uuid.uuid4().hex,
+            self._control.members.own.incarnation,
             signer,
             ticket_table.TicketLimits(
                 settings.ticket_lifetime_ms,
@@ -256,15 +234,19 @@
             self._tickets,
             self._kept,
             signer,
-            self._members,
-            remote,
+            self._control.members,
+            self._control.remote,
             run,
             self._clock,
         )
 
-    def _build_stop(self, remote: peers.Peers) -> shutdown.PlannedStop:
+    def _build_stop(self) -> shutdown.PlannedStop:
         task = hand_over.HandOverTask(
-            self._tickets, self._kept, self._members, remote, self._clock
+            self._tickets,
+            self._kept,
+            self._control.members,
+            self._control.remote,
+            self._clock,
         )
         return shutdown.PlannedStop(
             self._readiness,
@@ -278,26 +260,6 @@
             self._clock,
         )
 
-    def _start_readers(self) -> None:
-        times = readers.ReaderTimes()
-        tasks: list[readers.ConfigurationReader | readers.HostListReader] = [
-            readers.ConfigurationReader(
-                platform_client.HttpPlatform(self._settings.platform),
-                self._store,
-                self._clock,
-                times,
-            ),
-            readers.HostListReader(
-                platform_client.HttpPlatform(self._settings.platform),
-                self._members,
-                self._clock,
-                times,
-            ),
-        ]
-        for task in tasks:
-            self._stack.callback(task.close)
-            self._executor.submit(task.run)
-
 
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -7,6 +7,7 @@
 import typing
 
 from corianderport_tier.process import handed_over
+from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
@@ -55,6 +56,12 @@
     def cancel(self, attempt_id: str, timeout_s: float) -> None:
         """Ask the searcher to stop an attempt."""
 
+    def abort(self) -> None:
+        """End the call in progress, from another task.
+
+        The call raises ConnectionBroken or ConnectFailed.
+        """
+
     def close(self) -> None:
         """Close the connection."""
 
@@ -105,6 +112,11 @@
     ) -> bytes | None:
         """Return the peer's document when it is newer, else None."""
 
+    def heartbeat(
+        self, message: heartbeats.Heartbeat, timeout_s: float
+    ) -> heartbeats.Heartbeat:
+        """Exchange heartbeats; errors as above."""
+
     def close(self) -> None:
         """Close the connection."""
 
@@ -118,6 +130,7 @@
         """Open a connection.
 
         :raises ConnectFailed: no connection within the timeout.
+        :raises ConnectRefused: no process listens on the address.
         """
 
 
--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -12,6 +12,7 @@
     'ConfigurationInvalid',
     'ConfigurationStale',
     'ConnectFailed',
+    'ConnectRefused',
     'ConnectionBroken',
     'ConnectionSilent',
     'CorianderportError',
@@ -157,9 +158,14 @@
 
 
 class TransportError(CorianderportError):
-    """A connection to an upstream or a peer failed."""
+    """A connection to an upstream or a peer failed.
+
+    ``fresh`` says that the connection had carried no reply before, so
+    that it cannot have been half-open already.
+    """
 
     code = result_codes.ResultCode.OUTCOME_UNKNOWN
+    fresh: bool = False
 
 
 class ConnectFailed(TransportError):
@@ -168,6 +174,10 @@
     code = result_codes.ResultCode.NO_UPSTREAM
 
 
+class ConnectRefused(ConnectFailed):
+    """The address answered that no process listens on it."""
+
+
 class ConnectionBroken(TransportError):
     """The connection ended after bytes may have been sent."""
 
--- a/packages/tier/src/corianderport_tier/request/action_attempts.py
+++ b/packages/tier/src/corianderport_tier/request/action_attempts.py
@@ -11,20 +11,18 @@
 from corianderport_tier import clocks
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
+from corianderport_tier.process import capacity_queue
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import outcomes
 from corianderport_tier.process import owned_services
 from corianderport_tier.process import upstreams
-from corianderport_tier.request import deadlines
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import messages
 from corianderport_tier import result_codes
+from corianderport_tier.version import configuration
 
 __all__ = ['ActionAttempt', 'OwnerAction']
 
-# A request that waits for room may miss a wake-up that went to a request
-# that had already ended, so it looks again after this time.
-_CAPACITY_RECHECK_S = 0.1
-
 Reply = (
     messages.UpstreamActionReply
     | messages.UpstreamRefusal
@@ -33,8 +31,11 @@
 Deliver = collections.abc.Callable[['ActionAttempt', Reply], None]
 
 
-class _CapacityFreed:
-    """A searcher of the service has room."""
+@attrs.frozen
+class _Granted:
+    """The end of a wait for room; without a searcher it was refused."""
+
+    upstream: upstreams.Upstream | None
 
 
 @attrs.define(eq=False)
@@ -113,9 +114,7 @@
         self._log = log
         self._tried: set[str] = set()
         self._refused = False
-        self._inbox: inboxes.Inbox[Reply | _CapacityFreed] = inboxes.Inbox(
-            clock
-        )
+        self._inbox: inboxes.Inbox[Reply | _Granted] = inboxes.Inbox(clock)
 
     def run(self) -> messages.ActionAnswer:
         """Return what the searcher reported.
@@ -124,42 +123,56 @@
         :raises OutcomeUnknown: a searcher may have run it.
         """
         owned = self._services.get(self._call.service)
-        while True:
-            upstream = self._acquire(owned)
-            reply = self._attempt(owned, upstream)
-            if isinstance(reply, messages.UpstreamActionReply):
-                return self._answer(reply)
-            self._check_not_run(upstream, reply)
-
-    def capacity_freed(self, service: str) -> None:
-        """Learn that a searcher of the service has room."""
-        self._inbox.put(_CapacityFreed())
+        try:
+            while True:
+                upstream = self._acquire(owned)
+                reply = self._attempt(owned, upstream)
+                if isinstance(reply, messages.UpstreamActionReply):
+                    return self._answer(reply)
+                self._check_not_run(upstream, reply)
+        finally:
+            self._end(owned)
+
+    def capacity_granted(
+        self, service: str, upstream: upstreams.Upstream | None
+    ) -> bool:
+        """Take a searcher that the request waited for."""
+        return self._inbox.offer(_Granted(upstream))
+
+    def _end(self, owned: owned_services.OwnedService) -> None:
+        """Return a searcher that was granted too late to be used."""
+        owned.upstreams.discard_waiter(self)
+        for item in self._inbox.close():
+            if isinstance(item, _Granted) and item.upstream is not None:
+                owned.upstreams.release(item.upstream, None)
 
     def _acquire(
         self, owned: owned_services.OwnedService
     ) -> upstreams.Upstream:
-        registered = False
-        while True:
-            if self._request.deadline.passed(self._clock):
-                raise errors.DeadlinePast('the deadline has passed')
-            allowed = self._services.allowed()
-            upstream = owned.upstreams.try_acquire(allowed, self._tried)
-            if upstream is not None:
-                return upstream
-            candidates = owned.upstreams.candidates(allowed)
-            if all(u.name in self._tried for u in candidates):
-                raise self._none_left()
-            if registered:
-                recheck = deadlines.Deadline.after(
-                    self._clock, _CAPACITY_RECHECK_S
-                )
-                item = self._inbox.take(min(recheck, self._request.deadline))
-                registered = item is None
-            else:
-                # Room may appear before the waiter is known, so the
-                # searchers are tried once more before the wait.
-                owned.upstreams.add_waiter(self)
-                registered = True
+        if self._request.deadline.passed(self._clock):
+            raise errors.DeadlinePast('the deadline has passed')
+        allowed = self._services.allowed()
+        upstream = owned.upstreams.try_acquire(allowed, self._tried)
+        if upstream is not None:
+            return upstream
+        candidates = owned.upstreams.candidates(allowed)
+        if all(u.name in self._tried for u in candidates):
+            raise self._none_left()
+        owned.upstreams.add_waiter(
+            capacity_queue.Waiting(
+                self,
+                self._request.deadline,
+                self._allowed_now,
+                frozenset(self._tried),
+            )
+        )
+        item = self._inbox.take(self._request.deadline)
+        if isinstance(item, _Granted) and item.upstream is not None:
+            return item.upstream
+        raise errors.Overloaded('no searcher had room in time')
+
+    def _allowed_now(self, searcher: configuration.Searcher) -> bool:
+        return self._services.allowed()(searcher)
 
     def _none_left(self) -> errors.Refusal:
         if self._refused:
@@ -191,7 +204,7 @@
                 return errors.DeadlinePast('the deadline has passed')
             if item is None:
                 return errors.OutcomeUnknown('no answer by the deadline')
-            if not isinstance(item, _CapacityFreed):
+            if not isinstance(item, _Granted):
                 return item
 
     def _new_attempt(
@@ -204,9 +217,17 @@
         def deliver(attempt: ActionAttempt, reply: Reply) -> None:
             # Released on the connection's task: the searcher stays loaded
             # while it works on an action whose request has ended.
-            answered = isinstance(reply, messages.UpstreamActionReply)
             elapsed_s = self._clock.monotonic() - attempt.started_s
-            owned.upstreams.release(upstream, elapsed_s if answered else None)
+            outcome = outcomes.Outcome.from_reply(
+                reply,
+                elapsed_s,
+                attempt.call.attempt_id,
+                attempt.call.deadline.at_s,
+            )
+            answered = outcome.kind is outcomes.OutcomeKind.ANSWERED
+            owned.upstreams.release(
+                upstream, elapsed_s if answered else None, outcome
+            )
             self._inbox.put(reply)
 
         def check() -> None:
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/process/metrics_text.py
@@ -0,0 +1,89 @@
+"""corianderport_wire.process.metrics_text
+
+Prints the counters of a host in the text format of Prometheus.
+"""
+
+import math
+
+import aioprometheus.collectors
+import aioprometheus.formats.text
+import aioprometheus.histogram
+
+from corianderport_tier.process import metrics
+
+__all__ = ['CONTENT_TYPE', 'render']
+
+CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+Registry = aioprometheus.collectors.Registry
+Counter = aioprometheus.collectors.Counter
+
+
+def render(totals: metrics.Totals) -> bytes:
+    """Return the text of one scrape."""
+    registry = Registry()
+    _add_results(registry, totals)
+    _add_refusals(registry, totals)
+    _add_decisions(registry, totals)
+    _add_latencies(registry, totals)
+    formatter = aioprometheus.formats.text.TextFormatter()
+    return formatter.marshall(registry)
+
+
+def _counter(registry: Registry, name: str, doc: str) -> Counter:
+    return Counter(f'corianderport_{name}', doc, registry=registry)
+
+
+def _add_results(registry: Registry, totals: metrics.Totals) -> None:
+    counter = _counter(
+        registry, 'results_total', 'Requests of callers by result.'
+    )
+    for (request, code), count in sorted(totals.results.items()):
+        labels = {
+            'request': request,
+            'code': str(int(code)),
+            'name': code.name,
+            'ran': code.ran.value,
+        }
+        counter.set(labels, count)
+
+
+def _add_refusals(registry: Registry, totals: metrics.Totals) -> None:
+    counter = _counter(
+        registry, 'refusals_total', 'Requests that were not run.'
+    )
+    for code, count in sorted(totals.refusals.items()):
+        counter.set({'code': str(int(code)), 'name': code.name}, count)
+
+
+def _add_decisions(registry: Registry, totals: metrics.Totals) -> None:
+    counter = _counter(registry, 'decisions_total', 'Decisions by kind.')
+    for kind, count in sorted(totals.decisions.items()):
+        counter.set({'kind': kind}, count)
+    counter = _counter(
+        registry, 'sub_requests_total', 'Sub-requests to searchers.'
+    )
+    counter.set({}, totals.sub_requests)
+    counter = _counter(
+        registry, 'hedges_total', 'Sub-requests that were hedges.'
+    )
+    counter.set({}, totals.hedges)
+
+
+def _add_latencies(registry: Registry, totals: metrics.Totals) -> None:
+    bounds = (*metrics.LATENCY_BOUNDS_S, math.inf)
+    histogram = aioprometheus.collectors.Histogram(
+        'corianderport_latency_seconds',
+        'Time from a request to its answer.',
+        registry=registry,
+        buckets=bounds,
+    )
+    for request, latencies in sorted(totals.latencies.items()):
+        values = aioprometheus.histogram.Histogram(*bounds)
+        reached = 0
+        for bound, count in zip(bounds, latencies.counts, strict=True):
+            reached += count
+            values.buckets[bound] = reached
+        values.observations = reached
+        values.sum = latencies.sum_s
+        histogram.set_value({'request': request}, values)
--- a/packages/wire/src/corianderport_wire/request/caller_app.py
+++ b/packages/wire/src/corianderport_wire/request/caller_app.py
@@ -25,7 +25,13 @@
 if typing.TYPE_CHECKING:
     import _typeshed.wsgi
 
-__all__ = ['CallerApp', 'CallerLimits', 'CallerService', 'HostState']
+__all__ = [
+    'CallerApp',
+    'CallerLimits',
+    'CallerService',
+    'HostState',
+    'RequestObserver',
+]
 
 
 _LOG = logging.getLogger(__name__)
@@ -34,6 +40,7 @@
 _DEFAULT_LIMIT = 10
 _MAX_DEADLINE_MS = 60_000.0
 _DEFAULT_CUSTOMER = 'default'
+_UNKNOWN_ENDPOINT = 'unknown'
 
 _HTTP_STATUS = {
     result_codes.ResultCode.OK: 200,
@@ -88,6 +95,15 @@
     stopping = False
 
 
+class RequestObserver(typing.Protocol):
+    """Counts the requests of callers."""
+
+    def finished(
+        self, request: str, code: result_codes.ResultCode, latency_s: float
+    ) -> None:
+        """Learn of the result of one request."""
+
+
 @attrs.frozen
 class CallerLimits:
     """Bounds on what a caller may send."""
@@ -105,8 +121,10 @@
         clock: clocks.Clock,
         limits: CallerLimits,
         state: HostState = _AlwaysReady(),
+        observer: RequestObserver | None = None,
     ) -> None:
         self._service = service
+        self._observer = observer
         self._clock = clock
         self._limits = limits
         self._state = state
@@ -135,6 +153,8 @@
     ) -> collections.abc.Iterable[bytes]:
         """Serve one HTTP request."""
         request = werkzeug.wrappers.Request(environ)
+        started_s = self._clock.monotonic()
+        endpoint = _UNKNOWN_ENDPOINT
         try:
             endpoint, values = self._urls.bind_to_environ(environ).match()
             fields = self._fields(request)
@@ -146,6 +166,12 @@
         except Exception:
             _LOG.exception('request failed')
             body = _error_body(errors.CorianderportError('internal error'))
+        if self._observer is not None:
+            self._observer.finished(
+                endpoint,
+                result_codes.ResultCode(body['code']),
+                self._clock.monotonic() - started_s,
+            )
         response = werkzeug.wrappers.Response(
             orjson.dumps(body),
             status=_status(body['code']),
