Check the lease and the searcher's state before an action is sent

The check that libcurl calls before the first byte now also asks the lease and ServiceUpstreams.may_send.

A stopping host announces that it is leaving as soon as it is not ready, so that the services that it owns move during the load balancer's lag.

--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -108,6 +108,11 @@
             self._stack.callback(task.close)
             self._executor.submit(task.run)
 
+    def announce_leaving(self) -> None:
+        """Tell the other hosts that this one owns no more services."""
+        self.members.leave()
+        self.control.wake()
+
     def _build(self) -> None:
         period_s = self._settings.heartbeat_s
         own = membership.Member(
--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -252,6 +252,7 @@
             self._readiness,
             self._caller_gate,
             self._peer_gate,
+            self._control.announce_leaving,
             self._tickets.seal,
             task.run,
             shutdown.StopTimes(
--- a/packages/testkit/src/corianderport_testkit/process/action_hosts.py
+++ b/packages/testkit/src/corianderport_testkit/process/action_hosts.py
@@ -8,6 +8,7 @@
 import concurrent.futures
 import contextlib
 import enum
+import functools
 import random
 import threading
 import types
@@ -26,8 +27,10 @@
 from corianderport_tier.process import entry
 from corianderport_tier.process import hand_over
 from corianderport_tier.process import handed_over
+from corianderport_tier.process import leases
 from corianderport_tier.process import membership
 from corianderport_tier.process import owned_services
+from corianderport_tier.process import ownership
 from corianderport_tier.process import peers
 from corianderport_tier.process import routing
 from corianderport_tier.process import selection
@@ -223,7 +226,7 @@
         self.world = world
         self.alive = True
         self.member = membership.Member(name, 'dc-a', address)
-        self.members = membership.Membership(self.member)
+        self.members = membership.Membership(self.member, world.clock)
         self._clock = world.clock
         self._stack = contextlib.ExitStack()
         self._gate = shutdown.RequestGate(world.clock)
@@ -235,7 +238,10 @@
             peers.Peers(_PeerDialer(world), world.executor, world.clock)
         )
         self._router = routing.Router(
-            world.store, self.members, self._local, self._remote
+            ownership.OwnershipTable(world.store, self.members),
+            self.members,
+            self._local,
+            self._remote,
         )
         self._table = ticket_table.TicketTable(
             name, address, _SIGNER, _LIMITS, world.clock
@@ -282,6 +288,7 @@
             shutdown.Readiness(self.world.store),
             self._gate,
             self._peer_gate,
+            lambda: None,
             self._table.seal,
             task.run,
             shutdown.StopTimes(0.0, 0.0),
@@ -316,7 +323,7 @@
             )
         )
         return aggregator.LocalAggregator(
-            services, self.world.executor, self._clock, self._log
+            services, self.world.executor, self._clock, self._log, _Lease()
         )
 
     def _run(self, request: messages.ActionRequest) -> messages.ActionAnswer:
@@ -329,6 +336,13 @@
         ).run()
 
 
+class _Lease:
+    """Lets every host send."""
+
+    def may_send(self, service: str) -> leases.LeaseState:
+        return leases.LeaseState.FULL
+
+
 @attrs.frozen
 class _SearcherDialer:
     """Connects a host to the stand-ins of searchers."""
@@ -457,12 +471,16 @@
         return self.world.deliver(self.fault, serve, timeout_s, self.host.kill)
 
 
+@functools.cache
 def _document(version: int, out_of_service: tuple[str, ...]) -> bytes:
     deployment = deployments.Deployment(services=1)
-    addresses = {
-        name: name
+    names = [
+        name
         for centre in deployments.DATA_CENTRES
         for name in deployment.searcher_names(centre)
+    ]
+    addresses = {
+        name: f'127.0.0.1:{port}' for port, name in enumerate(names, start=1)
     }
     return document.JsonDocument().encode(
         deployment.build(version, addresses, out_of_service)
--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -102,8 +102,15 @@
 
     def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
         """Run the action on the calling task."""
+
+        def check() -> None:
+            held = self._leases.may_send(call.service)
+            if held is leases.LeaseState.NONE:
+                raise errors.NotOwner(f'not owner of {call.service}')
+
+        check()
         return action_attempts.OwnerAction(
-            call, self._services, self._clock, self._log
+            call, self._services, check, self._clock, self._log
         ).run()
 
     def _result(self, batch: messages.SubQueryBatch) -> BatchResult:
--- a/packages/tier/src/corianderport_tier/process/shutdown.py
+++ b/packages/tier/src/corianderport_tier/process/shutdown.py
@@ -150,6 +150,7 @@
 class PlannedStop:
     """Takes a host out of service step by step.
 
+    :param announce: tells the other hosts that this one is leaving.
     :param seal: called when new requests of callers are refused.
     :param hand_over: sends the ticket outcomes away and returns to how many
         hosts.
@@ -160,6 +161,7 @@
         readiness: Readiness,
         callers: RequestGate,
         peers: RequestGate,
+        announce: collections.abc.Callable[[], None],
         seal: collections.abc.Callable[[], None],
         hand_over: collections.abc.Callable[[], int],
         times: StopTimes,
@@ -168,6 +170,7 @@
         self._readiness = readiness
         self._callers = callers
         self._peers = peers
+        self._announce = announce
         self._seal = seal
         self._hand_over = hand_over
         self._times = times
@@ -182,6 +185,7 @@
         need no other host to end, but other hosts may need this one.
         """
         self._readiness.begin_stop()
+        self._announce()
         _LOG.info('stopping: no longer ready')
         self._wait_lag()
         self._callers.close()
--- a/packages/tier/src/corianderport_tier/request/action_attempts.py
+++ b/packages/tier/src/corianderport_tier/request/action_attempts.py
@@ -98,18 +98,23 @@
 
     Another searcher is tried only when no byte was sent or the searcher
     refused explicitly.
+
+    :param check: raises a Refusal when this host may not send now; it is
+        called again right before sending.
     """
 
     def __init__(
         self,
         call: messages.ActionCall,
         services: owned_services.OwnedServices,
+        check: transports.SendCheck,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
         self._call = call
         self._request = call.request
         self._services = services
+        self._check = check
         self._clock = clock
         self._log = log
         self._tried: set[str] = set()
@@ -233,7 +238,9 @@
         def check() -> None:
             if request.deadline.passed(self._clock):
                 raise errors.DeadlinePast('the deadline has passed')
-            if not self._services.allowed()(upstream.searcher):
+            self._check()
+            allowed = self._services.allowed()
+            if not owned.upstreams.may_send(upstream, allowed):
                 raise errors.NoUpstream(f'{upstream.name} is out of service')
 
         return ActionAttempt(
@@ -268,7 +275,7 @@
         upstream: upstreams.Upstream,
         reply: messages.UpstreamRefusal | errors.CorianderportError,
     ) -> None:
-        if isinstance(reply, errors.DeadlinePast):
+        if isinstance(reply, errors.DeadlinePast | errors.NotOwner):
             raise reply
         if isinstance(reply, messages.UpstreamRefusal):
             self._refused = True
