--- /dev/null
+++ b/packages/testkit/src/corianderport_testkit/process/naive_tier.py
@@ -0,0 +1,229 @@
+"""corianderport_testkit.process.naive_tier
+
+A tier without owners, for measuring against and for differential tests.
+"""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import json
+import logging
+import random
+import signal
+import threading
+import typing
+
+import fire
+
+from corianderport_tier import clocks
+from corianderport_tier.connection import transports
+from corianderport_tier import errors
+from corianderport_tier.process import configuration_store
+from corianderport_tier.process import readers
+from corianderport_tier.process import ticket_table
+from corianderport_tier.request import coverage
+from corianderport_tier.request import merging
+from corianderport_tier.request import messages
+from corianderport_tier.request import planning
+from corianderport_tier import result_codes
+from corianderport_tier.version import configuration
+from corianderport_wire.connection import http_server
+from corianderport_wire.connection import platform_client
+from corianderport_wire.connection import upstream_client
+from corianderport_wire.request import caller_app
+from corianderport_wire.version import document
+
+__all__ = ['NaiveEntry', 'main', 'run']
+
+_TASKS = 512
+_CONNECTIONS = 256
+_IDLE_S = 30.0
+_DIAL_TIMEOUT_S = 1.0
+_MARGIN_S = 0.005
+
+
+class _Searcher:
+    """A host's static share of one searcher, with idle connections."""
+
+    def __init__(self, share: int, clock: clocks.Clock) -> None:
+        self.slots = threading.BoundedSemaphore(share)
+        self._dialer = upstream_client.HttpUpstreamDialer(clock)
+        self._idle: list[transports.UpstreamTransport] = []
+
+    @contextlib.contextmanager
+    def connection(
+        self, searcher: configuration.Searcher
+    ) -> collections.abc.Iterator[transports.UpstreamTransport]:
+        """Lend a connection; it is closed when its use fails."""
+        try:
+            transport = self._idle.pop()
+        except IndexError:
+            transport = self._dialer.dial(searcher, _DIAL_TIMEOUT_S)
+        try:
+            yield transport
+        except errors.TransportError:
+            transport.close()
+            raise
+        self._idle.append(transport)
+
+
+class NaiveEntry:
+    """Sends to a random replica of each service, without hedges.
+
+    A refusal or a failed connection leads to the next replica; a slow one
+    is waited for.
+    """
+
+    def __init__(
+        self,
+        store: configuration_store.ConfigurationStore,
+        executor: concurrent.futures.Executor,
+        clock: clocks.Clock,
+        hosts: int,
+    ) -> None:
+        self._store = store
+        self._executor = executor
+        self._clock = clock
+        self._hosts = hosts
+        self._lock = threading.Lock()
+        self._searchers: dict[str, _Searcher] = {}
+
+    def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
+        """Serve one search on the calling task."""
+        accepted = self._store.current()
+        plan = planning.plan_search(accepted, request)
+        futures = [
+            self._executor.submit(self._ask, accepted, plan, request, sub)
+            for sub in plan.sub_queries()
+        ]
+        left_s = request.deadline.earlier(_MARGIN_S).remaining(self._clock)
+        done, _ = concurrent.futures.wait(futures, left_s)
+        answers = [answer for future in done for answer in future.result()]
+        complete = coverage.complete_answers(plan.shards, answers)
+        covered = coverage.measure(plan.shards, complete)
+        codes = result_codes.ResultCode
+        return messages.SearchAnswer(
+            code=codes.PARTIAL if covered.missing else codes.OK,
+            request_id=request.request_id,
+            snapshot=plan.snapshot.number,
+            coverage=covered,
+            hits=merging.top_hits(complete.values(), request.limit),
+            sub_requests=len(futures),
+        )
+
+    def issue_ticket(self) -> ticket_table.IssuedTicket:
+        """Refuse; the naive tier serves searches only."""
+        raise errors.NotReady('the naive tier issues no tickets')
+
+    def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
+        """Refuse; the naive tier serves searches only."""
+        raise errors.NotReady('the naive tier runs no actions')
+
+    def _ask(
+        self,
+        accepted: configuration.Configuration,
+        plan: planning.SearchPlan,
+        request: messages.SearchRequest,
+        sub_query: messages.SubQuery,
+    ) -> tuple[messages.ShardAnswer, ...]:
+        service = accepted.services[sub_query.service]
+        replicas = [s for s in service.searchers if accepted.may_get_work(s)]
+        for searcher in random.sample(replicas, len(replicas)):
+            call = messages.UpstreamSearch(
+                request_id=request.request_id,
+                attempt_id=f'{request.request_id}.{searcher.name}',
+                index=plan.search.index,
+                snapshot=plan.snapshot.number,
+                shards=sub_query.shards,
+                query=request.query,
+                limit=request.limit,
+                deadline=request.deadline,
+            )
+            reply = self._attempt(service, searcher, call)
+            if isinstance(reply, messages.UpstreamSearchReply):
+                same = reply.snapshot == plan.snapshot.number
+                return reply.answers if same else ()
+        return ()
+
+    def _attempt(
+        self,
+        service: configuration.Service,
+        searcher: configuration.Searcher,
+        call: messages.UpstreamSearch,
+    ) -> messages.UpstreamSearchReply | messages.UpstreamRefusal | None:
+        state = self._searcher(service, searcher)
+        left_s = call.deadline.remaining(self._clock)
+        if not state.slots.acquire(timeout=left_s):
+            return None
+        try:
+            left_s = call.deadline.remaining(self._clock)
+            if left_s <= 0:
+                return None
+            with state.connection(searcher) as transport:
+                return transport.search(call, left_s)
+        except errors.CorianderportError:
+            return None
+        finally:
+            state.slots.release()
+
+    def _searcher(
+        self, service: configuration.Service, searcher: configuration.Searcher
+    ) -> _Searcher:
+        with self._lock:
+            state = self._searchers.get(searcher.address)
+            if state is None:
+                # Less than one slot for each host cannot be had.
+                share = max(1, service.limits.slots // self._hosts)
+                state = _Searcher(share, self._clock)
+                self._searchers[searcher.address] = state
+            return state
+
+
+def run(platform: str, hosts: int, **unused: typing.Any) -> None:
+    """Serve until SIGTERM; print the addresses as one line of JSON.
+
+    :param hosts: hosts over which the slots are divided.
+    """
+    logging.basicConfig(level='ERROR')
+    clock = clocks.SystemClock()
+    executor = concurrent.futures.ThreadPoolExecutor(_TASKS)
+    store = configuration_store.ConfigurationStore(
+        document.JsonDocument(), clock
+    )
+    reader = readers.ConfigurationReader(
+        platform_client.HttpPlatform(platform),
+        store,
+        clock,
+        readers.ReaderTimes(),
+        lambda: True,
+    )
+    threading.Thread(target=reader.run, daemon=True).start()
+    server = http_server.HttpServer(
+        '127.0.0.1',
+        0,
+        caller_app.CallerApp(
+            NaiveEntry(store, executor, clock, hosts),
+            clock,
+            caller_app.CallerLimits(),
+        ),
+        _CONNECTIONS,
+        _IDLE_S,
+    )
+    stopped = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    server.start()
+    addresses = {'caller_address': server.address, 'peer_address': ''}
+    print(json.dumps(addresses), flush=True)
+    stopped.wait()
+    reader.close()
+    server.close()
+    executor.shutdown(wait=False, cancel_futures=True)
+
+
+def main() -> None:
+    """Parse the flags and serve."""
+    fire.Fire(run)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/tier/src/corianderport_tier/request/sending.py
+++ b/packages/tier/src/corianderport_tier/request/sending.py
@@ -223,6 +223,7 @@
             kind,
             upstream.name,
             f'attempt {pending.sends} for {pending.service}',
+            self._untried(pending, owned),
         )
         try:
             connections = owned.pool(upstream.searcher)
@@ -298,7 +299,24 @@
 
         return deliver
 
-    def _record(self, kind: str, choice: str, reason: str) -> None:
+    def _untried(self, pending: Pending, owned: Owned) -> tuple[str, ...]:
+        """Return the other searchers in service, for the decision log."""
+        allowed = self._services.allowed()
+        return tuple(
+            searcher.name
+            for searcher in owned.service.searchers
+            if searcher.name not in pending.tried and allowed(searcher)
+        )
+
+    def _record(
+        self,
+        kind: str,
+        choice: str,
+        reason: str,
+        alternatives: tuple[str, ...] = (),
+    ) -> None:
         self._log.record(
-            decision_log.Decision(kind, self._batch.request_id, choice, reason)
+            decision_log.Decision(
+                kind, self._batch.request_id, choice, reason, alternatives
+            )
         )
