--- a/packages/testkit/src/corianderport_testkit/process/action_hosts.py
+++ b/packages/testkit/src/corianderport_testkit/process/action_hosts.py
@@ -323,7 +323,11 @@
             )
         )
         return aggregator.LocalAggregator(
-            services, self.world.executor, self._clock, self._log, _Lease()
+            services,
+            self.world.executor,
+            self._clock,
+            self._log,
+            leases.AlwaysFull(),
         )
 
     def _run(self, request: messages.ActionRequest) -> messages.ActionAnswer:
@@ -336,13 +340,6 @@
         ).run()
 
 
-class _Lease:
-    """Lets every host send."""
-
-    def may_send(self, service: str) -> leases.LeaseState:
-        return leases.LeaseState.FULL
-
-
 @attrs.frozen
 class _SearcherDialer:
     """Connects a host to the stand-ins of searchers."""
