Remove an undefined name from the curl client

A failure to connect in post_once is classified by the pre-request callback, so "reused" needs no exception for new connections.

--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -171,7 +171,7 @@
 
     def _perform(self, path: str, timeout_s: float) -> HttpReply:
         handle = self._handle
-        reused = self._socket is not None and not fresh
+        reused = self._socket is not None
         reply = io.BytesIO()
         handle.setopt(pycurl.URL, f'http://{self._address}{path}')
         handle.setopt(pycurl.WRITEFUNCTION, reply.write)
