--- a/packages/testkit/src/corianderport_testkit/process/naive_tier.py
+++ b/packages/testkit/src/corianderport_testkit/process/naive_tier.py
@@ -112,12 +112,12 @@
         )
 
     def issue_ticket(self) -> ticket_table.IssuedTicket:
-        """Refuse; the naive tier serves searches only."""
-        raise errors.NotReady('the naive tier issues no tickets')
+        """Refuse: this tier has no actions."""
+        raise errors.UnknownService('the naive tier has no actions')
 
     def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
-        """Refuse; the naive tier serves searches only."""
-        raise errors.NotReady('the naive tier runs no actions')
+        """Refuse: this tier has no actions."""
+        raise errors.UnknownService('the naive tier has no actions')
 
     def _ask(
         self,
@@ -212,7 +212,11 @@
     stopped = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
     server.start()
-    addresses = {'caller_address': server.address, 'peer_address': ''}
+    addresses = {
+        'caller_address': server.address,
+        'peer_address': '',
+        'admin_address': '',
+    }
     print(json.dumps(addresses), flush=True)
     stopped.wait()
     reader.close()
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -3,6 +3,8 @@
 The entry role: serves the requests of callers.
 """
 
+import contextlib
+
 import attrs
 
 from corianderport_tier import clocks
@@ -17,6 +19,7 @@
 from corianderport_tier.process import ticket_table
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
+from corianderport_tier.version import configuration
 
 __all__ = ['Entry']
 
@@ -47,25 +50,17 @@
 
         :raises Refusal: nothing was sent to any upstream.
         """
-        with self._gate.enter():
-            accepted = self._store.current()
-            found = accepted.searches.get(request.search)
-            if found is None:
-                raise errors.UnknownService(
-                    f'unknown search {request.search!r}'
-                )
-            deadline = request.deadline.within(self._clock, found.deadline_ms)
-            with self._admission.admit(
-                accepted, request.customer, found.worth, deadline
-            ):
-                return search.SearchTask(
-                    request,
-                    accepted,
-                    self._router,
-                    self._availability,
-                    self._clock,
-                    self._log,
-                ).run()
+        accepted = self._store.current()
+        found = accepted.searches.get(request.search)
+        with self._gate.enter(), self._admit(accepted, found, request):
+            return search.SearchTask(
+                request,
+                accepted,
+                self._router,
+                self._availability,
+                self._clock,
+                self._log,
+            ).run()
 
     def issue_ticket(self) -> ticket_table.IssuedTicket:
         """Return a ticket for one action.
@@ -84,7 +79,9 @@
         """
         request = self._bounded(request)
         if request.ticket is None:
-            with self._gate.enter():
+            accepted = self._store.current()
+            found = accepted.actions.get(request.action)
+            with self._gate.enter(), self._admit(accepted, found, request):
                 return self._actions.act(request)
         # "Not run" would be wrong if the ticket had been used before; the
         # ticket's host knows.
@@ -106,3 +103,18 @@
             return request
         deadline = request.deadline.within(self._clock, known.deadline_ms)
         return attrs.evolve(request, deadline=deadline)
+
+    def _admit(
+        self,
+        accepted: configuration.Configuration,
+        found: configuration.Search | configuration.Action | None,
+        request: messages.SearchRequest | messages.ActionRequest,
+    ) -> contextlib.AbstractContextManager[None]:
+        if found is None:
+            return self._admission.admit(
+                accepted, request.customer, 0.0, request.deadline
+            )
+        deadline = request.deadline.within(self._clock, found.deadline_ms)
+        return self._admission.admit(
+            accepted, request.customer, found.worth, deadline
+        )
