--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -242,7 +242,7 @@
             process,
             addresses['caller_address'],
             addresses['peer_address'],
-            addresses['admin_address'],
+            addresses.get('admin_address', ''),
         )
         self.hosts[name] = host
         if not host.peer_address:
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -3,9 +3,10 @@
 The entry role: serves the requests of callers.
 """
 
-import contextlib
+import attrs
 
 from corianderport_tier import clocks
+from corianderport_tier import errors
 from corianderport_tier.process import action_service
 from corianderport_tier.process import admission
 from corianderport_tier.process import configuration_store
@@ -14,6 +15,7 @@
 from corianderport_tier.process import shutdown
 from corianderport_tier.process import snapshot_availability
 from corianderport_tier.process import ticket_table
+from corianderport_tier.request import deadlines
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
 from corianderport_tier.version import configuration
@@ -47,17 +49,25 @@
 
         :raises Refusal: nothing was sent to any upstream.
         """
-        accepted = self._store.current()
-        found = accepted.searches.get(request.search)
-        with self._gate.enter(), self._admit(accepted, found, request):
-            return search.SearchTask(
-                request,
-                accepted,
-                self._router,
-                self._availability,
-                self._clock,
-                self._log,
-            ).run()
+        with self._gate.enter():
+            accepted = self._store.current()
+            found = accepted.searches.get(request.search)
+            if found is None:
+                raise errors.UnknownService(
+                    f'unknown search {request.search!r}'
+                )
+            request = self._limited(request, found)
+            with self._admission.admit(
+                accepted, request.customer, found.worth, request.deadline
+            ):
+                return search.SearchTask(
+                    request,
+                    accepted,
+                    self._router,
+                    self._availability,
+                    self._clock,
+                    self._log,
+                ).run()
 
     def issue_ticket(self) -> ticket_table.IssuedTicket:
         """Return a ticket for one action.
@@ -75,22 +85,27 @@
         :raises OutcomeUnknown: it may run, have run, or never run.
         """
         if request.ticket is None:
-            accepted = self._store.current()
-            found = accepted.actions.get(request.action)
-            with self._gate.enter(), self._admit(accepted, found, request):
-                return self._actions.act(request)
+            with self._gate.enter():
+                return self._act_admitted(request)
         # "Not run" would be wrong if the ticket had been used before; the
         # ticket's host knows.
         with self._gate.count():
             return self._actions.act(request)
 
-    def _admit(
-        self,
-        accepted: configuration.Configuration,
-        found: configuration.Search | configuration.Action | None,
-        request: messages.SearchRequest | messages.ActionRequest,
-    ) -> contextlib.AbstractContextManager[None]:
+    def _limited(
+        self, request: messages.SearchRequest, found: configuration.Search
+    ) -> messages.SearchRequest:
+        """Return the request with the search's own limit on its time."""
+        limit = deadlines.Deadline.after(self._clock, found.deadline_ms / 1e3)
+        return attrs.evolve(request, deadline=min(request.deadline, limit))
+
+    def _act_admitted(
+        self, request: messages.ActionRequest
+    ) -> messages.ActionAnswer:
+        accepted = self._store.current()
+        found = accepted.actions.get(request.action)
         worth = found.worth if found is not None else 0.0
-        return self._admission.admit(
+        with self._admission.admit(
             accepted, request.customer, worth, request.deadline
-        )
+        ):
+            return self._actions.act(request)
