--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -134,6 +134,7 @@
                 self._clock,
                 selection.policy(self._settings.selection),
                 random.Random(),
+                self._control.leases,
             )
         )
         self._local = aggregator.LocalAggregator(
@@ -161,7 +162,7 @@
             self._peer_gate,
         )
         self._planned_stop = self._build_stop()
-        self._start_administration(router)
+        self._start_administration()
         application = caller_app.CallerApp(
             entry.Entry(
                 self._store,
@@ -187,11 +188,11 @@
         self._stack.callback(self._caller_server.close)
         self._caller_server.start()
 
-    def _start_administration(self, router: routing.Router) -> None:
+    def _start_administration(self) -> None:
         view = administration.Administration(
             self._store,
             self._control.members,
-            router,
+            self._control.owners,
             self._services,
             self._log,
             self._metrics,
@@ -252,6 +253,7 @@
             self._readiness,
             self._caller_gate,
             self._peer_gate,
+            self._control.announce_leaving,
             self._tickets.seal,
             task.run,
             shutdown.StopTimes(
--- a/packages/testkit/src/corianderport_testkit/process/served_deployment.py
+++ b/packages/testkit/src/corianderport_testkit/process/served_deployment.py
@@ -26,6 +26,9 @@
 
 _EXIT_S = 15.0
 _HOSTS = 6
+_SHARED_KEYS = 'shared key of the demo'
+# No load balancer stands in front of the demo's hosts.
+_DRAIN_LAG_S = 0.5
 _CALLER_PORT = 8700
 _PEER_PORT = 8701
 _ADMIN_PORT = 8703
@@ -152,6 +155,8 @@
                 f'--caller_address={network}:{_CALLER_PORT}',
                 f'--peer_address={network}:{_PEER_PORT}',
                 f'--admin_address={network}:{_ADMIN_PORT}',
+                f'--shared_keys={_SHARED_KEYS}',
+                f'--drain_lag_s={_DRAIN_LAG_S}',
             ],
         )
         return ServedHost(name, data_centre, network, process)
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -3,6 +3,8 @@
 The entry role: serves the requests of callers.
 """
 
+import contextlib
+
 import attrs
 
 from corianderport_tier import clocks
@@ -15,7 +17,6 @@
 from corianderport_tier.process import shutdown
 from corianderport_tier.process import snapshot_availability
 from corianderport_tier.process import ticket_table
-from corianderport_tier.request import deadlines
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
 from corianderport_tier.version import configuration
@@ -49,25 +50,17 @@
 
         :raises Refusal: nothing was sent to any upstream.
         """
-        with self._gate.enter():
-            accepted = self._store.current()
-            found = accepted.searches.get(request.search)
-            if found is None:
-                raise errors.UnknownService(
-                    f'unknown search {request.search!r}'
-                )
-            request = self._limited(request, found)
-            with self._admission.admit(
-                accepted, request.customer, found.worth, request.deadline
-            ):
-                return search.SearchTask(
-                    request,
-                    accepted,
-                    self._router,
-                    self._availability,
-                    self._clock,
-                    self._log,
-                ).run()
+        accepted = self._store.current()
+        found = accepted.searches.get(request.search)
+        with self._gate.enter(), self._admit(accepted, found, request):
+            return search.SearchTask(
+                request,
+                accepted,
+                self._router,
+                self._availability,
+                self._clock,
+                self._log,
+            ).run()
 
     def issue_ticket(self) -> ticket_table.IssuedTicket:
         """Return a ticket for one action.
@@ -84,28 +77,44 @@
         :raises Refusal: the action did not run and will not run.
         :raises OutcomeUnknown: it may run, have run, or never run.
         """
+        request = self._bounded(request)
         if request.ticket is None:
-            with self._gate.enter():
-                return self._act_admitted(request)
+            accepted = self._store.current()
+            found = accepted.actions.get(request.action)
+            with self._gate.enter(), self._admit(accepted, found, request):
+                return self._actions.act(request)
         # "Not run" would be wrong if the ticket had been used before; the
         # ticket's host knows.
         with self._gate.count():
             return self._actions.act(request)
 
-    def _limited(
-        self, request: messages.SearchRequest, found: configuration.Search
-    ) -> messages.SearchRequest:
-        """Return the request with the search's own limit on its time."""
-        limit = deadlines.Deadline.after(self._clock, found.deadline_ms / 1e3)
-        return attrs.evolve(request, deadline=min(request.deadline, limit))
-
-    def _act_admitted(
+    def _bounded(
         self, request: messages.ActionRequest
-    ) -> messages.ActionAnswer:
-        accepted = self._store.current()
-        found = accepted.actions.get(request.action)
-        worth = found.worth if found is not None else 0.0
-        with self._admission.admit(
-            accepted, request.customer, worth, request.deadline
-        ):
-            return self._actions.act(request)
+    ) -> messages.ActionRequest:
+        """Return the request with at most the deadline of its action.
+
+        What the configuration does not tell is left to the ticket's host.
+        """
+        try:
+            known = self._store.current().actions.get(request.action)
+        except errors.NotReady:
+            return request
+        if known is None:
+            return request
+        deadline = request.deadline.within(self._clock, known.deadline_ms)
+        return attrs.evolve(request, deadline=deadline)
+
+    def _admit(
+        self,
+        accepted: configuration.Configuration,
+        found: configuration.Search | configuration.Action | None,
+        request: messages.SearchRequest | messages.ActionRequest,
+    ) -> contextlib.AbstractContextManager[None]:
+        if found is None:
+            return self._admission.admit(
+                accepted, request.customer, 0.0, request.deadline
+            )
+        deadline = request.deadline.within(self._clock, found.deadline_ms)
+        return self._admission.admit(
+            accepted, request.customer, found.worth, deadline
+        )
--- a/packages/tier/src/corianderport_tier/process/metrics.py
+++ b/packages/tier/src/corianderport_tier/process/metrics.py
@@ -22,7 +22,7 @@
 )  # fmt: skip
 
 # Kinds of decisions that send one sub-request to a searcher.
-_SUB_REQUEST_KINDS = ('route', 'hedge', 'retry')
+_SUB_REQUEST_KINDS = ('route', 'hedge', 'retry', 'probe')
 _HEDGE_KIND = 'hedge'
 
 
--- /dev/null
+++ b/tests/daemon/test_administration.py
@@ -0,0 +1,30 @@
+"""A host serves its administration interface from its start."""
+
+import pytest
+
+from corianderport_daemon.process import daemon
+from corianderport_daemon.process import settings
+from corianderport_operator.connection import admin_client
+from corianderport_testkit.process import platform
+from corianderport_tier import errors
+
+
+def test_new_host_shows_that_it_has_no_configuration() -> None:
+    """Guards against a listener that starts only with a configuration."""
+    with platform.Platform() as published:
+        flags = {
+            'host': 'host-0',
+            'data_centre': 'dc-a',
+            'platform': published.address,
+            'shared_keys': 'a shared key of the test',
+        }
+        with (
+            daemon.Daemon.from_settings(settings.load(flags, {})) as host,
+            admin_client.AdminClient(host.admin_address) as client,
+        ):
+            assert client.version().host == 'host-0'
+            assert client.version().version == 0
+            assert not client.ready().ready
+            assert client.refusals() == {}
+            with pytest.raises(errors.NotReady, match='no configuration'):
+                client.configuration()
