Measure a searcher against the last answers of its replicas

A searcher was measured against slow averages of its replicas, which had not seen the pause yet. The last answers of the replicas count now, and at most half of a service's searchers are on hold because they are slow. Both tests failed before.

--- a/packages/tier/src/corianderport_tier/process/latency.py
+++ b/packages/tier/src/corianderport_tier/process/latency.py
@@ -42,6 +42,7 @@
 
     recent_s: float = 0.0
     usual_s: float = 0.0
+    last_s: float = 0.0
     samples: int = 0
     _sampled_s: float = 0.0
 
@@ -57,6 +58,7 @@
     def record(self, seconds: float, now_s: float) -> None:
         """Add a sample."""
         self._sampled_s = now_s
+        self.last_s = seconds
         if self.samples == 0:
             self.recent_s = self.usual_s = seconds
         self.samples += 1
--- a/packages/tier/src/corianderport_tier/process/upstream.py
+++ b/packages/tier/src/corianderport_tier/process/upstream.py
@@ -6,6 +6,8 @@
 import collections.abc
 import random
 
+import attrs
+
 from corianderport_tier.process import health
 from corianderport_tier.process import latency
 from corianderport_tier.process import limits
@@ -13,7 +15,7 @@
 from corianderport_tier.process import slow_start
 from corianderport_tier.version import configuration
 
-__all__ = ['Upstream']
+__all__ = ['Peers', 'Upstream']
 
 _SLOW_FACTOR = 4.0
 # Scheduling noise of the own process must not look like a slow searcher.
@@ -26,6 +28,18 @@
 _OVERTAKEN_TO_PROBATION = 4
 
 
+@attrs.frozen
+class Peers:
+    """What a searcher is measured against.
+
+    ``usual_s`` is the latency of its replicas in seconds, None when it is
+    unknown; ``may_hold`` is False when too many of them are on probation.
+    """
+
+    usual_s: float | None = None
+    may_hold: bool = False
+
+
 class Upstream:
     """One searcher; guarded by the lock of its ``ServiceUpstreams``."""
 
@@ -107,39 +121,39 @@
     def finish(
         self,
         outcome: outcomes.Outcome,
-        usual_s: float | None,
+        peers: Peers,
         now_s: float,
     ) -> None:
-        """Count the end of a request.
-
-        :param usual_s: latency of the replicas, None when unknown.
-        """
+        """Count the end of a request."""
         if outcome.kind.may_be_running:
             self.occupancy.abandon(outcome.attempt_id, outcome.until_s)
         else:
             self.occupancy.finish()
         if self.slow_start.see(outcome.incarnation):
             self._slow_streak = self._lost_streak = 0
-        _HANDLERS[outcome.kind](self, outcome, usual_s, now_s)
+        _HANDLERS[outcome.kind](self, outcome, peers, now_s)
 
-    def on_overtaken(self, has_replicas: bool, now_s: float) -> None:
+    def on_overtaken(self, peers: Peers, now_s: float) -> None:
         """Count an attempt that a hedge overtook.
 
         A searcher that stops cancelled requests at once shows no high
         latency, because its slow requests are those that are cancelled.
         """
         self._overtaken_streak += 1
-        if has_replicas and self._overtaken_streak >= _OVERTAKEN_TO_PROBATION:
+        if (
+            peers.may_hold
+            and self._overtaken_streak >= _OVERTAKEN_TO_PROBATION
+        ):
             self._overtaken_streak = 0
             self.slow_start.start_over()
             self.health.on_slow(now_s)
 
     def _on_answered(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
-        if self._is_slow(outcome.elapsed_s, usual_s):
+        if self._is_slow(outcome.elapsed_s, peers):
             self.latency.record(outcome.elapsed_s, now_s)
-            self._on_slow(usual_s is not None, now_s)
+            self._on_slow(peers, now_s)
             return
         self._slow_streak = self._lost_streak = 0
         if not outcome.overtaken:
@@ -153,7 +167,7 @@
         self.slow_start.on_success(now_s)
 
     def _on_shed(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         if self.slow_start.lowest:
             self.health.on_failure(now_s)
@@ -162,25 +176,25 @@
         self.slow_start.on_shed(now_s)
 
     def _on_draining(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         self.health.on_draining(now_s)
         self.slow_start.start_over()
 
     def _on_unreachable(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         self.health.on_failure(now_s)
         self.slow_start.suspect()
 
     def _on_broken(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         self.slow_start.suspect()
-        self._on_lost(outcome, usual_s, now_s)
+        self._on_lost(outcome, peers, now_s)
 
     def _on_lost(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         # A connection that had worked may be half-open, which is no fault
         # of the searcher.
@@ -188,36 +202,36 @@
             self.health.on_failure(now_s)
         else:
             self.health.end_probe()
-        if not self._is_slow(outcome.elapsed_s, usual_s):
+        if not self._is_slow(outcome.elapsed_s, peers):
             return
         # Half-open connections can delay as many requests as there are
         # slots before the pool closes the others.
         self._lost_streak += 1
         if self._lost_streak > self.slow_start.slots:
             self.slow_start.start_over()
-            if usual_s is not None:
+            if peers.may_hold:
                 self.health.on_slow(now_s)
 
     def _on_neutral(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         self.health.end_probe()
 
-    def _is_slow(self, elapsed_s: float, usual_s: float | None) -> bool:
-        reference_s = usual_s
+    def _is_slow(self, elapsed_s: float, peers: Peers) -> bool:
+        reference_s = peers.usual_s
         if reference_s is None:
             if self.latency.samples < _SAMPLES_TO_COMPARE:
                 return False
             reference_s = self.latency.usual_s
         return elapsed_s > _SLOW_FACTOR * reference_s + _SLOW_MARGIN_S
 
-    def _on_slow(self, has_replicas: bool, now_s: float) -> None:
+    def _on_slow(self, peers: Peers, now_s: float) -> None:
         self._slow_streak += 1
         if self._slow_streak >= _SLOW_TO_COOL:
             self.slow_start.start_over()
         else:
             self.slow_start.on_slow()
-        if has_replicas and (
+        if peers.may_hold and (
             self._slow_streak >= _SLOW_TO_PROBATION or not self.health.normal
         ):
             self.health.on_slow(now_s)
@@ -225,9 +239,7 @@
 
 _HANDLERS: dict[
     outcomes.OutcomeKind,
-    collections.abc.Callable[
-        [Upstream, outcomes.Outcome, float | None, float], None
-    ],
+    collections.abc.Callable[[Upstream, outcomes.Outcome, Peers, float], None],
 ] = {
     outcomes.OutcomeKind.ANSWERED: Upstream._on_answered,
     outcomes.OutcomeKind.SHED: Upstream._on_shed,
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -26,6 +26,7 @@
 # Extra sub-requests add load; retries of what was not run do not.
 _EXTRA = budgets.BudgetShare(0.05)
 _RETRIES = budgets.BudgetShare(0.2, minimum=10)
+_NO_PEERS = upstream_module.Peers()
 _PROBES_MINIMUM = 2
 _TIMEOUTS_MINIMUM = 8
 
@@ -171,7 +172,7 @@
         with self._lock:
             now_s = self._clock.monotonic()
             self._record_latency(outcome)
-            upstream.finish(outcome, self._usual_s(upstream), now_s)
+            upstream.finish(outcome, self._peers(upstream), now_s)
             self._grant()
 
     def stopped(self, upstream: Upstream, attempt_id: str) -> bool:
@@ -235,8 +236,8 @@
     def overtaken(self, upstream: Upstream) -> None:
         """Note that a later attempt at a replica was answered first."""
         with self._lock:
-            usual_s = self._usual_s(upstream)
-            upstream.on_overtaken(usual_s is not None, self._clock.monotonic())
+            peers = self._peers(upstream)
+            upstream.on_overtaken(peers, self._clock.monotonic())
 
     def _eligible(
         self,
@@ -301,7 +302,7 @@
             chosen.start()
             if not entry.waiter.capacity_granted(self._name, chosen):
                 chosen.finish(
-                    _plain_outcome(None), None, self._clock.monotonic()
+                    _plain_outcome(None), _NO_PEERS, self._clock.monotonic()
                 )
 
     def _any_room(self) -> bool:
@@ -353,15 +354,26 @@
         ):
             self._window.record(outcome.elapsed_s)
 
-    def _usual_s(self, upstream: Upstream) -> float | None:
-        """Return the median latency of the replicas of a searcher."""
-        others = [
-            u.latency.recent_s
+    def _peers(self, upstream: Upstream) -> upstream_module.Peers:
+        """Return what a searcher is measured against now."""
+        # The last answer counts as well as the average: a pause of this
+        # host delays the answers of all searchers at once.
+        others = sorted(
+            max(u.latency.recent_s, u.latency.last_s)
             for u in self._upstreams.values()
             if u is not upstream and u.comparable
-        ]
-        others.sort()
-        return others[len(others) // 2] if others else None
+        )
+        if not others:
+            return _NO_PEERS
+        # Where most searchers are slow, none is a straggler.
+        held = sum(
+            not u.health.normal
+            for u in self._upstreams.values()
+            if u is not upstream
+        )
+        return upstream_module.Peers(
+            others[len(others) // 2], held + 1 <= len(self._upstreams) // 2
+        )
 
 
 def _plain_outcome(latency_s: float | None) -> outcomes.Outcome:
--- a/tests/tier/test_upstreams.py
+++ b/tests/tier/test_upstreams.py
@@ -300,6 +300,27 @@
     assert {u.limit for u in service.upstreams()} == {2}
 
 
+def test_stall_that_all_searchers_share_changes_no_limit() -> None:
+    """Guards against a pause of this host taken for slow searchers."""
+    service = _Service()
+    service.warm()
+    for _ in range(4):
+        for name in ('s0', 's1', 's2'):
+            service.end(service.only(name), elapsed_s=0.3)
+    assert {u.limit for u in service.upstreams()} == {2}
+
+
+def test_most_searchers_are_never_on_probation() -> None:
+    """Guards against load that moves to the last searcher."""
+    service = _Service()
+    service.warm()
+    for name, answers in (('s0', 3), ('s1', 5)):
+        for _ in range(answers):
+            service.end(service.only(name), elapsed_s=0.5)
+            service.end(service.only('s2'))
+    assert {u.name for u in service.upstreams()} == {'s1', 's2'}
+
+
 def test_hedges_stay_within_their_share() -> None:
     """Guards against hedges that overload slow searchers."""
     service = _Service()
