--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -10,49 +10,36 @@
 import types
 import typing
 
+from corianderport_daemon.process import control_plane
+from corianderport_daemon.process import peer_calls
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
+from corianderport_tier.process import action_service
+from corianderport_tier.process import administration
 from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import entry
-from corianderport_tier.process import membership
+from corianderport_tier.process import hand_over
+from corianderport_tier.process import handed_over
+from corianderport_tier.process import metrics
 from corianderport_tier.process import owned_services
-from corianderport_tier.process import peers
-from corianderport_tier.process import readers
 from corianderport_tier.process import routing
 from corianderport_tier.process import selection
+from corianderport_tier.process import shutdown
+from corianderport_tier.process import ticket_table
+from corianderport_tier.process import tickets
+from corianderport_tier.request import actions
 from corianderport_tier.request import messages
 from corianderport_wire.connection import http_server
-from corianderport_wire.connection import peer_client
-from corianderport_wire.connection import peer_server
-from corianderport_wire.connection import platform_client
 from corianderport_wire.connection import upstream_client
+from corianderport_wire.request import admin_app
 from corianderport_wire.request import caller_app
 from corianderport_wire.version import document
 
 __all__ = ['Daemon']
 
-
-class _PeerCalls:
-    """What this host serves to others."""
-
-    def __init__(
-        self,
-        local: aggregator.LocalAggregator,
-        store: configuration_store.ConfigurationStore,
-    ) -> None:
-        self._local = local
-        self._store = store
-
-    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
-        return self._local.run(batch)
-
-    def document(self, known_version: int) -> tuple[int, bytes | None]:
-        accepted = self._store.accepted()
-        version = accepted.configuration.version
-        newer = version > known_version
-        return version, accepted.document if newer else None
+_ADMIN_CONNECTIONS = 32
 
 
 class Daemon:
@@ -65,6 +52,8 @@
         self._clock = clock
         self._stack = contextlib.ExitStack()
         self._stopped = threading.Event()
+        self._caller_gate = shutdown.RequestGate(clock)
+        self._peer_gate = shutdown.RequestGate(clock)
 
     @classmethod
     def from_settings(cls, settings: settings_module.Settings) -> 'Daemon':
@@ -93,15 +82,23 @@
     @property
     def peer_address(self) -> str:
         """Where other hosts connect, ``ip:port``."""
-        return self._peer_server.address
+        return self._control.peer_address
+
+    @property
+    def admin_address(self) -> str:
+        """Where operators read the state, ``ip:port``."""
+        return self._admin_server.address
 
     def stop(self) -> None:
-        """End ``wait``."""
+        """Begin the planned stop; a second call ends it at once."""
+        if self._stopped.is_set():
+            self._planned_stop.interrupt()
         self._stopped.set()
 
-    def wait(self) -> None:
-        """Return when the daemon is asked to stop."""
+    def wait(self) -> shutdown.StopReport:
+        """Return when the planned stop has ended."""
         self._stopped.wait()
+        return self._planned_stop.run()
 
     def _start(self) -> None:
         settings = self._settings
@@ -109,17 +106,27 @@
             settings.tasks, thread_name_prefix='task'
         )
         self._stack.callback(self._executor.shutdown, wait=False)
-        self._log = decision_log.DecisionLog()
+        self._metrics = metrics.Metrics()
+        self._log = decision_log.DecisionLog(observer=self._metrics)
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
+        self._readiness = shutdown.Readiness(self._store)
+        self._kept = handed_over.HandedOverTickets(self._clock)
+        self._start_control()
         self._start_aggregator()
-        self._start_peer_server()
         self._start_entry()
-        self._start_readers()
+        self._control.start(self._peer_calls)
+
+    def _start_control(self) -> None:
+        self._control = self._stack.enter_context(
+            control_plane.ControlPlane(
+                self._settings, self._store, self._executor, self._clock
+            )
+        )
 
     def _start_aggregator(self) -> None:
-        services = self._stack.enter_context(
+        self._services = self._stack.enter_context(
             owned_services.OwnedServices(
                 self._store,
                 upstream_client.HttpUpstreamDialer(self._clock),
@@ -127,45 +134,48 @@
                 self._clock,
                 selection.policy(self._settings.selection),
                 random.Random(),
+                self._control.leases,
             )
         )
         self._local = aggregator.LocalAggregator(
-            services, self._executor, self._clock, self._log
-        )
-
-    def _start_peer_server(self) -> None:
-        host, port = _split(self._settings.peer_address)
-        self._peer_server = peer_server.PeerServer(
-            host,
-            port,
-            _PeerCalls(self._local, self._store),
+            self._services,
+            self._executor,
             self._clock,
-            self._settings.peer_connections,
+            self._log,
+            self._control.leases,
         )
-        self._stack.callback(self._peer_server.close)
-        self._peer_server.start()
 
     def _start_entry(self) -> None:
-        own = membership.Member(
-            self._settings.host,
-            self._settings.data_centre,
-            self._peer_server.address,
-        )
-        self._members = membership.Membership(own)
-        remote = self._stack.enter_context(
-            peers.Peers(
-                peer_client.ThriftPeerDialer(self._clock),
-                self._executor,
-                self._clock,
-            )
-        )
         router = routing.Router(
-            self._store, self._members, self._local, remote
+            self._control.owners,
+            self._control.members,
+            self._local,
+            self._control.remote,
         )
+        service = self._build_actions(router)
+        self._peer_calls = peer_calls.PeerCalls(
+            self._store,
+            self._control.exchange,
+            self._local,
+            service,
+            self._kept,
+            self._peer_gate,
+        )
+        self._planned_stop = self._build_stop()
+        self._start_administration()
         application = caller_app.CallerApp(
-            entry.Entry(self._store, router, self._clock, self._log),
+            entry.Entry(
+                self._store,
+                router,
+                service,
+                self._caller_gate,
+                self._clock,
+                self._log,
+            ),
             self._clock,
             caller_app.CallerLimits(body_bytes=self._settings.body_bytes),
+            self._readiness,
+            self._metrics,
         )
         host, port = _split(self._settings.caller_address)
         self._caller_server = http_server.HttpServer(
@@ -178,25 +188,79 @@
         self._stack.callback(self._caller_server.close)
         self._caller_server.start()
 
-    def _start_readers(self) -> None:
-        times = readers.ReaderTimes()
-        tasks: list[readers.ConfigurationReader | readers.HostListReader] = [
-            readers.ConfigurationReader(
-                platform_client.HttpPlatform(self._settings.platform),
-                self._store,
-                self._clock,
-                times,
+    def _start_administration(self) -> None:
+        view = administration.Administration(
+            self._store,
+            self._control.members,
+            self._control.owners,
+            self._services,
+            self._log,
+            self._metrics,
+            self._stopped.is_set,
+        )
+        host, port = _split(self._settings.admin_address)
+        self._admin_server = http_server.HttpServer(
+            host,
+            port,
+            admin_app.AdminApp(view),
+            _ADMIN_CONNECTIONS,
+            self._settings.caller_idle_s,
+        )
+        self._stack.callback(self._admin_server.close)
+        self._admin_server.start()
+
+    def _build_actions(
+        self, router: routing.Router
+    ) -> action_service.ActionService:
+        settings = self._settings
+        signer = tickets.TicketSigner.from_config(settings.shared_keys)
+        self._tickets = ticket_table.TicketTable(
+            settings.host,
+            self._control.members.own.incarnation,
+            signer,
+            ticket_table.TicketLimits(
+                settings.ticket_lifetime_ms,
+                settings.ticket_retention_ms,
+                settings.open_tickets,
             ),
-            readers.HostListReader(
-                platform_client.HttpPlatform(self._settings.platform),
-                self._members,
-                self._clock,
-                times,
+            self._clock,
+        )
+
+        def run(request: messages.ActionRequest) -> messages.ActionAnswer:
+            return actions.ActionTask(
+                request, self._store.current(), router, self._clock, self._log
+            ).run()
+
+        return action_service.ActionService(
+            self._tickets,
+            self._kept,
+            signer,
+            self._control.members,
+            self._control.remote,
+            run,
+            self._clock,
+        )
+
+    def _build_stop(self) -> shutdown.PlannedStop:
+        task = hand_over.HandOverTask(
+            self._tickets,
+            self._kept,
+            self._control.members,
+            self._control.remote,
+            self._clock,
+        )
+        return shutdown.PlannedStop(
+            self._readiness,
+            self._caller_gate,
+            self._peer_gate,
+            self._control.announce_leaving,
+            self._tickets.seal,
+            task.run,
+            shutdown.StopTimes(
+                self._settings.drain_lag_s, self._settings.drain_limit_s
             ),
-        ]
-        for task in tasks:
-            self._stack.callback(task.close)
-            self._executor.submit(task.run)
+            self._clock,
+        )
 
 
 def _split(address: str) -> tuple[str, int]:
--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -12,7 +12,9 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import leases
 from corianderport_tier.process import owned_services
+from corianderport_tier.request import action_attempts
 from corianderport_tier.request import gather
 from corianderport_tier.request import messages
 
@@ -36,6 +38,14 @@
     def submit(self, batch: messages.SubQueryBatch, deliver: Deliver) -> None:
         """Start a batch; ``deliver`` gets its result once."""
 
+    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
+        """Run an action, with one attempt at one searcher.
+
+        :raises Refusal: no searcher ran the action, and none will.
+        :raises ConnectFailed: the owner was not reached.
+        :raises CorianderportError: whether it ran is not known.
+        """
+
 
 class LocalAggregator:
     """The aggregator of this host."""
@@ -46,7 +56,9 @@
         executor: concurrent.futures.Executor,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
+        held: leases.LeaseCheck,
     ) -> None:
+        self._leases = held
         self._services = services
         self._executor = executor
         self._clock = clock
@@ -60,9 +72,38 @@
         """Run the batch on the calling task.
 
         :raises NotReady: there is no configuration yet.
+        :raises NotOwner: this host may not send to any of the services.
         """
-        return gather.Gather(
-            batch, self._services, self._clock, self._log
+        not_owned = tuple(
+            sub_query.service
+            for sub_query in batch.sub_queries
+            if self._leases.may_send(sub_query.service)
+            is leases.LeaseState.NONE
+        )
+        owned = tuple(
+            s for s in batch.sub_queries if s.service not in not_owned
+        )
+        if not owned:
+            raise errors.NotOwner(f'not owner of {", ".join(not_owned)}')
+        answer = gather.Gather(
+            attrs.evolve(batch, sub_queries=owned),
+            self._services,
+            self._clock,
+            self._log,
+        ).run()
+        return attrs.evolve(answer, not_owned=not_owned)
+
+    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
+        """Run the action on the calling task."""
+
+        def check() -> None:
+            held = self._leases.may_send(call.service)
+            if held is leases.LeaseState.NONE:
+                raise errors.NotOwner(f'not owner of {call.service}')
+
+        check()
+        return action_attempts.OwnerAction(
+            call, self._services, check, self._clock, self._log
         ).run()
 
     def _result(self, batch: messages.SubQueryBatch) -> BatchResult:
--- a/packages/tier/src/corianderport_tier/process/configuration_store.py
+++ b/packages/tier/src/corianderport_tier/process/configuration_store.py
@@ -3,6 +3,7 @@
 The newest accepted configuration; never goes back.
 """
 
+import collections.abc
 import threading
 import typing
 
@@ -42,6 +43,8 @@
         self._clock = clock
         self._condition = threading.Condition()
         self._accepted: Accepted | None = None
+        self._refusal = ''
+        self._listeners: list[collections.abc.Callable[[], None]] = []
 
     @property
     def version(self) -> int:
@@ -49,6 +52,11 @@
         accepted = self._accepted
         return 0 if accepted is None else accepted.configuration.version
 
+    @property
+    def refusal(self) -> str:
+        """Faults of a document refused since the last accepted one."""
+        return self._refusal
+
     def current(self) -> configuration.Configuration:
         """Return the configuration in force.
 
@@ -72,7 +80,11 @@
         :raises ConfigurationInvalid: the document has faults.
         :raises ConfigurationStale: its version is not newer.
         """
-        candidate = self._decoder.decode(document)
+        try:
+            candidate = self._decoder.decode(document)
+        except errors.ConfigurationInvalid as error:
+            self._refusal = str(error)
+            raise
         with self._condition:
             if candidate.version <= self.version:
                 raise errors.ConfigurationStale(
@@ -80,9 +92,18 @@
                     f'{self.version}'
                 )
             self._accepted = Accepted(candidate, document)
+            self._refusal = ''
             self._condition.notify_all()
+        for listener in self._listeners:
+            listener()
         return candidate
 
+    def add_listener(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Call this after each change of the version in force."""
+        self._listeners.append(listener)
+
     def wait_newer(self, version: int, until: deadlines.Deadline) -> bool:
         """Wait until a version newer than the given one is in force."""
         with self._condition:
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -3,12 +3,23 @@
 The entry role: serves the requests of callers.
 """
 
+import contextlib
+
+import attrs
+
 from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import action_service
+from corianderport_tier.process import admission
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import routing
+from corianderport_tier.process import shutdown
+from corianderport_tier.process import snapshot_availability
+from corianderport_tier.process import ticket_table
 from corianderport_tier.request import messages
 from corianderport_tier.request import search
+from corianderport_tier.version import configuration
 
 __all__ = ['Entry']
 
@@ -20,23 +31,90 @@
         self,
         store: configuration_store.ConfigurationStore,
         router: routing.Router,
+        actions: action_service.ActionService,
+        gate: shutdown.RequestGate,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
         self._store = store
         self._router = router
+        self._actions = actions
+        self._gate = gate
         self._clock = clock
         self._log = log
+        self._availability = snapshot_availability.SnapshotAvailability(clock)
+        self._admission = admission.Admission(clock)
 
     def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
         """Serve one search on the calling task.
 
         :raises Refusal: nothing was sent to any upstream.
         """
-        return search.SearchTask(
-            request,
-            self._store.current(),
-            self._router,
-            self._clock,
-            self._log,
-        ).run()
+        accepted = self._store.current()
+        found = accepted.searches.get(request.search)
+        with self._gate.enter(), self._admit(accepted, found, request):
+            return search.SearchTask(
+                request,
+                accepted,
+                self._router,
+                self._availability,
+                self._clock,
+                self._log,
+            ).run()
+
+    def issue_ticket(self) -> ticket_table.IssuedTicket:
+        """Return a ticket for one action.
+
+        :raises NotReady: the host is shutting down.
+        :raises Overloaded: too many tickets have not expired yet.
+        """
+        with self._gate.enter():
+            return self._actions.issue_ticket()
+
+    def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
+        """Serve one action on the calling task.
+
+        :raises Refusal: the action did not run and will not run.
+        :raises OutcomeUnknown: it may run, have run, or never run.
+        """
+        request = self._bounded(request)
+        if request.ticket is None:
+            accepted = self._store.current()
+            found = accepted.actions.get(request.action)
+            with self._gate.enter(), self._admit(accepted, found, request):
+                return self._actions.act(request)
+        # "Not run" would be wrong if the ticket had been used before; the
+        # ticket's host knows.
+        with self._gate.count():
+            return self._actions.act(request)
+
+    def _bounded(
+        self, request: messages.ActionRequest
+    ) -> messages.ActionRequest:
+        """Return the request with at most the deadline of its action.
+
+        What the configuration does not tell is left to the ticket's host.
+        """
+        try:
+            known = self._store.current().actions.get(request.action)
+        except errors.NotReady:
+            return request
+        if known is None:
+            return request
+        deadline = request.deadline.within(self._clock, known.deadline_ms)
+        return attrs.evolve(request, deadline=deadline)
+
+    def _admit(
+        self,
+        accepted: configuration.Configuration,
+        found: configuration.Search | configuration.Action | None,
+        request: messages.SearchRequest | messages.ActionRequest,
+    ) -> contextlib.AbstractContextManager[None]:
+        if found is None:
+            return self._admission.admit(
+                accepted, request.customer, 0.0, request.deadline
+            )
+        deadline = request.deadline.within(self._clock, found.deadline_ms)
+        return self._admission.admit(
+            accepted, request.customer, found.worth, deadline
+        )
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -0,0 +1,491 @@
+"""corianderport_tier.process.leases
+
+Whether this host may send to the searchers of a service now.
+"""
+
+import collections.abc
+import enum
+import threading
+import typing
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier.process import membership
+
+__all__ = [
+    'AlwaysFull',
+    'LeaseCheck',
+    'LeaseRequest',
+    'LeaseState',
+    'LeaseTimes',
+    'Leases',
+    'Ownership',
+]
+
+# The granting host waits this much longer than the lease, since the clocks
+# of two hosts run at different rates.
+_DRIFT = 1.01
+_PROBE_PERIOD_S = 0.2
+
+
+class LeaseState(enum.Enum):
+    """What this host may send to the searchers of a service.
+
+    ``RESTRICTED`` allows only searchers that are warm, at half their
+    limit; ``NONE`` allows nothing.
+    """
+
+    FULL = 'full'
+    RESTRICTED = 'restricted'
+    NONE = 'none'
+
+
+class LeaseCheck(typing.Protocol):
+    """Says what an owner may send now."""
+
+    def may_send(self, service: str) -> LeaseState:
+        """Return what may be sent to the searchers of a service."""
+
+    def term(self, service: str) -> int:
+        """Return a number that changes when ownership was interrupted.
+
+        What is known of the searchers from an earlier term is outdated.
+        """
+
+
+class AlwaysFull:
+    """Lets a host send that is the only one."""
+
+    def may_send(self, service: str) -> LeaseState:
+        """Return ``FULL``."""
+        return LeaseState.FULL
+
+    def term(self, service: str) -> int:
+        """Return the same number always."""
+        return 0
+
+
+@attrs.frozen
+class LeaseRequest:
+    """A first owner's wish for a lease.
+
+    ``settled`` says that it has been an owner for so long that no lease
+    which it does not know of can be valid.
+    """
+
+    service: str
+    settled: bool = False
+
+
+@attrs.frozen
+class LeaseTimes:
+    """Duration of a lease, in seconds."""
+
+    lease_s: float = 3.0
+
+
+@attrs.frozen
+class Ownership:
+    """The owners in the present view, by service, the first one first.
+
+    :param majority: whether more than half of the region's hosts are
+        believed live.
+    :param starting: whether each of the region's hosts is reached and has
+        started only just now, so that no earlier owner can exist.
+    :param maximum_deadline_s: longest time that a request may run.
+    """
+
+    owners: collections.abc.Mapping[str, tuple[membership.Member, ...]]
+    majority: bool = True
+    starting: bool = False
+    maximum_deadline_s: float = 0.5
+
+
+@attrs.define(eq=False)
+class _Service:
+    """What this host knows as an owner; times of its own clock."""
+
+    since_s: float
+    position: int
+    lease_until_s: float = float('-inf')
+    lease_from: str = ''
+    grantee: membership.Member | None = None
+    granted_until_s: float = float('-inf')
+    blocked_until_s: float = float('-inf')
+    sent_s: float = float('-inf')
+    probed_s: float = float('-inf')
+    settled_s: float = float('inf')
+    predecessors: dict[str, membership.Member] = attrs.Factory(dict)
+    term: int = 0
+
+
+@attrs.frozen
+class _Released:
+    """A service given up, to be told to the hosts that wait for it."""
+
+    targets: frozenset[str]
+    until_s: float
+
+
+class Leases:
+    """Leases that this host holds as first and grants as second owner.
+
+    :param probe: asks for a check whether a host is reachable; called
+        when requests for its services arrive at the second owner.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        clock: clocks.Clock,
+        times: LeaseTimes,
+        probe: collections.abc.Callable[[membership.Member], None],
+    ) -> None:
+        self._probe = probe
+        self._members = members
+        self._clock = clock
+        self._times = times
+        self._lock = threading.Lock()
+        self._ownership = Ownership({}, majority=False)
+        self._services: dict[str, _Service] = {}
+        self._released: dict[str, _Released] = {}
+        self._first_full_s = float('inf')
+        self._terms = 0
+
+    def update(self, ownership: Ownership) -> None:
+        """Take over a new view of who owns what."""
+        own = self._members.own.name
+        now_s = self._clock.monotonic()
+        with self._lock:
+            before = self._ownership
+            if ownership is before:
+                return
+            self._ownership = ownership
+            kept: dict[str, _Service] = {}
+            for name, owners in ownership.owners.items():
+                names = [member.name for member in owners]
+                if own in names:
+                    kept[name] = self._moved(
+                        name, names.index(own), before.owners.get(name, ())
+                    )
+                    self._released.pop(name, None)
+            for name, state in self._services.items():
+                if name not in kept or kept[name].position > 0:
+                    self._release(name, state, now_s)
+            self._services = kept
+            if ownership.majority and not before.majority:
+                self._unsettle(now_s)
+
+    def may_send(self, service: str) -> LeaseState:
+        """Return what may be sent now; to be asked before each send."""
+        allowed = self._may_send(service)
+        if allowed is LeaseState.NONE:
+            first = self._first_to_probe(service)
+            if first is not None:
+                self._probe(first)
+        return allowed
+
+    def _may_send(self, service: str) -> LeaseState:
+        now_s = self._clock.monotonic()
+        with self._lock:
+            state = self._services.get(service)
+            if state is None or state.position > 0:
+                return LeaseState.NONE
+            self._note_gone(state, now_s)
+            if now_s < state.blocked_until_s:
+                return LeaseState.NONE
+            allowed = self._state(service, state, now_s)
+            state.sent_s = now_s
+            if allowed is LeaseState.FULL:
+                self._first_full_s = min(self._first_full_s, now_s)
+            return allowed
+
+    @property
+    def established(self) -> bool:
+        """Whether this host has sent to searchers for some time.
+
+        A host is not at first, so that the hosts of a fleet that starts
+        need not wait for each other's leases to expire.
+        """
+        now_s = self._clock.monotonic()
+        return now_s >= self._first_full_s + self._times.lease_s
+
+    def term(self, service: str) -> int:
+        """Return a number that changes when ownership was interrupted."""
+        with self._lock:
+            state = self._services.get(service)
+            return 0 if state is None else state.term
+
+    def requests(self, member: membership.Member) -> tuple[LeaseRequest, ...]:
+        """Return the leases to ask of a host."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            wanted = []
+            for name, state in self._services.items():
+                self._note_gone(state, now_s)
+                if (
+                    state.position == 0
+                    and now_s >= state.blocked_until_s
+                    and self._second(name) == member.name
+                ):
+                    settled = self._settled(state, now_s)
+                    wanted.append(LeaseRequest(name, settled))
+            return tuple(wanted)
+
+    def grantors(self) -> frozenset[str]:
+        """Return the names of the hosts to ask for leases."""
+        with self._lock:
+            return (
+                frozenset(
+                    second
+                    for name, state in self._services.items()
+                    if state.position == 0
+                    and (second := self._second(name)) is not None
+                )
+                | self._releasing()
+            )
+
+    def releasing(self) -> frozenset[str]:
+        """Return the names of the hosts to tell of released leases."""
+        with self._lock:
+            return self._releasing()
+
+    def releases(self, member: membership.Member) -> tuple[str, ...]:
+        """Return the services whose lease from a host was given up."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            self._released = {
+                name: released
+                for name, released in self._released.items()
+                if now_s < released.until_s
+            }
+            return tuple(
+                name
+                for name, released in self._released.items()
+                if member.name in released.targets
+            )
+
+    def released(
+        self,
+        member: membership.Member,
+        services: collections.abc.Iterable[str],
+    ) -> None:
+        """Learn that a host sends nothing more under a granted lease."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            for name in services:
+                state = self._services.get(name)
+                if state is None:
+                    continue
+                if _same_process(state.grantee, member):
+                    self._end_grant(state, now_s)
+                self._predecessor_ended(state, member.name, now_s)
+
+    def grant(
+        self,
+        member: membership.Member,
+        requests: collections.abc.Iterable[LeaseRequest],
+    ) -> tuple[str, ...]:
+        """Grant the leases that a first owner asks for, if possible.
+
+        :return: the services for which the lease now runs.
+        """
+        now_s = self._clock.monotonic()
+        with self._lock:
+            return tuple(
+                request.service
+                for request in requests
+                if self._grant(member, request, now_s)
+            )
+
+    def granted(
+        self,
+        member: membership.Member,
+        services: collections.abc.Iterable[str],
+        asked_s: float,
+    ) -> None:
+        """Take leases granted in reply to a request.
+
+        :param asked_s: when the request was made, by this host's clock.
+        """
+        now_s = self._clock.monotonic()
+        with self._lock:
+            for name in services:
+                state = self._services.get(name)
+                if state is not None and self._second(name) == member.name:
+                    state.settled_s = min(state.settled_s, now_s)
+                    self._note_gap(state, asked_s)
+                    state.lease_from = member.name
+                    state.lease_until_s = asked_s + self._times.lease_s
+
+    def _note_gap(self, state: _Service, asked_s: float) -> None:
+        """Begin a term when another host may have sent meanwhile."""
+        silent_s = asked_s - state.lease_until_s
+        if silent_s > self._ownership.maximum_deadline_s:
+            self._terms += 1
+            state.term = self._terms
+
+    def _first_to_probe(self, service: str) -> membership.Member | None:
+        now_s = self._clock.monotonic()
+        with self._lock:
+            state = self._services.get(service)
+            if (
+                state is None
+                or state.position == 0
+                or now_s < state.probed_s + _PROBE_PERIOD_S
+            ):
+                return None
+            state.probed_s = now_s
+            return self._ownership.owners[service][0]
+
+    def _releasing(self) -> frozenset[str]:
+        return frozenset(
+            target
+            for released in self._released.values()
+            for target in released.targets
+        )
+
+    def _release(self, name: str, state: _Service, now_s: float) -> None:
+        owners = self._ownership.owners.get(name, ())
+        targets = {member.name for member in owners} | {state.lease_from}
+        targets -= {self._members.own.name, ''}
+        self._released[name] = _Released(
+            frozenset(targets), now_s + self._settle_s
+        )
+        state.lease_until_s = float('-inf')
+
+    def _moved(
+        self,
+        name: str,
+        position: int,
+        before: tuple[membership.Member, ...],
+    ) -> _Service:
+        now_s = self._clock.monotonic()
+        state = self._services.get(name)
+        if state is None:
+            # Without an earlier view its owners are unknown.
+            self._terms += 1
+            return _Service(
+                now_s,
+                position,
+                predecessors={m.name: m for m in before},
+                term=self._terms,
+            )
+        if state.position == 0 and position > 0:
+            # It may have sent until now.
+            state.sent_s = now_s
+        lost = {m.name: m for m in before[1:]} if position == 0 else {}
+        owners = self._ownership.owners[name]
+        for member in owners:
+            lost.pop(member.name, None)
+        lost.pop(self._members.own.name, None)
+        if lost:
+            # The former second owner may take over on the other side of
+            # a partition, unless it tells that it does not.
+            state.since_s = now_s
+            state.settled_s = float('inf')
+            state.predecessors = lost
+        if state.position > 0 and position == 0:
+            self._terms += 1
+            state.term = self._terms
+        state.position = position
+        return state
+
+    def _state(
+        self, service: str, state: _Service, now_s: float
+    ) -> LeaseState:
+        if not self._ownership.majority or self._members.doubtful:
+            return LeaseState.RESTRICTED
+        # A lease holds after its grantor stopped being the second owner.
+        valid = now_s < state.lease_until_s or (
+            self._second(service) is None and self._settled(state, now_s)
+        )
+        return LeaseState.FULL if valid else LeaseState.RESTRICTED
+
+    def _grant(
+        self, member: membership.Member, request: LeaseRequest, now_s: float
+    ) -> bool:
+        state = self._services.get(request.service)
+        if (
+            state is None
+            or state.position != 1
+            or self._ownership.owners[request.service][0].name != member.name
+            or not self._ownership.majority
+            or self._members.doubtful
+        ):
+            return False
+        self._note_gone(state, now_s)
+        if not _same_process(state.grantee, member):
+            if now_s < state.blocked_until_s:
+                return False
+        if now_s < state.sent_s + self._ownership.maximum_deadline_s:
+            return False
+        if not (request.settled or self._settled(state, now_s)):
+            return False
+        # From now on this host knows of every lease.
+        state.settled_s = min(state.settled_s, now_s)
+        state.grantee = member
+        state.granted_until_s = now_s + _DRIFT * self._times.lease_s
+        state.blocked_until_s = (
+            state.granted_until_s + self._ownership.maximum_deadline_s
+        )
+        return True
+
+    def _note_gone(self, state: _Service, now_s: float) -> None:
+        """Shorten the wait for a grantee whose process has ended."""
+        if state.grantee is None or now_s >= state.blocked_until_s:
+            return
+        if self._members.standing(state.grantee) is membership.Standing.GONE:
+            self._end_grant(state, now_s)
+
+    def _end_grant(self, state: _Service, now_s: float) -> None:
+        state.grantee = None
+        state.blocked_until_s = min(
+            state.blocked_until_s,
+            now_s + self._ownership.maximum_deadline_s,
+        )
+
+    @property
+    def _settle_s(self) -> float:
+        """Time after which no lease of an earlier owner can be valid."""
+        return (
+            2 * _DRIFT * self._times.lease_s
+            + self._ownership.maximum_deadline_s
+        )
+
+    def _settled(self, state: _Service, now_s: float) -> bool:
+        for name, member in list(state.predecessors.items()):
+            if self._members.standing(member) is membership.Standing.GONE:
+                self._predecessor_ended(state, name, now_s)
+        return (
+            now_s >= state.since_s + self._settle_s
+            or now_s >= state.settled_s
+            or self._ownership.starting
+        )
+
+    def _unsettle(self, now_s: float) -> None:
+        """Assume other owners while this host was in a minority."""
+        for state in self._services.values():
+            state.since_s = now_s
+            state.settled_s = float('inf')
+            state.predecessors = {}
+
+    def _predecessor_ended(
+        self, state: _Service, name: str, now_s: float
+    ) -> None:
+        known = state.predecessors.pop(name, None)
+        if known is not None and not state.predecessors:
+            state.settled_s = now_s + self._ownership.maximum_deadline_s
+
+    def _second(self, service: str) -> str | None:
+        owners = self._ownership.owners[service]
+        return owners[1].name if len(owners) > 1 else None
+
+
+def _same_process(
+    one: membership.Member | None, other: membership.Member
+) -> bool:
+    return one is not None and (
+        (one.name, one.incarnation) == (other.name, other.incarnation)
+    )
--- a/packages/tier/src/corianderport_tier/request/search.py
+++ b/packages/tier/src/corianderport_tier/request/search.py
@@ -11,7 +11,9 @@
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import membership
 from corianderport_tier.process import routing
+from corianderport_tier.process import snapshot_availability
 from corianderport_tier.request import coverage
+from corianderport_tier.request import deadlines
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import merging
 from corianderport_tier.request import messages
@@ -24,6 +26,17 @@
 # Time kept for merging and for the way back to the caller.
 _ANSWER_MARGIN_S = 0.003
 _MAX_PLANS = 3
+# Part of the time after which an owner that is silent is not relied on.
+_FIRST_OWNER_SHARE = 0.5
+
+
+@attrs.define(eq=False)
+class _Outstanding:
+    """A service without an answer and the batches that may bring one."""
+
+    sub_query: messages.SubQuery
+    rank: int = 0
+    batches: int = 0
 
 
 @attrs.define(eq=False)
@@ -31,7 +44,7 @@
     """What arrived for one plan."""
 
     answers: list[messages.ShardAnswer] = attrs.Factory(list)
-    gone: set[tuple[str, int]] = attrs.Factory(set)
+    gone: frozenset[snapshot_availability.ServiceSnapshot] = frozenset()
     sub_requests: int = 0
 
 
@@ -43,15 +56,16 @@
         request: messages.SearchRequest,
         accepted: configuration.Configuration,
         router: routing.Router,
+        availability: snapshot_availability.SnapshotAvailability,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
-        self._request = request
+        self._request = _bounded(request, accepted, clock)
         self._accepted = accepted
         self._router = router
+        self._availability = availability
         self._clock = clock
         self._log = log
-        self._gone: set[tuple[str, int]] = set()
 
     def run(self) -> messages.SearchAnswer:
         """Return the answer by the request's deadline.
@@ -65,51 +79,74 @@
         if self._request.deadline.passed(self._clock):
             raise errors.DeadlinePast('the deadline has passed')
         sub_requests = 0
-        for number in range(_MAX_PLANS):
-            plan = planning.plan_search(
-                self._accepted, self._request, self._gone
-            )
+        for _ in range(_MAX_PLANS):
+            known = self._availability.gone()
+            plan = planning.plan_search(self._accepted, self._request, known)
             gathered = self._gather(plan)
             sub_requests += gathered.sub_requests
-            last = number == _MAX_PLANS - 1
-            new = gathered.gone - self._gone
-            if not new or last or self._request.deadline.passed(self._clock):
+            if gathered.gone <= known or self._too_late():
                 break
-            self._gone |= new
+            self._availability.report_gone(gathered.gone)
         return self._answer(plan, gathered, sub_requests)
 
+    def _too_late(self) -> bool:
+        return self._request.deadline.passed(self._clock)
+
     def _gather(self, plan: planning.SearchPlan) -> _Gathered:
         inbox: inboxes.Inbox[aggregator.BatchResult] = inboxes.Inbox(
             self._clock
         )
         outstanding = {
-            sub_query.service: 0 for sub_query in plan.sub_queries()
+            sub_query.service: _Outstanding(sub_query)
+            for sub_query in plan.sub_queries()
         }
         self._submit(plan, plan.sub_queries(), 0, inbox, outstanding)
         until = self._request.deadline.earlier(_ANSWER_MARGIN_S)
+        patience_s = until.remaining(self._clock) * _FIRST_OWNER_SHARE
+        first_until = deadlines.Deadline.after(self._clock, patience_s)
         gathered = _Gathered()
+        failed_over = False
         while outstanding:
-            result = inbox.take(until)
-            if result is None:
+            result = inbox.take(until if failed_over else first_until)
+            if result is not None:
+                self._on_result(plan, result, inbox, outstanding, gathered)
+            elif failed_over:
                 break
-            self._on_result(plan, result, inbox, outstanding, gathered)
+            else:
+                failed_over = True
+                self._fail_over(plan, inbox, outstanding)
         return gathered
 
+    def _fail_over(
+        self,
+        plan: planning.SearchPlan,
+        inbox: inboxes.Inbox[aggregator.BatchResult],
+        outstanding: dict[str, _Outstanding],
+    ) -> None:
+        """Ask the second owners too; the first ones may still answer."""
+        waiting = tuple(
+            o.sub_query for o in outstanding.values() if o.rank == 0
+        )
+        self._submit(plan, waiting, 1, inbox, outstanding)
+
     def _submit(
         self,
         plan: planning.SearchPlan,
         sub_queries: tuple[messages.SubQuery, ...],
         rank: int,
         inbox: inboxes.Inbox[aggregator.BatchResult],
-        outstanding: dict[str, int],
+        outstanding: dict[str, _Outstanding],
     ) -> None:
         by_owner: dict[membership.Member, list[messages.SubQuery]] = {}
         for sub_query in sub_queries:
-            owners = self._router.owners(sub_query.service)
+            owners = self._owners(sub_query.service)
+            waiting = outstanding[sub_query.service]
             if rank >= len(owners):
-                outstanding.pop(sub_query.service, None)
+                if waiting.batches == 0:
+                    del outstanding[sub_query.service]
                 continue
-            outstanding[sub_query.service] = rank
+            waiting.rank = rank
+            waiting.batches += 1
             by_owner.setdefault(owners[rank], []).append(sub_query)
         for owner, owned in by_owner.items():
             self._log.record(
@@ -123,6 +160,17 @@
             batch = self._batch(plan, tuple(owned))
             self._router.aggregator(owner).submit(batch, inbox.put)
 
+    def _owners(self, service: str) -> list[membership.Member]:
+        """Return the owners; none when the service has been removed.
+
+        Other services may have been asked already, so that the search as
+        a whole can no longer be refused as not run.
+        """
+        try:
+            return self._router.owners(service)
+        except errors.UnknownService:
+            return []
+
     def _batch(
         self,
         plan: planning.SearchPlan,
@@ -144,25 +192,34 @@
         plan: planning.SearchPlan,
         result: aggregator.BatchResult,
         inbox: inboxes.Inbox[aggregator.BatchResult],
-        outstanding: dict[str, int],
+        outstanding: dict[str, _Outstanding],
         gathered: _Gathered,
     ) -> None:
         answer = result.answer
         if isinstance(answer, errors.CorianderportError):
-            again = result.batch.sub_queries
-            rank = outstanding[again[0].service] + 1
-            self._submit(plan, again, rank, inbox, outstanding)
-            return
+            refused = {s.service for s in result.batch.sub_queries}
+        else:
+            refused = set(answer.not_owned)
+        again: dict[int, list[messages.SubQuery]] = {}
         for sub_query in result.batch.sub_queries:
-            outstanding.pop(sub_query.service, None)
+            waiting = outstanding.get(sub_query.service)
+            if waiting is None:
+                continue
+            waiting.batches -= 1
+            if sub_query.service in refused:
+                again.setdefault(waiting.rank + 1, []).append(sub_query)
+            else:
+                del outstanding[sub_query.service]
+        for rank, sub_queries in again.items():
+            self._submit(plan, tuple(sub_queries), rank, inbox, outstanding)
+        if isinstance(answer, errors.CorianderportError):
+            return
         gathered.sub_requests += answer.sub_requests
         if answer.snapshot != plan.snapshot.number:
             return
         gathered.answers.extend(answer.answers)
         if answer.snapshot_gone:
-            gathered.gone.update(
-                (service, plan.snapshot.number) for service in answer.refused
-            )
+            gathered.gone = _gone(plan, answer)
             outstanding.clear()
 
     def _answer(
@@ -183,6 +240,30 @@
         )
 
 
+def _gone(
+    plan: planning.SearchPlan, answer: messages.BatchAnswer
+) -> frozenset[snapshot_availability.ServiceSnapshot]:
+    return frozenset(
+        snapshot_availability.ServiceSnapshot(
+            plan.search.index, service, plan.snapshot.number
+        )
+        for service in answer.refused
+    )
+
+
+def _bounded(
+    request: messages.SearchRequest,
+    accepted: configuration.Configuration,
+    clock: clocks.Clock,
+) -> messages.SearchRequest:
+    """Return the request with at most the deadline of its search."""
+    known = accepted.searches.get(request.search)
+    if known is None:
+        return request
+    deadline = request.deadline.within(clock, known.deadline_ms)
+    return attrs.evolve(request, deadline=deadline)
+
+
 def _code(
     search: configuration.Search, covered: messages.Coverage
 ) -> result_codes.ResultCode:
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -36,6 +36,7 @@
     5: bool snapshot_gone
     6: list<i64> held
     7: i32 sub_requests
+    8: optional list<string> not_owned
 }
 
 struct Document {
@@ -43,6 +44,70 @@
     2: optional binary content
 }
 
+struct MemberRumour {
+    1: string name
+    2: string data_centre
+    3: string peer_address
+    4: string state
+    5: string incarnation
+    6: i32 standing
+    7: i64 refutation
+}
+
+struct LeaseRequest {
+    1: string service_name
+    2: bool settled
+}
+
+struct Heartbeat {
+    1: MemberRumour sender
+    2: i64 version
+    3: optional list<MemberRumour> rumours
+    4: optional list<LeaseRequest> lease_requests
+    5: optional list<string> leases_granted
+    6: optional bool joining
+    7: optional list<string> leases_released
+    8: optional bool starting
+}
+
+struct ActionRequest {
+    1: string request_id
+    2: string action
+    3: string payload
+    4: double remaining_ms
+    5: string customer
+    6: optional string ticket
+}
+
+struct ActionCall {
+    1: ActionRequest request
+    2: string service_name
+}
+
+struct ActionAnswer {
+    1: i32 code
+    2: string request_id
+    3: string outcome
+    4: string detail
+}
+
+struct TicketOutcome {
+    1: string nonce
+    2: string digest
+    3: ActionAnswer answer
+}
+
+struct HandOver {
+    1: string host
+    2: string incarnation
+    3: i32 part
+    4: i32 parts
+    5: i64 forgotten_until_ms
+    6: double keep_ms
+    7: list<TicketOutcome> outcomes
+    8: string series
+}
+
 exception Refused {
     1: i32 code
     2: string text
@@ -50,5 +115,10 @@
 
 service Peer {
     BatchAnswer search(1: SubQueryBatch batch) throws (1: Refused refused)
+    Heartbeat heartbeat(1: Heartbeat message) throws (1: Refused refused)
+    ActionAnswer act(1: ActionCall call) throws (1: Refused refused)
+    ActionAnswer act_with_ticket(1: ActionRequest request)
+        throws (1: Refused refused)
+    void hand_over(1: HandOver part) throws (1: Refused refused)
     Document configuration(1: i64 known_version) throws (1: Refused refused)
 }
