--- a/packages/testkit/src/corianderport_testkit/demo.py
+++ b/packages/testkit/src/corianderport_testkit/demo.py
@@ -88,6 +88,7 @@
         print(f'platform {served.platform.address}')
         for host in served.hosts:
             print(host, flush=True)
+        print('ready' if served.wait_ready() else 'not ready', flush=True)
         while time.monotonic() < until:
             time.sleep(_REFRESH_S)
             for host in served.replace_ended():
