--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -11,13 +11,18 @@
 
 from corianderport_operator import main
 from corianderport_testkit.process import platform
+from corianderport_tier import clocks
+from corianderport_tier import errors
 from corianderport_tier.process import administration
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import membership
 from corianderport_tier.process import metrics
+from corianderport_tier.process import ticket_table
+from corianderport_tier.request import messages
 from corianderport_tier import result_codes
 from corianderport_wire.connection import http_server
 from corianderport_wire.request import admin_app
+from corianderport_wire.request import caller_app
 
 _SCRIPT = """
 from corianderport_operator.version import builder
@@ -413,6 +418,65 @@
     assert (ended.returncode, ended.stderr) == (1, b'')
 
 
+class _Entry:
+    """Answers every search with one code."""
+
+    def __init__(self, code: result_codes.ResultCode) -> None:
+        self._code = code
+
+    def search(self, request: messages.SearchRequest) -> messages.SearchAnswer:
+        if self._code is result_codes.ResultCode.OVERLOADED:
+            raise errors.Overloaded('needs 70 ms')
+        missing = () if self._code == 0 else ('s-1',)
+        return messages.SearchAnswer(
+            self._code,
+            request.request_id,
+            3,
+            messages.Coverage(0.5 if missing else 1.0, missing),
+            (messages.Hit('item-1', 0.5, request.query),),
+        )
+
+    def issue_ticket(self) -> ticket_table.IssuedTicket:
+        raise errors.NotReady('unused')
+
+    def act(self, request: messages.ActionRequest) -> messages.ActionAnswer:
+        raise errors.NotReady('unused')
+
+
+@pytest.mark.parametrize(
+    ('name', 'code', 'text'),
+    [
+        ('OK', 0, 'coverage 100.0%, missing shards: none'),
+        ('PARTIAL', 0, 'coverage 50.0%, missing shards: s-1'),
+        ('COVERAGE_NOT_MET', 1, 'coverage 50.0%, missing shards: s-1'),
+        ('OVERLOADED', 1, 'needs 70 ms'),
+    ],
+)
+def test_search_shows_coverage_or_reason(
+    name: str, code: int, text: str, capsys: Capture
+) -> None:
+    """Guards against a partial answer that looks like a whole one."""
+    application = caller_app.CallerApp(
+        _Entry(result_codes.ResultCode[name]),
+        clocks.SystemClock(),
+        caller_app.CallerLimits(),
+    )
+    server = http_server.HttpServer('127.0.0.1', 0, application, 4, 5.0)
+    server.start()
+    try:
+        ended = _run('search', server.address, 'q', '12')
+        out = capsys.readouterr().out
+        _run('search', server.address, 'q', '12', '--json')
+    finally:
+        server.close()
+    assert ended == code
+    assert text in out
+    reply = json.loads(capsys.readouterr().out)
+    assert reply['name'] == name
+    # A query that looks like a number stays a text.
+    assert [hit['title'] for hit in reply['hits']] in ([], ['12'])
+
+
 def test_diff_reads_what_is_in_force(
     serve: Serve, tmp_path: pathlib.Path, capsys: Capture
 ) -> None:
