--- a/packages/testkit/src/corianderport_testkit/process/searchers.py
+++ b/packages/testkit/src/corianderport_testkit/process/searchers.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import os
 import signal
 import threading
 
@@ -43,8 +44,8 @@
         json.dumps({s.searcher.name: s.address for s in servers}), flush=True
     )
     stopped.wait()
-    for server in servers:
-        server.close()
+    # Requests that are never answered must not delay the exit.
+    os._exit(0)
 
 
 def main() -> None:
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -52,6 +52,9 @@
         """
         accepted = self._store.current()
         found = accepted.searches.get(request.search)
+        if found is not None:
+            limited = request.deadline.within(self._clock, found.deadline_ms)
+            request = attrs.evolve(request, deadline=limited)
         with self._gate.enter(), self._admit(accepted, found, request):
             return search.SearchTask(
                 request,
@@ -110,11 +113,7 @@
         found: configuration.Search | configuration.Action | None,
         request: messages.SearchRequest | messages.ActionRequest,
     ) -> contextlib.AbstractContextManager[None]:
-        if found is None:
-            return self._admission.admit(
-                accepted, request.customer, 0.0, request.deadline
-            )
-        deadline = request.deadline.within(self._clock, found.deadline_ms)
+        worth = found.worth if found is not None else 0.0
         return self._admission.admit(
-            accepted, request.customer, found.worth, deadline
+            accepted, request.customer, worth, request.deadline
         )
