Start over at a searcher that returned, and mend the half limit

Without a lease, no request was sent at all: the check at the moment of sending counted the request itself, so that a searcher with two slots never had half of them free. The check takes a request that is counted already into account; the test, with an expired lease and warm searchers, ran into its timeout before.

A searcher that returns to service, or was not used for 30 s, starts at the lowest limit. A searcher that is removed and added again keeps the requests that may still be running. The three tests failed before.

--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -67,9 +67,11 @@
                 self._pools[searcher.address] = found
             return found
 
-    def update(self, service: configuration.Service) -> None:
+    def update(
+        self, service: configuration.Service, in_service: SearcherFilter
+    ) -> None:
         """Take over a new version and close pools of gone addresses."""
-        self.upstreams.update(service)
+        self.upstreams.update(service, in_service)
         with self._lock:
             self._addresses = {s.address for s in service.searchers}
             gone = [a for a in self._pools if a not in self._addresses]
@@ -163,27 +165,37 @@
                 owned = self._new_service(service)
                 self._services[name] = owned
             elif owned.service is not service:
-                owned.update(service)
+                owned.update(service, self._store.current().may_get_work)
             for searcher in service.searchers:
                 self._by_searcher[searcher.name] = owned
             return owned
 
-    def allowed(self) -> SearcherFilter:
-        """Return the check of the version and the lease at this moment."""
+    def allowed(self, counted: int = 0) -> SearcherFilter:
+        """Return the check of the version and the lease at this moment.
+
+        :param counted: 1 for a searcher on which the request in question
+            is counted already.
+        """
         may_get_work = self._store.current().may_get_work
 
         def allowed(searcher: configuration.Searcher) -> bool:
-            return may_get_work(searcher) and self._lease_allows(searcher)
+            return may_get_work(searcher) and self._lease_allows(
+                searcher, counted
+            )
 
         return allowed
 
-    def _lease_allows(self, searcher: configuration.Searcher) -> bool:
+    def _lease_allows(
+        self, searcher: configuration.Searcher, counted: int
+    ) -> bool:
         owned = self._by_searcher.get(searcher.name)
         if owned is None:
             return True
         state = self._leases.may_send(owned.service.name)
         if state is leases.LeaseState.RESTRICTED:
-            return owned.upstreams.is_warm_and_half_free(searcher.name)
+            return owned.upstreams.is_warm_and_half_free(
+                searcher.name, counted
+            )
         return state is leases.LeaseState.FULL
 
     def states(self) -> dict[str, list[upstreams.Upstream]]:
--- a/packages/tier/src/corianderport_tier/process/upstream.py
+++ b/packages/tier/src/corianderport_tier/process/upstream.py
@@ -22,6 +22,7 @@
 _SLOW_MARGIN_S = 0.005
 _SLOW_TO_COOL = 2
 _SLOW_TO_PROBATION = 3
+_UNUSED_S = 30.0
 _SAMPLES_TO_COMPARE = 5
 # Attempts are hedged after a high quantile of the latency, so that a few
 # in a row are unlikely to be overtaken by chance.
@@ -39,19 +40,44 @@
     usual_s: float | None = None
     may_hold: bool = False
 
+    @classmethod
+    def of(
+        cls,
+        upstream: 'Upstream',
+        replicas: collections.abc.Collection['Upstream'],
+    ) -> 'Peers':
+        """Return what one of the replicas is measured against now."""
+        # The last answer counts as well as the average: a pause of this
+        # host delays the answers of all searchers at once.
+        latencies = sorted(
+            max(u.latency.recent_s, u.latency.last_s)
+            for u in replicas
+            if u is not upstream and u.comparable
+        )
+        if not latencies:
+            return cls()
+        # Where most searchers are slow, none is a straggler.
+        held = sum(not u.health.normal for u in replicas if u is not upstream)
+        return cls(
+            usual_s=latencies[len(latencies) // 2],
+            may_hold=held + 1 <= len(replicas) // 2,
+        )
+
 
 class Upstream:
     """One searcher; guarded by the lock of its ``ServiceUpstreams``."""
 
     def __init__(
-        self, searcher: configuration.Searcher, slots: int, rng: random.Random
+        self, searcher: configuration.Searcher, rng: random.Random
     ) -> None:
         self.searcher = searcher
-        self.slow_start = slow_start.SlowStart(slots)
+        self.slow_start = slow_start.SlowStart(slow_start.LOWEST_LIMIT)
         self.health = health.Health(rng)
         self.occupancy = limits.Occupancy()
         self.latency = latency.LatencyAverage()
         self._expected_s = 0.0
+        self._permitted = True
+        self._started_s: float | None = None
         self._slow_streak = 0
         self._lost_streak = 0
         self._overtaken_streak = 0
@@ -83,6 +109,23 @@
             self.health.normal and self.latency.samples >= _SAMPLES_TO_COMPARE
         )
 
+    def is_at(self, searcher: configuration.Searcher) -> bool:
+        """Whether the state is that of a searcher's address."""
+        return self.searcher.address == searcher.address
+
+    def update(
+        self, searcher: configuration.Searcher, slots: int, permitted: bool
+    ) -> None:
+        """Take over a new version of the configuration.
+
+        :param permitted: whether it and its data centre are in service.
+        """
+        self.searcher = searcher
+        self.slow_start.slots = slots
+        if permitted and not self._permitted:
+            self.slow_start.start_over()
+        self._permitted = permitted
+
     def load(self, now_s: float) -> int:
         """Return how many requests may be running at the searcher."""
         return self.occupancy.total(now_s, self.slow_start.lowest)
@@ -93,6 +136,7 @@
 
     def ready(self, now_s: float) -> bool:
         """Whether an ordinary request may be sent."""
+        self._start_over_when_unused(now_s)
         return self.health.normal and self.has_room(now_s)
 
     def refresh(self, now_s: float) -> None:
@@ -112,8 +156,9 @@
         later = [p for p in points if p is not None and p > now_s]
         return min(later, default=None)
 
-    def start(self) -> None:
+    def start(self, now_s: float) -> None:
         """Count a request that is about to be sent."""
+        self._started_s = now_s
         if not self.health.normal:
             self.health.start_probe()
         self.occupancy.start()
@@ -148,6 +193,12 @@
             self.slow_start.start_over()
             self.health.on_slow(now_s)
 
+    def _start_over_when_unused(self, now_s: float) -> None:
+        # It may have been restarted, or used by another owner.
+        if self._started_s is not None and now_s - self._started_s > _UNUSED_S:
+            self._started_s = None
+            self.slow_start.start_over()
+
     def _on_answered(
         self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -26,7 +26,6 @@
 # Extra sub-requests add load; retries of what was not run do not.
 _EXTRA = budgets.BudgetShare(0.05)
 _RETRIES = budgets.BudgetShare(0.2, minimum=10)
-_NO_PEERS = upstream_module.Peers()
 _PROBES_MINIMUM = 2
 _TIMEOUTS_MINIMUM = 8
 
@@ -47,6 +46,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._upstreams: dict[str, Upstream] = {}
+        self._former: dict[str, Upstream] = {}
         self._queue = capacity_queue.CapacityQueue()
         self._window = latency.LatencyWindow()
         self._extra = budgets.Budget(_EXTRA)
@@ -59,22 +59,33 @@
         """When to hedge an attempt and when to give it up."""
         return self._window.times
 
-    def update(self, service: configuration.Service) -> None:
-        """Take over a new version; known searchers keep their state."""
+    def update(
+        self,
+        service: configuration.Service,
+        in_service: SearcherFilter | None = None,
+    ) -> None:
+        """Take over a new version; known searchers keep their state.
+
+        A searcher that returns to service starts at the lowest limit.
+        """
         with self._lock:
-            known = self._upstreams
+            now_s = self._clock.monotonic()
+            known = {**self._former, **self._upstreams}
             self._upstreams = {}
             for searcher in service.searchers:
                 upstream = known.get(searcher.name)
-                if upstream is None or (
-                    upstream.searcher.address != searcher.address
-                ):
-                    upstream = Upstream(
-                        searcher, service.limits.slots, self._rng
-                    )
-                upstream.searcher = searcher
-                upstream.slow_start.slots = service.limits.slots
+                if upstream is None or not upstream.is_at(searcher):
+                    upstream = Upstream(searcher, self._rng)
+                permitted = in_service is None or in_service(searcher)
+                upstream.update(searcher, service.limits.slots, permitted)
                 self._upstreams[searcher.name] = upstream
+            # Requests to a searcher that was removed may still be running
+            # when it is added again.
+            self._former = {
+                name: upstream
+                for name, upstream in known.items()
+                if name not in self._upstreams and upstream.load(now_s) > 0
+            }
             self._grant()
 
     def start_over(self) -> None:
@@ -83,16 +94,18 @@
             for upstream in self._upstreams.values():
                 upstream.slow_start.start_over()
 
-    def is_warm_and_half_free(self, name: str) -> bool:
+    def is_warm_and_half_free(self, name: str, counted: int = 0) -> bool:
         """Whether a searcher may get work without a lease.
 
         Read without the lock, since filters are called under it.
+
+        :param counted: 1 when the request is counted already.
         """
         upstream = self._upstreams.get(name)
         return (
             upstream is not None
             and upstream.limit >= upstream.slow_start.slots
-            and 2 * upstream.in_flight < upstream.limit
+            and 2 * (upstream.in_flight - counted) < upstream.limit
         )
 
     def try_acquire(
@@ -108,7 +121,7 @@
         with self._lock:
             chosen = self._choose(allowed, excluded)
             if chosen is not None:
-                chosen.start()
+                chosen.start(self._clock.monotonic())
             return chosen
 
     def try_hedge(
@@ -122,7 +135,7 @@
             chosen = self._choose_ready(allowed, excluded, now_s)
             if chosen is None or not self._extra.try_spend(now_s):
                 return None
-            chosen.start()
+            chosen.start(now_s)
             return chosen
 
     def try_probe(
@@ -139,7 +152,7 @@
                 if upstream.probe_ready(now_s) and self._extra.try_spend(
                     now_s, _PROBES_MINIMUM
                 ):
-                    upstream.start()
+                    upstream.start(now_s)
                     return upstream
             return None
 
@@ -316,10 +329,12 @@
                     return
                 continue
             self._queue.remove(entry)
-            chosen.start()
+            chosen.start(self._clock.monotonic())
             if not entry.waiter.capacity_granted(self._name, chosen):
                 chosen.finish(
-                    _plain_outcome(None), _NO_PEERS, self._clock.monotonic()
+                    _plain_outcome(None),
+                    upstream_module.Peers(),
+                    self._clock.monotonic(),
                 )
 
     def _any_room(self) -> bool:
@@ -372,25 +387,7 @@
             self._window.record(outcome.elapsed_s)
 
     def _peers(self, upstream: Upstream) -> upstream_module.Peers:
-        """Return what a searcher is measured against now."""
-        # The last answer counts as well as the average: a pause of this
-        # host delays the answers of all searchers at once.
-        others = sorted(
-            max(u.latency.recent_s, u.latency.last_s)
-            for u in self._upstreams.values()
-            if u is not upstream and u.comparable
-        )
-        if not others:
-            return _NO_PEERS
-        # Where most searchers are slow, none is a straggler.
-        held = sum(
-            not u.health.normal
-            for u in self._upstreams.values()
-            if u is not upstream
-        )
-        return upstream_module.Peers(
-            others[len(others) // 2], held + 1 <= len(self._upstreams) // 2
-        )
+        return upstream_module.Peers.of(upstream, self._upstreams.values())
 
 
 def _plain_outcome(latency_s: float | None) -> outcomes.Outcome:
--- a/packages/tier/src/corianderport_tier/request/action_attempts.py
+++ b/packages/tier/src/corianderport_tier/request/action_attempts.py
@@ -239,7 +239,7 @@
             if request.deadline.passed(self._clock):
                 raise errors.DeadlinePast('the deadline has passed')
             self._check()
-            allowed = self._services.allowed()
+            allowed = self._services.allowed(counted=1)
             if not owned.upstreams.may_send(upstream, allowed):
                 raise errors.NoUpstream(f'{upstream.name} is out of service')
 
--- a/packages/tier/src/corianderport_tier/request/sending.py
+++ b/packages/tier/src/corianderport_tier/request/sending.py
@@ -192,7 +192,8 @@
             upstreams = self._services.get(service).upstreams
         except errors.CorianderportError:
             return False
-        return upstreams.may_send(upstream, self._services.allowed())
+        allowed = self._services.allowed(counted=1)
+        return upstreams.may_send(upstream, allowed)
 
     def _first(
         self, pending: Pending, owned: Owned, upstream: Upstream
--- a/tests/tier/test_gather.py
+++ b/tests/tier/test_gather.py
@@ -13,6 +13,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import leases
 from corianderport_tier.process import outcomes
 from corianderport_tier.process import owned_services
 from corianderport_tier.process import selection
@@ -40,6 +41,19 @@
         return deployment.build(int(version), addresses, out_of_service)
 
 
+@attrs.define
+class _Lease:
+    """A lease in the state that a test sets."""
+
+    state: leases.LeaseState = leases.LeaseState.FULL
+
+    def may_send(self, service: str) -> leases.LeaseState:
+        return self.state
+
+    def term(self, service: str) -> int:
+        return 0
+
+
 class _Host:
     """An owner with one service, fake searchers and a manual clock."""
 
@@ -51,6 +65,7 @@
         )
         self.publish('1')
         self.executor = executor
+        self.lease = _Lease()
         self.services = owned_services.OwnedServices(
             self.store,
             self.dialer,
@@ -58,6 +73,7 @@
             self.clock,
             selection.policy('power-of-two'),
             random.Random(1),
+            self.lease,
         )
 
     def publish(self, document: str) -> None:
@@ -287,6 +303,25 @@
     assert host.dialer.calls == []
 
 
+def test_warm_searchers_get_work_under_an_expired_lease(
+    host: _Host,
+) -> None:
+    """Guards against a half limit that counts the request to be sent."""
+    host.warm()
+    host.lease.state = leases.LeaseState.RESTRICTED
+    assert _covered(host.run()) == list(_SHARDS)
+    assert len(host.dialer.calls) == 1
+
+
+def test_cold_searchers_get_nothing_under_an_expired_lease(
+    host: _Host,
+) -> None:
+    """Guards against two owners that send to one cold searcher."""
+    host.lease.state = leases.LeaseState.RESTRICTED
+    assert host.run().refused == (_SERVICE,)
+    assert host.dialer.calls == []
+
+
 def test_lost_answer_is_not_reported_as_refused(host: _Host) -> None:
     """Guards against a refusal of a service that may have run it."""
     for name in (_A, _B, _C):
--- a/tests/tier/test_upstreams.py
+++ b/tests/tier/test_upstreams.py
@@ -321,6 +321,33 @@
     assert {u.name for u in service.upstreams()} == {'s1', 's2'}
 
 
+def test_searcher_starts_over_after_its_return_to_service() -> None:
+    """Guards against full load on a searcher that was out of service."""
+    service = _Service(searchers=1)
+    service.warm()
+    service.state.update(service.service, lambda searcher: False)
+    service.state.update(service.service, _everywhere)
+    assert service.take().limit == 1
+
+
+def test_searcher_that_was_not_used_for_long_starts_over() -> None:
+    """Guards against full load after another host owned the service."""
+    service = _Service(searchers=1)
+    service.warm()
+    service.clock.advance(31.0)
+    assert service.take().limit == 1
+
+
+def test_searcher_that_left_for_a_moment_keeps_its_load() -> None:
+    """Guards against a second request next to one sent before."""
+    service = _Service(searchers=1)
+    service.take()
+    empty = configuration.Service('s', 'r', service.service.limits, ())
+    service.state.update(empty)
+    service.state.update(service.service)
+    assert service.acquire() is None
+
+
 def test_hedges_stay_within_their_share() -> None:
     """Guards against hedges that overload slow searchers."""
     service = _Service()
