Wait for a new owner before an action is refused

While a service moved to another host, all owners refused actions with NOT_OWNER or NO_UPSTREAM at once. The entry now asks again every 50 ms: a refusal means that nothing was sent. It stops when less than a quarter of the time is left, because an action that is sent shortly before its deadline is likely to end as "outcome unknown".

A test replaces three hosts one after the other under load.

--- a/packages/testkit/src/corianderport_testkit/process/action_hosts.py
+++ b/packages/testkit/src/corianderport_testkit/process/action_hosts.py
@@ -88,7 +88,8 @@
 class World:
     """Hosts, searchers and the links between them.
 
-    ``on_stage`` is called by the task that sends an action.
+    ``on_stage`` is called by the task that sends an action; ``lease`` is
+    what every host may send.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.hosts: dict[str, ActionHost] = {}
         self.on_stage: collections.abc.Callable[[Stage], None] | None = None
+        self.lease = leases.LeaseState.FULL
         self._rng = random.Random(seed)
         self._lock = threading.Lock()
         self._late: list[collections.abc.Callable[[], object]] = []
@@ -323,7 +325,11 @@
             )
         )
         return aggregator.LocalAggregator(
-            services, self.world.executor, self._clock, self._log, _Lease()
+            services,
+            self.world.executor,
+            self._clock,
+            self._log,
+            _Lease(self.world),
         )
 
     def _run(self, request: messages.ActionRequest) -> messages.ActionAnswer:
@@ -336,11 +342,17 @@
         ).run()
 
 
+@attrs.frozen
 class _Lease:
-    """Lets every host send."""
+    """Lets every host send what the test says."""
+
+    world: World
 
     def may_send(self, service: str) -> leases.LeaseState:
-        return leases.LeaseState.FULL
+        return self.world.lease
+
+    def term(self, service: str) -> int:
+        return 0
 
 
 @attrs.frozen
--- a/packages/testkit/src/corianderport_testkit/process/fleet.py
+++ b/packages/testkit/src/corianderport_testkit/process/fleet.py
@@ -17,6 +17,7 @@
 
 from corianderport_testkit.process import platform
 from corianderport_testkit.version import deployments
+from corianderport_tier import errors
 from corianderport_tier.process import membership
 from corianderport_wire.connection import curl_client
 from corianderport_wire.version import document
@@ -27,6 +28,7 @@
 _CONNECT_S = 2.0
 _TIMEOUT_S = 10.0
 _EXIT_S = 15.0
+_OK = 200
 _SHARED_KEYS = 'shared key of the test fleet'
 
 Json = dict[str, typing.Any]
@@ -81,7 +83,10 @@
     """A whole deployment; a context manager that ends its processes."""
 
     def __init__(
-        self, deployment: deployments.Deployment, hosts: int = 6
+        self,
+        deployment: deployments.Deployment,
+        hosts: int = 6,
+        flags: collections.abc.Sequence[str] = (),
     ) -> None:
         self.deployment = deployment
         self.platform = platform.Platform()
@@ -89,6 +94,7 @@
         self.addresses: dict[str, str] = {}
         self.version = 0
         self._host_count = hosts
+        self._flags = flags
         self._processes: list[subprocess.Popen[str]] = []
         self._searchers: dict[str, subprocess.Popen[str]] = {}
         self._stack = contextlib.ExitStack()
@@ -135,6 +141,7 @@
                 f'--host={name}',
                 f'--data_centre={centre}',
                 f'--platform={self.platform.address}',
+                *self._flags,
                 *flags,
             ]
             process = _spawn(module, arguments)
@@ -163,6 +170,22 @@
         """Let a stopped process run on."""
         self.hosts[name].process.send_signal(signal.SIGCONT)
 
+    def terminate(self, name: str) -> Host:
+        """Begin the planned stop of a daemon; the host list keeps it."""
+        host = self.hosts.pop(name)
+        host.process.terminate()
+        return host
+
+    def ready(self, address: str) -> bool:
+        """Whether a daemon reports that it is ready."""
+        client = curl_client.CurlClient(address, _CONNECT_S)
+        try:
+            return client.get('/ready', _TIMEOUT_S).status == _OK
+        except errors.TransportError:
+            return False
+        finally:
+            client.close()
+
     def search(
         self,
         host: str,
--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -96,15 +96,24 @@
     def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
         """Run the action on the calling task."""
 
+        not_owner = errors.NotOwner(f'not owner of {call.service}')
+
         def check() -> None:
             held = self._leases.may_send(call.service)
             if held is leases.LeaseState.NONE:
-                raise errors.NotOwner(f'not owner of {call.service}')
+                raise not_owner
 
         check()
-        return action_attempts.OwnerAction(
-            call, self._services, check, self._clock, self._log
-        ).run()
+        try:
+            return action_attempts.OwnerAction(
+                call, self._services, check, self._clock, self._log
+            ).run()
+        except errors.NoUpstream as error:
+            held = self._leases.may_send(call.service)
+            if held is leases.LeaseState.FULL:
+                raise
+            # Without a lease only warm searchers may be used.
+            raise not_owner from error
 
     def _result(self, batch: messages.SubQueryBatch) -> BatchResult:
         try:
--- a/packages/tier/src/corianderport_tier/request/actions.py
+++ b/packages/tier/src/corianderport_tier/request/actions.py
@@ -3,6 +3,8 @@
 The entry's work for one action: find the owner and send it once.
 """
 
+import threading
+
 import attrs
 
 from corianderport_tier import clocks
@@ -17,6 +19,11 @@
 # Time kept for the way back to the caller.
 _ANSWER_MARGIN_S = 0.003
 
+_OWNER_RETRY_S = 0.05
+# Share of the time that must be left for another try. An action that is
+# sent shortly before its deadline is likely to end as "outcome unknown".
+_LAST_TRY_SHARE = 0.25
+
 # Refusals of one owner that leave the next owner to be tried.
 _TRY_NEXT = (
     errors.ConnectFailed,
@@ -65,9 +72,21 @@
         call = messages.ActionCall(
             attrs.evolve(self._request, deadline=deadline), action.service
         )
+        reserve_s = _LAST_TRY_SHARE * deadline.remaining(self._clock)
+        while True:
+            try:
+                return self._try_owners(call)
+            except errors.NotOwner:
+                # Nothing was sent: no host owns the service while it moves
+                # from one to another.
+                if deadline.remaining(self._clock) < reserve_s:
+                    raise
+                self._pause()
+
+    def _try_owners(self, call: messages.ActionCall) -> messages.ActionAnswer:
         last: errors.CorianderportError = errors.NoUpstream('no owner')
-        for owner in self._router.owners(action.service):
-            if deadline.passed(self._clock):
+        for owner in self._router.owners(call.service):
+            if call.request.deadline.passed(self._clock):
                 raise errors.DeadlinePast('the deadline has passed')
             self._log.record(
                 decision_log.Decision(
@@ -77,7 +96,8 @@
             try:
                 return self._router.aggregator(owner).act(call)
             except _TRY_NEXT as error:
-                last = error
+                if not isinstance(last, errors.NotOwner):
+                    last = error
             except errors.TransportError as error:
                 raise errors.OutcomeUnknown(
                     f'{owner.name}: {error}'
@@ -85,3 +105,8 @@
         if isinstance(last, errors.Refusal):
             raise last
         raise errors.NoUpstream(str(last)) from last
+
+    def _pause(self) -> None:
+        condition = threading.Condition()
+        with condition:
+            self._clock.wait(condition, _OWNER_RETRY_S)
--- /dev/null
+++ b/tests/testkit/test_rolling_replacement.py
@@ -0,0 +1,166 @@
+"""Replacing all hosts one after the other cuts off no request."""
+
+import collections
+import random
+import threading
+import time
+
+import attrs
+
+from corianderport_testkit.process import fleet
+from corianderport_testkit.version import deployments
+from corianderport_tier import errors
+
+_DEPLOYMENT = deployments.Deployment(
+    services=2, shards=2, documents=100, deadline_ms=2_000.0
+)
+_HOSTS = 3
+_CALLERS = 4
+_EXIT_S = 60.0
+_FLAGS = ('--drain_lag_s=2', '--drain_limit_s=20')
+_DEADLINE_MS = 15_000.0
+
+
+class _Balancer:
+    """The addresses that get new requests."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._addresses: list[str] = []
+
+    def add(self, address: str) -> None:
+        """Send new requests to an address."""
+        with self._lock:
+            self._addresses.append(address)
+
+    def remove(self, address: str) -> None:
+        """Send no new requests to an address."""
+        with self._lock:
+            self._addresses.remove(address)
+
+    def choose(self, rng: random.Random) -> str:
+        """Return the address for a request."""
+        with self._lock:
+            return rng.choice(self._addresses)
+
+
+@attrs.define(eq=False)
+class _Caller:
+    """Searches and runs actions until it is stopped."""
+
+    number: int
+    running: fleet.Fleet
+    balancer: _Balancer
+    stopped: threading.Event
+    codes: collections.Counter[str] = attrs.Factory(collections.Counter)
+    payloads: list[str] = attrs.Factory(list)
+    faults: list[str] = attrs.Factory(list)
+
+    def run(self) -> None:
+        """Send one request after another."""
+        rng = random.Random(self.number)
+        count = 0
+        while not self.stopped.is_set():
+            count += 1
+            try:
+                self._search(rng)
+                self._act(rng, f'{self.number}-{count}')
+            except errors.CorianderportError as error:
+                self.faults.append(repr(error))
+
+    def _search(self, rng: random.Random) -> None:
+        fields = {'query': 'stilts', 'deadline_ms': _DEADLINE_MS}
+        self._post(rng, '/v1/search/stock', fields)
+
+    def _act(self, rng: random.Random, payload: str) -> None:
+        self.payloads.append(payload)
+        ran = 'no'
+        while ran == 'no':
+            issued = self._post(rng, '/v1/tickets', {})
+            if 'ticket' not in issued:
+                continue
+            fields = {
+                'payload': payload,
+                'ticket': issued['ticket'],
+                'deadline_ms': _DEADLINE_MS,
+            }
+            ran = self._post(rng, '/v1/actions/reserve', fields)['ran']
+
+    def _post(
+        self, rng: random.Random, path: str, fields: fleet.Json
+    ) -> fleet.Json:
+        address = self.balancer.choose(rng)
+        body = self.running.post(address, path, fields).body
+        self.codes[f'{path} {body["name"]}'] += 1
+        return body
+
+
+def _wait_ready(running: fleet.Fleet, address: str, ready: bool) -> None:
+    until_s = time.monotonic() + _EXIT_S
+    while running.ready(address) is not ready:
+        assert time.monotonic() < until_s
+        time.sleep(0.02)
+
+
+def _replace_all(running: fleet.Fleet, balancer: _Balancer) -> list[int]:
+    statuses = []
+    for number in range(_HOSTS):
+        name = f'host-{_HOSTS + number}'
+        running.start_hosts([name])
+        _wait_ready(running, running.hosts[name].caller_address, True)
+        balancer.add(running.hosts[name].caller_address)
+        old = running.terminate(f'host-{number}')
+        _wait_ready(running, old.caller_address, False)
+        balancer.remove(old.caller_address)
+        statuses.append(old.process.wait(_EXIT_S))
+        running.platform.unlist_host(old.name)
+    return statuses
+
+
+def test_rolling_replacement_cuts_no_request() -> None:
+    """Guards against a planned stop that cuts, loses or repeats requests.
+
+    Every request is answered, and every host exits with status 0. A search
+    may miss shards while a service moves to another owner. An action may be
+    refused as not run, because its ticket's host has stopped or its service
+    has no owner; its caller tries again with another ticket. No outcome is
+    unknown, and every action has run exactly once. A host that gets a
+    request after the lag refuses it; test_shutdown.py covers when.
+    """
+    stopped = threading.Event()
+    balancer = _Balancer()
+    with fleet.Fleet(_DEPLOYMENT, _HOSTS, _FLAGS) as running:
+        for host in running.hosts.values():
+            _wait_ready(running, host.caller_address, True)
+            balancer.add(host.caller_address)
+        callers = [
+            _Caller(n, running, balancer, stopped) for n in range(_CALLERS)
+        ]
+        tasks = [threading.Thread(target=c.run) for c in callers]
+        for task in tasks:
+            task.start()
+        try:
+            statuses = _replace_all(running, balancer)
+        finally:
+            stopped.set()
+            for task in tasks:
+                task.join()
+        runs: collections.Counter[str] = collections.Counter()
+        for searcher in running.addresses:
+            runs.update(running.record(searcher)['runs'])
+    codes = sum((c.codes for c in callers), collections.Counter())
+    assert [fault for c in callers for fault in c.faults] == []
+    assert statuses == [0] * _HOSTS
+    assert set(codes) <= {
+        '/v1/search/stock OK',
+        '/v1/search/stock PARTIAL',
+        '/v1/search/stock NOT_READY',
+        '/v1/tickets OK',
+        '/v1/tickets NOT_READY',
+        '/v1/actions/reserve OK',
+        '/v1/actions/reserve NOT_READY',
+        '/v1/actions/reserve NOT_OWNER',
+        '/v1/actions/reserve DEADLINE_PAST',
+        '/v1/actions/reserve OVERLOADED',
+    }
+    assert runs == {p: 1 for c in callers for p in c.payloads}
