--- a/packages/testkit/src/corianderport_testkit/process/action_hosts.py
+++ b/packages/testkit/src/corianderport_testkit/process/action_hosts.py
@@ -88,7 +88,8 @@
 class World:
     """Hosts, searchers and the links between them.
 
-    ``on_stage`` is called by the task that sends an action.
+    ``on_stage`` is called by the task that sends an action; ``lease`` is
+    what every host may send.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.hosts: dict[str, ActionHost] = {}
         self.on_stage: collections.abc.Callable[[Stage], None] | None = None
+        self.lease = leases.LeaseState.FULL
         self._rng = random.Random(seed)
         self._lock = threading.Lock()
         self._late: list[collections.abc.Callable[[], object]] = []
@@ -327,7 +329,7 @@
             self.world.executor,
             self._clock,
             self._log,
-            leases.AlwaysFull(),
+            _Lease(self.world),
         )
 
     def _run(self, request: messages.ActionRequest) -> messages.ActionAnswer:
@@ -340,6 +342,22 @@
         ).run()
 
 
+@attrs.frozen
+class _Lease:
+    """Lets every host send what the test says."""
+
+    world: World
+
+    def may_send(self, service: str) -> leases.LeaseState:
+        return self.world.lease
+
+    def term(self, service: str) -> int:
+        return 0
+
+    def inherited(self, service: str) -> frozenset[str]:
+        return frozenset()
+
+
 @attrs.frozen
 class _SearcherDialer:
     """Connects a host to the stand-ins of searchers."""
