--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -108,6 +108,11 @@
             self._stack.callback(task.close)
             self._executor.submit(task.run)
 
+    def leave(self) -> None:
+        """Give up all services and tell the other hosts at once."""
+        self.members.leave()
+        self.control.version_changed()
+
     def _build(self) -> None:
         period_s = self._settings.heartbeat_s
         own = membership.Member(
--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -98,6 +98,7 @@
     def wait(self) -> shutdown.StopReport:
         """Return when the planned stop has ended."""
         self._stopped.wait()
+        self._control.leave()
         return self._planned_stop.run()
 
     def _start(self) -> None:
@@ -111,7 +112,9 @@
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
-        self._readiness = shutdown.Readiness(self._store)
+        self._readiness = shutdown.Readiness(
+            self._store, self._settings.data_centre
+        )
         self._kept = handed_over.HandedOverTickets(self._clock)
         self._start_control()
         self._start_aggregator()
--- a/packages/tier/src/corianderport_tier/process/shutdown.py
+++ b/packages/tier/src/corianderport_tier/process/shutdown.py
@@ -27,22 +27,39 @@
 
 
 class Readiness:
-    """Whether a load balancer should send new requests to this host."""
+    """Whether a load balancer should send new requests to this host.
 
-    def __init__(self, store: configuration_store.ConfigurationStore) -> None:
+    :param data_centre: where this host is; None when it does not matter.
+    """
+
+    def __init__(
+        self,
+        store: configuration_store.ConfigurationStore,
+        data_centre: str | None = None,
+    ) -> None:
+        self._data_centre = data_centre
         self._store = store
         self._stopping = False
 
     @property
     def ready(self) -> bool:
-        """Whether there is a configuration and no stop has begun."""
-        return not self._stopping and self._store.version > 0
+        """Whether the host is in service and no stop has begun."""
+        return (
+            not self._stopping
+            and self._store.version > 0
+            and self._in_service()
+        )
 
     @property
     def stopping(self) -> bool:
         """Whether a planned stop has begun."""
         return self._stopping
 
+    def _in_service(self) -> bool:
+        centres = self._store.current().data_centres
+        centre = centres.get(self._data_centre or '')
+        return centre is None or centre.in_service
+
     def begin_stop(self) -> None:
         """Report not ready from now on."""
         self._stopping = True
--- /dev/null
+++ b/tests/daemon/test_control_plane.py
@@ -0,0 +1,84 @@
+"""Daemons survive killed and paused hosts and a platform that is down."""
+
+import collections.abc
+import signal
+import time
+
+import pytest
+
+from corianderport_testkit.process import fleet
+from corianderport_testkit.version import deployments
+
+_DEPLOYMENT = deployments.Deployment(services=3, shards=1, documents=60)
+_HOSTS = 4
+_LIMIT_S = 60.0
+
+
+def _until(condition: collections.abc.Callable[[], bool]) -> None:
+    """Wait for a condition; the limit only ends a failed test."""
+    limit_s = time.monotonic() + _LIMIT_S
+    while not condition():
+        assert time.monotonic() < limit_s
+        time.sleep(0.05)
+
+
+def _whole(running: fleet.Fleet, names: collections.abc.Iterable[str]) -> bool:
+    return all(
+        running.search(name, 'clubs', 5_000.0).body['code'] == 0
+        for name in names
+    )
+
+
+@pytest.fixture
+def running() -> collections.abc.Iterator[fleet.Fleet]:
+    """Four daemons in front of nine searchers."""
+    with fleet.Fleet(_DEPLOYMENT, hosts=_HOSTS) as started:
+        _until(lambda: _whole(started, started.hosts))
+        yield started
+
+
+def test_searches_are_whole_after_kill_pause_and_outage(
+    running: fleet.Fleet,
+) -> None:
+    """Guards against services without an owner after a failure."""
+    running.kill('host-3')
+    _until(lambda: _whole(running, running.hosts))
+
+    paused = running.hosts['host-0'].process
+    rest = [name for name in running.hosts if name != 'host-0']
+    paused.send_signal(signal.SIGSTOP)
+    try:
+        _until(lambda: _whole(running, rest))
+    finally:
+        paused.send_signal(signal.SIGCONT)
+    _until(lambda: _whole(running, running.hosts))
+
+    running.platform.set_down(True)
+    running.start_hosts([])
+    assert _whole(running, running.hosts)
+    running.platform.set_down(False)
+
+
+def test_version_spreads_after_the_service_goes_down(
+    running: fleet.Fleet,
+) -> None:
+    """Guards against hosts that need the service to get a version."""
+    calls = running.platform.configuration_calls
+    before = _searches(running, 'dc-b')
+    running.publish(out_of_service={'dc-b'})
+    _until(lambda: running.platform.configuration_calls > calls)
+    running.platform.set_down(True)
+
+    def left_alone() -> bool:
+        nonlocal before
+        assert _whole(running, running.hosts)
+        after = _searches(running, 'dc-b')
+        same, before = after == before, after
+        return same
+
+    _until(left_alone)
+
+
+def _searches(running: fleet.Fleet, data_centre: str) -> int:
+    names = running.deployment.searcher_names(data_centre)
+    return sum(int(running.record(name)['searches']) for name in names)
