Let the next owner use what was warm, and ask refusing owners again

The first owner tells the second one which searchers are warm, so that these can be used while the wait for requests in flight lasts. The entry asks again while neither owner may send, instead of giving up at once.

--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -140,6 +140,7 @@
                 self._control.leases,
             )
         )
+        self._control.leases.warm = self._services.warm
         self._local = aggregator.LocalAggregator(
             self._services,
             self._executor,
--- a/packages/tier/src/corianderport_tier/process/heartbeats.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeats.py
@@ -28,7 +28,7 @@
     rumours: tuple[membership.Rumour, ...] = ()
     lease_requests: tuple[leases.LeaseRequest, ...] = ()
     leases_granted: tuple[str, ...] = ()
-    leases_released: tuple[str, ...] = ()
+    leases_released: tuple[leases.LeaseRequest, ...] = ()
     joining: bool = False
     established: bool = True
 
--- a/packages/tier/src/corianderport_tier/process/leases.py
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -29,6 +29,13 @@
 _PROBE_PERIOD_S = 0.2
 
 
+WarmSearchers = collections.abc.Callable[[str], tuple[str, ...]]
+
+
+def _none_warm(service: str) -> tuple[str, ...]:
+    return ()
+
+
 class LeaseState(enum.Enum):
     """What this host may send to the searchers of a service.
 
@@ -53,6 +60,9 @@
         What is known of the searchers from an earlier term is outdated.
         """
 
+    def inherited(self, service: str) -> frozenset[str]:
+        """Return the searchers that were warm for the earlier owner."""
+
 
 class AlwaysFull:
     """Lets a host send that is the only one."""
@@ -65,17 +75,23 @@
         """Return the same number always."""
         return 0
 
+    def inherited(self, service: str) -> frozenset[str]:
+        """Return no searcher."""
+        return frozenset()
+
 
 @attrs.frozen
 class LeaseRequest:
     """A first owner's wish for a lease.
 
     ``settled`` says that it has been an owner for so long that no lease
-    which it does not know of can be valid.
+    which it does not know of can be valid. ``warm`` names the searchers
+    that a next owner may send to before its lease begins.
     """
 
     service: str
     settled: bool = False
+    warm: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -118,6 +134,7 @@
     settled_s: float = float('inf')
     predecessors: dict[str, membership.Member] = attrs.Factory(dict)
     term: int = 0
+    inherited: frozenset[str] = frozenset()
 
 
 @attrs.frozen
@@ -152,6 +169,8 @@
         self._released: dict[str, _Released] = {}
         self._first_full_s = float('inf')
         self._terms = 0
+        # Returns the names of the warm searchers of a service.
+        self.warm: WarmSearchers = _none_warm
 
     def update(self, ownership: Ownership) -> None:
         """Take over a new view of who owns what."""
@@ -193,7 +212,7 @@
             if state is None or state.position > 0:
                 return LeaseState.NONE
             self._note_gone(state, now_s)
-            if now_s < state.blocked_until_s:
+            if now_s < state.blocked_until_s and state.grantee is not None:
                 return LeaseState.NONE
             allowed = self._state(service, state, now_s)
             state.sent_s = now_s
@@ -217,6 +236,12 @@
             state = self._services.get(service)
             return 0 if state is None else state.term
 
+    def inherited(self, service: str) -> frozenset[str]:
+        """Return the searchers that were warm for the earlier owner."""
+        with self._lock:
+            state = self._services.get(service)
+            return frozenset() if state is None else state.inherited
+
     def requests(self, member: membership.Member) -> tuple[LeaseRequest, ...]:
         """Return the leases to ask of a host."""
         now_s = self._clock.monotonic()
@@ -230,7 +255,7 @@
                     and self._second(name) == member.name
                 ):
                     settled = self._settled(state, now_s)
-                    wanted.append(LeaseRequest(name, settled))
+                    wanted.append(LeaseRequest(name, settled, self.warm(name)))
             return tuple(wanted)
 
     def grantors(self) -> frozenset[str]:
@@ -251,8 +276,8 @@
         with self._lock:
             return self._releasing()
 
-    def releases(self, member: membership.Member) -> tuple[str, ...]:
-        """Return the services whose lease from a host was given up."""
+    def releases(self, member: membership.Member) -> tuple[LeaseRequest, ...]:
+        """Return the services that a host waits for and that were given up."""
         now_s = self._clock.monotonic()
         with self._lock:
             self._released = {
@@ -260,24 +285,27 @@
                 for name, released in self._released.items()
                 if now_s < released.until_s
             }
-            return tuple(
+            names = [
                 name
                 for name, released in self._released.items()
                 if member.name in released.targets
-            )
+            ]
+        return tuple(LeaseRequest(n, warm=self.warm(n)) for n in names)
 
     def released(
         self,
         member: membership.Member,
-        services: collections.abc.Iterable[str],
+        releases: collections.abc.Iterable[LeaseRequest],
     ) -> None:
-        """Learn that a host sends nothing more under a granted lease."""
+        """Learn that a host sends nothing more to these services."""
         now_s = self._clock.monotonic()
         with self._lock:
-            for name in services:
-                state = self._services.get(name)
+            for release in releases:
+                state = self._services.get(release.service)
                 if state is None:
                     continue
+                if release.warm:
+                    state.inherited = frozenset(release.warm)
                 if _same_process(state.grantee, member):
                     self._end_grant(state, now_s)
                 self._predecessor_ended(state, member.name, now_s)
@@ -397,6 +425,8 @@
     ) -> LeaseState:
         if not self._ownership.majority or self._members.doubtful:
             return LeaseState.RESTRICTED
+        if now_s < state.blocked_until_s:
+            return LeaseState.RESTRICTED
         # A lease holds after its grantor stopped being the second owner.
         valid = now_s < state.lease_until_s or (
             self._second(service) is None and self._settled(state, now_s)
@@ -416,6 +446,7 @@
         ):
             return False
         self._note_gone(state, now_s)
+        state.inherited = frozenset(request.warm)
         if not _same_process(state.grantee, member):
             if now_s < state.blocked_until_s:
                 return False
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -177,13 +177,22 @@
 
         return allowed
 
+    def warm(self, service: str) -> tuple[str, ...]:
+        """Return the names of a service's warm searchers."""
+        owned = self._services.get(service)
+        return () if owned is None else owned.upstreams.warm()
+
     def _lease_allows(self, searcher: configuration.Searcher) -> bool:
         owned = self._by_searcher.get(searcher.name)
         if owned is None:
             return True
         state = self._leases.may_send(owned.service.name)
         if state is leases.LeaseState.RESTRICTED:
-            return owned.upstreams.is_warm_and_half_free(searcher.name)
+            name = searcher.name
+            if owned.upstreams.is_warm_and_half_free(name):
+                return True
+            inherited = self._leases.inherited(owned.service.name)
+            return name in inherited and owned.upstreams.is_idle(name)
         return state is leases.LeaseState.FULL
 
     def states(self) -> dict[str, list[upstreams.Upstream]]:
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -82,6 +82,20 @@
             for upstream in self._upstreams.values():
                 upstream.slow_start.start_over()
 
+    def warm(self) -> tuple[str, ...]:
+        """Return the names of the searchers that have their full limit."""
+        with self._lock:
+            return tuple(
+                u.name
+                for u in self._upstreams.values()
+                if u.limit >= u.slow_start.slots
+            )
+
+    def is_idle(self, name: str) -> bool:
+        """Whether this host waits for no answer; read without the lock."""
+        upstream = self._upstreams.get(name)
+        return upstream is not None and upstream.in_flight == 0
+
     def is_warm_and_half_free(self, name: str) -> bool:
         """Whether a searcher may get work without a lease.
 
--- a/packages/tier/src/corianderport_tier/request/search.py
+++ b/packages/tier/src/corianderport_tier/request/search.py
@@ -28,6 +28,11 @@
 _MAX_PLANS = 3
 # Part of the time after which an owner that is silent is not relied on.
 _FIRST_OWNER_SHARE = 0.5
+_NO_RANK = -1
+# Between two questions to owners of which none may send yet.
+_ASK_AGAIN_S = 0.01
+_ASK_AGAIN_LIMIT_S = 0.08
+_ASK_AGAIN = (errors.NotOwner, errors.TransportError)
 
 
 @attrs.define(eq=False)
@@ -37,6 +42,7 @@
     sub_query: messages.SubQuery
     rank: int = 0
     batches: int = 0
+    may_ask_again: bool = False
 
 
 @attrs.define(eq=False)
@@ -48,6 +54,29 @@
     sub_requests: int = 0
 
 
+class _AskAgain:
+    """Times at which refused services are asked for again."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._delay_s = _ASK_AGAIN_S
+        self._at: deadlines.Deadline | None = None
+
+    def next(self, limit: deadlines.Deadline) -> deadlines.Deadline:
+        """Return the next time, at most the limit."""
+        if self._at is None:
+            self._at = deadlines.Deadline.after(self._clock, self._delay_s)
+        return min(self._at, limit)
+
+    def due(self) -> bool:
+        """Whether the time has come; the next one is later."""
+        if self._at is None or not self._at.passed(self._clock):
+            return False
+        self._at = None
+        self._delay_s = min(2 * self._delay_s, _ASK_AGAIN_LIMIT_S)
+        return True
+
+
 class SearchTask:
     """Serves one search on the task of the caller's connection."""
 
@@ -106,15 +135,20 @@
         first_until = deadlines.Deadline.after(self._clock, patience_s)
         gathered = _Gathered()
         failed_over = False
-        while outstanding:
-            result = inbox.take(until if failed_over else first_until)
+        ask_again = _AskAgain(self._clock)
+        while outstanding and not until.passed(self._clock):
+            timer = until if failed_over else first_until
+            refused = [o for o in outstanding.values() if o.rank < 0]
+            result = inbox.take(ask_again.next(timer) if refused else timer)
             if result is not None:
                 self._on_result(plan, result, inbox, outstanding, gathered)
-            elif failed_over:
-                break
-            else:
+                continue
+            if not failed_over and first_until.passed(self._clock):
                 failed_over = True
                 self._fail_over(plan, inbox, outstanding)
+            if refused and ask_again.due():
+                again = tuple(o.sub_query for o in refused)
+                self._submit(plan, again, 0, inbox, outstanding)
         return gathered
 
     def _fail_over(
@@ -142,7 +176,10 @@
             owners = self._owners(sub_query.service)
             waiting = outstanding[sub_query.service]
             if rank >= len(owners):
-                if waiting.batches == 0:
+                if waiting.batches > 0:
+                    continue
+                waiting.rank = _NO_RANK
+                if not owners or not waiting.may_ask_again:
                     del outstanding[sub_query.service]
                 continue
             waiting.rank = rank
@@ -207,6 +244,9 @@
                 continue
             waiting.batches -= 1
             if sub_query.service in refused:
+                waiting.may_ask_again = not isinstance(
+                    answer, errors.CorianderportError
+                ) or isinstance(answer, _ASK_AGAIN)
                 again.setdefault(waiting.rank + 1, []).append(sub_query)
             else:
                 del outstanding[sub_query.service]
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -57,6 +57,7 @@
 struct LeaseRequest {
     1: string service_name
     2: bool settled
+    3: optional list<string> warm
 }
 
 struct Heartbeat {
@@ -66,7 +67,7 @@
     4: optional list<LeaseRequest> lease_requests
     5: optional list<string> leases_granted
     6: optional bool joining
-    7: optional list<string> leases_released
+    7: optional list<LeaseRequest> leases_released
     8: optional bool starting
 }
 
--- a/tests/wire/test_peer_versions.py
+++ b/tests/wire/test_peer_versions.py
@@ -50,7 +50,7 @@
     rumours=(_rumour(),),
     lease_requests=(leases.LeaseRequest('s', True),),
     leases_granted=('t',),
-    leases_released=('u',),
+    leases_released=(leases.LeaseRequest('u', warm=('a', 'b')),),
     joining=True,
     established=False,
 )
