Hand a service over as soon as nothing is in flight

An owner that gives a service up tells its successors whether anything may still be running, so that they wait for the maximum deadline only when something is.

--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -141,6 +141,7 @@
             )
         )
         self._control.leases.warm = self._services.warm
+        self._control.leases.idle = self._services.idle
         self._local = aggregator.LocalAggregator(
             self._services,
             self._executor,
--- a/packages/tier/src/corianderport_tier/process/control.py
+++ b/packages/tier/src/corianderport_tier/process/control.py
@@ -21,6 +21,8 @@
 
 __all__ = ['Control', 'ControlTimes']
 
+_URGENT_PERIOD_S = 0.05
+
 
 @attrs.frozen
 class ControlTimes:
@@ -59,6 +61,7 @@
         self._closed = False
         self._nudged = False
         self._knew_list = False
+        self._urgent = False
         self._contacts: dict[tuple[str, str], contacts.Contact] = {}
         self._chosen: list[membership.Member] = []
         self._chosen_epoch = -1
@@ -75,15 +78,18 @@
         present = list(self._contacts.values())
         return self._knew_list and all(c.tried for c in present)
 
+    @property
+    def _pause_s(self) -> float:
+        period_s = self._times.contact.period_s
+        return min(_URGENT_PERIOD_S, period_s) if self._urgent else period_s
+
     def run(self) -> None:
         """Step until closed."""
         while not self._closed:
             self.step()
             with self._condition:
                 if not self._nudged and not self._closed:
-                    self._clock.wait(
-                        self._condition, self._times.contact.period_s
-                    )
+                    self._clock.wait(self._condition, self._pause_s)
                 self._nudged = False
         for contact in list(self._contacts.values()):
             contact.close()
@@ -92,9 +98,9 @@
         """Bring suspicions, ownership and contacts up to date."""
         self._members.step()
         self._leases.update(self._owners.ownership())
-        self._tell_releases()
         list_known = self._members.list_known
         self._keep_contacts()
+        self._hurry()
         self._knew_list = list_known
 
     def version_changed(self) -> None:
@@ -121,11 +127,12 @@
             self._closed = True
             self._condition.notify_all()
 
-    def _tell_releases(self) -> None:
-        """Tell at once, since the next owner waits for it."""
-        grantors = self._leases.releasing()
+    def _hurry(self) -> None:
+        """Talk at once to the hosts that a change of owners waits for."""
+        urgent = self._leases.urgent()
+        self._urgent = bool(urgent)
         for contact in list(self._contacts.values()):
-            if contact.member.name in grantors:
+            if contact.member.name in urgent:
                 contact.nudge()
 
     def _keep_contacts(self) -> None:
--- a/packages/tier/src/corianderport_tier/process/leases.py
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -27,11 +27,19 @@
 # of two hosts run at different rates.
 _DRIFT = 1.01
 _PROBE_PERIOD_S = 0.2
+_URGENT_S = 1.5
 
 
 WarmSearchers = collections.abc.Callable[[str], tuple[str, ...]]
 
 
+IdleService = collections.abc.Callable[[str], bool]
+
+
+def _never_idle(service: str) -> bool:
+    return False
+
+
 def _none_warm(service: str) -> tuple[str, ...]:
     return ()
 
@@ -85,7 +93,8 @@
     """A first owner's wish for a lease.
 
     ``settled`` says that it has been an owner for so long that no lease
-    which it does not know of can be valid. ``warm`` names the searchers
+    which it does not know of can be valid; of a service that is given up,
+    that nothing is in flight. ``warm`` names the searchers
     that a next owner may send to before its lease begins.
     """
 
@@ -132,7 +141,9 @@
     sent_s: float = float('-inf')
     probed_s: float = float('-inf')
     settled_s: float = float('inf')
-    predecessors: dict[str, membership.Member] = attrs.Factory(dict)
+    predecessors: dict[str, float | None] = attrs.Factory(dict)
+    released_by: str = ''
+    changed_s: float = float('-inf')
     term: int = 0
     inherited: frozenset[str] = frozenset()
 
@@ -142,6 +153,7 @@
     """A service given up, to be told to the hosts that wait for it."""
 
     targets: frozenset[str]
+    since_s: float
     until_s: float
 
 
@@ -171,6 +183,8 @@
         self._terms = 0
         # Returns the names of the warm searchers of a service.
         self.warm: WarmSearchers = _none_warm
+        # Returns whether nothing may be running at a service's searchers.
+        self.idle: IdleService = _never_idle
 
     def update(self, ownership: Ownership) -> None:
         """Take over a new view of who owns what."""
@@ -271,10 +285,26 @@
                 | self._releasing()
             )
 
-    def releasing(self) -> frozenset[str]:
-        """Return the names of the hosts to tell of released leases."""
+    def urgent(self) -> frozenset[str]:
+        """Return the hosts to talk to at once, while owners change."""
+        now_s = self._clock.monotonic()
         with self._lock:
-            return self._releasing()
+            found = {
+                target
+                for released in self._released.values()
+                if now_s < released.since_s + _URGENT_S
+                for target in released.targets
+            }
+            for name, state in self._services.items():
+                second = self._second(name)
+                if (
+                    state.position == 0
+                    and second is not None
+                    and now_s >= state.lease_until_s
+                    and now_s < state.changed_s + _URGENT_S
+                ):
+                    found.add(second)
+            return frozenset(found)
 
     def releases(self, member: membership.Member) -> tuple[LeaseRequest, ...]:
         """Return the services that a host waits for and that were given up."""
@@ -290,7 +320,9 @@
                 for name, released in self._released.items()
                 if member.name in released.targets
             ]
-        return tuple(LeaseRequest(n, warm=self.warm(n)) for n in names)
+        return tuple(
+            LeaseRequest(n, self.idle(n), self.warm(n)) for n in names
+        )
 
     def released(
         self,
@@ -306,9 +338,15 @@
                     continue
                 if release.warm:
                     state.inherited = frozenset(release.warm)
-                if _same_process(state.grantee, member):
-                    self._end_grant(state, now_s)
-                self._predecessor_ended(state, member.name, now_s)
+                ended_s = now_s
+                if not release.settled:
+                    ended_s += self._ownership.maximum_deadline_s
+                if _same_process(state.grantee, member) or (
+                    state.released_by == member.name
+                ):
+                    state.released_by = member.name
+                    self._end_grant(state, ended_s)
+                self._predecessor_ended(state, member.name, ended_s)
 
     def grant(
         self,
@@ -320,11 +358,12 @@
         :return: the services for which the lease now runs.
         """
         now_s = self._clock.monotonic()
+        asked = [(request, self.idle(request.service)) for request in requests]
         with self._lock:
             return tuple(
                 request.service
-                for request in requests
-                if self._grant(member, request, now_s)
+                for request, idle in asked
+                if self._grant(member, request, idle, now_s)
             )
 
     def granted(
@@ -379,7 +418,7 @@
         targets = {member.name for member in owners} | {state.lease_from}
         targets -= {self._members.own.name, ''}
         self._released[name] = _Released(
-            frozenset(targets), now_s + self._settle_s
+            frozenset(targets), now_s, now_s + self._settle_s
         )
         state.lease_until_s = float('-inf')
 
@@ -397,13 +436,16 @@
             return _Service(
                 now_s,
                 position,
-                predecessors={m.name: m for m in before},
+                predecessors={m.name: None for m in before},
+                changed_s=now_s,
                 term=self._terms,
             )
         if state.position == 0 and position > 0:
             # It may have sent until now.
             state.sent_s = now_s
-        lost = {m.name: m for m in before[1:]} if position == 0 else {}
+        lost: dict[str, float | None] = {}
+        if position == 0:
+            lost = {m.name: None for m in before[1:]}
         owners = self._ownership.owners[name]
         for member in owners:
             lost.pop(member.name, None)
@@ -418,6 +460,7 @@
             self._terms += 1
             state.term = self._terms
         state.position = position
+        state.changed_s = now_s
         return state
 
     def _state(
@@ -434,7 +477,11 @@
         return LeaseState.FULL if valid else LeaseState.RESTRICTED
 
     def _grant(
-        self, member: membership.Member, request: LeaseRequest, now_s: float
+        self,
+        member: membership.Member,
+        request: LeaseRequest,
+        idle: bool,
+        now_s: float,
     ) -> bool:
         state = self._services.get(request.service)
         if (
@@ -450,7 +497,10 @@
         if not _same_process(state.grantee, member):
             if now_s < state.blocked_until_s:
                 return False
-        if now_s < state.sent_s + self._ownership.maximum_deadline_s:
+        if (
+            now_s < state.sent_s + self._ownership.maximum_deadline_s
+            and not idle
+        ):
             return False
         if not (request.settled or self._settled(state, now_s)):
             return False
@@ -468,14 +518,11 @@
         if state.grantee is None or now_s >= state.blocked_until_s:
             return
         if self._members.standing(state.grantee) is membership.Standing.GONE:
-            self._end_grant(state, now_s)
+            self._end_grant(state, now_s + self._ownership.maximum_deadline_s)
 
-    def _end_grant(self, state: _Service, now_s: float) -> None:
+    def _end_grant(self, state: _Service, ended_s: float) -> None:
         state.grantee = None
-        state.blocked_until_s = min(
-            state.blocked_until_s,
-            now_s + self._ownership.maximum_deadline_s,
-        )
+        state.blocked_until_s = min(state.blocked_until_s, ended_s)
 
     @property
     def _settle_s(self) -> float:
@@ -486,9 +533,15 @@
         )
 
     def _settled(self, state: _Service, now_s: float) -> bool:
-        for name, member in list(state.predecessors.items()):
-            if self._members.standing(member) is membership.Standing.GONE:
-                self._predecessor_ended(state, name, now_s)
+        for name, ended_s in list(state.predecessors.items()):
+            record = self._members.record(name)
+            gone = record is None or (
+                record.standing is membership.Standing.GONE
+            )
+            if gone and ended_s is None:
+                self._predecessor_ended(
+                    state, name, now_s + self._ownership.maximum_deadline_s
+                )
         return (
             now_s >= state.since_s + self._settle_s
             or now_s >= state.settled_s
@@ -503,11 +556,14 @@
             state.predecessors = {}
 
     def _predecessor_ended(
-        self, state: _Service, name: str, now_s: float
+        self, state: _Service, name: str, ended_s: float
     ) -> None:
-        known = state.predecessors.pop(name, None)
-        if known is not None and not state.predecessors:
-            state.settled_s = now_s + self._ownership.maximum_deadline_s
+        if name not in state.predecessors:
+            return
+        state.predecessors[name] = ended_s
+        if None not in state.predecessors.values():
+            ends = [e for e in state.predecessors.values() if e is not None]
+            state.settled_s = max(ends)
 
     def _second(self, service: str) -> str | None:
         owners = self._ownership.owners[service]
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -182,6 +182,11 @@
         owned = self._services.get(service)
         return () if owned is None else owned.upstreams.warm()
 
+    def idle(self, service: str) -> bool:
+        """Whether nothing may be running at a service's searchers."""
+        owned = self._services.get(service)
+        return owned is None or owned.upstreams.idle()
+
     def _lease_allows(self, searcher: configuration.Searcher) -> bool:
         owned = self._by_searcher.get(searcher.name)
         if owned is None:
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -91,6 +91,15 @@
                 if u.limit >= u.slow_start.slots
             )
 
+    def idle(self) -> bool:
+        """Whether nothing may be running at any searcher."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            return not any(
+                u.occupancy.total(now_s, strict=True)
+                for u in self._upstreams.values()
+            )
+
     def is_idle(self, name: str) -> bool:
         """Whether this host waits for no answer; read without the lock."""
         upstream = self._upstreams.get(name)
