--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -111,7 +111,9 @@
         self._store = configuration_store.ConfigurationStore(
             document.JsonDocument(), self._clock
         )
-        self._readiness = shutdown.Readiness(self._store)
+        self._readiness = shutdown.Readiness(
+            self._store, self._settings.data_centre
+        )
         self._kept = handed_over.HandedOverTickets(self._clock)
         self._start_control()
         self._start_aggregator()
@@ -137,6 +139,8 @@
                 self._control.leases,
             )
         )
+        self._control.leases.warm = self._services.warm
+        self._control.leases.idle = self._services.idle
         self._local = aggregator.LocalAggregator(
             self._services,
             self._executor,
@@ -253,7 +257,7 @@
             self._readiness,
             self._caller_gate,
             self._peer_gate,
-            self._control.announce_leaving,
+            self._control.leave,
             self._tickets.seal,
             task.run,
             shutdown.StopTimes(
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -185,6 +185,16 @@
 
         return allowed
 
+    def warm(self, service: str) -> tuple[str, ...]:
+        """Return the names of a service's warm searchers."""
+        owned = self._services.get(service)
+        return () if owned is None else owned.upstreams.warm()
+
+    def idle(self, service: str) -> bool:
+        """Whether nothing may be running at a service's searchers."""
+        owned = self._services.get(service)
+        return owned is None or owned.upstreams.idle()
+
     def _lease_allows(
         self, searcher: configuration.Searcher, counted: int
     ) -> bool:
@@ -193,9 +203,11 @@
             return True
         state = self._leases.may_send(owned.service.name)
         if state is leases.LeaseState.RESTRICTED:
-            return owned.upstreams.is_warm_and_half_free(
-                searcher.name, counted
-            )
+            name = searcher.name
+            if owned.upstreams.is_warm_and_half_free(name, counted):
+                return True
+            inherited = self._leases.inherited(owned.service.name)
+            return name in inherited and owned.upstreams.is_idle(name, counted)
         return state is leases.LeaseState.FULL
 
     def states(self) -> dict[str, list[upstreams.Upstream]]:
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -94,6 +94,32 @@
             for upstream in self._upstreams.values():
                 upstream.slow_start.start_over()
 
+    def warm(self) -> tuple[str, ...]:
+        """Return the names of the searchers that have their full limit."""
+        with self._lock:
+            return tuple(
+                u.name
+                for u in self._upstreams.values()
+                if u.limit >= u.slow_start.slots
+            )
+
+    def idle(self) -> bool:
+        """Whether nothing may be running at any searcher."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            return not any(
+                u.occupancy.total(now_s, strict=True)
+                for u in self._upstreams.values()
+            )
+
+    def is_idle(self, name: str, counted: int = 0) -> bool:
+        """Whether this host waits for no other answer of a searcher.
+
+        Read without the lock, like ``is_warm_and_half_free``.
+        """
+        upstream = self._upstreams.get(name)
+        return upstream is not None and upstream.in_flight <= counted
+
     def is_warm_and_half_free(self, name: str, counted: int = 0) -> bool:
         """Whether a searcher may get work without a lease.
 
