--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -134,6 +134,7 @@
                 self._clock,
                 selection.policy(self._settings.selection),
                 random.Random(),
+                self._control.leases,
             )
         )
         self._local = aggregator.LocalAggregator(
@@ -252,6 +253,7 @@
             self._readiness,
             self._caller_gate,
             self._peer_gate,
+            self._control.announce_leaving,
             self._tickets.seal,
             task.run,
             shutdown.StopTimes(
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -3,6 +3,8 @@
 The entry role: serves the requests of callers.
 """
 
+import contextlib
+
 import attrs
 
 from corianderport_tier import clocks
@@ -48,25 +50,17 @@
 
         :raises Refusal: nothing was sent to any upstream.
         """
-        with self._gate.enter():
-            accepted = self._store.current()
-            found = accepted.searches.get(request.search)
-            if found is None:
-                raise errors.UnknownService(
-                    f'unknown search {request.search!r}'
-                )
-            request = self._limited(request, found)
-            with self._admission.admit(
-                accepted, request.customer, found.worth, request.deadline
-            ):
-                return search.SearchTask(
-                    request,
-                    accepted,
-                    self._router,
-                    self._availability,
-                    self._clock,
-                    self._log,
-                ).run()
+        accepted = self._store.current()
+        found = accepted.searches.get(request.search)
+        with self._gate.enter(), self._admit(accepted, found, request):
+            return search.SearchTask(
+                request,
+                accepted,
+                self._router,
+                self._availability,
+                self._clock,
+                self._log,
+            ).run()
 
     def issue_ticket(self) -> ticket_table.IssuedTicket:
         """Return a ticket for one action.
@@ -85,7 +79,9 @@
         """
         request = self._bounded(request)
         if request.ticket is None:
-            with self._gate.enter():
+            accepted = self._store.current()
+            found = accepted.actions.get(request.action)
+            with self._gate.enter(), self._admit(accepted, found, request):
                 return self._actions.act(request)
         # "Not run" would be wrong if the ticket had been used before; the
         # ticket's host knows.
@@ -108,9 +104,17 @@
         deadline = request.deadline.within(self._clock, known.deadline_ms)
         return attrs.evolve(request, deadline=deadline)
 
-    def _limited(
-        self, request: messages.SearchRequest, found: configuration.Search
-    ) -> messages.SearchRequest:
-        """Return the request with the search's own limit on its time."""
+    def _admit(
+        self,
+        accepted: configuration.Configuration,
+        found: configuration.Search | configuration.Action | None,
+        request: messages.SearchRequest | messages.ActionRequest,
+    ) -> contextlib.AbstractContextManager[None]:
+        if found is None:
+            return self._admission.admit(
+                accepted, request.customer, 0.0, request.deadline
+            )
         deadline = request.deadline.within(self._clock, found.deadline_ms)
-        return attrs.evolve(request, deadline=deadline)
+        return self._admission.admit(
+            accepted, request.customer, found.worth, deadline
+        )
