--- a/packages/testkit/src/corianderport_testkit/process/experiments.py
+++ b/packages/testkit/src/corianderport_testkit/process/experiments.py
@@ -25,6 +25,7 @@
     'cost': 'cost_experiments:Cost',
     'log': 'cost_experiments:LogCost',
     'idle': 'cost_experiments:Idle',
+    'state': 'state_costs:StateCost',
 }
 
 
