--- a/packages/testkit/src/corianderport_testkit/process/bench_output.py
+++ b/packages/testkit/src/corianderport_testkit/process/bench_output.py
@@ -21,11 +21,11 @@
 
 _SHOWN = frozenset({
     'answered', 'cold_in_flight', 'configuration_calls_per_s',
-    'decode_us_a_searcher', 'document_bytes_a_searcher', 'rank_us_a_pair',
-    'state_bytes_a_searcher',
-    'coverage_least', 'cpu_ms', 'cpu_percent', 'extra', 'failed',
-    'full_share_s', 'late_searches', 'memory_mb', 'overruns', 'p50_ms',
-    'p99_ms', 'recovered_s', 'refusal_p99_ms', 'worst_second_p99_ms',
+    'coverage_least', 'cpu_ms', 'cpu_percent', 'decode_us_a_searcher',
+    'document_bytes_a_searcher', 'extra', 'failed', 'full_share_s',
+    'heartbeat_bytes', 'late_searches', 'memory_mb', 'overruns', 'p50_ms',
+    'p99_ms', 'rank_us_a_pair', 'recovered_s', 'refusal_p99_ms',
+    'rumour_bytes', 'state_bytes_a_searcher', 'worst_second_p99_ms',
     'worth_answered', 'worth_share',
 })  # fmt: skip
 
--- a/packages/testkit/src/corianderport_testkit/process/state_costs.py
+++ b/packages/testkit/src/corianderport_testkit/process/state_costs.py
@@ -9,18 +9,24 @@
 import typing
 
 import attrs
+import thriftpy2.utils
 
 from corianderport_testkit.process import experiments
 from corianderport_testkit.version import deployments
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import leases
 from corianderport_tier.process import membership
 from corianderport_tier.process import owners
 from corianderport_tier.version import configuration
+from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.version import document
 
 __all__ = ['StateCost']
 
 _HOSTS = 60
 _RANKED = 100
+_RUMOURS = 10
+_LEASES = 5
 
 
 @attrs.define
@@ -64,6 +70,11 @@
                 'decode_us_a_searcher': decode_s * 1e6 / searchers,
                 'state_bytes_a_searcher': kept_bytes / searchers,
                 'rank_us_a_pair': rank_s * 1e6 / (_RANKED * _HOSTS),
+                'heartbeat_bytes': float(_heartbeat_bytes(0)),
+                'rumour_bytes': (
+                    _heartbeat_bytes(_RUMOURS) - _heartbeat_bytes(0)
+                )
+                / _RUMOURS,
             }
         )
 
@@ -87,6 +98,22 @@
         owners.rank(service.name, able)
 
 
+def _heartbeat_bytes(rumours: int) -> int:
+    """Return the length of an encoded heartbeat, without its frame."""
+    member = membership.Member(
+        'host-0001', 'dc-a', '10.9.0.1:9000', incarnation='a' * 32
+    )
+    rumour = membership.Rumour(member)
+    message = heartbeats.Heartbeat(
+        rumour,
+        1,
+        (rumour,) * rumours,
+        (leases.LeaseRequest('catalogue-0001', True),) * _LEASES,
+    )
+    encoded = heartbeat_codec.heartbeat_to_thrift(message)
+    return len(thriftpy2.utils.serialize(encoded))
+
+
 def _cpu_s(call: collections.abc.Callable[[], object]) -> float:
     started_s = time.process_time()
     call()
