--- a/packages/testkit/src/corianderport_testkit/demo.py
+++ b/packages/testkit/src/corianderport_testkit/demo.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import itertools
 import sys
 import time
 
@@ -18,6 +19,7 @@
 
 _QUERIES = ('juggling clubs', 'painted stilts', 'rings Surat')
 _READY_S = 15.0
+_STAGE_S = 3.0
 _SETTLE_S = 1.5
 _REFRESH_S = 0.5
 
@@ -35,13 +37,15 @@
     codes: collections.Counter[str] = collections.Counter()
     coverage = []
     latency_ms = []
-    for query in _QUERIES:
-        for name in running.hosts:
-            started = time.monotonic()
-            reply = running.search(name, query)
-            latency_ms.append((time.monotonic() - started) * 1e3)
-            codes[reply.body['name']] += 1
-            coverage.append(reply.body['coverage']['fraction'])
+    until_s = time.monotonic() + _STAGE_S
+    calls = itertools.cycle(itertools.product(_QUERIES, list(running.hosts)))
+    while time.monotonic() < until_s:
+        query, name = next(calls)
+        started_s = time.monotonic()
+        reply = running.search(name, query)
+        latency_ms.append((time.monotonic() - started_s) * 1e3)
+        codes[reply.body['name']] += 1
+        coverage.append(reply.body['coverage']['fraction'])
     print(
         f'{title}: {sum(codes.values())} searches, {dict(codes)}, '
         f'coverage {min(coverage):.0%} to {max(coverage):.0%}, '
