--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -91,7 +91,14 @@
             self._clock,
             self._log,
         ).run()
-        return attrs.evolve(answer, not_owned=not_owned)
+        # Refused for want of a lease: it may be had soon, or by the other
+        # owner.
+        lapsed = tuple(
+            service
+            for service in answer.refused
+            if self._leases.may_send(service) is not leases.LeaseState.FULL
+        )
+        return attrs.evolve(answer, not_owned=not_owned + lapsed)
 
     def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
         """Run the action on the calling task."""
