--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -20,6 +20,7 @@
 from corianderport_tier.process import leases
 from corianderport_tier.process import membership
 from corianderport_tier.process import ownership
+from corianderport_tier.process import ownership_types
 from corianderport_tier.process import peers
 from corianderport_tier.process import readers
 from corianderport_wire.connection import peer_authentication
@@ -131,7 +132,7 @@
         self.leases = leases.Leases(
             self.members,
             self._clock,
-            leases.LeaseTimes(_LEASE_PERIODS * period_s),
+            ownership_types.LeaseTimes(_LEASE_PERIODS * period_s),
             lambda member: self.control.probe(member),
         )
         self.remote = self._stack.enter_context(
--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -98,7 +98,6 @@
     def wait(self) -> shutdown.StopReport:
         """Return when the planned stop has ended."""
         self._stopped.wait()
-        self._control.leave()
         return self._planned_stop.run()
 
     def _start(self) -> None:
@@ -258,6 +257,7 @@
             self._readiness,
             self._caller_gate,
             self._peer_gate,
+            self._control.leave,
             self._tickets.seal,
             task.run,
             shutdown.StopTimes(
--- a/packages/testkit/src/corianderport_testkit/process/control_group.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_group.py
@@ -18,6 +18,7 @@
 from corianderport_tier.process import leases
 from corianderport_tier.process import membership
 from corianderport_tier.process import ownership
+from corianderport_tier.process import ownership_types
 from corianderport_wire.version import document
 
 __all__ = [
@@ -151,7 +152,10 @@
         self.owners = ownership.OwnershipTable(self.store, self.members)
         self.probed: list[membership.Member] = []
         self.leases = leases.Leases(
-            self.members, clock, leases.LeaseTimes(), self.probed.append
+            self.members,
+            clock,
+            ownership_types.LeaseTimes(),
+            self.probed.append,
         )
         executor = _InlineExecutor()
         dialer = _Dialer(group, own.name)
@@ -275,5 +279,5 @@
         return [
             name
             for name, host in sorted(self.hosts.items())
-            if host.leases.may_send(service) is leases.LeaseState.FULL
+            if host.leases.may_send(service) is ownership_types.LeaseState.FULL
         ]
--- a/packages/testkit/src/corianderport_testkit/process/served_deployment.py
+++ b/packages/testkit/src/corianderport_testkit/process/served_deployment.py
@@ -10,11 +10,13 @@
 import subprocess
 import sys
 import tempfile
+import time
 import typing
 
 import attrs
 
 from corianderport_operator.process import sources
+from corianderport_operator.process import status
 from corianderport_operator.version import printing
 from corianderport_testkit.process import platform
 from corianderport_tier import errors
@@ -25,6 +27,8 @@
 __all__ = ['ServedDeployment', 'ServedHost']
 
 _EXIT_S = 15.0
+_READY_S = 30.0
+_READY_POLL_S = 0.25
 _HOSTS = 6
 _SHARED_KEYS = 'shared key of the demo'
 # No load balancer stands in front of the demo's hosts.
@@ -99,6 +103,16 @@
         self.platform.publish(described.version, text.encode())
         return described.version
 
+    def wait_ready(self) -> bool:
+        """Wait for a while until all hosts serve callers."""
+        until = time.monotonic() + _READY_S
+        addresses = [f'{h.network}:{_ADMIN_PORT}' for h in self.hosts]
+        while status.read_hosts(addresses).problems:
+            if time.monotonic() > until:
+                return False
+            time.sleep(_READY_POLL_S)
+        return True
+
     def replace_ended(self) -> list[ServedHost]:
         """Start a successor for each host that has ended.
 
--- a/packages/tier/src/corianderport_tier/process/heartbeats.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeats.py
@@ -9,6 +9,7 @@
 
 from corianderport_tier.process import leases
 from corianderport_tier.process import membership
+from corianderport_tier.process import ownership_types
 
 __all__ = ['Heartbeat', 'HeartbeatExchange', 'VersionHeard']
 
@@ -26,9 +27,9 @@
     sender: membership.Rumour
     version: int
     rumours: tuple[membership.Rumour, ...] = ()
-    lease_requests: tuple[leases.LeaseRequest, ...] = ()
+    lease_requests: tuple[ownership_types.LeaseRequest, ...] = ()
     leases_granted: tuple[str, ...] = ()
-    leases_released: tuple[leases.LeaseRequest, ...] = ()
+    leases_released: tuple[ownership_types.LeaseRequest, ...] = ()
     joining: bool = False
     established: bool = True
 
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -15,7 +15,7 @@
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
-from corianderport_tier.process import leases
+from corianderport_tier.process import ownership_types
 from corianderport_tier.process import selection
 from corianderport_tier.process import upstreams
 from corianderport_tier.version import configuration
@@ -67,9 +67,11 @@
                 self._pools[searcher.address] = found
             return found
 
-    def update(self, service: configuration.Service) -> None:
+    def update(
+        self, service: configuration.Service, in_service: SearcherFilter
+    ) -> None:
         """Take over a new version and close pools of gone addresses."""
-        self.upstreams.update(service)
+        self.upstreams.update(service, in_service)
         with self._lock:
             self._addresses = {s.address for s in service.searchers}
             gone = [a for a in self._pools if a not in self._addresses]
@@ -109,9 +111,9 @@
         clock: clocks.Clock,
         policy: selection.SelectionPolicy,
         rng: random.Random,
-        held: leases.LeaseCheck | None = None,
+        held: ownership_types.LeaseCheck | None = None,
     ) -> None:
-        self._leases = leases.AlwaysFull() if held is None else held
+        self._leases = ownership_types.AlwaysFull() if held is None else held
         self._by_searcher: dict[str, OwnedService] = {}
         self._store = store
         self._dialer = dialer
@@ -163,17 +165,23 @@
                 owned = self._new_service(service)
                 self._services[name] = owned
             elif owned.service is not service:
-                owned.update(service)
+                owned.update(service, self._store.current().may_get_work)
             for searcher in service.searchers:
                 self._by_searcher[searcher.name] = owned
             return owned
 
-    def allowed(self) -> SearcherFilter:
-        """Return the check of the version and the lease at this moment."""
+    def allowed(self, counted: int = 0) -> SearcherFilter:
+        """Return the check of the version and the lease at this moment.
+
+        :param counted: 1 for a searcher on which the request in question
+            is counted already.
+        """
         may_get_work = self._store.current().may_get_work
 
         def allowed(searcher: configuration.Searcher) -> bool:
-            return may_get_work(searcher) and self._lease_allows(searcher)
+            return may_get_work(searcher) and self._lease_allows(
+                searcher, counted
+            )
 
         return allowed
 
@@ -187,18 +195,20 @@
         owned = self._services.get(service)
         return owned is None or owned.upstreams.idle()
 
-    def _lease_allows(self, searcher: configuration.Searcher) -> bool:
+    def _lease_allows(
+        self, searcher: configuration.Searcher, counted: int
+    ) -> bool:
         owned = self._by_searcher.get(searcher.name)
         if owned is None:
             return True
         state = self._leases.may_send(owned.service.name)
-        if state is leases.LeaseState.RESTRICTED:
+        if state is ownership_types.LeaseState.RESTRICTED:
             name = searcher.name
-            if owned.upstreams.is_warm_and_half_free(name):
+            if owned.upstreams.is_warm_and_half_free(name, counted):
                 return True
             inherited = self._leases.inherited(owned.service.name)
-            return name in inherited and owned.upstreams.is_idle(name)
-        return state is leases.LeaseState.FULL
+            return name in inherited and owned.upstreams.is_idle(name, counted)
+        return state is ownership_types.LeaseState.FULL
 
     def states(self) -> dict[str, list[upstreams.Upstream]]:
         """Return the state of each searcher, by service."""
