--- a/packages/tier/src/corianderport_tier/process/leases.py
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -4,24 +4,15 @@
 """
 
 import collections.abc
-import enum
 import threading
-import typing
 
 import attrs
 
 from corianderport_tier import clocks
 from corianderport_tier.process import membership
+from corianderport_tier.process import ownership_types
 
-__all__ = [
-    'AlwaysFull',
-    'LeaseCheck',
-    'LeaseRequest',
-    'LeaseState',
-    'LeaseTimes',
-    'Leases',
-    'Ownership',
-]
+__all__ = ['Leases']
 
 # The granting host waits this much longer than the lease, since the clocks
 # of two hosts run at different rates.
@@ -30,12 +21,6 @@
 _URGENT_S = 1.5
 
 
-WarmSearchers = collections.abc.Callable[[str], tuple[str, ...]]
-
-
-IdleService = collections.abc.Callable[[str], bool]
-
-
 def _never_idle(service: str) -> bool:
     return False
 
@@ -44,89 +29,6 @@
     return ()
 
 
-class LeaseState(enum.Enum):
-    """What this host may send to the searchers of a service.
-
-    ``RESTRICTED`` allows only searchers that are warm, at half their
-    limit; ``NONE`` allows nothing.
-    """
-
-    FULL = 'full'
-    RESTRICTED = 'restricted'
-    NONE = 'none'
-
-
-class LeaseCheck(typing.Protocol):
-    """Says what an owner may send now."""
-
-    def may_send(self, service: str) -> LeaseState:
-        """Return what may be sent to the searchers of a service."""
-
-    def term(self, service: str) -> int:
-        """Return a number that changes when ownership was interrupted.
-
-        What is known of the searchers from an earlier term is outdated.
-        """
-
-    def inherited(self, service: str) -> frozenset[str]:
-        """Return the searchers that were warm for the earlier owner."""
-
-
-class AlwaysFull:
-    """Lets a host send that is the only one."""
-
-    def may_send(self, service: str) -> LeaseState:
-        """Return ``FULL``."""
-        return LeaseState.FULL
-
-    def term(self, service: str) -> int:
-        """Return the same number always."""
-        return 0
-
-    def inherited(self, service: str) -> frozenset[str]:
-        """Return no searcher."""
-        return frozenset()
-
-
-@attrs.frozen
-class LeaseRequest:
-    """A first owner's wish for a lease.
-
-    ``settled`` says that it has been an owner for so long that no lease
-    which it does not know of can be valid; of a service that is given up,
-    that nothing is in flight. ``warm`` names the searchers
-    that a next owner may send to before its lease begins.
-    """
-
-    service: str
-    settled: bool = False
-    warm: tuple[str, ...] = ()
-
-
-@attrs.frozen
-class LeaseTimes:
-    """Duration of a lease, in seconds."""
-
-    lease_s: float = 3.0
-
-
-@attrs.frozen
-class Ownership:
-    """The owners in the present view, by service, the first one first.
-
-    :param majority: whether more than half of the region's hosts are
-        believed live.
-    :param starting: whether each of the region's hosts is reached and has
-        started only just now, so that no earlier owner can exist.
-    :param maximum_deadline_s: longest time that a request may run.
-    """
-
-    owners: collections.abc.Mapping[str, tuple[membership.Member, ...]]
-    majority: bool = True
-    starting: bool = False
-    maximum_deadline_s: float = 0.5
-
-
 @attrs.define(eq=False)
 class _Service:
     """What this host knows as an owner; times of its own clock."""
@@ -168,7 +70,7 @@
         self,
         members: membership.Membership,
         clock: clocks.Clock,
-        times: LeaseTimes,
+        times: ownership_types.LeaseTimes,
         probe: collections.abc.Callable[[membership.Member], None],
     ) -> None:
         self._probe = probe
@@ -176,17 +78,17 @@
         self._clock = clock
         self._times = times
         self._lock = threading.Lock()
-        self._ownership = Ownership({}, majority=False)
+        self._ownership = ownership_types.Ownership({}, majority=False)
         self._services: dict[str, _Service] = {}
         self._released: dict[str, _Released] = {}
         self._first_full_s = float('inf')
         self._terms = 0
         # Returns the names of the warm searchers of a service.
-        self.warm: WarmSearchers = _none_warm
+        self.warm: ownership_types.WarmSearchers = _none_warm
         # Returns whether nothing may be running at a service's searchers.
-        self.idle: IdleService = _never_idle
+        self.idle: ownership_types.IdleService = _never_idle
 
-    def update(self, ownership: Ownership) -> None:
+    def update(self, ownership: ownership_types.Ownership) -> None:
         """Take over a new view of who owns what."""
         own = self._members.own.name
         now_s = self._clock.monotonic()
@@ -210,27 +112,27 @@
             if ownership.majority and not before.majority:
                 self._unsettle(now_s)
 
-    def may_send(self, service: str) -> LeaseState:
+    def may_send(self, service: str) -> ownership_types.LeaseState:
         """Return what may be sent now; to be asked before each send."""
         allowed = self._may_send(service)
-        if allowed is LeaseState.NONE:
+        if allowed is ownership_types.LeaseState.NONE:
             first = self._first_to_probe(service)
             if first is not None:
                 self._probe(first)
         return allowed
 
-    def _may_send(self, service: str) -> LeaseState:
+    def _may_send(self, service: str) -> ownership_types.LeaseState:
         now_s = self._clock.monotonic()
         with self._lock:
             state = self._services.get(service)
             if state is None or state.position > 0:
-                return LeaseState.NONE
+                return ownership_types.LeaseState.NONE
             self._note_gone(state, now_s)
             if now_s < state.blocked_until_s and state.grantee is not None:
-                return LeaseState.NONE
+                return ownership_types.LeaseState.NONE
             allowed = self._state(service, state, now_s)
             state.sent_s = now_s
-            if allowed is LeaseState.FULL:
+            if allowed is ownership_types.LeaseState.FULL:
                 self._first_full_s = min(self._first_full_s, now_s)
             return allowed
 
@@ -256,7 +158,9 @@
             state = self._services.get(service)
             return frozenset() if state is None else state.inherited
 
-    def requests(self, member: membership.Member) -> tuple[LeaseRequest, ...]:
+    def requests(
+        self, member: membership.Member
+    ) -> tuple[ownership_types.LeaseRequest, ...]:
         """Return the leases to ask of a host."""
         now_s = self._clock.monotonic()
         with self._lock:
@@ -269,7 +173,11 @@
                     and self._second(name) == member.name
                 ):
                     settled = self._settled(state, now_s)
-                    wanted.append(LeaseRequest(name, settled, self.warm(name)))
+                    wanted.append(
+                        ownership_types.LeaseRequest(
+                            name, settled, self.warm(name)
+                        )
+                    )
             return tuple(wanted)
 
     def grantors(self) -> frozenset[str]:
@@ -306,7 +214,9 @@
                     found.add(second)
             return frozenset(found)
 
-    def releases(self, member: membership.Member) -> tuple[LeaseRequest, ...]:
+    def releases(
+        self, member: membership.Member
+    ) -> tuple[ownership_types.LeaseRequest, ...]:
         """Return the services that a host waits for and that were given up."""
         now_s = self._clock.monotonic()
         with self._lock:
@@ -321,13 +231,14 @@
                 if member.name in released.targets
             ]
         return tuple(
-            LeaseRequest(n, self.idle(n), self.warm(n)) for n in names
+            ownership_types.LeaseRequest(n, self.idle(n), self.warm(n))
+            for n in names
         )
 
     def released(
         self,
         member: membership.Member,
-        releases: collections.abc.Iterable[LeaseRequest],
+        releases: collections.abc.Iterable[ownership_types.LeaseRequest],
     ) -> None:
         """Learn that a host sends nothing more to these services."""
         now_s = self._clock.monotonic()
@@ -351,7 +262,7 @@
     def grant(
         self,
         member: membership.Member,
-        requests: collections.abc.Iterable[LeaseRequest],
+        requests: collections.abc.Iterable[ownership_types.LeaseRequest],
     ) -> tuple[str, ...]:
         """Grant the leases that a first owner asks for, if possible.
 
@@ -465,21 +376,25 @@
 
     def _state(
         self, service: str, state: _Service, now_s: float
-    ) -> LeaseState:
+    ) -> ownership_types.LeaseState:
         if not self._ownership.majority or self._members.doubtful:
-            return LeaseState.RESTRICTED
+            return ownership_types.LeaseState.RESTRICTED
         if now_s < state.blocked_until_s:
-            return LeaseState.RESTRICTED
+            return ownership_types.LeaseState.RESTRICTED
         # A lease holds after its grantor stopped being the second owner.
         valid = now_s < state.lease_until_s or (
             self._second(service) is None and self._settled(state, now_s)
         )
-        return LeaseState.FULL if valid else LeaseState.RESTRICTED
+        return (
+            ownership_types.LeaseState.FULL
+            if valid
+            else ownership_types.LeaseState.RESTRICTED
+        )
 
     def _grant(
         self,
         member: membership.Member,
-        request: LeaseRequest,
+        request: ownership_types.LeaseRequest,
         idle: bool,
         now_s: float,
     ) -> bool:
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -15,7 +15,7 @@
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
-from corianderport_tier.process import leases
+from corianderport_tier.process import ownership_types
 from corianderport_tier.process import selection
 from corianderport_tier.process import upstreams
 from corianderport_tier.version import configuration
@@ -111,9 +111,9 @@
         clock: clocks.Clock,
         policy: selection.SelectionPolicy,
         rng: random.Random,
-        held: leases.LeaseCheck | None = None,
+        held: ownership_types.LeaseCheck | None = None,
     ) -> None:
-        self._leases = leases.AlwaysFull() if held is None else held
+        self._leases = ownership_types.AlwaysFull() if held is None else held
         self._by_searcher: dict[str, OwnedService] = {}
         self._store = store
         self._dialer = dialer
@@ -202,13 +202,13 @@
         if owned is None:
             return True
         state = self._leases.may_send(owned.service.name)
-        if state is leases.LeaseState.RESTRICTED:
+        if state is ownership_types.LeaseState.RESTRICTED:
             name = searcher.name
             if owned.upstreams.is_warm_and_half_free(name, counted):
                 return True
             inherited = self._leases.inherited(owned.service.name)
             return name in inherited and owned.upstreams.is_idle(name, counted)
-        return state is leases.LeaseState.FULL
+        return state is ownership_types.LeaseState.FULL
 
     def states(self) -> dict[str, list[upstreams.Upstream]]:
         """Return the state of each searcher, by service."""
--- a/packages/tier/src/corianderport_tier/process/ownership.py
+++ b/packages/tier/src/corianderport_tier/process/ownership.py
@@ -9,9 +9,9 @@
 
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
-from corianderport_tier.process import leases
 from corianderport_tier.process import membership
 from corianderport_tier.process import owners
+from corianderport_tier.process import ownership_types
 from corianderport_tier.version import configuration
 
 __all__ = ['OWNERS', 'OwnershipTable']
@@ -44,7 +44,7 @@
         self._members = members
         self._lock = threading.Lock()
         self._cached: _Cached | None = None
-        self._ownership: tuple[_Key, leases.Ownership] | None = None
+        self._ownership: tuple[_Key, ownership_types.Ownership] | None = None
 
     def region_of(self, data_centre: str) -> str | None:
         """Return the region of a data centre, None when unknown."""
@@ -62,12 +62,12 @@
             raise errors.UnknownService(f'unknown service {service!r}')
         return self._owners(accepted, known)
 
-    def ownership(self) -> leases.Ownership:
+    def ownership(self) -> ownership_types.Ownership:
         """Return the owners of all services of the own region."""
         try:
             accepted = self._store.current()
         except errors.NotReady:
-            return leases.Ownership({}, majority=False)
+            return ownership_types.Ownership({}, majority=False)
         view = self._members.view
         region = self.region_of(self._members.own.data_centre)
         near = [
@@ -88,7 +88,7 @@
                 view.standings[m.name] <= membership.Standing.SUSPECT
                 for m in near
             )
-            made = leases.Ownership(
+            made = ownership_types.Ownership(
                 owners=found,
                 majority=2 * alive > len(near),
                 starting=starting,
--- a/tests/tier/test_action_sending.py
+++ b/tests/tier/test_action_sending.py
@@ -11,7 +11,7 @@
 from corianderport_testkit.process import action_hosts
 from corianderport_testkit.version import deployments
 from corianderport_tier import errors
-from corianderport_tier.process import leases
+from corianderport_tier.process import ownership_types
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import messages
 from corianderport_tier import result_codes
@@ -152,12 +152,12 @@
     world: action_hosts.World, regained: bool
 ) -> None:
     """Guards against refusals whenever the owner of a service changes."""
-    world.lease = leases.LeaseState.NONE
+    world.lease = ownership_types.LeaseState.NONE
     future = world.executor.submit(_act, world)
     while world.clock.waiting == 0:
         time.sleep(0)
     if regained:
-        world.lease = leases.LeaseState.FULL
+        world.lease = ownership_types.LeaseState.FULL
         world.clock.advance(0.1)
         assert future.result(60).code is result_codes.ResultCode.OK
     while not future.done():
--- a/tests/tier/test_entry.py
+++ b/tests/tier/test_entry.py
@@ -52,7 +52,7 @@
         self, batch: messages.SubQueryBatch, deliver: aggregator.Deliver
     ) -> None:
         self.batches.append(batch)
-        deliver(aggregator.BatchResult(batch, errors.NotOwner('test')))
+        deliver(aggregator.BatchResult(batch, errors.Overloaded('test')))
 
 
 class _Router:
--- a/tests/tier/test_gather.py
+++ b/tests/tier/test_gather.py
@@ -13,9 +13,9 @@
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
-from corianderport_tier.process import leases
 from corianderport_tier.process import outcomes
 from corianderport_tier.process import owned_services
+from corianderport_tier.process import ownership_types
 from corianderport_tier.process import selection
 from corianderport_tier.process import upstream as upstream_module
 from corianderport_tier.request import deadlines
@@ -45,14 +45,17 @@
 class _Lease:
     """A lease in the state that a test sets."""
 
-    state: leases.LeaseState = leases.LeaseState.FULL
+    state: ownership_types.LeaseState = ownership_types.LeaseState.FULL
 
-    def may_send(self, service: str) -> leases.LeaseState:
+    def may_send(self, service: str) -> ownership_types.LeaseState:
         return self.state
 
     def term(self, service: str) -> int:
         return 0
 
+    def inherited(self, service: str) -> frozenset[str]:
+        return frozenset()
+
 
 class _Host:
     """An owner with one service, fake searchers and a manual clock."""
@@ -308,7 +311,7 @@
 ) -> None:
     """Guards against a half limit that counts the request to be sent."""
     host.warm()
-    host.lease.state = leases.LeaseState.RESTRICTED
+    host.lease.state = ownership_types.LeaseState.RESTRICTED
     assert _covered(host.run()) == list(_SHARDS)
     assert len(host.dialer.calls) == 1
 
@@ -317,7 +320,7 @@
     host: _Host,
 ) -> None:
     """Guards against two owners that send to one cold searcher."""
-    host.lease.state = leases.LeaseState.RESTRICTED
+    host.lease.state = ownership_types.LeaseState.RESTRICTED
     assert host.run().refused == (_SERVICE,)
     assert host.dialer.calls == []
 
