Never let libcurl replace a connection to a searcher by itself

A searcher that is restarted ends its connections. libcurl replaced them unnoticed, and repeated requests that it had sent, so that the cold searcher got as many requests at once as the warm one. The test failed before.

--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -56,10 +56,22 @@
 
 
 class CurlClient:
-    """A handle that keeps one connection to ``ip:port`` open."""
-
-    def __init__(self, address: str, connect_timeout_s: float) -> None:
+    """A handle that keeps one connection to ``ip:port`` open.
+
+    :param reconnect: whether libcurl replaces a connection that has ended,
+        which may send a request a second time. Otherwise the call fails
+        with ConnectionBroken.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connect_timeout_s: float,
+        reconnect: bool = True,
+    ) -> None:
         self._address = address
+        self._reconnect = reconnect
+        self._fresh = False
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
         self._aborted = False
@@ -70,7 +82,8 @@
         handle.setopt(pycurl.TCP_KEEPIDLE, _KEEP_ALIVE_S)
         handle.setopt(pycurl.TCP_KEEPINTVL, _KEEP_ALIVE_S)
         handle.setopt(pycurl.MAXCONNECTS, 1)
-        handle.setopt(pycurl.MAXAGE_CONN, _MAX_IDLE_S)
+        if reconnect:
+            handle.setopt(pycurl.MAXAGE_CONN, _MAX_IDLE_S)
         handle.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
         handle.setopt(pycurl.PROXY, '')
         handle.setopt(pycurl.MAXFILESIZE, _MAX_REPLY_BYTES)
@@ -113,6 +126,7 @@
         handle = self._handle
         gate = _SendGate(check)
         handle.setopt(pycurl.FRESH_CONNECT, 1)
+        self._fresh = True
         handle.setopt(pycurl.PREREQFUNCTION, gate)
         try:
             return self.post(path, body, timeout_s)
@@ -127,6 +141,7 @@
         finally:
             handle.unsetopt(pycurl.PREREQFUNCTION)
             handle.setopt(pycurl.FRESH_CONNECT, 0)
+            self._fresh = False
 
     def get(self, path: str, timeout_s: float) -> HttpReply:
         """Send a GET and wait for its reply; errors as for post."""
@@ -146,15 +161,15 @@
     def close(self) -> None:
         """Close the connection."""
         self._handle.close()
-        with self._lock:
-            if self._socket is not None:
-                self._socket.close()
-                self._socket = None
+        self._drop_socket()
 
     def _open_socket(
         self, purpose: int, address: tuple[int, int, int, object]
     ) -> socket.socket | int:
         """Open a socket for libcurl, which duplicates its descriptor."""
+        may_open = self._reconnect or self._fresh or self._socket is None
+        if not may_open:
+            return _NO_SOCKET
         family, kind, protocol, _ = address
         opened = socket.socket(family, kind, protocol)
         opened.setsockopt(
@@ -180,10 +195,19 @@
             handle.perform()
         except pycurl.error as error:
             raise self._fault(error, reused) from error
+        if handle.getinfo(pycurl.ACTIVESOCKET) == _NO_SOCKET:
+            # The reply asked for the connection to be closed.
+            self._drop_socket()
         return HttpReply(
             handle.getinfo(pycurl.RESPONSE_CODE), reply.getvalue()
         )
 
+    def _drop_socket(self) -> None:
+        with self._lock:
+            if self._socket is not None:
+                self._socket.close()
+                self._socket = None
+
     def _fault(
         self, error: pycurl.error, reused: bool
     ) -> errors.TransportError:
--- a/packages/wire/src/corianderport_wire/connection/upstream_client.py
+++ b/packages/wire/src/corianderport_wire/connection/upstream_client.py
@@ -75,7 +75,11 @@
         self, searcher: configuration.Searcher, timeout_s: float
     ) -> HttpUpstreamTransport:
         """Return a connection that is opened by its first call."""
-        client = curl_client.CurlClient(searcher.address, timeout_s)
+        # An ended connection may mean that the searcher was restarted,
+        # which the owner must learn before it sends again.
+        client = curl_client.CurlClient(
+            searcher.address, timeout_s, reconnect=False
+        )
         return HttpUpstreamTransport(client, self._clock)
 
 
--- a/tests/wire/test_upstream_client.py
+++ b/tests/wire/test_upstream_client.py
@@ -121,6 +121,65 @@
         client.close()
 
 
+def _serve_two(listener: socket.socket) -> int:
+    """Answer on one connection, close it; return later connections."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(65_536)
+        connection.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+    listener.settimeout(0.2)
+    try:
+        later, _ = listener.accept()
+    except TimeoutError:
+        return 0
+    later.close()
+    return 1
+
+
+def test_search_is_not_repeated_on_a_new_connection(
+    listener: socket.socket,
+) -> None:
+    """Guards against requests that meet a restarted searcher unnoticed.
+
+    Its connections have ended; when libcurl replaces them by itself, the
+    searcher gets as many requests at once as it got when it was warm.
+    """
+    address = f'127.0.0.1:{listener.getsockname()[1]}'
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        served = executor.submit(_serve_two, listener)
+        client = curl_client.CurlClient(address, _LONG_S, reconnect=False)
+        client.get('/', _LONG_S)
+        with pytest.raises(errors.ConnectionBroken):
+            client.post('/search', b'{}', 5.0)
+        assert served.result(_LONG_S) == 0
+        client.close()
+
+
+def test_reply_that_closes_the_connection_breaks_no_later_call(
+    listener: socket.socket,
+) -> None:
+    """Guards against failures at a searcher without keep-alive."""
+    reply = (
+        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
+    )
+
+    def serve() -> None:
+        for _ in range(2):
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                connection.sendall(reply)
+
+    address = f'127.0.0.1:{listener.getsockname()[1]}'
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        served = executor.submit(serve)
+        client = curl_client.CurlClient(address, _LONG_S, reconnect=False)
+        for _ in range(2):
+            assert client.get('/', _LONG_S).status == 200
+        served.result(_LONG_S)
+        client.close()
+
+
 class _Decoder:
     def __init__(self, address: str) -> None:
         self._address = address
