Share the budget of extra sub-requests among an owner's services

The 5% are those of the owner now, and a service may spend at most a quarter of its own sub-requests.

--- a/packages/tier/src/corianderport_tier/process/budgets.py
+++ b/packages/tier/src/corianderport_tier/process/budgets.py
@@ -5,10 +5,11 @@
 
 import collections
 import random
+import threading
 
 import attrs
 
-__all__ = ['Backoff', 'Budget', 'BudgetShare']
+__all__ = ['Backoff', 'Budget', 'BudgetShare', 'ExtraBudget', 'SharedBudget']
 
 _BUCKET_S = 1.0
 _BUCKETS = 10
@@ -48,16 +49,24 @@
 
         :param minimum: allowed in a window whatever its share is.
         """
-        bucket = self._bucket(now_s)
+        if not self.may_spend(now_s, minimum):
+            return False
+        self.spend(now_s)
+        return True
+
+    def may_spend(self, now_s: float, minimum: int = 0) -> bool:
+        """Whether one extra sub-request is left."""
+        self._bucket(now_s)
         requests = sum(b.requests for b in self._buckets)
         spent = sum(b.spent for b in self._buckets)
         allowed = max(
             self._share.share * requests, self._share.minimum, minimum
         )
-        if spent + 1 > allowed:
-            return False
-        bucket.spent += 1
-        return True
+        return spent + 1 <= allowed
+
+    def spend(self, now_s: float) -> None:
+        """Count one extra sub-request."""
+        self._bucket(now_s).spent += 1
 
     def _bucket(self, now_s: float) -> _Bucket:
         number = int(now_s // _BUCKET_S)
@@ -69,6 +78,50 @@
         return buckets[-1]
 
 
+class SharedBudget:
+    """A budget that all services of an owner spend from."""
+
+    def __init__(self, share: BudgetShare) -> None:
+        self._budget = Budget(share)
+        self._lock = threading.Lock()
+
+    def count_request(self, now_s: float) -> None:
+        """Count a sub-request of any service."""
+        with self._lock:
+            self._budget.count_request(now_s)
+
+    def try_spend(self, now_s: float, minimum: int = 0) -> bool:
+        """Take one extra sub-request, when the budget has one left."""
+        with self._lock:
+            return self._budget.try_spend(now_s, minimum)
+
+
+@attrs.frozen
+class ExtraBudget:
+    """What one service may spend of its owner's budget.
+
+    The owner's budget bounds the extra load; the service's own budget
+    keeps one bad service from spending all of it.
+    """
+
+    own: Budget
+    owner: SharedBudget
+
+    def count_request(self, now_s: float) -> None:
+        """Count a sub-request that is the first for its shards."""
+        self.own.count_request(now_s)
+        self.owner.count_request(now_s)
+
+    def try_spend(self, now_s: float, minimum: int = 0) -> bool:
+        """Take one extra sub-request, when both budgets have one left."""
+        if not self.own.may_spend(now_s, minimum):
+            return False
+        if not self.owner.try_spend(now_s, minimum):
+            return False
+        self.own.spend(now_s)
+        return True
+
+
 @attrs.frozen
 class Backoff:
     """Exponential delays with jitter, seconds."""
--- a/packages/tier/src/corianderport_tier/process/owned_services.py
+++ b/packages/tier/src/corianderport_tier/process/owned_services.py
@@ -114,6 +114,7 @@
         held: leases.LeaseCheck | None = None,
     ) -> None:
         self._leases = leases.AlwaysFull() if held is None else held
+        self._extra = upstreams.extra_budget()
         self._by_searcher: dict[str, OwnedService] = {}
         self._store = store
         self._dialer = dialer
@@ -214,7 +215,7 @@
 
     def _new_service(self, service: configuration.Service) -> OwnedService:
         state = upstreams.ServiceUpstreams(
-            service, self._policy, self._rng, self._clock
+            service, self._policy, self._rng, self._clock, self._extra
         )
         return OwnedService(
             service, state, self._dialer, self._executor, self._clock
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -17,14 +17,15 @@
 from corianderport_tier.process import upstream as upstream_module
 from corianderport_tier.version import configuration
 
-__all__ = ['ServiceUpstreams']
+__all__ = ['ServiceUpstreams', 'extra_budget']
 
 Upstream = upstream_module.Upstream
 SearcherFilter = collections.abc.Callable[[configuration.Searcher], bool]
 
 _WAITERS_PER_SLOT = 32
 # Extra sub-requests add load; retries of what was not run do not.
-_EXTRA = budgets.BudgetShare(0.05)
+_OWNER_EXTRA = budgets.BudgetShare(0.05)
+_SERVICE_EXTRA = budgets.BudgetShare(0.25, minimum=2)
 _RETRIES = budgets.BudgetShare(0.2, minimum=10)
 _PROBES_MINIMUM = 2
 _TIMEOUTS_MINIMUM = 8
@@ -39,6 +40,7 @@
         policy: selection.SelectionPolicy,
         rng: random.Random,
         clock: clocks.Clock,
+        owner: budgets.SharedBudget | None = None,
     ) -> None:
         self._name = service.name
         self._policy = policy
@@ -49,7 +51,9 @@
         self._former: dict[str, Upstream] = {}
         self._queue = capacity_queue.CapacityQueue()
         self._window = latency.LatencyWindow()
-        self._extra = budgets.Budget(_EXTRA)
+        self._extra = budgets.ExtraBudget(
+            budgets.Budget(_SERVICE_EXTRA), owner or extra_budget()
+        )
         self._retries = budgets.Budget(_RETRIES)
         self.backoff = budgets.Backoff(rng)
         self.update(service)
@@ -390,6 +394,11 @@
         return upstream_module.Peers.of(upstream, self._upstreams.values())
 
 
+def extra_budget() -> budgets.SharedBudget:
+    """Return the budget of one owner for extra sub-requests."""
+    return budgets.SharedBudget(_OWNER_EXTRA)
+
+
 def _plain_outcome(latency_s: float | None) -> outcomes.Outcome:
     if latency_s is None:
         return outcomes.Outcome(outcomes.OutcomeKind.NOT_SENT)
--- a/tests/tier/test_upstreams.py
+++ b/tests/tier/test_upstreams.py
@@ -3,6 +3,7 @@
 import random
 
 from corianderport_testkit import clock as manual
+from corianderport_tier.process import budgets
 from corianderport_tier.process import outcomes
 from corianderport_tier.process import selection
 from corianderport_tier.process import upstream as upstream_module
@@ -20,7 +21,12 @@
 class _Service:
     """A service whose requests a test answers one by one."""
 
-    def __init__(self, searchers: int = 3, slots: int = 2) -> None:
+    def __init__(
+        self,
+        searchers: int = 3,
+        slots: int = 2,
+        owner: budgets.SharedBudget | None = None,
+    ) -> None:
         self.clock = manual.ManualClock()
         self.service = configuration.Service(
             's',
@@ -36,6 +42,7 @@
             selection.policy('power-of-two'),
             random.Random(1),
             self.clock,
+            owner,
         )
 
     def acquire(self, *excluded: str) -> Upstream | None:
@@ -362,6 +369,34 @@
     assert 10 <= hedges <= 20
 
 
+def test_quiet_service_hedges_from_the_budget_of_its_owner() -> None:
+    """Guards against a straggler that a quiet service cannot hedge.
+
+    Five in a hundred of its own few requests are less than one hedge.
+    """
+    owner = budgets.SharedBudget(budgets.BudgetShare(0.05))
+    busy, quiet = _Service(owner=owner), _Service(owner=owner)
+    for _ in range(200):
+        busy.state.count_request()
+    quiet.state.count_request()
+    hedges = [quiet.state.try_hedge(_everywhere, ()) for _ in range(3)]
+    assert [h is not None for h in hedges] == [True, True, False]
+
+
+def test_services_of_an_owner_share_one_budget() -> None:
+    """Guards against extra load that grows with the number of services."""
+    owner = budgets.SharedBudget(budgets.BudgetShare(0.05))
+    services = [_Service(owner=owner) for _ in range(10)]
+    hedges = 0
+    for service in services:
+        for _ in range(20):
+            service.state.count_request()
+    for service in services:
+        for _ in range(3):
+            hedges += service.state.try_hedge(_everywhere, ()) is not None
+    assert hedges == 10
+
+
 def test_removed_searcher_may_not_be_sent_to() -> None:
     """Guards against a request to a searcher that left the configuration."""
     service = _Service()
