--- a/packages/testkit/src/corianderport_testkit/process/action_hosts.py
+++ b/packages/testkit/src/corianderport_testkit/process/action_hosts.py
@@ -354,6 +354,9 @@
     def term(self, service: str) -> int:
         return 0
 
+    def inherited(self, service: str) -> frozenset[str]:
+        return frozenset()
+
 
 @attrs.frozen
 class _SearcherDialer:
--- a/packages/testkit/src/corianderport_testkit/process/stage.py
+++ b/packages/testkit/src/corianderport_testkit/process/stage.py
@@ -20,7 +20,7 @@
 
 _WAIT_S = 40.0
 _PAUSE_S = 0.05
-_DEADLINE_MS = 10_000.0
+_DEADLINE_MS = 4_000.0
 _QUERY = 'painted stilts'
 _FLAGS = {'true': True, 'false': False}
 
--- a/packages/tier/src/corianderport_tier/process/upstream.py
+++ b/packages/tier/src/corianderport_tier/process/upstream.py
@@ -6,6 +6,8 @@
 import collections.abc
 import random
 
+import attrs
+
 from corianderport_tier.process import health
 from corianderport_tier.process import latency
 from corianderport_tier.process import limits
@@ -13,31 +15,69 @@
 from corianderport_tier.process import slow_start
 from corianderport_tier.version import configuration
 
-__all__ = ['Upstream']
+__all__ = ['Peers', 'Upstream']
 
 _SLOW_FACTOR = 4.0
 # Scheduling noise of the own process must not look like a slow searcher.
 _SLOW_MARGIN_S = 0.005
 _SLOW_TO_COOL = 2
 _SLOW_TO_PROBATION = 3
+_UNUSED_S = 30.0
 _SAMPLES_TO_COMPARE = 5
 # Attempts are hedged after a high quantile of the latency, so that a few
 # in a row are unlikely to be overtaken by chance.
 _OVERTAKEN_TO_PROBATION = 4
 
 
+@attrs.frozen
+class Peers:
+    """What a searcher is measured against.
+
+    ``usual_s`` is the latency of its replicas in seconds, None when it is
+    unknown; ``may_hold`` is False when too many of them are on probation.
+    """
+
+    usual_s: float | None = None
+    may_hold: bool = False
+
+    @classmethod
+    def of(
+        cls,
+        upstream: 'Upstream',
+        replicas: collections.abc.Collection['Upstream'],
+    ) -> 'Peers':
+        """Return what one of the replicas is measured against now."""
+        # The last answer counts as well as the average: a pause of this
+        # host delays the answers of all searchers at once.
+        latencies = sorted(
+            max(u.latency.recent_s, u.latency.last_s)
+            for u in replicas
+            if u is not upstream and u.comparable
+        )
+        if not latencies:
+            return cls()
+        # Where most searchers are slow, none is a straggler.
+        held = sum(not u.health.normal for u in replicas if u is not upstream)
+        return cls(
+            usual_s=latencies[len(latencies) // 2],
+            may_hold=held + 1 <= len(replicas) // 2,
+        )
+
+
 class Upstream:
     """One searcher; guarded by the lock of its ``ServiceUpstreams``."""
 
     def __init__(
-        self, searcher: configuration.Searcher, slots: int, rng: random.Random
+        self, searcher: configuration.Searcher, rng: random.Random
     ) -> None:
         self.searcher = searcher
-        self.slow_start = slow_start.SlowStart(slots)
+        self.slow_start = slow_start.SlowStart(slow_start.LOWEST_LIMIT)
         self.health = health.Health(rng)
         self.occupancy = limits.Occupancy()
         self.latency = latency.LatencyAverage()
         self._expected_s = 0.0
+        self._permitted = True
+        self._started_s: float | None = None
         self._slow_streak = 0
         self._lost_streak = 0
         self._overtaken_streak = 0
@@ -69,6 +109,23 @@
             self.health.normal and self.latency.samples >= _SAMPLES_TO_COMPARE
         )
 
+    def is_at(self, searcher: configuration.Searcher) -> bool:
+        """Whether the state is that of a searcher's address."""
+        return self.searcher.address == searcher.address
+
+    def update(
+        self, searcher: configuration.Searcher, slots: int, permitted: bool
+    ) -> None:
+        """Take over a new version of the configuration.
+
+        :param permitted: whether it and its data centre are in service.
+        """
+        self.searcher = searcher
+        self.slow_start.slots = slots
+        if permitted and not self._permitted:
+            self.slow_start.start_over()
+        self._permitted = permitted
+
     def load(self, now_s: float) -> int:
         """Return how many requests may be running at the searcher."""
         return self.occupancy.total(now_s, self.slow_start.lowest)
@@ -79,6 +136,7 @@
 
     def ready(self, now_s: float) -> bool:
         """Whether an ordinary request may be sent."""
+        self._start_over_when_unused(now_s)
         return self.health.normal and self.has_room(now_s)
 
     def refresh(self, now_s: float) -> None:
@@ -98,8 +156,9 @@
         later = [p for p in points if p is not None and p > now_s]
         return min(later, default=None)
 
-    def start(self) -> None:
+    def start(self, now_s: float) -> None:
         """Count a request that is about to be sent."""
+        self._started_s = now_s
         if not self.health.normal:
             self.health.start_probe()
         self.occupancy.start()
@@ -107,39 +166,45 @@
     def finish(
         self,
         outcome: outcomes.Outcome,
-        usual_s: float | None,
+        peers: Peers,
         now_s: float,
     ) -> None:
-        """Count the end of a request.
-
-        :param usual_s: latency of the replicas, None when unknown.
-        """
+        """Count the end of a request."""
         if outcome.kind.may_be_running:
             self.occupancy.abandon(outcome.attempt_id, outcome.until_s)
         else:
             self.occupancy.finish()
         if self.slow_start.see(outcome.incarnation):
             self._slow_streak = self._lost_streak = 0
-        _HANDLERS[outcome.kind](self, outcome, usual_s, now_s)
+        _HANDLERS[outcome.kind](self, outcome, peers, now_s)
 
-    def on_overtaken(self, has_replicas: bool, now_s: float) -> None:
+    def on_overtaken(self, peers: Peers, now_s: float) -> None:
         """Count an attempt that a hedge overtook.
 
         A searcher that stops cancelled requests at once shows no high
         latency, because its slow requests are those that are cancelled.
         """
         self._overtaken_streak += 1
-        if has_replicas and self._overtaken_streak >= _OVERTAKEN_TO_PROBATION:
+        if (
+            peers.may_hold
+            and self._overtaken_streak >= _OVERTAKEN_TO_PROBATION
+        ):
             self._overtaken_streak = 0
             self.slow_start.start_over()
             self.health.on_slow(now_s)
 
+    def _start_over_when_unused(self, now_s: float) -> None:
+        # It may have been restarted, or used by another owner.
+        if self._started_s is not None and now_s - self._started_s > _UNUSED_S:
+            self._started_s = None
+            self.slow_start.start_over()
+
     def _on_answered(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
-        if self._is_slow(outcome.elapsed_s, usual_s):
+        if self._is_slow(outcome.elapsed_s, peers):
             self.latency.record(outcome.elapsed_s, now_s)
-            self._on_slow(usual_s is not None, now_s)
+            self._on_slow(peers, now_s)
             return
         self._slow_streak = self._lost_streak = 0
         if not outcome.overtaken:
@@ -153,7 +218,7 @@
         self.slow_start.on_success(now_s)
 
     def _on_shed(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         if self.slow_start.lowest:
             self.health.on_failure(now_s)
@@ -162,25 +227,25 @@
         self.slow_start.on_shed(now_s)
 
     def _on_draining(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         self.health.on_draining(now_s)
         self.slow_start.start_over()
 
     def _on_unreachable(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         self.health.on_failure(now_s)
         self.slow_start.suspect()
 
     def _on_broken(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         self.slow_start.suspect()
-        self._on_lost(outcome, usual_s, now_s)
+        self._on_lost(outcome, peers, now_s)
 
     def _on_lost(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         # A connection that had worked may be half-open, which is no fault
         # of the searcher.
@@ -188,36 +253,36 @@
             self.health.on_failure(now_s)
         else:
             self.health.end_probe()
-        if not self._is_slow(outcome.elapsed_s, usual_s):
+        if not self._is_slow(outcome.elapsed_s, peers):
             return
         # Half-open connections can delay as many requests as there are
         # slots before the pool closes the others.
         self._lost_streak += 1
         if self._lost_streak > self.slow_start.slots:
             self.slow_start.start_over()
-            if usual_s is not None:
+            if peers.may_hold:
                 self.health.on_slow(now_s)
 
     def _on_neutral(
-        self, outcome: outcomes.Outcome, usual_s: float | None, now_s: float
+        self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         self.health.end_probe()
 
-    def _is_slow(self, elapsed_s: float, usual_s: float | None) -> bool:
-        reference_s = usual_s
+    def _is_slow(self, elapsed_s: float, peers: Peers) -> bool:
+        reference_s = peers.usual_s
         if reference_s is None:
             if self.latency.samples < _SAMPLES_TO_COMPARE:
                 return False
             reference_s = self.latency.usual_s
         return elapsed_s > _SLOW_FACTOR * reference_s + _SLOW_MARGIN_S
 
-    def _on_slow(self, has_replicas: bool, now_s: float) -> None:
+    def _on_slow(self, peers: Peers, now_s: float) -> None:
         self._slow_streak += 1
         if self._slow_streak >= _SLOW_TO_COOL:
             self.slow_start.start_over()
         else:
             self.slow_start.on_slow()
-        if has_replicas and (
+        if peers.may_hold and (
             self._slow_streak >= _SLOW_TO_PROBATION or not self.health.normal
         ):
             self.health.on_slow(now_s)
@@ -225,9 +290,7 @@
 
 _HANDLERS: dict[
     outcomes.OutcomeKind,
-    collections.abc.Callable[
-        [Upstream, outcomes.Outcome, float | None, float], None
-    ],
+    collections.abc.Callable[[Upstream, outcomes.Outcome, Peers, float], None],
 ] = {
     outcomes.OutcomeKind.ANSWERED: Upstream._on_answered,
     outcomes.OutcomeKind.SHED: Upstream._on_shed,
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -46,6 +46,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._upstreams: dict[str, Upstream] = {}
+        self._former: dict[str, Upstream] = {}
         self._queue = capacity_queue.CapacityQueue()
         self._window = latency.LatencyWindow()
         self._extra = budgets.Budget(_EXTRA)
@@ -58,22 +59,33 @@
         """When to hedge an attempt and when to give it up."""
         return self._window.times
 
-    def update(self, service: configuration.Service) -> None:
-        """Take over a new version; known searchers keep their state."""
+    def update(
+        self,
+        service: configuration.Service,
+        in_service: SearcherFilter | None = None,
+    ) -> None:
+        """Take over a new version; known searchers keep their state.
+
+        A searcher that returns to service starts at the lowest limit.
+        """
         with self._lock:
-            known = self._upstreams
+            now_s = self._clock.monotonic()
+            known = {**self._former, **self._upstreams}
             self._upstreams = {}
             for searcher in service.searchers:
                 upstream = known.get(searcher.name)
-                if upstream is None or (
-                    upstream.searcher.address != searcher.address
-                ):
-                    upstream = Upstream(
-                        searcher, service.limits.slots, self._rng
-                    )
-                upstream.searcher = searcher
-                upstream.slow_start.slots = service.limits.slots
+                if upstream is None or not upstream.is_at(searcher):
+                    upstream = Upstream(searcher, self._rng)
+                permitted = in_service is None or in_service(searcher)
+                upstream.update(searcher, service.limits.slots, permitted)
                 self._upstreams[searcher.name] = upstream
+            # Requests to a searcher that was removed may still be running
+            # when it is added again.
+            self._former = {
+                name: upstream
+                for name, upstream in known.items()
+                if name not in self._upstreams and upstream.load(now_s) > 0
+            }
             self._grant()
 
     def start_over(self) -> None:
@@ -82,16 +94,44 @@
             for upstream in self._upstreams.values():
                 upstream.slow_start.start_over()
 
-    def is_warm_and_half_free(self, name: str) -> bool:
+    def warm(self) -> tuple[str, ...]:
+        """Return the names of the searchers that have their full limit."""
+        with self._lock:
+            return tuple(
+                u.name
+                for u in self._upstreams.values()
+                if u.limit >= u.slow_start.slots
+            )
+
+    def idle(self) -> bool:
+        """Whether nothing may be running at any searcher."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            return not any(
+                u.occupancy.total(now_s, strict=True)
+                for u in self._upstreams.values()
+            )
+
+    def is_idle(self, name: str, counted: int = 0) -> bool:
+        """Whether this host waits for no other answer of a searcher.
+
+        Read without the lock, like ``is_warm_and_half_free``.
+        """
+        upstream = self._upstreams.get(name)
+        return upstream is not None and upstream.in_flight <= counted
+
+    def is_warm_and_half_free(self, name: str, counted: int = 0) -> bool:
         """Whether a searcher may get work without a lease.
 
         Read without the lock, since filters are called under it.
+
+        :param counted: 1 when the request is counted already.
         """
         upstream = self._upstreams.get(name)
         return (
             upstream is not None
             and upstream.limit >= upstream.slow_start.slots
-            and 2 * upstream.in_flight < upstream.limit
+            and 2 * (upstream.in_flight - counted) < upstream.limit
         )
 
     def try_acquire(
@@ -107,7 +147,7 @@
         with self._lock:
             chosen = self._choose(allowed, excluded)
             if chosen is not None:
-                chosen.start()
+                chosen.start(self._clock.monotonic())
             return chosen
 
     def try_hedge(
@@ -121,7 +161,7 @@
             chosen = self._choose_ready(allowed, excluded, now_s)
             if chosen is None or not self._extra.try_spend(now_s):
                 return None
-            chosen.start()
+            chosen.start(now_s)
             return chosen
 
     def try_probe(
@@ -138,7 +178,7 @@
                 if upstream.probe_ready(now_s) and self._extra.try_spend(
                     now_s, _PROBES_MINIMUM
                 ):
-                    upstream.start()
+                    upstream.start(now_s)
                     return upstream
             return None
 
@@ -183,7 +223,7 @@
         with self._lock:
             now_s = self._clock.monotonic()
             self._record_latency(outcome)
-            upstream.finish(outcome, self._usual_s(upstream), now_s)
+            upstream.finish(outcome, self._peers(upstream), now_s)
             self._grant()
 
     def stopped(self, upstream: Upstream, attempt_id: str) -> bool:
@@ -252,8 +292,8 @@
     def overtaken(self, upstream: Upstream) -> None:
         """Note that a later attempt at a replica was answered first."""
         with self._lock:
-            usual_s = self._usual_s(upstream)
-            upstream.on_overtaken(usual_s is not None, self._clock.monotonic())
+            peers = self._peers(upstream)
+            upstream.on_overtaken(peers, self._clock.monotonic())
 
     def _eligible(
         self,
@@ -315,10 +355,12 @@
                     return
                 continue
             self._queue.remove(entry)
-            chosen.start()
+            chosen.start(self._clock.monotonic())
             if not entry.waiter.capacity_granted(self._name, chosen):
                 chosen.finish(
-                    _plain_outcome(None), None, self._clock.monotonic()
+                    _plain_outcome(None),
+                    upstream_module.Peers(),
+                    self._clock.monotonic(),
                 )
 
     def _any_room(self) -> bool:
@@ -370,15 +412,8 @@
         ):
             self._window.record(outcome.elapsed_s)
 
-    def _usual_s(self, upstream: Upstream) -> float | None:
-        """Return the median latency of the replicas of a searcher."""
-        others = [
-            u.latency.recent_s
-            for u in self._upstreams.values()
-            if u is not upstream and u.comparable
-        ]
-        others.sort()
-        return others[len(others) // 2] if others else None
+    def _peers(self, upstream: Upstream) -> upstream_module.Peers:
+        return upstream_module.Peers.of(upstream, self._upstreams.values())
 
 
 def _plain_outcome(latency_s: float | None) -> outcomes.Outcome:
--- a/tests/tier/test_entry.py
+++ b/tests/tier/test_entry.py
@@ -6,10 +6,13 @@
 
 from corianderport_testkit import clock as manual_clock
 from corianderport_testkit.version import deployments
+from corianderport_tier import errors
 from corianderport_tier.process import action_service
+from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import entry
+from corianderport_tier.process import membership
 from corianderport_tier.process import routing
 from corianderport_tier.process import shutdown
 from corianderport_tier.request import deadlines
@@ -41,6 +44,53 @@
         )
 
 
+class _Owner:
+    def __init__(self) -> None:
+        self.batches: list[messages.SubQueryBatch] = []
+
+    def submit(
+        self, batch: messages.SubQueryBatch, deliver: aggregator.Deliver
+    ) -> None:
+        self.batches.append(batch)
+        deliver(aggregator.BatchResult(batch, errors.NotOwner('test')))
+
+
+class _Router:
+    def __init__(self) -> None:
+        self.owner = _Owner()
+
+    def owners(self, service: str) -> list[membership.Member]:
+        return [membership.Member('host-0', 'dc-a', '127.0.0.1:1')]
+
+    def aggregator(self, member: membership.Member) -> _Owner:
+        return self.owner
+
+
+def test_search_is_sent_with_the_deadline_of_the_configuration() -> None:
+    """Guards against a request that outlives a change of owners.
+
+    A new owner waits for one maximum deadline before it sends.
+    """
+    clock = manual_clock.ManualClock()
+    store = configuration_store.ConfigurationStore(_Decoder(), clock)
+    store.offer(b'')
+    router = _Router()
+    role = entry.Entry(
+        store,
+        typing.cast(routing.Router, router),
+        typing.cast(action_service.ActionService, None),
+        shutdown.RequestGate(clock),
+        clock,
+        decision_log.DecisionLog(),
+    )
+    deadline = deadlines.Deadline.after(clock, 30.0)
+    role.search(
+        messages.SearchRequest('r', 'stock', 'x', 1, deadline, 'default')
+    )
+    (batch,) = router.owner.batches
+    assert 0.1 < batch.deadline.remaining(clock) < 0.2
+
+
 @pytest.mark.parametrize(
     ('configured', 'action', 'expected_s'),
     [(True, 'reserve', 0.2), (True, 'other', 30.0), (False, 'reserve', 30.0)],
