--- a/packages/daemon/src/corianderport_daemon/process/settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -51,7 +51,12 @@
     name: str, minimum: int, maximum: int
 ) -> collections.abc.Callable[[object], int]:
     def convert(value: object) -> int:
-        return int(_number(name, minimum, maximum)(value))
+        checked = _number(name, minimum, maximum)(value)
+        if not checked.is_integer():
+            raise errors.SettingInvalid(
+                f'{name}: {value!r} is not a whole number'
+            )
+        return int(checked)
 
     return convert
 
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -27,6 +27,7 @@
         ({**_GOOD, 'shared_keys': 'first key,'}, 'shared_keys: a key has'),
         ({**_GOOD, 'nonsense': 1}, "flag: 'nonsense' is not one of"),
         ({**_GOOD, 'tasks': 'x'}, "tasks: 'x' is not a number from 16"),
+        ({**_GOOD, 'tasks': 16.5}, "tasks: '16.5' is not a whole number"),
         ({**_GOOD, 'tasks': 1}, "tasks: '1' is not a number from 16"),
         ({**_GOOD, 'platform': 'x:1'}, "platform: 'x:1' is not an IP"),
     ],
