--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -108,10 +108,10 @@
             self._stack.callback(task.close)
             self._executor.submit(task.run)
 
-    def announce_leaving(self) -> None:
-        """Tell the other hosts that this one owns no more services."""
+    def leave(self) -> None:
+        """Give up all services and tell the other hosts at once."""
         self.members.leave()
-        self.control.wake()
+        self.control.version_changed()
 
     def _build(self) -> None:
         period_s = self._settings.heartbeat_s
--- a/packages/operator/src/corianderport_operator/process/live_commands.py
+++ b/packages/operator/src/corianderport_operator/process/live_commands.py
@@ -22,6 +22,7 @@
 _MAX_DEADLINE_MS = 60_000
 _MAX_INTERVAL_S = 3_600
 _MAX_PORT = 65_535
+_USUAL_STATES = ('in-service', 'warming-up')
 _ANSWERED = (result_codes.ResultCode.OK, result_codes.ResultCode.PARTIAL)
 
 
@@ -168,7 +169,7 @@
         (host.host, view.service, view.name, view.state, view.reason)
         for host in fleet.hosts
         for view in host.upstreams
-        if view.state != 'in-service'
+        if view.state not in _USUAL_STATES
     ]
     if rows:
         print()
@@ -189,7 +190,7 @@
     )
     if reply.detail:
         print(reply.detail)
-    if reply.code not in _ANSWERED:
+    if reply.snapshot == 0:
         return
     missing = ', '.join(reply.coverage.missing) or 'none'
     print(
--- a/packages/testkit/src/corianderport_testkit/process/document_searchers.py
+++ b/packages/testkit/src/corianderport_testkit/process/document_searchers.py
@@ -12,6 +12,9 @@
 import fire
 
 from corianderport_testkit.process import searcher
+from corianderport_tier import clocks
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
 from corianderport_tier.version import snapshots
 from corianderport_wire.version import document
@@ -71,17 +74,36 @@
                     slots=service.limits.slots, held=tuple(sorted(numbers))
                 )
                 host, _, port = described.address.rpartition(':')
-                server = searcher.SearcherServer(
-                    searcher.Searcher(described.name, content, behaviour),
-                    host,
-                    int(port),
-                )
+                double = searcher.Searcher(described.name, content, behaviour)
+                _build_indexes(double, accepted, content)
+                server = searcher.SearcherServer(double, host, int(port))
                 stack.callback(server.close)
                 server.start()
         print('{}', flush=True)
         stopped.wait()
 
 
+def _build_indexes(
+    double: searcher.Searcher,
+    accepted: configuration.Configuration,
+    content: ServiceContent,
+) -> None:
+    """Search all shards once, since they are indexed at their first use."""
+    for index, published in accepted.indexes.items():
+        double.search(
+            messages.UpstreamSearch(
+                request_id='start',
+                attempt_id='start',
+                index=index,
+                snapshot=published[0].number,
+                shards=tuple(shard.name for shard in content.shards),
+                query='',
+                limit=1,
+                deadline=deadlines.Deadline.after(clocks.SystemClock(), 60.0),
+            )
+        )
+
+
 def main() -> None:
     """Parse the flags and serve."""
     fire.Fire(run)
