--- a/tests/tier/test_gather.py
+++ b/tests/tier/test_gather.py
@@ -53,6 +53,9 @@
     def term(self, service: str) -> int:
         return 0
 
+    def inherited(self, service: str) -> frozenset[str]:
+        return frozenset()
+
 
 class _Host:
     """An owner with one service, fake searchers and a manual clock."""
