--- a/packages/testkit/src/corianderport_testkit/process/action_hosts.py
+++ b/packages/testkit/src/corianderport_testkit/process/action_hosts.py
@@ -27,10 +27,10 @@
 from corianderport_tier.process import entry
 from corianderport_tier.process import hand_over
 from corianderport_tier.process import handed_over
-from corianderport_tier.process import leases
 from corianderport_tier.process import membership
 from corianderport_tier.process import owned_services
 from corianderport_tier.process import ownership
+from corianderport_tier.process import ownership_types
 from corianderport_tier.process import peers
 from corianderport_tier.process import routing
 from corianderport_tier.process import selection
@@ -106,7 +106,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.hosts: dict[str, ActionHost] = {}
         self.on_stage: collections.abc.Callable[[Stage], None] | None = None
-        self.lease = leases.LeaseState.FULL
+        self.lease = ownership_types.LeaseState.FULL
         self._rng = random.Random(seed)
         self._lock = threading.Lock()
         self._late: list[collections.abc.Callable[[], object]] = []
@@ -348,7 +348,7 @@
 
     world: World
 
-    def may_send(self, service: str) -> leases.LeaseState:
+    def may_send(self, service: str) -> ownership_types.LeaseState:
         return self.world.lease
 
     def term(self, service: str) -> int:
--- a/packages/testkit/src/corianderport_testkit/process/state_costs.py
+++ b/packages/testkit/src/corianderport_testkit/process/state_costs.py
@@ -14,9 +14,9 @@
 from corianderport_testkit.process import experiments
 from corianderport_testkit.version import deployments
 from corianderport_tier.process import heartbeats
-from corianderport_tier.process import leases
 from corianderport_tier.process import membership
 from corianderport_tier.process import owners
+from corianderport_tier.process import ownership_types
 from corianderport_tier.version import configuration
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.version import document
@@ -108,7 +108,7 @@
         rumour,
         1,
         (rumour,) * rumours,
-        (leases.LeaseRequest('catalogue-0001', True),) * _LEASES,
+        (ownership_types.LeaseRequest('catalogue-0001', True),) * _LEASES,
     )
     encoded = heartbeat_codec.heartbeat_to_thrift(message)
     return len(thriftpy2.utils.serialize(encoded))
--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -12,8 +12,8 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
-from corianderport_tier.process import leases
 from corianderport_tier.process import owned_services
+from corianderport_tier.process import ownership_types
 from corianderport_tier.request import action_attempts
 from corianderport_tier.request import gather
 from corianderport_tier.request import messages
@@ -56,7 +56,7 @@
         executor: concurrent.futures.Executor,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
-        held: leases.LeaseCheck,
+        held: ownership_types.LeaseCheck,
     ) -> None:
         self._leases = held
         self._services = services
@@ -78,7 +78,7 @@
             sub_query.service
             for sub_query in batch.sub_queries
             if self._leases.may_send(sub_query.service)
-            is leases.LeaseState.NONE
+            is ownership_types.LeaseState.NONE
         )
         owned = tuple(
             s for s in batch.sub_queries if s.service not in not_owned
@@ -91,7 +91,15 @@
             self._clock,
             self._log,
         ).run()
-        return attrs.evolve(answer, not_owned=not_owned)
+        # Refused for want of a lease: it may be had soon, or by the other
+        # owner.
+        lapsed = tuple(
+            service
+            for service in answer.refused
+            if self._leases.may_send(service)
+            is not ownership_types.LeaseState.FULL
+        )
+        return attrs.evolve(answer, not_owned=not_owned + lapsed)
 
     def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
         """Run the action on the calling task."""
@@ -100,7 +108,7 @@
 
         def check() -> None:
             held = self._leases.may_send(call.service)
-            if held is leases.LeaseState.NONE:
+            if held is ownership_types.LeaseState.NONE:
                 raise not_owner
 
         check()
@@ -110,7 +118,7 @@
             ).run()
         except errors.NoUpstream as error:
             held = self._leases.may_send(call.service)
-            if held is leases.LeaseState.FULL:
+            if held is ownership_types.LeaseState.FULL:
                 raise
             # Without a lease only warm searchers may be used.
             raise not_owner from error
--- a/packages/wire/src/corianderport_wire/connection/heartbeat_codec.py
+++ b/packages/wire/src/corianderport_wire/connection/heartbeat_codec.py
@@ -6,8 +6,8 @@
 import typing
 
 from corianderport_tier.process import heartbeats
-from corianderport_tier.process import leases
 from corianderport_tier.process import membership
+from corianderport_tier.process import ownership_types
 from corianderport_wire.connection import peer_codec
 
 __all__ = ['heartbeat_from_thrift', 'heartbeat_to_thrift']
@@ -45,7 +45,7 @@
 
 
 def _leases_to_thrift(
-    requests: tuple[leases.LeaseRequest, ...],
+    requests: tuple[ownership_types.LeaseRequest, ...],
 ) -> list[typing.Any] | None:
     return [
         _PEER.LeaseRequest(
@@ -59,9 +59,9 @@
 
 def _leases_from_thrift(
     requests: list[typing.Any] | None,
-) -> tuple[leases.LeaseRequest, ...]:
+) -> tuple[ownership_types.LeaseRequest, ...]:
     return tuple(
-        leases.LeaseRequest(
+        ownership_types.LeaseRequest(
             r.service_name, bool(r.settled), tuple(r.warm or ())
         )
         for r in requests or ()
