Ask again for a service whose lease began during the batch

Cause: a new owner without a lease refuses cold searchers; the refusal was classed by the lease state after the whole batch had run. When the lease began meanwhile, the service counted as refused for good and the answer was PARTIAL, although there was time to ask again. Found in the decision log of a search 0.1 s after a data centre was taken out. Ruled out: a slow hand-over, since the second service of the same owner was answered. The state from before the batch now counts too. The new test fails without the change.

--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -74,11 +74,14 @@
         :raises NotReady: there is no configuration yet.
         :raises NotOwner: this host may not send to any of the services.
         """
+        states = {
+            s.service: self._leases.may_send(s.service)
+            for s in batch.sub_queries
+        }
         not_owned = tuple(
-            sub_query.service
-            for sub_query in batch.sub_queries
-            if self._leases.may_send(sub_query.service)
-            is ownership_types.LeaseState.NONE
+            service
+            for service, state in states.items()
+            if state is ownership_types.LeaseState.NONE
         )
         owned = tuple(
             s for s in batch.sub_queries if s.service not in not_owned
@@ -92,11 +95,13 @@
             self._log,
         ).run()
         # Refused for want of a lease: it may be had soon, or by the other
-        # owner.
+        # owner. The state from before counts too, since the lease may have
+        # begun while the other services of the batch were answered.
         lapsed = tuple(
             service
             for service in answer.refused
-            if self._leases.may_send(service)
+            if states[service] is not ownership_types.LeaseState.FULL
+            or self._leases.may_send(service)
             is not ownership_types.LeaseState.FULL
         )
         return attrs.evolve(answer, not_owned=not_owned + lapsed)
@@ -112,13 +117,14 @@
                 raise not_owner
 
         check()
+        before = self._leases.may_send(call.service)
         try:
             return action_attempts.OwnerAction(
                 call, self._services, check, self._clock, self._log
             ).run()
         except errors.NoUpstream as error:
-            held = self._leases.may_send(call.service)
-            if held is ownership_types.LeaseState.FULL:
+            after = self._leases.may_send(call.service)
+            if before is after is ownership_types.LeaseState.FULL:
                 raise
             # Without a lease only warm searchers may be used.
             raise not_owner from error
--- a/tests/tier/test_gather.py
+++ b/tests/tier/test_gather.py
@@ -11,6 +11,7 @@
 from corianderport_testkit.connection import fake_upstreams
 from corianderport_testkit.version import deployments
 from corianderport_tier import errors
+from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import outcomes
@@ -115,10 +116,8 @@
             if upstream.name != name:
                 upstream.latency.record(1e3, self.clock.monotonic())
 
-    def start(
-        self, seconds: float = 0.5
-    ) -> concurrent.futures.Future[messages.BatchAnswer]:
-        batch = messages.SubQueryBatch(
+    def batch(self, seconds: float) -> messages.SubQueryBatch:
+        return messages.SubQueryBatch(
             'request',
             'catalogue',
             1,
@@ -127,8 +126,15 @@
             deadlines.Deadline.after(self.clock, seconds),
             (messages.SubQuery(_SERVICE, _SHARDS),),
         )
+
+    def start(
+        self, seconds: float = 0.5
+    ) -> concurrent.futures.Future[messages.BatchAnswer]:
         task = gather.Gather(
-            batch, self.services, self.clock, decision_log.DecisionLog()
+            self.batch(seconds),
+            self.services,
+            self.clock,
+            decision_log.DecisionLog(),
         )
         return self.executor.submit(task.run)
 
@@ -356,3 +362,34 @@
     host.prefer(_A)
     host.dialer.answers[_A] = lambda call: errors.ConnectFailed('refused')
     assert _covered(host.run()) == list(_SHARDS)
+
+
+@attrs.define
+class _LeaseBegins(_Lease):
+    """A lease that begins after the first question."""
+
+    def may_send(self, service: str) -> ownership_types.LeaseState:
+        before, self.state = self.state, ownership_types.LeaseState.FULL
+        return before
+
+
+def test_service_refused_before_its_lease_began_may_be_asked_again(
+    host: _Host,
+) -> None:
+    """Guards against coverage lost while a service moves to a new owner.
+
+    The lease began while the batch was running; the service was then
+    reported as refused for good.
+    """
+    restricted = ownership_types.LeaseState.RESTRICTED
+    host.lease.state = restricted
+    owner = aggregator.LocalAggregator(
+        host.services,
+        host.executor,
+        host.clock,
+        decision_log.DecisionLog(),
+        _LeaseBegins(restricted),
+    )
+    answer = owner.run(host.batch(1.0))
+    assert answer.not_owned == (_SERVICE,)
+    assert host.dialer.calls == []
