Ask for warm searchers without the lock of the leases

Cause: a lease request called 'warm' with the lock of the leases held, and 'warm' takes the lock of a service; a search holds the service's lock while it asks for its lease. The two could wait for each other for ever, which explains a search that got no byte for 10 s. The names are now collected first. The new test ends after 20 s without the change.

--- a/packages/tier/src/corianderport_tier/process/leases.py
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -163,8 +163,8 @@
     ) -> tuple[ownership_types.LeaseRequest, ...]:
         """Return the leases to ask of a host."""
         now_s = self._clock.monotonic()
+        wanted: dict[str, bool] = {}
         with self._lock:
-            wanted = []
             for name, state in self._services.items():
                 self._note_gone(state, now_s)
                 if (
@@ -172,13 +172,13 @@
                     and now_s >= state.blocked_until_s
                     and self._second(name) == member.name
                 ):
-                    settled = self._settled(state, now_s)
-                    wanted.append(
-                        ownership_types.LeaseRequest(
-                            name, settled, self.warm(name)
-                        )
-                    )
-            return tuple(wanted)
+                    wanted[name] = self._settled(state, now_s)
+        # Without the lock: a service asks for its lease while it holds the
+        # lock that ``warm`` takes.
+        return tuple(
+            ownership_types.LeaseRequest(name, settled, self.warm(name))
+            for name, settled in wanted.items()
+        )
 
     def grantors(self) -> frozenset[str]:
         """Return the names of the hosts to ask for leases."""
--- a/tests/tier/test_control_group.py
+++ b/tests/tier/test_control_group.py
@@ -1,5 +1,7 @@
 """Several hosts keep one configuration, one view and one owner."""
 
+import concurrent.futures
+
 import pytest
 
 from corianderport_testkit.process import control_group
@@ -104,3 +106,26 @@
     # all services.
     assert max(sent) <= 6 + len(control_group.SERVICES)
     assert {h.store.version for h in group.hosts.values()} == {1}
+
+
+def test_services_are_asked_for_warm_searchers_without_a_lock() -> None:
+    """Guards against a deadlock of a lease request and a search.
+
+    A search asks for the lease while it holds the lock of its service, and
+    ``warm`` takes that lock.
+    """
+    group = _settled()
+    answered = []
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        for host in group.hosts.values():
+            held = host.leases
+
+            def warm(service: str) -> tuple[str, ...]:
+                state = executor.submit(held.may_send, service)
+                answered.append(state.result(timeout=20))
+                return ()
+
+            held.warm = warm
+            for other in group.hosts.values():
+                held.requests(other.own)
+    assert answered
