--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -52,9 +52,6 @@
         """
         accepted = self._store.current()
         found = accepted.searches.get(request.search)
-        if found is not None:
-            limited = request.deadline.within(self._clock, found.deadline_ms)
-            request = attrs.evolve(request, deadline=limited)
         with self._gate.enter(), self._admit(accepted, found, request):
             return search.SearchTask(
                 request,
@@ -113,7 +110,11 @@
         found: configuration.Search | configuration.Action | None,
         request: messages.SearchRequest | messages.ActionRequest,
     ) -> contextlib.AbstractContextManager[None]:
-        worth = found.worth if found is not None else 0.0
+        worth = 0.0
+        deadline = request.deadline
+        if found is not None:
+            worth = found.worth
+            deadline = deadline.within(self._clock, found.deadline_ms)
         return self._admission.admit(
-            accepted, request.customer, worth, request.deadline
+            accepted, request.customer, worth, deadline
         )
