--- a/packages/testkit/src/corianderport_testkit/process/action_hosts.py
+++ b/packages/testkit/src/corianderport_testkit/process/action_hosts.py
@@ -7,7 +7,6 @@
 import collections.abc
 import concurrent.futures
 import contextlib
-import enum
 import functools
 import random
 import threading
@@ -17,8 +16,8 @@
 import attrs
 
 from corianderport_testkit import clock as manual_clock
+from corianderport_testkit.process import action_links
 from corianderport_testkit.version import deployments
-from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import action_service
 from corianderport_tier.process import aggregator
@@ -38,13 +37,10 @@
 from corianderport_tier.process import ticket_table
 from corianderport_tier.process import tickets
 from corianderport_tier.request import actions
-from corianderport_tier.request import deadlines
 from corianderport_tier.request import messages
-from corianderport_tier.version import configuration
-from corianderport_wire import faults
 from corianderport_wire.version import document
 
-__all__ = ['ActionHost', 'Fault', 'Stage', 'World']
+__all__ = ['ActionHost', 'World']
 
 _LIMITS = ticket_table.TicketLimits(
     lifetime_ms=5_000, retention_ms=5_000, unexpired=8
@@ -54,37 +50,6 @@
 T = typing.TypeVar('T')
 
 
-class Fault(enum.Enum):
-    """What happens to one message."""
-
-    NONE = 'none'
-    NO_CONNECTION = 'no connection'
-    REFUSED = 'refused'
-    PAUSED = 'sender paused before sending'
-    CUT_BEFORE = 'cut before it was acted on'
-    CUT_AFTER = 'cut after it was acted on'
-    LATE_ANSWER = 'answer after the timeout'
-    LATE_DELIVERY = 'delivered after the timeout'
-    LOST = 'never delivered, connection silent'
-    KILLED = 'receiver killed after it acted'
-
-
-_FAULTS = frozenset(Fault) - {Fault.NONE}
-# Faults after which another searcher is tried are drawn more often.
-_SEARCHER_FAULTS = (
-    *(f for f in Fault if f in _FAULTS - {Fault.KILLED}),
-    *(3 * (Fault.NO_CONNECTION, Fault.REFUSED)),
-)
-_PEER_FAULTS = tuple(f for f in Fault if f in _FAULTS - {Fault.REFUSED})
-
-
-class Stage(enum.Enum):
-    """Points in the sending of an action at which a test may step in."""
-
-    CONNECTED = 'connected, nothing sent'
-    RUNNING = 'running at the searcher'
-
-
 class World:
     """Hosts, searchers and the links between them.
 
@@ -102,10 +67,14 @@
         self.clock = manual_clock.ManualClock()
         self.executor = executor
         self.fault_rate = fault_rate
-        self.faults: collections.Counter[Fault] = collections.Counter()
+        self.faults: collections.Counter[action_links.Fault] = (
+            collections.Counter()
+        )
         self.runs: collections.Counter[str] = collections.Counter()
         self.hosts: dict[str, ActionHost] = {}
-        self.on_stage: collections.abc.Callable[[Stage], None] | None = None
+        self.on_stage: (
+            collections.abc.Callable[[action_links.Stage], None] | None
+        ) = None
         self.lease = ownership_types.LeaseState.FULL
         self._rng = random.Random(seed)
         self._lock = threading.Lock()
@@ -138,7 +107,7 @@
         """Put a configuration in force on all hosts."""
         self.store.offer(_document(version, out_of_service))
 
-    def reach(self, stage: Stage) -> None:
+    def reach(self, stage: action_links.Stage) -> None:
         """Let the test step in."""
         if self.on_stage is not None:
             self.on_stage(stage)
@@ -167,11 +136,13 @@
             raise errors.ConnectFailed(f'nothing listens on {address}')
         return host
 
-    def draw(self, kinds: collections.abc.Sequence[Fault]) -> Fault:
+    def draw(
+        self, kinds: collections.abc.Sequence[action_links.Fault]
+    ) -> action_links.Fault:
         """Choose and count the fault of one message."""
         with self._lock:
             if self._rng.random() >= self.fault_rate:
-                return Fault.NONE
+                return action_links.Fault.NONE
             fault = self._rng.choice(kinds)
             self.faults[fault] += 1
             return fault
@@ -189,26 +160,29 @@
 
     def deliver(
         self,
-        fault: Fault,
+        fault: action_links.Fault,
         act: collections.abc.Callable[[], T],
         timeout_s: float,
         kill: collections.abc.Callable[[], None],
     ) -> T:
         """Deliver one message with a fault and return the answer."""
-        if fault is Fault.CUT_BEFORE:
+        if fault is action_links.Fault.CUT_BEFORE:
             raise errors.ConnectionBroken(fault.value)
-        if fault in (Fault.LATE_DELIVERY, Fault.LOST):
-            if fault is Fault.LATE_DELIVERY:
+        if fault in (
+            action_links.Fault.LATE_DELIVERY,
+            action_links.Fault.LOST,
+        ):
+            if fault is action_links.Fault.LATE_DELIVERY:
                 with self._lock:
                     self._late.append(act)
             self.clock.advance(timeout_s)
             raise errors.ConnectionSilent(fault.value)
         answer = act()
-        if fault is Fault.KILLED:
+        if fault is action_links.Fault.KILLED:
             kill()
-        if fault in (Fault.CUT_AFTER, Fault.KILLED):
+        if fault in (action_links.Fault.CUT_AFTER, action_links.Fault.KILLED):
             raise errors.ConnectionBroken(fault.value)
-        if fault is Fault.LATE_ANSWER:
+        if fault is action_links.Fault.LATE_ANSWER:
             self.clock.advance(timeout_s)
             raise errors.ConnectionSilent(fault.value)
         return answer
@@ -237,7 +211,9 @@
         self._log = decision_log.DecisionLog()
         self._local = self._build_local()
         self._remote = self._stack.enter_context(
-            peers.Peers(_PeerDialer(world), world.executor, world.clock)
+            peers.Peers(
+                action_links.PeerDialer(world), world.executor, world.clock
+            )
         )
         self._router = routing.Router(
             ownership.OwnershipTable(world.store, self.members),
@@ -317,7 +293,7 @@
         services = self._stack.enter_context(
             owned_services.OwnedServices(
                 self.world.store,
-                _SearcherDialer(self.world),
+                action_links.SearcherDialer(self.world),
                 self.world.executor,
                 self._clock,
                 selection.policy('random'),
@@ -358,134 +334,6 @@
         return frozenset()
 
 
-@attrs.frozen
-class _SearcherDialer:
-    """Connects a host to the stand-ins of searchers."""
-
-    world: World
-
-    def dial(
-        self, searcher: configuration.Searcher, timeout_s: float
-    ) -> transports.UpstreamTransport:
-        link = _SearcherLink(self.world)
-        return typing.cast(transports.UpstreamTransport, link)
-
-
-@attrs.frozen
-class _SearcherLink:
-    """A connection to a stand-in that runs every action it receives."""
-
-    world: World
-
-    def act(
-        self,
-        call: messages.UpstreamAction,
-        timeout_s: float,
-        check: transports.SendCheck,
-    ) -> messages.UpstreamActionReply | messages.UpstreamRefusal:
-        fault = self.world.draw(_SEARCHER_FAULTS)
-        if fault is Fault.NO_CONNECTION:
-            raise errors.ConnectFailed(fault.value)
-        if fault is Fault.PAUSED:
-            self.world.pause()
-        self.world.reach(Stage.CONNECTED)
-        check()
-        if fault is Fault.REFUSED:
-            return messages.UpstreamRefusal(messages.RefusalReason.SHED)
-        return self.world.deliver(
-            fault, lambda: self._run(call), timeout_s, lambda: None
-        )
-
-    def close(self) -> None:
-        pass
-
-    def _run(
-        self, call: messages.UpstreamAction
-    ) -> messages.UpstreamActionReply:
-        self.world.count_run(call.payload)
-        self.world.reach(Stage.RUNNING)
-        return messages.UpstreamActionReply(
-            call.request_id, call.attempt_id, True, f'ran {call.payload}'
-        )
-
-
-@attrs.frozen
-class _PeerDialer:
-    """Connects a host to the others."""
-
-    world: World
-
-    def dial(
-        self, member: membership.Member, timeout_s: float
-    ) -> transports.PeerTransport:
-        host = self.world.find(member.peer_address)
-        fault = self.world.draw(_PEER_FAULTS)
-        if fault is Fault.NO_CONNECTION:
-            raise errors.ConnectFailed(fault.value)
-        link = _PeerLink(self.world, host, fault)
-        return typing.cast(transports.PeerTransport, link)
-
-
-@attrs.frozen
-class _PeerLink:
-    """A connection to another host; deadlines cross it as durations."""
-
-    world: World
-    host: ActionHost
-    fault: Fault
-
-    def act(
-        self, call: messages.ActionCall, timeout_s: float
-    ) -> messages.ActionAnswer:
-        remaining_s = call.request.deadline.remaining(self.world.clock)
-
-        def serve() -> messages.ActionAnswer:
-            request = self._received(call.request, remaining_s)
-            return self.host.serve_act(attrs.evolve(call, request=request))
-
-        return self._deliver(serve, timeout_s)
-
-    def act_with_ticket(
-        self, request: messages.ActionRequest, timeout_s: float
-    ) -> messages.ActionAnswer:
-        remaining_s = request.deadline.remaining(self.world.clock)
-
-        def serve() -> messages.ActionAnswer:
-            return self.host.serve_act_with_ticket(
-                self._received(request, remaining_s)
-            )
-
-        return self._deliver(serve, timeout_s)
-
-    def hand_over(self, part: handed_over.HandOver, timeout_s: float) -> None:
-        self._deliver(lambda: self.host.serve_hand_over(part), timeout_s)
-
-    def close(self) -> None:
-        pass
-
-    def _received(
-        self, request: messages.ActionRequest, remaining_s: float
-    ) -> messages.ActionRequest:
-        deadline = deadlines.Deadline.after(self.world.clock, remaining_s)
-        return attrs.evolve(request, deadline=deadline)
-
-    def _deliver(
-        self, act: collections.abc.Callable[[], T], timeout_s: float
-    ) -> T:
-        if self.fault is Fault.PAUSED:
-            self.world.pause()
-
-        def serve() -> T:
-            if not self.host.alive:
-                raise errors.ConnectionBroken('the host has ended')
-            try:
-                return act()
-            except errors.CorianderportError as error:
-                raise faults.from_code(error.code, str(error)) from error
-
-        return self.world.deliver(self.fault, serve, timeout_s, self.host.kill)
-
-
 @functools.cache
 def _document(version: int, out_of_service: tuple[str, ...]) -> bytes:
     deployment = deployments.Deployment(services=1)
--- a/tests/tier/test_action_faults.py
+++ b/tests/tier/test_action_faults.py
@@ -8,6 +8,7 @@
 import pytest
 
 from corianderport_testkit.process import action_hosts
+from corianderport_testkit.process import action_links
 from corianderport_tier import errors
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import messages
@@ -136,7 +137,7 @@
     executor: concurrent.futures.ThreadPoolExecutor,
 ) -> None:
     """Guards against a second run, and against an untrue 'not run'."""
-    faults: collections.Counter[action_hosts.Fault] = collections.Counter()
+    faults: collections.Counter[action_links.Fault] = collections.Counter()
     codes: collections.Counter[str] = collections.Counter()
     for seed in range(_SCENARIOS):
         with action_hosts.World(seed, 0.45, _NAMES, executor) as world:
@@ -148,6 +149,6 @@
             codes.update(code.name for code in answers)
     print(dict(faults), dict(codes))
     assert sum(faults.values()) >= _MIN_FAULTS
-    assert len(faults) == len(action_hosts.Fault) - 1
+    assert len(faults) == len(action_links.Fault) - 1
     # Otherwise the faults leave nothing of the usual work.
     assert codes['OK'] > 100
--- a/tests/tier/test_action_sending.py
+++ b/tests/tier/test_action_sending.py
@@ -9,6 +9,7 @@
 import pytest
 
 from corianderport_testkit.process import action_hosts
+from corianderport_testkit.process import action_links
 from corianderport_testkit.version import deployments
 from corianderport_tier import errors
 from corianderport_tier.process import ownership_types
@@ -17,8 +18,8 @@
 from corianderport_tier import result_codes
 
 _HOST = 'host-0'
-_CONNECTED = action_hosts.Stage.CONNECTED
-_RUNNING = action_hosts.Stage.RUNNING
+_CONNECTED = action_links.Stage.CONNECTED
+_RUNNING = action_links.Stage.RUNNING
 
 
 @contextlib.contextmanager
@@ -49,9 +50,9 @@
 
 
 def _at(
-    wanted: action_hosts.Stage, act: collections.abc.Callable[[], None]
-) -> collections.abc.Callable[[action_hosts.Stage], None]:
-    def step_in(stage: action_hosts.Stage) -> None:
+    wanted: action_links.Stage, act: collections.abc.Callable[[], None]
+) -> collections.abc.Callable[[action_links.Stage], None]:
+    def step_in(stage: action_links.Stage) -> None:
         if stage is wanted:
             act()
 
@@ -95,7 +96,7 @@
     ],
 )
 def test_deadline_passes_while_the_connection_is_stuck(
-    stage: action_hosts.Stage,
+    stage: action_links.Stage,
     error: type[errors.CorianderportError],
     runs: int,
 ) -> None:
