Make a new view only when the host list has changed

Cause: each reading of the host list made a new view. In a new view every second owner released its services again, and a release asks for heartbeats every 50 ms. An unchanged list now makes no view, and a service is released when its owners change. The new test fails without the change.

--- a/packages/tier/src/corianderport_tier/process/leases.py
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -104,9 +104,11 @@
                     kept[name] = self._moved(
                         name, names.index(own), before.owners.get(name, ())
                     )
-                    self._released.pop(name, None)
+                    if kept[name].position == 0:
+                        self._released.pop(name, None)
             for name, state in self._services.items():
-                if name not in kept or kept[name].position > 0:
+                moved = ownership.owners.get(name) != before.owners.get(name)
+                if name not in kept or (moved and kept[name].position > 0):
                     self._release(name, state, now_s)
             self._services = kept
             if ownership.majority and not before.majority:
@@ -371,7 +373,8 @@
             self._terms += 1
             state.term = self._terms
         state.position = position
-        state.changed_s = now_s
+        if owners != before:
+            state.changed_s = now_s
         return state
 
     def _state(
--- a/packages/tier/src/corianderport_tier/process/membership.py
+++ b/packages/tier/src/corianderport_tier/process/membership.py
@@ -184,6 +184,9 @@
         """Take over a new host list; this host always belongs to it."""
         listed = {member.name: member for member in members}
         with self._lock:
+            # An unchanged list must not make a new view, since the owners
+            # of all services are worked out for each view.
+            changed = listed != self._listed or not self._list_known
             for name in self._listed.keys() - listed.keys():
                 self._forget(name)
             for name, member in listed.items():
@@ -195,9 +198,10 @@
                 ):
                     # The list names the successor of a dead process.
                     self._forget(name)
+                    changed = True
             self._listed = listed
             self._list_known = True
-            self._stale = True
+            self._stale = self._stale or changed
 
     def record(self, name: str) -> Rumour | None:
         """Return what is believed of a host, None when never heard."""
--- a/tests/tier/test_control_group.py
+++ b/tests/tier/test_control_group.py
@@ -129,3 +129,17 @@
             for other in group.hosts.values():
                 held.requests(other.own)
     assert answered
+
+
+def test_settled_hosts_have_nothing_urgent() -> None:
+    """Guards against a host list that is read again and changes nothing.
+
+    Each reading made a new view, in which the second owners released
+    their services once more, with twenty heartbeats a second.
+    """
+    group = _settled()
+    for _ in range(10):
+        group.list_hosts()
+        group.run(0.5)
+        urgent = [h.leases.urgent() for h in group.hosts.values()]
+        assert urgent == [frozenset()] * len(group.hosts)
