--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Settings shared by all tests, and the list of known failures."""
 
+import os
 import pathlib
 
 import hypothesis
@@ -10,7 +11,11 @@
 hypothesis.settings.register_profile(
     'ci', derandomize=True, deadline=None, max_examples=100
 )
-hypothesis.settings.load_profile('ci')
+# Draws other examples; use it with --hypothesis-seed.
+hypothesis.settings.register_profile(
+    'explore', derandomize=False, deadline=None, database=None
+)
+hypothesis.settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
 
 
 def known_red() -> list[str]:
