Let a host of a new fleet wait for the owners of an earlier view

Cause: while all hosts count as starting, for 3 s after their first lease, a new owner did not wait for earlier owners.

--- a/packages/tier/src/corianderport_tier/process/leases.py
+++ b/packages/tier/src/corianderport_tier/process/leases.py
@@ -463,9 +463,18 @@
         return (
             now_s >= state.since_s + self._settle_s
             or now_s >= state.settled_s
-            or self._ownership.starting
+            or self._starting_alone(state)
         )
 
+    def _starting_alone(self, state: _Service) -> bool:
+        """Whether all hosts have just started and no owner came before.
+
+        Hosts count as starting for some time after their first lease, so
+        that an owner of an earlier view may hold one.
+        """
+        ended = None not in state.predecessors.values()
+        return self._ownership.starting and ended
+
     def _unsettle(self, now_s: float) -> None:
         """Assume other owners while this host was in a minority."""
         for state in self._services.values():
--- a/tests/tier/test_control_group.py
+++ b/tests/tier/test_control_group.py
@@ -143,3 +143,20 @@
         group.run(0.5)
         urgent = [h.leases.urgent() for h in group.hosts.values()]
         assert urgent == [frozenset()] * len(group.hosts)
+
+
+def test_new_owner_waits_for_a_paused_one_in_a_new_fleet() -> None:
+    """Guards against two leases soon after the start of a fleet.
+
+    All hosts still counted as starting, so that a new owner did not wait
+    for the lease of the paused owner to end.
+    """
+    group = _settled()
+    service = 'catalogue-02'
+    first, second = group.hosts['host-0'].owners.owners(service)
+    group.paused.add(first.name)
+    group.kill(second.name)
+    control_group.offer(group.hosts['host-2'], 2, ('dc-b', 'dc-a'))
+    for _ in range(20):
+        group.run(0.5)
+        assert len(group.full(service)) <= 1
