--- /dev/null
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -0,0 +1,307 @@
+"""corianderport_daemon.process.entry_host
+
+Composes an entry host that sends to searchers itself.
+"""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import logging
+import random
+import threading
+import types
+import typing
+
+import attrs
+
+from corianderport_daemon.process import entry_settings
+from corianderport_tier import clocks
+from corianderport_tier.connection import pool
+from corianderport_tier.connection import transports
+from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import directory
+from corianderport_tier.process import fleet_share
+from corianderport_tier.process import registry_reader
+from corianderport_tier.process import service_searchers
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import forwarding
+from corianderport_tier.version import registrations
+from corianderport_wire.connection import caller_listener
+from corianderport_wire.connection import close_watch
+from corianderport_wire.connection import http_exchange
+
+__all__ = ['Adapter', 'EntryHost']
+
+_LOG = logging.getLogger(__name__)
+
+# One thread for each connection of a caller, searcher or peer.
+_MOST_TASKS = 1_500
+# An idle connection to a searcher is closed after this time.
+_IDLE_S = 20.0
+# The balancer asks once a second and takes a host out after two misses.
+_BALANCER_LAG_S = 2.8
+# Left of the grace period for closing connections and the exit.
+_EXIT_MARGIN_S = 0.4
+_HOUSEKEEPING_S = 1.0
+
+
+class Adapter(typing.Protocol):
+    """What speaks to the platform: its names, formats and calls."""
+
+    @property
+    def ready_target(self) -> bytes:
+        """Path on which the balancer asks whether the host is ready."""
+
+    @property
+    def prefixes(self) -> tuple[str, ...]:
+        """Prefixes of the store's keys, each read by a task of its own."""
+
+    def settings(self) -> entry_settings.EntrySettings:
+        """Read the settings anew.
+
+        :raises SettingInvalid: names the setting.
+        """
+
+    def registry(self, address: str) -> transports.Registry:
+        """Return a connection to the store, for one task."""
+
+    def dialer(self, clock: clocks.Clock) -> transports.SearcherDialer:
+        """Return what opens connections to searchers."""
+
+    def request(
+        self, request: http_exchange.HttpRequest, clock: clocks.Clock
+    ) -> forward_messages.ForwardRequest:
+        """Decode a caller's request.
+
+        :raises MalformedRequest: it cannot be decoded.
+        """
+
+    def answer(
+        self,
+        answer: forward_messages.ForwardAnswer,
+        request: http_exchange.HttpRequest,
+    ) -> caller_listener.HttpAnswer:
+        """Encode the answer to a caller's request."""
+
+
+class EntryHost:
+    """One entry host; runs while it is entered."""
+
+    def __init__(
+        self,
+        settings: entry_settings.EntrySettings,
+        adapter: Adapter,
+        clock: clocks.Clock,
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._clock = clock
+        self._rng = random.Random()
+        self._stack = contextlib.ExitStack()
+        self._condition = threading.Condition()
+        self._stopping = False
+        self._stopped = False
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            _MOST_TASKS, thread_name_prefix='task'
+        )
+        self._log = decision_log.DecisionLog()
+        self._share = fleet_share.FleetShare(
+            settings.fleet, settings.host, self._hosts
+        )
+        self._dialer = adapter.dialer(clock)
+        self._directory = directory.Directory(
+            self._open_service, clock, self._log
+        )
+        self._forwarder = forwarding.Forwarder(
+            self._directory, clock, self._log, self._rng
+        )
+        self._watch = close_watch.CloseWatch()
+        self._callers = self._listener(settings.caller_address, self._serve)
+        self._ready = self._listener(settings.ready_address, self._serve_ready)
+        self._readers = [
+            registry_reader.RegistryReader(
+                prefix,
+                adapter.registry(settings.store_address),
+                self._directory,
+                clock,
+                registry_reader.ReaderTimes(),
+                self._rng,
+            )
+            for prefix in adapter.prefixes
+        ]
+
+    @classmethod
+    def from_adapter(
+        cls, adapter: Adapter, clock: clocks.Clock | None = None
+    ) -> 'EntryHost':
+        """Build a host from the settings that an adapter reads.
+
+        :raises SettingInvalid: names the setting.
+        """
+        return cls(adapter.settings(), adapter, clock or clocks.SystemClock())
+
+    def __enter__(self) -> typing.Self:
+        tasks: list[collections.abc.Callable[[], None]] = [
+            self._watch.run,
+            self._callers.run,
+            self._ready.run,
+            self._keep_house,
+            *(reader.run for reader in self._readers),
+        ]
+        for task in tasks:
+            self._executor.submit(self._run, task)
+        _LOG.info('started %s in %s', self.name, self._settings.data_centre)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for reader in self._readers:
+            reader.close()
+        self._watch.close()
+        self._ready.stop_accepting()
+        self._directory.close()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+        _LOG.info('stopped %s', self.name)
+
+    @property
+    def name(self) -> str:
+        """Name of this host."""
+        return self._settings.host
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent to this host."""
+        return self._directory.complete and not self._stopping
+
+    def stop(self) -> None:
+        """Begin the planned stop; ``wait`` returns at its end."""
+        with self._condition:
+            if self._stopping:
+                return
+            self._stopping = True
+            self._condition.notify_all()
+
+    def wait(self) -> None:
+        """Serve until stopped, then finish what has been accepted."""
+        with self._condition:
+            while not self._stopping:
+                self._clock.wait(self._condition, None)
+        self._finish()
+
+    def reload(self) -> None:
+        """Take over settings that have changed."""
+        try:
+            settings = self._adapter.settings()
+        except errors.SettingInvalid as error:
+            _LOG.error('settings not taken over: %s', error)
+            return
+        changed = [
+            field.name
+            for field in attrs.fields(entry_settings.EntrySettings)
+            if getattr(settings, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        _LOG.info('settings read anew, changed: %s', changed or 'nothing')
+        self._share.use_bounds(settings.fleet)
+        self._settings = settings
+        self._directory.refresh()
+
+    def _finish(self) -> None:
+        """Answer what has been read and cut off nothing."""
+        began_s = self._clock.monotonic()
+        end = deadlines.Deadline(
+            began_s + self._settings.grace_s - _EXIT_MARGIN_S
+        )
+        _LOG.info('stopping %s, not ready any more', self.name)
+        self._callers.closing = True
+        with self._condition:
+            self._clock.wait(self._condition, _BALANCER_LAG_S)
+        self._callers.stop_accepting()
+        self._callers.close_idle()
+        if not self._callers.await_closed(end):
+            _LOG.warning('connections of callers are still open at the end')
+
+    def _hosts(self) -> collections.abc.Sequence[str]:
+        return (self._settings.host,)
+
+    def _listener(
+        self, address: str, serve: caller_listener.Serve
+    ) -> caller_listener.CallerListener:
+        return caller_listener.CallerListener(
+            address,
+            serve,
+            self._limits,
+            self._watch,
+            self._executor,
+            self._clock,
+        )
+
+    def _limits(self) -> typing.Any:
+        routing = self._directory.routing
+        return None if routing is None else routing.limits
+
+    def _serve(
+        self,
+        received: http_exchange.HttpRequest,
+        caller: caller_listener.CallerConnection,
+    ) -> caller_listener.HttpAnswer | None:
+        answer: forward_messages.ForwardAnswer | None
+        try:
+            request = self._adapter.request(received, self._clock)
+            answer = self._forwarder.answer(request, caller)
+        except errors.CorianderportError as error:
+            answer = forward_messages.Failure(error.code, str(error))
+        return (
+            None if answer is None else self._adapter.answer(answer, received)
+        )
+
+    def _serve_ready(
+        self,
+        received: http_exchange.HttpRequest,
+        caller: caller_listener.CallerConnection,
+    ) -> caller_listener.HttpAnswer:
+        if received.target != self._adapter.ready_target:
+            return caller_listener.HttpAnswer(404, (), b'')
+        return caller_listener.HttpAnswer(200 if self.ready else 503, (), b'')
+
+    def _open_service(self, name: str) -> service_searchers.ServiceSearchers:
+        return service_searchers.ServiceSearchers(
+            name,
+            self._settings.data_centre,
+            self._share,
+            self._settings.fleet.extra_ratio,
+            self._open_pool,
+            self._clock,
+            self._rng,
+        )
+
+    def _open_pool(
+        self, registration: registrations.Registration, connections: int
+    ) -> pool.ConnectionPool[transports.SearcherTransport]:
+        return pool.ConnectionPool(
+            lambda: self._dialer.dial(registration),
+            self._executor,
+            self._clock,
+            pool.PoolLimits(connections, _IDLE_S),
+        )
+
+    def _keep_house(self) -> None:
+        """Drop lapsed searchers when their time is over."""
+        condition = threading.Condition()
+        while not self._stopped:
+            due_s = self._directory.expire()
+            wait_s = _HOUSEKEEPING_S if due_s is None else due_s
+            with condition:
+                self._clock.wait(condition, max(0.05, wait_s))
+
+    def _run(self, task: collections.abc.Callable[[], None]) -> None:
+        try:
+            task()
+        except Exception:
+            _LOG.exception('a task of the host has failed')
--- /dev/null
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -0,0 +1,36 @@
+"""corianderport_daemon.process.entry_settings
+
+The settings of an entry host that sends to searchers itself.
+"""
+
+import collections.abc
+
+import attrs
+
+from corianderport_tier.process import fleet_share
+
+__all__ = ['EntrySettings']
+
+
+@attrs.frozen
+class EntrySettings:
+    """All settings; addresses are ``ip:port``.
+
+    ``regions`` maps data centres to regions. ``grace_s`` is the time from
+    the request to stop until the process is killed. ``seeds`` are peer
+    addresses of hosts that may be down.
+    """
+
+    host: str
+    data_centre: str
+    caller_address: str
+    ready_address: str
+    peer_address: str
+    metrics_address: str | None
+    store_address: str
+    shared_keys: str = attrs.field(repr=False)
+    seeds: tuple[str, ...]
+    regions: collections.abc.Mapping[str, str]
+    grace_s: float
+    fleet: fleet_share.FleetBounds
+    log_level: str = 'INFO'
--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -213,6 +213,12 @@
         """Number of connections without a job."""
         return len(self._idle)
 
+    @property
+    def verified_s(self) -> float:
+        """When the connection that is used next last carried a reply."""
+        with self._lock:
+            return self._idle[-1].verified_s if self._idle else float('-inf')
+
     def submit(self, job: Job[T], fresh: bool = False) -> None:
         """Run a job on an idle connection or on a new one.
 
@@ -236,6 +242,10 @@
             self._all.add(connection)
         self._start(connection)
 
+    def limit_connections(self, most: int) -> None:
+        """Change the number of connections that may be open."""
+        self.limits = attrs.evolve(self.limits, connections=most)
+
     def put_back(self, connection: Connection[T]) -> None:
         """Make a connection available again."""
         with self._lock:
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -9,13 +9,18 @@
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
+from corianderport_tier.request import forward_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
+from corianderport_tier.version import registrations
 
 __all__ = [
     'PeerDialer',
     'PeerTransport',
     'Platform',
+    'Registry',
+    'SearcherDialer',
+    'SearcherTransport',
     'SendCheck',
     'UpstreamDialer',
     'UpstreamTransport',
@@ -78,6 +83,61 @@
         """
 
 
+class SearcherTransport(typing.Protocol):
+    """One persistent connection to a searcher that serves routes."""
+
+    def exchange(
+        self, call: forward_messages.SearcherCall
+    ) -> forward_messages.SearcherReply:
+        """Send a request once and wait for its whole answer.
+
+        :raises ConnectionStale: nothing was sent.
+        :raises ConnectionSilent: no whole answer by the deadline.
+        :raises ConnectionBroken: the connection ended, or what arrived is
+            no answer.
+        """
+
+    def abort(self) -> None:
+        """End the exchange in progress, from another task."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class SearcherDialer(typing.Protocol):
+    """Opens connections to registered searchers."""
+
+    def dial(
+        self, registration: registrations.Registration
+    ) -> SearcherTransport:
+        """Open a connection.
+
+        :raises ConnectFailed: no connection was opened; nothing was sent.
+        """
+
+
+class Registry(typing.Protocol):
+    """The platform's store, read only; used by one task."""
+
+    def read(self, prefix: str) -> registrations.Listing:
+        """Return all entries below a prefix.
+
+        The revision is that of the first page, so that a watch from there
+        misses nothing.
+
+        :raises TransportError: the store cannot be read.
+        """
+
+    def watch(
+        self, prefix: str, after: registrations.Revision, wait_s: float
+    ) -> registrations.Listing:
+        """Wait for changes and return them in their order.
+
+        :raises HistoryGone: the changes are not to be had any more.
+        :raises TransportError: the store cannot be read.
+        """
+
+
 class PeerTransport(typing.Protocol):
     """One persistent connection to another host, used by one task."""
 
--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -15,9 +15,11 @@
     'ConnectRefused',
     'ConnectionBroken',
     'ConnectionSilent',
+    'ConnectionStale',
     'CorianderportError',
     'DeadlinePast',
     'MalformedRequest',
+    'HistoryGone',
     'NoUpstream',
     'NotOwner',
     'NotReady',
@@ -186,6 +188,16 @@
     """No answer arrived within the attempt's timeout."""
 
 
+class ConnectionStale(TransportError):
+    """An idle connection had ended before anything was sent on it."""
+
+    code = result_codes.ResultCode.NO_UPSTREAM
+
+
+class HistoryGone(CorianderportError):
+    """The platform no longer has the changes that were asked for."""
+
+
 class PeerUnavailable(TransportError):
     """No connection to the peer could be used; nothing was sent."""
 
--- a/packages/tier/src/corianderport_tier/process/decision_log.py
+++ b/packages/tier/src/corianderport_tier/process/decision_log.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import collections.abc
 import logging
 import typing
 
@@ -16,13 +17,17 @@
 
 @attrs.frozen
 class Decision:
-    """A decision: what was chosen for which request, and why."""
+    """A decision: what was chosen for which request, and why.
+
+    ``inputs`` are the values that decided it, with their age or version.
+    """
 
     kind: str
     request_id: str
     choice: str
     reason: str
     alternatives: tuple[str, ...] = ()
+    inputs: collections.abc.Mapping[str, object] = attrs.Factory(dict)
 
 
 class DecisionObserver(typing.Protocol):
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -0,0 +1,134 @@
+"""corianderport_tier.process.registry_reader
+
+Keeps the directory up to date from the platform's store.
+
+One task for each prefix: it reads all entries, then waits for changes.
+"""
+
+import collections.abc
+import logging
+import random
+import threading
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier.connection import transports
+from corianderport_tier import errors
+from corianderport_tier.process import directory
+from corianderport_tier.version import registrations
+
+__all__ = ['ReaderTimes', 'RegistryReader']
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class ReaderTimes:
+    """Timing of one reader, seconds.
+
+    A watch whose connection has gone silent is noticed after ``watch_s``
+    and its timeout, which has to be well within the time by which changes
+    must be in force.
+    """
+
+    watch_s: float = 4.0
+    first_retry_s: float = 0.1
+    longest_retry_s: float = 1.0
+
+
+class RegistryReader:
+    """Reads one prefix until closed.
+
+    :param changed: called after news were taken over.
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        registry: transports.Registry,
+        found: directory.Directory,
+        clock: clocks.Clock,
+        times: ReaderTimes,
+        rng: random.Random,
+        changed: collections.abc.Callable[[], None] = lambda: None,
+    ) -> None:
+        self._prefix = prefix
+        self._registry = registry
+        self._directory = found
+        self._clock = clock
+        self._times = times
+        self._rng = rng
+        self._changed = changed
+        self._condition = threading.Condition()
+        self._closed = False
+        self._revision: registrations.Revision | None = None
+        self._failures = 0
+        self._ever_read = False
+
+    def run(self) -> None:
+        """Read and watch until closed."""
+        while not self._closed:
+            self.step()
+
+    def step(self) -> None:
+        """Read or watch once; wait after a failure."""
+        try:
+            if self._revision is None:
+                self._read()
+            else:
+                self._watch(self._revision)
+        except errors.HistoryGone:
+            _LOG.info('history of %s is gone, reading all of it', self._prefix)
+            self._revision = None
+        except errors.CorianderportError as error:
+            self._on_failure(error)
+
+    def close(self) -> None:
+        """End the task after its present call."""
+        with self._condition:
+            self._closed = True
+            self._condition.notify_all()
+
+    def _read(self) -> None:
+        listing = self._registry.read(self._prefix)
+        returned = self._failures > 0 and self._ever_read
+        self._on_success()
+        self._directory.replace(self._prefix, listing, returned)
+        self._revision = listing.revision
+        self._ever_read = True
+        self._changed()
+
+    def _watch(self, after: registrations.Revision) -> None:
+        listing = self._registry.watch(
+            self._prefix, after, self._times.watch_s
+        )
+        returned = self._failures > 0
+        self._on_success()
+        if listing.entries:
+            self._directory.apply(listing.entries, returned)
+            self._changed()
+        self._revision = max(after, listing.revision)
+
+    def _on_success(self) -> None:
+        if self._failures:
+            _LOG.info(
+                'platform regained for %s after %d failed calls',
+                self._prefix,
+                self._failures,
+            )
+        self._failures = 0
+
+    def _on_failure(self, error: errors.CorianderportError) -> None:
+        if self._failures == 0:
+            _LOG.warning('platform lost for %s: %s', self._prefix, error)
+        self._failures += 1
+        longest_s = min(
+            self._times.longest_retry_s,
+            self._times.first_retry_s * 2.0 ** min(self._failures - 1, 10),
+        )
+        with self._condition:
+            if not self._closed:
+                self._clock.wait(
+                    self._condition, longest_s * self._rng.uniform(0.7, 1.0)
+                )
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -0,0 +1,151 @@
+"""corianderport_tier.process.searcher_state
+
+Load, speed and health of one searcher, as this host sees it.
+"""
+
+import math
+import typing
+
+import attrs
+
+from corianderport_tier.process import warm_up
+from corianderport_tier.version import registrations
+
+__all__ = ['Ending', 'SearcherState', 'SendPool']
+
+# One slow answer counts at once; the average forgets it in seconds, so
+# that the searcher is tried again.
+_SPEED_UP_WEIGHT = 0.5
+_SPEED_DOWN_WEIGHT = 0.2
+_SPEED_HALF_LIFE_S = 1.5
+_HIGHEST_SPEED = 40.0
+_FAILURE_WEIGHT = 0.2
+_FAILURE_COST = 4.0
+_FAILURES_TO_HOLD = 3
+_SHORTEST_HOLD_S = 0.25
+_LONGEST_HOLD_S = 2.0
+# A searcher that is full has a slot again after about one request.
+_FULL_HOLD_S = 0.02
+# An answer that is this many times overdue counts before it arrives.
+_OVERDUE = 2.0
+# Bytes between data centres and the way there cost about this much.
+_OTHER_DATA_CENTRE_COST = 1.15
+
+
+class SendPool(typing.Protocol):
+    """Connections to one searcher."""
+
+    @property
+    def verified_s(self) -> float:
+        """When the connection that is used next last carried a reply."""
+
+    def submit(self, job: typing.Any, fresh: bool = False) -> None:
+        """Run a job on a connection."""
+
+    def limit_connections(self, most: int) -> None:
+        """Change the number of connections that may be open."""
+
+    def close(self) -> None:
+        """Close all connections that are idle, and others after use."""
+
+
+@attrs.frozen
+class Ending:
+    """How a send ended.
+
+    ``elapsed_s`` is None where nothing can be said of the speed;
+    ``usual_s`` is the usual latency of its route.
+    """
+
+    failed: bool
+    unreachable: bool = False
+    full: bool = False
+    elapsed_s: float | None = None
+    usual_s: float = 0.0
+
+
+class SearcherState:
+    """State of one lifetime of a searcher, guarded by its service's lock."""
+
+    def __init__(
+        self, registration: registrations.Registration, pool: SendPool
+    ) -> None:
+        self.registration = registration
+        self.pool = pool
+        self.warm_up = warm_up.WarmUp()
+        self.in_flight = 0
+        self._speed = 1.0
+        self._speed_at_s = float('-inf')
+        self._failure_rate = 0.0
+        self._failures = 0
+        self._held_until_s = float('-inf')
+        self._pending: dict[int, tuple[float, float]] = {}
+
+    @property
+    def name(self) -> str:
+        """The searcher's name."""
+        return self.registration.searcher
+
+    @property
+    def held_until_s(self) -> float:
+        """Nothing is sent before this time."""
+        return self._held_until_s
+
+    def cost(self, now_s: float, own_data_centre: str) -> float:
+        """Return what one more request costs, relative to an idle one."""
+        speed = max(self._speed_now(now_s), self._overdue(now_s))
+        cost = (self.in_flight + 1) * speed
+        cost *= 1 + _FAILURE_COST * self._failure_rate
+        if self.registration.data_centre != own_data_centre:
+            cost *= _OTHER_DATA_CENTRE_COST
+        return cost
+
+    def start(self, key: int, now_s: float, usual_s: float) -> None:
+        """Count a send that begins."""
+        self.in_flight += 1
+        self._pending[key] = (now_s, usual_s)
+        self.warm_up.sent(now_s)
+
+    def finish(self, key: int, ending: Ending, now_s: float) -> None:
+        """Count a send that ended."""
+        self.in_flight -= 1
+        self._pending.pop(key, None)
+        if ending.elapsed_s is not None and ending.usual_s > 0:
+            self._learn_speed(ending.elapsed_s / ending.usual_s, now_s)
+        if ending.full:
+            self._held_until_s = max(self._held_until_s, now_s + _FULL_HOLD_S)
+        if ending.failed:
+            self._failures += 1
+            self._failure_rate += _FAILURE_WEIGHT * (1 - self._failure_rate)
+            if ending.unreachable or self._failures >= _FAILURES_TO_HOLD:
+                self._hold(now_s)
+        elif not ending.full:
+            self._failures = 0
+            self._failure_rate -= _FAILURE_WEIGHT * self._failure_rate
+
+    def _hold(self, now_s: float) -> None:
+        seconds = _SHORTEST_HOLD_S * 2.0 ** min(self._failures - 1, 10)
+        self._held_until_s = now_s + min(_LONGEST_HOLD_S, seconds)
+
+    def _learn_speed(self, ratio: float, now_s: float) -> None:
+        speed = self._speed_now(now_s)
+        ratio = min(ratio, _HIGHEST_SPEED)
+        up = ratio > speed
+        weight = _SPEED_UP_WEIGHT if up else _SPEED_DOWN_WEIGHT
+        self._speed = speed + weight * (ratio - speed)
+        self._speed_at_s = now_s
+
+    def _speed_now(self, now_s: float) -> float:
+        # Without the decay, a searcher that was slow once would never be
+        # tried again.
+        age_s = now_s - self._speed_at_s
+        return 1.0 + (self._speed - 1.0) * math.exp2(
+            -age_s / _SPEED_HALF_LIFE_S
+        )
+
+    def _overdue(self, now_s: float) -> float:
+        worst = 0.0
+        for started_s, usual_s in self._pending.values():
+            if usual_s > 0:
+                worst = max(worst, (now_s - started_s) / usual_s)
+        return worst if worst >= _OVERDUE else 0.0
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -0,0 +1,231 @@
+"""corianderport_tier.process.service_searchers
+
+The searchers of one service: which of them gets a request.
+"""
+
+import collections.abc
+import enum
+import random
+import threading
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier.process import budgets
+from corianderport_tier.process import fleet_share
+from corianderport_tier.process import searcher_state
+from corianderport_tier.version import registrations
+from corianderport_tier.version import routes
+
+__all__ = ['Choice', 'NoChoice', 'OpenPool', 'ServiceSearchers']
+
+SearcherState = searcher_state.SearcherState
+OpenPool = collections.abc.Callable[
+    [registrations.Registration, int], searcher_state.SendPool
+]
+
+# Keeps the extra sends below the bound although hosts count in windows of
+# their own.
+_EXTRA_USE = 0.75
+
+
+class NoChoice(enum.Enum):
+    """Why no searcher can get a request now."""
+
+    NONE_REGISTERED = 'no searcher is registered'
+    ALL_TRIED = 'every searcher has been tried'
+    ON_HOLD = 'every searcher has failed'
+    COLD = 'every searcher is cold and has its share'
+    FULL = 'every searcher has its share of requests'
+
+
+@attrs.frozen
+class Choice:
+    """A searcher that got a request, and the key of the send."""
+
+    state: SearcherState
+    key: int
+    candidates: int
+
+
+class ServiceSearchers:
+    """All searchers of one service that may get requests."""
+
+    def __init__(
+        self,
+        name: str,
+        own_data_centre: str,
+        share: fleet_share.FleetShare,
+        extra_ratio: float,
+        open_pool: OpenPool,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self._own_data_centre = own_data_centre
+        self._share = share
+        self._open_pool = open_pool
+        self._clock = clock
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._states: dict[tuple[str, str, int], SearcherState] = {}
+        self._traits: routes.ServiceTraits | None = None
+        self._next_key = 0
+        self._waiting: list[collections.abc.Callable[[], None]] = []
+        self._extra = budgets.Budget(
+            budgets.BudgetShare(_EXTRA_USE * extra_ratio)
+        )
+
+    def update(
+        self,
+        traits: routes.ServiceTraits | None,
+        present: collections.abc.Iterable[registrations.Registration],
+        cold: collections.abc.Container[str] = (),
+    ) -> None:
+        """Take over the searchers that may get requests now.
+
+        :param cold: data centres whose searchers are treated as cold.
+        """
+        now_s = self._clock.monotonic()
+        with self._lock:
+            if traits is not None:
+                self._traits = traits
+            known, self._states = self._states, {}
+            for registration in present:
+                lifetime = registration.lifetime
+                state = known.pop(lifetime, None)
+                news = state is None or state.registration != registration
+                if state is None:
+                    state = SearcherState(
+                        registration, self._open_pool(registration, 1)
+                    )
+                state.registration = registration
+                state.pool.limit_connections(self._connections())
+                returned = registration.data_centre in cold
+                if news or returned:
+                    self._note_cold(state, now_s, returned)
+                self._states[lifetime] = state
+            for state in known.values():
+                state.pool.close()
+            self._wake()
+
+    def is_present(self, state: SearcherState) -> bool:
+        """Whether a searcher may still get requests.
+
+        Read without the lock at the moment of sending.
+        """
+        return self._states.get(state.registration.lifetime) is state
+
+    def choose(
+        self,
+        excluded: collections.abc.Container[str],
+        usual_s: float,
+    ) -> Choice | NoChoice:
+        """Choose the cheapest searcher and count one request on it.
+
+        :param excluded: names of searchers that are not to be chosen.
+        :param usual_s: usual latency of the request's route.
+        """
+        now_s = self._clock.monotonic()
+        with self._lock:
+            found = self._candidates(excluded, now_s)
+            if isinstance(found, NoChoice):
+                return found
+            best = min(
+                found,
+                key=lambda s: (
+                    s.cost(now_s, self._own_data_centre),
+                    self._rng.random(),
+                ),
+            )
+            self._next_key += 1
+            best.start(self._next_key, now_s, usual_s)
+            return Choice(best, self._next_key, len(found))
+
+    def finish(self, choice: Choice, ending: searcher_state.Ending) -> None:
+        """Count the end of a request."""
+        with self._lock:
+            choice.state.finish(choice.key, ending, self._clock.monotonic())
+            self._wake()
+
+    def set_cold(self, state: SearcherState, seconds: float) -> None:
+        """Note that a searcher says it is cold."""
+        with self._lock:
+            state.warm_up.set_cold(self._clock.monotonic() + seconds)
+
+    def count_request(self) -> None:
+        """Count the first send of a request, for the extra budget."""
+        with self._lock:
+            self._extra.count_request(self._clock.monotonic())
+
+    def try_extra(self, reserve: float = 0.0) -> bool:
+        """Take one extra send from this host's share of the budget.
+
+        :param reserve: fraction of the slack that has to be left.
+        """
+        slack = int(self._share.extra_slack * (1 - reserve))
+        with self._lock:
+            return self._extra.try_spend(self._clock.monotonic(), slack)
+
+    def await_room(self, wake: collections.abc.Callable[[], None]) -> None:
+        """Call back once when a searcher may have room again."""
+        with self._lock:
+            self._waiting.append(wake)
+
+    def next_try_s(self) -> float:
+        """Return the seconds until a searcher on hold is tried again."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            waits = [s.held_until_s - now_s for s in self._states.values()]
+        return max(0.0, min(waits, default=1.0))
+
+    def close(self) -> None:
+        """Close all connections."""
+        with self._lock:
+            states, self._states = self._states, {}
+        for state in states.values():
+            state.pool.close()
+
+    def _candidates(
+        self, excluded: collections.abc.Container[str], now_s: float
+    ) -> list[SearcherState] | NoChoice:
+        states = list(self._states.values())
+        if not states:
+            return NoChoice.NONE_REGISTERED
+        steps = (
+            (NoChoice.ALL_TRIED, lambda s: s.name not in excluded),
+            (NoChoice.ON_HOLD, lambda s: s.held_until_s <= now_s),
+            (NoChoice.COLD, lambda s: self._warm_enough(s, now_s)),
+            (NoChoice.FULL, lambda s: s.in_flight < self._connections()),
+        )
+        for reason, allowed in steps:
+            states = [s for s in states if allowed(s)]
+            if not states:
+                return reason
+        return states
+
+    def _warm_enough(self, state: SearcherState, now_s: float) -> bool:
+        if not state.warm_up.is_cold(now_s):
+            return True
+        rate = self._traits.cold_rate if self._traits else 0.0
+        return state.warm_up.may_send(
+            now_s, self._share.cold_rate(state.name, rate)
+        )
+
+    def _connections(self) -> int:
+        most = self._traits.connections if self._traits else 1
+        return self._share.connections(most)
+
+    def _note_cold(
+        self, state: SearcherState, now_s: float, returned: bool
+    ) -> None:
+        left_s = state.registration.warm_up_left_s
+        if returned and self._traits is not None:
+            left_s = max(left_s, self._traits.warm_up_s)
+        if left_s > 0:
+            state.warm_up.set_cold(now_s + left_s)
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for wake in waiting:
+            wake()
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/warm_up.py
@@ -0,0 +1,50 @@
+"""corianderport_tier.process.warm_up
+
+Limits the requests to a searcher that is cold.
+"""
+
+import collections
+
+import attrs
+
+__all__ = ['WarmUp']
+
+_WINDOW_S = 1.0
+# Two sends a second apart may arrive closer together than they left.
+_JITTER_S = 0.1
+
+
+@attrs.define
+class WarmUp:
+    """When a searcher is cold, and what it got in the last second."""
+
+    _cold_until_s: float = float('-inf')
+    _sent_s: collections.deque[float] = attrs.Factory(collections.deque)
+
+    def is_cold(self, now_s: float) -> bool:
+        """Whether the searcher bears only little load now."""
+        return now_s < self._cold_until_s
+
+    def set_cold(self, until_s: float) -> None:
+        """Treat the searcher as cold until a time."""
+        self._cold_until_s = max(self._cold_until_s, until_s)
+
+    def may_send(self, now_s: float, rate: int) -> bool:
+        """Whether one more request may be sent.
+
+        :param rate: requests that this host may send in any second.
+        """
+        if not self.is_cold(now_s):
+            return True
+        self._expire(now_s)
+        return len(self._sent_s) < rate
+
+    def sent(self, now_s: float) -> None:
+        """Count a request."""
+        self._expire(now_s)
+        self._sent_s.append(now_s)
+
+    def _expire(self, now_s: float) -> None:
+        oldest_s = now_s - _WINDOW_S - _JITTER_S
+        while self._sent_s and self._sent_s[0] <= oldest_s:
+            self._sent_s.popleft()
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -0,0 +1,359 @@
+"""corianderport_tier.request.forwarding
+
+Serves one request of a caller: sends it to one searcher, or to one of
+each service of a gather, and decides when to answer.
+"""
+
+import collections.abc
+import random
+import typing
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import directory
+from corianderport_tier.process import route_latency
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import inboxes
+from corianderport_tier.request import part as part_module
+from corianderport_tier.request import records
+from corianderport_tier import result_codes
+from corianderport_tier.version import routes
+
+__all__ = ['Forwarder', 'Forwarding']
+
+# An answer has to travel to the caller before the caller's own time ends.
+_ANSWER_MARGIN_S = 0.01
+# How much of a route's goal is used up before and after this host.
+_GOAL_MARGIN_S = 0.014
+# A hedge is for the parts that hold back an answer, once this fraction of
+# the parts is in.
+_MOST_PARTS = 0.7
+# Taken for the usual latency of a route before it is known, as a fraction
+# of its goal.
+_ASSUMED_LATENCY = 0.25
+# A refused caller comes back at most after this part of its time, since
+# it does not wait any longer.
+_RETRY_SHARE = 0.25
+_SHORTEST_RETRY_S = 0.05
+
+Code = result_codes.ResultCode
+Part = part_module.Part
+PartState = part_module.PartState
+Failure = forward_messages.Failure
+
+
+class CallerWatch(typing.Protocol):
+    """Tells when the caller of a request closes its connection."""
+
+    def watch(
+        self, gone: collections.abc.Callable[[], None]
+    ) -> typing.ContextManager[object]:
+        """Call back at the close, while the context is entered."""
+
+
+class Forwarder:
+    """What the requests of this process share."""
+
+    def __init__(
+        self,
+        found: directory.Directory,
+        clock: clocks.Clock,
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self.directory = found
+        self.clock = clock
+        self.log = log
+        self.rng = rng
+        self._latencies: dict[str, route_latency.RouteLatency] = {}
+
+    def latency(self, route: routes.Route) -> route_latency.RouteLatency:
+        """Return what is known of the latency of a route's sends."""
+        found = self._latencies.get(route.name)
+        if found is None:
+            found = self._latencies.setdefault(
+                route.name,
+                route_latency.RouteLatency(_ASSUMED_LATENCY * route.goal_s),
+            )
+        return found
+
+    def answer(
+        self,
+        request: forward_messages.ForwardRequest,
+        caller: CallerWatch,
+    ) -> forward_messages.ForwardAnswer | None:
+        """Serve a request; None when the caller has gone."""
+        started_s = self.clock.monotonic()
+        routing = self.directory.routing
+        if routing is None:
+            return self._refused(request, Code.NOT_READY, 'no routing yet')
+        route = routing.match(request.host, request.path)
+        if route is None:
+            if not self.directory.complete:
+                return self._refused(request, Code.NOT_READY, 'starting')
+            return self._noted(
+                request,
+                routing,
+                Failure(Code.UNKNOWN_SERVICE, 'no route'),
+                started_s,
+            )
+        forwarding = Forwarding(self, request, route)
+        answer = forwarding.run(caller)
+        return self._noted(request, routing, answer, started_s, forwarding)
+
+    def _refused(
+        self,
+        request: forward_messages.ForwardRequest,
+        code: Code,
+        detail: str,
+    ) -> Failure:
+        failure = Failure(code, detail, _SHORTEST_RETRY_S)
+        self.log.record(
+            decision_log.Decision(
+                'answer', request.request_id, code.name, detail
+            )
+        )
+        return failure
+
+    def _noted(
+        self,
+        request: forward_messages.ForwardRequest,
+        routing: routes.RoutingVersion,
+        answer: forward_messages.ForwardAnswer | None,
+        started_s: float,
+        forwarding: 'Forwarding | None' = None,
+    ) -> forward_messages.ForwardAnswer | None:
+        elapsed_s = self.clock.monotonic() - started_s
+        inputs: dict[str, object] = {
+            'version': routing.version,
+            'elapsed_ms': round(elapsed_s * 1e3, 1),
+        }
+        if forwarding is not None:
+            inputs.update(forwarding.summary())
+        choice, reason = _described(answer)
+        self.log.record(
+            decision_log.Decision(
+                'answer', request.request_id, choice, reason, inputs=inputs
+            )
+        )
+        return answer
+
+
+class Forwarding:
+    """One request on its way; lives on the task of its connection."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        request: forward_messages.ForwardRequest,
+        route: routes.Route,
+    ) -> None:
+        self._forwarder = forwarder
+        self._clock = forwarder.clock
+        self._route = route
+        self._started_s = self._clock.monotonic()
+        ends = request.deadline.within(self._clock, route.timeout_s * 1e3)
+        self._request = attrs.evolve(request, deadline=ends)
+        self._answer_by = ends.earlier(_ANSWER_MARGIN_S)
+        self._inbox: inboxes.Inbox[part_module.Event]
+        self._inbox = inboxes.Inbox(self._clock)
+        self._parts: list[Part] = []
+        self._unknown: list[str] = []
+        self._gone = False
+
+    def run(
+        self, caller: CallerWatch
+    ) -> forward_messages.ForwardAnswer | None:
+        """Send, wait and decide on the answer; None without a caller."""
+        with caller.watch(lambda: self._inbox.put(part_module.CallerGone())):
+            try:
+                self._open_parts()
+                for part in self._parts:
+                    part.launch()
+                return self._await_answer()
+            finally:
+                for part in self._parts:
+                    part.cancel(at_once=self._gone)
+
+    def summary(self) -> dict[str, object]:
+        """Return what decided the answer, for the log."""
+        waiting = [
+            p.service.name
+            for p in self._parts
+            if p.state is not PartState.ANSWERED
+        ]
+        return {
+            'route': self._route.name,
+            'parts': len(self._parts),
+            'not_answered': waiting,
+        }
+
+    def _open_parts(self) -> None:
+        target = self._route.target
+        if isinstance(target, routes.Gather):
+            names: tuple[str, ...] = target.services
+        else:
+            weights = [share.weight for share in target.shares]
+            chosen = self._forwarder.rng.choices(target.shares, weights)[0]
+            names = (chosen.service,)
+        latency = self._forwarder.latency(self._route)
+        for name in names:
+            service = self._forwarder.directory.service(name)
+            if service is None:
+                self._unknown.append(name)
+                continue
+            self._parts.append(
+                Part(
+                    service,
+                    self._request,
+                    self._route,
+                    latency,
+                    self._inbox,
+                    self._clock,
+                    self._forwarder.log,
+                )
+            )
+
+    def _await_answer(self) -> forward_messages.ForwardAnswer | None:
+        while not self._gone:
+            answer = self._decide()
+            if answer is not None:
+                return answer
+            event = self._inbox.take(self._next_s())
+            if event is None:
+                self._hedge()
+            else:
+                self._on_event(event)
+        return None
+
+    def _on_event(self, event: part_module.Event) -> None:
+        if isinstance(event, part_module.SendEnded):
+            event.send.part.on_ended(event)
+        elif isinstance(event, part_module.RoomFreed):
+            event.part.on_room()
+        else:
+            self._gone = True
+
+    def _next_s(self) -> deadlines.Deadline:
+        times = [self._answer_by.at_s]
+        now_s = self._clock.monotonic()
+        if self._goal_s > now_s:
+            times.append(self._goal_s)
+        times.extend(
+            p.hedge_at_s for p in self._parts if p.hedge_at_s is not None
+        )
+        return deadlines.Deadline(min(times))
+
+    @property
+    def _goal_s(self) -> float:
+        return self._started_s + self._route.goal_s - _GOAL_MARGIN_S
+
+    def _hedge(self) -> None:
+        now_s = self._clock.monotonic()
+        answered = sum(p.state is PartState.ANSWERED for p in self._parts)
+        last = answered >= _MOST_PARTS * len(self._parts)
+        for part in self._parts:
+            due_s = part.hedge_at_s
+            if due_s is not None and due_s <= now_s:
+                part.hedge(last)
+
+    def _decide(self) -> forward_messages.ForwardAnswer | None:
+        if isinstance(self._route.target, routes.Gather):
+            return self._decide_gather(self._route.target)
+        return self._decide_single()
+
+    def _decide_single(self) -> forward_messages.ForwardAnswer | None:
+        if not self._parts:
+            return self._refusal(Code.NO_UPSTREAM, 'the service is unknown')
+        part = self._parts[0]
+        if part.reply is not None and part.reply.relayable:
+            return forward_messages.Relayed(part.reply)
+        if part.state is PartState.FAILED:
+            assert part.failure is not None
+            return self._failure(part.failure)
+        if self._answer_by.passed(self._clock):
+            return self._late()
+        return None
+
+    def _decide_gather(
+        self, target: routes.Gather
+    ) -> forward_messages.ForwardAnswer | None:
+        wanted = len(target.services)
+        answered = [
+            p.reply
+            for p in self._parts
+            if p.state is PartState.ANSWERED and p.reply is not None
+        ]
+        pending = sum(p.state is PartState.PENDING for p in self._parts)
+        enough = len(answered) >= target.least_share * wanted
+        if answered and enough:
+            over = self._clock.monotonic() >= self._goal_s
+            if pending == 0 or over:
+                return self._merged(answered, target)
+        elif len(answered) + pending < target.least_share * wanted:
+            return self._too_few(answered, wanted)
+        if self._answer_by.passed(self._clock):
+            return self._late()
+        return None
+
+    def _merged(
+        self,
+        answered: list[forward_messages.SearcherReply],
+        target: routes.Gather,
+    ) -> forward_messages.Gathered:
+        receipts = tuple(r.receipt for r in answered if r.receipt is not None)
+        return forward_messages.Gathered(
+            receipts=receipts,
+            missing=len(target.services) - len(receipts),
+            body=records.merge_greatest(
+                (r.body for r in answered), target.top
+            ),
+        )
+
+    def _too_few(
+        self, answered: list[forward_messages.SearcherReply], wanted: int
+    ) -> Failure:
+        detail = f'at most {len(answered)} of {wanted} parts'
+        if self._withdraw():
+            return Failure(Code.COVERAGE_NOT_MET, detail)
+        return self._refusal(Code.NO_UPSTREAM, detail)
+
+    def _late(self) -> Failure:
+        if self._withdraw():
+            return Failure(Code.OUTCOME_UNKNOWN, 'no answer in time')
+        return self._refusal(Code.DEADLINE_PAST, 'nothing was sent in time')
+
+    def _withdraw(self) -> bool:
+        """Send nothing more; return whether anything may have run."""
+        for part in self._parts:
+            part.cancel()
+        return any(p.may_have_run for p in self._parts)
+
+    def _failure(self, failure: Failure) -> Failure:
+        if failure.retry_after_s is None:
+            return failure
+        return self._refusal(
+            failure.code, failure.detail, failure.retry_after_s
+        )
+
+    def _refusal(
+        self, code: Code, detail: str, after_s: float = _SHORTEST_RETRY_S
+    ) -> Failure:
+        left_s = self._request.deadline.remaining(self._clock)
+        after_s = min(max(after_s, _SHORTEST_RETRY_S), _RETRY_SHARE * left_s)
+        return Failure(code, detail, after_s)
+
+
+def _described(
+    answer: forward_messages.ForwardAnswer | None,
+) -> tuple[str, str]:
+    if answer is None:
+        return 'none', 'the caller has gone'
+    if isinstance(answer, Failure):
+        return answer.code.name, answer.detail
+    if isinstance(answer, forward_messages.Relayed):
+        return 'relayed', f'status {answer.reply.status}'
+    return 'gathered', f'{answer.missing} parts are missing'
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -0,0 +1,409 @@
+"""corianderport_tier.request.part
+
+The sends of one request to the searchers of one service.
+"""
+
+import enum
+import threading
+
+import attrs
+
+from corianderport_tier import clocks
+from corianderport_tier.connection import transports
+from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import route_latency
+from corianderport_tier.process import searcher_state
+from corianderport_tier.process import service_searchers
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import inboxes
+from corianderport_tier import result_codes
+from corianderport_tier.version import routes
+
+__all__ = [
+    'CallerGone',
+    'Event',
+    'Part',
+    'PartState',
+    'RoomFreed',
+    'Send',
+    'SendEnded',
+]
+
+_LOG_KINDS = {False: 'retry', True: 'hedge'}
+# A connection whose answer is this late is closed when its request ends,
+# since the answer may never come.
+_LINGER_S = 0.15
+# A shorter time is not worth a send: the answer would come too late.
+_LEAST_TIME_S = 0.002
+# An idle connection that carried an answer this recently is taken for open.
+_VERIFIED_S = 1.0
+# Hedges leave this fraction of the slack to retries of failed sends.
+_HEDGE_RESERVE = 0.3
+
+Code = result_codes.ResultCode
+
+
+class PartState(enum.Enum):
+    """Whether the part is still to be waited for."""
+
+    PENDING = 'pending'
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+
+
+@attrs.frozen
+class SendEnded:
+    """A send has ended with a reply or an error."""
+
+    send: 'Send'
+    reply: object
+
+
+@attrs.frozen
+class RoomFreed:
+    """A searcher of a service may have room."""
+
+    part: 'Part'
+
+
+@attrs.frozen
+class CallerGone:
+    """The caller has closed its connection."""
+
+
+Event = SendEnded | RoomFreed | CallerGone
+
+
+class Send:
+    """One send to one searcher; a job of its connection."""
+
+    def __init__(
+        self,
+        part: 'Part',
+        choice: service_searchers.Choice,
+        call: forward_messages.SearcherCall,
+        hedge: bool,
+        clock: clocks.Clock,
+    ) -> None:
+        self.part = part
+        self.choice = choice
+        self.hedge = hedge
+        self.started_s = clock.monotonic()
+        self._call = call
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._cancelled = False
+        self._transport: transports.SearcherTransport | None = None
+        self._sent_s: float | None = None
+
+    @property
+    def sent(self) -> bool:
+        """Whether bytes may have been sent."""
+        return self._sent_s is not None
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the request has ended before the send."""
+        return self._cancelled
+
+    @property
+    def searcher(self) -> str:
+        """Name of the searcher."""
+        return self.choice.state.name
+
+    def perform(
+        self, transport: transports.SearcherTransport
+    ) -> forward_messages.SearcherReply:
+        """Send, unless the searcher may not get the request any more."""
+        if not self.part.service.is_present(self.choice.state):
+            raise errors.NoUpstream('the searcher may get nothing any more')
+        if self._call.deadline.remaining(self._clock) < _LEAST_TIME_S:
+            raise errors.DeadlinePast('no time is left')
+        with self._lock:
+            if self._cancelled:
+                raise errors.DeadlinePast('the request has ended')
+            self._transport = transport
+            self._sent_s = self._clock.monotonic()
+        return transport.exchange(self._call)
+
+    def finish(self, reply: object) -> None:
+        """Report the end; the request may have ended before."""
+        self._transport = None
+        self.part.on_finished(self, reply)
+
+    def cancel(self, at_once: bool) -> None:
+        """End the send; a young one may keep its connection.
+
+        What has not been sent before is not sent any more.
+
+        :param at_once: the searcher is to stop working on it.
+        """
+        with self._lock:
+            self._cancelled = True
+            transport = self._transport
+        age_s = self._clock.monotonic() - self.started_s
+        if transport is not None and (at_once or age_s >= _LINGER_S):
+            transport.abort()
+
+
+class Part:
+    """What became of a request at one service.
+
+    The request's task calls it, except for ``on_finished``.
+    """
+
+    def __init__(
+        self,
+        service: service_searchers.ServiceSearchers,
+        request: forward_messages.ForwardRequest,
+        route: routes.Route,
+        latency: route_latency.RouteLatency,
+        inbox: inboxes.Inbox[Event],
+        clock: clocks.Clock,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self.service = service
+        self.state = PartState.PENDING
+        self.reply: forward_messages.SearcherReply | None = None
+        self.failure: forward_messages.Failure | None = None
+        self._request = request
+        self._route = route
+        self._gathered = isinstance(route.target, routes.Gather)
+        self._latency = latency
+        self._inbox = inbox
+        self._clock = clock
+        self._log = log
+        self._sends: list[Send] = []
+        self._tried: list[str] = []
+        self._arrivals = 0
+        self._may_have_run = 0
+        self._hedge_at_s: float | None = None
+        self._failed_reply: forward_messages.SearcherReply | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a searcher may have worked on the request."""
+        return self._may_have_run > 0 or any(s.sent for s in self._sends)
+
+    @property
+    def hedge_at_s(self) -> float | None:
+        """When to think of a hedge; None when there is none to come."""
+        if self.state is not PartState.PENDING or not self._sends:
+            return None
+        return self._hedge_at_s
+
+    def launch(self) -> None:
+        """Make the first send."""
+        self.service.count_request()
+        self._send(hedge=False)
+
+    def hedge(self, last: bool) -> None:
+        """Send to another searcher when the answer is late.
+
+        :param last: an answer waits for few parts only, this one among
+            them.
+        """
+        self._hedge_at_s = None
+        running = len(self._sends)
+        if self._may_have_run + running >= self._route.attempts:
+            return
+        choice = self.service.choose(self._tried, self._latency.usual_s)
+        if isinstance(choice, service_searchers.NoChoice):
+            return
+        if not self.service.try_extra(0.0 if last else _HEDGE_RESERVE):
+            self.service.finish(choice, searcher_state.Ending(failed=False))
+            self._note('no-hedge', choice.state.name, 'budget is spent')
+            return
+        self._start(choice, hedge=True)
+
+    def on_room(self) -> None:
+        """Try again to send, when there was no room before."""
+        if self.state is PartState.PENDING and not self._sends:
+            self._send(hedge=False)
+
+    def on_finished(self, send: Send, reply: object) -> None:
+        """Count the end of a send; called by the connection's task."""
+        ending = self._ending(send, reply)
+        self.service.finish(send.choice, ending)
+        self._inbox.put(SendEnded(send, reply))
+
+    def on_ended(self, ended: SendEnded) -> None:
+        """Take over the end of a send."""
+        send = ended.send
+        self._sends.remove(send)
+        if send.sent:
+            self._arrivals += 1
+        if self.state is not PartState.PENDING:
+            return
+        if isinstance(ended.reply, forward_messages.SearcherReply):
+            self._on_reply(send, ended.reply)
+        else:
+            self._on_error(send, ended.reply)
+
+    def cancel(self, at_once: bool = False) -> None:
+        """End all sends that are still running."""
+        for send in self._sends:
+            send.cancel(at_once)
+
+    def _on_reply(
+        self, send: Send, reply: forward_messages.SearcherReply
+    ) -> None:
+        if reply.ran:
+            self._may_have_run += 1
+        if reply.succeeded if self._gathered else reply.final:
+            self._latency.record(self._clock.monotonic() - send.started_s)
+            self.reply = reply
+            self.state = PartState.ANSWERED
+            return
+        reason = f'status {reply.status}'
+        if not reply.ran:
+            self._again(send, Code.UPSTREAM_REFUSED, f'{reason}, not run')
+            return
+        if not 200 <= reply.status < 300:
+            self._failed_reply = reply
+        self._again(send, Code.UPSTREAM_FAILED, reason)
+
+    def _on_error(self, send: Send, error: object) -> None:
+        not_sent = not send.sent or isinstance(
+            error, errors.ConnectFailed | errors.ConnectionStale
+        )
+        if not_sent:
+            if send.sent:
+                self._arrivals -= 1
+            if isinstance(error, errors.ConnectionStale):
+                # The searcher itself is not at fault.
+                self._tried.remove(send.searcher)
+            self._again(send, Code.NO_UPSTREAM, str(error))
+            return
+        self._may_have_run += 1
+        code = Code.OUTCOME_UNKNOWN
+        self._again(send, code, f'{type(error).__name__}: {error}')
+
+    def _again(self, send: Send, code: Code, reason: str) -> None:
+        """Send once more where that is allowed, or fail."""
+        self._note('send-failed', send.searcher, reason)
+        if self._sends:
+            return
+        ran = self._may_have_run
+        if ran and not self._route.idempotent:
+            self._fail(code, reason)
+        elif ran >= self._route.attempts:
+            self._fail(code, reason)
+        else:
+            self._send(hedge=False, failed=(code, reason))
+
+    def _send(
+        self, hedge: bool, failed: tuple[Code, str] | None = None
+    ) -> None:
+        choice = self.service.choose(self._tried, self._latency.usual_s)
+        if choice is service_searchers.NoChoice.ALL_TRIED and failed:
+            choice = self.service.choose((), self._latency.usual_s)
+        if isinstance(choice, service_searchers.NoChoice):
+            self._on_no_choice(choice, failed)
+            return
+        if self._arrivals and not self.service.try_extra():
+            self.service.finish(choice, searcher_state.Ending(failed=False))
+            self._fail(*(failed or (Code.OVERLOADED, '')))
+            self._note('no-retry', choice.state.name, 'budget is spent')
+            return
+        self._start(choice, hedge)
+
+    def _start(self, choice: service_searchers.Choice, hedge: bool) -> None:
+        call = forward_messages.SearcherCall(
+            self._request.request_id,
+            choice.state.name,
+            self._request.payload,
+            self._request.deadline,
+        )
+        send = Send(self, choice, call, hedge, self._clock)
+        if self._tried:
+            self._note(
+                _LOG_KINDS[hedge], choice.state.name, 'another searcher'
+            )
+        self._sends.append(send)
+        self._tried.append(choice.state.name)
+        late_s = max(self._latency.late_s, 1.3 * self._latency.usual_s)
+        self._hedge_at_s = (
+            send.started_s + late_s if self._route.idempotent else None
+        )
+        try:
+            choice.state.pool.submit(send, self._wants_fresh(choice))
+        except errors.CorianderportError as error:
+            send.finish(error)
+
+    def _wants_fresh(self, choice: service_searchers.Choice) -> bool:
+        """Whether an idle connection may have ended without notice.
+
+        A request that may run once only is lost when it is sent on one.
+        """
+        if self._route.idempotent:
+            return False
+        age_s = self._clock.monotonic() - choice.state.pool.verified_s
+        return age_s > _VERIFIED_S
+
+    def _on_no_choice(
+        self,
+        reason: service_searchers.NoChoice,
+        failed: tuple[Code, str] | None,
+    ) -> None:
+        if reason is service_searchers.NoChoice.FULL:
+            self.service.await_room(lambda: self._inbox.put(RoomFreed(self)))
+            return
+        code, detail = failed or (Code.NO_UPSTREAM, reason.value)
+        self._fail(code, detail)
+
+    def _fail(self, code: Code, reason: str) -> None:
+        self.state = PartState.FAILED
+        if self._may_have_run == 0:
+            # Nothing has run, whatever the last error was.
+            if code not in (Code.UPSTREAM_REFUSED, Code.OVERLOADED):
+                code = Code.NO_UPSTREAM
+            self.failure = forward_messages.Failure(
+                code, reason, self.service.next_try_s()
+            )
+        else:
+            self.failure = forward_messages.Failure(code, reason)
+            self.reply = self._failed_reply
+
+    def _ending(self, send: Send, reply: object) -> searcher_state.Ending:
+        elapsed_s = self._clock.monotonic() - send.started_s
+        usual_s = self._latency.usual_s
+        if isinstance(reply, forward_messages.SearcherReply):
+            if reply.ran:
+                return searcher_state.Ending(
+                    failed=not reply.succeeded,
+                    elapsed_s=elapsed_s,
+                    usual_s=usual_s,
+                )
+            return searcher_state.Ending(
+                failed=reply.other_searcher or reply.leaving,
+                unreachable=reply.other_searcher or reply.leaving,
+                full=True,
+            )
+        if isinstance(reply, errors.ConnectFailed):
+            return searcher_state.Ending(failed=True, unreachable=True)
+        if isinstance(reply, errors.ConnectionStale | errors.Refusal):
+            return searcher_state.Ending(failed=False)
+        if send.cancelled:
+            return searcher_state.Ending(
+                failed=False, elapsed_s=elapsed_s, usual_s=usual_s
+            )
+        return searcher_state.Ending(
+            failed=True, elapsed_s=elapsed_s, usual_s=usual_s
+        )
+
+    def _note(self, kind: str, choice: str, reason: str) -> None:
+        self._log.record(
+            decision_log.Decision(
+                kind=kind,
+                request_id=self._request.request_id,
+                choice=choice,
+                reason=reason,
+                inputs={
+                    'service': self.service.name,
+                    'tried': len(self._tried),
+                    'ran': self._may_have_run,
+                },
+            )
+        )
--- a/packages/wire/src/corianderport_wire/process/json_log.py
+++ b/packages/wire/src/corianderport_wire/process/json_log.py
@@ -43,6 +43,7 @@
                 reason=decision.reason,
                 alternatives=decision.alternatives,
             )
+            fields.update(decision.inputs)
         if record.exc_info:
             fields['exception'] = self.formatException(record.exc_info)
         return orjson.dumps(fields, default=str).decode()
