Find a store that has returned sooner, and read what a routing lacks

The watch of the searchers hung on a store that was down and found its return 5 s late, so that the routing in force named services without a known searcher; then each host allowed a cold searcher one request a second, although the services publish no rate for cold searchers (0).

Ruled out: lapsed entries (none were dropped before 12 s); too few searchers (all 46 had registered by 6 s).

Change: after a failed call the next watch returns at once; a routing that names a service without searchers is followed by one read of them; changes within 0.4 s arrive in one call; a rate of 0 bounds nothing.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -55,8 +55,12 @@
         """Path on which the balancer asks whether the host is ready."""
 
     @property
-    def prefixes(self) -> tuple[str, ...]:
-        """Prefixes of the store's keys, each read by a task of its own."""
+    def routing_prefix(self) -> str:
+        """Prefix of the keys under which operators publish."""
+
+    @property
+    def searcher_prefix(self) -> str:
+        """Prefix of the keys under which searchers register."""
 
     def settings(self) -> entry_settings.EntrySettings:
         """Read the settings anew.
@@ -120,6 +124,7 @@
         self._watch = close_watch.CloseWatch()
         self._callers = self._listener(settings.caller_address, self._serve)
         self._ready = self._listener(settings.ready_address, self._serve_ready)
+        searchers = adapter.searcher_prefix
         self._readers = [
             registry_reader.RegistryReader(
                 prefix,
@@ -128,8 +133,9 @@
                 clock,
                 registry_reader.ReaderTimes(),
                 self._rng,
+                None if prefix == searchers else searchers,
             )
-            for prefix in adapter.prefixes
+            for prefix in (adapter.routing_prefix, searchers)
         ]
 
     @classmethod
--- a/packages/tier/src/corianderport_tier/process/directory.py
+++ b/packages/tier/src/corianderport_tier/process/directory.py
@@ -79,6 +79,20 @@
                 for e in self._entries.values()
             )
 
+    def lacks_searchers(self) -> bool:
+        """Whether a route names a service without a searcher."""
+        routing = self._routing
+        if routing is None:
+            return False
+        with self._lock:
+            registered = {
+                e.value.service
+                for e in self._entries.values()
+                if isinstance(e.value, registrations.Registration)
+            }
+        named = {name for r in routing.routes for name in r.services}
+        return not named <= registered
+
     def service(self, name: str) -> service_searchers.ServiceSearchers | None:
         """Return the state of a service, None when nothing names it."""
         return self._services.get(name)
--- a/packages/tier/src/corianderport_tier/process/registry_reader.py
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -5,7 +5,6 @@
 One task for each prefix: it reads all entries, then waits for changes.
 """
 
-import collections.abc
 import logging
 import random
 import threading
@@ -33,14 +32,21 @@
     """
 
     watch_s: float = 4.0
+    # After a failure the first watch returns at once, since a connection
+    # to a store that does not answer would hide its return.
+    watch_after_failure_s: float = 0.0
+    # Changes of this time arrive together, since each call has a price.
+    settle_s: float = 0.4
     first_retry_s: float = 0.1
-    longest_retry_s: float = 1.0
+    longest_retry_s: float = 0.5
 
 
 class RegistryReader:
     """Reads one prefix until closed.
 
-    :param changed: called after news were taken over.
+    :param lacking: prefix that is read once when the routing in force
+        names a service without searchers, as when the task that watches
+        the prefix is behind.
     """
 
     def __init__(
@@ -51,7 +57,7 @@
         clock: clocks.Clock,
         times: ReaderTimes,
         rng: random.Random,
-        changed: collections.abc.Callable[[], None] = lambda: None,
+        lacking: str | None = None,
     ) -> None:
         self._prefix = prefix
         self._registry = registry
@@ -59,7 +65,7 @@
         self._clock = clock
         self._times = times
         self._rng = rng
-        self._changed = changed
+        self._lacking = lacking
         self._condition = threading.Condition()
         self._closed = False
         self._revision: registrations.Revision | None = None
@@ -97,19 +103,25 @@
         self._directory.replace(self._prefix, listing, returned)
         self._revision = listing.revision
         self._ever_read = True
-        self._changed()
+        self._read_lacking()
 
     def _watch(self, after: registrations.Revision) -> None:
-        listing = self._registry.watch(
-            self._prefix, after, self._times.watch_s
-        )
         returned = self._failures > 0
+        times = self._times
+        wait_s = times.watch_after_failure_s if returned else times.watch_s
+        listing = self._registry.watch(self._prefix, after, wait_s)
         self._on_success()
         if listing.entries:
             self._directory.apply(listing.entries, returned)
-            self._changed()
+            self._read_lacking()
+            self._pause(self._times.settle_s)
         self._revision = max(after, listing.revision)
 
+    def _read_lacking(self) -> None:
+        if self._lacking is not None and self._directory.lacks_searchers():
+            listing = self._registry.read(self._lacking)
+            self._directory.replace(self._lacking, listing, returned=True)
+
     def _on_success(self) -> None:
         if self._failures:
             _LOG.info(
@@ -127,8 +139,9 @@
             self._times.longest_retry_s,
             self._times.first_retry_s * 2.0 ** min(self._failures - 1, 10),
         )
+        self._pause(longest_s * self._rng.uniform(0.7, 1.0))
+
+    def _pause(self, seconds: float) -> None:
         with self._condition:
             if not self._closed:
-                self._clock.wait(
-                    self._condition, longest_s * self._rng.uniform(0.7, 1.0)
-                )
+                self._clock.wait(self._condition, seconds)
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -205,9 +205,10 @@
         return states
 
     def _warm_enough(self, state: SearcherState, now_s: float) -> bool:
-        if not state.warm_up.is_cold(now_s):
-            return True
         rate = self._traits.cold_rate if self._traits else 0.0
+        # A service without a rate names no bound for its cold searchers.
+        if rate <= 0 or not state.warm_up.is_cold(now_s):
+            return True
         return state.warm_up.may_send(
             now_s, self._share.cold_rate(state.name, rate)
         )
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -4,6 +4,7 @@
 each service of a gather, and decides when to answer.
 """
 
+import collections
 import collections.abc
 import random
 import typing
@@ -180,15 +181,15 @@
 
     def summary(self) -> dict[str, object]:
         """Return what decided the answer, for the log."""
-        waiting = [
-            p.service.name
+        reasons = collections.Counter(
+            'waiting' if p.failure is None else p.failure.detail
             for p in self._parts
             if p.state is not PartState.ANSWERED
-        ]
+        )
         return {
             'route': self._route.name,
             'parts': len(self._parts),
-            'not_answered': waiting,
+            'not_answered': dict(reasons),
         }
 
     def _open_parts(self) -> None:
