Let hosts find each other and divide the fleet's bounds by their number

Cause: each host assumed six hosts, so that a larger fleet would have passed the bounds on extra sends, cold searchers and connections.

Ruled out: the platform's store as a list of hosts; it does not list them.

Change: gossip by seed addresses over the heartbeats of the product, without leases.

--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -6,10 +6,10 @@
 import concurrent.futures
 import contextlib
 import random
-import secrets
 import types
 import typing
 
+from corianderport_daemon.process import incarnations
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
 from corianderport_tier.process import configuration_store
@@ -28,15 +28,9 @@
 from corianderport_wire.connection import peer_server
 from corianderport_wire.connection import platform_client
 
-__all__ = ['ControlPlane', 'new_incarnation']
+__all__ = ['ControlPlane']
 
 _LEASE_PERIODS = 3
-_RANDOM_BYTES = 6
-
-
-def new_incarnation(clock: clocks.Clock) -> str:
-    """Return random text that sorts by the time of the call."""
-    return f'{int(clock.time() * 1e3):012x}.{secrets.token_hex(_RANDOM_BYTES)}'
 
 
 class ControlPlane:
@@ -120,7 +114,7 @@
             self._settings.host,
             self._settings.data_centre,
             self._server.address,
-            incarnation=new_incarnation(self._clock),
+            incarnation=incarnations.new_incarnation(self._clock),
         )
         self.members = membership.Membership(
             own,
--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -15,6 +15,7 @@
 import attrs
 
 from corianderport_daemon.process import entry_settings
+from corianderport_daemon.process import fleet
 from corianderport_tier import clocks
 from corianderport_tier.connection import pool
 from corianderport_tier.connection import transports
@@ -111,8 +112,16 @@
             _MOST_TASKS, thread_name_prefix='task'
         )
         self._log = decision_log.DecisionLog()
+        self._fleet = fleet.Fleet(
+            settings,
+            self._executor,
+            clock,
+            self._version,
+            lambda member, version: None,
+            self._fleet_changed,
+        )
         self._share = fleet_share.FleetShare(
-            settings.fleet, settings.host, self._hosts
+            settings.fleet, settings.host, lambda: self._fleet.hosts
         )
         self._dialer = adapter.dialer(clock)
         self._directory = directory.Directory(
@@ -156,6 +165,7 @@
             self._keep_house,
             *(reader.run for reader in self._readers),
         ]
+        self._stack.enter_context(self._fleet)
         for task in tasks:
             self._executor.submit(self._run, task)
         _LOG.info('started %s in %s', self.name, self._settings.data_centre)
@@ -171,6 +181,7 @@
             reader.close()
         self._watch.close()
         self._ready.stop_accepting()
+        self._stack.close()
         self._directory.close()
         self._executor.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped %s', self.name)
@@ -183,7 +194,11 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be sent to this host."""
-        return self._directory.complete and not self._stopping
+        return (
+            self._directory.complete
+            and self._fleet.joined
+            and not self._stopping
+        )
 
     def stop(self) -> None:
         """Begin the planned stop; ``wait`` returns at its end."""
@@ -230,11 +245,16 @@
             self._clock.wait(self._condition, _BALANCER_LAG_S)
         self._callers.stop_accepting()
         self._callers.close_idle()
+        self._fleet.leave()
         if not self._callers.await_closed(end):
             _LOG.warning('connections of callers are still open at the end')
 
-    def _hosts(self) -> collections.abc.Sequence[str]:
-        return (self._settings.host,)
+    def _version(self) -> int:
+        routing = self._directory.routing
+        return 0 if routing is None else routing.version
+
+    def _fleet_changed(self) -> None:
+        self._directory.refresh()
 
     def _listener(
         self, address: str, serve: caller_listener.Serve
--- /dev/null
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -0,0 +1,104 @@
+"""corianderport_daemon.process.fleet
+
+Builds the parts by which hosts that send directly know each other.
+"""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import random
+import types
+import typing
+
+from corianderport_daemon.process import entry_settings
+from corianderport_daemon.process import gossip_calls
+from corianderport_daemon.process import incarnations
+from corianderport_tier import clocks
+from corianderport_tier.process import gossip
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import membership
+from corianderport_wire.connection import peer_authentication
+from corianderport_wire.connection import peer_client
+from corianderport_wire.connection import peer_server
+
+__all__ = ['Fleet']
+
+_PEER_CONNECTIONS = 64
+
+
+class Fleet:
+    """Membership of this host and the task that keeps it up to date.
+
+    :param version: returns the version of the routing in force.
+    :param version_heard: is told of the version of each host.
+    :param changed: called after the number of hosts has changed.
+    """
+
+    def __init__(
+        self,
+        settings: entry_settings.EntrySettings,
+        executor: concurrent.futures.Executor,
+        clock: clocks.Clock,
+        version: collections.abc.Callable[[], int],
+        version_heard: heartbeats.VersionHeard,
+        changed: collections.abc.Callable[[], None],
+    ) -> None:
+        self._executor = executor
+        self._stack = contextlib.ExitStack()
+        keys = peer_authentication.SharedKeys.from_text(settings.shared_keys)
+        host, _, port = settings.peer_address.rpartition(':')
+        self._server = peer_server.PeerServer(
+            host, int(port), clock, _PEER_CONNECTIONS, keys
+        )
+        self._stack.callback(self._server.close)
+        own = membership.Member(
+            settings.host,
+            settings.data_centre,
+            self._server.address,
+            incarnation=incarnations.new_incarnation(clock),
+        )
+        region_of = settings.regions.get
+        members = membership.Membership(own, clock, region_of)
+        self._exchange = heartbeats.HeartbeatExchange(
+            members, heartbeats.NoLeases(), version, version_heard
+        )
+        self._gossip = gossip.Gossip(
+            members,
+            self._exchange,
+            peer_client.ThriftPeerDialer(clock, keys),
+            region_of,
+            settings.seeds,
+            executor,
+            clock,
+            gossip.GossipTimes(),
+            random.Random(),
+            changed,
+        )
+        self._stack.callback(self._gossip.close)
+
+    def __enter__(self) -> typing.Self:
+        self._server.start(gossip_calls.GossipCalls(self._exchange))
+        self._executor.submit(self._gossip.run)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """Names of the hosts that may be sending."""
+        return self._gossip.hosts
+
+    @property
+    def joined(self) -> bool:
+        """Whether the seeds have answered or were given time to."""
+        return self._gossip.joined
+
+    def leave(self) -> None:
+        """Tell the others that this host stops."""
+        self._gossip.leave()
--- a/packages/tier/src/corianderport_tier/process/heartbeats.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeats.py
@@ -4,14 +4,20 @@
 """
 
 import collections.abc
+import typing
 
 import attrs
 
-from corianderport_tier.process import leases
 from corianderport_tier.process import membership
 from corianderport_tier.process import ownership_types
 
-__all__ = ['Heartbeat', 'HeartbeatExchange', 'VersionHeard']
+__all__ = [
+    'Heartbeat',
+    'HeartbeatExchange',
+    'LeaseExchange',
+    'NoLeases',
+    'VersionHeard',
+]
 
 VersionHeard = collections.abc.Callable[[membership.Member, int], None]
 
@@ -34,6 +40,87 @@
     established: bool = True
 
 
+class LeaseExchange(typing.Protocol):
+    """What heartbeats carry for the leases of services."""
+
+    @property
+    def established(self) -> bool:
+        """Whether this host has been an owner."""
+
+    def requests(
+        self, member: membership.Member
+    ) -> tuple[ownership_types.LeaseRequest, ...]:
+        """Return the leases to ask a host for."""
+
+    def releases(
+        self, member: membership.Member
+    ) -> tuple[ownership_types.LeaseRequest, ...]:
+        """Return the leases that a host is told to be free."""
+
+    def released(
+        self,
+        member: membership.Member,
+        releases: collections.abc.Iterable[ownership_types.LeaseRequest],
+    ) -> None:
+        """Learn that a host gave leases up."""
+
+    def grant(
+        self,
+        member: membership.Member,
+        requests: collections.abc.Iterable[ownership_types.LeaseRequest],
+    ) -> tuple[str, ...]:
+        """Return the services whose leases a host may have."""
+
+    def granted(
+        self,
+        member: membership.Member,
+        services: collections.abc.Iterable[str],
+        asked_s: float,
+    ) -> None:
+        """Learn which requested leases a host agreed to."""
+
+
+class NoLeases:
+    """Hosts that all send to all searchers need no leases."""
+
+    established = True
+
+    def requests(
+        self, member: membership.Member
+    ) -> tuple[ownership_types.LeaseRequest, ...]:
+        """Return none."""
+        return ()
+
+    def releases(
+        self, member: membership.Member
+    ) -> tuple[ownership_types.LeaseRequest, ...]:
+        """Return none."""
+        return ()
+
+    def released(
+        self,
+        member: membership.Member,
+        releases: collections.abc.Iterable[ownership_types.LeaseRequest],
+    ) -> None:
+        """Ignore them."""
+
+    def grant(
+        self,
+        member: membership.Member,
+        requests: collections.abc.Iterable[ownership_types.LeaseRequest],
+    ) -> tuple[str, ...]:
+        """Return none."""
+        return ()
+
+    def granted(
+        self,
+        member: membership.Member,
+        services: collections.abc.Iterable[str],
+        asked_s: float,
+    ) -> None:
+        """Ignore them."""
+
+
 class HeartbeatExchange:
     """Builds heartbeats and takes those of others.
 
@@ -44,7 +131,7 @@
     def __init__(
         self,
         members: membership.Membership,
-        held: leases.Leases,
+        held: LeaseExchange,
         version: collections.abc.Callable[[], int],
         version_heard: VersionHeard,
     ) -> None:
