--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -7,6 +7,7 @@
 import concurrent.futures
 import contextlib
 import logging
+import select
 import socket
 import threading
 
@@ -99,12 +100,12 @@
 
     def close_idle(self) -> None:
         """Close the connection when nothing has arrived on it."""
-        if self._idle:
-            try:
+        try:
+            arrived = select.select([self._socket], (), (), 0)[0]
+            if self._idle and not arrived:
                 self._socket.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                # The caller has closed it already.
-                return
+        except (OSError, ValueError) as error:
+            _LOG.debug('the caller has closed already: %s', error)
 
     def _serve_one(self) -> bool:
         """Serve a request; False when the connection is to be closed."""
--- /dev/null
+++ b/tests/adapter/stand_ins.py
@@ -0,0 +1,191 @@
+"""Small stand-ins for the platform's store and for searchers."""
+
+import base64
+import collections.abc
+import http.server
+import json
+import threading
+import time
+import typing
+import urllib.parse
+
+__all__ = ['Searcher', 'Store']
+
+_PAGE = 2
+_POLL_S = 0.01
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    owner: typing.Any
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    server: _Server
+
+    def do_GET(self) -> None:
+        self.server.owner.answer(self)
+
+    do_POST = do_GET
+
+    def send(
+        self,
+        status: int,
+        body: bytes = b'',
+        headers: collections.abc.Mapping[str, str] | None = None,
+    ) -> None:
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *args: object) -> None:
+        return
+
+
+class _Served:
+    """Base of the stand-ins: a server on a free port."""
+
+    def __init__(self) -> None:
+        self._server = _Server(('127.0.0.1', 0), _Handler)
+        self._server.owner = self
+        host, port = self._server.server_address[:2]
+        self.address = f'{host!s}:{port}'
+        threading.Thread(
+            target=self._server.serve_forever, args=(_POLL_S,), daemon=True
+        ).start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def answer(self, request: _Handler) -> None:
+        """Answer one request."""
+        raise NotImplementedError
+
+
+class Store(_Served):
+    """Holds items with revisions; pages and watches as the platform's."""
+
+    def __init__(self) -> None:
+        self._condition = threading.Condition()
+        self._items: dict[str, dict[str, typing.Any]] = {}
+        self._events: list[dict[str, typing.Any]] = []
+        self._revision = 1
+        self.oldest = 0
+        self.status: int | None = None
+        super().__init__()
+
+    def put(self, key: str, value: object) -> None:
+        """Write a value; text and bytes are written as they are."""
+        content = value if isinstance(value, bytes) else json.dumps(value)
+        if isinstance(content, str):
+            content = content.encode()
+        with self._condition:
+            self._revision += 1
+            item = {
+                'key': key,
+                'value': base64.b64encode(content).decode(),
+                'rev': self._revision,
+                'create_rev': self._revision,
+                'lease': 0,
+            }
+            self._items[key] = item
+            self._events.append(item)
+            self._condition.notify_all()
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        with self._condition:
+            self._revision += 1
+            self._items.pop(key, None)
+            self._events.append(
+                {'key': key, 'rev': self._revision, 'tombstone': True}
+            )
+            self._condition.notify_all()
+
+    def answer(self, request: _Handler) -> None:
+        """Serve a page or a watch."""
+        if self.status is not None:
+            request.send(self.status)
+            return
+        url = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if url.path == '/corianderport/kv-range':
+            self._page(request, query)
+        elif url.path == '/corianderport/kv-watch':
+            self._watch(request, query)
+        else:
+            request.send(404)
+
+    def _page(self, request: _Handler, query: dict[str, str]) -> None:
+        with self._condition:
+            keys = sorted(
+                key
+                for key in self._items
+                if key.startswith(query['prefix'])
+                and key > query.get('after', '')
+            )
+            document = {
+                'items': [self._items[key] for key in keys[:_PAGE]],
+                'has_more': len(keys) > _PAGE,
+                'current_rev': self._revision,
+            }
+        request.send(200, json.dumps(document).encode())
+
+    def _watch(self, request: _Handler, query: dict[str, str]) -> None:
+        after = int(query['after'])
+        until_s = time.monotonic() + int(query['wait_ms']) / 1e3
+
+        def found() -> list[dict[str, typing.Any]]:
+            return [
+                e
+                for e in self._events
+                if e['rev'] > after and e['key'].startswith(query['prefix'])
+            ]
+
+        with self._condition:
+            if after < self.oldest:
+                request.send(410)
+                return
+            while not found():
+                left_s = until_s - time.monotonic()
+                if left_s <= 0:
+                    break
+                self._condition.wait(left_s)
+            document = {'events': found(), 'current_rev': self._revision}
+        request.send(200, json.dumps(document).encode())
+
+
+class Searcher(_Served):
+    """Answers with a receipt, unless another searcher is meant."""
+
+    def __init__(self, name: str, body: bytes) -> None:
+        self.name = name
+        self.body = body
+        self.status = 200
+        self.seen: list[dict[str, str]] = []
+        super().__init__()
+
+    def answer(self, request: _Handler) -> None:
+        """Run a request."""
+        headers = {k.lower(): v for k, v in request.headers.items()}
+        length = int(headers.get('content-length', 0))
+        request.rfile.read(length)
+        self.seen.append(headers)
+        request_id = headers.get('x-request-id', '')
+        if headers.get('x-target-instance') != self.name:
+            request.send(421, headers={'X-Instance-Id': self.name})
+            return
+        request.send(
+            self.status,
+            self.body,
+            {
+                'X-Request-Id': request_id,
+                'X-Response-Stamp': f'{self.name}.{request_id}',
+            },
+        )
--- /dev/null
+++ b/tests/adapter/test_codecs.py
@@ -0,0 +1,157 @@
+"""Codecs: which header fields are passed on, added and left out."""
+
+import pytest
+
+from corianderport_platform import caller_codec
+from corianderport_platform import headers
+from corianderport_platform import searcher_codec
+from corianderport_testkit import clock as clock_module
+from corianderport_tier import errors
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import forward_messages
+from corianderport_tier import result_codes
+from corianderport_wire.connection import http_exchange
+
+Code = result_codes.ResultCode
+
+
+@pytest.fixture
+def clock() -> clock_module.ManualClock:
+    return clock_module.ManualClock()
+
+
+def _received(*extra: tuple[bytes, bytes]) -> http_exchange.HttpRequest:
+    return http_exchange.HttpRequest(
+        b'POST',
+        b'/one%20x?y=1',
+        (
+            (b'host', b'A.example'),
+            (b'x-request-id', b'q1'),
+            (b'x-deadline-ms', b'300'),
+            (b'connection', b'keep-alive, x-hop'),
+            (b'x-hop', b'1'),
+            (b'transfer-encoding', b'chunked'),
+            (b'accept', b'*/*'),
+            *extra,
+        ),
+        b'body',
+    )
+
+
+def test_request(clock: clock_module.ManualClock) -> None:
+    found = caller_codec.request_from_http(_received(), clock)
+    assert found.host == 'a.example'
+    assert found.path == '/one%20x'
+    assert found.deadline.remaining(clock) == pytest.approx(0.3)
+    names = {name for name, _ in found.payload.headers}
+    assert names == {b'host', b'x-request-id', b'x-deadline-ms', b'accept'}
+
+
+@pytest.mark.parametrize('missing', [b'host', b'x-request-id'])
+def test_request_without_identity_or_host(
+    clock: clock_module.ManualClock, missing: bytes
+) -> None:
+    received = _received()
+    left = tuple((n, v) for n, v in received.headers if n != missing)
+    with pytest.raises(errors.MalformedRequest):
+        caller_codec.request_from_http(
+            http_exchange.HttpRequest(b'GET', b'/', left, b''), clock
+        )
+
+
+def test_call_names_the_searcher_and_what_is_left(
+    clock: clock_module.ManualClock,
+) -> None:
+    """A caller must not choose the searcher."""
+    received = _received((b'x-target-instance', b'i-evil'))
+    request = caller_codec.request_from_http(received, clock)
+    clock.advance(0.1)
+    call = forward_messages.SearcherCall(
+        'q1', 'i-7', request.payload, request.deadline
+    )
+    sent = searcher_codec._request(call, clock)
+    values = [v for n, v in sent.headers if n == headers.EXPECTED_SEARCHER]
+    assert values == [b'i-7']
+    left = [v for n, v in sent.headers if n == headers.DEADLINE_MS]
+    assert len(left) == 1
+    assert 195 <= int(left[0]) <= 200
+    assert (b'content-length', b'4') in sent.headers
+    assert sent.target == b'/one%20x?y=1'
+
+
+@pytest.mark.parametrize(
+    ('status', 'fields', 'ran', 'other', 'receipt'),
+    [
+        (200, ((b'x-response-stamp', b's'),), True, False, 's'),
+        (503, ((b'x-not-executed', b'1'),), False, False, None),
+        (503, (), True, False, None),
+        (421, ((b'x-instance-id', b'i-2'),), False, True, None),
+        (200, ((b'x-response-stamp', b's'), (b'content-encoding', b'gzip')),
+         True, False, None),
+        (500, ((b'x-response-stamp', b's'),), True, False, 's'),
+    ],
+)  # fmt: skip
+def test_reply(
+    status: int,
+    fields: forward_messages.Headers,
+    ran: bool,
+    other: bool,
+    receipt: str | None,
+) -> None:
+    found = searcher_codec._reply(http_exchange.HttpReply(status, fields, b''))
+    assert (found.ran, found.other_searcher) == (ran, other)
+    assert found.receipt == receipt
+
+
+@pytest.mark.parametrize(
+    ('code', 'status'),
+    [
+        (Code.NOT_READY, 503),
+        (Code.NO_UPSTREAM, 503),
+        (Code.UPSTREAM_REFUSED, 503),
+        (Code.DEADLINE_PAST, 503),
+        (Code.OVERLOADED, 503),
+        (Code.UNKNOWN_SERVICE, 404),
+        (Code.MALFORMED_REQUEST, 400),
+        (Code.UPSTREAM_FAILED, 502),
+        (Code.COVERAGE_NOT_MET, 502),
+        (Code.OUTCOME_UNKNOWN, 504),
+        (Code.INTERNAL_ERROR, 500),
+    ],
+)
+def test_status_of_failures(code: Code, status: int) -> None:
+    """Only codes of requests that have not run may promise it."""
+    failure = forward_messages.Failure(code, 'detail', 0.25)
+    found = caller_codec.answer_to_http(failure, b'q1')
+    assert found.status == status
+    if status in forward_messages.NOT_RUN_STATUSES:
+        assert code.ran is result_codes.Ran.NO
+    assert (b'retry-after', b'0.250') in found.headers
+
+
+def test_gathered_answer() -> None:
+    answer = forward_messages.Gathered(('a.1', 'b.2'), 1, b'records')
+    found = caller_codec.answer_to_http(answer, b'q1')
+    assert found.status == 200
+    assert (b'x-part-stamps', b'a.1, b.2') in found.headers
+    assert (b'x-missing-parts', b'1') in found.headers
+    assert found.body == b'records'
+
+
+def test_deadline_that_is_no_number(clock: clock_module.ManualClock) -> None:
+    received = http_exchange.HttpRequest(
+        b'GET',
+        b'/',
+        ((b'host', b'a'), (b'x-request-id', b'q'), (b'x-deadline-ms', b'x')),
+        b'',
+    )
+    with pytest.raises(errors.MalformedRequest):
+        caller_codec.request_from_http(received, clock)
+
+
+def test_deadline_has_a_default(clock: clock_module.ManualClock) -> None:
+    received = http_exchange.HttpRequest(
+        b'GET', b'/', ((b'host', b'a'), (b'x-request-id', b'q')), b''
+    )
+    found = caller_codec.request_from_http(received, clock)
+    assert found.deadline > deadlines.Deadline.after(clock, 1.0)
--- /dev/null
+++ b/tests/adapter/test_documents.py
@@ -0,0 +1,160 @@
+"""Documents: what is published is decoded once, and never raises."""
+
+import json
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from corianderport_platform import documents
+from corianderport_tier.version import registrations
+from corianderport_tier.version import routes
+
+_SEARCHER: dict[str, typing.Any] = {
+    'backend': 'stock-1',
+    'addr': '10.1.0.9:8080',
+    'zone': 'west-a',
+    'version': 'v1',
+    'capacity': 2,
+    'state': 'ready',
+    'warmup_left_ms': 1500,
+    'call_seq': 4,
+    'born': 1_700_000_000_000,
+}
+ROUTING: dict[str, typing.Any] = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'a.example',
+            'prefix': '/all/',
+            'kind': 'idempotent',
+            'timeout_ms': 400,
+            'goal_ms': 44,
+            'priority': 2,
+            'gather': ['stock-1', 'stock-2'],
+            'attempts': 2,
+            'top_k': 5,
+            'min_shard_ratio': 0.75,
+        },
+        {
+            'name': 'r2',
+            'host': 'a.example',
+            'prefix': '/one/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 2500,
+            'goal_ms': 250,
+            'priority': 1,
+            'split': [
+                {'backend': 'desk', 'weight': 3},
+                {'backend': 'desk-2', 'weight': 1},
+            ],
+            'attempts': 1,
+        },
+    ],
+    'backends': [
+        {
+            'name': 'stock-1',
+            'health_path': '/healthz',
+            'max_conns': 25,
+            'proto': 'h1',
+            'tls': False,
+            'warmup_s': 3.0,
+            'warmup_per_s': 8.0,
+        }
+    ],
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 262144,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    },
+}
+
+
+def _searcher(**changes: object) -> registrations.Published:
+    document = {**_SEARCHER, **changes}
+    document = {k: v for k, v in document.items() if v is not None}
+    return documents.decode('servers/i-1', json.dumps(document).encode())
+
+
+def test_searcher() -> None:
+    found = _searcher(state='draining')
+    assert found == registrations.Registration(
+        searcher='i-1',
+        service='stock-1',
+        address='10.1.0.9:8080',
+        data_centre='west-a',
+        slots=2,
+        draining=True,
+        warm_up_left_s=1.5,
+        started_ms=1_700_000_000_000,
+    )
+
+
+def test_start_may_be_unknown() -> None:
+    found = _searcher(born=None)
+    assert isinstance(found, registrations.Registration)
+    assert found.started_ms == 0
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'asleep'},
+        {'state': 3},
+        {'capacity': 'two'},
+        {'capacity': True},
+        {'capacity': 0},
+        {'backend': None},
+        {'backend': 5},
+        {'addr': 'nowhere'},
+        {'addr': '10.1.0.9:x'},
+        {'zone': None},
+        {'warmup_left_ms': 'soon'},
+        {'born': 'today'},
+    ],
+)
+def test_wrong_fields_name_no_searcher(changes: dict[str, object]) -> None:
+    assert isinstance(_searcher(**changes), registrations.Unreadable)
+
+
+@hypothesis.given(
+    strategies.sampled_from(['servers/x', 'op/config', 'op/other', 'x']),
+    strategies.binary(max_size=40)
+    | strategies.recursive(
+        strategies.none() | strategies.integers() | strategies.text(),
+        lambda inner: (
+            strategies.lists(inner)
+            | strategies.dictionaries(
+                strategies.sampled_from([*_SEARCHER, *ROUTING]), inner
+            )
+        ),
+        max_leaves=6,
+    ).map(lambda document: json.dumps(document).encode()),
+)
+def test_any_bytes_are_decoded_without_an_error(
+    key: str, value: bytes
+) -> None:
+    documents.decode(key, value)
+
+
+def test_routing() -> None:
+    found = documents.decode('op/config', json.dumps(ROUTING).encode())
+    assert isinstance(found, routes.RoutingVersion)
+    assert found.version == 7
+    gather, split = found.routes
+    assert gather.target == routes.Gather(('stock-1', 'stock-2'), 5, 0.75)
+    assert gather.idempotent
+    assert (gather.timeout_s, gather.goal_s, gather.rank) == (0.4, 0.044, 2)
+    assert not split.idempotent
+    assert split.services == ('desk', 'desk-2')
+    assert found.services['stock-1'].cold_rate == 8.0
+    assert found.limits.idle_timeout_s == 15.0
+
+
+def test_data_centre_out_of_service() -> None:
+    assert documents.decode(
+        'op/evacuate/west-a', b'{}'
+    ) == registrations.OutOfService('west-a')
--- /dev/null
+++ b/tests/adapter/test_entry_process.py
@@ -0,0 +1,215 @@
+"""The whole program as a process, between stand-ins."""
+
+import collections.abc
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import typing
+
+import pytest
+
+from . import stand_ins
+from . import test_documents
+from . import test_settings
+
+_LONG_S = 20.0
+_POLL_S = 0.02
+
+
+def _free_port() -> int:
+    with socket.create_server(('127.0.0.1', 0)) as found:
+        return int(found.getsockname()[1])
+
+
+class _Host:
+    """A started process and its addresses."""
+
+    def __init__(self, path: pathlib.Path, store: str) -> None:
+        self.front, self.ready, self.control = (_free_port() for _ in range(3))
+        text = test_settings.TEXT.replace('127.0.0.1:8229', store)
+        for name in ('front', 'ready', 'control'):
+            port = getattr(self, name)
+            text = text.replace(
+                f'{name} = "127.0.0.1:0"', f'{name} = "127.0.0.1:{port}"'
+            )
+        path.write_text(text)
+        environment = {
+            **os.environ,
+            'CORIANDERPORT_BOOT': str(path),
+            'CORIANDERPORT_SHARED_KEYS': 'test-key',
+            'PYTHONPATH': os.pathsep.join(p for p in sys.path if p),
+        }
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'corianderport_platform'],
+            env=environment,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.lines: list[str] = []
+        self._reader = threading.Thread(target=self._read, daemon=True)
+        self._reader.start()
+
+    def _read(self) -> None:
+        assert self.process.stdout is not None
+        self.lines.extend(self.process.stdout)
+
+    def is_ready(self) -> bool:
+        try:
+            client = http.client.HTTPConnection(
+                '127.0.0.1', self.ready, timeout=_LONG_S
+            )
+            client.request('GET', '/corianderport/readyz')
+            status = client.getresponse().status
+            client.close()
+        except OSError:
+            return False
+        return status == 200
+
+    def await_(self, condition: collections.abc.Callable[[], bool]) -> None:
+        until_s = time.monotonic() + _LONG_S
+        while not condition():
+            assert time.monotonic() < until_s
+            time.sleep(_POLL_S)
+
+    def client(self) -> http.client.HTTPConnection:
+        return http.client.HTTPConnection(
+            '127.0.0.1', self.front, timeout=_LONG_S
+        )
+
+    def close(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(_LONG_S)
+        self._reader.join(_LONG_S)
+
+    def events(self) -> list[dict[str, typing.Any]]:
+        return [json.loads(line) for line in self.lines]
+
+
+_RECORD = b'0123456789abcdef'
+
+
+@contextlib.contextmanager
+def _setting(
+    tmp_path: pathlib.Path,
+) -> collections.abc.Iterator[tuple[_Host, stand_ins.Store]]:
+    with contextlib.ExitStack() as stack:
+        store = stand_ins.Store()
+        stack.callback(store.close)
+        for service in ('stock-1', 'stock-2', 'desk', 'desk-2'):
+            searcher = stand_ins.Searcher(f'i-{service}', _RECORD)
+            stack.callback(searcher.close)
+            store.put(
+                f'servers/{searcher.name}',
+                {
+                    'backend': service,
+                    'addr': searcher.address,
+                    'zone': 'west-a',
+                    'version': 'v1',
+                    'capacity': 2,
+                    'state': 'ready',
+                    'warmup_left_ms': 0,
+                    'call_seq': 1,
+                },
+            )
+        host = _Host(tmp_path / 'boot.toml', store.address)
+        stack.callback(host.close)
+        yield host, store
+
+
+def _ask(
+    client: http.client.HTTPConnection, method: str, path: str, number: int
+) -> http.client.HTTPResponse:
+    client.request(
+        method,
+        path,
+        headers={
+            'Host': 'a.example',
+            'X-Request-Id': f'q{number}',
+            'X-Deadline-Ms': '5000',
+        },
+    )
+    return client.getresponse()
+
+
+@pytest.fixture
+def setting(
+    tmp_path: pathlib.Path,
+) -> collections.abc.Iterator[tuple[_Host, stand_ins.Store]]:
+    with _setting(tmp_path) as found:
+        yield found
+
+
+def test_a_calm_day(setting: tuple[_Host, stand_ins.Store]) -> None:
+    """From not ready to a stop that cuts off nothing."""
+    host, store = setting
+    host.await_(lambda: any('started' in line for line in host.lines))
+    assert not host.is_ready()
+    store.put('op/config', test_documents.ROUTING)
+    host.await_(host.is_ready)
+
+    client = host.client()
+    answer = _ask(client, 'GET', '/all/x', 1)
+    assert answer.status == 200
+    assert answer.read() == 2 * _RECORD
+    stamps = answer.getheader('x-part-stamps') or ''
+    assert stamps.count('q1') == 2
+    answer = _ask(client, 'POST', '/one/x', 2)
+    assert answer.status == 200
+    assert (answer.getheader('x-response-stamp') or '').endswith('.q2')
+    answer.read()
+    answer = _ask(client, 'GET', '/none/x', 3)
+    assert answer.status == 404
+    answer.read()
+
+    host.process.send_signal(signal.SIGHUP)
+    host.await_(lambda: any('read anew' in line for line in host.lines))
+    host.process.send_signal(signal.SIGTERM)
+    host.await_(lambda: not host.is_ready())
+    answer = _ask(client, 'GET', '/all/x', 4)
+    assert answer.status == 200
+    assert answer.getheader('connection') == 'close'
+    answer.read()
+    assert host.process.wait(_LONG_S) == 0
+    host.close()
+    events = host.events()
+    answers = {
+        e['request_id']: e['choice']
+        for e in events
+        if e.get('kind') == 'answer'
+    }
+    assert answers == {
+        'q1': 'gathered',
+        'q2': 'relayed',
+        'q3': 'UNKNOWN_SERVICE',
+        'q4': 'gathered',
+    }
+    assert any(e['event'].startswith('stopped') for e in events)
+
+
+def test_wrong_settings_end_the_program_with_a_line(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / 'boot.toml'
+    path.write_text(test_settings.TEXT.replace('node =', 'name ='))
+    ended = subprocess.run(
+        [sys.executable, '-m', 'corianderport_platform'],
+        env={
+            **os.environ,
+            'CORIANDERPORT_BOOT': str(path),
+            'PYTHONPATH': os.pathsep.join(p for p in sys.path if p),
+        },
+        capture_output=True,
+        text=True,
+        timeout=_LONG_S,
+    )
+    assert ended.returncode == 2
+    assert 'node: missing' in ended.stdout
--- /dev/null
+++ b/tests/adapter/test_settings.py
@@ -0,0 +1,76 @@
+"""Settings of the platform: unknown fields ignored, wrong ones named."""
+
+import pathlib
+
+import pytest
+
+from corianderport_platform import settings
+from corianderport_tier import errors
+
+TEXT = """
+node = "edge-a-1"
+role = "entry"
+ip = "127.0.0.1"
+zone = "west-a"
+seed_addrs = ["127.0.0.1:7001"]
+something_new = 5
+[zones]
+west-a = "west"
+[listen]
+front = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+control = "127.0.0.1:0"
+[bounds]
+grace_s = 6
+retry_ratio = 0.2
+retry_slack = 52
+retry_window_s = 10
+warmup_excess = 1.5
+warmup_slack = 5
+[platform]
+addr = "127.0.0.1:8229"
+"""
+
+
+def _load(path: pathlib.Path, text: str) -> object:
+    path.write_text(text)
+    return settings.load({settings.PATH_VARIABLE: str(path)})
+
+
+def test_fields(tmp_path: pathlib.Path) -> None:
+    (tmp_path / 'x').write_text(TEXT)
+    found = settings.load(
+        {
+            settings.PATH_VARIABLE: str(tmp_path / 'x'),
+            'CORIANDERPORT_METRICS_PORT': '9100',
+        }
+    )
+    assert found.host == 'edge-a-1'
+    assert found.data_centre == 'west-a'
+    assert found.regions == {'west-a': 'west'}
+    assert found.metrics_address == '127.0.0.1:9100'
+    assert found.fleet.extra_slack == 52
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'named'),
+    [
+        ('node = "edge-a-1"', '', 'node'),
+        ('front = "127.0.0.1:0"', 'front = 5', 'listen.front'),
+        ('grace_s = 6', 'grace_s = "long"', 'grace_s'),
+        ('addr = "127.0.0.1:8229"', '', 'platform.addr'),
+        ('[bounds]', '[bounds', ''),
+    ],
+)
+def test_faults_are_named(
+    tmp_path: pathlib.Path, old: str, new: str, named: str
+) -> None:
+    with pytest.raises(errors.SettingInvalid, match=named):
+        _load(tmp_path / 'x', TEXT.replace(old, new))
+
+
+def test_missing_file_and_variable(tmp_path: pathlib.Path) -> None:
+    with pytest.raises(errors.SettingInvalid, match=settings.PATH_VARIABLE):
+        settings.load({})
+    with pytest.raises(errors.SettingInvalid):
+        settings.load({settings.PATH_VARIABLE: str(tmp_path / 'none')})
--- /dev/null
+++ b/tests/adapter/test_store.py
@@ -0,0 +1,67 @@
+"""StoreRegistry: pages, watches and the answers of a failing store."""
+
+import collections.abc
+
+import pytest
+
+from corianderport_platform import store
+from corianderport_tier import errors
+from corianderport_tier.version import registrations
+
+from . import stand_ins
+
+
+@pytest.fixture
+def served() -> collections.abc.Iterator[stand_ins.Store]:
+    found = stand_ins.Store()
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def registry(served: stand_ins.Store) -> store.StoreRegistry:
+    return store.StoreRegistry(served.address)
+
+
+def test_all_pages_are_read(
+    served: stand_ins.Store, registry: store.StoreRegistry
+) -> None:
+    for number in range(5):
+        served.put(f'servers/i-{number}', b'unreadable')
+    served.put('other/x', b'')
+    listing = registry.read('servers/')
+    assert [e.key for e in listing.entries] == [
+        f'servers/i-{n}' for n in range(5)
+    ]
+    assert listing.revision == 7
+
+
+def test_watch_returns_changes_in_their_order(
+    served: stand_ins.Store, registry: store.StoreRegistry
+) -> None:
+    listing = registry.read('op/')
+    served.put('op/evacuate/west-a', {})
+    served.remove('op/evacuate/west-a')
+    changes = registry.watch('op/', listing.revision, 5.0)
+    assert [e.value for e in changes.entries] == [
+        registrations.OutOfService('west-a'),
+        None,
+    ]
+    assert registry.watch('op/', changes.revision, 0.0).entries == []
+
+
+def test_lost_history(
+    served: stand_ins.Store, registry: store.StoreRegistry
+) -> None:
+    served.oldest = 100
+    with pytest.raises(errors.HistoryGone):
+        registry.watch('op/', 1, 1.0)
+
+
+@pytest.mark.parametrize('status', [429, 503, 500])
+def test_refused_calls(
+    served: stand_ins.Store, registry: store.StoreRegistry, status: int
+) -> None:
+    served.status = status
+    with pytest.raises(errors.TransportError):
+        registry.read('op/')
--- /dev/null
+++ b/tests/tier/entries.py
@@ -0,0 +1,81 @@
+"""Entries of the platform's store, as the tests of several modules need."""
+
+import attrs
+
+from corianderport_tier.version import registrations
+from corianderport_tier.version import routes
+
+LIMITS = routes.CallerLimits(16_384, 262_144, 3.0, 15.0)
+
+
+def registration(
+    name: str, service: str = 'stock', **fields: object
+) -> registrations.Registration:
+    """Return a searcher that is ready."""
+    found = registrations.Registration(
+        searcher=name,
+        service=service,
+        address=f'127.0.0.1:{9_000 + sum(map(ord, name))}',
+        data_centre='dc-a',
+        slots=2,
+        draining=False,
+        warm_up_left_s=0.0,
+    )
+    return attrs.evolve(found, **fields)
+
+
+def entry(
+    revision: int,
+    value: registrations.Published | None,
+    key: str | None = None,
+) -> registrations.Entry:
+    """Return the entry of a value under the key that it usually has."""
+    if key is None:
+        if isinstance(value, registrations.Registration):
+            key = f'servers/{value.searcher}'
+        elif isinstance(value, registrations.OutOfService):
+            key = f'out/{value.data_centre}'
+        else:
+            key = 'routing'
+    return registrations.Entry(key, revision, value)
+
+
+def traits(service: str = 'stock', **fields: object) -> routes.ServiceTraits:
+    """Return the traits of a service."""
+    found = routes.ServiceTraits(service, '/health', 24, 3.0, 0.0)
+    return attrs.evolve(found, **fields)
+
+
+def route(
+    services: tuple[str, ...] = ('stock',),
+    least_share: float | None = None,
+    **fields: object,
+) -> routes.Route:
+    """Return a route; a gather when the least share is given."""
+    target: routes.Split | routes.Gather
+    if least_share is None:
+        target = routes.Split(
+            tuple(routes.WeightedService(s, 1.0) for s in services)
+        )
+    else:
+        target = routes.Gather(services, 2, least_share)
+    found = routes.Route(
+        name='find',
+        host='a.example',
+        prefix='/find/',
+        idempotent=True,
+        timeout_s=1.0,
+        goal_s=0.1,
+        rank=1,
+        attempts=2,
+        target=target,
+    )
+    return attrs.evolve(found, **fields)
+
+
+def routing(version: int, *found: routes.Route) -> routes.RoutingVersion:
+    """Return a version with these routes and all services they name."""
+    names = {name for r in found for name in r.services}
+    return routes.RoutingVersion(
+        version, found, {n: traits(n) for n in names}, LIMITS
+    )
--- /dev/null
+++ b/tests/tier/test_directory.py
@@ -0,0 +1,197 @@
+"""Directory: what is published is in force at once and never reverts."""
+
+import random
+
+import attrs
+import pytest
+
+from corianderport_testkit import clock as clock_module
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import directory
+from corianderport_tier.process import fleet_share
+from corianderport_tier.process import searcher_state
+from corianderport_tier.process import service_searchers
+from corianderport_tier.version import registrations
+
+from . import entries
+
+_BOUNDS = fleet_share.FleetBounds(0.2, 52, 10, 1.5, 5)
+
+
+class _Pool:
+    verified_s = 0.0
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def submit(self, job: object, fresh: bool = False) -> None:
+        raise AssertionError('nothing is sent here')
+
+    def limit_connections(self, most: int) -> None:
+        self.most = most
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class _Setting:
+    def __init__(self) -> None:
+        self.clock = clock_module.ManualClock()
+        share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
+        self.pools: list[_Pool] = []
+
+        def open_pool(found: registrations.Registration, most: int) -> _Pool:
+            self.pools.append(_Pool())
+            return self.pools[-1]
+
+        self.directory = directory.Directory(
+            lambda name: service_searchers.ServiceSearchers(
+                name,
+                'dc-a',
+                share,
+                0.2,
+                open_pool,
+                self.clock,
+                random.Random(1),
+            ),
+            self.clock,
+            decision_log.DecisionLog(),
+        )
+
+    def apply(self, *changes: registrations.Entry, back: bool = False) -> None:
+        self.directory.apply(changes, back)
+
+    def usable(self, service: str = 'stock') -> set[str]:
+        found = self.directory.service(service)
+        names: set[str] = set()
+        while found is not None:
+            choice = found.choose(names, 0.01)
+            if isinstance(choice, service_searchers.NoChoice):
+                break
+            found.finish(choice, searcher_state.Ending(failed=False))
+            names.add(choice.state.name)
+        return names
+
+
+@pytest.fixture
+def setting() -> _Setting:
+    return _Setting()
+
+
+def test_older_news_of_a_searcher_is_ignored(setting: _Setting) -> None:
+    ready = entries.registration('s1')
+    gone = entries.entry(7, None, 'servers/s1')
+    setting.apply(entries.entry(5, ready), gone)
+    setting.apply(entries.entry(6, ready))
+    assert setting.usable() == set()
+    setting.apply(entries.entry(8, ready))
+    assert setting.usable() == {'s1'}
+
+
+def test_routing_never_goes_back(setting: _Setting) -> None:
+    route = entries.route()
+    setting.apply(entries.entry(5, entries.routing(4, route)))
+    setting.apply(entries.entry(9, entries.routing(3, route)))
+    setting.apply(entries.entry(10, None, 'routing'))
+    assert setting.directory.routing is not None
+    assert setting.directory.routing.version == 4
+
+
+def test_draining_and_out_of_service_searchers_get_nothing(
+    setting: _Setting,
+) -> None:
+    setting.apply(
+        entries.entry(1, entries.registration('s1')),
+        entries.entry(2, entries.registration('s2', data_centre='dc-b')),
+        entries.entry(3, entries.registration('s3', draining=True)),
+    )
+    assert setting.usable() == {'s1', 's2'}
+    setting.apply(entries.entry(4, registrations.OutOfService('dc-b')))
+    assert setting.usable() == {'s1'}
+    setting.apply(entries.entry(5, None, 'out/dc-b'))
+    assert setting.usable() == {'s1', 's2'}
+
+
+def test_lapsed_entries_are_used_until_the_time_to_return_is_over(
+    setting: _Setting,
+) -> None:
+    """A list that shrank while the store was away names no dead ones."""
+    setting.apply(
+        entries.entry(1, entries.registration('s1')),
+        entries.entry(2, entries.registration('s2')),
+    )
+    empty = registrations.Listing((), 9)
+    setting.directory.replace('servers/', empty, returned=True)
+    assert setting.usable() == {'s1', 's2'}
+    setting.apply(entries.entry(10, entries.registration('s1')))
+    setting.clock.advance(2.1)
+    setting.directory.expire()
+    assert setting.usable() == {'s1'}
+
+
+def test_an_entry_that_is_gone_in_steady_state_is_dropped_at_once(
+    setting: _Setting,
+) -> None:
+    setting.apply(entries.entry(1, entries.registration('s1')))
+    setting.directory.replace(
+        'servers/', registrations.Listing((), 9), returned=False
+    )
+    assert setting.usable() == set()
+    assert setting.pools[0].closed
+
+
+def test_entry_newer_than_the_listing_stays(setting: _Setting) -> None:
+    """Pages are no snapshot: a change may be known before the listing."""
+    setting.apply(entries.entry(12, entries.registration('s1')))
+    setting.directory.replace(
+        'servers/', registrations.Listing((), 9), returned=False
+    )
+    assert setting.usable() == {'s1'}
+
+
+def test_searcher_that_starts_again_gets_new_state(setting: _Setting) -> None:
+    setting.apply(entries.entry(1, entries.registration('s1', started_ms=1)))
+    setting.apply(entries.entry(2, entries.registration('s1', started_ms=2)))
+    assert [p.closed for p in setting.pools] == [True, False]
+
+
+def test_an_unreadable_entry_names_no_searcher(setting: _Setting) -> None:
+    setting.apply(
+        entries.entry(1, entries.registration('s1')),
+        entries.entry(2, registrations.Unreadable('x'), 'servers/s2'),
+        entries.entry(3, registrations.Unreadable('x'), 'servers/s1'),
+    )
+    assert setting.usable() == set()
+
+
+def test_routing_that_names_an_unknown_service_is_noticed(
+    setting: _Setting,
+) -> None:
+    setting.apply(entries.entry(1, entries.routing(1, entries.route())))
+    assert setting.directory.lacks_searchers()
+    setting.apply(entries.entry(2, entries.registration('s1')))
+    assert not setting.directory.lacks_searchers()
+    assert setting.directory.complete
+
+
+def test_data_centre_that_returns_has_cold_searchers(
+    setting: _Setting,
+) -> None:
+    """They may have been restarted while they got nothing."""
+    route = entries.route()
+    cold = attrs.evolve(
+        entries.routing(1, route),
+        services={'stock': entries.traits(cold_rate=1.0)},
+    )
+    setting.apply(
+        entries.entry(1, cold),
+        entries.entry(2, entries.registration('s1')),
+        entries.entry(3, registrations.OutOfService('dc-a')),
+    )
+    assert setting.usable() == set()
+    setting.apply(entries.entry(4, None, 'out/dc-a'))
+    found = setting.directory.service('stock')
+    assert found is not None
+    first = found.choose((), 0.01)
+    assert isinstance(first, service_searchers.Choice)
+    assert found.choose((), 0.01) is service_searchers.NoChoice.COLD
--- /dev/null
+++ b/tests/tier/test_forwarding.py
@@ -0,0 +1,454 @@
+"""Forwarding: promises to callers while searchers misbehave."""
+
+import collections.abc
+import contextlib
+import queue
+import random
+import threading
+import typing
+
+import pytest
+
+from corianderport_testkit import clock as clock_module
+from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import directory
+from corianderport_tier.process import fleet_share
+from corianderport_tier.process import service_searchers
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import forwarding
+from corianderport_tier.request import part
+from corianderport_tier import result_codes
+from corianderport_tier.version import routes
+
+from . import entries
+
+_BOUNDS = fleet_share.FleetBounds(0.2, 52, 10, 1.5, 5)
+_WAIT_S = 10.0
+Code = result_codes.ResultCode
+Reply = forward_messages.SearcherReply
+Failure = forward_messages.Failure
+
+
+def _reply(
+    status: int = 200, body: bytes = b'', ran: bool = True, receipt: str = 'r'
+) -> Reply:
+    return Reply(status, (), body, receipt if ran else None, ran)
+
+
+class _Transport:
+    """Gives one reply or error."""
+
+    def __init__(self, outcome: Reply | Exception) -> None:
+        self._outcome = outcome
+
+    def exchange(self, call: forward_messages.SearcherCall) -> Reply:
+        if isinstance(self._outcome, Exception):
+            raise self._outcome
+        return self._outcome
+
+    def abort(self) -> None:
+        return
+
+    def close(self) -> None:
+        return
+
+
+class _Pool:
+    """Hands sends to the test, which decides how they end."""
+
+    verified_s = float('-inf')
+
+    def __init__(self, sends: 'queue.Queue[part.Send]') -> None:
+        self._sends = sends
+
+    def submit(self, job: part.Send, fresh: bool = False) -> None:
+        self._sends.put(job)
+
+    def limit_connections(self, most: int) -> None:
+        return
+
+    def close(self) -> None:
+        return
+
+
+class _Caller:
+    """A caller that may go away."""
+
+    def __init__(self) -> None:
+        self.gone: collections.abc.Callable[[], None] | None = None
+
+    @contextlib.contextmanager
+    def watch(
+        self, gone: collections.abc.Callable[[], None]
+    ) -> collections.abc.Iterator[None]:
+        self.gone = gone
+        yield
+
+
+class _Setting:
+    """One host, its services and a request that runs on a thread."""
+
+    def __init__(self, *found: routes.Route, replicas: int = 3) -> None:
+        self.clock = clock_module.ManualClock()
+        self.sends: queue.Queue[part.Send] = queue.Queue()
+        self.caller = _Caller()
+        share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
+        rng = random.Random(1)
+        self.directory = directory.Directory(
+            lambda name: service_searchers.ServiceSearchers(
+                name,
+                'dc-a',
+                share,
+                0.2,
+                lambda registration, most: _Pool(self.sends),
+                self.clock,
+                rng,
+            ),
+            self.clock,
+            decision_log.DecisionLog(),
+        )
+        self.forwarder = forwarding.Forwarder(
+            self.directory, self.clock, decision_log.DecisionLog(), rng
+        )
+        names = {name for r in found for name in r.services}
+        changes = [entries.entry(1, entries.routing(1, *found))]
+        changes += [
+            entries.entry(2, entries.registration(f'{name}-{n}', name))
+            for name in sorted(names)
+            for n in range(replicas)
+        ]
+        self.directory.apply(changes)
+        self.answer: forward_messages.ForwardAnswer | None = None
+        self._thread: threading.Thread | None = None
+
+    def start(self, deadline_s: float = 0.8) -> None:
+        request = forward_messages.ForwardRequest(
+            'q1',
+            'a.example',
+            '/find/x',
+            forward_messages.Payload(b'GET', b'/find/x', (), b''),
+            deadlines.Deadline.after(self.clock, deadline_s),
+        )
+
+        def run() -> None:
+            self.answer = self.forwarder.answer(request, self.caller)
+
+        self._thread = threading.Thread(target=run, daemon=True)
+        self._thread.start()
+
+    def take(self) -> part.Send:
+        """Return the next send."""
+        return self.sends.get(timeout=_WAIT_S)
+
+    def end(self, send: part.Send, outcome: Reply | Exception) -> None:
+        """Let a send end as its connection's task would."""
+        result: object
+        try:
+            result = send.perform(_Transport(outcome))
+        except errors.CorianderportError as error:
+            result = error
+        send.finish(result)
+
+    def advance(self, seconds: float) -> None:
+        """Move on once the request waits."""
+        self.clock.await_waiting(1)
+        self.clock.advance(seconds)
+
+    def finish(self) -> forward_messages.ForwardAnswer | None:
+        """Return the answer."""
+        assert self._thread is not None
+        self._thread.join(_WAIT_S)
+        assert not self._thread.is_alive()
+        return self.answer
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be sent."""
+        return self.sends.empty()
+
+
+_ONCE = entries.route(idempotent=False)
+
+
+@pytest.mark.parametrize(
+    'error',
+    [
+        errors.ConnectionBroken('reset'),
+        errors.ConnectionSilent('no answer'),
+    ],
+)
+def test_request_that_may_have_run_is_not_sent_again(
+    error: errors.TransportError,
+) -> None:
+    """At most once: the searcher may have run it before the failure."""
+    setting = _Setting(_ONCE)
+    setting.start()
+    setting.end(setting.take(), error)
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.OUTCOME_UNKNOWN
+    assert answer.retry_after_s is None
+    assert setting.idle
+
+
+@pytest.mark.parametrize(
+    'outcome',
+    [
+        _reply(503, ran=False),
+        errors.ConnectFailed('refused'),
+        errors.ConnectionStale('ended'),
+    ],
+)
+def test_request_that_did_not_run_goes_to_another_searcher(
+    outcome: Reply | Exception,
+) -> None:
+    setting = _Setting(_ONCE)
+    setting.start()
+    setting.end(setting.take(), outcome)
+    setting.end(setting.take(), _reply())
+    answer = setting.finish()
+    assert isinstance(answer, forward_messages.Relayed)
+
+
+def test_searchers_own_failure_is_relayed_once() -> None:
+    setting = _Setting(_ONCE)
+    setting.start()
+    setting.end(setting.take(), _reply(500))
+    answer = setting.finish()
+    assert isinstance(answer, forward_messages.Relayed)
+    assert answer.reply.status == 500
+    assert setting.idle
+
+
+@pytest.mark.parametrize('status', [408, 429, 503])
+def test_status_that_promises_not_run_is_not_relayed(status: int) -> None:
+    """Without the searcher's word a refusal would be a false promise."""
+    setting = _Setting(_ONCE)
+    setting.start()
+    setting.end(setting.take(), _reply(status))
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.UPSTREAM_FAILED
+    assert answer.retry_after_s is None
+
+
+def test_refusals_by_all_searchers_are_refused_with_a_time() -> None:
+    setting = _Setting(_ONCE, replicas=2)
+    setting.start()
+    for _ in range(2):
+        setting.end(setting.take(), _reply(503, ran=False))
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code.ran is result_codes.Ran.NO
+    assert answer.retry_after_s is not None
+    assert 0 < answer.retry_after_s <= 0.8 / 3
+
+
+def test_idempotent_request_runs_on_no_more_searchers_than_allowed() -> None:
+    setting = _Setting(entries.route(attempts=2))
+    setting.start()
+    for _ in range(2):
+        setting.end(setting.take(), errors.ConnectionBroken('reset'))
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert setting.idle
+
+
+def test_late_answer_is_hedged_at_another_searcher() -> None:
+    setting = _Setting(entries.route())
+    setting.start()
+    first = setting.take()
+    setting.advance(0.06)
+    second = setting.take()
+    assert second.searcher != first.searcher
+    setting.end(second, _reply())
+    assert isinstance(setting.finish(), forward_messages.Relayed)
+
+
+def test_request_that_may_run_once_is_never_hedged() -> None:
+    setting = _Setting(_ONCE)
+    setting.start(deadline_s=0.5)
+    send = setting.take()
+    setting.advance(0.3)
+    assert setting.idle
+    setting.end(send, _reply())
+    assert isinstance(setting.finish(), forward_messages.Relayed)
+
+
+def test_final_answer_comes_at_the_timeout_of_the_route() -> None:
+    setting = _Setting(entries.route(timeout_s=0.2, attempts=1))
+    setting.start(deadline_s=5.0)
+    send = setting.take()
+    sending = threading.Event()
+    release = threading.Event()
+
+    class _Hanging(_Transport):
+        def exchange(self, call: forward_messages.SearcherCall) -> Reply:
+            sending.set()
+            release.wait(_WAIT_S)
+            raise errors.ConnectionBroken('aborted')
+
+    worker = threading.Thread(
+        target=lambda: _swallow(send, _Hanging(_reply())), daemon=True
+    )
+    worker.start()
+    assert sending.wait(_WAIT_S)
+    setting.advance(0.2)
+    answer = setting.finish()
+    release.set()
+    worker.join(_WAIT_S)
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.OUTCOME_UNKNOWN
+
+
+def _swallow(send: part.Send, transport: _Transport) -> None:
+    try:
+        send.finish(send.perform(transport))
+    except errors.CorianderportError as error:
+        send.finish(error)
+
+
+def test_send_that_was_not_begun_never_runs_after_a_refusal() -> None:
+    """A refusal promises that the request will not run later either."""
+    setting = _Setting(entries.route(attempts=1))
+    setting.start(deadline_s=0.2)
+    send = setting.take()
+    setting.advance(0.2)
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.DEADLINE_PAST
+    with pytest.raises(errors.Refusal):
+        send.perform(_Transport(_reply()))
+
+
+def test_nothing_is_sent_to_a_searcher_that_left_while_it_waited() -> None:
+    setting = _Setting(entries.route(), replicas=1)
+    setting.start()
+    send = setting.take()
+    setting.directory.apply([entries.entry(9, None, 'servers/stock-0')])
+    setting.end(send, _reply())
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.NO_UPSTREAM
+
+
+def test_caller_that_goes_away_ends_everything() -> None:
+    setting = _Setting(entries.route())
+    setting.start()
+    send = setting.take()
+    setting.clock.await_waiting(1)
+    assert setting.caller.gone is not None
+    setting.caller.gone()
+    assert setting.finish() is None
+    assert send.cancelled
+    with pytest.raises(errors.Refusal):
+        send.perform(_Transport(_reply()))
+
+
+_SHARDS = ('shard-a', 'shard-b', 'shard-c', 'shard-d')
+
+
+def _gather(least: float) -> routes.Route:
+    return entries.route(_SHARDS, least)
+
+
+def _take_all(setting: _Setting) -> dict[str, part.Send]:
+    found = [setting.take() for _ in _SHARDS]
+    return {send.part.service.name: send for send in found}
+
+
+def test_gather_merges_the_greatest_records_of_all_parts() -> None:
+    setting = _Setting(_gather(0.75))
+    setting.start()
+    for number, send in enumerate(_take_all(setting).values()):
+        body = bytes([number]) * 16
+        setting.end(send, _reply(body=body, receipt=f'r{number}'))
+    answer = setting.finish()
+    assert isinstance(answer, forward_messages.Gathered)
+    assert answer.missing == 0
+    assert answer.body == bytes([3]) * 16 + bytes([2]) * 16
+    assert sorted(answer.receipts) == ['r0', 'r1', 'r2', 'r3']
+
+
+def test_gather_answers_without_a_late_part_at_the_goal() -> None:
+    """A late answer is worth less than one that leaves a part out."""
+    setting = _Setting(_gather(0.75), replicas=1)
+    setting.start()
+    sends = _take_all(setting)
+    for name in _SHARDS[:3]:
+        setting.end(sends[name], _reply(receipt=name))
+    setting.advance(0.05)
+    setting.advance(0.05)
+    answer = setting.finish()
+    assert isinstance(answer, forward_messages.Gathered)
+    assert answer.missing == 1
+
+
+def test_failed_part_is_not_waited_for() -> None:
+    setting = _Setting(_gather(0.75), replicas=1)
+    setting.start()
+    sends = _take_all(setting)
+    for name in _SHARDS[:3]:
+        setting.end(sends[name], _reply(receipt=name))
+    setting.end(sends['shard-d'], errors.ConnectFailed('refused'))
+    answer = setting.finish()
+    assert isinstance(answer, forward_messages.Gathered)
+    assert answer.missing == 1
+
+
+def test_searchers_failure_is_no_part() -> None:
+    setting = _Setting(_gather(0.75), replicas=1)
+    setting.start()
+    sends = _take_all(setting)
+    for name in _SHARDS[:3]:
+        setting.end(sends[name], _reply(receipt=name))
+    setting.end(sends['shard-d'], _reply(500, receipt='x'))
+    setting.end(setting.take(), _reply(500, receipt='x'))
+    answer = setting.finish()
+    assert isinstance(answer, forward_messages.Gathered)
+    assert 'x' not in answer.receipts
+
+
+def test_too_few_parts_are_refused_at_once_when_nothing_ran() -> None:
+    setting = _Setting(_gather(0.75), replicas=0)
+    setting.start()
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.NO_UPSTREAM
+    assert answer.retry_after_s is not None
+
+
+def test_too_few_parts_after_a_run_promise_nothing() -> None:
+    setting = _Setting(_gather(1.0), replicas=1)
+    setting.start()
+    sends = _take_all(setting)
+    setting.end(sends['shard-a'], _reply())
+    setting.end(sends['shard-b'], errors.ConnectFailed('refused'))
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.COVERAGE_NOT_MET
+
+
+def test_unknown_route_and_missing_routing() -> None:
+    setting = _Setting(entries.route(prefix='/other/'))
+    setting.start()
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.UNKNOWN_SERVICE
+
+
+def test_host_without_routing_says_that_it_is_not_ready() -> None:
+    """A 404 would be taken for the word of a configuration."""
+    setting = _Setting(entries.route())
+    empty = directory.Directory(
+        typing.cast(typing.Any, None),
+        setting.clock,
+        decision_log.DecisionLog(),
+    )
+    setting.forwarder.directory = empty
+    setting.start()
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.NOT_READY
--- /dev/null
+++ b/tests/tier/test_gossip.py
@@ -0,0 +1,164 @@
+"""Gossip: the hosts that are counted when the fleet's bounds are divided."""
+
+import collections.abc
+import concurrent.futures
+import random
+import typing
+
+import pytest
+
+from corianderport_testkit import clock as clock_module
+from corianderport_tier import errors
+from corianderport_tier.process import gossip
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import membership
+
+
+class _Tasks(concurrent.futures.Executor):
+    """Runs seeds' questions at once and leaves contacts to the test."""
+
+    def submit(  # type: ignore[override]
+        self,
+        task: collections.abc.Callable[..., typing.Any],
+        /,
+        *arguments: typing.Any,
+    ) -> None:
+        if task.__name__ == '_ask_seed':
+            task(*arguments)
+
+
+class _Network:
+    """Hosts that reach each other unless a link is cut."""
+
+    def __init__(self, count: int, seeds: tuple[str, ...]) -> None:
+        self.clock = clock_module.ManualClock()
+        self.cut: set[frozenset[str]] = set()
+        self.ended: set[str] = set()
+        self.exchanges: dict[str, heartbeats.HeartbeatExchange] = {}
+        self.hosts: dict[str, gossip.Gossip] = {}
+        for number in range(count):
+            self.start(f'h{number}', seeds, '1')
+
+    def start(
+        self, name: str, seeds: tuple[str, ...], incarnation: str
+    ) -> None:
+        own = membership.Member(name, 'dc', name, incarnation=incarnation)
+        members = membership.Membership(own, self.clock, lambda dc: 'r')
+        exchange = heartbeats.HeartbeatExchange(
+            members, heartbeats.NoLeases(), lambda: 1, lambda m, v: None
+        )
+        self.exchanges[name] = exchange
+        self.hosts[name] = gossip.Gossip(
+            members,
+            exchange,
+            _Dialer(self, name),
+            lambda dc: 'r',
+            seeds,
+            _Tasks(),
+            self.clock,
+            gossip.GossipTimes(),
+            random.Random(1),
+            lambda: None,
+        )
+
+    def rounds(self, count: int) -> None:
+        """Let every host step and exchange its heartbeats."""
+        for _ in range(count):
+            for name, host in self.hosts.items():
+                if name in self.ended:
+                    continue
+                host.step()
+                for contact in list(host._contacts.values()):
+                    contact.exchange()
+            self.clock.advance(1.0)
+
+    def counted(self, name: str) -> int:
+        return len(self.hosts[name].hosts)
+
+
+class _Dialer:
+    def __init__(self, network: _Network, own: str) -> None:
+        self._network = network
+        self._own = own
+
+    def dial(
+        self, member: membership.Member, timeout_s: float
+    ) -> '_Transport':
+        other = member.peer_address
+        if frozenset((self._own, other)) in self._network.cut:
+            raise errors.ConnectFailed('cut')
+        if other in self._network.ended:
+            raise errors.ConnectRefused('no process')
+        return _Transport(self._network, self._own, other)
+
+
+class _Transport:
+    def __init__(self, network: _Network, own: str, other: str) -> None:
+        self._network = network
+        self._ends = (own, other)
+
+    def heartbeat(
+        self, message: heartbeats.Heartbeat, timeout_s: float
+    ) -> heartbeats.Heartbeat:
+        other = self._ends[1]
+        if frozenset(self._ends) in self._network.cut:
+            raise errors.ConnectionSilent('cut')
+        if other in self._network.ended:
+            raise errors.ConnectionBroken('ended')
+        return self._network.exchanges[other].receive(message)
+
+    def close(self) -> None:
+        return
+
+    def __getattr__(self, name: str) -> typing.Any:
+        raise AssertionError(f'{name} is not called')
+
+
+def test_all_hosts_know_each_other_by_seeds() -> None:
+    network = _Network(6, ('h0', 'h1', 'nobody'))
+    network.ended.add('nobody')
+    network.rounds(4)
+    assert {network.counted(name) for name in network.hosts} == {6}
+
+
+def test_cut_off_hosts_still_count() -> None:
+    """Both sides of a partition go on sending."""
+    network = _Network(6, ('h0', 'h1', 'h2'))
+    network.rounds(4)
+    one, two = ('h0', 'h1', 'h2'), ('h3', 'h4', 'h5')
+    network.cut = {frozenset((a, b)) for a in one for b in two}
+    network.rounds(20)
+    assert {network.counted(name) for name in network.hosts} == {6}
+
+
+def test_ended_and_stopped_hosts_do_not_count() -> None:
+    network = _Network(6, ('h0', 'h1', 'h2'))
+    network.rounds(4)
+    network.hosts['h4'].leave()
+    network.rounds(3)
+    network.ended.update(('h4', 'h5'))
+    network.rounds(8)
+    assert network.counted('h0') == 4
+
+
+def test_host_that_starts_again_counts_once() -> None:
+    network = _Network(4, ('h0', 'h1'))
+    network.rounds(4)
+    network.start('h3', ('h0', 'h1'), '2')
+    network.rounds(6)
+    assert {network.counted(name) for name in network.hosts} == {4}
+
+
+@pytest.mark.parametrize('seeds', [(), ('h0',)])
+def test_start_does_not_wait_for_itself(seeds: tuple[str, ...]) -> None:
+    network = _Network(1, seeds)
+    assert network.hosts['h0'].joined
+
+
+def test_start_waits_for_seeds_for_a_bounded_time() -> None:
+    network = _Network(1, ('h7',))
+    network.ended.add('h7')
+    network.rounds(1)
+    assert not network.hosts['h0'].joined
+    network.rounds(1)
+    assert network.hosts['h0'].joined
--- /dev/null
+++ b/tests/tier/test_registry_reader.py
@@ -0,0 +1,166 @@
+"""RegistryReader: news arrive soon after the store has returned."""
+
+import collections
+import random
+import typing
+
+import pytest
+
+from corianderport_testkit import clock as clock_module
+from corianderport_tier import errors
+from corianderport_tier.process import registry_reader
+from corianderport_tier.version import registrations
+
+from . import entries
+
+_EMPTY = registrations.Listing((), 3)
+
+
+class _Directory:
+    """Records what the reader hands over."""
+
+    def __init__(self) -> None:
+        self.taken: list[tuple[str, bool]] = []
+        self.lacking = False
+
+    def replace(
+        self, prefix: str, listing: registrations.Listing, returned: bool
+    ) -> None:
+        self.taken.append((f'replace {prefix}', returned))
+        self.lacking = False
+
+    def apply(self, changes: typing.Any, returned: bool = False) -> None:
+        self.taken.append(('apply', returned))
+
+    def lacks_searchers(self) -> bool:
+        return self.lacking
+
+
+class _Registry:
+    """Answers calls from a script."""
+
+    def __init__(self, *script: object) -> None:
+        self.script = collections.deque(script)
+        self.calls: list[tuple[str, float]] = []
+
+    def read(self, prefix: str) -> registrations.Listing:
+        return self._next(f'read {prefix}', 0.0)
+
+    def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> registrations.Listing:
+        return self._next(f'watch {after}', wait_s)
+
+    def _next(self, call: str, wait_s: float) -> registrations.Listing:
+        self.calls.append((call, wait_s))
+        answer = self.script.popleft()
+        if isinstance(answer, Exception):
+            raise answer
+        assert isinstance(answer, registrations.Listing)
+        return answer
+
+
+class _ImmediateClock(clock_module.ManualClock):
+    """Does not block; each wait advances the clock."""
+
+    def wait(self, condition: typing.Any, timeout_s: float | None) -> bool:
+        self.advance(timeout_s or 0.0)
+        return False
+
+
+def _reader(
+    registry: _Registry, found: _Directory, lacking: str | None = None
+) -> registry_reader.RegistryReader:
+    return registry_reader.RegistryReader(
+        'op/',
+        registry,
+        typing.cast(typing.Any, found),
+        _ImmediateClock(),
+        registry_reader.ReaderTimes(),
+        random.Random(1),
+        lacking,
+    )
+
+
+@pytest.fixture
+def found() -> _Directory:
+    return _Directory()
+
+
+def test_first_watch_after_a_failure_returns_at_once(
+    found: _Directory,
+) -> None:
+    """A long watch begun while the store is down hides its return."""
+    silent = errors.ConnectionSilent('no answer')
+    registry = _Registry(_EMPTY, silent, _EMPTY, _EMPTY)
+    reader = _reader(registry, found)
+    for _ in range(4):
+        reader.step()
+    waits = [wait_s for call, wait_s in registry.calls if 'watch' in call]
+    assert waits == [4.0, 0.0, 4.0]
+
+
+def test_changes_after_a_failure_are_marked(found: _Directory) -> None:
+    change = registrations.Listing(
+        (entries.entry(4, entries.registration('s1')),), 4
+    )
+    registry = _Registry(
+        _EMPTY, errors.ConnectionBroken('reset'), change, change
+    )
+    reader = _reader(registry, found)
+    for _ in range(4):
+        reader.step()
+    assert found.taken[1:] == [('apply', True), ('apply', False)]
+
+
+def test_lost_history_is_read_anew(found: _Directory) -> None:
+    registry = _Registry(
+        _EMPTY,
+        errors.HistoryGone('410'),
+        registrations.Listing((), 20),
+        _EMPTY,
+    )
+    reader = _reader(registry, found)
+    for _ in range(4):
+        reader.step()
+    assert [call for call, _ in registry.calls] == [
+        'read op/',
+        'watch 3',
+        'read op/',
+        'watch 20',
+    ]
+
+
+def test_searchers_that_a_routing_lacks_are_read(found: _Directory) -> None:
+    """The watch of the searchers may be behind that of the routing."""
+    change = registrations.Listing(
+        (entries.entry(4, entries.routing(2, entries.route())),), 4
+    )
+    registry = _Registry(_EMPTY, change, _EMPTY)
+    reader = _reader(registry, found, 'servers/')
+    reader.step()
+    found.lacking = True
+    reader.step()
+    assert registry.calls[-1][0] == 'read servers/'
+    assert found.taken[-1] == ('replace servers/', True)
+
+
+def test_retries_are_spread_and_bounded(found: _Directory) -> None:
+    failures = [errors.ConnectFailed('refused') for _ in range(12)]
+    registry = _Registry(*failures)
+    clock = _ImmediateClock()
+    reader = registry_reader.RegistryReader(
+        'op/',
+        registry,
+        typing.cast(typing.Any, found),
+        clock,
+        registry_reader.ReaderTimes(),
+        random.Random(1),
+    )
+    gaps = []
+    for _ in failures:
+        before_s = clock.monotonic()
+        reader.step()
+        gaps.append(clock.monotonic() - before_s)
+    assert max(gaps) <= 0.5
+    assert gaps[0] <= 0.1
--- /dev/null
+++ b/tests/tier/test_service_searchers.py
@@ -0,0 +1,171 @@
+"""ServiceSearchers: which searcher gets a request, and how many do."""
+
+import random
+
+import pytest
+
+from corianderport_testkit import clock as clock_module
+from corianderport_tier.process import fleet_share
+from corianderport_tier.process import searcher_state
+from corianderport_tier.process import service_searchers
+
+from . import entries
+
+_BOUNDS = fleet_share.FleetBounds(0.2, 52, 10, 1.5, 5)
+Ending = searcher_state.Ending
+NoChoice = service_searchers.NoChoice
+
+
+class _Pool:
+    verified_s = 0.0
+
+    def submit(self, job: object, fresh: bool = False) -> None:
+        raise AssertionError('nothing is sent here')
+
+    def limit_connections(self, most: int) -> None:
+        self.most = most
+
+    def close(self) -> None:
+        return
+
+
+@pytest.fixture
+def clock() -> clock_module.ManualClock:
+    return clock_module.ManualClock()
+
+
+@pytest.fixture
+def service(
+    clock: clock_module.ManualClock,
+) -> service_searchers.ServiceSearchers:
+    share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
+    found = service_searchers.ServiceSearchers(
+        'stock',
+        'dc-a',
+        share,
+        0.2,
+        lambda registration, most: _Pool(),
+        clock,
+        random.Random(1),
+    )
+    found.update(
+        entries.traits(),
+        [
+            entries.registration('s1'),
+            entries.registration('s2', data_centre='dc-b'),
+            entries.registration('s3', data_centre='dc-c'),
+        ],
+    )
+    return found
+
+
+def _choose(
+    service: service_searchers.ServiceSearchers, *excluded: str
+) -> service_searchers.Choice:
+    choice = service.choose(excluded, 0.01)
+    assert isinstance(choice, service_searchers.Choice)
+    return choice
+
+
+def test_idle_searcher_of_the_own_data_centre_first(
+    service: service_searchers.ServiceSearchers,
+) -> None:
+    names = [_choose(service).state.name for _ in range(3)]
+    assert names[0] == 's1'
+    assert set(names) == {'s1', 's2', 's3'}
+
+
+def test_slow_searcher_is_avoided_and_tried_again_later(
+    service: service_searchers.ServiceSearchers,
+    clock: clock_module.ManualClock,
+) -> None:
+    slow = _choose(service)
+    service.finish(slow, Ending(False, elapsed_s=0.1, usual_s=0.01))
+    assert _choose(service).state.name != 's1'
+    clock.advance(15.0)
+    assert _choose(service, 's2', 's3').state.name == 's1'
+
+
+def test_searcher_whose_answer_is_overdue_counts_as_slow_at_once(
+    service: service_searchers.ServiceSearchers,
+    clock: clock_module.ManualClock,
+) -> None:
+    """A paused searcher must not get more while its answer is awaited."""
+    paused = _choose(service)
+    clock.advance(0.08)
+    others = {_choose(service).state.name for _ in range(4)}
+    assert paused.state.name not in others
+
+
+def test_unreachable_searcher_is_held_and_released(
+    service: service_searchers.ServiceSearchers,
+    clock: clock_module.ManualClock,
+) -> None:
+    for name in ('s1', 's2', 's3'):
+        others = {'s1', 's2', 's3'} - {name}
+        choice = _choose(service, *others)
+        service.finish(choice, Ending(failed=True, unreachable=True))
+    assert service.choose((), 0.01) is NoChoice.ON_HOLD
+    assert 0 < service.next_try_s() <= 0.25
+    clock.advance(0.3)
+    _choose(service)
+
+
+def test_share_of_the_connections_bounds_the_requests(
+    service: service_searchers.ServiceSearchers,
+) -> None:
+    chosen = [_choose(service) for _ in range(9)]
+    assert service.choose((), 0.01) is NoChoice.FULL
+    woken = []
+    service.await_room(lambda: woken.append(True))
+    service.finish(chosen[0], Ending(failed=False))
+    assert woken == [True]
+
+
+def test_extra_sends_keep_to_the_share_of_requests(
+    service: service_searchers.ServiceSearchers,
+    clock: clock_module.ManualClock,
+) -> None:
+    """Six such hosts together stay below 0.2 of the requests and 52."""
+    spent = 0
+    for _ in range(400):
+        service.count_request()
+        spent += service.try_extra()
+        clock.advance(0.02)
+    assert 6 * spent <= 0.2 * 6 * 400 + 52
+    assert spent > 0
+
+
+def test_hedges_leave_slack_to_retries(
+    service: service_searchers.ServiceSearchers,
+) -> None:
+    while service.try_extra(0.5):
+        continue
+    assert service.try_extra()
+
+
+@pytest.mark.parametrize(
+    ('registered', 'excluded', 'expected'),
+    [
+        ([], (), NoChoice.NONE_REGISTERED),
+        (['s1'], ('s1',), NoChoice.ALL_TRIED),
+    ],
+)
+def test_reasons(
+    service: service_searchers.ServiceSearchers,
+    registered: list[str],
+    excluded: tuple[str, ...],
+    expected: NoChoice,
+) -> None:
+    service.update(None, [entries.registration(n) for n in registered])
+    assert service.choose(excluded, 0.01) is expected
+
+
+def test_searcher_that_was_replaced_may_get_nothing_more(
+    service: service_searchers.ServiceSearchers,
+) -> None:
+    """Checked at the moment of sending, after any wait."""
+    choice = _choose(service)
+    assert service.is_present(choice.state)
+    service.update(None, [entries.registration('s1', started_ms=5)])
+    assert not service.is_present(choice.state)
--- /dev/null
+++ b/tests/tier/test_warm_up_states.py
@@ -0,0 +1,74 @@
+"""Cold searchers: hosts whose views differ keep to the bound together."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from corianderport_tier.process import fleet_share
+from corianderport_tier.process import warm_up
+
+_HOSTS = 6
+_RATE = 4.0
+_BOUND = _RATE * 1.5 + 5
+_BOUNDS = fleet_share.FleetBounds(0.2, 52, 10, 1.5, 5, expected_hosts=_HOSTS)
+_NAMES = tuple(f'h{n}' for n in range(_HOSTS))
+_HOST = strategies.integers(0, _HOSTS - 1)
+
+
+class ColdSearcher(stateful.RuleBasedStateMachine):
+    """Hosts that send as much as they may, with partitions and restarts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 100.0
+        self.sent_s: list[float] = []
+        self.known = [set(_NAMES) for _ in _NAMES]
+        self.gates = [self._gate() for _ in _NAMES]
+        self.restarted = False
+
+    def _gate(self) -> warm_up.WarmUp:
+        gate = warm_up.WarmUp()
+        gate.set_cold(1e9)
+        return gate
+
+    def _share(self, host: int) -> fleet_share.FleetShare:
+        return fleet_share.FleetShare(
+            _BOUNDS, _NAMES[host], lambda: tuple(sorted(self.known[host]))
+        )
+
+    @stateful.rule(host=_HOST, tries=strategies.integers(1, 20))
+    def send(self, host: int, tries: int) -> None:
+        """Send until the host's own share is used up."""
+        rate = self._share(host).cold_rate('s1', _RATE)
+        for _ in range(tries):
+            if self.gates[host].may_send(self.now_s, rate):
+                self.gates[host].sent(self.now_s)
+                self.sent_s.append(self.now_s)
+
+    @stateful.rule(host=_HOST, other=_HOST)
+    def forget(self, host: int, other: int) -> None:
+        """One host loses sight of another."""
+        if host != other:
+            self.known[host].discard(_NAMES[other])
+
+    @stateful.rule(host=_HOST)
+    def meet(self, host: int) -> None:
+        """A host sees all others again."""
+        self.known[host] = set(_NAMES)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.01, 0.3, 0.9, 1.2]))
+    def advance(self, seconds: float) -> None:
+        """Time goes on."""
+        self.now_s += seconds
+
+    @stateful.invariant()
+    def any_second_keeps_to_the_bound(self) -> None:
+        for at_s in self.sent_s[-40:]:
+            inside = sum(at_s <= s < at_s + 1.0 for s in self.sent_s)
+            assert inside <= _BOUND
+
+
+ColdSearcher.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30, deadline=None
+)
+TestColdSearcher = ColdSearcher.TestCase
--- /dev/null
+++ b/tests/wire/test_caller_listener.py
@@ -0,0 +1,187 @@
+"""CallerListener: what callers send, and the end of their connections."""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import http.client
+import socket
+import threading
+
+import pytest
+
+from corianderport_tier import clocks
+from corianderport_tier.request import deadlines
+from corianderport_tier.version import routes
+from corianderport_wire.connection import caller_listener
+from corianderport_wire.connection import close_watch
+from corianderport_wire.connection import http_exchange
+
+_CLOCK = clocks.SystemClock()
+_LONG_S = 10.0
+_LIMITS = routes.CallerLimits(2_000, 1_000, 0.2, 5.0)
+
+
+def _echo(
+    request: http_exchange.HttpRequest,
+    caller: caller_listener.CallerConnection,
+) -> caller_listener.HttpAnswer:
+    return caller_listener.HttpAnswer(
+        200, ((b'x-target', request.target),), request.body
+    )
+
+
+@contextlib.contextmanager
+def _listening(
+    serve: caller_listener.Serve = _echo,
+) -> collections.abc.Iterator[caller_listener.CallerListener]:
+    executor = concurrent.futures.ThreadPoolExecutor(16)
+    watch = close_watch.CloseWatch()
+    listener = caller_listener.CallerListener(
+        '127.0.0.1:0', serve, lambda: _LIMITS, watch, executor, _CLOCK
+    )
+    executor.submit(watch.run)
+    executor.submit(listener.run)
+    try:
+        yield listener
+    finally:
+        listener.stop_accepting()
+        listener.close_idle()
+        watch.close()
+        executor.shutdown()
+
+
+def _connect(listener: caller_listener.CallerListener) -> socket.socket:
+    host, _, port = listener.address.rpartition(':')
+    return socket.create_connection((host, int(port)), _LONG_S)
+
+
+def _client(
+    listener: caller_listener.CallerListener,
+) -> http.client.HTTPConnection:
+    host, _, port = listener.address.rpartition(':')
+    return http.client.HTTPConnection(host, int(port), timeout=_LONG_S)
+
+
+def _status(answer: bytes) -> int:
+    return int(answer.split()[1])
+
+
+def _all(connection: socket.socket) -> bytes:
+    received = b''
+    while part := connection.recv(65_536):
+        received += part
+    return received
+
+
+@pytest.mark.parametrize('chunked', [False, True])
+def test_bodies_with_a_length_or_in_chunks(chunked: bool) -> None:
+    with _listening() as listener:
+        client = _client(listener)
+        body = iter([b'ab', b'cd']) if chunked else b'abcd'
+        for _ in range(2):
+            client.request(
+                'POST', '/a%2Fb?c=d', body, encode_chunked=chunked,
+                headers={'Transfer-Encoding': 'chunked'} if chunked else {},
+            )  # fmt: skip
+            answer = client.getresponse()
+            assert answer.read() == b'abcd'
+            assert answer.getheader('x-target') == '/a%2Fb?c=d'
+            body = iter([b'ab', b'cd']) if chunked else b'abcd'
+        client.close()
+
+
+def test_requests_in_one_packet_are_answered_in_turn() -> None:
+    one = b'GET /1 HTTP/1.1\r\nhost: a\r\n\r\n'
+    two = b'GET /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'
+    with _listening() as listener, _connect(listener) as caller:
+        caller.sendall(one + two)
+        answers = _all(caller)
+    assert answers.index(b'/1') < answers.index(b'/2')
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'GET / HTTP/1.1\r\nhost: a\r\nx: ' + b'y' * 2_990
+         + b'\r\n\r\n', 431),
+        (b'GET /' + b'y' * 3_000, 431),
+        (b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1001\r\n\r\n'
+         + b'z' * 1_001, 413),
+        (b'no request\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nhost:', 408),
+        (b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n'
+         b'content-length: 4\r\n\r\nabcd', 400),
+    ],
+)  # fmt: skip
+def test_what_is_over_the_limits_is_rejected(sent: bytes, status: int) -> None:
+    with _listening() as listener, _connect(listener) as caller:
+        caller.sendall(sent)
+        assert _status(_all(caller)) == status
+
+
+def test_close_of_a_caller_is_noticed_while_its_request_runs() -> None:
+    """Searchers must not go on working for a caller that has left."""
+    noticed = threading.Event()
+
+    def serve(
+        request: http_exchange.HttpRequest,
+        caller: caller_listener.CallerConnection,
+    ) -> caller_listener.HttpAnswer | None:
+        with caller.watch(noticed.set):
+            running.set()
+            assert noticed.wait(_LONG_S)
+        return None
+
+    running = threading.Event()
+    with _listening(serve) as listener:
+        caller = _connect(listener)
+        caller.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+        assert running.wait(_LONG_S)
+        caller.close()
+        assert noticed.wait(_LONG_S)
+
+
+def test_stop_answers_what_runs_and_closes_what_is_idle() -> None:
+    running = threading.Event()
+    release = threading.Event()
+
+    def serve(
+        request: http_exchange.HttpRequest,
+        caller: caller_listener.CallerConnection,
+    ) -> caller_listener.HttpAnswer | None:
+        if request.target == b'/slow':
+            running.set()
+            release.wait(_LONG_S)
+        return caller_listener.HttpAnswer(200, (), b'done')
+
+    with _listening(serve) as listener:
+        busy, idle = _client(listener), _client(listener)
+        idle.request('GET', '/fast')
+        assert idle.getresponse().read() == b'done'
+        busy.request('GET', '/slow')
+        assert running.wait(_LONG_S)
+        listener.closing = True
+        listener.stop_accepting()
+        listener.close_idle()
+        assert idle.sock.recv(1) == b''
+        release.set()
+        answer = busy.getresponse()
+        assert answer.read() == b'done'
+        assert answer.getheader('connection') == 'close'
+        until = deadlines.Deadline.after(_CLOCK, _LONG_S)
+        assert listener.await_closed(until)
+        idle.close()
+
+
+def test_idle_connection_is_kept_while_the_listener_closes() -> None:
+    """A request on its way must be answered, not reset."""
+    with _listening() as listener:
+        client = _client(listener)
+        client.request('GET', '/1')
+        client.getresponse().read()
+        listener.closing = True
+        client.request('GET', '/2')
+        answer = client.getresponse()
+        assert answer.status == 200
+        assert answer.getheader('connection') == 'close'
+        client.close()
--- /dev/null
+++ b/tests/wire/test_http_exchange.py
@@ -0,0 +1,229 @@
+"""HttpExchange: bytes that belong to no request, and ends of connections."""
+
+import collections.abc
+import contextlib
+import socket
+import struct
+import threading
+
+import pytest
+
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.request import deadlines
+from corianderport_wire.connection import http_exchange
+
+_CLOCK = clocks.SystemClock()
+_LONG_S = 10.0
+_REQUEST = http_exchange.HttpRequest(
+    b'GET', b'/x', ((b'host', b'a.example'), (b'x-id', b'q1')), b''
+)
+_OK = b'HTTP/1.1 200 OK\r\nx-id: q1\r\ncontent-length: 2\r\n\r\nok'
+_FOREIGN = b'HTTP/1.1 200 OK\r\nx-id: q0\r\ncontent-length: 3\r\n\r\nold'
+_SWITCH_RESET = struct.pack('ii', 1, 0)
+
+Script = collections.abc.Callable[[socket.socket], None]
+
+
+def _belongs(reply: http_exchange.HttpReply) -> bool:
+    return reply.header(b'x-id') in (b'q1', None)
+
+
+@contextlib.contextmanager
+def _server(script: Script) -> collections.abc.Iterator[str]:
+    """Serve one connection with a script."""
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def run() -> None:
+        accepted, _ = listener.accept()
+        with accepted:
+            script(accepted)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    try:
+        host, port = listener.getsockname()
+        yield f'{host}:{port}'
+    finally:
+        thread.join(_LONG_S)
+        listener.close()
+
+
+@contextlib.contextmanager
+def _exchange(
+    script: Script,
+) -> collections.abc.Iterator[http_exchange.HttpExchange]:
+    with _server(script) as address:
+        exchange = http_exchange.HttpExchange(
+            http_exchange.connect(address, _LONG_S), _CLOCK
+        )
+        try:
+            yield exchange
+        finally:
+            exchange.close()
+
+
+def _send(
+    exchange: http_exchange.HttpExchange, seconds: float = _LONG_S
+) -> http_exchange.HttpReply:
+    until = deadlines.Deadline.after(_CLOCK, seconds)
+    return exchange.exchange(_REQUEST, until, _belongs)
+
+
+def _answering(*answers: bytes) -> Script:
+    def script(accepted: socket.socket) -> None:
+        for answer in answers:
+            if not accepted.recv(65_536):
+                return
+            accepted.sendall(answer)
+        accepted.recv(65_536)
+
+    return script
+
+
+def _reset(accepted: socket.socket) -> None:
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _SWITCH_RESET)
+    accepted.close()
+
+
+def test_connection_is_used_again() -> None:
+    with _exchange(_answering(_OK, _OK)) as exchange:
+        assert _send(exchange).body == b'ok'
+        assert _send(exchange).body == b'ok'
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        _OK + b'more',
+        _OK + _FOREIGN,
+        _OK.replace(b'\r\n\r\n', b'\r\nconnection: close\r\n\r\n'),
+        _OK.replace(b'\r\n\r\n', b'\r\nkeep-alive: timeout=0\r\n\r\n'),
+    ],
+)
+def test_connection_is_not_used_again_and_nothing_is_sent(
+    answer: bytes,
+) -> None:
+    with _exchange(_answering(answer)) as exchange:
+        assert _send(exchange).body == b'ok'
+        with pytest.raises(errors.ConnectionStale):
+            _send(exchange)
+
+
+def test_answer_to_an_earlier_request_is_passed_over() -> None:
+    with _exchange(_answering(_FOREIGN + _OK)) as exchange:
+        assert _send(exchange).body == b'ok'
+
+
+def test_second_answer_that_arrives_between_requests_is_noticed() -> None:
+    """A late extra answer must not be taken for the next one."""
+    sent = threading.Event()
+
+    def script(accepted: socket.socket) -> None:
+        accepted.recv(65_536)
+        accepted.sendall(_OK)
+        accepted.sendall(_FOREIGN)
+        sent.set()
+        accepted.recv(65_536)
+
+    with _exchange(script) as exchange:
+        assert _send(exchange).body == b'ok'
+        assert sent.wait(_LONG_S)
+        with pytest.raises(errors.ConnectionStale):
+            _send(exchange)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'HTTP/1.1 200 OK\r\nx-id: q1\r\ncontent-length: 9\r\n\r\nok',
+        b'HTTP/1.1 200 OK\r\nx-id: q1\r\ntransfer-encoding: chunked\r\n\r\n2'
+        b'\r\nok\r\n',
+        b'HTTP/1.1 200',
+        b'',
+        b'\x00\x01\x02 no answer\r\n\r\n',
+        _FOREIGN,
+    ],
+)
+def test_answer_that_ends_early_is_no_answer(answer: bytes) -> None:
+    def script(accepted: socket.socket) -> None:
+        accepted.recv(65_536)
+        accepted.sendall(answer)
+
+    with _exchange(script) as exchange:
+        with pytest.raises(errors.ConnectionBroken):
+            _send(exchange)
+
+
+_UNFRAMED = b'HTTP/1.1 200 OK\r\nx-id: q1\r\n\r\nall of it'
+
+
+def test_answer_without_a_length_ends_with_its_connection() -> None:
+    def script(accepted: socket.socket) -> None:
+        accepted.recv(65_536)
+        accepted.sendall(_UNFRAMED)
+
+    with _exchange(script) as exchange:
+        assert _send(exchange).body == b'all of it'
+
+
+def test_answer_without_a_length_that_is_reset_is_not_whole() -> None:
+    received = threading.Event()
+
+    def script(accepted: socket.socket) -> None:
+        accepted.recv(65_536)
+        accepted.sendall(_UNFRAMED)
+        received.wait(_LONG_S)
+        _reset(accepted)
+
+    with _exchange(script) as exchange:
+        received.set()
+        with pytest.raises(errors.ConnectionBroken):
+            _send(exchange)
+
+
+def test_silent_server_ends_at_the_deadline() -> None:
+    done = threading.Event()
+
+    def script(accepted: socket.socket) -> None:
+        accepted.recv(65_536)
+        done.wait(_LONG_S)
+
+    with _exchange(script) as exchange:
+        with pytest.raises(errors.ConnectionSilent):
+            _send(exchange, 0.05)
+        done.set()
+
+
+def test_connection_that_ended_while_idle_is_found_before_sending() -> None:
+    with _exchange(lambda accepted: None) as exchange:
+        # The end of the connection has arrived once it can be read.
+        exchange._socket.recv(1, socket.MSG_PEEK)
+        with pytest.raises(errors.ConnectionStale):
+            _send(exchange)
+
+
+def test_abort_ends_an_exchange() -> None:
+    received = threading.Event()
+
+    def script(accepted: socket.socket) -> None:
+        accepted.recv(65_536)
+        received.set()
+        accepted.recv(65_536)
+
+    with _exchange(script) as exchange:
+
+        def abort() -> None:
+            received.wait(_LONG_S)
+            exchange.abort()
+
+        threading.Thread(target=abort, daemon=True).start()
+        with pytest.raises(errors.ConnectionBroken):
+            _send(exchange)
+
+
+def test_refused_connection() -> None:
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        host, port = listener.getsockname()
+    with pytest.raises(errors.ConnectFailed):
+        http_exchange.connect(f'{host}:{port}', _LONG_S)
