Let refusals of a searcher count in the choice

The choice held a refusing searcher for 20 ms and then took it again, so that the extra sends of the fleet were spent within a second and most gathers had too few parts.

Ruled out: the budget alone. Shards with one sound searcher lost requests too, although nothing had to be sent twice there.

Change: a refusal counts like a failure in the cost of a searcher, and a failed or refused half of the requests costs as much as four in flight.

--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -20,7 +20,9 @@
 _SPEED_HALF_LIFE_S = 1.5
 _HIGHEST_SPEED = 40.0
 _FAILURE_WEIGHT = 0.2
-_FAILURE_COST = 4.0
+# A searcher that refuses or fails each second request costs as much as one
+# with four more requests in flight.
+_FAILURE_COST = 8.0
 _FAILURES_TO_HOLD = 3
 _SHORTEST_HOLD_S = 0.25
 _LONGEST_HOLD_S = 2.0
@@ -53,11 +55,13 @@
 class Ending:
     """How a send ended.
 
-    ``elapsed_s`` is None where nothing can be said of the speed;
-    ``usual_s`` is the usual latency of its route.
+    ``full`` says that the searcher refused the request; ``elapsed_s`` is
+    None where nothing can be said of the speed; ``usual_s`` is the usual
+    latency of its route.
     """
 
     failed: bool
+    answered: bool = False
     unreachable: bool = False
     full: bool = False
     elapsed_s: float | None = None
@@ -114,12 +118,13 @@
             self._learn_speed(ending.elapsed_s / ending.usual_s, now_s)
         if ending.full:
             self._held_until_s = max(self._held_until_s, now_s + _FULL_HOLD_S)
+        if ending.failed or ending.full:
+            self._failure_rate += _FAILURE_WEIGHT * (1 - self._failure_rate)
         if ending.failed:
             self._failures += 1
-            self._failure_rate += _FAILURE_WEIGHT * (1 - self._failure_rate)
             if ending.unreachable or self._failures >= _FAILURES_TO_HOLD:
                 self._hold(now_s)
-        elif not ending.full:
+        elif ending.answered:
             self._failures = 0
             self._failure_rate -= _FAILURE_WEIGHT * self._failure_rate
 
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -373,6 +373,7 @@
             if reply.ran:
                 return searcher_state.Ending(
                     failed=not reply.succeeded,
+                    answered=reply.succeeded,
                     elapsed_s=elapsed_s,
                     usual_s=usual_s,
                 )
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -169,3 +169,16 @@
     assert service.is_present(choice.state)
     service.update(None, [entries.registration('s1', started_ms=5)])
     assert not service.is_present(choice.state)
+
+
+def test_searcher_that_refuses_often_is_avoided(
+    service: service_searchers.ServiceSearchers,
+    clock: clock_module.ManualClock,
+) -> None:
+    """Each refusal costs one of the extra sends of the whole fleet."""
+    for _ in range(4):
+        refused = _choose(service, 's2', 's3')
+        service.finish(refused, Ending(failed=False, full=True))
+        clock.advance(0.1)
+    chosen = [_choose(service).state.name for _ in range(4)]
+    assert 's1' not in chosen
