Wait for the searchers of a service that a version names first

Ruled out: a late read. The searchers that the store lists were read within 30 ms of the version.

Change: a version that names a new service without a searcher is taken over when the last such service has one, and after 1.5 s at the latest, which is half of the time in which a version is due.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -45,7 +45,7 @@
 _BALANCER_LAG_S = 2.8
 # Left of the grace period for closing connections and the exit.
 _EXIT_MARGIN_S = 0.4
-_HOUSEKEEPING_S = 1.0
+_HOUSEKEEPING_S = 0.25
 
 
 class Adapter(typing.Protocol):
@@ -318,13 +318,12 @@
         )
 
     def _keep_house(self) -> None:
-        """Drop lapsed searchers when their time is over."""
+        """Let the directory do what is due."""
         condition = threading.Condition()
         while not self._stopped:
-            due_s = self._directory.expire()
-            wait_s = _HOUSEKEEPING_S if due_s is None else due_s
+            self._directory.expire()
             with condition:
-                self._clock.wait(condition, max(0.05, wait_s))
+                self._clock.wait(condition, _HOUSEKEEPING_S)
 
     def _run(self, task: collections.abc.Callable[[], None]) -> None:
         try:
--- a/packages/tier/src/corianderport_tier/process/directory.py
+++ b/packages/tier/src/corianderport_tier/process/directory.py
@@ -25,6 +25,9 @@
 # Searchers whose entries lapsed while the platform was away write them
 # again within this time of its return.
 _RETURN_S = 2.0
+# A version that names a new service waits for the service's searchers to
+# register, at most this long. Versions are due within three seconds.
+_WAIT_FOR_SEARCHERS_S = 1.5
 
 OpenService = collections.abc.Callable[
     [str], service_searchers.ServiceSearchers
@@ -57,6 +60,10 @@
         self._lapsed: dict[str, float] = {}
         self._services = _EMPTY
         self._routing: routes.RoutingVersion | None = None
+        # A newer version whose searchers are not known yet, and the time
+        # at which it is taken over all the same.
+        self._next_routing: routes.RoutingVersion | None = None
+        self._next_routing_s = 0.0
         self._out: frozenset[str] = frozenset()
         self._any_searcher = False
 
@@ -80,18 +87,12 @@
             )
 
     def lacks_searchers(self) -> bool:
-        """Whether a route names a service without a searcher."""
-        routing = self._routing
-        if routing is None:
-            return False
+        """Whether the newest version names a service without a searcher."""
         with self._lock:
-            registered = {
-                e.value.service
-                for e in self._entries.values()
-                if isinstance(e.value, registrations.Registration)
-            }
-        named = {name for r in routing.routes for name in r.services}
-        return not named <= registered
+            routing = self._next_routing or self._routing
+            if routing is None:
+                return False
+            return not routing.named_services <= self._registered()
 
     def service(self, name: str) -> service_searchers.ServiceSearchers | None:
         """Return the state of a service, None when nothing names it."""
@@ -126,10 +127,13 @@
         with self._lock:
             self._take(changes, self._lapse_until(returned))
 
-    def expire(self) -> float | None:
-        """Drop lapsed searchers; return the seconds to the next one."""
+    def expire(self) -> None:
+        """Do what is due: drop lapsed searchers, take over a version."""
         now_s = self._clock.monotonic()
         with self._lock:
+            if self._next_routing and self._next_routing_s <= now_s:
+                self._take_next('its searchers have not registered')
+                self._refresh(frozenset())
             due = [
                 k for k, until_s in self._lapsed.items() if until_s <= now_s
             ]
@@ -139,8 +143,6 @@
                 self._note('lapsed', entry, 'not registered again')
             if due:
                 self._refresh(frozenset())
-            waits = [until_s - now_s for until_s in self._lapsed.values()]
-        return min(waits, default=None)
 
     def refresh(self) -> None:
         """Bring the services up to date, after the fleet has changed."""
@@ -166,6 +168,8 @@
         news = False
         for entry in changes:
             news = self._take_one(entry, lapse_until_s) or news
+        if self._next_routing and not self._lacking(self._next_routing):
+            self._take_next('its searchers are known')
         if news:
             self._refresh(out_before - self._out)
 
@@ -221,12 +225,42 @@
     def _take_routing(
         self, entry: Entry, routing: routes.RoutingVersion
     ) -> None:
-        if self._routing is not None and (
-            routing.version <= self._routing.version
-        ):
+        newest = self._next_routing or self._routing
+        if newest is not None and routing.version <= newest.version:
             return
-        self._routing = routing
-        self._note('routing', entry, f'version {routing.version}')
+        if self._next_routing is None:
+            self._next_routing_s = (
+                self._clock.monotonic() + _WAIT_FOR_SEARCHERS_S
+            )
+        self._next_routing = routing
+        lacking = self._lacking(routing)
+        if self._routing is None or not lacking:
+            self._take_next('newer')
+        else:
+            self._note('routing-waits', entry, ', '.join(sorted(lacking)))
+
+    def _take_next(self, reason: str) -> None:
+        assert self._next_routing is not None
+        self._routing, self._next_routing = self._next_routing, None
+        self._log.record(
+            decision_log.Decision(
+                'routing', '', f'version {self._routing.version}', reason
+            )
+        )
+
+    def _lacking(self, routing: routes.RoutingVersion) -> frozenset[str]:
+        """Return services that are new in a version and have no searcher."""
+        present = (
+            self._routing.named_services if self._routing else frozenset()
+        )
+        return routing.named_services - present - self._registered()
+
+    def _registered(self) -> set[str]:
+        return {
+            e.value.service
+            for e in self._entries.values()
+            if isinstance(e.value, registrations.Registration)
+        }
 
     def _note_registration(self, entry: Entry, known: Entry | None) -> None:
         value = entry.value
--- a/packages/tier/src/corianderport_tier/version/routes.py
+++ b/packages/tier/src/corianderport_tier/version/routes.py
@@ -4,6 +4,7 @@
 """
 
 import collections.abc
+import functools
 
 import attrs
 
@@ -127,6 +128,11 @@
         ),
     )
 
+    @functools.cached_property
+    def named_services(self) -> frozenset[str]:
+        """The services that the routes name."""
+        return frozenset(n for r in self.routes for n in r.services)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path."""
         prefixes = self._by_host.get(host)
--- a/tests/tier/test_directory.py
+++ b/tests/tier/test_directory.py
@@ -195,3 +195,38 @@
     first = found.choose((), 0.01)
     assert isinstance(first, service_searchers.Choice)
     assert found.choose((), 0.01) is service_searchers.NoChoice.COLD
+
+
+def test_version_waits_for_the_searchers_of_a_new_service(
+    setting: _Setting,
+) -> None:
+    """Otherwise all requests are refused until they have registered."""
+    old, new = entries.route(('old',)), entries.route(('new',))
+    setting.apply(
+        entries.entry(1, entries.registration('s1', 'old')),
+        entries.entry(2, entries.routing(1, old)),
+        entries.entry(3, entries.routing(2, new)),
+    )
+    assert setting.directory.routing == entries.routing(1, old)
+    assert setting.directory.lacks_searchers()
+    setting.apply(entries.entry(4, entries.registration('s2', 'new')))
+    assert setting.directory.routing == entries.routing(2, new)
+
+
+def test_version_does_not_wait_beyond_its_time(setting: _Setting) -> None:
+    """A version is due everywhere within seconds, whatever it names."""
+    setting.apply(
+        entries.entry(1, entries.registration('s1', 'old')),
+        entries.entry(2, entries.routing(1, entries.route(('old',)))),
+        entries.entry(3, entries.routing(2, entries.route(('new',)))),
+    )
+    setting.clock.advance(1.0)
+    setting.apply(
+        entries.entry(4, entries.routing(3, entries.route(('newer',))))
+    )
+    setting.directory.expire()
+    assert setting.directory.routing is not None
+    assert setting.directory.routing.version == 1
+    setting.clock.advance(0.6)
+    setting.directory.expire()
+    assert setting.directory.routing.version == 3
