Serve metrics and take over settings that change without a signal

Cause: a request could be explained from logs only, and a settings file that changes without SIGHUP was not noticed.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -23,6 +23,7 @@
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import metrics
 from corianderport_tier.process import registry_reader
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import deadlines
@@ -69,6 +70,9 @@
         :raises SettingInvalid: names the setting.
         """
 
+    def settings_stamp(self) -> object:
+        """Return what differs when the settings have changed."""
+
     def registry(self, address: str) -> transports.Registry:
         """Return a connection to the store, for one task."""
 
@@ -107,11 +111,11 @@
         self._stack = contextlib.ExitStack()
         self._condition = threading.Condition()
         self._stopping = False
-        self._stopped = False
         self._executor = concurrent.futures.ThreadPoolExecutor(
             _MOST_TASKS, thread_name_prefix='task'
         )
-        self._log = decision_log.DecisionLog()
+        self._metrics = metrics.Metrics()
+        self._log = decision_log.DecisionLog(observer=self._metrics)
         self._fleet = fleet.Fleet(
             settings,
             self._executor,
@@ -128,11 +132,17 @@
             self._open_service, clock, self._log
         )
         self._forwarder = forwarding.Forwarder(
-            self._directory, clock, self._log, self._rng
+            self._directory, clock, self._log, self._rng, self._metrics
         )
         self._watch = close_watch.CloseWatch()
         self._callers = self._listener(settings.caller_address, self._serve)
         self._ready = self._listener(settings.ready_address, self._serve_ready)
+        self._metrics_listener = (
+            self._listener(settings.metrics_address, self._serve_metrics)
+            if settings.metrics_address
+            else None
+        )
+        self._settings_stamp = adapter.settings_stamp()
         searchers = adapter.searcher_prefix
         self._readers = [
             registry_reader.RegistryReader(
@@ -165,6 +175,8 @@
             self._keep_house,
             *(reader.run for reader in self._readers),
         ]
+        if self._metrics_listener is not None:
+            tasks.append(self._metrics_listener.run)
         self._stack.enter_context(self._fleet)
         for task in tasks:
             self._executor.submit(self._run, task)
@@ -181,6 +193,8 @@
             reader.close()
         self._watch.close()
         self._ready.stop_accepting()
+        if self._metrics_listener is not None:
+            self._metrics_listener.stop_accepting()
         self._stack.close()
         self._directory.close()
         self._executor.shutdown(wait=False, cancel_futures=True)
@@ -216,7 +230,11 @@
         self._finish()
 
     def reload(self) -> None:
-        """Take over settings that have changed."""
+        """Take over settings that have changed.
+
+        Addresses stay as they are until the process starts again.
+        """
+        self._settings_stamp = self._adapter.settings_stamp()
         try:
             settings = self._adapter.settings()
         except errors.SettingInvalid as error:
@@ -296,6 +314,22 @@
             return caller_listener.HttpAnswer(404, (), b'')
         return caller_listener.HttpAnswer(200 if self.ready else 503, (), b'')
 
+    def _serve_metrics(
+        self,
+        received: http_exchange.HttpRequest,
+        caller: caller_listener.CallerConnection,
+    ) -> caller_listener.HttpAnswer:
+        # Loaded when it is first asked for: the library takes memory that
+        # a host without a scraper does not need.
+        from corianderport_wire.process import metrics_text
+
+        content_type = metrics_text.CONTENT_TYPE.encode()
+        return caller_listener.HttpAnswer(
+            200,
+            ((b'content-type', content_type),),
+            metrics_text.render(self._metrics.totals()),
+        )
+
     def _open_service(self, name: str) -> service_searchers.ServiceSearchers:
         return service_searchers.ServiceSearchers(
             name,
@@ -318,10 +352,12 @@
         )
 
     def _keep_house(self) -> None:
-        """Let the directory do what is due."""
+        """Let the directory do what is due; notice changed settings."""
         condition = threading.Condition()
-        while not self._stopped:
+        while not self._stopping:
             self._directory.expire()
+            if self._adapter.settings_stamp() != self._settings_stamp:
+                self.reload()
             with condition:
                 self._clock.wait(condition, _HOUSEKEEPING_S)
 
--- a/packages/tier/src/corianderport_tier/process/decision_log.py
+++ b/packages/tier/src/corianderport_tier/process/decision_log.py
@@ -58,6 +58,11 @@
             self._observer.decided(decision)
         self._logger.info('decision', extra={'decision': decision})
 
+    def count(self, decision: Decision) -> None:
+        """Count a usual decision that gets no line of its own."""
+        if self._observer is not None:
+            self._observer.decided(decision)
+
     def recent(self) -> tuple[Decision, ...]:
         """Return the most recent decisions, oldest first."""
         return tuple(self._recent.copy())
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -14,6 +14,7 @@
 from corianderport_tier import clocks
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
+from corianderport_tier.process import metrics
 from corianderport_tier.process import route_latency
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
@@ -39,6 +40,8 @@
 # it does not wait any longer.
 _RETRY_SHARE = 0.25
 _SHORTEST_RETRY_S = 0.05
+# Label of requests that match no route.
+_NO_ROUTE = 'none'
 
 Code = result_codes.ResultCode
 Part = part_module.Part
@@ -64,7 +67,9 @@
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
         rng: random.Random,
+        counts: metrics.Metrics | None = None,
     ) -> None:
+        self._metrics = counts or metrics.Metrics()
         self.directory = found
         self.clock = clock
         self.log = log
@@ -112,6 +117,7 @@
         detail: str,
     ) -> Failure:
         failure = Failure(code, detail, _SHORTEST_RETRY_S)
+        self._metrics.finished(_NO_ROUTE, code, 0.0)
         self.log.record(
             decision_log.Decision(
                 'answer', request.request_id, code.name, detail
@@ -134,6 +140,8 @@
         }
         if forwarding is not None:
             inputs.update(forwarding.summary())
+        route = _NO_ROUTE if forwarding is None else forwarding.route_name
+        self._metrics.finished(route, _code(answer), elapsed_s)
         choice, reason = _described(answer)
         self.log.record(
             decision_log.Decision(
@@ -165,6 +173,11 @@
         self._unknown: list[str] = []
         self._gone = False
 
+    @property
+    def route_name(self) -> str:
+        """Name of the request's route."""
+        return self._route.name
+
     def run(
         self, caller: CallerWatch
     ) -> forward_messages.ForwardAnswer | None:
@@ -348,6 +361,17 @@
         return Failure(code, detail, after_s)
 
 
+def _code(answer: forward_messages.ForwardAnswer | None) -> Code:
+    if answer is None:
+        # Whether anything ran is of no interest to a caller that has gone.
+        return Code.OUTCOME_UNKNOWN
+    if isinstance(answer, Failure):
+        return answer.code
+    if isinstance(answer, forward_messages.Gathered) and answer.missing:
+        return Code.PARTIAL
+    return Code.OK
+
+
 def _described(
     answer: forward_messages.ForwardAnswer | None,
 ) -> tuple[str, str]:
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -31,6 +31,8 @@
 ]
 
 _LOG_KINDS = {False: 'retry', True: 'hedge'}
+# First sends are told by the line of the request's answer.
+_FIRST_SEND = decision_log.Decision('route', '', '', 'first send')
 # A connection whose answer is this late is closed when its request ends,
 # since the answer may never come.
 _LINGER_S = 0.15
@@ -321,6 +323,8 @@
             self._note(
                 _LOG_KINDS[hedge], choice.state.name, 'another searcher'
             )
+        else:
+            self._log.count(_FIRST_SEND)
         self._sends.append(send)
         self._tried.append(choice.state.name)
         late_s = max(self._latency.late_s, 1.3 * self._latency.usual_s)
--- a/tests/adapter/test_entry_process.py
+++ b/tests/adapter/test_entry_process.py
@@ -41,7 +41,10 @@
                 f'{name} = "127.0.0.1:0"', f'{name} = "127.0.0.1:{port}"'
             )
         path.write_text(text)
+        self.path = path
+        self.metrics = _free_port()
         environment = {
+            'CORIANDERPORT_METRICS_PORT': str(self.metrics),
             **os.environ,
             'CORIANDERPORT_BOOT': str(path),
             'CORIANDERPORT_SHARED_KEYS': 'test-key',
@@ -90,6 +93,9 @@
         self.process.wait(_LONG_S)
         self._reader.join(_LONG_S)
 
+    def reloads(self) -> int:
+        return sum('read anew' in line for line in self.lines)
+
     def events(self) -> list[dict[str, typing.Any]]:
         return [json.loads(line) for line in self.lines]
 
@@ -140,6 +146,16 @@
     return client.getresponse()
 
 
+def _metrics(host: _Host) -> str:
+    client = http.client.HTTPConnection(
+        '127.0.0.1', host.metrics, timeout=_LONG_S
+    )
+    client.request('GET', '/metrics')
+    text = client.getresponse().read().decode()
+    client.close()
+    return text
+
+
 @pytest.fixture
 def setting(
     tmp_path: pathlib.Path,
@@ -170,8 +186,15 @@
     assert answer.status == 404
     answer.read()
 
+    text = _metrics(host)
+    assert 'corianderport_results_total{' in text
+    assert 'request="r1"' in text
+    assert 'corianderport_sub_requests_total 3' in text
+
     host.process.send_signal(signal.SIGHUP)
-    host.await_(lambda: any('read anew' in line for line in host.lines))
+    host.await_(lambda: host.reloads() == 1)
+    host.path.write_text(host.path.read_text() + '# changed\n')
+    host.await_(lambda: host.reloads() == 2)
     host.process.send_signal(signal.SIGTERM)
     host.await_(lambda: not host.is_ready())
     answer = _ask(client, 'GET', '/all/x', 4)
