Prefer searchers of the own data centre more strongly

Cause: a third of the sends crossed data centres although the own searcher was idle or had one request, which costs bytes and half a millisecond.

Change: another data centre's searcher costs 1.6 times as much, not 1.15.

--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -30,8 +30,8 @@
 _FULL_HOLD_S = 0.02
 # An answer that is this many times overdue counts before it arrives.
 _OVERDUE = 2.0
-# Bytes between data centres and the way there cost about this much.
-_OTHER_DATA_CENTRE_COST = 1.15
+# The own data centre first, unless its searcher is busy or slower than this.
+_OTHER_DATA_CENTRE_COST = 1.6
 
 
 class SendPool(typing.Protocol):
