Give a host its part of the slack on top of its share of the requests

Cause: on a grown site each host sees one request a second for a service. The greater of its share of the requests and its part of the slack allowed one extra send in ten seconds, a fifth of what the fleet may send, and 774 of 1378 hedges were not made.

Ruled out: the time of the hedge. Gathers without a missing hedge were answered in half of the goal.

Change: the share and the slack are added up, as in the bound itself.

--- a/packages/tier/src/corianderport_tier/process/budgets.py
+++ b/packages/tier/src/corianderport_tier/process/budgets.py
@@ -44,17 +44,22 @@
         """Count a sub-request that is the first for its shards."""
         self._bucket(now_s).requests += 1
 
-    def try_spend(self, now_s: float, minimum: int = 0) -> bool:
+    def try_spend(
+        self, now_s: float, minimum: int = 0, slack: float = 0.0
+    ) -> bool:
         """Take one extra sub-request, when the budget has one left.
 
         :param minimum: allowed in a window whatever its share is.
+        :param slack: allowed in a window on top of its share.
         """
-        if not self.may_spend(now_s, minimum):
+        if not self.may_spend(now_s, minimum, slack):
             return False
         self.spend(now_s)
         return True
 
-    def may_spend(self, now_s: float, minimum: int = 0) -> bool:
+    def may_spend(
+        self, now_s: float, minimum: int = 0, slack: float = 0.0
+    ) -> bool:
         """Whether one extra sub-request is left."""
         self._bucket(now_s)
         requests = sum(b.requests for b in self._buckets)
@@ -62,7 +67,7 @@
         allowed = max(
             self._share.share * requests, self._share.minimum, minimum
         )
-        return spent + 1 <= allowed
+        return spent + 1 <= allowed + slack
 
     def spend(self, now_s: float) -> None:
         """Count one extra sub-request."""
--- a/packages/tier/src/corianderport_tier/process/fleet_share.py
+++ b/packages/tier/src/corianderport_tier/process/fleet_share.py
@@ -73,9 +73,9 @@
         return max(1, int(_CONNECTION_USE * most / self.hosts))
 
     @property
-    def extra_slack(self) -> int:
-        """Extra sends in a window that need no requests."""
-        return max(1, int(_SLACK_USE * self._bounds.extra_slack / self.hosts))
+    def extra_slack(self) -> float:
+        """Extra sends in a window beside the share of the requests."""
+        return _SLACK_USE * self._bounds.extra_slack / self.hosts
 
     def cold_rate(self, searcher: str, rate: float) -> int:
         """Return how many requests this host may send in any second.
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -163,9 +163,9 @@
 
         :param reserve: fraction of the slack that has to be left.
         """
-        slack = int(self._share.extra_slack * (1 - reserve))
+        slack = self._share.extra_slack * (1 - reserve)
         with self._lock:
-            return self._extra.try_spend(self._clock.monotonic(), slack)
+            return self._extra.try_spend(self._clock.monotonic(), slack=slack)
 
     def await_room(self, wake: collections.abc.Callable[[], None]) -> None:
         """Call back once when a searcher may have room again."""
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -136,6 +136,15 @@
     assert spent > 0
 
 
+def test_host_with_few_requests_has_its_part_of_the_slack(
+    service: service_searchers.ServiceSearchers,
+) -> None:
+    """In a large fleet each host sees few of the requests of a service."""
+    for _ in range(10):
+        service.count_request()
+    assert sum(service.try_extra() for _ in range(20)) == 5
+
+
 def test_hedges_leave_slack_to_retries(
     service: service_searchers.ServiceSearchers,
 ) -> None:
