Read the store with one watch, as long as the bounds allow

Cause: two watches of 4 s on each host were most of the calls to the store, and a routing could be known before the searchers that it names.

Ruled out: reading through other hosts. A relay has to be found silent or stale within three seconds, so that readers would call once a second.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -57,12 +57,8 @@
         """Path on which the balancer asks whether the host is ready."""
 
     @property
-    def routing_prefix(self) -> str:
-        """Prefix of the keys under which operators publish."""
-
-    @property
-    def searcher_prefix(self) -> str:
-        """Prefix of the keys under which searchers register."""
+    def prefix(self) -> str:
+        """Prefix of all keys that the host reads."""
 
     def settings(self) -> entry_settings.EntrySettings:
         """Read the settings anew.
@@ -143,19 +139,14 @@
             else None
         )
         self._settings_stamp = adapter.settings_stamp()
-        searchers = adapter.searcher_prefix
-        self._readers = [
-            registry_reader.RegistryReader(
-                prefix,
-                adapter.registry(settings.store_address),
-                self._directory,
-                clock,
-                registry_reader.ReaderTimes(),
-                self._rng,
-                None if prefix == searchers else searchers,
-            )
-            for prefix in (adapter.routing_prefix, searchers)
-        ]
+        self._reader = registry_reader.RegistryReader(
+            adapter.prefix,
+            adapter.registry(settings.store_address),
+            self._directory,
+            clock,
+            registry_reader.ReaderTimes(watch_s=settings.watch_s),
+            self._rng,
+        )
 
     @classmethod
     def from_adapter(
@@ -173,7 +164,7 @@
             self._callers.run,
             self._ready.run,
             self._keep_house,
-            *(reader.run for reader in self._readers),
+            self._reader.run,
         ]
         if self._metrics_listener is not None:
             tasks.append(self._metrics_listener.run)
@@ -189,8 +180,7 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        for reader in self._readers:
-            reader.close()
+        self._reader.close()
         self._watch.close()
         self._ready.stop_accepting()
         if self._metrics_listener is not None:
--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -32,5 +32,6 @@
     seeds: tuple[str, ...]
     regions: collections.abc.Mapping[str, str]
     grace_s: float
+    watch_s: float
     fleet: fleet_share.FleetBounds
     log_level: str = 'INFO'
--- a/packages/tier/src/corianderport_tier/process/directory.py
+++ b/packages/tier/src/corianderport_tier/process/directory.py
@@ -86,14 +86,6 @@
                 for e in self._entries.values()
             )
 
-    def lacks_searchers(self) -> bool:
-        """Whether the newest version names a service without a searcher."""
-        with self._lock:
-            routing = self._next_routing or self._routing
-            if routing is None:
-                return False
-            return not routing.named_services <= self._registered()
-
     def service(self, name: str) -> service_searchers.ServiceSearchers | None:
         """Return the state of a service, None when nothing names it."""
         return self._services.get(name)
--- a/packages/tier/src/corianderport_tier/process/registry_reader.py
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -2,7 +2,8 @@
 
 Keeps the directory up to date from the platform's store.
 
-One task for each prefix: it reads all entries, then waits for changes.
+One task reads all entries and then waits for changes, so that routing and
+searchers arrive in the order in which they were written.
 """
 
 import logging
@@ -42,12 +43,7 @@
 
 
 class RegistryReader:
-    """Reads one prefix until closed.
-
-    :param lacking: prefix that is read once when the routing in force
-        names a service without searchers, as when the task that watches
-        the prefix is behind.
-    """
+    """Reads the entries below a prefix until closed."""
 
     def __init__(
         self,
@@ -57,7 +53,6 @@
         clock: clocks.Clock,
         times: ReaderTimes,
         rng: random.Random,
-        lacking: str | None = None,
     ) -> None:
         self._prefix = prefix
         self._registry = registry
@@ -65,7 +60,6 @@
         self._clock = clock
         self._times = times
         self._rng = rng
-        self._lacking = lacking
         self._condition = threading.Condition()
         self._closed = False
         self._revision: registrations.Revision | None = None
@@ -85,7 +79,7 @@
             else:
                 self._watch(self._revision)
         except errors.HistoryGone:
-            _LOG.info('history of %s is gone, reading all of it', self._prefix)
+            _LOG.info('the history is gone, reading all entries')
             self._revision = None
         except errors.CorianderportError as error:
             self._on_failure(error)
@@ -103,7 +97,6 @@
         self._directory.replace(self._prefix, listing, returned)
         self._revision = listing.revision
         self._ever_read = True
-        self._read_lacking()
 
     def _watch(self, after: registrations.Revision) -> None:
         returned = self._failures > 0
@@ -113,27 +106,19 @@
         self._on_success()
         if listing.entries:
             self._directory.apply(listing.entries, returned)
-            self._read_lacking()
             self._pause(self._times.settle_s)
         self._revision = max(after, listing.revision)
 
-    def _read_lacking(self) -> None:
-        if self._lacking is not None and self._directory.lacks_searchers():
-            listing = self._registry.read(self._lacking)
-            self._directory.replace(self._lacking, listing, returned=True)
-
     def _on_success(self) -> None:
         if self._failures:
             _LOG.info(
-                'platform regained for %s after %d failed calls',
-                self._prefix,
-                self._failures,
+                'platform regained after %d failed calls', self._failures
             )
         self._failures = 0
 
     def _on_failure(self, error: errors.CorianderportError) -> None:
         if self._failures == 0:
-            _LOG.warning('platform lost for %s: %s', self._prefix, error)
+            _LOG.warning('platform lost: %s', error)
         self._failures += 1
         longest_s = min(
             self._times.longest_retry_s,
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -22,6 +22,10 @@
 control = "127.0.0.1:0"
 [bounds]
 grace_s = 6
+contact_ms = 4000
+config_ms = 3000
+drain_ms = 3500
+evac_ms = 5000
 retry_ratio = 0.2
 retry_slack = 52
 retry_window_s = 10
@@ -50,6 +54,7 @@
     assert found.regions == {'west-a': 'west'}
     assert found.metrics_address == '127.0.0.1:9100'
     assert found.fleet.extra_slack == 52
+    assert found.watch_s == 5.0
 
 
 @pytest.mark.parametrize(
