Bound the sends of a request that is refused each time

Cause: a request was sent again until the budget of extra sends was spent or all searchers were on hold, so that one request could use up what all requests of a service share. Found by reading, shown by a test.

Change: four sends for each part at most. A send and its events move to a module of their own.

--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -18,6 +18,7 @@
 from corianderport_tier.process import route_latency
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
+from corianderport_tier.request import forward_send
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import part as part_module
 from corianderport_tier.request import records
@@ -167,7 +168,7 @@
         ends = request.deadline.within(self._clock, route.timeout_s * 1e3)
         self._request = attrs.evolve(request, deadline=ends)
         self._answer_by = ends.earlier(_ANSWER_MARGIN_S)
-        self._inbox: inboxes.Inbox[part_module.Event]
+        self._inbox: inboxes.Inbox[forward_send.Event]
         self._inbox = inboxes.Inbox(self._clock)
         self._parts: list[Part] = []
         self._unknown: list[str] = []
@@ -182,7 +183,7 @@
         self, caller: CallerWatch
     ) -> forward_messages.ForwardAnswer | None:
         """Send, wait and decide on the answer; None without a caller."""
-        with caller.watch(lambda: self._inbox.put(part_module.CallerGone())):
+        with caller.watch(lambda: self._inbox.put(forward_send.CallerGone())):
             try:
                 self._open_parts()
                 for part in self._parts:
@@ -243,10 +244,10 @@
                 self._on_event(event)
         return None
 
-    def _on_event(self, event: part_module.Event) -> None:
-        if isinstance(event, part_module.SendEnded):
+    def _on_event(self, event: forward_send.Event) -> None:
+        if isinstance(event, forward_send.SendEnded):
             event.send.part.on_ended(event)
-        elif isinstance(event, part_module.RoomFreed):
+        elif isinstance(event, forward_send.RoomFreed):
             event.part.on_room()
         else:
             self._gone = True
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -4,40 +4,27 @@
 """
 
 import enum
-import threading
-
-import attrs
 
 from corianderport_tier import clocks
-from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import route_latency
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import forward_messages
+from corianderport_tier.request import forward_send
 from corianderport_tier.request import inboxes
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
-__all__ = [
-    'CallerGone',
-    'Event',
-    'Part',
-    'PartState',
-    'RoomFreed',
-    'Send',
-    'SendEnded',
-]
+__all__ = ['Part', 'PartState']
 
 _LOG_KINDS = {False: 'retry', True: 'hedge'}
 # First sends are told by the line of the request's answer.
 _FIRST_SEND = decision_log.Decision('route', '', '', 'first send')
-# A connection whose answer is this late is closed when its request ends,
-# since the answer may never come.
-_LINGER_S = 0.15
-# A shorter time is not worth a send: the answer would come too late.
-_LEAST_TIME_S = 0.002
+# A service that refuses each send would use up the extra sends of all
+# requests for one of them.
+_MOST_SENDS = 4
 # An idle connection that carried an answer this recently is taken for open.
 _VERIFIED_S = 1.0
 # Hedges leave this fraction of the slack to retries of failed sends.
@@ -54,101 +41,6 @@
     FAILED = 'failed'
 
 
-@attrs.frozen
-class SendEnded:
-    """A send has ended with a reply or an error."""
-
-    send: 'Send'
-    reply: object
-
-
-@attrs.frozen
-class RoomFreed:
-    """A searcher of a service may have room."""
-
-    part: 'Part'
-
-
-@attrs.frozen
-class CallerGone:
-    """The caller has closed its connection."""
-
-
-Event = SendEnded | RoomFreed | CallerGone
-
-
-class Send:
-    """One send to one searcher; a job of its connection."""
-
-    def __init__(
-        self,
-        part: 'Part',
-        choice: service_searchers.Choice,
-        call: forward_messages.SearcherCall,
-        hedge: bool,
-        clock: clocks.Clock,
-    ) -> None:
-        self.part = part
-        self.choice = choice
-        self.hedge = hedge
-        self.started_s = clock.monotonic()
-        self._call = call
-        self._clock = clock
-        self._lock = threading.Lock()
-        self._cancelled = False
-        self._transport: transports.SearcherTransport | None = None
-        self._sent_s: float | None = None
-
-    @property
-    def sent(self) -> bool:
-        """Whether bytes may have been sent."""
-        return self._sent_s is not None
-
-    @property
-    def cancelled(self) -> bool:
-        """Whether the request has ended before the send."""
-        return self._cancelled
-
-    @property
-    def searcher(self) -> str:
-        """Name of the searcher."""
-        return self.choice.state.name
-
-    def perform(
-        self, transport: transports.SearcherTransport
-    ) -> forward_messages.SearcherReply:
-        """Send, unless the searcher may not get the request any more."""
-        if not self.part.service.is_present(self.choice.state):
-            raise errors.NoUpstream('the searcher may get nothing any more')
-        if self._call.deadline.remaining(self._clock) < _LEAST_TIME_S:
-            raise errors.DeadlinePast('no time is left')
-        with self._lock:
-            if self._cancelled:
-                raise errors.DeadlinePast('the request has ended')
-            self._transport = transport
-            self._sent_s = self._clock.monotonic()
-        return transport.exchange(self._call)
-
-    def finish(self, reply: object) -> None:
-        """Report the end; the request may have ended before."""
-        self._transport = None
-        self.part.on_finished(self, reply)
-
-    def cancel(self, at_once: bool) -> None:
-        """End the send; a young one may keep its connection.
-
-        What has not been sent before is not sent any more.
-
-        :param at_once: the searcher is to stop working on it.
-        """
-        with self._lock:
-            self._cancelled = True
-            transport = self._transport
-        age_s = self._clock.monotonic() - self.started_s
-        if transport is not None and (at_once or age_s >= _LINGER_S):
-            transport.abort()
-
-
 class Part:
     """What became of a request at one service.
 
@@ -161,7 +53,7 @@
         request: forward_messages.ForwardRequest,
         route: routes.Route,
         latency: route_latency.RouteLatency,
-        inbox: inboxes.Inbox[Event],
+        inbox: inboxes.Inbox[forward_send.Event],
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
@@ -176,7 +68,7 @@
         self._inbox = inbox
         self._clock = clock
         self._log = log
-        self._sends: list[Send] = []
+        self._sends: list[forward_send.Send] = []
         self._tried: list[str] = []
         self._arrivals = 0
         self._may_have_run = 0
@@ -201,7 +93,7 @@
         self._send(hedge=False)
 
     def hedge(self, last: bool) -> None:
-        """Send to another searcher when the answer is late.
+        """forward_send.Send to another searcher when the answer is late.
 
         :param last: an answer waits for few parts only, this one among
             them.
@@ -224,13 +116,13 @@
         if self.state is PartState.PENDING and not self._sends:
             self._send(hedge=False)
 
-    def on_finished(self, send: Send, reply: object) -> None:
+    def on_finished(self, send: forward_send.Send, reply: object) -> None:
         """Count the end of a send; called by the connection's task."""
         ending = self._ending(send, reply)
         self.service.finish(send.choice, ending)
-        self._inbox.put(SendEnded(send, reply))
+        self._inbox.put(forward_send.SendEnded(send, reply))
 
-    def on_ended(self, ended: SendEnded) -> None:
+    def on_ended(self, ended: forward_send.SendEnded) -> None:
         """Take over the end of a send."""
         send = ended.send
         self._sends.remove(send)
@@ -249,7 +141,7 @@
             send.cancel(at_once)
 
     def _on_reply(
-        self, send: Send, reply: forward_messages.SearcherReply
+        self, send: forward_send.Send, reply: forward_messages.SearcherReply
     ) -> None:
         if reply.ran:
             self._may_have_run += 1
@@ -266,7 +158,7 @@
             self._failed_reply = reply
         self._again(send, Code.UPSTREAM_FAILED, reason)
 
-    def _on_error(self, send: Send, error: object) -> None:
+    def _on_error(self, send: forward_send.Send, error: object) -> None:
         not_sent = not send.sent or isinstance(
             error, errors.ConnectFailed | errors.ConnectionStale
         )
@@ -282,15 +174,15 @@
         code = Code.OUTCOME_UNKNOWN
         self._again(send, code, f'{type(error).__name__}: {error}')
 
-    def _again(self, send: Send, code: Code, reason: str) -> None:
-        """Send once more where that is allowed, or fail."""
+    def _again(self, send: forward_send.Send, code: Code, reason: str) -> None:
+        """forward_send.Send once more where that is allowed, or fail."""
         self._note('send-failed', send.searcher, reason)
         if self._sends:
             return
         ran = self._may_have_run
         if ran and not self._route.idempotent:
             self._fail(code, reason)
-        elif ran >= self._route.attempts:
+        elif ran >= self._route.attempts or self._arrivals >= _MOST_SENDS:
             self._fail(code, reason)
         else:
             self._send(hedge=False, failed=(code, reason))
@@ -318,7 +210,7 @@
             self._request.payload,
             self._request.deadline,
         )
-        send = Send(self, choice, call, hedge, self._clock)
+        send = forward_send.Send(self, choice, call, hedge, self._clock)
         if self._tried:
             self._note(
                 _LOG_KINDS[hedge], choice.state.name, 'another searcher'
@@ -352,7 +244,9 @@
         failed: tuple[Code, str] | None,
     ) -> None:
         if reason is service_searchers.NoChoice.FULL:
-            self.service.await_room(lambda: self._inbox.put(RoomFreed(self)))
+            self.service.await_room(
+                lambda: self._inbox.put(forward_send.RoomFreed(self))
+            )
             return
         code, detail = failed or (Code.NO_UPSTREAM, reason.value)
         self._fail(code, detail)
@@ -370,7 +264,9 @@
             self.failure = forward_messages.Failure(code, reason)
             self.reply = self._failed_reply
 
-    def _ending(self, send: Send, reply: object) -> searcher_state.Ending:
+    def _ending(
+        self, send: forward_send.Send, reply: object
+    ) -> searcher_state.Ending:
         elapsed_s = self._clock.monotonic() - send.started_s
         usual_s = self._latency.usual_s
         if isinstance(reply, forward_messages.SearcherReply):
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -17,8 +17,8 @@
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
+from corianderport_tier.request import forward_send
 from corianderport_tier.request import forwarding
-from corianderport_tier.request import part
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
@@ -60,10 +60,10 @@
 
     verified_s = float('-inf')
 
-    def __init__(self, sends: 'queue.Queue[part.Send]') -> None:
+    def __init__(self, sends: 'queue.Queue[forward_send.Send]') -> None:
         self._sends = sends
 
-    def submit(self, job: part.Send, fresh: bool = False) -> None:
+    def submit(self, job: forward_send.Send, fresh: bool = False) -> None:
         self._sends.put(job)
 
     def limit_connections(self, most: int) -> None:
@@ -92,7 +92,7 @@
 
     def __init__(self, *found: routes.Route, replicas: int = 3) -> None:
         self.clock = clock_module.ManualClock()
-        self.sends: queue.Queue[part.Send] = queue.Queue()
+        self.sends: queue.Queue[forward_send.Send] = queue.Queue()
         self.caller = _Caller()
         share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
         rng = random.Random(1)
@@ -138,11 +138,11 @@
         self._thread = threading.Thread(target=run, daemon=True)
         self._thread.start()
 
-    def take(self) -> part.Send:
+    def take(self) -> forward_send.Send:
         """Return the next send."""
         return self.sends.get(timeout=_WAIT_S)
 
-    def end(self, send: part.Send, outcome: Reply | Exception) -> None:
+    def end(self, send: forward_send.Send, outcome: Reply | Exception) -> None:
         """Let a send end as its connection's task would."""
         result: object
         try:
@@ -246,6 +246,19 @@
     assert 0 < answer.retry_after_s <= 0.8 / 3
 
 
+def test_refused_request_does_not_use_up_the_extra_sends() -> None:
+    """The budget is shared by all requests of the service."""
+    setting = _Setting(entries.route(), replicas=2)
+    setting.start()
+    for _ in range(4):
+        send = setting.take()
+        setting.clock.advance(0.03)
+        setting.end(send, _reply(503, ran=False))
+    answer = setting.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.UPSTREAM_REFUSED
+
+
 def test_idempotent_request_runs_on_no_more_searchers_than_allowed() -> None:
     setting = _Setting(entries.route(attempts=2))
     setting.start()
@@ -303,7 +316,7 @@
     assert answer.code is Code.OUTCOME_UNKNOWN
 
 
-def _swallow(send: part.Send, transport: _Transport) -> None:
+def _swallow(send: forward_send.Send, transport: _Transport) -> None:
     try:
         send.finish(send.perform(transport))
     except errors.CorianderportError as error:
@@ -354,7 +367,7 @@
     return entries.route(_SHARDS, least)
 
 
-def _take_all(setting: _Setting) -> dict[str, part.Send]:
+def _take_all(setting: _Setting) -> dict[str, forward_send.Send]:
     found = [setting.take() for _ in _SHARDS]
     return {send.part.service.name: send for send in found}
 
