Keep contacts with hosts in one class for both kinds of fleet

The control task of owners and the gossip of hosts that send directly chose neighbours and kept their tasks in the same way, twice. Behaviour stays.

--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/contact_set.py
@@ -0,0 +1,98 @@
+"""corianderport_tier.process.contact_set
+
+The hosts that this host exchanges heartbeats with, one task for each.
+"""
+
+import collections.abc
+import concurrent.futures
+import random
+
+from corianderport_tier import clocks
+from corianderport_tier.process import contacts
+from corianderport_tier.process import membership
+from corianderport_tier.process import neighbours
+
+__all__ = ['ContactSet']
+
+MakeContact = collections.abc.Callable[[membership.Member], contacts.Contact]
+
+
+class ContactSet:
+    """Starts and closes contacts as the wanted hosts change.
+
+    :param make: returns a new contact with a host.
+    :param random_s: seconds after which random neighbours change.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        region_of: membership.RegionOf,
+        make: MakeContact,
+        executor: concurrent.futures.Executor,
+        clock: clocks.Clock,
+        random_s: float,
+        rng: random.Random,
+    ) -> None:
+        self._members = members
+        self._region_of = region_of
+        self._make = make
+        self._executor = executor
+        self._clock = clock
+        self._random_s = random_s
+        self._rng = rng
+        self._contacts: dict[tuple[str, str], contacts.Contact] = {}
+        self._chosen: list[membership.Member] = []
+        self._chosen_epoch = -1
+        self._chosen_s = float('-inf')
+
+    @property
+    def active(self) -> tuple[contacts.Contact, ...]:
+        """The contacts that are kept."""
+        return tuple(self._contacts.values())
+
+    def neighbours(self) -> list[membership.Member]:
+        """Return the neighbours in the present view."""
+        view = self._members.view
+        now_s = self._clock.monotonic()
+        stale = now_s - self._chosen_s >= self._random_s
+        if view.epoch != self._chosen_epoch or stale:
+            self._chosen_epoch = view.epoch
+            self._chosen_s = now_s
+            self._chosen = neighbours.choose(
+                self._members.own,
+                _reachable(view),
+                self._region_of,
+                self._rng,
+            )
+        return self._chosen
+
+    def keep(
+        self, wanted: collections.abc.Iterable[membership.Member]
+    ) -> None:
+        """Start contacts with new hosts and close those not wanted."""
+        by_key = {(m.name, m.peer_address): m for m in wanted}
+        for key in self._contacts.keys() - by_key.keys():
+            self._contacts.pop(key).close()
+        for key in by_key.keys() - self._contacts.keys():
+            contact = self._make(by_key[key])
+            self._contacts[key] = contact
+            self._executor.submit(contact.run)
+
+    def nudge(self) -> None:
+        """Send the next heartbeat to every host at once."""
+        for contact in self.active:
+            contact.nudge()
+
+    def close(self) -> None:
+        """End all contacts."""
+        for contact in self.active:
+            contact.close()
+
+
+def _reachable(view: membership.View) -> list[membership.Member]:
+    return [
+        m
+        for m in view.members
+        if view.standings[m.name] < membership.Standing.DEAD
+    ]
--- a/packages/tier/src/corianderport_tier/process/control.py
+++ b/packages/tier/src/corianderport_tier/process/control.py
@@ -12,11 +12,11 @@
 
 from corianderport_tier import clocks
 from corianderport_tier.connection import transports
+from corianderport_tier.process import contact_set
 from corianderport_tier.process import contacts
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import leases
 from corianderport_tier.process import membership
-from corianderport_tier.process import neighbours
 from corianderport_tier.process import ownership
 
 __all__ = ['Control', 'ControlTimes']
@@ -62,21 +62,25 @@
         self._nudged = False
         self._knew_list = False
         self._urgent = False
-        self._contacts: dict[tuple[str, str], contacts.Contact] = {}
-        self._chosen: list[membership.Member] = []
-        self._chosen_epoch = -1
-        self._chosen_s = float('-inf')
+        self._contacts = contact_set.ContactSet(
+            members,
+            owners.region_of,
+            self._contact,
+            executor,
+            clock,
+            times.random_s,
+            rng,
+        )
 
     @property
     def active(self) -> tuple[contacts.Contact, ...]:
         """The hosts that get heartbeats."""
-        return tuple(self._contacts.values())
+        return self._contacts.active
 
     @property
     def joined(self) -> bool:
         """Whether all first contacts have been asked."""
-        present = list(self._contacts.values())
-        return self._knew_list and all(c.tried for c in present)
+        return self._knew_list and all(c.tried for c in self.active)
 
     @property
     def _pause_s(self) -> float:
@@ -91,25 +95,22 @@
                 if not self._nudged and not self._closed:
                     self._clock.wait(self._condition, self._pause_s)
                 self._nudged = False
-        for contact in list(self._contacts.values()):
-            contact.close()
+        self._contacts.close()
 
     def step(self) -> None:
         """Bring suspicions, ownership and contacts up to date."""
         self._members.step()
         self._leases.update(self._owners.ownership())
         list_known = self._members.list_known
-        self._keep_contacts()
+        self._contacts.keep(self._wanted())
         self._hurry()
         self._knew_list = list_known
 
     def version_changed(self) -> None:
         """Take over a new version and tell all contacts of it at once."""
-        for contact in list(self._contacts.values()):
-            contact.nudge()
+        self._contacts.nudge()
         self.wake()
-        for contact in list(self._contacts.values()):
-            contact.nudge()
+        self._contacts.nudge()
 
     def wake(self) -> None:
         """Step at once, for example after a change of the host list."""
@@ -131,35 +132,15 @@
         """Talk at once to the hosts that a change of owners waits for."""
         urgent = self._leases.urgent()
         self._urgent = bool(urgent)
-        for contact in list(self._contacts.values()):
+        for contact in self.active:
             if contact.member.name in urgent:
                 contact.nudge()
 
-    def _keep_contacts(self) -> None:
-        wanted = {(m.name, m.peer_address): m for m in self._wanted()}
-        for key in self._contacts.keys() - wanted.keys():
-            self._contacts.pop(key).close()
-        for key in wanted.keys() - self._contacts.keys():
-            contact = self._contact(wanted[key])
-            self._contacts[key] = contact
-            self._executor.submit(contact.run)
-
     def _wanted(self) -> collections.abc.Iterable[membership.Member]:
         view = self._members.view
-        now_s = self._clock.monotonic()
-        stale = now_s - self._chosen_s >= self._times.random_s
-        if view.epoch != self._chosen_epoch or stale:
-            self._chosen_epoch = view.epoch
-            self._chosen_s = now_s
-            self._chosen = neighbours.choose(
-                self._members.own,
-                _reachable(view),
-                self._owners.region_of,
-                self._rng,
-            )
         grantors = self._leases.grantors()
         return [
-            *self._chosen,
+            *self._contacts.neighbours(),
             *(m for m in view.live if m.name in grantors),
             *self._retried(view),
         ]
@@ -188,11 +169,3 @@
             self._times.contact,
             self.wake,
         )
-
-
-def _reachable(view: membership.View) -> list[membership.Member]:
-    return [
-        m
-        for m in view.members
-        if view.standings[m.name] < membership.Standing.DEAD
-    ]
--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -16,10 +16,10 @@
 from corianderport_tier import clocks
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
+from corianderport_tier.process import contact_set
 from corianderport_tier.process import contacts
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
-from corianderport_tier.process import neighbours
 
 __all__ = ['Gossip', 'GossipTimes']
 
@@ -69,12 +69,10 @@
         self._members = members
         self._exchange = exchange
         self._dialer = dialer
-        self._region_of = region_of
         self._seeds = seeds
         self._executor = executor
         self._clock = clock
         self._times = times
-        self._rng = rng
         self._changed = changed
         self._condition = threading.Condition()
         self._closed = False
@@ -82,10 +80,15 @@
         self._started_s = clock.monotonic()
         self._seeds_asked_s = float('-inf')
         self._seeds_answered = 0
-        self._contacts: dict[tuple[str, str], contacts.Contact] = {}
-        self._chosen_s = float('-inf')
-        self._chosen_epoch = -1
-        self._chosen: list[membership.Member] = []
+        self._contacts = contact_set.ContactSet(
+            members,
+            region_of,
+            self._contact,
+            executor,
+            clock,
+            times.random_s,
+            rng,
+        )
         self._silent_since_s: dict[str, float] = {}
         self._hosts: tuple[str, ...] = (members.own.name,)
 
@@ -115,14 +118,13 @@
                 if not self._nudged and not self._closed:
                     self._clock.wait(self._condition, self._pause_s)
                 self._nudged = False
-        for contact in list(self._contacts.values()):
-            contact.close()
+        self._contacts.close()
 
     def step(self) -> None:
         """Bring suspicions, contacts and the number of hosts up to date."""
         self._members.step()
         self._ask_seeds()
-        self._keep_contacts()
+        self._contacts.keep(self._contacts.neighbours())
         self._count()
 
     def wake(self) -> None:
@@ -134,8 +136,7 @@
     def leave(self) -> None:
         """Tell the others that this host sends nothing more."""
         self._members.leave()
-        for contact in list(self._contacts.values()):
-            contact.nudge()
+        self._contacts.nudge()
 
     def close(self) -> None:
         """End all tasks."""
@@ -190,37 +191,16 @@
         self._seeds_answered += 1
         self.wake()
 
-    def _keep_contacts(self) -> None:
-        wanted = {(m.name, m.peer_address): m for m in self._wanted()}
-        for key in self._contacts.keys() - wanted.keys():
-            self._contacts.pop(key).close()
-        for key in wanted.keys() - self._contacts.keys():
-            contact = contacts.Contact(
-                wanted[key],
-                self._exchange,
-                self._members,
-                self._dialer,
-                self._clock,
-                self._times.contact,
-                self.wake,
-            )
-            self._contacts[key] = contact
-            self._executor.submit(contact.run)
-
-    def _wanted(self) -> list[membership.Member]:
-        view = self._members.view
-        now_s = self._clock.monotonic()
-        stale = now_s - self._chosen_s >= self._times.random_s
-        if view.epoch != self._chosen_epoch or stale:
-            self._chosen_epoch = view.epoch
-            self._chosen_s = now_s
-            self._chosen = neighbours.choose(
-                self._members.own,
-                [m for m in view.members if _reachable(view, m)],
-                self._region_of,
-                self._rng,
-            )
-        return self._chosen
+    def _contact(self, member: membership.Member) -> contacts.Contact:
+        return contacts.Contact(
+            member,
+            self._exchange,
+            self._members,
+            self._dialer,
+            self._clock,
+            self._times.contact,
+            self.wake,
+        )
 
     def _count(self) -> None:
         view = self._members.view
@@ -244,7 +224,3 @@
             _LOG.info('hosts that may be sending: %s', ', '.join(hosts))
             self._hosts = hosts
             self._changed()
-
-
-def _reachable(view: membership.View, member: membership.Member) -> bool:
-    return view.standings[member.name] < membership.Standing.DEAD
--- a/tests/tier/test_gossip.py
+++ b/tests/tier/test_gossip.py
@@ -68,7 +68,7 @@
                 if name in self.ended:
                     continue
                 host.step()
-                for contact in list(host._contacts.values()):
+                for contact in host._contacts.active:
                     contact.exchange()
             self.clock.advance(1.0)
 
