--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -64,7 +64,7 @@
         ('front = "127.0.0.1:0"', 'front = 5', 'listen.front'),
         ('grace_s = 6', 'grace_s = "long"', 'grace_s'),
         ('addr = "127.0.0.1:8229"', '', 'platform.addr'),
-        ('[bounds]', '[bounds', ''),
+        ('[bounds]', '[bounds', 'x: Expected'),
     ],
 )
 def test_faults_are_named(
