--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -17,10 +17,7 @@
 from corianderport_tier.process import control
 from corianderport_tier.process import distribution
 from corianderport_tier.process import heartbeats
-from corianderport_tier.process import leases
 from corianderport_tier.process import membership
-from corianderport_tier.process import ownership
-from corianderport_tier.process import ownership_types
 from corianderport_tier.process import peers
 from corianderport_tier.process import readers
 from corianderport_wire.connection import peer_authentication
@@ -30,11 +27,9 @@
 
 __all__ = ['ControlPlane']
 
-_LEASE_PERIODS = 3
-
 
 class ControlPlane:
-    """Membership, ownership, leases and configuration of one host."""
+    """Membership and configuration of one host."""
 
     def __init__(
         self,
@@ -104,7 +99,7 @@
             self._executor.submit(task.run)
 
     def leave(self) -> None:
-        """Give up all services and tell the other hosts at once."""
+        """Tell the other hosts at once that this one stops."""
         self.members.leave()
         self.control.version_changed()
 
@@ -119,30 +114,21 @@
         self.members = membership.Membership(
             own,
             self._clock,
-            lambda centre: ownership.region_of(self._store, centre),
+            self._store.region_of,
             membership.MembershipTimes(3 * period_s, 2.5 * period_s),
         )
-        self.owners = ownership.OwnershipTable(self._store, self.members)
-        self.leases = leases.Leases(
-            self.members,
-            self._clock,
-            ownership_types.LeaseTimes(_LEASE_PERIODS * period_s),
-            lambda member: self.control.probe(member),
-        )
         self.remote = self._stack.enter_context(
             peers.Peers(self._dialer, self._executor, self._clock)
         )
         pulls = distribution.Distribution(self._store, self.remote)
         self.exchange = heartbeats.HeartbeatExchange(
             self.members,
-            self.leases,
             lambda: self._store.version,
             pulls.heard,
         )
         self.control = control.Control(
             self.members,
-            self.leases,
-            self.owners,
+            self._store.region_of,
             self.exchange,
             self._dialer,
             self._executor,
--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -23,12 +23,12 @@
 from corianderport_tier.process import hand_over
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import metrics
-from corianderport_tier.process import owned_services
-from corianderport_tier.process import routing
 from corianderport_tier.process import selection
 from corianderport_tier.process import shutdown
 from corianderport_tier.process import ticket_table
 from corianderport_tier.process import tickets
+from corianderport_tier.process import upstream_services
+from corianderport_tier.process import warming_hosts
 from corianderport_tier.request import actions
 from corianderport_tier.request import messages
 from corianderport_wire.connection import http_server
@@ -129,38 +129,27 @@
 
     def _start_aggregator(self) -> None:
         self._services = self._stack.enter_context(
-            owned_services.OwnedServices(
+            upstream_services.UpstreamServices(
                 self._store,
                 upstream_client.HttpUpstreamDialer(self._clock),
                 self._executor,
                 self._clock,
                 selection.policy(self._settings.selection),
                 random.Random(),
-                self._control.leases,
+                warming_hosts.WarmingHosts(
+                    self._control.members, self._store.region_of
+                ),
             )
         )
-        self._control.leases.warm = self._services.warm
-        self._control.leases.idle = self._services.idle
         self._local = aggregator.LocalAggregator(
-            self._services,
-            self._executor,
-            self._clock,
-            self._log,
-            self._control.leases,
+            self._services, self._clock, self._log
         )
 
     def _start_entry(self) -> None:
-        router = routing.Router(
-            self._control.owners,
-            self._control.members,
-            self._local,
-            self._control.remote,
-        )
-        service = self._build_actions(router)
+        service = self._build_actions()
         self._peer_calls = peer_calls.PeerCalls(
             self._store,
             self._control.exchange,
-            self._local,
             service,
             self._kept,
             self._peer_gate,
@@ -170,11 +159,10 @@
         application = caller_app.CallerApp(
             entry.Entry(
                 self._store,
-                router,
+                self._local,
                 service,
                 self._caller_gate,
                 self._clock,
-                self._log,
             ),
             self._clock,
             caller_app.CallerLimits(body_bytes=self._settings.body_bytes),
@@ -196,7 +184,6 @@
         view = administration.Administration(
             self._store,
             self._control.members,
-            self._control.owners,
             self._services,
             self._log,
             self._metrics,
@@ -213,9 +200,7 @@
         self._stack.callback(self._admin_server.close)
         self._admin_server.start()
 
-    def _build_actions(
-        self, router: routing.Router
-    ) -> action_service.ActionService:
+    def _build_actions(self) -> action_service.ActionService:
         settings = self._settings
         signer = tickets.TicketSigner.from_config(settings.shared_keys)
         self._tickets = ticket_table.TicketTable(
@@ -232,7 +217,7 @@
 
         def run(request: messages.ActionRequest) -> messages.ActionAnswer:
             return actions.ActionTask(
-                request, self._store.current(), router, self._clock, self._log
+                request, self._store.current(), self._local, self._clock
             ).run()
 
         return action_service.ActionService(
--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -60,7 +60,7 @@
         region_of = settings.regions.get
         members = membership.Membership(own, clock, region_of)
         self._exchange = heartbeats.HeartbeatExchange(
-            members, heartbeats.NoLeases(), version, version_heard
+            members, version, version_heard
         )
         self._gossip = gossip.Gossip(
             members,
--- a/packages/daemon/src/corianderport_daemon/process/gossip_calls.py
+++ b/packages/daemon/src/corianderport_daemon/process/gossip_calls.py
@@ -14,7 +14,7 @@
 
 
 class GossipCalls:
-    """Serves heartbeats and refuses the calls between owners."""
+    """Serves heartbeats and refuses all other calls."""
 
     def __init__(self, exchange: heartbeats.HeartbeatExchange) -> None:
         self._exchange = exchange
@@ -23,14 +23,6 @@
         """Take a heartbeat and return the reply."""
         return self._exchange.receive(message)
 
-    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
-        """Refuse the batch."""
-        raise errors.NotOwner(_NOT_SERVED)
-
-    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
-        """Refuse the action."""
-        raise errors.NotOwner(_NOT_SERVED)
-
     def act_with_ticket(
         self, request: messages.ActionRequest
     ) -> messages.ActionAnswer:
--- a/packages/daemon/src/corianderport_daemon/process/peer_calls.py
+++ b/packages/daemon/src/corianderport_daemon/process/peer_calls.py
@@ -4,7 +4,6 @@
 """
 
 from corianderport_tier.process import action_service
-from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
@@ -21,28 +20,16 @@
         self,
         store: configuration_store.ConfigurationStore,
         exchange: heartbeats.HeartbeatExchange,
-        local: aggregator.LocalAggregator,
         actions: action_service.ActionService,
         kept: handed_over.HandedOverTickets,
         gate: shutdown.RequestGate,
     ) -> None:
         self._store = store
         self._exchange = exchange
-        self._local = local
         self._actions = actions
         self._kept = kept
         self._gate = gate
 
-    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
-        """Run a batch as its owner."""
-        with self._gate.enter():
-            return self._local.run(batch)
-
-    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
-        """Run an action as its owner."""
-        with self._gate.enter():
-            return self._local.act(call)
-
     def act_with_ticket(
         self, request: messages.ActionRequest
     ) -> messages.ActionAnswer:
--- a/packages/daemon/src/corianderport_daemon/process/settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/settings.py
@@ -180,7 +180,7 @@
     heartbeat_s: float = environ.var(
         1.0,
         converter=_number('heartbeat_s', 0.05, 10.0),
-        help='Seconds between two heartbeats; a lease lasts three times it.',
+        help='Seconds between two heartbeats; a silent host is dead after 3.',
     )
     log_level: str = environ.var(
         'INFO',
--- a/packages/operator/src/corianderport_operator/connection/admin_client.py
+++ b/packages/operator/src/corianderport_operator/connection/admin_client.py
@@ -59,12 +59,6 @@
         """Return the version in force."""
         return self._decode(self._get('/version'), administration.VersionView)
 
-    def owners(self) -> list[administration.OwnerView]:
-        """Return the owners of each service."""
-        return self._decode(
-            self._get('/owners'), list[administration.OwnerView]
-        )
-
     def upstreams(self) -> list[administration.UpstreamView]:
         """Return the searchers that the host sends to."""
         return self._decode(
--- a/packages/operator/src/corianderport_operator/process/live_commands.py
+++ b/packages/operator/src/corianderport_operator/process/live_commands.py
@@ -36,7 +36,7 @@
 ) -> None:
     """Show the state of all hosts.
 
-    Version in force, owned services, states of the searchers with their
+    Version in force, states of the searchers with their
     reasons, and refused requests. Exit codes: 0 all is well, 1 a host does
     not answer or is not ready, or hosts differ; 2 usage.
 
@@ -149,7 +149,7 @@
 def _print_status(fleet: status_module.FleetStatus) -> None:
     output.print_table(
         (
-            'host', 'data centre', 'address', 'version', 'owned services',
+            'host', 'data centre', 'address', 'version',
             'searchers', 'refused requests',
         ),
         [
@@ -158,7 +158,6 @@
                 host.data_centre,
                 host.address,
                 host.version,
-                host.owned,
                 _counts(host.upstream_states),
                 _counts(dict(host.refusals)),
             )
--- a/packages/operator/src/corianderport_operator/process/status.py
+++ b/packages/operator/src/corianderport_operator/process/status.py
@@ -34,16 +34,9 @@
     data_centre: str = ''
     version: int = 0
     refused: str = ''
-    owners: tuple[administration.OwnerView, ...] = ()
     upstreams: tuple[administration.UpstreamView, ...] = ()
     refusals: collections.abc.Mapping[str, int] = attrs.field(factory=dict)
 
-    @property
-    def owned(self) -> int:
-        """Number of services that the host is the first owner of."""
-        firsts = [view.owners[0] for view in self.owners if view.owners]
-        return firsts.count(self.host)
-
     @property
     def upstream_states(self) -> dict[str, int]:
         """Number of searchers in each state."""
@@ -78,8 +71,6 @@
         if len(self.versions) > 1:
             numbers = ', '.join(map(str, self.versions))
             found.append(f'hosts have different versions in force: {numbers}')
-        if len({_owners(h) for h in self.hosts if not h.problem}) > 1:
-            found.append('hosts see different owners of a service')
         return tuple(found)
 
 
@@ -124,12 +115,7 @@
             return attrs.evolve(
                 status,
                 problem='' if ready.ready else ready.reason,
-                owners=tuple(host.owners()),
                 upstreams=tuple(host.upstreams()),
             )
     except errors.CorianderportError as error:
         return attrs.evolve(status, problem=str(error))
-
-
-def _owners(host: HostStatus) -> tuple[administration.OwnerView, ...]:
-    return tuple(sorted(host.owners, key=lambda view: view.service))
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -141,27 +141,14 @@
 class PeerTransport(typing.Protocol):
     """One persistent connection to another host, used by one task."""
 
-    def search(
-        self, batch: messages.SubQueryBatch, timeout_s: float
-    ) -> messages.BatchAnswer:
-        """Send a batch to its owner and wait for the answer.
-
-        :raises NotOwner: the peer may not send to these searchers.
-        :raises ConnectionSilent: nothing arrived within the timeout.
-        :raises ConnectionBroken: the connection ended.
-        """
-
-    def act(
-        self, call: messages.ActionCall, timeout_s: float
-    ) -> messages.ActionAnswer:
-        """Send an action to the owner of its service; errors as above."""
-
     def act_with_ticket(
         self, request: messages.ActionRequest, timeout_s: float
     ) -> messages.ActionAnswer:
         """Send an action to the host that knows its ticket.
 
         :raises NotOwner: the peer knows nothing of the ticket.
+        :raises ConnectionSilent: nothing arrived within the timeout.
+        :raises ConnectionBroken: the connection ended.
         """
 
     def hand_over(self, part: handed_over.HandOver, timeout_s: float) -> None:
--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -118,7 +118,7 @@
 
 
 class NotOwner(Refusal):
-    """This host may not send to the searchers of the service now."""
+    """This host knows nothing of the ticket of a forwarded action."""
 
     code = result_codes.ResultCode.NOT_OWNER
 
--- a/packages/tier/src/corianderport_tier/process/action_service.py
+++ b/packages/tier/src/corianderport_tier/process/action_service.py
@@ -13,7 +13,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import membership
-from corianderport_tier.process import owners
+from corianderport_tier.process import rendezvous
 from corianderport_tier.process import ticket_table
 from corianderport_tier.process import tickets
 from corianderport_tier.request import deadlines
@@ -164,7 +164,9 @@
             for m in self._members.live()
             if m.name not in (ticket.host, self._members.own.name)
         ]
-        for member in owners.rank(ticket.incarnation, others)[:_HOSTS_ASKED]:
+        for member in rendezvous.rank(ticket.incarnation, others)[
+            :_HOSTS_ASKED
+        ]:
             until = min(
                 request.deadline,
                 deadlines.Deadline.after(self._clock, _ASK_TIMEOUT_S),
--- a/packages/tier/src/corianderport_tier/process/administration.py
+++ b/packages/tier/src/corianderport_tier/process/administration.py
@@ -18,8 +18,6 @@
 
 __all__ = [
     'Administration',
-    'OwnerLookup',
-    'OwnerView',
     'PeerView',
     'ReadyView',
     'ServiceSource',
@@ -75,15 +73,6 @@
         """Return the state of each searcher, by service."""
 
 
-class OwnerLookup(typing.Protocol):
-    """Finds the owners of a service."""
-
-    def owners(
-        self, service: str
-    ) -> collections.abc.Sequence[membership.Member]:
-        """Return the first and the second owner."""
-
-
 @attrs.frozen
 class ReadyView:
     """Whether the host serves callers, and why not."""
@@ -119,14 +108,6 @@
     standing: str
 
 
-@attrs.frozen
-class OwnerView:
-    """A service and its owners, the first owner first."""
-
-    service: str
-    owners: tuple[str, ...]
-
-
 @attrs.frozen
 class UpstreamView:
     """State of a searcher that this host sends to.
@@ -153,7 +134,6 @@
         self,
         store: configuration_store.ConfigurationStore,
         members: membership.Membership,
-        owners: OwnerLookup,
         services: ServiceSource,
         log: decision_log.DecisionLog,
         counted: metrics.Metrics,
@@ -161,7 +141,6 @@
     ) -> None:
         self._store = store
         self._members = members
-        self._owners = owners
         self._services = services
         self._log = log
         self._counted = counted
@@ -199,17 +178,6 @@
             for member in view.members
         )
 
-    def owners(self) -> tuple[OwnerView, ...]:
-        """Return the owners of each service that is configured.
-
-        :raises NotReady: no configuration has been accepted.
-        """
-        names = sorted(self._store.current().services)
-        return tuple(
-            OwnerView(name, tuple(m.name for m in self._owners.owners(name)))
-            for name in names
-        )
-
     def upstreams(self) -> tuple[UpstreamView, ...]:
         """Return the searchers that this host has sent to.
 
--- a/packages/tier/src/corianderport_tier/process/budgets.py
+++ b/packages/tier/src/corianderport_tier/process/budgets.py
@@ -84,7 +84,7 @@
 
 
 class SharedBudget:
-    """A budget that all services of an owner spend from."""
+    """A budget that all services of a host spend from."""
 
     def __init__(self, share: BudgetShare) -> None:
         self._budget = Budget(share)
@@ -103,25 +103,25 @@
 
 @attrs.frozen
 class ExtraBudget:
-    """What one service may spend of its owner's budget.
+    """What one service may spend of its host's budget.
 
-    The owner's budget bounds the extra load; the service's own budget
+    The host's budget bounds the extra load; the service's own budget
     keeps one bad service from spending all of it.
     """
 
     own: Budget
-    owner: SharedBudget
+    host: SharedBudget
 
     def count_request(self, now_s: float) -> None:
         """Count a sub-request that is the first for its shards."""
         self.own.count_request(now_s)
-        self.owner.count_request(now_s)
+        self.host.count_request(now_s)
 
     def try_spend(self, now_s: float, minimum: int = 0) -> bool:
         """Take one extra sub-request, when both budgets have one left."""
         if not self.own.may_spend(now_s, minimum):
             return False
-        if not self.owner.try_spend(now_s, minimum):
+        if not self.host.try_spend(now_s, minimum):
             return False
         self.own.spend(now_s)
         return True
--- a/packages/tier/src/corianderport_tier/process/configuration_store.py
+++ b/packages/tier/src/corianderport_tier/process/configuration_store.py
@@ -98,6 +98,14 @@
             listener()
         return candidate
 
+    def region_of(self, data_centre: str) -> str | None:
+        """Return the region of a data centre, None when unknown."""
+        accepted = self._accepted
+        if accepted is None:
+            return None
+        centre = accepted.configuration.data_centres.get(data_centre)
+        return None if centre is None else centre.region
+
     def add_listener(
         self, listener: collections.abc.Callable[[], None]
     ) -> None:
--- a/packages/tier/src/corianderport_tier/process/contacts.py
+++ b/packages/tier/src/corianderport_tier/process/contacts.py
@@ -15,7 +15,7 @@
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
 
-__all__ = ['Contact', 'ContactTimes']
+__all__ = ['Contact', 'ContactMaker', 'ContactTimes']
 
 _LOG = logging.getLogger(__name__)
 
@@ -145,3 +145,27 @@
             if not self._nudged and not self._closed:
                 self._clock.wait(self._condition, self._times.period_s)
             self._nudged = False
+
+
+@attrs.frozen
+class ContactMaker:
+    """Makes the contacts of one host; ``failed`` as for a contact."""
+
+    exchange: heartbeats.HeartbeatExchange
+    members: membership.Membership
+    dialer: transports.PeerDialer
+    clock: clocks.Clock
+    times: ContactTimes
+    failed: collections.abc.Callable[[], None]
+
+    def make(self, member: membership.Member) -> Contact:
+        """Return a new contact with a host."""
+        return Contact(
+            member,
+            self.exchange,
+            self.members,
+            self.dialer,
+            self.clock,
+            self.times,
+            self.failed,
+        )
--- a/packages/tier/src/corianderport_tier/process/entry.py
+++ b/packages/tier/src/corianderport_tier/process/entry.py
@@ -11,9 +11,8 @@
 from corianderport_tier import errors
 from corianderport_tier.process import action_service
 from corianderport_tier.process import admission
+from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
-from corianderport_tier.process import decision_log
-from corianderport_tier.process import routing
 from corianderport_tier.process import shutdown
 from corianderport_tier.process import snapshot_availability
 from corianderport_tier.process import ticket_table
@@ -30,18 +29,16 @@
     def __init__(
         self,
         store: configuration_store.ConfigurationStore,
-        router: routing.Router,
+        sender: aggregator.Aggregator,
         actions: action_service.ActionService,
         gate: shutdown.RequestGate,
         clock: clocks.Clock,
-        log: decision_log.DecisionLog,
     ) -> None:
         self._store = store
-        self._router = router
+        self._sender = sender
         self._actions = actions
         self._gate = gate
         self._clock = clock
-        self._log = log
         self._availability = snapshot_availability.SnapshotAvailability(clock)
         self._admission = admission.Admission(clock)
 
@@ -56,10 +53,9 @@
             return search.SearchTask(
                 request,
                 accepted,
-                self._router,
+                self._sender,
                 self._availability,
                 self._clock,
-                self._log,
             ).run()
 
     def issue_ticket(self) -> ticket_table.IssuedTicket:
--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -9,7 +9,6 @@
 import concurrent.futures
 import logging
 import random
-import threading
 
 import attrs
 
@@ -20,6 +19,7 @@
 from corianderport_tier.process import contacts
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
+from corianderport_tier.process import stepping_task
 
 __all__ = ['Gossip', 'GossipTimes']
 
@@ -46,7 +46,7 @@
     forget_s: float = 120.0
 
 
-class Gossip:
+class Gossip(stepping_task.SteppingTask):
     """Keeps the membership up to date while it runs.
 
     :param seeds: peer addresses of hosts that may be down or gone.
@@ -66,24 +66,23 @@
         rng: random.Random,
         changed: collections.abc.Callable[[], None],
     ) -> None:
+        super().__init__(clock)
         self._members = members
         self._exchange = exchange
         self._dialer = dialer
         self._seeds = seeds
         self._executor = executor
-        self._clock = clock
         self._times = times
         self._changed = changed
-        self._condition = threading.Condition()
-        self._closed = False
-        self._nudged = False
         self._started_s = clock.monotonic()
         self._seeds_asked_s = float('-inf')
         self._seeds_answered = 0
         self._contacts = contact_set.ContactSet(
             members,
             region_of,
-            self._contact,
+            contacts.ContactMaker(
+                exchange, members, dialer, clock, times.contact, self.wake
+            ).make,
             executor,
             clock,
             times.random_s,
@@ -110,16 +109,6 @@
         """
         return self._hosts
 
-    def run(self) -> None:
-        """Step until closed."""
-        while not self._closed:
-            self.step()
-            with self._condition:
-                if not self._nudged and not self._closed:
-                    self._clock.wait(self._condition, self._pause_s)
-                self._nudged = False
-        self._contacts.close()
-
     def step(self) -> None:
         """Bring suspicions, contacts and the number of hosts up to date."""
         self._members.step()
@@ -127,22 +116,13 @@
         self._contacts.keep(self._contacts.neighbours())
         self._count()
 
-    def wake(self) -> None:
-        """Step at once."""
-        with self._condition:
-            self._nudged = True
-            self._condition.notify_all()
-
     def leave(self) -> None:
         """Tell the others that this host sends nothing more."""
         self._members.leave()
         self._contacts.nudge()
 
-    def close(self) -> None:
-        """End all tasks."""
-        with self._condition:
-            self._closed = True
-            self._condition.notify_all()
+    def _ended(self) -> None:
+        self._contacts.close()
 
     @property
     def _seeds_period_s(self) -> float:
@@ -191,17 +171,6 @@
         self._seeds_answered += 1
         self.wake()
 
-    def _contact(self, member: membership.Member) -> contacts.Contact:
-        return contacts.Contact(
-            member,
-            self._exchange,
-            self._members,
-            self._dialer,
-            self._clock,
-            self._times.contact,
-            self.wake,
-        )
-
     def _count(self) -> None:
         view = self._members.view
         now_s = self._clock.monotonic()
--- a/packages/tier/src/corianderport_tier/process/hand_over.py
+++ b/packages/tier/src/corianderport_tier/process/hand_over.py
@@ -10,7 +10,7 @@
 from corianderport_tier.process import action_service
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import membership
-from corianderport_tier.process import owners
+from corianderport_tier.process import rendezvous
 from corianderport_tier.process import ticket_table
 
 __all__ = ['HandOverTask']
@@ -49,7 +49,7 @@
         ]
         own = self._members.own.name
         others = [m for m in self._members.live() if m.name != own]
-        ranked = owners.rank(self._table.incarnation, others)
+        ranked = rendezvous.rank(self._table.incarnation, others)
         copies = 0
         for member in ranked[:_HOSTS_TRIED]:
             if copies == _COPIES:
--- a/packages/tier/src/corianderport_tier/process/membership.py
+++ b/packages/tier/src/corianderport_tier/process/membership.py
@@ -132,7 +132,6 @@
         self._ended: dict[str, str] = {}
         self._suspected_s: dict[str, float] = {}
         self._sends: dict[str, int] = {}
-        self._starting: dict[str, tuple[str, float]] = {}
         self._last_step_s = self._clock.monotonic()
         self._doubtful = False
         self._doubtful_since_s = 0.0
@@ -177,15 +176,15 @@
         return self.view.members
 
     def live(self) -> tuple[Member, ...]:
-        """Return the hosts that may own services."""
+        """Return the hosts that serve callers and other hosts."""
         return self.view.live
 
     def replace(self, members: collections.abc.Iterable[Member]) -> None:
         """Take over a new host list; this host always belongs to it."""
         listed = {member.name: member for member in members}
         with self._lock:
-            # An unchanged list must not make a new view, since the owners
-            # of all services are worked out for each view.
+            # An unchanged list must not make a new view, since neighbours
+            # and warming hosts are worked out for each view.
             changed = listed != self._listed or not self._list_known
             for name in self._listed.keys() - listed.keys():
                 self._forget(name)
@@ -222,38 +221,6 @@
             self._store(rumour)
             return True
 
-    def note_established(self, member: Member, established: bool) -> None:
-        """Learn from a host itself whether it has been an owner."""
-        with self._lock:
-            if established:
-                self._starting.pop(member.name, None)
-            else:
-                self._starting[member.name] = (
-                    member.incarnation,
-                    self._clock.monotonic(),
-                )
-
-    def starting(self, members: collections.abc.Iterable[Member]) -> bool:
-        """Whether all these hosts said just now that they have started.
-
-        What they said before a partition proves nothing.
-        """
-        now_s = self._clock.monotonic()
-        with self._lock:
-            return all(
-                member.name == self._own.member.name
-                or self._is_starting(member, now_s)
-                for member in members
-            )
-
-    def _is_starting(self, member: Member, now_s: float) -> bool:
-        incarnation, heard_s = self._starting.get(member.name, ('', 0.0))
-        return (
-            incarnation != ''
-            and incarnation == member.incarnation
-            and now_s - heard_s <= self._times.pause_s
-        )
-
     def confirm(self, sent_s: float) -> None:
         """Learn that a host replied to a message sent at this time.
 
--- a/packages/tier/src/corianderport_tier/process/readers.py
+++ b/packages/tier/src/corianderport_tier/process/readers.py
@@ -14,7 +14,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import membership
-from corianderport_tier.process import owners
+from corianderport_tier.process import rendezvous
 
 __all__ = [
     'ConfigurationReader',
@@ -133,7 +133,7 @@
     own = members.own
     centre = own.data_centre
     near = [m for m in members.live() if m.data_centre == centre]
-    chosen = owners.rank(f'readers of {centre}', near)[:_READERS]
+    chosen = rendezvous.rank(f'readers of {centre}', near)[:_READERS]
     return any(member.name == own.name for member in chosen)
 
 
--- a/packages/tier/src/corianderport_tier/process/slow_start.py
+++ b/packages/tier/src/corianderport_tier/process/slow_start.py
@@ -46,6 +46,11 @@
         """Whether the searcher is treated as cold."""
         return self._limit == LOWEST_LIMIT
 
+    @property
+    def suspected(self) -> bool:
+        """Whether the searcher may have been restarted."""
+        return self._suspect
+
     def see(self, incarnation: str) -> bool:
         """Take the incarnation of a reply; True when it is a new one."""
         if not incarnation:
--- a/packages/tier/src/corianderport_tier/process/upstream.py
+++ b/packages/tier/src/corianderport_tier/process/upstream.py
@@ -23,6 +23,9 @@
 _SLOW_TO_COOL = 2
 _SLOW_TO_PROBATION = 3
 _UNUSED_S = 30.0
+# A searcher that was restarted is left to the host that warms it up for
+# this long; warming takes at least one second at the lowest limit.
+_LEFT_S = 3.0
 _SAMPLES_TO_COMPARE = 5
 # Attempts are hedged after a high quantile of the latency, so that a few
 # in a row are unlikely to be overtaken by chance.
@@ -78,6 +81,7 @@
         self._expected_s = 0.0
         self._permitted = True
         self._started_s: float | None = None
+        self._restarted_s = float('-inf')
         self._slow_streak = 0
         self._lost_streak = 0
         self._overtaken_streak = 0
@@ -114,7 +118,11 @@
         return self.searcher.address == searcher.address
 
     def update(
-        self, searcher: configuration.Searcher, slots: int, permitted: bool
+        self,
+        searcher: configuration.Searcher,
+        slots: int,
+        permitted: bool,
+        now_s: float,
     ) -> None:
         """Take over a new version of the configuration.
 
@@ -124,8 +132,24 @@
         self.slow_start.slots = slots
         if permitted and not self._permitted:
             self.slow_start.start_over()
+            self.note_restart(now_s)
         self._permitted = permitted
 
+    def note_restart(self, now_s: float) -> None:
+        """Learn that the searcher may have been started just now."""
+        self._restarted_s = now_s
+
+    def restarted(self, now_s: float) -> bool:
+        """Whether the searcher may have been started just now."""
+        return (
+            now_s - self._restarted_s < _LEFT_S
+            and self.limit == slow_start.LOWEST_LIMIT
+        )
+
+    def warming(self, now_s: float) -> bool:
+        """Whether a reply has shown that the searcher was restarted."""
+        return self.restarted(now_s) and not self.slow_start.suspected
+
     def load(self, now_s: float) -> int:
         """Return how many requests may be running at the searcher."""
         return self.occupancy.total(now_s, self.slow_start.lowest)
@@ -174,8 +198,11 @@
             self.occupancy.abandon(outcome.attempt_id, outcome.until_s)
         else:
             self.occupancy.finish()
+        known = self.slow_start.incarnation
         if self.slow_start.see(outcome.incarnation):
             self._slow_streak = self._lost_streak = 0
+            # The first reply does not tell how long ago it was started.
+            self._restarted_s = now_s if known else float('-inf')
         _HANDLERS[outcome.kind](self, outcome, peers, now_s)
 
     def on_overtaken(self, peers: Peers, now_s: float) -> None:
@@ -194,9 +221,10 @@
             self.health.on_slow(now_s)
 
     def _start_over_when_unused(self, now_s: float) -> None:
-        # It may have been restarted, or used by another owner.
+        # It may have been restarted.
         if self._started_s is not None and now_s - self._started_s > _UNUSED_S:
             self._started_s = None
+            self.note_restart(now_s)
             self.slow_start.start_over()
 
     def _on_answered(
@@ -236,14 +264,19 @@
         self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
         self.health.on_failure(now_s)
-        self.slow_start.suspect()
+        self._on_suspected(now_s)
 
     def _on_broken(
         self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
-        self.slow_start.suspect()
+        self._on_suspected(now_s)
         self._on_lost(outcome, peers, now_s)
 
+    def _on_suspected(self, now_s: float) -> None:
+        if not self.slow_start.suspected:
+            self.note_restart(now_s)
+        self.slow_start.suspect()
+
     def _on_lost(
         self, outcome: outcomes.Outcome, peers: Peers, now_s: float
     ) -> None:
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -1,6 +1,6 @@
 """corianderport_tier.process.upstreams
 
-The searchers of one service that this host owns: who gets a request.
+The searchers of one service: who gets a request.
 """
 
 import collections.abc
@@ -21,18 +21,29 @@
 
 Upstream = upstream_module.Upstream
 SearcherFilter = collections.abc.Callable[[configuration.Searcher], bool]
+Warms = collections.abc.Callable[[configuration.Searcher], bool]
 
 _WAITERS_PER_SLOT = 32
 # Extra sub-requests add load; retries of what was not run do not.
-_OWNER_EXTRA = budgets.BudgetShare(0.05)
+_HOST_EXTRA = budgets.BudgetShare(0.05)
 _SERVICE_EXTRA = budgets.BudgetShare(0.25, minimum=2)
 _RETRIES = budgets.BudgetShare(0.2, minimum=10)
 _PROBES_MINIMUM = 2
 _TIMEOUTS_MINIMUM = 8
 
 
+def _warm_all(searcher: configuration.Searcher) -> bool:
+    return True
+
+
 class ServiceUpstreams:
-    """The searchers of one service and the requests that wait for them."""
+    """The searchers of one service and the requests that wait for them.
+
+    :param warms: whether this host is the one to warm a searcher up. A
+        searcher that may just have been restarted bears one request at a
+        time, so that the other hosts leave it to that host, as long as
+        they have another searcher for their requests.
+    """
 
     def __init__(
         self,
@@ -40,19 +51,21 @@
         policy: selection.SelectionPolicy,
         rng: random.Random,
         clock: clocks.Clock,
-        owner: budgets.SharedBudget | None = None,
+        host: budgets.SharedBudget | None = None,
+        warms: Warms = _warm_all,
     ) -> None:
         self._name = service.name
         self._policy = policy
         self._rng = rng
         self._clock = clock
+        self._warms = warms
         self._lock = threading.Lock()
         self._upstreams: dict[str, Upstream] = {}
         self._former: dict[str, Upstream] = {}
         self._queue = capacity_queue.CapacityQueue()
         self._window = latency.LatencyWindow()
         self._extra = budgets.ExtraBudget(
-            budgets.Budget(_SERVICE_EXTRA), owner or extra_budget()
+            budgets.Budget(_SERVICE_EXTRA), host or extra_budget()
         )
         self._retries = budgets.Budget(_RETRIES)
         self.backoff = budgets.Backoff(rng)
@@ -75,13 +88,18 @@
         with self._lock:
             now_s = self._clock.monotonic()
             known = {**self._former, **self._upstreams}
+            added_later = bool(self._upstreams)
             self._upstreams = {}
             for searcher in service.searchers:
                 upstream = known.get(searcher.name)
                 if upstream is None or not upstream.is_at(searcher):
                     upstream = Upstream(searcher, self._rng)
+                    if added_later:
+                        upstream.note_restart(now_s)
                 permitted = in_service is None or in_service(searcher)
-                upstream.update(searcher, service.limits.slots, permitted)
+                upstream.update(
+                    searcher, service.limits.slots, permitted, now_s
+                )
                 self._upstreams[searcher.name] = upstream
             # Requests to a searcher that was removed may still be running
             # when it is added again.
@@ -92,52 +110,6 @@
             }
             self._grant()
 
-    def start_over(self) -> None:
-        """Treat every searcher as cold, after another host owned them."""
-        with self._lock:
-            for upstream in self._upstreams.values():
-                upstream.slow_start.start_over()
-
-    def warm(self) -> tuple[str, ...]:
-        """Return the names of the searchers that have their full limit."""
-        with self._lock:
-            return tuple(
-                u.name
-                for u in self._upstreams.values()
-                if u.limit >= u.slow_start.slots
-            )
-
-    def idle(self) -> bool:
-        """Whether nothing may be running at any searcher."""
-        now_s = self._clock.monotonic()
-        with self._lock:
-            return not any(
-                u.occupancy.total(now_s, strict=True)
-                for u in self._upstreams.values()
-            )
-
-    def is_idle(self, name: str, counted: int = 0) -> bool:
-        """Whether this host waits for no other answer of a searcher.
-
-        Read without the lock, like ``is_warm_and_half_free``.
-        """
-        upstream = self._upstreams.get(name)
-        return upstream is not None and upstream.in_flight <= counted
-
-    def is_warm_and_half_free(self, name: str, counted: int = 0) -> bool:
-        """Whether a searcher may get work without a lease.
-
-        Read without the lock, since filters are called under it.
-
-        :param counted: 1 when the request is counted already.
-        """
-        upstream = self._upstreams.get(name)
-        return (
-            upstream is not None
-            and upstream.limit >= upstream.slow_start.slots
-            and 2 * (upstream.in_flight - counted) < upstream.limit
-        )
-
     def try_acquire(
         self,
         allowed: SearcherFilter,
@@ -178,7 +150,7 @@
             return None
         with self._lock:
             now_s = self._clock.monotonic()
-            for upstream in self._eligible(allowed, excluded):
+            for upstream in self._eligible(allowed, excluded, now_s):
                 if upstream.probe_ready(now_s) and self._extra.try_spend(
                     now_s, _PROBES_MINIMUM
                 ):
@@ -249,7 +221,9 @@
         :raises Overloaded: it cannot finish by its deadline.
         """
         with self._lock:
-            eligible = self._eligible(entry.allowed, entry.excluded)
+            eligible = self._eligible(
+                entry.allowed, entry.excluded, self._clock.monotonic()
+            )
             if not eligible:
                 raise errors.NoUpstream('no searcher left to try')
             self._check_wait(entry, eligible)
@@ -284,7 +258,7 @@
             now_s = self._clock.monotonic()
             return [
                 u
-                for u in self._eligible(allowed, excluded)
+                for u in self._eligible(allowed, excluded, now_s)
                 if u.health.normal or u.health.probe_due(now_s)
             ]
 
@@ -303,12 +277,17 @@
         self,
         allowed: SearcherFilter,
         excluded: collections.abc.Container[str],
+        now_s: float,
     ) -> list[Upstream]:
-        return [
-            u
-            for u in self._upstreams.values()
-            if u.name not in excluded and allowed(u.searcher)
-        ]
+        found = [u for u in self._upstreams.values() if allowed(u.searcher)]
+        left = {
+            u.name
+            for u in found
+            if u.restarted(now_s) and not self._warms(u.searcher)
+        }
+        if any(u.health.normal and u.name not in left for u in found):
+            found = [u for u in found if u.name not in left]
+        return [u for u in found if u.name not in excluded]
 
     def _choose(
         self,
@@ -319,7 +298,7 @@
         chosen = self._choose_ready(allowed, excluded, now_s)
         if chosen is not None:
             return chosen
-        eligible = self._eligible(allowed, excluded)
+        eligible = self._eligible(allowed, excluded, now_s)
         if any(u.health.normal for u in eligible):
             return None
         # Only searchers on hold are left; one whose probe is due is better
@@ -335,11 +314,11 @@
     ) -> Upstream | None:
         ready = [
             u
-            for u in self._upstreams.values()
+            for u in self._eligible(allowed, excluded, now_s)
             if u.ready(now_s)
-            and u.name not in excluded
-            and allowed(u.searcher)
         ]
+        # The other hosts wait for a searcher that this one warms up.
+        ready = [u for u in ready if u.warming(now_s)] or ready
         for upstream in ready:
             upstream.refresh(now_s)
         return self._policy.choose(ready, self._rng) if ready else None
@@ -421,8 +400,8 @@
 
 
 def extra_budget() -> budgets.SharedBudget:
-    """Return the budget of one owner for extra sub-requests."""
-    return budgets.SharedBudget(_OWNER_EXTRA)
+    """Return the budget of one host for extra sub-requests."""
+    return budgets.SharedBudget(_HOST_EXTRA)
 
 
 def _plain_outcome(latency_s: float | None) -> outcomes.Outcome:
--- a/packages/tier/src/corianderport_tier/request/action_attempts.py
+++ b/packages/tier/src/corianderport_tier/request/action_attempts.py
@@ -1,6 +1,6 @@
 """corianderport_tier.request.action_attempts
 
-The owner's work for one action: one attempt at one searcher.
+Sends one action: one attempt at one searcher.
 """
 
 import collections.abc
@@ -14,14 +14,14 @@
 from corianderport_tier.process import capacity_queue
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import outcomes
-from corianderport_tier.process import owned_services
+from corianderport_tier.process import upstream_services
 from corianderport_tier.process import upstreams
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import messages
 from corianderport_tier import result_codes
 from corianderport_tier.version import configuration
 
-__all__ = ['ActionAttempt', 'OwnerAction']
+__all__ = ['ActionAttempt', 'ActionRun']
 
 Reply = (
     messages.UpstreamActionReply
@@ -93,28 +93,23 @@
             self._sending = True
 
 
-class OwnerAction:
+class ActionRun:
     """Runs one action on the request's task.
 
     Another searcher is tried only when no byte was sent or the searcher
     refused explicitly.
-
-    :param check: raises a Refusal when this host may not send now; it is
-        called again right before sending.
     """
 
     def __init__(
         self,
         call: messages.ActionCall,
-        services: owned_services.OwnedServices,
-        check: transports.SendCheck,
+        services: upstream_services.UpstreamServices,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
         self._call = call
         self._request = call.request
         self._services = services
-        self._check = check
         self._clock = clock
         self._log = log
         self._tried: set[str] = set()
@@ -127,16 +122,16 @@
         :raises Refusal: no searcher ran the action, and none will.
         :raises OutcomeUnknown: a searcher may have run it.
         """
-        owned = self._services.get(self._call.service)
+        service = self._services.get(self._call.service)
         try:
             while True:
-                upstream = self._acquire(owned)
-                reply = self._attempt(owned, upstream)
+                upstream = self._acquire(service)
+                reply = self._attempt(service, upstream)
                 if isinstance(reply, messages.UpstreamActionReply):
                     return self._answer(reply)
                 self._check_not_run(upstream, reply)
         finally:
-            self._end(owned)
+            self._end(service)
 
     def capacity_granted(
         self, service: str, upstream: upstreams.Upstream | None
@@ -144,26 +139,26 @@
         """Take a searcher that the request waited for."""
         return self._inbox.offer(_Granted(upstream))
 
-    def _end(self, owned: owned_services.OwnedService) -> None:
+    def _end(self, service: upstream_services.UpstreamService) -> None:
         """Return a searcher that was granted too late to be used."""
-        owned.upstreams.discard_waiter(self)
+        service.upstreams.discard_waiter(self)
         for item in self._inbox.close():
             if isinstance(item, _Granted) and item.upstream is not None:
-                owned.upstreams.release(item.upstream, None)
+                service.upstreams.release(item.upstream, None)
 
     def _acquire(
-        self, owned: owned_services.OwnedService
+        self, service: upstream_services.UpstreamService
     ) -> upstreams.Upstream:
         if self._request.deadline.passed(self._clock):
             raise errors.DeadlinePast('the deadline has passed')
         allowed = self._services.allowed()
-        upstream = owned.upstreams.try_acquire(allowed, self._tried)
+        upstream = service.upstreams.try_acquire(allowed, self._tried)
         if upstream is not None:
             return upstream
-        candidates = owned.upstreams.candidates(allowed)
+        candidates = service.upstreams.candidates(allowed)
         if all(u.name in self._tried for u in candidates):
             raise self._none_left()
-        owned.upstreams.add_waiter(
+        service.upstreams.add_waiter(
             capacity_queue.Waiting(
                 self,
                 self._request.deadline,
@@ -186,11 +181,11 @@
 
     def _attempt(
         self,
-        owned: owned_services.OwnedService,
+        service: upstream_services.UpstreamService,
         upstream: upstreams.Upstream,
     ) -> Reply:
         self._tried.add(upstream.name)
-        attempt = self._new_attempt(owned, upstream)
+        attempt = self._new_attempt(service, upstream)
         self._log.record(
             decision_log.Decision(
                 'act',
@@ -200,7 +195,7 @@
             )
         )
         try:
-            owned.pool(upstream.searcher).submit(attempt)
+            service.pool(upstream.searcher).submit(attempt)
         except errors.CorianderportError as error:
             attempt.finish(error)
         while True:
@@ -214,7 +209,7 @@
 
     def _new_attempt(
         self,
-        owned: owned_services.OwnedService,
+        service: upstream_services.UpstreamService,
         upstream: upstreams.Upstream,
     ) -> ActionAttempt:
         request = self._request
@@ -230,7 +225,7 @@
                 attempt.call.deadline.at_s,
             )
             answered = outcome.kind is outcomes.OutcomeKind.ANSWERED
-            owned.upstreams.release(
+            service.upstreams.release(
                 upstream, elapsed_s if answered else None, outcome
             )
             self._inbox.put(reply)
@@ -238,9 +233,9 @@
         def check() -> None:
             if request.deadline.passed(self._clock):
                 raise errors.DeadlinePast('the deadline has passed')
-            self._check()
-            allowed = self._services.allowed(counted=1)
-            if not owned.upstreams.may_send(upstream, allowed):
+            if not service.upstreams.may_send(
+                upstream, self._services.allowed()
+            ):
                 raise errors.NoUpstream(f'{upstream.name} is out of service')
 
         return ActionAttempt(
@@ -275,7 +270,7 @@
         upstream: upstreams.Upstream,
         reply: messages.UpstreamRefusal | errors.CorianderportError,
     ) -> None:
-        if isinstance(reply, errors.DeadlinePast | errors.NotOwner):
+        if isinstance(reply, errors.DeadlinePast):
             raise reply
         if isinstance(reply, messages.UpstreamRefusal):
             self._refused = True
--- a/packages/tier/src/corianderport_tier/request/gather.py
+++ b/packages/tier/src/corianderport_tier/request/gather.py
@@ -1,6 +1,6 @@
 """corianderport_tier.request.gather
 
-The owner's work for one batch: attempts at the searchers of its services.
+Runs one batch: attempts at the searchers of its services.
 """
 
 import attrs
@@ -9,8 +9,8 @@
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import outcomes
-from corianderport_tier.process import owned_services
 from corianderport_tier.process import upstream as upstream_module
+from corianderport_tier.process import upstream_services
 from corianderport_tier.request import attempts
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import inboxes
@@ -44,7 +44,7 @@
     def __init__(
         self,
         batch: messages.SubQueryBatch,
-        services: owned_services.OwnedServices,
+        services: upstream_services.UpstreamServices,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
     ) -> None:
--- a/packages/tier/src/corianderport_tier/request/messages.py
+++ b/packages/tier/src/corianderport_tier/request/messages.py
@@ -87,7 +87,7 @@
 
 @attrs.frozen
 class SubQueryBatch:
-    """All sub-queries of one search that go to one owner."""
+    """All sub-queries of one plan of a search."""
 
     request_id: str
     index: str
@@ -109,12 +109,10 @@
 
 @attrs.frozen
 class BatchAnswer:
-    """An owner's answer to a batch.
+    """The answer to a batch.
 
     ``snapshot_gone`` says that a searcher no longer holds the snapshot;
-    ``refused`` lists the services that the owner did not send to;
-    ``not_owned`` lists those that it may not send to, so that another
-    owner is to be asked.
+    ``refused`` lists the services of which no searcher ran anything.
     """
 
     request_id: str
@@ -124,7 +122,6 @@
     snapshot_gone: bool = False
     held: tuple[int, ...] = ()
     sub_requests: int = 0
-    not_owned: tuple[str, ...] = ()
 
 
 class RefusalReason(enum.Enum):
@@ -185,7 +182,7 @@
 
 @attrs.frozen
 class ActionCall:
-    """An action on its way to the host that may run it."""
+    """An action and the service whose searchers can run it."""
 
     request: ActionRequest
     service: str
--- a/packages/tier/src/corianderport_tier/request/search.py
+++ b/packages/tier/src/corianderport_tier/request/search.py
@@ -7,13 +7,11 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
-from corianderport_tier.process import decision_log
-from corianderport_tier.process import routing
+from corianderport_tier.process import aggregator
 from corianderport_tier.process import snapshot_availability
 from corianderport_tier.request import coverage
 from corianderport_tier.request import merging
 from corianderport_tier.request import messages
-from corianderport_tier.request import plan_round
 from corianderport_tier.request import planning
 from corianderport_tier import result_codes
 from corianderport_tier.version import configuration
@@ -21,6 +19,8 @@
 __all__ = ['SearchTask']
 
 _MAX_PLANS = 3
+# Time kept for merging and for the way back to the caller.
+_ANSWER_MARGIN_S = 0.006
 
 
 class SearchTask:
@@ -30,17 +30,15 @@
         self,
         request: messages.SearchRequest,
         accepted: configuration.Configuration,
-        router: routing.Router,
+        sender: aggregator.Aggregator,
         availability: snapshot_availability.SnapshotAvailability,
         clock: clocks.Clock,
-        log: decision_log.DecisionLog,
     ) -> None:
         self._request = _bounded(request, accepted, clock)
         self._accepted = accepted
-        self._router = router
+        self._sender = sender
         self._availability = availability
         self._clock = clock
-        self._log = log
 
     def run(self) -> messages.SearchAnswer:
         """Return the answer by the request's deadline.
@@ -57,22 +55,33 @@
         for _ in range(_MAX_PLANS):
             known = self._availability.gone()
             plan = planning.plan_search(self._accepted, self._request, known)
-            gathered = plan_round.PlanRound(
-                self._request, plan, self._router, self._clock, self._log
-            ).run()
+            gathered = self._sender.run(self._batch(plan))
             sub_requests += gathered.sub_requests
-            if gathered.gone <= known or self._too_late():
+            gone = _gone(plan, gathered)
+            if gone <= known or self._too_late():
                 break
-            self._availability.report_gone(gathered.gone)
+            self._availability.report_gone(gone)
         return self._answer(plan, gathered, sub_requests)
 
     def _too_late(self) -> bool:
         return self._request.deadline.passed(self._clock)
 
+    def _batch(self, plan: planning.SearchPlan) -> messages.SubQueryBatch:
+        request = self._request
+        return messages.SubQueryBatch(
+            request_id=request.request_id,
+            index=plan.search.index,
+            snapshot=plan.snapshot.number,
+            query=request.query,
+            limit=request.limit,
+            deadline=request.deadline.earlier(_ANSWER_MARGIN_S),
+            sub_queries=tuple(plan.sub_queries()),
+        )
+
     def _answer(
         self,
         plan: planning.SearchPlan,
-        gathered: plan_round.Gathered,
+        gathered: messages.BatchAnswer,
         sub_requests: int,
     ) -> messages.SearchAnswer:
         complete = coverage.complete_answers(plan.shards, gathered.answers)
@@ -100,6 +109,20 @@
     return attrs.evolve(request, deadline=deadline)
 
 
+def _gone(
+    plan: planning.SearchPlan, gathered: messages.BatchAnswer
+) -> frozenset[snapshot_availability.ServiceSnapshot]:
+    """Return the snapshots that searchers no longer hold."""
+    if not gathered.snapshot_gone:
+        return frozenset()
+    return frozenset(
+        snapshot_availability.ServiceSnapshot(
+            plan.search.index, service, plan.snapshot.number
+        )
+        for service in gathered.refused
+    )
+
+
 def _code(
     search: configuration.Search, covered: messages.Coverage
 ) -> result_codes.ResultCode:
--- a/packages/tier/src/corianderport_tier/request/sending.py
+++ b/packages/tier/src/corianderport_tier/request/sending.py
@@ -10,8 +10,8 @@
 from corianderport_tier.process import capacity_queue
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import latency
-from corianderport_tier.process import owned_services
 from corianderport_tier.process import upstream as upstream_module
+from corianderport_tier.process import upstream_services
 from corianderport_tier.request import attempts
 from corianderport_tier.request import messages
 from corianderport_tier.request import pending as pending_module
@@ -22,7 +22,7 @@
 Pending = pending_module.Pending
 Flight = pending_module.Flight
 Upstream = upstream_module.Upstream
-Owned = owned_services.OwnedService
+Service = upstream_services.UpstreamService
 Deliver = collections.abc.Callable[[attempts.AttemptResult], None]
 
 
@@ -32,7 +32,7 @@
     def __init__(
         self,
         batch: messages.SubQueryBatch,
-        services: owned_services.OwnedServices,
+        services: upstream_services.UpstreamServices,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
         deliver: Deliver,
@@ -42,7 +42,7 @@
         self._clock = clock
         self._log = log
         self._deliver = deliver
-        self._owned: dict[str, Owned] = {}
+        self._used: dict[str, Service] = {}
         self._sent = 0
 
     @property
@@ -56,13 +56,13 @@
         :raises CorianderportError: the sub-query cannot be sent any more.
         """
         self._check_deadline()
-        owned = self._current(pending.service)
-        upstream = owned.upstreams.try_acquire(
+        used = self._current(pending.service)
+        upstream = used.upstreams.try_acquire(
             self._services.allowed(), pending.tried
         )
         if upstream is None:
             return False
-        self._first(pending, owned, upstream)
+        self._first(pending, used, upstream)
         return True
 
     def send_granted(self, pending: Pending, upstream: Upstream) -> bool:
@@ -74,44 +74,44 @@
             return False
         if not self._may_send(pending.service, upstream):
             return False
-        owned = self._owned[pending.service]
-        self._first(pending, owned, upstream)
+        used = self._used[pending.service]
+        self._first(pending, used, upstream)
         return True
 
     def hedge(self, pending: Pending) -> None:
         """Start an attempt next to a slow one, within the budget."""
-        owned = self._owned[pending.service]
-        upstream = owned.upstreams.try_hedge(
+        used = self._used[pending.service]
+        upstream = used.upstreams.try_hedge(
             self._services.allowed(), pending.tried
         )
         if upstream is not None:
-            self._start(pending, owned, upstream, 'hedge')
+            self._start(pending, used, upstream, 'hedge')
 
     def give_up_attempt(self, flight: Flight) -> None:
         """Close an attempt's connection, if the budget allows a retry."""
         flight.timeout_at_s = None
-        owned = self._owned[flight.attempt.service]
-        if owned.upstreams.try_abandon():
+        used = self._used[flight.attempt.service]
+        if used.upstreams.try_abandon():
             flight.attempt.abandon()
             self.cancel(flight, overtaken=False)
 
     def cancel(self, flight: Flight, overtaken: bool) -> None:
         """Ask the searcher to stop an attempt, on another task."""
         attempt = flight.attempt
-        owned = self._owned[attempt.service]
+        used = self._used[attempt.service]
         if overtaken:
             attempt.overtaken = True
-            owned.upstreams.overtaken(attempt.upstream)
+            used.upstreams.overtaken(attempt.upstream)
 
         def stopped() -> bool:
             attempt.cancel_confirmed = True
-            return owned.upstreams.stopped(
+            return used.upstreams.stopped(
                 attempt.upstream, attempt.call.attempt_id
             )
 
         job = attempts.CancelJob(attempt, stopped, self._grace(flight))
         try:
-            owned.pool(attempt.upstream.searcher).submit(job, fresh=True)
+            used.pool(attempt.upstream.searcher).submit(job, fresh=True)
         except errors.CorianderportError as error:
             self._record('cancel', attempt.upstream.name, str(error))
 
@@ -124,7 +124,7 @@
         :raises Overloaded: it cannot finish by its deadline.
         """
         pending.waiting = True
-        self._owned[pending.service].upstreams.add_waiter(
+        self._used[pending.service].upstreams.add_waiter(
             capacity_queue.Waiting(
                 waiter,
                 self._batch.deadline,
@@ -137,25 +137,25 @@
         self, service: str, waiter: capacity_queue.CapacityWaiter
     ) -> None:
         """Take a sub-query from the queue."""
-        owned = self._owned.get(service)
-        if owned is not None:
-            owned.upstreams.discard_waiter(waiter)
+        used = self._used.get(service)
+        if used is not None:
+            used.upstreams.discard_waiter(waiter)
 
     def poll(self, service: str) -> None:
         """Serve waiting requests after time alone has made room."""
-        self._owned[service].upstreams.poll()
+        self._used[service].upstreams.poll()
 
     def next_change_s(self, service: str) -> float | None:
         """Return when time alone may make room; None if never."""
-        return self._owned[service].upstreams.next_change_s()
+        return self._used[service].upstreams.next_change_s()
 
     def release_unused(self, service: str, upstream: Upstream) -> None:
         """Return a searcher that nothing was sent to."""
-        self._owned[service].upstreams.release(upstream, None)
+        self._used[service].upstreams.release(upstream, None)
 
     def has_untried(self, pending: Pending) -> bool:
         """Whether another searcher can be tried."""
-        upstreams = self._owned[pending.service].upstreams
+        upstreams = self._used[pending.service].upstreams
         return bool(
             upstreams.candidates(self._services.allowed(), pending.tried)
         )
@@ -164,7 +164,7 @@
         self, pending: Pending, result: attempts.AttemptResult
     ) -> bool:
         """Whether the budgets allow a retry after this result."""
-        upstreams = self._owned[pending.service].upstreams
+        upstreams = self._used[pending.service].upstreams
         if not result.outcome.kind.may_be_running:
             return upstreams.try_retry()
         # The budget was asked before the attempt was given up.
@@ -172,17 +172,17 @@
 
     def backoff_s(self, pending: Pending) -> float:
         """Return the delay before the next retry, seconds."""
-        upstreams = self._owned[pending.service].upstreams
+        upstreams = self._used[pending.service].upstreams
         return upstreams.backoff.delay_s(pending.retries)
 
     def _check_deadline(self) -> None:
         if self._batch.deadline.passed(self._clock):
             raise errors.DeadlinePast('no time left to send')
 
-    def _current(self, service: str) -> Owned:
-        owned = self._services.get(service)
-        self._owned[service] = owned
-        return owned
+    def _current(self, service: str) -> Service:
+        used = self._services.get(service)
+        self._used[service] = used
+        return used
 
     def _allowed_now(self, searcher: configuration.Searcher) -> bool:
         return self._services.allowed()(searcher)
@@ -192,30 +192,30 @@
             upstreams = self._services.get(service).upstreams
         except errors.CorianderportError:
             return False
-        allowed = self._services.allowed(counted=1)
+        allowed = self._services.allowed()
         return upstreams.may_send(upstream, allowed)
 
     def _first(
-        self, pending: Pending, owned: Owned, upstream: Upstream
+        self, pending: Pending, used: Service, upstream: Upstream
     ) -> None:
         """Start an attempt that has no other one next to it."""
         if pending.sends:
-            self._start(pending, owned, upstream, 'retry')
+            self._start(pending, used, upstream, 'retry')
             return
-        owned.upstreams.count_request()
-        self._start(pending, owned, upstream, 'route')
+        used.upstreams.count_request()
+        self._start(pending, used, upstream, 'route')
         # A searcher on probation gets a copy of the request, which then
         # does not depend on its answer.
-        probed = owned.upstreams.try_probe(
+        probed = used.upstreams.try_probe(
             self._services.allowed(), pending.tried
         )
         if probed is not None:
-            self._start(pending, owned, probed, 'probe')
+            self._start(pending, used, probed, 'probe')
 
     def _start(
-        self, pending: Pending, owned: Owned, upstream: Upstream, kind: str
+        self, pending: Pending, used: Service, upstream: Upstream, kind: str
     ) -> None:
-        flight = self._flight(pending, owned, upstream)
+        flight = self._flight(pending, used, upstream)
         attempt = flight.attempt
         pending.tried.add(upstream.name)
         pending.sends += 1
@@ -224,16 +224,16 @@
             kind,
             upstream.name,
             f'attempt {pending.sends} for {pending.service}',
-            self._untried(pending, owned),
+            self._untried(pending, used),
         )
         try:
-            connections = owned.pool(upstream.searcher)
+            connections = used.pool(upstream.searcher)
             connections.submit(attempt, fresh=pending.fresh)
         except errors.CorianderportError as error:
             attempt.finish(error)
 
     def _flight(
-        self, pending: Pending, owned: Owned, upstream: Upstream
+        self, pending: Pending, used: Service, upstream: Upstream
     ) -> Flight:
         self._sent += 1
         now_s = self._clock.monotonic()
@@ -244,10 +244,10 @@
             upstream=upstream,
             clock=self._clock,
             may_send=lambda: self._may_send(pending.service, upstream),
-            deliver=self._delivery(owned),
+            deliver=self._delivery(used),
             started_s=now_s,
         )
-        times = owned.upstreams.attempt_times
+        times = used.upstreams.attempt_times
         hedge_s = times.hedge_s if first else None
         return Flight(
             attempt=attempt,
@@ -278,32 +278,32 @@
 
     def _grace(self, flight: Flight) -> float:
         attempt = flight.attempt
-        owned = self._owned[attempt.service]
-        times = owned.upstreams.attempt_times
+        used = self._used[attempt.service]
+        times = used.upstreams.attempt_times
         until_s = attempt.started_s + self._timeout_s(times)
         return min(until_s, attempt.call.deadline.at_s)
 
-    def _delivery(self, owned: Owned) -> Deliver:
+    def _delivery(self, used: Service) -> Deliver:
         def deliver(result: attempts.AttemptResult) -> None:
             # Released on the connection's task, so that the searcher's
             # load is right even after the request has ended.
             outcome = result.outcome
             upstream = result.attempt.upstream
-            owned.upstreams.release(upstream, None, outcome)
+            used.upstreams.release(upstream, None, outcome)
             if result.attempt.cancel_confirmed:
-                owned.upstreams.stopped(
+                used.upstreams.stopped(
                     upstream, result.attempt.call.attempt_id
                 )
             self._deliver(result)
 
         return deliver
 
-    def _untried(self, pending: Pending, owned: Owned) -> tuple[str, ...]:
+    def _untried(self, pending: Pending, used: Service) -> tuple[str, ...]:
         """Return the other searchers in service, for the decision log."""
         allowed = self._services.allowed()
         return tuple(
             searcher.name
-            for searcher in owned.service.searchers
+            for searcher in used.service.searchers
             if searcher.name not in pending.tried and allowed(searcher)
         )
 
--- a/packages/wire/src/corianderport_wire/connection/action_codec.py
+++ b/packages/wire/src/corianderport_wire/connection/action_codec.py
@@ -15,8 +15,6 @@
 __all__ = [
     'answer_from_thrift',
     'answer_to_thrift',
-    'call_from_thrift',
-    'call_to_thrift',
     'part_from_thrift',
     'part_to_thrift',
     'request_from_thrift',
@@ -54,25 +52,6 @@
     )
 
 
-def call_to_thrift(
-    call: messages.ActionCall, clock: clocks.Clock
-) -> typing.Any:
-    """Return the structure of a call to an owner."""
-    return _PEER.ActionCall(
-        request=request_to_thrift(call.request, clock),
-        service_name=call.service,
-    )
-
-
-def call_from_thrift(
-    fields: typing.Any, clock: clocks.Clock
-) -> messages.ActionCall:
-    """Return the call of a structure."""
-    return messages.ActionCall(
-        request_from_thrift(fields.request, clock), fields.service_name
-    )
-
-
 def answer_to_thrift(answer: messages.ActionAnswer) -> typing.Any:
     """Return the structure of an answer."""
     return _PEER.ActionAnswer(
--- a/packages/wire/src/corianderport_wire/connection/heartbeat_codec.py
+++ b/packages/wire/src/corianderport_wire/connection/heartbeat_codec.py
@@ -7,7 +7,6 @@
 
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
-from corianderport_tier.process import ownership_types
 from corianderport_wire.connection import peer_codec
 
 __all__ = ['heartbeat_from_thrift', 'heartbeat_to_thrift']
@@ -22,11 +21,7 @@
         sender=_rumour_to_thrift(message.sender),
         version=message.version,
         rumours=[_rumour_to_thrift(r) for r in message.rumours] or None,
-        lease_requests=_leases_to_thrift(message.lease_requests),
-        leases_granted=list(message.leases_granted) or None,
         joining=message.joining or None,
-        starting=not message.established or None,
-        leases_released=_leases_to_thrift(message.leases_released),
     )
 
 
@@ -36,35 +31,7 @@
         sender=_rumour_from_thrift(fields.sender),
         version=fields.version,
         rumours=tuple(_rumour_from_thrift(r) for r in fields.rumours or ()),
-        lease_requests=_leases_from_thrift(fields.lease_requests),
-        leases_granted=tuple(fields.leases_granted or ()),
         joining=bool(fields.joining),
-        established=not fields.starting,
-        leases_released=_leases_from_thrift(fields.leases_released),
-    )
-
-
-def _leases_to_thrift(
-    requests: tuple[ownership_types.LeaseRequest, ...],
-) -> list[typing.Any] | None:
-    return [
-        _PEER.LeaseRequest(
-            service_name=r.service,
-            settled=r.settled,
-            warm=list(r.warm) or None,
-        )
-        for r in requests
-    ] or None
-
-
-def _leases_from_thrift(
-    requests: list[typing.Any] | None,
-) -> tuple[ownership_types.LeaseRequest, ...]:
-    return tuple(
-        ownership_types.LeaseRequest(
-            r.service_name, bool(r.settled), tuple(r.warm or ())
-        )
-        for r in requests or ()
     )
 
 
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -40,24 +40,6 @@
         protocol = thriftpy2.protocol.TBinaryProtocol(transport)
         self._client = thriftpy2.thrift.TClient(peer_codec.PEER.Peer, protocol)
 
-    def search(
-        self, batch: messages.SubQueryBatch, timeout_s: float
-    ) -> messages.BatchAnswer:
-        """Send a batch and wait for its answer."""
-        fields = peer_codec.batch_to_thrift(batch, self._clock)
-        return peer_codec.answer_from_thrift(
-            self._call(self._client.search, fields, timeout_s)
-        )
-
-    def act(
-        self, call: messages.ActionCall, timeout_s: float
-    ) -> messages.ActionAnswer:
-        """Send an action to its owner and wait for the outcome."""
-        fields = action_codec.call_to_thrift(call, self._clock)
-        return action_codec.answer_from_thrift(
-            self._call(self._client.act, fields, timeout_s)
-        )
-
     def act_with_ticket(
         self, request: messages.ActionRequest, timeout_s: float
     ) -> messages.ActionAnswer:
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -36,22 +36,16 @@
 class PeerService(typing.Protocol):
     """What a host serves to others."""
 
-    def search(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
-        """Run a batch as its owner.
-
-        :raises CorianderportError: its code goes to the peer.
-        """
-
     def heartbeat(self, message: heartbeats.Heartbeat) -> heartbeats.Heartbeat:
         """Take a heartbeat and return the reply."""
 
-    def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
-        """Run an action as its owner; errors as above."""
-
     def act_with_ticket(
         self, request: messages.ActionRequest
     ) -> messages.ActionAnswer:
-        """Serve an action whose ticket this host may know."""
+        """Serve an action whose ticket this host may know.
+
+        :raises CorianderportError: its code goes to the peer.
+        """
 
     def hand_over(self, part: handed_over.HandOver) -> None:
         """Keep ticket outcomes of a host that stops."""
@@ -67,28 +61,12 @@
         self._service = service
         self._clock = clock
 
-    def search(self, batch: typing.Any) -> typing.Any:
-        decoded = peer_codec.batch_from_thrift(batch, self._clock)
-        try:
-            answer = self._service.search(decoded)
-        except errors.CorianderportError as error:
-            raise _refused(error) from error
-        return peer_codec.answer_to_thrift(answer)
-
     def heartbeat(self, message: typing.Any) -> typing.Any:
         decoded = heartbeat_codec.heartbeat_from_thrift(message)
         return heartbeat_codec.heartbeat_to_thrift(
             self._service.heartbeat(decoded)
         )
 
-    def act(self, call: typing.Any) -> typing.Any:
-        decoded = action_codec.call_from_thrift(call, self._clock)
-        try:
-            answer = self._service.act(decoded)
-        except errors.CorianderportError as error:
-            raise _refused(error) from error
-        return action_codec.answer_to_thrift(answer)
-
     def act_with_ticket(self, request: typing.Any) -> typing.Any:
         decoded = action_codec.request_from_thrift(request, self._clock)
         try:
--- a/packages/wire/src/corianderport_wire/connection/upstream_client.py
+++ b/packages/wire/src/corianderport_wire/connection/upstream_client.py
@@ -76,7 +76,7 @@
     ) -> HttpUpstreamTransport:
         """Return a connection that is opened by its first call."""
         # An ended connection may mean that the searcher was restarted,
-        # which the owner must learn before it sends again.
+        # which the host must learn before it sends again.
         client = curl_client.CurlClient(
             searcher.address, timeout_s, reconnect=False
         )
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -1,44 +1,6 @@
 // Messages between hosts. New fields are optional and get new numbers, so
 // that an old and a new host understand each other.
 
-struct Hit {
-    1: string document
-    2: double score
-    3: string title
-}
-
-struct ShardAnswer {
-    1: string shard
-    2: bool complete
-    3: list<Hit> hits
-}
-
-struct SubQuery {
-    1: string service_name
-    2: list<string> shards
-}
-
-struct SubQueryBatch {
-    1: string request_id
-    2: string index
-    3: i64 snapshot
-    4: string query
-    5: i32 limit
-    6: double remaining_ms
-    7: list<SubQuery> sub_queries
-}
-
-struct BatchAnswer {
-    1: string request_id
-    2: i64 snapshot
-    3: list<ShardAnswer> answers
-    4: list<string> refused
-    5: bool snapshot_gone
-    6: list<i64> held
-    7: i32 sub_requests
-    8: optional list<string> not_owned
-}
-
 struct Document {
     1: i64 version
     2: optional binary content
@@ -54,21 +16,12 @@
     7: i64 refutation
 }
 
-struct LeaseRequest {
-    1: string service_name
-    2: bool settled
-    3: optional list<string> warm
-}
-
 struct Heartbeat {
     1: MemberRumour sender
     2: i64 version
     3: optional list<MemberRumour> rumours
-    4: optional list<LeaseRequest> lease_requests
-    5: optional list<string> leases_granted
+    // Earlier versions used the numbers 4, 5, 7 and 8.
     6: optional bool joining
-    7: optional list<LeaseRequest> leases_released
-    8: optional bool starting
 }
 
 struct ActionRequest {
@@ -80,11 +33,6 @@
     6: optional string ticket
 }
 
-struct ActionCall {
-    1: ActionRequest request
-    2: string service_name
-}
-
 struct ActionAnswer {
     1: i32 code
     2: string request_id
@@ -115,9 +63,7 @@
 }
 
 service Peer {
-    BatchAnswer search(1: SubQueryBatch batch) throws (1: Refused refused)
     Heartbeat heartbeat(1: Heartbeat message) throws (1: Refused refused)
-    ActionAnswer act(1: ActionCall call) throws (1: Refused refused)
     ActionAnswer act_with_ticket(1: ActionRequest request)
         throws (1: Refused refused)
     void hand_over(1: HandOver part) throws (1: Refused refused)
--- a/packages/wire/src/corianderport_wire/request/admin_app.py
+++ b/packages/wire/src/corianderport_wire/request/admin_app.py
@@ -44,9 +44,6 @@
     def peers(self) -> tuple[administration.PeerView, ...]:
         """Return the listed hosts."""
 
-    def owners(self) -> tuple[administration.OwnerView, ...]:
-        """Return the owners of each service."""
-
     def upstreams(self) -> tuple[administration.UpstreamView, ...]:
         """Return the state of each searcher that the host sends to."""
 
@@ -136,7 +133,6 @@
     '/ready': _ready,
     '/version': lambda view: _json(view.version()),
     '/peers': lambda view: _json(view.peers()),
-    '/owners': lambda view: _json(view.owners()),
     '/upstreams': lambda view: _json(view.upstreams()),
     '/decisions': lambda view: _json(view.decisions()),
     '/metrics': _metrics,
--- a/packages/wire/src/corianderport_wire/request/upstream_codec.py
+++ b/packages/wire/src/corianderport_wire/request/upstream_codec.py
@@ -1,6 +1,6 @@
 """corianderport_wire.request.upstream_codec
 
-JSON bodies of the calls between an owner and a searcher.
+JSON bodies of the calls between a host and a searcher.
 """
 
 import typing
