Let one host of a data centre read the store for the others

Ruled out: longer watches (a watch without an answer has to be given up within the time in touch); changes in heartbeats (several periods late); readers in small fleets (a reader has to call once a second to be found stale in time, which is no gain at two hosts in a data centre).

Change: in a data centre with six hosts or more, one for each 24 reads the store with watches of a second, chosen by rendezvous hashing; the others wait for changes at it over thrift. A reader that is silent, stale for 1.5 s or lacks changes is not asked for five seconds, and the store is read at once. The store's contents travel as they are stored; each host decodes them itself, in the adapter as before. The line about the hosts that may be sending is bounded, whatever the size of the fleet.

Tests: relay (history, gap, staleness, return of the store), choice of the reader, calls that do not grow, and a state machine of eight hosts whose store, readers and views fail: a host that reaches the store knows a change within 2.6 s (found a freshness of 20 s when tried).

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -16,6 +16,7 @@
 
 from corianderport_daemon.process import entry_settings
 from corianderport_daemon.process import fleet
+from corianderport_daemon.process import news_peer
 from corianderport_tier import clocks
 from corianderport_tier.connection import pool
 from corianderport_tier.connection import transports
@@ -25,6 +26,8 @@
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import metrics
 from corianderport_tier.process import registry_reader
+from corianderport_tier.process import registry_relay
+from corianderport_tier.process import registry_source
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
@@ -72,6 +75,9 @@
     def registry(self, address: str) -> transports.Registry:
         """Return a connection to the store, for one task."""
 
+    def decode(self, key: str, content: bytes) -> registrations.Published:
+        """Return what the content of a key of the store says."""
+
     def dialer(self, clock: clocks.Clock) -> transports.SearcherDialer:
         """Return what opens connections to searchers."""
 
@@ -112,6 +118,7 @@
         )
         self._metrics = metrics.Metrics()
         self._log = decision_log.DecisionLog(observer=self._metrics)
+        relay = registry_relay.RegistryRelay(clock)
         self._fleet = fleet.Fleet(
             settings,
             self._executor,
@@ -119,6 +126,7 @@
             self._version,
             lambda member, version: None,
             self._fleet_changed,
+            relay,
         )
         self._share = fleet_share.FleetShare(
             settings.fleet, settings.host, lambda: self._fleet.hosts
@@ -141,7 +149,17 @@
         self._settings_stamp = adapter.settings_stamp()
         self._reader = registry_reader.RegistryReader(
             adapter.prefix,
-            adapter.registry(settings.store_address),
+            registry_source.RegistrySource(
+                adapter.registry(settings.store_address),
+                relay,
+                self._stack.enter_context(
+                    news_peer.NewsConnection(self._fleet.dialer)
+                ),
+                self._fleet.own,
+                lambda: self._fleet.view,
+                clock,
+            ),
+            adapter.decode,
             self._directory,
             clock,
             registry_reader.ReaderTimes(watch_s=settings.watch_s),
--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -17,6 +17,7 @@
 from corianderport_tier.process import gossip
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
+from corianderport_tier.process import registry_relay
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_client
 from corianderport_wire.connection import peer_server
@@ -32,6 +33,7 @@
     :param version: returns the version of the routing in force.
     :param version_heard: is told of the version of each host.
     :param changed: called after the number of hosts has changed.
+    :param relay: changes of the store for hosts that ask for them.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         version: collections.abc.Callable[[], int],
         version_heard: heartbeats.VersionHeard,
         changed: collections.abc.Callable[[], None],
+        relay: registry_relay.RegistryRelay,
     ) -> None:
         self._executor = executor
         self._stack = contextlib.ExitStack()
@@ -58,14 +61,16 @@
             incarnation=incarnations.new_incarnation(clock),
         )
         region_of = settings.regions.get
-        members = membership.Membership(own, clock, region_of)
+        self._members = membership.Membership(own, clock, region_of)
+        self._relay = relay
+        self.dialer = peer_client.ThriftPeerDialer(clock, keys)
         self._exchange = heartbeats.HeartbeatExchange(
-            members, version, version_heard
+            self._members, version, version_heard
         )
         self._gossip = gossip.Gossip(
-            members,
+            self._members,
             self._exchange,
-            peer_client.ThriftPeerDialer(clock, keys),
+            self.dialer,
             region_of,
             settings.seeds,
             executor,
@@ -77,7 +82,9 @@
         self._stack.callback(self._gossip.close)
 
     def __enter__(self) -> typing.Self:
-        self._server.start(gossip_calls.GossipCalls(self._exchange))
+        self._server.start(
+            gossip_calls.GossipCalls(self._exchange, self._relay)
+        )
         self._executor.submit(self._gossip.run)
         return self
 
@@ -89,6 +96,16 @@
     ) -> None:
         self._stack.close()
 
+    @property
+    def own(self) -> membership.Member:
+        """This host."""
+        return self._members.own
+
+    @property
+    def view(self) -> membership.View:
+        """The present view of the hosts."""
+        return self._members.view
+
     @property
     def hosts(self) -> tuple[str, ...]:
         """Names of the hosts that may be sending."""
--- a/packages/daemon/src/corianderport_daemon/process/gossip_calls.py
+++ b/packages/daemon/src/corianderport_daemon/process/gossip_calls.py
@@ -1,28 +1,41 @@
 """corianderport_daemon.process.gossip_calls
 
-What an entry host that sends to searchers itself serves to other hosts.
+What an entry host on the platform serves to other hosts.
 """
 
 from corianderport_tier import errors
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
+from corianderport_tier.process import registry_relay
 from corianderport_tier.request import messages
+from corianderport_tier.version import registrations
 
 __all__ = ['GossipCalls']
 
-_NOT_SERVED = 'this host serves heartbeats only'
+_NOT_SERVED = 'this host serves no tickets and no documents'
 
 
 class GossipCalls:
-    """Serves heartbeats and refuses all other calls."""
+    """Serves heartbeats and changes of the store, and refuses the rest."""
 
-    def __init__(self, exchange: heartbeats.HeartbeatExchange) -> None:
+    def __init__(
+        self,
+        exchange: heartbeats.HeartbeatExchange,
+        relay: registry_relay.RegistryRelay,
+    ) -> None:
         self._exchange = exchange
+        self._relay = relay
 
     def heartbeat(self, message: heartbeats.Heartbeat) -> heartbeats.Heartbeat:
         """Take a heartbeat and return the reply."""
         return self._exchange.receive(message)
 
+    def news(
+        self, after: registrations.Revision, wait_s: float
+    ) -> registrations.StoredEntries:
+        """Return changes that this host has read from the store."""
+        return self._relay.news(after, wait_s)
+
     def act_with_ticket(
         self, request: messages.ActionRequest
     ) -> messages.ActionAnswer:
--- a/packages/testkit/src/corianderport_testkit/process/control_group.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_group.py
@@ -18,6 +18,7 @@
 from corianderport_tier.process import membership
 from corianderport_tier.process import warming_hosts
 from corianderport_tier.version import configuration
+from corianderport_tier.version import registrations
 from corianderport_wire.version import document
 
 __all__ = [
@@ -100,6 +101,11 @@
         newer = accepted.configuration.version > known_version
         return accepted.document if newer else None
 
+    def news(
+        self, after: int, wait_s: float, timeout_s: float
+    ) -> registrations.StoredEntries:
+        raise NotImplementedError
+
     def act_with_ticket(
         self, request: typing.Any, timeout_s: float
     ) -> typing.Any:
--- a/packages/testkit/src/corianderport_testkit/process/control_peers.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_peers.py
@@ -14,6 +14,7 @@
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
 from corianderport_tier.request import messages
+from corianderport_tier.version import registrations
 
 __all__ = ['ControlPeer', 'end_process', 'tasks']
 
@@ -42,6 +43,12 @@
         """Take a heartbeat and return the reply."""
         return self._exchange.receive(message)
 
+    def news(
+        self, after: registrations.Revision, wait_s: float
+    ) -> registrations.StoredEntries:
+        """Refuse: this host reads no store of searchers."""
+        raise errors.NotReady('no store is read')
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the version in force, and its document when newer."""
         accepted = self._store.accepted()
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -119,7 +119,7 @@
 class Registry(typing.Protocol):
     """The platform's store, read only; used by one task."""
 
-    def read(self, prefix: str) -> registrations.Listing:
+    def read(self, prefix: str) -> registrations.StoredEntries:
         """Return all entries below a prefix.
 
         The revision is that of the first page, so that a watch from there
@@ -130,7 +130,7 @@
 
     def watch(
         self, prefix: str, after: registrations.Revision, wait_s: float
-    ) -> registrations.Listing:
+    ) -> registrations.StoredEntries:
         """Wait for changes and return them in their order.
 
         :raises HistoryGone: the changes are not to be had any more.
@@ -159,6 +159,15 @@
     ) -> bytes | None:
         """Return the peer's document when it is newer, else None."""
 
+    def news(
+        self, after: registrations.Revision, wait_s: float, timeout_s: float
+    ) -> registrations.StoredEntries:
+        """Wait for changes that the peer has read from the store.
+
+        :raises HistoryGone: the peer does not know all of them.
+        :raises NotReady: the peer has not heard of the store just now.
+        """
+
     def heartbeat(
         self, message: heartbeats.Heartbeat, timeout_s: float
     ) -> heartbeats.Heartbeat:
--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -25,6 +25,7 @@
 
 _LOG = logging.getLogger(__name__)
 _SEED = 'seed'
+_MOST_NAMED = 8
 
 
 @attrs.frozen
@@ -190,6 +191,20 @@
             found.append(member.name)
         hosts = tuple(found)
         if hosts != self._hosts:
-            _LOG.info('hosts that may be sending: %s', ', '.join(hosts))
+            added = sorted(set(hosts) - set(self._hosts))
+            gone = sorted(set(self._hosts) - set(hosts))
+            _LOG.info(
+                'hosts that may be sending: %d, added %s, gone %s',
+                len(hosts),
+                _some(added),
+                _some(gone),
+            )
             self._hosts = hosts
             self._changed()
+
+
+def _some(names: list[str]) -> str:
+    """Name the first hosts of a list, for a log line of bounded length."""
+    named = ', '.join(names[:_MOST_NAMED]) or 'none'
+    more = len(names) - _MOST_NAMED
+    return f'{named} and {more} more' if more > 0 else named
--- a/packages/tier/src/corianderport_tier/process/registry_reader.py
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -6,6 +6,7 @@
 searchers arrive in the order in which they were written.
 """
 
+import collections.abc
 import logging
 import random
 import threading
@@ -18,10 +19,13 @@
 from corianderport_tier.process import directory
 from corianderport_tier.version import registrations
 
-__all__ = ['ReaderTimes', 'RegistryReader']
+__all__ = ['Decode', 'ReaderTimes', 'RegistryReader']
 
 _LOG = logging.getLogger(__name__)
 
+# Returns what the content of a key says; raises nothing.
+Decode = collections.abc.Callable[[str, bytes], registrations.Published]
+
 
 @attrs.frozen
 class ReaderTimes:
@@ -49,6 +53,7 @@
         self,
         prefix: str,
         registry: transports.Registry,
+        decode: Decode,
         found: directory.Directory,
         clock: clocks.Clock,
         times: ReaderTimes,
@@ -56,6 +61,7 @@
     ) -> None:
         self._prefix = prefix
         self._registry = registry
+        self._decode = decode
         self._directory = found
         self._clock = clock
         self._times = times
@@ -91,9 +97,12 @@
             self._condition.notify_all()
 
     def _read(self) -> None:
-        listing = self._registry.read(self._prefix)
+        stored = self._registry.read(self._prefix)
         returned = self._failures > 0 and self._ever_read
         self._on_success()
+        listing = registrations.Listing(
+            self._decoded(stored.entries), stored.revision
+        )
         self._directory.replace(self._prefix, listing, returned)
         self._revision = listing.revision
         self._ever_read = True
@@ -102,12 +111,26 @@
         returned = self._failures > 0
         times = self._times
         wait_s = times.watch_after_failure_s if returned else times.watch_s
-        listing = self._registry.watch(self._prefix, after, wait_s)
+        changes = self._registry.watch(self._prefix, after, wait_s)
         self._on_success()
-        if listing.entries:
-            self._directory.apply(listing.entries, returned)
+        if changes.entries:
+            self._directory.apply(
+                self._decoded(changes.entries), returned or changes.returned
+            )
             self._pause(self._times.settle_s)
-        self._revision = max(after, listing.revision)
+        self._revision = max(after, changes.revision)
+
+    def _decoded(
+        self, entries: collections.abc.Iterable[registrations.StoredEntry]
+    ) -> list[registrations.Entry]:
+        return [
+            registrations.Entry(
+                e.key,
+                e.revision,
+                None if e.content is None else self._decode(e.key, e.content),
+            )
+            for e in entries
+        ]
 
     def _on_success(self) -> None:
         if self._failures:
--- a/packages/tier/src/corianderport_tier/version/registrations.py
+++ b/packages/tier/src/corianderport_tier/version/registrations.py
@@ -17,6 +17,8 @@
     'Published',
     'Registration',
     'Revision',
+    'StoredEntries',
+    'StoredEntry',
     'Unreadable',
 ]
 
@@ -79,3 +81,24 @@
 
     entries: collections.abc.Sequence[Entry]
     revision: Revision
+
+
+@attrs.frozen
+class StoredEntry:
+    """A key with its content as stored, None where it was removed."""
+
+    key: str
+    revision: Revision
+    content: bytes | None
+
+
+@attrs.frozen
+class StoredEntries:
+    """Entries as stored, and the revision from which a watch continues.
+
+    ``returned`` says that whoever read them had lost the store before.
+    """
+
+    entries: collections.abc.Sequence[StoredEntry]
+    revision: Revision
+    returned: bool = False
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/news_codec.py
@@ -0,0 +1,46 @@
+"""corianderport_wire.connection.news_codec
+
+Thrift structures of the store's changes that hosts pass on.
+"""
+
+import typing
+
+from corianderport_tier.version import registrations
+from corianderport_wire.connection import peer_codec
+
+__all__ = ['entries_from_thrift', 'entries_to_thrift', 'request_to_thrift']
+
+_PEER = peer_codec.PEER
+
+
+def request_to_thrift(
+    after: registrations.Revision, wait_s: float
+) -> typing.Any:
+    """Return the structure of a request for changes."""
+    return _PEER.NewsRequest(after=after, wait_ms=wait_s * 1e3)
+
+
+def entries_to_thrift(stored: registrations.StoredEntries) -> typing.Any:
+    """Return the structure of changes."""
+    return _PEER.StoredEntries(
+        entries=[
+            _PEER.StoredEntry(
+                key=e.key, revision=e.revision, content=e.content
+            )
+            for e in stored.entries
+        ],
+        revision=stored.revision,
+        returned=stored.returned or None,
+    )
+
+
+def entries_from_thrift(fields: typing.Any) -> registrations.StoredEntries:
+    """Return the changes of a structure."""
+    return registrations.StoredEntries(
+        [
+            registrations.StoredEntry(e.key, e.revision, e.content)
+            for e in fields.entries or ()
+        ],
+        fields.revision,
+        bool(fields.returned),
+    )
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -17,8 +17,10 @@
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
 from corianderport_tier.request import messages
+from corianderport_tier.version import registrations
 from corianderport_wire.connection import action_codec
 from corianderport_wire.connection import heartbeat_codec
+from corianderport_wire.connection import news_codec
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
 from corianderport_wire import faults
@@ -72,6 +74,15 @@
             self._call(self._client.heartbeat, fields, timeout_s)
         )
 
+    def news(
+        self, after: registrations.Revision, wait_s: float, timeout_s: float
+    ) -> registrations.StoredEntries:
+        """Wait for changes that the peer has read from the store."""
+        fields = news_codec.request_to_thrift(after, wait_s)
+        return news_codec.entries_from_thrift(
+            self._call(self._client.news, fields, timeout_s)
+        )
+
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -18,8 +18,10 @@
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
 from corianderport_tier.request import messages
+from corianderport_tier.version import registrations
 from corianderport_wire.connection import action_codec
 from corianderport_wire.connection import heartbeat_codec
+from corianderport_wire.connection import news_codec
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
 
@@ -50,6 +52,11 @@
     def hand_over(self, part: handed_over.HandOver) -> None:
         """Keep ticket outcomes of a host that stops."""
 
+    def news(
+        self, after: registrations.Revision, wait_s: float
+    ) -> registrations.StoredEntries:
+        """Return changes of the store, once there are any."""
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the version in force, and its document when newer."""
 
@@ -82,6 +89,13 @@
         except errors.CorianderportError as error:
             raise _refused(error) from error
 
+    def news(self, request: typing.Any) -> typing.Any:
+        try:
+            stored = self._service.news(request.after, request.wait_ms / 1e3)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return news_codec.entries_to_thrift(stored)
+
     def configuration(self, known_version: int) -> typing.Any:
         try:
             version, content = self._service.document(known_version)
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -57,6 +57,24 @@
     8: string series
 }
 
+struct StoredEntry {
+    1: string key
+    2: i64 revision
+    // Absent where the key was removed.
+    3: optional binary content
+}
+
+struct StoredEntries {
+    1: list<StoredEntry> entries
+    2: i64 revision
+    3: optional bool returned
+}
+
+struct NewsRequest {
+    1: i64 after
+    2: double wait_ms
+}
+
 exception Refused {
     1: i32 code
     2: string text
@@ -67,5 +85,6 @@
     ActionAnswer act_with_ticket(1: ActionRequest request)
         throws (1: Refused refused)
     void hand_over(1: HandOver part) throws (1: Refused refused)
+    StoredEntries news(1: NewsRequest request) throws (1: Refused refused)
     Document configuration(1: i64 known_version) throws (1: Refused refused)
 }
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -6,7 +6,6 @@
 
 from corianderport_platform import store
 from corianderport_tier import errors
-from corianderport_tier.version import registrations
 
 from . import stand_ins
 
@@ -43,9 +42,9 @@
     served.put('op/evacuate/west-a', {})
     served.remove('op/evacuate/west-a')
     changes = registry.watch('op/', listing.revision, 5.0)
-    assert [e.value for e in changes.entries] == [
-        registrations.OutOfService('west-a'),
-        None,
+    assert [(e.key, e.content) for e in changes.entries] == [
+        ('op/evacuate/west-a', b'{}'),
+        ('op/evacuate/west-a', None),
     ]
     assert registry.watch('op/', changes.revision, 0.0).entries == []
 
--- a/tests/tier/test_registry_reader.py
+++ b/tests/tier/test_registry_reader.py
@@ -13,7 +13,17 @@
 
 from . import entries
 
-_EMPTY = registrations.Listing((), 3)
+_EMPTY = registrations.StoredEntries((), 3)
+
+
+_VALUES: typing.Any = {
+    ('s1', b''): entries.registration('s1'),
+    ('routing', b''): entries.routing(2, entries.route()),
+}
+
+
+def _stored(revision: int, key: str) -> registrations.StoredEntry:
+    return registrations.StoredEntry(key, revision, b'')
 
 
 class _Directory:
@@ -40,20 +50,20 @@
         self.script = collections.deque(script)
         self.calls: list[tuple[str, float]] = []
 
-    def read(self, prefix: str) -> registrations.Listing:
+    def read(self, prefix: str) -> registrations.StoredEntries:
         return self._next(f'read {prefix}', 0.0)
 
     def watch(
         self, prefix: str, after: int, wait_s: float
-    ) -> registrations.Listing:
+    ) -> registrations.StoredEntries:
         return self._next(f'watch {after}', wait_s)
 
-    def _next(self, call: str, wait_s: float) -> registrations.Listing:
+    def _next(self, call: str, wait_s: float) -> registrations.StoredEntries:
         self.calls.append((call, wait_s))
         answer = self.script.popleft()
         if isinstance(answer, Exception):
             raise answer
-        assert isinstance(answer, registrations.Listing)
+        assert isinstance(answer, registrations.StoredEntries)
         return answer
 
 
@@ -71,6 +81,7 @@
     return registry_reader.RegistryReader(
         'op/',
         registry,
+        lambda key, content: _VALUES[key, content],
         typing.cast(typing.Any, found),
         _ImmediateClock(),
         registry_reader.ReaderTimes(),
@@ -97,9 +108,7 @@
 
 
 def test_changes_after_a_failure_are_marked(found: _Directory) -> None:
-    change = registrations.Listing(
-        (entries.entry(4, entries.registration('s1')),), 4
-    )
+    change = registrations.StoredEntries((_stored(4, 's1'),), 4)
     registry = _Registry(
         _EMPTY, errors.ConnectionBroken('reset'), change, change
     )
@@ -113,7 +122,7 @@
     registry = _Registry(
         _EMPTY,
         errors.HistoryGone('410'),
-        registrations.Listing((), 20),
+        registrations.StoredEntries((), 20),
         _EMPTY,
     )
     reader = _reader(registry, found)
@@ -129,10 +138,10 @@
 
 def test_routing_and_searchers_arrive_in_one_call(found: _Directory) -> None:
     """A routing must not be known before the searchers that it names."""
-    changes = registrations.Listing(
+    changes = registrations.StoredEntries(
         (
-            entries.entry(4, entries.registration('s1')),
-            entries.entry(5, entries.routing(2, entries.route())),
+            _stored(4, 's1'),
+            _stored(5, 'routing'),
         ),
         5,
     )
@@ -140,7 +149,30 @@
     reader = _reader(registry, found)
     for _ in range(2):
         reader.step()
-    assert found.changes == changes.entries
+    assert [e.value for e in found.changes] == [
+        _VALUES['s1', b''],
+        _VALUES['routing', b''],
+    ]
+
+
+def test_removed_key_has_no_value(found: _Directory) -> None:
+    removed = registrations.StoredEntry('s1', 4, None)
+    registry = _Registry(_EMPTY, registrations.StoredEntries((removed,), 4))
+    reader = _reader(registry, found)
+    for _ in range(2):
+        reader.step()
+    assert found.changes == [registrations.Entry('s1', 4, None)]
+
+
+def test_changes_of_a_reader_that_lost_the_store_are_marked(
+    found: _Directory,
+) -> None:
+    """Guards against entries that lapsed being dropped at once."""
+    change = registrations.StoredEntries((_stored(4, 's1'),), 4, returned=True)
+    reader = _reader(_Registry(_EMPTY, change), found)
+    for _ in range(2):
+        reader.step()
+    assert found.taken[1:] == [('apply', True)]
 
 
 def test_retries_are_spread_and_bounded(found: _Directory) -> None:
@@ -150,6 +182,7 @@
     reader = registry_reader.RegistryReader(
         'op/',
         registry,
+        lambda key, content: _VALUES[key, content],
         typing.cast(typing.Any, found),
         clock,
         registry_reader.ReaderTimes(),
--- /dev/null
+++ b/tests/tier/test_registry_relay.py
@@ -0,0 +1,85 @@
+"""RegistryRelay: a host passes on what the store has told it."""
+
+import pytest
+
+from corianderport_testkit import clock as clock_module
+from corianderport_tier import errors
+from corianderport_tier.process import registry_relay
+from corianderport_tier.version import registrations
+
+
+def _entry(revision: int) -> registrations.StoredEntry:
+    return registrations.StoredEntry(f'k{revision}', revision, b'')
+
+
+def _changes(
+    *revisions: int, returned: bool = False
+) -> registrations.StoredEntries:
+    return registrations.StoredEntries(
+        [_entry(r) for r in revisions], max(revisions), returned
+    )
+
+
+class _Setting:
+    def __init__(self) -> None:
+        self.clock = clock_module.ManualClock()
+        self.relay = registry_relay.RegistryRelay(self.clock)
+
+    def news(self, after: int) -> list[int]:
+        found = self.relay.news(after, 0.0)
+        return [e.revision for e in found.entries]
+
+
+@pytest.fixture(name='setting')
+def _setting() -> _Setting:
+    return _Setting()
+
+
+def test_host_without_news_refuses(setting: _Setting) -> None:
+    """Guards against an empty answer that looks like calm."""
+    with pytest.raises(errors.NotReady):
+        setting.news(0)
+
+
+def test_changes_after_a_revision_are_passed_on(setting: _Setting) -> None:
+    setting.relay.restart(4)
+    setting.relay.take(4, _changes(5, 6))
+    setting.relay.take(6, _changes(7))
+    assert setting.news(5) == [6, 7]
+    assert setting.relay.news(7, 0.0).revision == 7
+
+
+def test_gap_in_the_history_is_told(setting: _Setting) -> None:
+    """Guards against changes that a follower never hears of."""
+    setting.relay.restart(4)
+    setting.relay.take(4, _changes(5))
+    # The changes up to 9 came from another host.
+    setting.relay.take(9, _changes(10))
+    with pytest.raises(errors.HistoryGone):
+        setting.news(5)
+    assert setting.news(9) == [10]
+
+
+def test_history_is_bounded(setting: _Setting) -> None:
+    setting.relay.restart(0)
+    for revision in range(1, 400):
+        setting.relay.take(revision - 1, _changes(revision))
+    with pytest.raises(errors.HistoryGone):
+        setting.news(1)
+    assert setting.news(390) == list(range(391, 400))
+
+
+def test_stale_host_refuses(setting: _Setting) -> None:
+    """Guards against followers of a host that has lost the store."""
+    setting.relay.restart(4)
+    setting.clock.advance(registry_relay.FRESH_S + 0.1)
+    with pytest.raises(errors.NotReady):
+        setting.news(4)
+
+
+def test_return_of_the_store_is_told(setting: _Setting) -> None:
+    setting.relay.restart(4)
+    setting.relay.take(4, _changes(5, returned=True))
+    setting.relay.take(5, _changes(6))
+    assert setting.relay.news(4, 0.0).returned
+    assert not setting.relay.news(5, 0.0).returned
--- /dev/null
+++ b/tests/tier/test_registry_source.py
@@ -0,0 +1,245 @@
+"""RegistrySource: whom a host asks for changes, and how old they get."""
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from corianderport_testkit import clock as clock_module
+from corianderport_tier import errors
+from corianderport_tier.process import membership
+from corianderport_tier.process import registry_relay
+from corianderport_tier.process import registry_source
+from corianderport_tier.version import registrations
+
+_NAMES = [f'h{n}' for n in range(8)]
+# A version is due at all hosts within three seconds, and waits up to 1.5 s
+# for searchers of new services.
+_DUE_S = 3.0 - 0.4
+
+
+def _member(name: str, data_centre: str = 'dc') -> membership.Member:
+    return membership.Member(name, data_centre, name)
+
+
+def _view(
+    names: list[str], suspected: tuple[str, ...] = ()
+) -> membership.View:
+    members = tuple(_member(n) for n in names)
+    return membership.View(
+        1,
+        members,
+        members,
+        {
+            n: membership.Standing.SUSPECT
+            if n in suspected
+            else membership.Standing.ALIVE
+            for n in names
+        },
+    )
+
+
+def _reader(names: list[str], own: str, *suspected: str) -> str | None:
+    found = registry_source.reader_for(_member(own), _view(names, suspected))
+    return None if found is None else found.name
+
+
+def test_hosts_of_a_data_centre_agree_on_one_reader() -> None:
+    readers = {_reader(_NAMES, name) for name in _NAMES}
+    assert len(readers) == 1
+    assert readers <= set(_NAMES)
+
+
+def test_each_host_of_a_small_fleet_reads() -> None:
+    assert {_reader(_NAMES[:5], n) for n in _NAMES[:5]} == {None}
+
+
+def test_readers_grow_with_the_data_centre() -> None:
+    """Guards against one host that serves a large data centre."""
+    names = [f'h{n}' for n in range(100)]
+    chosen = [_reader(names, name) for name in names]
+    counts = {reader: chosen.count(reader) for reader in chosen}
+    assert len(counts) == 5
+    # Above it a reader refuses, and hosts read for themselves.
+    assert max(counts.values()) <= 32
+
+
+def test_suspected_reader_is_not_asked() -> None:
+    first = _reader(_NAMES, 'h0')
+    assert first is not None
+    others = [n for n in _NAMES if n != first]
+    assert first not in {_reader(_NAMES, n, first) for n in others}
+
+
+class _Store:
+    """A store whose changes are numbered; hosts may lose it."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.calls = 0
+        self.lost: set[str] = set()
+
+
+@attrs.define
+class _Connection:
+    """A host's connection to the store; a watch never waits."""
+
+    store: _Store
+    host: str
+    clock: clock_module.ManualClock
+
+    def read(self, prefix: str) -> registrations.StoredEntries:
+        raise NotImplementedError
+
+    def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> registrations.StoredEntries:
+        self.store.calls += 1
+        if self.host in self.store.lost:
+            raise errors.ConnectionSilent('lost')
+        changed = range(after + 1, self.store.revision + 1)
+        return registrations.StoredEntries(
+            [registrations.StoredEntry('k', r, b'') for r in changed],
+            max(after, self.store.revision),
+        )
+
+
+class _Fleet:
+    """Hosts that step in turn, each as often as its calls take."""
+
+    def __init__(self, names: list[str]) -> None:
+        self.clock = clock_module.ManualClock()
+        self.store = _Store()
+        self.view = _view(names)
+        self.cut: set[str] = set()
+        self.relays = {
+            n: registry_relay.RegistryRelay(self.clock) for n in names
+        }
+        self.known = dict.fromkeys(names, 1)
+        self.sources = {
+            n: registry_source.RegistrySource(
+                _Connection(self.store, n, self.clock),
+                self.relays[n],
+                self,
+                _member(n),
+                lambda: self.view,
+                self.clock,
+            )
+            for n in names
+        }
+
+    def news(
+        self,
+        member: membership.Member,
+        after: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> registrations.StoredEntries:
+        if member.name in self.cut:
+            raise errors.ConnectionSilent('cut')
+        return self.relays[member.name].news(after, 0.0)
+
+    def step(self, name: str) -> None:
+        try:
+            found = self.sources[name].watch('', self.known[name], 2.2)
+        except errors.CorianderportError:
+            return
+        self.known[name] = max(self.known[name], found.revision)
+
+    def run(self, seconds: float) -> None:
+        """Let each host call twice a second."""
+        for _ in range(int(2 * seconds)):
+            for name in self.sources:
+                self.step(name)
+            self.clock.advance(0.5)
+
+
+def test_calls_to_the_store_do_not_grow_with_the_hosts() -> None:
+    fleet = _Fleet(_NAMES)
+    fleet.run(10.0)
+    calls = fleet.store.calls
+    fleet.run(10.0)
+    # One host reads, twice a second here.
+    assert fleet.store.calls - calls == 20
+
+
+def test_followers_read_themselves_while_the_reader_is_lost() -> None:
+    fleet = _Fleet(_NAMES)
+    fleet.run(5.0)
+    reader = _reader(_NAMES, 'h0')
+    assert reader is not None
+    fleet.cut.add(reader)
+    fleet.store.revision = 5
+    fleet.run(0.5)
+    assert set(fleet.known.values()) == {5}
+
+
+def test_lost_and_regained_store_is_told() -> None:
+    fleet = _Fleet(_NAMES[:3])
+    fleet.store.lost.add('h0')
+    source = fleet.sources['h0']
+    with pytest.raises(errors.ConnectionSilent):
+        source.watch('', 1, 2.2)
+    fleet.store.lost.clear()
+    assert source.watch('', 1, 0.0).returned
+    assert not source.watch('', 1, 0.0).returned
+
+
+class FollowersMachine(stateful.RuleBasedStateMachine):
+    """Whatever fails, a host that reaches the store is told in time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = _Fleet(_NAMES)
+        self.fleet.run(6.0)
+        self.changed_s = self.fleet.clock.monotonic()
+        self.well_s = dict.fromkeys(_NAMES, float('-inf'))
+
+    @stateful.rule(name=strategies.sampled_from(_NAMES))
+    def lose_or_regain_store(self, name: str) -> None:
+        self.fleet.store.lost ^= {name}
+        self.well_s[name] = self.fleet.clock.monotonic()
+
+    @stateful.rule(name=strategies.sampled_from(_NAMES))
+    def cut_or_join(self, name: str) -> None:
+        self.fleet.cut ^= {name}
+
+    @stateful.rule(suspected=strategies.sets(strategies.sampled_from(_NAMES)))
+    def change_view(self, suspected: set[str]) -> None:
+        self.fleet.view = _view(_NAMES, tuple(suspected))
+
+    @stateful.rule()
+    def publish(self) -> None:
+        self.fleet.store.revision += 1
+        self.changed_s = self.fleet.clock.monotonic()
+
+    @stateful.rule(cut=strategies.booleans(), steps=strategies.integers(1, 12))
+    def publish_while_the_reader_fails(self, cut: bool, steps: int) -> None:
+        reader = registry_source.reader_for(_member('h0'), self.fleet.view)
+        if reader is not None and cut:
+            self.fleet.cut.add(reader.name)
+        elif reader is not None:
+            self.fleet.store.lost.add(reader.name)
+        self.publish()
+        self.run(steps)
+
+    @stateful.rule(steps=strategies.integers(1, 12))
+    def run(self, steps: int) -> None:
+        self.fleet.run(steps / 2)
+
+    @stateful.invariant()
+    def hosts_that_reach_the_store_know_the_newest(self) -> None:
+        now_s = self.fleet.clock.monotonic()
+        if now_s - self.changed_s < _DUE_S:
+            return
+        for name in _NAMES:
+            lost = name in self.fleet.store.lost
+            if not lost and now_s - self.well_s[name] >= _DUE_S:
+                assert self.fleet.known[name] == self.fleet.store.revision
+
+
+FollowersMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=25
+)
+TestFollowers = FollowersMachine.TestCase
--- a/tests/wire/test_peer_versions.py
+++ b/tests/wire/test_peer_versions.py
@@ -11,7 +11,9 @@
 
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
+from corianderport_tier.version import registrations
 from corianderport_wire.connection import heartbeat_codec
+from corianderport_wire.connection import news_codec
 from corianderport_wire.connection import peer_codec
 
 _IDL = pathlib.Path(peer_codec.__file__).parent.parent / 'peer.thrift'
@@ -82,3 +84,20 @@
     assert read.rumours[0].standing is membership.Standing.GONE
     assert read.sender == _MESSAGE.sender
     assert read.joining
+
+
+def test_changes_of_the_store_keep_their_content() -> None:
+    """Guards against an empty content that is taken for a removal."""
+    stored = registrations.StoredEntries(
+        [
+            registrations.StoredEntry('a', 3, b'\x00{}'),
+            registrations.StoredEntry('b', 4, b''),
+            registrations.StoredEntry('c', 5, None),
+        ],
+        6,
+        returned=True,
+    )
+    read = _transfer(
+        news_codec.entries_to_thrift(stored), peer_codec.PEER.StoredEntries()
+    )
+    assert news_codec.entries_from_thrift(read) == stored
