Divide bounds by the settings in force and connections by searcher

Cause: found by reading.

Ruled out: fewer connections by closing idle ones sooner (each costs 6 ms at the searcher).

Change: a service's budget takes ratio and window from the fleet's share each time its searchers are refreshed. Where a searcher accepts fewer connections than there are hosts, the first hosts in rendezvous order use it, unless a host could then use no searcher of the service. One weight function for rendezvous hashing. Removed: parameters and fields that were never set or read (hedge of Send, leaving of SearcherReply, searchers of Directory, health_path).

Tests: a state machine of six hosts whose views differ and that restart keeps extra sends and connections within the bounds; sums of connections for up to 75 hosts; bounds that change under open services.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -343,7 +343,6 @@
             name,
             self._settings.data_centre,
             self._share,
-            self._settings.fleet.extra_ratio,
             self._open_pool,
             self._clock,
             self._rng,
--- a/packages/tier/src/corianderport_tier/process/budgets.py
+++ b/packages/tier/src/corianderport_tier/process/budgets.py
@@ -11,13 +11,13 @@
 
 __all__ = ['Backoff', 'Budget', 'BudgetShare', 'ExtraBudget', 'SharedBudget']
 
-_BUCKET_S = 1.0
+_WINDOW_S = 10.0
 _BUCKETS = 10
 
 
 @attrs.frozen
 class BudgetShare:
-    """What may be spent in a window of ten seconds.
+    """What may be spent in a window.
 
     ``share`` is a fraction of the sub-requests counted in the window.
     """
@@ -34,10 +34,16 @@
 
 
 class Budget:
-    """Sub-requests and extra sub-requests of the last ten seconds."""
+    """Sub-requests and extra sub-requests of the last seconds.
 
-    def __init__(self, share: BudgetShare) -> None:
-        self._share = share
+    :param window_s: length of the window.
+    """
+
+    def __init__(
+        self, share: BudgetShare, window_s: float = _WINDOW_S
+    ) -> None:
+        self.share = share
+        self.window_s = window_s
         self._buckets: collections.deque[_Bucket] = collections.deque()
 
     def count_request(self, now_s: float) -> None:
@@ -64,9 +70,7 @@
         self._bucket(now_s)
         requests = sum(b.requests for b in self._buckets)
         spent = sum(b.spent for b in self._buckets)
-        allowed = max(
-            self._share.share * requests, self._share.minimum, minimum
-        )
+        allowed = max(self.share.share * requests, self.share.minimum, minimum)
         return spent + 1 <= allowed + slack
 
     def spend(self, now_s: float) -> None:
@@ -74,7 +78,7 @@
         self._bucket(now_s).spent += 1
 
     def _bucket(self, now_s: float) -> _Bucket:
-        number = int(now_s // _BUCKET_S)
+        number = int(now_s * _BUCKETS // self.window_s)
         buckets = self._buckets
         while buckets and buckets[0].number <= number - _BUCKETS:
             buckets.popleft()
--- a/packages/tier/src/corianderport_tier/process/directory.py
+++ b/packages/tier/src/corianderport_tier/process/directory.py
@@ -77,15 +77,6 @@
         """Whether routing and searchers have been read."""
         return self._routing is not None and self._any_searcher
 
-    @property
-    def searchers(self) -> int:
-        """Number of registered searchers, usable or not."""
-        with self._lock:
-            return sum(
-                isinstance(e.value, registrations.Registration)
-                for e in self._entries.values()
-            )
-
     def service(self, name: str) -> service_searchers.ServiceSearchers | None:
         """Return the state of a service, None when nothing names it."""
         return self._services.get(name)
--- a/packages/tier/src/corianderport_tier/process/fleet_share.py
+++ b/packages/tier/src/corianderport_tier/process/fleet_share.py
@@ -9,7 +9,8 @@
 import collections.abc
 
 import attrs
-import xxhash
+
+from corianderport_tier.process import rendezvous
 
 __all__ = ['FleetBounds', 'FleetShare']
 
@@ -20,6 +21,8 @@
 _CONNECTION_USE = 0.85
 # Hosts may disagree about the number of hosts for some seconds.
 _RATE_USE = 0.8
+# Hosts count requests in windows of their own.
+_RATIO_USE = 0.75
 # A host that has restarted does not know what it has spent before.
 _SLACK_USE = 0.5
 
@@ -55,6 +58,9 @@
         self._bounds = bounds
         self._own_name = own_name
         self._hosts = hosts
+        # Places of this host for searchers, among the hosts of that time.
+        self._places_among: collections.abc.Sequence[str] = ()
+        self._places: dict[str, int] = {}
 
     def use_bounds(self, bounds: FleetBounds) -> None:
         """Take over bounds that have changed."""
@@ -65,12 +71,30 @@
         """Number of hosts to divide by."""
         return max(self._bounds.expected_hosts, len(self._hosts()))
 
-    def connections(self, most: int) -> int:
+    def connections(self, searcher: str, most: int) -> int:
         """Return how many connections to one searcher this host may hold.
 
+        Where there is less than one for each host, the hosts that may hold
+        one are chosen by rendezvous hashing.
+
         :param most: what the searcher accepts from all hosts.
+        :return: 0 when other hosts use the searcher.
         """
-        return max(1, int(_CONNECTION_USE * most / self.hosts))
+        bound = _CONNECTION_USE * most
+        hosts = self.hosts
+        if bound >= hosts:
+            return int(bound / hosts)
+        return int(self._place(searcher) < max(1, int(bound)))
+
+    @property
+    def extra_ratio(self) -> float:
+        """Extra sends in a window for each request of this host."""
+        return _RATIO_USE * self._bounds.extra_ratio
+
+    @property
+    def extra_window_s(self) -> float:
+        """Length of the window of extra sends, seconds."""
+        return self._bounds.extra_window_s
 
     @property
     def extra_slack(self) -> float:
@@ -94,13 +118,16 @@
         return int(self._place(searcher) < int(bound))
 
     def _place(self, searcher: str) -> int:
-        own = _weight(self._own_name, searcher)
-        return sum(
-            _weight(name, searcher) > own
-            for name in self._hosts()
-            if name != self._own_name
-        )
-
-
-def _weight(host: str, searcher: str) -> int:
-    return xxhash.xxh64_intdigest(f'{host}/{searcher}'.encode())
+        hosts = self._hosts()
+        if hosts is not self._places_among:
+            self._places_among, self._places = hosts, {}
+        place = self._places.get(searcher)
+        if place is None:
+            own = rendezvous.weight(searcher, self._own_name)
+            place = sum(
+                rendezvous.weight(searcher, name) > own
+                for name in hosts
+                if name != self._own_name
+            )
+            self._places[searcher] = place
+        return place
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -24,10 +24,6 @@
     [registrations.Registration, int], searcher_state.SendPool
 ]
 
-# Keeps the extra sends below the bound although hosts count in windows of
-# their own.
-_EXTRA_USE = 0.75
-
 
 class NoChoice(enum.Enum):
     """Why no searcher can get a request now."""
@@ -56,7 +52,6 @@
         name: str,
         own_data_centre: str,
         share: fleet_share.FleetShare,
-        extra_ratio: float,
         open_pool: OpenPool,
         clock: clocks.Clock,
         rng: random.Random,
@@ -72,9 +67,7 @@
         self._traits: routes.ServiceTraits | None = None
         self._next_key = 0
         self._waiting: list[collections.abc.Callable[[], None]] = []
-        self._extra = budgets.Budget(
-            budgets.BudgetShare(_EXTRA_USE * extra_ratio)
-        )
+        self._extra = self._new_budget()
 
     def update(
         self,
@@ -88,6 +81,7 @@
         """
         now_s = self._clock.monotonic()
         with self._lock:
+            self._update_budget()
             if traits is not None:
                 self._traits = traits
             known, self._states = self._states, {}
@@ -100,7 +94,7 @@
                         registration, self._open_pool(registration, 1)
                     )
                 state.registration = registration
-                state.pool.limit_connections(self._connections())
+                state.pool.limit_connections(self._connections(state))
                 returned = registration.data_centre in cold
                 if news or returned:
                     self._note_cold(state, now_s, returned)
@@ -186,17 +180,31 @@
         for state in states.values():
             state.pool.close()
 
+    def _new_budget(self) -> budgets.Budget:
+        return budgets.Budget(
+            budgets.BudgetShare(self._share.extra_ratio),
+            self._share.extra_window_s,
+        )
+
+    def _update_budget(self) -> None:
+        """Take over bounds that have changed."""
+        if self._extra.window_s != self._share.extra_window_s:
+            self._extra = self._new_budget()
+        self._extra.share = budgets.BudgetShare(self._share.extra_ratio)
+
     def _candidates(
         self, excluded: collections.abc.Container[str], now_s: float
     ) -> list[SearcherState] | NoChoice:
         states = list(self._states.values())
         if not states:
             return NoChoice.NONE_REGISTERED
+        # Without one that this host may use, its requests would be lost.
+        states = [s for s in states if self._part_of(s) > 0] or states
         steps = (
             (NoChoice.ALL_TRIED, lambda s: s.name not in excluded),
             (NoChoice.ON_HOLD, lambda s: s.held_until_s <= now_s),
             (NoChoice.COLD, lambda s: self._warm_enough(s, now_s)),
-            (NoChoice.FULL, lambda s: s.in_flight < self._connections()),
+            (NoChoice.FULL, lambda s: s.in_flight < self._connections(s)),
         )
         for reason, allowed in steps:
             states = [s for s in states if allowed(s)]
@@ -213,9 +221,12 @@
             now_s, self._share.cold_rate(state.name, rate)
         )
 
-    def _connections(self) -> int:
+    def _part_of(self, state: SearcherState) -> int:
         most = self._traits.connections if self._traits else 1
-        return self._share.connections(most)
+        return self._share.connections(state.name, most)
+
+    def _connections(self, state: SearcherState) -> int:
+        return max(1, self._part_of(state))
 
     def _note_cold(
         self, state: SearcherState, now_s: float, returned: bool
--- a/packages/tier/src/corianderport_tier/request/forward_messages.py
+++ b/packages/tier/src/corianderport_tier/request/forward_messages.py
@@ -73,7 +73,6 @@
     receipt: str | None
     ran: bool
     other_searcher: bool = False
-    leaving: bool = False
 
     @property
     def succeeded(self) -> bool:
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -76,12 +76,10 @@
         part: SendOwner,
         choice: service_searchers.Choice,
         call: forward_messages.SearcherCall,
-        hedge: bool,
         clock: clocks.Clock,
     ) -> None:
         self.part = part
         self.choice = choice
-        self.hedge = hedge
         self.started_s = clock.monotonic()
         self._call = call
         self._clock = clock
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -90,10 +90,10 @@
     def launch(self) -> None:
         """Make the first send."""
         self.service.count_request()
-        self._send(hedge=False)
+        self._send()
 
     def hedge(self, last: bool) -> None:
-        """forward_send.Send to another searcher when the answer is late.
+        """Send to another searcher when the answer is late.
 
         :param last: an answer waits for few parts only, this one among
             them.
@@ -114,7 +114,7 @@
     def on_room(self) -> None:
         """Try again to send, when there was no room before."""
         if self.state is PartState.PENDING and not self._sends:
-            self._send(hedge=False)
+            self._send()
 
     def on_finished(self, send: forward_send.Send, reply: object) -> None:
         """Count the end of a send; called by the connection's task."""
@@ -175,7 +175,7 @@
         self._again(send, code, f'{type(error).__name__}: {error}')
 
     def _again(self, send: forward_send.Send, code: Code, reason: str) -> None:
-        """forward_send.Send once more where that is allowed, or fail."""
+        """Send once more where that is allowed, or fail."""
         self._note('send-failed', send.searcher, reason)
         if self._sends:
             return
@@ -185,11 +185,9 @@
         elif ran >= self._route.attempts or self._arrivals >= _MOST_SENDS:
             self._fail(code, reason)
         else:
-            self._send(hedge=False, failed=(code, reason))
+            self._send((code, reason))
 
-    def _send(
-        self, hedge: bool, failed: tuple[Code, str] | None = None
-    ) -> None:
+    def _send(self, failed: tuple[Code, str] | None = None) -> None:
         choice = self.service.choose(self._tried, self._latency.usual_s)
         if choice is service_searchers.NoChoice.ALL_TRIED and failed:
             choice = self.service.choose((), self._latency.usual_s)
@@ -201,7 +199,7 @@
             self._fail(*(failed or (Code.OVERLOADED, '')))
             self._note('no-retry', choice.state.name, 'budget is spent')
             return
-        self._start(choice, hedge)
+        self._start(choice, hedge=False)
 
     def _start(self, choice: service_searchers.Choice, hedge: bool) -> None:
         call = forward_messages.SearcherCall(
@@ -210,7 +208,7 @@
             self._request.payload,
             self._request.deadline,
         )
-        send = forward_send.Send(self, choice, call, hedge, self._clock)
+        send = forward_send.Send(self, choice, call, self._clock)
         if self._tried:
             self._note(
                 _LOG_KINDS[hedge], choice.state.name, 'another searcher'
@@ -278,8 +276,8 @@
                     usual_s=usual_s,
                 )
             return searcher_state.Ending(
-                failed=reply.other_searcher or reply.leaving,
-                unreachable=reply.other_searcher or reply.leaving,
+                failed=reply.other_searcher,
+                unreachable=reply.other_searcher,
                 full=True,
             )
         if isinstance(reply, errors.ConnectFailed):
--- a/packages/tier/src/corianderport_tier/version/routes.py
+++ b/packages/tier/src/corianderport_tier/version/routes.py
@@ -86,7 +86,6 @@
     """
 
     name: str
-    health_path: str
     connections: int
     warm_up_s: float
     cold_rate: float
--- a/tests/tier/entries.py
+++ b/tests/tier/entries.py
@@ -42,7 +42,7 @@
 
 def traits(service: str = 'stock', **fields: object) -> routes.ServiceTraits:
     """Return the traits of a service."""
-    found = routes.ServiceTraits(service, '/health', 24, 3.0, 0.0)
+    found = routes.ServiceTraits(service, 24, 3.0, 0.0)
     return attrs.evolve(found, **fields)
 
 
--- a/tests/tier/test_directory.py
+++ b/tests/tier/test_directory.py
@@ -49,7 +49,6 @@
                 name,
                 'dc-a',
                 share,
-                0.2,
                 open_pool,
                 self.clock,
                 random.Random(1),
--- a/tests/tier/test_fleet_share.py
+++ b/tests/tier/test_fleet_share.py
@@ -16,11 +16,30 @@
     ]
 
 
-@pytest.mark.parametrize('hosts', [1, 2, 6, 24])
-@pytest.mark.parametrize('most', [25, 96, 400])
+@pytest.mark.parametrize('hosts', [1, 2, 6, 24, 75])
+@pytest.mark.parametrize('most', [1, 25, 70, 400])
 def test_connections(hosts: int, most: int) -> None:
-    total = sum(s.connections(most) for s in _shares(hosts))
-    assert total <= max(most, hosts)
+    """Also where there are more hosts than connections."""
+    total = sum(s.connections('s1', most) for s in _shares(hosts))
+    assert 0 < total <= most
+
+
+def test_hosts_of_a_searcher_differ_between_searchers() -> None:
+    """Guards against hosts that may use no searcher of a service."""
+    shares = _shares(75)
+    for share in shares:
+        used = [share.connections(f's{n}', 70) for n in range(30)]
+        assert 15 <= sum(used) < 30
+
+
+def test_places_follow_the_hosts() -> None:
+    hosts: list[tuple[str, ...]] = [('h1', 'h2', 'h3', 'h4')]
+    share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: hosts[0])
+    before = [share.connections(f's{n}', 2) for n in range(20)]
+    hosts[0] = ('h1',)
+    after = [share.connections(f's{n}', 2) for n in range(20)]
+    assert 0 in before
+    assert 0 not in after
 
 
 @pytest.mark.parametrize('hosts', [1, 6, 20])
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -101,7 +101,6 @@
                 name,
                 'dc-a',
                 share,
-                0.2,
                 lambda registration, most: _Pool(self.sends),
                 self.clock,
                 rng,
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -43,7 +43,6 @@
         'stock',
         'dc-a',
         share,
-        0.2,
         lambda registration, most: _Pool(),
         clock,
         random.Random(1),
@@ -191,3 +190,50 @@
         clock.advance(0.1)
     chosen = [_choose(service).state.name for _ in range(4)]
     assert 's1' not in chosen
+
+
+def test_bounds_that_change_hold_for_open_services(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against a reload that reaches new services only."""
+    share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
+    service = service_searchers.ServiceSearchers(
+        'stock',
+        'dc-a',
+        share,
+        lambda registration, most: _Pool(),
+        clock,
+        random.Random(1),
+    )
+    share.use_bounds(fleet_share.FleetBounds(0.0, 12, 4.0, 1.5, 5))
+    service.update(entries.traits(), [entries.registration('s1')])
+    # Half of the slack, divided by six hosts.
+    assert [service.try_extra() for _ in range(3)] == [True, False, False]
+    clock.advance(4.5)
+    assert service.try_extra()
+
+
+def test_host_beyond_the_connections_of_a_searcher_uses_others(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against more connections than a searcher accepts."""
+    names = tuple(f'h{n}' for n in range(30))
+    searchers = [entries.registration(f's{n}') for n in range(3)]
+    for own in names:
+        share = fleet_share.FleetShare(_BOUNDS, own, lambda: names)
+        service = service_searchers.ServiceSearchers(
+            'stock',
+            'dc-a',
+            share,
+            lambda registration, most: _Pool(),
+            clock,
+            random.Random(1),
+        )
+        service.update(entries.traits(connections=12), searchers)
+        mine = {
+            s.searcher
+            for s in searchers
+            if share.connections(s.searcher, 12) > 0
+        }
+        # A host that may use none of them is not left without any.
+        assert _choose(service).state.name in (mine or {'s0', 's1', 's2'})
--- /dev/null
+++ b/tests/tier/test_shared_bounds_states.py
@@ -0,0 +1,149 @@
+"""Extra sends and connections: hosts keep to the bounds together."""
+
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from corianderport_testkit import clock as clock_module
+from corianderport_tier.process import fleet_share
+from corianderport_tier.process import service_searchers
+
+from . import entries
+
+_HOSTS = 6
+_RATIO = 0.2
+_SLACK = 52
+_WINDOW_S = 10.0
+_CONNECTIONS = 24
+_BOUNDS = fleet_share.FleetBounds(
+    _RATIO, _SLACK, _WINDOW_S, 1.5, 5, expected_hosts=_HOSTS
+)
+_NAMES = tuple(f'h{n}' for n in range(_HOSTS))
+_HOST = strategies.integers(0, _HOSTS - 1)
+
+
+class _Pool:
+    verified_s = 0.0
+    most = 0
+
+    def submit(self, job: object, fresh: bool = False) -> None:
+        raise AssertionError('nothing is sent here')
+
+    def limit_connections(self, most: int) -> None:
+        self.most = most
+
+    def close(self) -> None:
+        return
+
+
+class SharedBounds(stateful.RuleBasedStateMachine):
+    """Hosts that spend as much as they may, with restarts and losses."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = clock_module.ManualClock()
+        self.requests_s: list[float] = []
+        self.extra_s: list[float] = []
+        self.known: list[tuple[str, ...]] = [_NAMES for _ in _NAMES]
+        self.pools: list[list[_Pool]] = [[] for _ in _NAMES]
+        self.services = [self._service(n) for n in range(_HOSTS)]
+        self.restarts_s: list[float] = []
+
+    def _service(self, host: int) -> service_searchers.ServiceSearchers:
+        share = fleet_share.FleetShare(
+            _BOUNDS, _NAMES[host], lambda: self.known[host]
+        )
+        self.pools[host] = []
+
+        def open_pool(registration: object, most: int) -> _Pool:
+            self.pools[host].append(_Pool())
+            return self.pools[host][-1]
+
+        found = service_searchers.ServiceSearchers(
+            'stock', 'dc-a', share, open_pool, self.clock, random.Random(1)
+        )
+        found.update(
+            entries.traits(connections=_CONNECTIONS),
+            [entries.registration('s1')],
+        )
+        return found
+
+    def _now_s(self) -> float:
+        return self.clock.monotonic()
+
+    @stateful.rule(host=_HOST, count=strategies.integers(1, 60))
+    def serve(self, host: int, count: int) -> None:
+        """A host gets requests of callers."""
+        for _ in range(count):
+            self.services[host].count_request()
+            self.requests_s.append(self._now_s())
+
+    @stateful.rule(host=_HOST, tries=strategies.integers(1, 40))
+    def send_again(self, host: int, tries: int) -> None:
+        """A host hedges and retries while its share lasts."""
+        for _ in range(tries):
+            if self.services[host].try_extra():
+                self.extra_s.append(self._now_s())
+
+    @stateful.rule(host=_HOST, other=_HOST)
+    def lose_sight(self, host: int, other: int) -> None:
+        """A host takes another one for gone."""
+        if host != other:
+            self.known[host] = tuple(
+                n for n in self.known[host] if n != _NAMES[other]
+            )
+            self._refresh(host)
+
+    @stateful.rule(host=_HOST)
+    def meet(self, host: int) -> None:
+        """A host sees all others again."""
+        self.known[host] = _NAMES
+        self._refresh(host)
+
+    def _refresh(self, host: int) -> None:
+        self.services[host].update(None, [entries.registration('s1')])
+
+    @stateful.precondition(
+        lambda self: all(
+            self._now_s() - at_s > _WINDOW_S for at_s in self.restarts_s[-1:]
+        )
+    )
+    @stateful.rule(host=_HOST)
+    def restart(self, host: int) -> None:
+        """A host forgets what it has spent."""
+        self.restarts_s.append(self._now_s())
+        self.known[host] = _NAMES
+        self.services[host] = self._service(host)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.2, 0.9, 3.0, 7.0]))
+    def advance(self, seconds: float) -> None:
+        """Time goes on."""
+        self.clock.advance(seconds)
+
+    @stateful.invariant()
+    def extra_sends_keep_to_the_bound(self) -> None:
+        for from_s in self.extra_s[-30:]:
+            spent = _count(self.extra_s, from_s)
+            # The window before it and the one half a window before count
+            # as well, whichever has most.
+            served = max(
+                _count(self.requests_s, from_s - back_s)
+                for back_s in (0.0, _WINDOW_S / 2, _WINDOW_S)
+            )
+            assert spent <= _RATIO * served + _SLACK
+
+    @stateful.invariant()
+    def connections_keep_to_the_bound(self) -> None:
+        assert sum(p.most for own in self.pools for p in own) <= _CONNECTIONS
+
+
+def _count(times_s: list[float], from_s: float) -> int:
+    return sum(from_s <= t < from_s + _WINDOW_S for t in times_s)
+
+
+SharedBounds.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30
+)
+TestSharedBounds = SharedBounds.TestCase
