Test news of the store over real connections

Change: three tests over loopback: a waiting follower is told at once, refusals keep their kind and the connection, a reader that ended is noticed. No code changed but one docstring.

--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -2,9 +2,9 @@
 
 Where this host reads the store's changes: the store, or a host that does.
 
-One host in some of a data centre reads the store; the others wait for
-changes at that host, so that calls to the store grow slowly with the fleet.
-Whoever gets no fresh news there reads the store itself at once.
+A few hosts of a data centre read the store, and the others wait for changes
+at one of them, so that calls to the store grow slowly with the fleet. A host
+that gets no fresh news from its reader reads the store itself at once.
 """
 
 import collections.abc
--- /dev/null
+++ b/tests/daemon/test_news_peer.py
@@ -0,0 +1,95 @@
+"""Changes of the store that go from one host to another over thrift."""
+
+import collections.abc
+import threading
+import typing
+
+import pytest
+
+from corianderport_daemon.process import gossip_calls
+from corianderport_daemon.process import news_peer
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import heartbeats
+from corianderport_tier.process import membership
+from corianderport_tier.process import registry_relay
+from corianderport_tier.version import registrations
+from corianderport_wire.connection import peer_authentication
+from corianderport_wire.connection import peer_client
+from corianderport_wire.connection import peer_server
+
+_CLOCK = clocks.SystemClock()
+_KEYS = peer_authentication.SharedKeys.from_text('a key of the tests')
+_LONG_S = 20.0
+_CHANGE = registrations.StoredEntry('k', 8, b'content')
+
+
+class _Reader:
+    """A host that reads the store, as far as others see it."""
+
+    def __init__(self) -> None:
+        self.relay = registry_relay.RegistryRelay(_CLOCK)
+        self._server = peer_server.PeerServer('127.0.0.1', 0, _CLOCK, 8, _KEYS)
+        # Heartbeats are not exchanged here.
+        exchange = typing.cast(heartbeats.HeartbeatExchange, None)
+        self._server.start(gossip_calls.GossipCalls(exchange, self.relay))
+        self.member = membership.Member('reader', 'dc-a', self._server.address)
+
+    def change(self) -> None:
+        self.relay.take(7, registrations.StoredEntries([_CHANGE], 8))
+
+    def close(self) -> None:
+        self._server.close()
+
+
+@pytest.fixture(name='reader')
+def _reader() -> collections.abc.Iterator[_Reader]:
+    found = _Reader()
+    yield found
+    found.close()
+
+
+@pytest.fixture(name='connection')
+def _connection() -> collections.abc.Iterator[news_peer.NewsConnection]:
+    dialer = peer_client.ThriftPeerDialer(_CLOCK, _KEYS)
+    with news_peer.NewsConnection(dialer) as found:
+        yield found
+
+
+def test_follower_is_told_of_a_change_while_it_waits(
+    reader: _Reader, connection: news_peer.NewsConnection
+) -> None:
+    """Guards against a change that waits for the next question."""
+    reader.relay.restart(7)
+    threading.Timer(0.05, reader.change).start()
+    found = connection.news(reader.member, 7, 1.0, _LONG_S)
+    assert found.entries == [_CHANGE]
+    assert found.revision == 8
+
+
+def test_refusals_keep_their_kind_and_the_connection(
+    reader: _Reader, connection: news_peer.NewsConnection
+) -> None:
+    """Guards against a lost history that looks like calm."""
+    with pytest.raises(errors.NotReady):
+        connection.news(reader.member, 7, 0.0, _LONG_S)
+    reader.relay.restart(7)
+    with pytest.raises(errors.CorianderportError):
+        connection.news(reader.member, 3, 0.0, _LONG_S)
+    assert connection.news(reader.member, 7, 0.0, _LONG_S).entries == []
+
+
+def test_reader_that_ends_is_noticed_and_another_one_asked(
+    reader: _Reader, connection: news_peer.NewsConnection
+) -> None:
+    reader.relay.restart(7)
+    connection.news(reader.member, 7, 0.0, _LONG_S)
+    reader.close()
+    with pytest.raises(errors.TransportError):
+        connection.news(reader.member, 7, 0.0, _LONG_S)
+    other = _Reader()
+    try:
+        other.relay.restart(7)
+        assert connection.news(other.member, 7, 0.0, _LONG_S).revision == 7
+    finally:
+        other.close()
