Tell a request's story from the logs of several hosts

Change: corianderport trace ID LOG... prints a request's decisions in the order of their times, as a table or as JSON. Lines that are cut, of another request or no JSON are passed over; a log that cannot be read is named.

The program that hosts run is unchanged.

--- a/packages/operator/src/corianderport_operator/main.py
+++ b/packages/operator/src/corianderport_operator/main.py
@@ -12,6 +12,7 @@
 
 from corianderport_operator.process import commands
 from corianderport_operator.process import live_commands
+from corianderport_operator.process import log_commands
 from corianderport_tier import errors
 
 __all__ = ['COMMANDS', 'main']
@@ -29,13 +30,14 @@
     'explain': commands.explain,
     'status': live_commands.status,
     'search': live_commands.search,
+    'trace': log_commands.trace,
 }
 
 # Flags whose values are texts. Fire would turn a query such as ``1`` or a
 # file name such as ``None`` into a value of another type.
 _TEXTS = (
     '--source', '--output_file', '--old', '--new', '--search', '--hosts',
-    '--platform', '--host', '--name', '--query', '--customer',
+    '--platform', '--host', '--name', '--query', '--customer', '--request_id',
 )  # fmt: skip
 
 
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -269,7 +269,8 @@
 
 
 @pytest.mark.parametrize(
-    'command', ['print', 'check', 'diff', 'explain', 'status', 'search']
+    'command',
+    ['print', 'check', 'diff', 'explain', 'status', 'search', 'trace'],
 )
 def test_help_has_an_example(command: str, capsys: Capture) -> None:
     """Guards against a command that nobody can use at first sight."""
--- /dev/null
+++ b/tests/operator/test_log_commands.py
@@ -0,0 +1,85 @@
+"""The command that tells a request's story from logs."""
+
+import json
+import pathlib
+
+import pytest
+
+from corianderport_operator.process import log_commands
+from corianderport_tier import errors
+
+Capture = pytest.CaptureFixture[str]
+_ID = 'e1f2'
+
+
+def _line(time_s: float, kind: str, request_id: str = _ID) -> str:
+    fields = {
+        'time': time_s,
+        'level': 'INFO',
+        'event': 'decision',
+        'kind': kind,
+        'request_id': request_id,
+        'choice': 'i-1',
+        'reason': 'reset',
+        'tried': 1,
+    }
+    return json.dumps(fields)
+
+
+def _logs(folder: pathlib.Path) -> list[str]:
+    texts = {
+        'host-0.log': [_line(12.5, 'answer'), _line(12.25, 'send-failed')],
+        'host-1.log': [
+            'Traceback (most recent call last):',
+            _line(12.0, 'retry'),
+            _line(12.1, 'retry', 'another'),
+            json.dumps({'event': f'mentions {_ID}'}),
+            _line(12.6, 'hedge')[:40],
+        ],
+    }
+    paths = []
+    for name, lines in texts.items():
+        path = folder / name
+        path.write_text('\n'.join(lines))
+        paths.append(str(path))
+    return paths
+
+
+def test_lines_of_all_hosts_are_in_order(
+    tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    """Guards against a story that is told host by host."""
+    log_commands.trace(_ID, *_logs(tmp_path))
+    rows = capsys.readouterr().out.splitlines()[1:]
+    assert [r.split()[:3] for r in rows] == [
+        ['0.0', 'host-1', 'retry'],
+        ['250.0', 'host-0', 'send-failed'],
+        ['500.0', 'host-0', 'answer'],
+    ]
+    assert all('tried 1' in row for row in rows)
+
+
+def test_trace_as_json(tmp_path: pathlib.Path, capsys: Capture) -> None:
+    log_commands.trace(_ID, *_logs(tmp_path), json=True)
+    found = json.loads(capsys.readouterr().out)
+    assert [line['kind'] for line in found] == [
+        'retry',
+        'send-failed',
+        'answer',
+    ]
+
+
+def test_unknown_request_is_told(
+    tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    """Guards against an empty table that looks like a quiet request."""
+    with pytest.raises(SystemExit) as ended:
+        log_commands.trace('ffff', *_logs(tmp_path))
+    assert ended.value.code == 1
+    assert capsys.readouterr().out == 'no log has the request ffff\n'
+
+
+@pytest.mark.parametrize('logs', [(), ('/no/such.log',)])
+def test_missing_log_is_named(logs: tuple[str, ...]) -> None:
+    with pytest.raises(errors.SettingInvalid, match='logs: '):
+        log_commands.trace(_ID, *logs)
