Name what other hosts warm up by its meaning

Cause: found by reading; 'left' and _LEFT_S say nothing of whom a searcher is left to.

Change: names only.

Measured: the tests of the modules pass.

--- a/packages/tier/src/corianderport_tier/process/upstream.py
+++ b/packages/tier/src/corianderport_tier/process/upstream.py
@@ -25,7 +25,7 @@
 _UNUSED_S = 30.0
 # A searcher that was restarted is left to the host that warms it up for
 # this long; warming takes at least one second at the lowest limit.
-_LEFT_S = 3.0
+_WARMING_S = 3.0
 _SAMPLES_TO_COMPARE = 5
 # Attempts are hedged after a high quantile of the latency, so that a few
 # in a row are unlikely to be overtaken by chance.
@@ -142,7 +142,7 @@
     def restarted(self, now_s: float) -> bool:
         """Whether the searcher may have been started just now."""
         return (
-            now_s - self._restarted_s < _LEFT_S
+            now_s - self._restarted_s < _WARMING_S
             and self.limit == slow_start.LOWEST_LIMIT
         )
 
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -280,13 +280,15 @@
         now_s: float,
     ) -> list[Upstream]:
         found = [u for u in self._upstreams.values() if allowed(u.searcher)]
-        left = {
+        left_to_others = {
             u.name
             for u in found
             if u.restarted(now_s) and not self._warms(u.searcher)
         }
-        if any(u.health.normal and u.name not in left for u in found):
-            found = [u for u in found if u.name not in left]
+        if any(
+            u.health.normal and u.name not in left_to_others for u in found
+        ):
+            found = [u for u in found if u.name not in left_to_others]
         return [u for u in found if u.name not in excluded]
 
     def _choose(
