Go on accepting callers after a failed accept

Cause: found by reading. The task that accepts callers ended at the first error of accept, which a connection that ended early or a process without a free descriptor brings, and the host took no caller any more. A planned stop, which ends accept in the same way, logged it as if it were a fault.

Change: only stop_accepting ends the task; another error is logged, and the next connection is accepted 20 ms later. Places of a host among others are replaced as one, since services read them under locks of their own.

Measured: the new test fails on the code before (no answer within ten seconds) and passes.

--- a/packages/tier/src/corianderport_tier/process/fleet_share.py
+++ b/packages/tier/src/corianderport_tier/process/fleet_share.py
@@ -58,9 +58,10 @@
         self._bounds = bounds
         self._own_name = own_name
         self._hosts = hosts
-        # Places of this host for searchers, among the hosts of that time.
-        self._places_among: collections.abc.Sequence[str] = ()
-        self._places: dict[str, int] = {}
+        # The hosts of some time and this host's places for searchers among
+        # them; replaced as one, since services use it under their own locks.
+        self._places: tuple[collections.abc.Sequence[str], dict[str, int]]
+        self._places = ((), {})
 
     def use_bounds(self, bounds: FleetBounds) -> None:
         """Take over bounds that have changed."""
@@ -119,9 +120,11 @@
 
     def _place(self, searcher: str) -> int:
         hosts = self._hosts()
-        if hosts is not self._places_among:
-            self._places_among, self._places = hosts, {}
-        place = self._places.get(searcher)
+        among, places = self._places
+        if among is not hosts:
+            places = {}
+            self._places = (hosts, places)
+        place = places.get(searcher)
         if place is None:
             own = rendezvous.weight(searcher, self._own_name)
             place = sum(
@@ -129,5 +132,5 @@
                 for name in hosts
                 if name != self._own_name
             )
-            self._places[searcher] = place
+            places[searcher] = place
         return place
--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -24,6 +24,8 @@
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG = 512
+# Between two tries to accept when the process has no free descriptor.
+_ACCEPT_RETRY_S = 0.02
 _RECEIVE_BYTES = 65_536
 # The limits in force are checked on top of it.
 _MOST_HEAD_BYTES = 256 * 1024
@@ -250,6 +252,7 @@
         )
         self._condition = threading.Condition()
         self._open: dict[CallerConnection, socket.socket] = {}
+        self._stopped = False
 
     @property
     def address(self) -> str:
@@ -262,13 +265,18 @@
         return self._limits() or _DEFAULT_LIMITS
 
     def run(self) -> None:
-        """Accept connections until closed."""
+        """Accept connections until ``stop_accepting``."""
         while True:
             try:
                 opened, _ = self._listener.accept()
             except OSError as error:
-                _LOG.info('no more callers are accepted: %s', error)
-                return
+                if self._stopped:
+                    return
+                # A connection that ended before it was taken, or no free
+                # descriptor; the next one may be accepted.
+                _LOG.warning('a connection was not accepted: %s', error)
+                self._pause()
+                continue
             opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             connection = CallerConnection(opened, self, self._clock)
             with self._condition:
@@ -277,6 +285,9 @@
 
     def stop_accepting(self) -> None:
         """Close the listener; open connections go on."""
+        with self._condition:
+            self._stopped = True
+            self._condition.notify_all()
         try:
             self._listener.shutdown(socket.SHUT_RDWR)
         except OSError as error:
@@ -300,6 +311,11 @@
                 self._clock.wait(self._condition, left_s)
         return True
 
+    def _pause(self) -> None:
+        with self._condition:
+            if not self._stopped:
+                self._clock.wait(self._condition, _ACCEPT_RETRY_S)
+
     def _run(self, connection: CallerConnection) -> None:
         try:
             connection.run()
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -64,7 +64,7 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether the next answer on the connection is the next one sent."""
+        """Whether another request may be sent on the connection."""
         return self._keep_alive and not self._in_message and not self._broken
 
     def receive(self, content: bytes) -> None:
--- a/tests/wire/test_caller_listener.py
+++ b/tests/wire/test_caller_listener.py
@@ -3,9 +3,11 @@
 import collections.abc
 import concurrent.futures
 import contextlib
+import errno
 import http.client
 import socket
 import threading
+import typing
 
 import pytest
 
@@ -185,3 +187,47 @@
         assert answer.status == 200
         assert answer.getheader('connection') == 'close'
         client.close()
+
+
+class _Failing:
+    """A listening socket whose next accept fails."""
+
+    def __init__(self, listening: socket.socket) -> None:
+        self._listening = listening
+        self.failures = [
+            OSError(errno.EMFILE, 'too many open files'),
+            OSError(errno.ECONNABORTED, 'connection aborted'),
+        ]
+
+    def accept(self) -> tuple[socket.socket, object]:
+        if self.failures:
+            raise self.failures.pop()
+        return self._listening.accept()
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._listening, name)
+
+
+def test_failed_accept_does_not_end_the_listener() -> None:
+    """Guards against a host that takes no callers after one failure."""
+    executor = concurrent.futures.ThreadPoolExecutor(4)
+    listener = caller_listener.CallerListener(
+        '127.0.0.1:0',
+        _echo,
+        lambda: _LIMITS,
+        close_watch.CloseWatch(),
+        executor,
+        _CLOCK,
+    )
+    failing = _Failing(listener._listener)
+    listener._listener = typing.cast(socket.socket, failing)
+    running = executor.submit(listener.run)
+    client = _client(listener)
+    client.request('GET', '/x')
+    assert client.getresponse().status == 200
+    client.close()
+    assert failing.failures == []
+    listener.stop_accepting()
+    running.result(_LONG_S)
+    listener.close_idle()
+    executor.shutdown()
