Take connections of callers and hosts by one loop

Change: acceptor holds the listening socket, the loop and its stop; both listeners use it.

Measured: the test of the caller listener keeps its assertions, and two tests of the loop are new; one fails when the loop ends at a failure.

--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -17,6 +17,7 @@
 from corianderport_tier import clocks
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import routes
+from corianderport_wire.connection import acceptor
 from corianderport_wire.connection import close_watch
 from corianderport_wire.connection import http_exchange
 
@@ -24,8 +25,6 @@
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG = 512
-# Between two tries to accept when the process has no free descriptor.
-_ACCEPT_RETRY_S = 0.02
 _RECEIVE_BYTES = 65_536
 # The limits in force are checked on top of it.
 _MOST_HEAD_BYTES = 256 * 1024
@@ -247,18 +246,14 @@
         self._limits = limits
         self._executor = executor
         self._clock = clock
-        self._listener = socket.create_server(
-            (host, int(port)), backlog=_BACKLOG
-        )
+        self._acceptor = acceptor.Acceptor(host, int(port), _BACKLOG, clock)
         self._condition = threading.Condition()
         self._open: dict[CallerConnection, socket.socket] = {}
-        self._stopped = False
 
     @property
     def address(self) -> str:
         """The address listened on, ``ip:port``."""
-        host, port = self._listener.getsockname()
-        return f'{host}:{port}'
+        return self._acceptor.address
 
     def limits(self) -> routes.CallerLimits:
         """Return the limits in force."""
@@ -266,33 +261,11 @@
 
     def run(self) -> None:
         """Accept connections until ``stop_accepting``."""
-        while True:
-            try:
-                opened, _ = self._listener.accept()
-            except OSError as error:
-                if self._stopped:
-                    return
-                # A connection that ended before it was taken, or no free
-                # descriptor; the next one may be accepted.
-                _LOG.warning('a connection was not accepted: %s', error)
-                self._pause()
-                continue
-            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = CallerConnection(opened, self, self._clock)
-            with self._condition:
-                self._open[connection] = opened
-            self._executor.submit(self._run, connection)
+        self._acceptor.run(self._take)
 
     def stop_accepting(self) -> None:
         """Close the listener; open connections go on."""
-        with self._condition:
-            self._stopped = True
-            self._condition.notify_all()
-        try:
-            self._listener.shutdown(socket.SHUT_RDWR)
-        except OSError as error:
-            _LOG.debug('listener was not listening: %s', error)
-        self._listener.close()
+        self._acceptor.stop()
 
     def close_idle(self) -> None:
         """Close the connections on which no request has arrived."""
@@ -311,10 +284,12 @@
                 self._clock.wait(self._condition, left_s)
         return True
 
-    def _pause(self) -> None:
+    def _take(self, opened: socket.socket) -> None:
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = CallerConnection(opened, self, self._clock)
         with self._condition:
-            if not self._stopped:
-                self._clock.wait(self._condition, _ACCEPT_RETRY_S)
+            self._open[connection] = opened
+        self._executor.submit(self._run, connection)
 
     def _run(self, connection: CallerConnection) -> None:
         try:
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -19,6 +19,7 @@
 from corianderport_tier.process import heartbeats
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
+from corianderport_wire.connection import acceptor
 from corianderport_wire.connection import action_codec
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.connection import news_codec
@@ -132,7 +133,7 @@
         self._strangers = threading.BoundedSemaphore(_STRANGERS)
         self._service: PeerService | None = None
         self._clock = clock
-        self._listener = socket.create_server((host, port), backlog=_BACKLOG)
+        self._acceptor = acceptor.Acceptor(host, port, _BACKLOG, clock)
         self._executor = concurrent.futures.ThreadPoolExecutor(
             connections, thread_name_prefix='peer'
         )
@@ -144,14 +145,16 @@
     @property
     def address(self) -> str:
         """The address listened on, ``ip:port``."""
-        host, port = self._listener.getsockname()
-        return f'{host}:{port}'
+        return self._acceptor.address
 
     def start(self, service: PeerService) -> None:
         """Accept connections on a thread of the server."""
         self._service = service
         threading.Thread(
-            target=self._accept, name='peer-accept', daemon=True
+            target=self._acceptor.run,
+            args=(self._take,),
+            name='peer-accept',
+            daemon=True,
         ).start()
 
     def close(self) -> None:
@@ -160,26 +163,20 @@
         An answer that is being written gets a moment to be completed.
         """
         self._closed = True
-        _shut(self._listener, socket.SHUT_RDWR)
-        self._listener.close()
+        self._acceptor.stop()
         self._shut_all(socket.SHUT_RD)
         with self._condition:
             self._condition.wait_for(lambda: not self._open, _CLOSE_S)
         self._shut_all(socket.SHUT_RDWR)
         self._executor.shutdown(wait=False, cancel_futures=True)
 
-    def _accept(self) -> None:
-        while not self._closed:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            if not self._admit():
-                connection.close()
-                continue
-            with self._condition:
-                self._open.add(connection)
-            self._executor.submit(self._serve, connection)
+    def _take(self, connection: socket.socket) -> None:
+        if not self._admit():
+            connection.close()
+            return
+        with self._condition:
+            self._open.add(connection)
+        self._executor.submit(self._serve, connection)
 
     def _admit(self) -> bool:
         if not self._strangers.acquire(blocking=False):
--- /dev/null
+++ b/tests/wire/test_acceptor.py
@@ -0,0 +1,78 @@
+"""Acceptor: one failed accept does not end it, and stopping does."""
+
+import collections.abc
+import errno
+import socket
+import threading
+import typing
+
+import pytest
+
+from corianderport_testkit.connection import failing_socket
+from corianderport_tier import clocks
+from corianderport_wire.connection import acceptor
+
+_CLOCK = clocks.SystemClock()
+_LONG_S = 10.0
+
+
+class _Running:
+    """An acceptor on a thread that answers one byte and closes."""
+
+    def __init__(self, *failures: OSError) -> None:
+        self.acceptor = acceptor.Acceptor('127.0.0.1', 0, 8, _CLOCK)
+        self.failing = failing_socket.FailingSocket(
+            self.acceptor._listener, list(failures)
+        )
+        self.acceptor._listener = typing.cast(socket.socket, self.failing)
+        self.thread = threading.Thread(
+            target=self.acceptor.run, args=(self._take,), daemon=True
+        )
+        self.thread.start()
+
+    def _take(self, opened: socket.socket) -> None:
+        with opened:
+            opened.sendall(b'x')
+
+    def ask(self) -> bytes:
+        host, _, port = self.acceptor.address.rpartition(':')
+        with socket.create_connection((host, int(port)), _LONG_S) as client:
+            return client.recv(1)
+
+
+@pytest.fixture(name='start')
+def _start() -> collections.abc.Iterator[
+    collections.abc.Callable[..., _Running]
+]:
+    started = []
+
+    def start(*failures: OSError) -> _Running:
+        started.append(_Running(*failures))
+        return started[-1]
+
+    yield start
+    for running in started:
+        running.acceptor.stop()
+
+
+def test_failed_accept_does_not_end_the_listener(
+    start: collections.abc.Callable[..., _Running],
+) -> None:
+    """Guards against a host that takes no connection after one failure."""
+    running = start(
+        OSError(errno.EMFILE, 'too many open files'),
+        OSError(errno.ECONNABORTED, 'connection aborted'),
+    )
+    assert running.ask() == b'x'
+    assert running.failing.failures == []
+
+
+def test_stop_ends_the_listener(
+    start: collections.abc.Callable[..., _Running],
+) -> None:
+    """Guards against a thread that goes on after the planned stop."""
+    running = start()
+    assert running.ask() == b'x'
+    running.acceptor.stop()
+    running.thread.join(_LONG_S)
+    assert not running.thread.is_alive()
--- a/tests/wire/test_caller_listener.py
+++ b/tests/wire/test_caller_listener.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from corianderport_testkit.connection import failing_socket
 from corianderport_tier import clocks
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import routes
@@ -189,45 +190,21 @@
         client.close()
 
 
-class _Failing:
-    """A listening socket whose next accept fails."""
-
-    def __init__(self, listening: socket.socket) -> None:
-        self._listening = listening
-        self.failures = [
-            OSError(errno.EMFILE, 'too many open files'),
-            OSError(errno.ECONNABORTED, 'connection aborted'),
-        ]
-
-    def accept(self) -> tuple[socket.socket, object]:
-        if self.failures:
-            raise self.failures.pop()
-        return self._listening.accept()
-
-    def __getattr__(self, name: str) -> typing.Any:
-        return getattr(self._listening, name)
-
-
 def test_failed_accept_does_not_end_the_listener() -> None:
     """Guards against a host that takes no callers after one failure."""
-    executor = concurrent.futures.ThreadPoolExecutor(4)
-    listener = caller_listener.CallerListener(
-        '127.0.0.1:0',
-        _echo,
-        lambda: _LIMITS,
-        close_watch.CloseWatch(),
-        executor,
-        _CLOCK,
-    )
-    failing = _Failing(listener._listener)
-    listener._listener = typing.cast(socket.socket, failing)
-    running = executor.submit(listener.run)
-    client = _client(listener)
-    client.request('GET', '/x')
-    assert client.getresponse().status == 200
-    client.close()
-    assert failing.failures == []
-    listener.stop_accepting()
-    running.result(_LONG_S)
-    listener.close_idle()
-    executor.shutdown()
+    with _listening() as listener:
+        # Accepting has begun and ends with the first connection.
+        failing = failing_socket.FailingSocket(
+            listener._acceptor._listener,
+            [
+                OSError(errno.EMFILE, 'too many open files'),
+                OSError(errno.ECONNABORTED, 'connection aborted'),
+            ],
+        )
+        listener._acceptor._listener = typing.cast(socket.socket, failing)
+        for _ in range(2):
+            client = _client(listener)
+            client.request('GET', '/x')
+            assert client.getresponse().status == 200
+            client.close()
+        assert failing.failures == []
