Run contacts and readers by the one loop of a stepping task

Change: a step returns the pause that follows it; all five tasks use the base, which also closes what a task has used when a step raises. Contact's probe, which only leases called, is gone.

Measured: the tests of tier, daemon and adapter pass unchanged.

--- a/packages/tier/src/corianderport_tier/process/contact_set.py
+++ b/packages/tier/src/corianderport_tier/process/contact_set.py
@@ -82,7 +82,7 @@
     def nudge(self) -> None:
         """Send the next heartbeat to every host at once."""
         for contact in self.active:
-            contact.nudge()
+            contact.wake()
 
     def close(self) -> None:
         """End all contacts."""
--- a/packages/tier/src/corianderport_tier/process/contacts.py
+++ b/packages/tier/src/corianderport_tier/process/contacts.py
@@ -5,7 +5,6 @@
 
 import collections.abc
 import logging
-import threading
 
 import attrs
 
@@ -14,6 +13,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
+from corianderport_tier.process import stepping_task
 
 __all__ = ['Contact', 'ContactMaker', 'ContactTimes']
 
@@ -28,7 +28,7 @@
     timeout_s: float = 1.0
 
 
-class Contact:
+class Contact(stepping_task.SteppingTask):
     """Sends heartbeats to one host over a persistent connection.
 
     :param failed: called after the host could not be reached.
@@ -44,17 +44,14 @@
         times: ContactTimes,
         failed: collections.abc.Callable[[], None],
     ) -> None:
+        super().__init__(clock)
         self.member = member
         self._exchange = exchange
         self._members = members
         self._dialer = dialer
-        self._clock = clock
         self._times = times
         self._failed = failed
-        self._condition = threading.Condition()
         self._transport: transports.PeerTransport | None = None
-        self._closed = False
-        self._nudged = False
         self._tried = False
 
     @property
@@ -62,33 +59,10 @@
         """Whether the first exchange has ended."""
         return self._tried
 
-    def run(self) -> None:
-        """Exchange heartbeats until closed."""
-        try:
-            while not self._closed:
-                self.exchange()
-                self._pause()
-        finally:
-            self._drop()
-
-    def probe(self) -> None:
-        """Exchange heartbeats once and close the connection."""
-        try:
-            self.exchange()
-        finally:
-            self._drop()
-
-    def nudge(self) -> None:
-        """Send the next heartbeat at once."""
-        with self._condition:
-            self._nudged = True
-            self._condition.notify_all()
-
-    def close(self) -> None:
-        """End the task after its present exchange."""
-        with self._condition:
-            self._closed = True
-            self._condition.notify_all()
+    def step(self) -> float:
+        """Exchange heartbeats once."""
+        self.exchange()
+        return self._times.period_s
 
     def exchange(self) -> None:
         """Exchange heartbeats once; suspect the host when it is silent.
@@ -140,11 +114,8 @@
         if transport is not None:
             transport.close()
 
-    def _pause(self) -> None:
-        with self._condition:
-            if not self._nudged and not self._closed:
-                self._clock.wait(self._condition, self._times.period_s)
-            self._nudged = False
+    def _ended(self) -> None:
+        self._drop()
 
 
 @attrs.frozen
--- a/packages/tier/src/corianderport_tier/process/control.py
+++ b/packages/tier/src/corianderport_tier/process/control.py
@@ -69,16 +69,13 @@
         """Whether all first contacts have been asked."""
         return self._knew_list and all(c.tried for c in self.active)
 
-    @property
-    def _pause_s(self) -> float:
-        return self._times.contact.period_s
-
-    def step(self) -> None:
+    def step(self) -> float:
         """Bring suspicions and contacts up to date."""
         self._members.step()
         list_known = self._members.list_known
         self._contacts.keep(self._wanted())
         self._knew_list = list_known
+        return self._times.contact.period_s
 
     def version_changed(self) -> None:
         """Tell all contacts of a new version at once."""
--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -110,12 +110,13 @@
         """
         return self._hosts
 
-    def step(self) -> None:
+    def step(self) -> float:
         """Bring suspicions, contacts and the number of hosts up to date."""
         self._members.step()
         self._ask_seeds()
         self._contacts.keep(self._contacts.neighbours())
         self._count()
+        return min(self._seeds_period_s, self._times.contact.period_s)
 
     def leave(self) -> None:
         """Tell the others that this host sends nothing more."""
@@ -130,10 +131,6 @@
         first = self._seeds_answered == 0
         return self._times.first_seeds_s if first else self._times.seeds_s
 
-    @property
-    def _pause_s(self) -> float:
-        return min(self._seeds_period_s, self._times.contact.period_s)
-
     @property
     def _own_address(self) -> str:
         return self._members.own.peer_address
--- a/packages/tier/src/corianderport_tier/process/readers.py
+++ b/packages/tier/src/corianderport_tier/process/readers.py
@@ -5,7 +5,6 @@
 
 import collections.abc
 import logging
-import threading
 
 import attrs
 
@@ -15,6 +14,7 @@
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import membership
 from corianderport_tier.process import rendezvous
+from corianderport_tier.process import stepping_task
 
 __all__ = [
     'ConfigurationReader',
@@ -41,7 +41,7 @@
     host_list_bytes_per_s: float = 2_000.0
 
 
-class _Reader:
+class _Reader(stepping_task.SteppingTask):
     """A task that reads until it is closed."""
 
     def __init__(
@@ -50,29 +50,17 @@
         clock: clocks.Clock,
         times: ReaderTimes,
     ) -> None:
+        super().__init__(clock)
         self._platform = platform
-        self._clock = clock
         self._times = times
-        self._condition = threading.Condition()
-        self._closed = False
-
-    def run(self) -> None:
-        """Read again and again until closed."""
-        while not self._closed:
-            try:
-                pause_s = self._read()
-            except errors.CorianderportError as error:
-                _LOG.warning('cannot read the platform: %s', error)
-                pause_s = self._times.retry_s
-            with self._condition:
-                if pause_s > 0 and not self._closed:
-                    self._clock.wait(self._condition, pause_s)
-
-    def close(self) -> None:
-        """End the task after its present read."""
-        with self._condition:
-            self._closed = True
-            self._condition.notify_all()
+
+    def step(self) -> float:
+        """Read once."""
+        try:
+            return self._read()
+        except errors.CorianderportError as error:
+            _LOG.warning('cannot read the platform: %s', error)
+            return self._times.retry_s
 
     def _read(self) -> float:
         """Read once and return the pause before the next, seconds."""
--- a/packages/tier/src/corianderport_tier/process/registry_reader.py
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -9,7 +9,6 @@
 import collections.abc
 import logging
 import random
-import threading
 
 import attrs
 
@@ -17,6 +16,7 @@
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import directory
+from corianderport_tier.process import stepping_task
 from corianderport_tier.version import registrations
 
 __all__ = ['Decode', 'ReaderTimes', 'RegistryReader']
@@ -46,7 +46,7 @@
     longest_retry_s: float = 0.5
 
 
-class RegistryReader:
+class RegistryReader(stepping_task.SteppingTask):
     """Reads the entries below a prefix until closed."""
 
     def __init__(
@@ -59,26 +59,19 @@
         times: ReaderTimes,
         rng: random.Random,
     ) -> None:
+        super().__init__(clock)
         self._prefix = prefix
         self._registry = registry
         self._decode = decode
         self._directory = found
-        self._clock = clock
         self._times = times
         self._rng = rng
-        self._condition = threading.Condition()
-        self._closed = False
         self._revision: registrations.Revision | None = None
         self._failures = 0
         self._ever_read = False
 
-    def run(self) -> None:
-        """Read and watch until closed."""
-        while not self._closed:
-            self.step()
-
-    def step(self) -> None:
-        """Read or watch once; wait after a failure."""
+    def step(self) -> float:
+        """Read or watch once; wait after a change and after a failure."""
         try:
             if self._revision is None:
                 self._read()
@@ -89,12 +82,7 @@
             self._revision = None
         except errors.CorianderportError as error:
             self._on_failure(error)
-
-    def close(self) -> None:
-        """End the task after its present call."""
-        with self._condition:
-            self._closed = True
-            self._condition.notify_all()
+        return 0.0
 
     def _read(self) -> None:
         stored = self._registry.read(self._prefix)
@@ -117,7 +105,7 @@
             self._directory.apply(
                 self._decoded(changes.entries), returned or changes.returned
             )
-            self._pause(self._times.settle_s)
+            self._wait(self._times.settle_s)
         self._revision = max(after, changes.revision)
 
     def _decoded(
@@ -147,9 +135,4 @@
             self._times.longest_retry_s,
             self._times.first_retry_s * 2.0 ** min(self._failures - 1, 10),
         )
-        self._pause(longest_s * self._rng.uniform(0.7, 1.0))
-
-    def _pause(self, seconds: float) -> None:
-        with self._condition:
-            if not self._closed:
-                self._clock.wait(self._condition, seconds)
+        self._wait(longest_s * self._rng.uniform(0.7, 1.0))
--- a/packages/tier/src/corianderport_tier/process/stepping_task.py
+++ b/packages/tier/src/corianderport_tier/process/stepping_task.py
@@ -1,6 +1,6 @@
 """corianderport_tier.process.stepping_task
 
-Base of the tasks that bring some state up to date, step by step.
+Base of the tasks that do the same again and again until they are closed.
 """
 
 import threading
@@ -13,8 +13,8 @@
 class SteppingTask:
     """Runs steps with pauses between them until it is closed.
 
-    A subclass overrides ``step`` and ``_pause_s``, and ``_ended`` when it
-    has something to close.
+    A subclass overrides ``step``, and ``_ended`` when it has something to
+    close.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -23,23 +23,16 @@
         self._closed = False
         self._awake = False
 
-    @property
-    def _pause_s(self) -> float:
-        """Seconds between two steps."""
-        raise NotImplementedError
-
     def run(self) -> None:
         """Step until closed."""
-        while not self._closed:
-            self.step()
-            with self._condition:
-                if not self._awake and not self._closed:
-                    self._clock.wait(self._condition, self._pause_s)
-                self._awake = False
-        self._ended()
-
-    def step(self) -> None:
-        """Bring the state up to date."""
+        try:
+            while not self._closed:
+                self._wait(self.step())
+        finally:
+            self._ended()
+
+    def step(self) -> float:
+        """Do one step and return the pause before the next, seconds."""
         raise NotImplementedError
 
     def wake(self) -> None:
@@ -54,5 +47,11 @@
             self._closed = True
             self._condition.notify_all()
 
+    def _wait(self, seconds: float) -> None:
+        with self._condition:
+            if seconds > 0 and not self._awake and not self._closed:
+                self._clock.wait(self._condition, seconds)
+            self._awake = False
+
     def _ended(self) -> None:
         """Close what the task has used."""
