Let a contact set make its contacts, and hosts stand for one default

Cause: found by reading the whole change.

Change: ContactSet makes the contacts; ServiceUpstreams takes the hosts that share a searcher; the dead exception is gone.

--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -25,7 +25,6 @@
     'NotReady',
     'OutcomeUnknown',
     'Overloaded',
-    'PeerUnavailable',
     'QuotaExceeded',
     'Refusal',
     'SettingInvalid',
@@ -196,9 +195,3 @@
 
 class HistoryGone(CorianderportError):
     """The platform no longer has the changes that were asked for."""
-
-
-class PeerUnavailable(TransportError):
-    """No connection to the peer could be used; nothing was sent."""
-
-    code = result_codes.ResultCode.NO_UPSTREAM
--- a/packages/tier/src/corianderport_tier/process/contact_set.py
+++ b/packages/tier/src/corianderport_tier/process/contact_set.py
@@ -8,39 +8,45 @@
 import random
 
 from corianderport_tier import clocks
+from corianderport_tier.connection import transports
 from corianderport_tier.process import contacts
+from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
 from corianderport_tier.process import neighbours
 
 __all__ = ['ContactSet']
 
-MakeContact = collections.abc.Callable[[membership.Member], contacts.Contact]
-
 
 class ContactSet:
     """Starts and closes contacts as the wanted hosts change.
 
-    :param make: returns a new contact with a host.
     :param random_s: seconds after which random neighbours change.
+    :param failed: called after a host could not be reached.
     """
 
     def __init__(
         self,
         members: membership.Membership,
         region_of: membership.RegionOf,
-        make: MakeContact,
+        exchange: heartbeats.HeartbeatExchange,
+        dialer: transports.PeerDialer,
         executor: concurrent.futures.Executor,
         clock: clocks.Clock,
+        times: contacts.ContactTimes,
         random_s: float,
         rng: random.Random,
+        failed: collections.abc.Callable[[], None],
     ) -> None:
         self._members = members
         self._region_of = region_of
-        self._make = make
+        self._exchange = exchange
+        self._dialer = dialer
         self._executor = executor
         self._clock = clock
+        self._times = times
         self._random_s = random_s
         self._rng = rng
+        self._failed = failed
         self._contacts: dict[tuple[str, str], contacts.Contact] = {}
         self._chosen: list[membership.Member] = []
         self._chosen_epoch = -1
@@ -75,7 +81,7 @@
         for key in self._contacts.keys() - by_key.keys():
             self._contacts.pop(key).close()
         for key in by_key.keys() - self._contacts.keys():
-            contact = self._make(by_key[key])
+            contact = self._new_contact(by_key[key])
             self._contacts[key] = contact
             self._executor.submit(contact.run)
 
@@ -89,6 +95,17 @@
         for contact in self.active:
             contact.close()
 
+    def _new_contact(self, member: membership.Member) -> contacts.Contact:
+        return contacts.Contact(
+            member,
+            self._exchange,
+            self._members,
+            self._dialer,
+            self._clock,
+            self._times,
+            self._failed,
+        )
+
 
 def _reachable(view: membership.View) -> list[membership.Member]:
     return [
--- a/packages/tier/src/corianderport_tier/process/contacts.py
+++ b/packages/tier/src/corianderport_tier/process/contacts.py
@@ -15,7 +15,7 @@
 from corianderport_tier.process import membership
 from corianderport_tier.process import stepping_task
 
-__all__ = ['Contact', 'ContactMaker', 'ContactTimes']
+__all__ = ['Contact', 'ContactTimes']
 
 _LOG = logging.getLogger(__name__)
 
@@ -116,27 +116,3 @@
 
     def _ended(self) -> None:
         self._drop()
-
-
-@attrs.frozen
-class ContactMaker:
-    """Makes the contacts of one host; ``failed`` as for a contact."""
-
-    exchange: heartbeats.HeartbeatExchange
-    members: membership.Membership
-    dialer: transports.PeerDialer
-    clock: clocks.Clock
-    times: ContactTimes
-    failed: collections.abc.Callable[[], None]
-
-    def make(self, member: membership.Member) -> Contact:
-        """Return a new contact with a host."""
-        return Contact(
-            member,
-            self.exchange,
-            self.members,
-            self.dialer,
-            self.clock,
-            self.times,
-            self.failed,
-        )
--- a/packages/tier/src/corianderport_tier/process/control.py
+++ b/packages/tier/src/corianderport_tier/process/control.py
@@ -50,13 +50,14 @@
         self._contacts = contact_set.ContactSet(
             members,
             region_of,
-            contacts.ContactMaker(
-                exchange, members, dialer, clock, times.contact, self.wake
-            ).make,
+            exchange,
+            dialer,
             executor,
             clock,
+            times.contact,
             times.random_s,
             rng,
+            self.wake,
         )
 
     @property
--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -81,13 +81,14 @@
         self._contacts = contact_set.ContactSet(
             members,
             region_of,
-            contacts.ContactMaker(
-                exchange, members, dialer, clock, times.contact, self.wake
-            ).make,
+            exchange,
+            dialer,
             executor,
             clock,
+            times.contact,
             times.random_s,
             rng,
+            self.wake,
         )
         self._silent_since_s: dict[str, float] = {}
         self._hosts: tuple[str, ...] = (members.own.name,)
--- a/packages/tier/src/corianderport_tier/process/upstream_services.py
+++ b/packages/tier/src/corianderport_tier/process/upstream_services.py
@@ -187,7 +187,7 @@
             self._rng,
             self._clock,
             self._extra,
-            self._hosts.warms,
+            self._hosts,
         )
         return UpstreamService(
             service,
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -15,13 +15,13 @@
 from corianderport_tier.process import outcomes
 from corianderport_tier.process import selection
 from corianderport_tier.process import upstream as upstream_module
+from corianderport_tier.process import warming_hosts
 from corianderport_tier.version import configuration
 
 __all__ = ['ServiceUpstreams', 'extra_budget']
 
 Upstream = upstream_module.Upstream
 SearcherFilter = collections.abc.Callable[[configuration.Searcher], bool]
-Warms = collections.abc.Callable[[configuration.Searcher], bool]
 
 _WAITERS_PER_SLOT = 32
 # Extra sub-requests add load; retries of what was not run do not.
@@ -32,16 +32,12 @@
 _TIMEOUTS_MINIMUM = 8
 
 
-def _warm_all(searcher: configuration.Searcher) -> bool:
-    return True
-
-
 class ServiceUpstreams:
     """The searchers of one service and the requests that wait for them.
 
-    :param warms: whether this host is the one to warm a searcher up. A
-        searcher that may just have been restarted bears one request at a
-        time, so that the other hosts leave it to that host, as long as
+    :param hosts: tells whether this host is the one to warm a searcher up.
+        A searcher that may just have been restarted bears one request at
+        a time, so that the other hosts leave it to that host, as long as
         they have another searcher for their requests.
     """
 
@@ -52,13 +48,13 @@
         rng: random.Random,
         clock: clocks.Clock,
         host: budgets.SharedBudget | None = None,
-        warms: Warms = _warm_all,
+        hosts: warming_hosts.SharingHosts | None = None,
     ) -> None:
         self._name = service.name
         self._policy = policy
         self._rng = rng
         self._clock = clock
-        self._warms = warms
+        self._hosts = warming_hosts.OnlyHost() if hosts is None else hosts
         self._lock = threading.Lock()
         self._upstreams: dict[str, Upstream] = {}
         self._former: dict[str, Upstream] = {}
@@ -283,7 +279,7 @@
         left_to_others = {
             u.name
             for u in found
-            if u.restarted(now_s) and not self._warms(u.searcher)
+            if u.restarted(now_s) and not self._hosts.warms(u.searcher)
         }
         if any(
             u.health.normal and u.name not in left_to_others for u in found
--- a/tests/tier/test_upstreams.py
+++ b/tests/tier/test_upstreams.py
@@ -412,6 +412,17 @@
     assert not service.state.may_send(removed, _everywhere)
 
 
+@attrs.frozen
+class _Hosts:
+    """Several hosts, of which this one warms some searchers up."""
+
+    warmed: set[str]
+    count: int = 3
+
+    def warms(self, searcher: configuration.Searcher) -> bool:
+        return searcher.name in self.warmed
+
+
 class _Sharing(_Service):
     """A service of which this host warms only some searchers up."""
 
@@ -423,7 +434,7 @@
             random.Random(1),
             self.clock,
             None,
-            lambda searcher: searcher.name in warmed,
+            _Hosts(warmed),
         )
         self.warm()
 
