Work a host's part of a searcher's connections out once a change

The part was worked out twice for each searcher at each choice, three searchers and 36 parts to a gather, though it changes only with the hosts, the searchers or the version, and the pool's limit was set from it at just those times.

Change: the searcher's state keeps it; choices compare numbers.

--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -77,6 +77,8 @@
         self.registration = registration
         self.pool = pool
         self.warm_up = warm_up.WarmUp()
+        # Connections that this host may hold; 0 when others use the searcher.
+        self.connections = 0
         self.in_flight = 0
         self._speed = 1.0
         self._speed_at_s = float('-inf')
@@ -90,6 +92,11 @@
         """The searcher's name."""
         return self.registration.searcher
 
+    @property
+    def has_room(self) -> bool:
+        """Whether a connection is left for one more request."""
+        return self.in_flight < max(1, self.connections)
+
     @property
     def held_until_s(self) -> float:
         """Nothing is sent before this time."""
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -94,7 +94,8 @@
                         registration, self._open_pool(registration, 1)
                     )
                 state.registration = registration
-                state.pool.limit_connections(self._connections(state))
+                state.connections = self._connections(state.name)
+                state.pool.limit_connections(max(1, state.connections))
                 returned = registration.data_centre in cold
                 if news or returned:
                     self._note_cold(state, now_s, returned)
@@ -199,12 +200,12 @@
         if not states:
             return NoChoice.NONE_REGISTERED
         # Without one that this host may use, its requests would be lost.
-        states = [s for s in states if self._part_of(s) > 0] or states
+        states = [s for s in states if s.connections > 0] or states
         steps = (
             (NoChoice.ALL_TRIED, lambda s: s.name not in excluded),
             (NoChoice.ON_HOLD, lambda s: s.held_until_s <= now_s),
             (NoChoice.COLD, lambda s: self._warm_enough(s, now_s)),
-            (NoChoice.FULL, lambda s: s.in_flight < self._connections(s)),
+            (NoChoice.FULL, lambda s: s.has_room),
         )
         for reason, allowed in steps:
             states = [s for s in states if allowed(s)]
@@ -221,12 +222,9 @@
             now_s, self._share.cold_rate(state.name, rate)
         )
 
-    def _part_of(self, state: SearcherState) -> int:
+    def _connections(self, searcher: str) -> int:
         most = self._traits.connections if self._traits else 1
-        return self._share.connections(state.name, most)
-
-    def _connections(self, state: SearcherState) -> int:
-        return max(1, self._part_of(state))
+        return self._share.connections(searcher, most)
 
     def _note_cold(
         self, state: SearcherState, now_s: float, returned: bool
