--- a/packages/tier/src/corianderport_tier/process/membership.py
+++ b/packages/tier/src/corianderport_tier/process/membership.py
@@ -10,6 +10,7 @@
 import attrs
 
 from corianderport_tier import clocks
+from corianderport_tier.process import rumour_queue
 
 __all__ = [
     'Member',
@@ -22,10 +23,7 @@
     'View',
 ]
 
-_RUMOURS_PER_MESSAGE = 8
 _RUMOURS_FOR_JOINING = 1_000
-# A rumour is sent on this many times for each doubling of the fleet.
-_SENDS_PER_DOUBLING = 3
 
 
 class MemberState(enum.Enum):
@@ -131,7 +129,7 @@
         self._records: dict[str, Rumour] = {}
         self._ended: dict[str, str] = {}
         self._suspected_s: dict[str, float] = {}
-        self._sends: dict[str, int] = {}
+        self._queue = rumour_queue.RumourQueue()
         self._last_step_s = self._clock.monotonic()
         self._doubtful = False
         self._doubtful_since_s = 0.0
@@ -286,15 +284,7 @@
                     self._records.values(), key=_standing, reverse=True
                 )
                 return tuple(worst[:_RUMOURS_FOR_JOINING])
-            names = sorted(
-                self._sends,
-                key=lambda n: (self._records[n].standing, self._sends[n], n),
-                reverse=True,
-            )[:_RUMOURS_PER_MESSAGE]
-            for name in names:
-                self._sends[name] -= 1
-                if self._sends[name] <= 0:
-                    del self._sends[name]
+            names = self._queue.take(lambda n: self._records[n].standing)
             return tuple(self._records[name] for name in names)
 
     def standing(self, member: Member) -> Standing:
@@ -335,13 +325,13 @@
         else:
             self._suspected_s.pop(name, None)
         hosts = len(self._listed) + len(self._records)
-        self._sends[name] = _SENDS_PER_DOUBLING * hosts.bit_length()
+        self._queue.add(name, hosts)
         self._stale = True
 
     def _forget(self, name: str) -> None:
         record = self._records.pop(name, None)
         self._suspected_s.pop(name, None)
-        self._sends.pop(name, None)
+        self._queue.discard(name)
         if record is not None and record.member.incarnation:
             self._ended[name] = record.member.incarnation
 
--- a/packages/tier/src/corianderport_tier/process/upstream_services.py
+++ b/packages/tier/src/corianderport_tier/process/upstream_services.py
@@ -16,6 +16,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import selection
+from corianderport_tier.process import service_budgets
 from corianderport_tier.process import upstreams
 from corianderport_tier.process import warming_hosts
 from corianderport_tier.version import configuration
@@ -117,7 +118,7 @@
         hosts: warming_hosts.SharingHosts | None = None,
     ) -> None:
         self._hosts = warming_hosts.OnlyHost() if hosts is None else hosts
-        self._extra = upstreams.extra_budget()
+        self._extra = service_budgets.host_budget()
         self._store = store
         self._dialer = dialer
         self._executor = executor
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -14,22 +14,17 @@
 from corianderport_tier.process import latency
 from corianderport_tier.process import outcomes
 from corianderport_tier.process import selection
+from corianderport_tier.process import service_budgets
 from corianderport_tier.process import upstream as upstream_module
 from corianderport_tier.process import warming_hosts
 from corianderport_tier.version import configuration
 
-__all__ = ['ServiceUpstreams', 'extra_budget']
+__all__ = ['ServiceUpstreams']
 
 Upstream = upstream_module.Upstream
 SearcherFilter = collections.abc.Callable[[configuration.Searcher], bool]
 
 _WAITERS_PER_SLOT = 32
-# Extra sub-requests add load; retries of what was not run do not.
-_HOST_EXTRA = budgets.BudgetShare(0.05)
-_SERVICE_EXTRA = budgets.BudgetShare(0.25, minimum=2)
-_RETRIES = budgets.BudgetShare(0.2, minimum=10)
-_PROBES_MINIMUM = 2
-_TIMEOUTS_MINIMUM = 8
 
 
 class ServiceUpstreams:
@@ -60,10 +55,7 @@
         self._former: dict[str, Upstream] = {}
         self._queue = capacity_queue.CapacityQueue()
         self._window = latency.LatencyWindow()
-        self._extra = budgets.ExtraBudget(
-            budgets.Budget(_SERVICE_EXTRA), host or extra_budget()
-        )
-        self._retries = budgets.Budget(_RETRIES)
+        self._budgets = service_budgets.ServiceBudgets(host)
         self.backoff = budgets.Backoff(rng)
         self.update(service)
 
@@ -131,7 +123,7 @@
         with self._lock:
             now_s = self._clock.monotonic()
             chosen = self._choose_ready(allowed, excluded, now_s)
-            if chosen is None or not self._extra.try_spend(now_s):
+            if chosen is None or not self._budgets.try_hedge(now_s):
                 return None
             chosen.start(now_s)
             return chosen
@@ -147,8 +139,8 @@
         with self._lock:
             now_s = self._clock.monotonic()
             for upstream in self._eligible(allowed, excluded, now_s):
-                if upstream.probe_ready(now_s) and self._extra.try_spend(
-                    now_s, _PROBES_MINIMUM
+                if upstream.probe_ready(now_s) and self._budgets.try_probe(
+                    now_s
                 ):
                     upstream.start(now_s)
                     return upstream
@@ -157,21 +149,17 @@
     def count_request(self) -> None:
         """Count a sub-request that the budgets are a share of."""
         with self._lock:
-            now_s = self._clock.monotonic()
-            self._extra.count_request(now_s)
-            self._retries.count_request(now_s)
+            self._budgets.count_request(self._clock.monotonic())
 
     def try_retry(self) -> bool:
         """Whether the budget allows a retry of what was not run."""
         with self._lock:
-            return self._retries.try_spend(self._clock.monotonic())
+            return self._budgets.try_retry(self._clock.monotonic())
 
     def try_abandon(self) -> bool:
         """Whether the budget allows a retry of what may be running."""
         with self._lock:
-            return self._extra.try_spend(
-                self._clock.monotonic(), _TIMEOUTS_MINIMUM
-            )
+            return self._budgets.try_abandon(self._clock.monotonic())
 
     def may_send(self, upstream: Upstream, allowed: SearcherFilter) -> bool:
         """Whether an acquired searcher may still get its request."""
@@ -397,11 +385,6 @@
         return upstream_module.Peers.of(upstream, self._upstreams.values())
 
 
-def extra_budget() -> budgets.SharedBudget:
-    """Return the budget of one host for extra sub-requests."""
-    return budgets.SharedBudget(_HOST_EXTRA)
-
-
 def _plain_outcome(latency_s: float | None) -> outcomes.Outcome:
     if latency_s is None:
         return outcomes.Outcome(outcomes.OutcomeKind.NOT_SENT)
