Close at the end of a context by one base

Change: closing.Closing has both; the classes override close. The tests of a service's searchers make their service in one place.

--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -6,12 +6,11 @@
 import concurrent.futures
 import contextlib
 import random
-import types
-import typing
 
 from corianderport_daemon.process import incarnations
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
+from corianderport_tier import closing
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import contacts
 from corianderport_tier.process import control
@@ -28,7 +27,7 @@
 __all__ = ['ControlPlane']
 
 
-class ControlPlane:
+class ControlPlane(closing.Closing):
     """Membership and configuration of one host."""
 
     def __init__(
@@ -52,15 +51,8 @@
         self._stack.callback(self._server.close)
         self._build()
 
-    def __enter__(self) -> typing.Self:
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
+        """End all tasks and close all connections."""
         self._stack.close()
 
     @property
--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -7,13 +7,13 @@
 import contextlib
 import random
 import threading
-import types
 import typing
 
 from corianderport_daemon.process import control_plane
 from corianderport_daemon.process import peer_calls
 from corianderport_daemon.process import settings as settings_module
 from corianderport_tier import clocks
+from corianderport_tier import closing
 from corianderport_tier.process import action_service
 from corianderport_tier.process import administration
 from corianderport_tier.process import aggregator
@@ -42,7 +42,7 @@
 _ADMIN_CONNECTIONS = 32
 
 
-class Daemon:
+class Daemon(closing.Closing):
     """One host with both roles."""
 
     def __init__(
@@ -66,12 +66,8 @@
             self._stack = self._stack.pop_all()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
+        """Close everything; ``wait`` is the planned stop."""
         self._stack.close()
 
     @property
--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -9,7 +9,6 @@
 import logging
 import random
 import threading
-import types
 import typing
 
 import attrs
@@ -18,6 +17,7 @@
 from corianderport_daemon.process import fleet
 from corianderport_daemon.process import news_peer
 from corianderport_tier import clocks
+from corianderport_tier import closing
 from corianderport_tier.connection import pool
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
@@ -97,7 +97,7 @@
         """Encode the answer to a caller's request."""
 
 
-class EntryHost:
+class EntryHost(closing.Closing):
     """One entry host; runs while it is entered."""
 
     def __init__(
@@ -192,12 +192,8 @@
         _LOG.info('started %s in %s', self.name, self._settings.data_centre)
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
+        """Close everything; ``wait`` is the planned stop."""
         self._reader.close()
         self._watch.close()
         self._ready.stop_accepting()
--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -7,13 +7,13 @@
 import concurrent.futures
 import contextlib
 import random
-import types
 import typing
 
 from corianderport_daemon.process import entry_settings
 from corianderport_daemon.process import gossip_calls
 from corianderport_daemon.process import incarnations
 from corianderport_tier import clocks
+from corianderport_tier import closing
 from corianderport_tier.process import gossip
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
@@ -27,7 +27,7 @@
 _PEER_CONNECTIONS = 64
 
 
-class Fleet:
+class Fleet(closing.Closing):
     """Membership of this host and the task that keeps it up to date.
 
     :param version: returns the version of the routing in force.
@@ -88,12 +88,8 @@
         self._executor.submit(self._gossip.run)
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
+        """End the task and close all connections."""
         self._stack.close()
 
     @property
--- a/packages/daemon/src/corianderport_daemon/process/news_peer.py
+++ b/packages/daemon/src/corianderport_daemon/process/news_peer.py
@@ -3,9 +3,7 @@
 Keeps one connection to the host that reads the store for this one.
 """
 
-import types
-import typing
-
+from corianderport_tier import closing
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import membership
@@ -16,7 +14,7 @@
 _DIAL_TIMEOUT_S = 0.5
 
 
-class NewsConnection:
+class NewsConnection(closing.Closing):
     """Implements ``registry_source.NewsPeer``; used by one task."""
 
     def __init__(self, dialer: transports.PeerDialer) -> None:
@@ -24,17 +22,6 @@
         self._address = ''
         self._transport: transports.PeerTransport | None = None
 
-    def __enter__(self) -> typing.Self:
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        self._drop()
-
     def news(
         self,
         member: membership.Member,
@@ -44,16 +31,17 @@
     ) -> registrations.StoredEntries:
         """Wait for changes; a failure closes the connection."""
         if self._transport is None or self._address != member.peer_address:
-            self._drop()
+            self.close()
             self._transport = self._dialer.dial(member, _DIAL_TIMEOUT_S)
             self._address = member.peer_address
         try:
             return self._transport.news(after, wait_s, timeout_s)
         except errors.TransportError:
-            self._drop()
+            self.close()
             raise
 
-    def _drop(self) -> None:
+    def close(self) -> None:
+        """Close the connection."""
         transport, self._transport = self._transport, None
         if transport is not None:
             transport.close()
--- a/packages/operator/src/corianderport_operator/connection/admin_client.py
+++ b/packages/operator/src/corianderport_operator/connection/admin_client.py
@@ -4,13 +4,13 @@
 """
 
 import re
-import types
 import typing
 
 import cattrs
 import cattrs.preconf.orjson
 import orjson
 
+from corianderport_tier import closing
 from corianderport_tier import errors
 from corianderport_tier.process import administration
 from corianderport_wire.connection import curl_client
@@ -28,7 +28,7 @@
 T = typing.TypeVar('T')
 
 
-class AdminClient:
+class AdminClient(closing.Closing):
     """A connection to the ``admin_address`` of a host.
 
     All methods raise TransportError when the host does not answer, and
@@ -39,15 +39,8 @@
         self._address = address
         self._client = curl_client.CurlClient(address, _CONNECT_S)
 
-    def __enter__(self) -> typing.Self:
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
+        """Close the connection."""
         self._client.close()
 
     def ready(self) -> administration.ReadyView:
--- a/packages/testkit/src/corianderport_testkit/process/action_hosts.py
+++ b/packages/testkit/src/corianderport_testkit/process/action_hosts.py
@@ -10,12 +10,12 @@
 import functools
 import random
 import threading
-import types
 import typing
 
 from corianderport_testkit import clock as manual_clock
 from corianderport_testkit.process import action_links
 from corianderport_testkit.version import deployments
+from corianderport_tier import closing
 from corianderport_tier import errors
 from corianderport_tier.process import action_service
 from corianderport_tier.process import aggregator
@@ -45,7 +45,7 @@
 T = typing.TypeVar('T')
 
 
-class World:
+class World(closing.Closing):
     """Hosts, searchers and the links between them.
 
     ``on_stage`` is called by the task that sends an action.
@@ -83,15 +83,8 @@
             self.start(name)
         self.update_membership()
 
-    def __enter__(self) -> typing.Self:
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
+        """Close the connections of all hosts."""
         self._stack.close()
 
     def publish(
@@ -188,7 +181,7 @@
                 act()
 
 
-class ActionHost:
+class ActionHost(closing.Closing):
     """One incarnation of a host."""
 
     def __init__(self, world: World, name: str, address: str) -> None:
@@ -228,15 +221,8 @@
             world.clock,
         )
 
-    def __enter__(self) -> typing.Self:
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
+        """Close the connections of this host."""
         self._stack.close()
 
     def kill(self) -> None:
--- a/packages/tier/src/corianderport_tier/process/peers.py
+++ b/packages/tier/src/corianderport_tier/process/peers.py
@@ -5,10 +5,9 @@
 
 import concurrent.futures
 import threading
-import types
-import typing
 
 from corianderport_tier import clocks
+from corianderport_tier import closing
 from corianderport_tier.connection import pool
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
@@ -22,7 +21,7 @@
 PeerPool = pool.ConnectionPool[transports.PeerTransport]
 
 
-class Peers:
+class Peers(closing.Closing):
     """The connections of this host to all other hosts."""
 
     def __init__(
@@ -37,15 +36,8 @@
         self._lock = threading.Lock()
         self._pools: dict[str, PeerPool] = {}
 
-    def __enter__(self) -> typing.Self:
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
+        """Close all connections."""
         with self._lock:
             pools = list(self._pools.values())
             self._pools.clear()
--- a/packages/tier/src/corianderport_tier/process/upstream_services.py
+++ b/packages/tier/src/corianderport_tier/process/upstream_services.py
@@ -7,10 +7,9 @@
 import concurrent.futures
 import random
 import threading
-import types
-import typing
 
 from corianderport_tier import clocks
+from corianderport_tier import closing
 from corianderport_tier.connection import pool
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
@@ -104,7 +103,7 @@
         )
 
 
-class UpstreamServices:
+class UpstreamServices(closing.Closing):
     """All services that this host has sent to."""
 
     def __init__(
@@ -128,15 +127,8 @@
         self._lock = threading.Lock()
         self._services: dict[str, UpstreamService] = {}
 
-    def __enter__(self) -> typing.Self:
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
+        """Close the connections of all services."""
         with self._lock:
             services = list(self._services.values())
             self._services.clear()
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -34,12 +34,10 @@
     return clock_module.ManualClock()
 
 
-@pytest.fixture
-def service(
-    clock: clock_module.ManualClock,
+def _service(
+    share: fleet_share.FleetShare, clock: clock_module.ManualClock
 ) -> service_searchers.ServiceSearchers:
-    share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
-    found = service_searchers.ServiceSearchers(
+    return service_searchers.ServiceSearchers(
         'stock',
         'dc-a',
         share,
@@ -47,6 +45,14 @@
         clock,
         random.Random(1),
     )
+
+
+@pytest.fixture
+def service(
+    clock: clock_module.ManualClock,
+) -> service_searchers.ServiceSearchers:
+    share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
+    found = _service(share, clock)
     found.update(
         entries.traits(),
         [
@@ -197,14 +203,7 @@
 ) -> None:
     """Guards against a reload that reaches new services only."""
     share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
-    service = service_searchers.ServiceSearchers(
-        'stock',
-        'dc-a',
-        share,
-        lambda registration, most: _Pool(),
-        clock,
-        random.Random(1),
-    )
+    service = _service(share, clock)
     share.use_bounds(fleet_share.FleetBounds(0.0, 12, 4.0, 1.5, 5))
     service.update(entries.traits(), [entries.registration('s1')])
     # Half of the slack, divided by six hosts.
@@ -221,14 +220,7 @@
     searchers = [entries.registration(f's{n}') for n in range(3)]
     for own in names:
         share = fleet_share.FleetShare(_BOUNDS, own, lambda: names)
-        service = service_searchers.ServiceSearchers(
-            'stock',
-            'dc-a',
-            share,
-            lambda registration, most: _Pool(),
-            clock,
-            random.Random(1),
-        )
+        service = _service(share, clock)
         service.update(entries.traits(connections=12), searchers)
         mine = {
             s.searcher
