Log from where and how large each change of the store arrives

Callers: a change that is late on the hosts of one data centre. Cause of this change: the logs show when a version is in force, but not whether it came from the store or from another host, nor its size, so that a slow reader cannot be told from a slow store. Test: the line names the store on the reader and the reader on followers; it failed before.

--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -31,6 +31,8 @@
 # that relaying would save no calls.
 _HOSTS_PER_READER = 24
 _MIN_HOSTS = 6
+# Name of the store in log lines that name the host otherwise.
+_STORE = 'the store'
 
 
 @attrs.frozen
@@ -95,6 +97,7 @@
         """Read all entries under a prefix directly from the store."""
         stored = self._store.read(prefix)
         self._relay.reset(stored.revision)
+        _log_changes(_STORE, stored)
         return stored
 
     def watch(
@@ -109,12 +112,14 @@
             wait_s = min(wait_s, self._times.reader_watch_s)
         elif self._clock.monotonic() >= self._reader_retry_at_s:
             try:
-                return self._peer.registry_changes(
+                stored = self._peer.registry_changes(
                     reader,
                     after,
                     self._times.follower_wait_s,
                     self._times.follower_timeout_s,
                 )
+                _log_changes(reader.name, stored)
+                return stored
             except errors.CorianderportError as error:
                 _LOG.info('reading the store, not %s: %s', reader.name, error)
                 self._reader_retry_at_s = (
@@ -137,6 +142,7 @@
         stored = attrs.evolve(stored, returned=self._store_failed)
         self._store_failed = False
         self._relay.add_reply(after, stored)
+        _log_changes(_STORE, stored)
         return stored
 
     def _log_reader_change(self, reader: membership.Member | None) -> None:
@@ -146,6 +152,17 @@
             self._last_reader = name
 
 
+def _log_changes(source: str, stored: registrations.StoredEntries) -> None:
+    if stored.entries:
+        _LOG.info(
+            'entries of the store up to revision %d from %s: %d, %d bytes',
+            stored.revision,
+            source,
+            len(stored.entries),
+            sum(len(e.content or b'') for e in stored.entries),
+        )
+
+
 def reader_for(
     own_host: membership.Member, view: membership.View
 ) -> membership.Member | None:
--- a/tests/tier/test_registry_source.py
+++ b/tests/tier/test_registry_source.py
@@ -179,6 +179,28 @@
     assert set(fleet.revisions.values()) == {5}
 
 
+def test_log_names_the_source_and_size_of_changes(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against late changes whose way to the host is unknown."""
+    caplog.set_level('INFO')
+    fleet = _Fleet(_NAMES)
+    fleet.run(5.0)
+    reader = _reader(_NAMES, 'h0')
+    caplog.clear()
+    fleet.store.revision = 5
+    fleet.run(1.0)
+    sources = [
+        r.getMessage().partition('revision 5 from ')[2]
+        for r in caplog.records
+        if 'revision 5' in r.getMessage()
+    ]
+    followers = len(_NAMES) - 1
+    assert sorted(sources) == sorted(
+        ['the store: 4, 0 bytes', *followers * [f'{reader}: 4, 0 bytes']]
+    )
+
+
 def test_end_of_an_outage_is_reported() -> None:
     fleet = _Fleet(_NAMES[:3])
     fleet.store.disconnected.add('h0')
