Add two failing tests of changes that wait for one host's link

Seen: a host sends 6 MB to 24 followers for a configuration of 256 KB, and a follower waits for a reply as long as single bytes keep arriving.

--- a/tests/daemon/test_registry_connection.py
+++ b/tests/daemon/test_registry_connection.py
@@ -1,9 +1,13 @@
 """RegistryConnection: registry changes sent between hosts over Thrift."""
 
 import collections.abc
+import contextlib
+import socket
 import threading
+import time
 import typing
 
+import attrs
 import pytest
 
 from corianderport_daemon.process import gossip_handler
@@ -22,6 +26,7 @@
 _KEYS = peer_authentication.SharedKeys.from_text('a key of the tests')
 _LONG_S = 20.0
 _CHANGE = registrations.StoredEntry('k', 8, b'content')
+_PIECE_INTERVAL_S = 0.05
 
 
 class _Reader:
@@ -112,3 +117,49 @@
         )
     finally:
         other.close()
+
+
+@contextlib.contextmanager
+def _slow_link(address: str) -> collections.abc.Iterator[str]:
+    """Proxy for one connection that delivers replies byte by byte."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    server_host, server_port = address.split(':')
+    server_address = (server_host, int(server_port))
+
+    def forward(client: socket.socket, server: socket.socket) -> None:
+        while content := client.recv(65_536):
+            server.sendall(content)
+
+    def run() -> None:
+        client, _ = listener.accept()
+        with client, socket.create_connection(server_address) as server:
+            # The authentication passes without delay.
+            threading.Thread(
+                target=forward, args=(client, server), daemon=True
+            ).start()
+            client.sendall(server.recv(32))
+            client.sendall(server.recv(32))
+            with contextlib.suppress(OSError):
+                while content := server.recv(1):
+                    client.sendall(content)
+                    time.sleep(_PIECE_INTERVAL_S)
+
+    threading.Thread(target=run, daemon=True).start()
+    host, port = listener.getsockname()
+    yield f'{host}:{port}'
+    listener.close()
+
+
+def test_reply_that_arrives_too_slowly_is_abandoned(
+    reader: _Reader, connection: registry_connection.RegistryConnection
+) -> None:
+    """Guards against a late version whose bytes trickle in from one host.
+
+    The gap between two reads stays below the timeout of the call.
+    """
+    reader.relay.reset(7)
+    reader.change()
+    with _slow_link(reader.member.peer_address) as address:
+        member = attrs.evolve(reader.member, peer_address=address)
+        with pytest.raises(errors.ConnectionSilent):
+            connection.registry_changes(member, 7, 0.0, 4 * _PIECE_INTERVAL_S)
--- a/tests/tier/test_registry_relay.py
+++ b/tests/tier/test_registry_relay.py
@@ -1,5 +1,7 @@
 """Tests of RegistryRelay, which relays store changes to other hosts."""
 
+import contextlib
+
 import pytest
 
 from corianderport_testkit import clock as clock_module
@@ -7,6 +9,8 @@
 from corianderport_tier.process import registry_relay
 from corianderport_tier.version import registrations
 
+_SMALLEST_LINK_BYTES_S = 10e6 / 8
+
 
 def _entry(revision: int) -> registrations.StoredEntry:
     return registrations.StoredEntry(f'k{revision}', revision, b'')
@@ -94,3 +98,22 @@
     setting.relay.add_reply(5, _changes(6))
     assert setting.relay.registry_changes(4, 0.0).returned
     assert not setting.relay.registry_changes(5, 0.0).returned
+
+
+def test_large_change_does_not_queue_on_the_relaying_hosts_link(
+    setting: _Setting,
+) -> None:
+    """Guards against a late version because one host sends it to all.
+
+    A refused follower reads the change from the store at once.
+    """
+    content = bytes(262_144)
+    version = registrations.StoredEntry('routing', 5, content)
+    setting.relay.reset(4)
+    setting.relay.add_reply(4, registrations.StoredEntries([version], 5))
+    relayed_bytes = 0
+    for _ in range(24):
+        with contextlib.suppress(errors.Refusal):
+            changes = setting.relay.registry_changes(4, 0.0)
+            relayed_bytes += len(changes.entries) * len(content)
+    assert relayed_bytes / _SMALLEST_LINK_BYTES_S <= 0.2
