Relay changes of the store only as fast as the host's link allows

Followers got the change one after the other, and the reader's own heartbeats and calls to the store timed out. Cause: the reader of a data centre sends each change to all its followers. The whole configuration is one entry, so that 0.25 to 0.5 MB times 21 hosts queue on a link of 10 Mbit/s. Nothing bounded these bytes. Ruled out: versions that wait for searchers (no routing-waits line), and tasks that ended (no such line, and every host got every version). A follower that is refused reads the change from the store over its own link at once, and keeps its reader. The capacity comes from limits.link_mbps of the settings. The log test now counts keys in the size too, as the budget does.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -119,7 +119,7 @@
         )
         self._metrics = metrics.Metrics()
         self._log = decision_log.DecisionLog(observer=self._metrics)
-        relay = registry_relay.RegistryRelay(clock)
+        relay = registry_relay.RegistryRelay(clock, settings.link_bytes_s)
         self._fleet = fleet.Fleet(
             settings,
             self._executor,
--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -8,6 +8,7 @@
 import attrs
 
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import registry_relay
 
 __all__ = ['EntrySettings']
 
@@ -18,7 +19,8 @@
 
     ``regions`` maps data centres to regions. ``grace_s`` is the time between
     the request to stop and the kill of the process. ``seeds`` are peer
-    addresses of other hosts, which may be down.
+    addresses of other hosts, which may be down. ``link_bytes_s`` is the
+    capacity of this host's link in bytes per second.
     """
 
     host: str
@@ -34,4 +36,5 @@
     grace_s: float
     watch_s: float
     fleet: fleet_share.FleetBounds
+    link_bytes_s: float = registry_relay.DEFAULT_LINK_BYTES_S
     log_level: str = 'INFO'
--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -23,6 +23,7 @@
     'NoUpstream',
     'NotOwner',
     'NotReady',
+    'NotRelayed',
     'OutcomeUnknown',
     'Overloaded',
     'QuotaExceeded',
@@ -122,6 +123,12 @@
     code = result_codes.ResultCode.NOT_OWNER
 
 
+class NotRelayed(Refusal):
+    """The changes are too large for this host's link to relay them."""
+
+    code = result_codes.ResultCode.NOT_RELAYED
+
+
 class Unauthenticated(Refusal):
     """The peer failed to prove possession of the shared key."""
 
--- a/packages/tier/src/corianderport_tier/process/registry_relay.py
+++ b/packages/tier/src/corianderport_tier/process/registry_relay.py
@@ -11,10 +11,11 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import link_budget
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import registrations
 
-__all__ = ['MAX_REPLY_AGE_S', 'RegistryRelay']
+__all__ = ['DEFAULT_LINK_BYTES_S', 'MAX_REPLY_AGE_S', 'RegistryRelay']
 
 # Changes are relayed only if the store has replied within this time. A
 # reader polls the store each second, and new versions must reach the other
@@ -24,6 +25,8 @@
 # Each follower occupies one task of the listener for other hosts, which has
 # 64.
 _MAX_FOLLOWERS = 32
+# Link of a host whose settings do not state one: 10 Mbit/s.
+DEFAULT_LINK_BYTES_S = 1_250_000.0
 
 
 @attrs.frozen
@@ -36,10 +39,21 @@
 
 
 class RegistryRelay:
-    """Buffers recent changes and serves hosts that wait for new ones."""
+    """Buffers recent changes and serves hosts that wait for new ones.
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    Large changes are relayed to as many hosts as the link allows without
+    delaying other traffic; the other hosts have to read them from the store.
+
+    :param link_bytes_s: capacity of this host's link in bytes per second.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        link_bytes_s: float = DEFAULT_LINK_BYTES_S,
+    ) -> None:
         self._clock = clock
+        self._budget = link_budget.LinkBudget(clock, link_bytes_s)
         self._condition = threading.Condition()
         self._batches: collections.deque[_Batch] = collections.deque()
         # Changes up to this revision are no longer buffered.
@@ -82,6 +96,7 @@
 
         :param wait_s: maximum time to wait for a change, in seconds.
         :raises HistoryGone: changes after the revision were discarded.
+        :raises NotRelayed: the changes are too large for this host's link.
         :raises NotReady: the store has not replied recently.
         :raises Overloaded: too many hosts are waiting for changes.
         """
@@ -119,11 +134,16 @@
         self, after: registrations.Revision
     ) -> registrations.StoredEntries:
         batches = [b for b in self._batches if b.revision > after]
-        return registrations.StoredEntries(
+        changes = registrations.StoredEntries(
             [e for b in batches for e in b.entries if e.revision > after],
             max(after, self._revision),
             any(b.returned for b in batches),
         )
+        if not self._budget.try_spend(changes.size_bytes):
+            raise errors.NotRelayed(
+                f'{changes.size_bytes} bytes of changes exceed the budget'
+            )
+        return changes
 
     def _on_store_reply(self) -> None:
         self._last_reply_s = self._clock.monotonic()
--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -5,7 +5,8 @@
 In each data centre a few hosts (readers) watch the store, and the others
 (followers) watch one of them, so that the load on the store grows slowly with
 the fleet. A follower whose reader fails or is out of date reads the store
-itself immediately.
+itself immediately, and so does one whose reader refuses to relay a large
+change.
 """
 
 import collections.abc
@@ -120,6 +121,14 @@
                 )
                 _log_changes(reader.name, stored)
                 return stored
+            except errors.NotRelayed as error:
+                _LOG.info(
+                    'reading once from the store, not %s: %s',
+                    reader.name,
+                    error,
+                )
+                # The store has the changes, so that the watch does not wait.
+                wait_s = min(wait_s, self._times.reader_watch_s)
             except errors.CorianderportError as error:
                 _LOG.info('reading the store, not %s: %s', reader.name, error)
                 self._reader_retry_at_s = (
@@ -159,7 +168,7 @@
             stored.revision,
             source,
             len(stored.entries),
-            sum(len(e.content or b'') for e in stored.entries),
+            stored.size_bytes,
         )
 
 
--- a/packages/tier/src/corianderport_tier/version/registrations.py
+++ b/packages/tier/src/corianderport_tier/version/registrations.py
@@ -91,6 +91,11 @@
     revision: Revision
     content: bytes | None
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of the key and the content."""
+        return len(self.key) + len(self.content or b'')
+
 
 @attrs.frozen
 class StoredEntries:
@@ -103,3 +108,8 @@
     entries: collections.abc.Sequence[StoredEntry]
     revision: Revision
     returned: bool = False
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of all keys and contents."""
+        return sum(entry.size_bytes for entry in self.entries)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from corianderport_daemon.process import entry_settings
 from corianderport_platform import settings
 from corianderport_platform import store
 from corianderport_tier import errors
@@ -34,11 +35,23 @@
 """
 
 
-def _load(path: pathlib.Path, text: str) -> object:
+def _load(path: pathlib.Path, text: str) -> entry_settings.EntrySettings:
     path.write_text(text)
     return settings.load({settings.PATH_VARIABLE: str(path)})
 
 
+@pytest.mark.parametrize(
+    ('limits', 'link_bytes_s'),
+    [('', 1_250_000.0), ('[limits]\nlink_mbps = 100.0\n', 12_500_000.0)],
+)
+def test_capacity_of_the_link(
+    tmp_path: pathlib.Path, limits: str, link_bytes_s: float
+) -> None:
+    """Guards against changes relayed faster than the host's link allows."""
+    loaded = _load(tmp_path / 'x', TEXT + limits)
+    assert loaded.link_bytes_s == link_bytes_s
+
+
 def test_fields(tmp_path: pathlib.Path) -> None:
     """Guards against a setting read from the wrong field.
 
--- a/tests/tier/test_registry_relay.py
+++ b/tests/tier/test_registry_relay.py
@@ -100,6 +100,20 @@
     assert not setting.relay.registry_changes(5, 0.0).returned
 
 
+def test_usual_changes_are_relayed_to_all_followers(setting: _Setting) -> None:
+    """Guards against a store that each host reads for each searcher."""
+    setting.relay.reset(0)
+    for revision in range(1, 11):
+        content = bytes(250)
+        entry = registrations.StoredEntry(f'k{revision}', revision, content)
+        setting.relay.add_reply(
+            revision - 1, registrations.StoredEntries([entry], revision)
+        )
+        for _ in range(24):
+            assert setting.registry_changes(revision - 1) == [revision]
+        setting.clock.advance(0.4)
+
+
 def test_large_change_does_not_queue_on_the_relaying_hosts_link(
     setting: _Setting,
 ) -> None:
--- a/tests/tier/test_registry_source.py
+++ b/tests/tier/test_registry_source.py
@@ -81,6 +81,7 @@
 
     def __init__(self) -> None:
         self.revision = 1
+        self.content = b''
         self.calls = 0
         self.disconnected: set[str] = set()
 
@@ -104,7 +105,10 @@
             raise errors.ConnectionSilent('lost')
         changed = range(after + 1, self.store.revision + 1)
         return registrations.StoredEntries(
-            [registrations.StoredEntry('k', r, b'') for r in changed],
+            [
+                registrations.StoredEntry('k', r, self.store.content)
+                for r in changed
+            ],
             max(after, self.store.revision),
         )
 
@@ -179,6 +183,25 @@
     assert set(fleet.revisions.values()) == {5}
 
 
+def test_followers_read_a_large_change_from_the_store_once() -> None:
+    """Guards against followers that leave their reader after a large change.
+
+    Each follower would then call the store for as long as after a failure of
+    the reader.
+    """
+    fleet = _Fleet(_NAMES)
+    fleet.run(5.0)
+    fleet.store.content = bytes(262_144)
+    fleet.store.revision += 1
+    calls = fleet.store.calls
+    fleet.run(0.5)
+    assert set(fleet.revisions.values()) == {fleet.store.revision}
+    assert fleet.store.calls - calls == len(_NAMES)
+    fleet.run(10.0)
+    # After that, only the reader calls the store again.
+    assert fleet.store.calls - calls == len(_NAMES) + 20
+
+
 def test_log_names_the_source_and_size_of_changes(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
@@ -197,7 +220,7 @@
     ]
     followers = len(_NAMES) - 1
     assert sorted(sources) == sorted(
-        ['the store: 4, 0 bytes', *followers * [f'{reader}: 4, 0 bytes']]
+        ['the store: 4, 4 bytes', *followers * [f'{reader}: 4, 4 bytes']]
     )
 
 
