End a call to another host by a deadline, however its bytes arrive

Cause: the timeout of a call was set for each read of the socket, so that it never expired while single bytes arrived. Change: one deadline for the whole call, from which the timeout of each read and write follows. Heartbeats use the same connection type.

--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -19,6 +19,7 @@
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import action_codec
+from corianderport_wire.connection import deadline_stream
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
@@ -29,16 +30,18 @@
 
 T = typing.TypeVar('T')
 
+_MIN_TIMEOUT_S = 0.001
+
 
 class ThriftPeerTransport:
     """A persistent connection to another host."""
 
     def __init__(self, stream: typing.Any, clock: clocks.Clock) -> None:
-        self._stream = stream
+        self._stream = deadline_stream.DeadlineStream(stream, clock)
         self._clock = clock
         transport = thriftpy2.transport.TFramedTransport(
             peer_authentication.FrameLimiter(
-                stream, peer_codec.MAX_FRAME_BYTES
+                self._stream, peer_codec.MAX_FRAME_BYTES
             )
         )
         protocol = thriftpy2.protocol.TBinaryProtocol(transport)
@@ -95,7 +98,7 @@
         argument: object,
         timeout_s: float,
     ) -> typing.Any:
-        self._stream.set_timeout(max(1.0, timeout_s * 1e3))
+        self._stream.begin_call(max(_MIN_TIMEOUT_S, timeout_s))
         try:
             return method(argument)
         except peer_codec.PEER.Refused as refused:
