--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -80,6 +80,8 @@
         self._revision = 1
         self.oldest = 0
         self.status: int | None = None
+        # Sent instead of a page or of changes.
+        self.malformed: bytes | None = None
         super().__init__()
 
     def put(self, key: str, value: object) -> None:
@@ -115,6 +117,9 @@
         if self.status is not None:
             request.send(self.status)
             return
+        if self.malformed is not None:
+            request.send(200, self.malformed)
+            return
         url = urllib.parse.urlsplit(request.path)
         query = dict(urllib.parse.parse_qsl(url.query, True))
         if url.path == '/corianderport/kv-range':
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -70,6 +70,37 @@
         registry.watch('op/', 1, 1.0)
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{}',
+        b'[]',
+        b'null',
+        b'"items"',
+        b'{"current_rev": "x", "items": [], "events": []}',
+        b'{"current_rev": 4, "items": {}, "events": {"a": 1}}',
+        b'{"current_rev": 4, "items": [7], "events": [7]}',
+        b'{"current_rev": 4, "items": [{"rev": 3}], "events": [{"rev": 3}]}',
+        b'{"current_rev": 4, "items": [{"key": 5, "rev": 3, "value": ""}],'
+        b' "events": [{"key": 5, "rev": 3, "value": ""}]}',
+        b'{"current_rev": 4, "items": [{"key": "k", "rev": []}],'
+        b' "events": [{"key": "k", "rev": []}]}',
+    ],
+)
+def test_malformed_reply_is_a_transport_error(
+    served: fakes.Store, registry: store.StoreRegistry, body: bytes
+) -> None:
+    """Guards against a host that never gets another version.
+
+    Any other error ends the task that reads the store.
+    """
+    served.malformed = body
+    with pytest.raises(errors.TransportError):
+        registry.read('op/')
+    with pytest.raises(errors.TransportError):
+        registry.watch('op/', 3, 0.0)
+
+
 @pytest.mark.parametrize('status', [429, 503, 500])
 def test_failing_store(
     served: fakes.Store, registry: store.StoreRegistry, status: int
