Repeat a failed step of a periodic task

Cause: an error that a step does not expect ended its task for good: the one that reads the store, the one that activates a version that waits for searchers, gossip and heartbeats. The host then served callers by an old version, with one line in its log. Change: a failed step is logged and repeated after half a second. Expiring entries and reloading settings is such a task now, and goes on during a graceful shutdown.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -25,6 +25,7 @@
 from corianderport_tier.process import directory
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import metrics
+from corianderport_tier.process import periodic_task
 from corianderport_tier.process import registry_reader
 from corianderport_tier.process import registry_relay
 from corianderport_tier.process import registry_source
@@ -98,6 +99,23 @@
         """Encode the answer to a caller's request."""
 
 
+class _Housekeeping(periodic_task.PeriodicTask):
+    """Calls a function at regular intervals."""
+
+    def __init__(
+        self,
+        function: collections.abc.Callable[[], None],
+        clock: clocks.Clock,
+    ) -> None:
+        super().__init__(clock)
+        self._function = function
+
+    def step(self) -> float:
+        """Call the function once."""
+        self._function()
+        return _HOUSEKEEPING_INTERVAL_S
+
+
 class EntryHost(closing.Closing):
     """One entry host; it runs inside a ``with`` block."""
 
@@ -152,6 +170,7 @@
             else None
         )
         self._settings_fingerprint = adapter.settings_fingerprint()
+        self._housekeeping = _Housekeeping(self._expire_and_reload, clock)
         self._reader = registry_reader.RegistryReader(
             adapter.prefix,
             registry_source.RegistrySource(
@@ -186,7 +205,7 @@
             self._watcher.run,
             self._caller_listener.run,
             self._readiness_listener.run,
-            self._run_housekeeping,
+            self._housekeeping.run,
             self._reader.run,
         ]
         if self._metrics_listener is not None:
@@ -200,6 +219,7 @@
     def close(self) -> None:
         """Close everything at once; ``wait`` runs a graceful shutdown."""
         self._reader.close()
+        self._housekeeping.close()
         self._watcher.close()
         self._readiness_listener.stop_accepting()
         if self._metrics_listener is not None:
@@ -364,18 +384,11 @@
             pool.PoolLimits(connections, _IDLE_TIMEOUT_S),
         )
 
-    def _run_housekeeping(self) -> None:
+    def _expire_and_reload(self) -> None:
         """Expire directory entries and reload changed settings."""
-        condition = threading.Condition()
-        while not self._stopping:
-            self._directory.expire()
-            if (
-                self._adapter.settings_fingerprint()
-                != self._settings_fingerprint
-            ):
-                self.reload()
-            with condition:
-                self._clock.wait(condition, _HOUSEKEEPING_INTERVAL_S)
+        self._directory.expire()
+        if self._adapter.settings_fingerprint() != self._settings_fingerprint:
+            self.reload()
 
     def _run(self, task: collections.abc.Callable[[], None]) -> None:
         try:
--- a/packages/tier/src/corianderport_tier/process/periodic_task.py
+++ b/packages/tier/src/corianderport_tier/process/periodic_task.py
@@ -3,16 +3,24 @@
 Base class of tasks that repeat a step until they are closed.
 """
 
+import logging
 import threading
 
 from corianderport_tier import clocks
 
 __all__ = ['PeriodicTask']
 
+_LOG = logging.getLogger(__name__)
+# Delay after a step that failed, so that a permanent fault does not spin.
+_FAILED_STEP_DELAY_S = 0.5
+
 
 class PeriodicTask:
     """Repeats a step, with a delay after each, until it is closed.
 
+    A step that fails is logged and repeated: other hosts and the platform
+    depend on tasks that last as long as the process.
+
     Subclasses override ``step``, and ``_release_resources`` if they have
     any.
     """
@@ -27,7 +35,7 @@
         """Repeat the step until the task is closed."""
         try:
             while not self._closed:
-                self._wait(self.step())
+                self._wait(self._run_step())
         finally:
             self._release_resources()
 
@@ -47,6 +55,13 @@
             self._closed = True
             self._condition.notify_all()
 
+    def _run_step(self) -> float:
+        try:
+            return self.step()
+        except Exception:
+            _LOG.exception('a step of %s failed', type(self).__name__)
+            return _FAILED_STEP_DELAY_S
+
     def _wait(self, seconds: float) -> None:
         with self._condition:
             if seconds > 0 and not self._wake_requested and not self._closed:
