Bound the changes that a host keeps for others in bytes

Callers: none seen. Found by looking for other places where the size of a configuration is not counted. Cause: every host that reads the store keeps its last 256 replies for followers. With configurations of 0.25 MB that are 64 MB of the 200 MB of a host, with values of 1 MB more than it has. Change: four MB at most; a follower that is further behind reads the store. Test: forty versions of 1 MB in series; all were kept before.

--- a/packages/tier/src/corianderport_tier/process/registry_relay.py
+++ b/packages/tier/src/corianderport_tier/process/registry_relay.py
@@ -22,6 +22,9 @@
 # hosts within three seconds.
 MAX_REPLY_AGE_S = 1.5
 _MAX_BATCHES = 256
+# A few of the largest values of the store. Followers that are further behind
+# read the store.
+_MAX_BUFFERED_BYTES = 4_194_304
 # Each follower occupies one task of the listener for other hosts, which has
 # 64.
 _MAX_FOLLOWERS = 32
@@ -36,6 +39,7 @@
     entries: collections.abc.Sequence[registrations.StoredEntry]
     revision: registrations.Revision
     returned: bool
+    size_bytes: int
 
 
 class RegistryRelay:
@@ -56,6 +60,7 @@
         self._budget = link_budget.LinkBudget(clock, link_bytes_s)
         self._condition = threading.Condition()
         self._batches: collections.deque[_Batch] = collections.deque()
+        self._buffered_bytes = 0
         # Changes up to this revision are no longer buffered.
         self._discarded_revision: registrations.Revision | None = None
         self._revision: registrations.Revision = -1
@@ -65,7 +70,7 @@
     def reset(self, revision: registrations.Revision) -> None:
         """Clear the buffer after all entries were read at a revision."""
         with self._condition:
-            self._batches.clear()
+            self._discard_all()
             self._discarded_revision = self._revision = revision
             self._on_store_reply()
 
@@ -78,14 +83,10 @@
         with self._condition:
             if self._discarded_revision is None or after != self._revision:
                 # The changes in between came from another host.
-                self._batches.clear()
+                self._discard_all()
                 self._discarded_revision = after
             if stored.entries:
-                self._batches.append(
-                    _Batch(stored.entries, stored.revision, stored.returned)
-                )
-            if len(self._batches) > _MAX_BATCHES:
-                self._discarded_revision = self._batches.popleft().revision
+                self._buffer(stored)
             self._revision = max(after, stored.revision)
             self._on_store_reply()
 
@@ -145,6 +146,26 @@
             )
         return changes
 
+    def _buffer(self, stored: registrations.StoredEntries) -> None:
+        size_bytes = stored.size_bytes
+        self._batches.append(
+            _Batch(
+                stored.entries, stored.revision, stored.returned, size_bytes
+            )
+        )
+        self._buffered_bytes += size_bytes
+        while (
+            len(self._batches) > _MAX_BATCHES
+            or self._buffered_bytes > _MAX_BUFFERED_BYTES
+        ):
+            oldest = self._batches.popleft()
+            self._buffered_bytes -= oldest.size_bytes
+            self._discarded_revision = oldest.revision
+
+    def _discard_all(self) -> None:
+        self._batches.clear()
+        self._buffered_bytes = 0
+
     def _on_store_reply(self) -> None:
         self._last_reply_s = self._clock.monotonic()
         self._condition.notify_all()
--- a/tests/tier/test_registry_relay.py
+++ b/tests/tier/test_registry_relay.py
@@ -80,6 +80,25 @@
     assert setting.registry_changes(390) == list(range(391, 400))
 
 
+def test_buffered_changes_are_bounded_in_bytes() -> None:
+    """Guards against large versions in series that use up the memory.
+
+    The host keeps changes for other hosts, whether they ask for them or not.
+    """
+    relay = registry_relay.RegistryRelay(clock_module.ManualClock(), 1e12)
+    relay.reset(0)
+    for revision in range(1, 41):
+        version = registrations.StoredEntry(
+            'routing', revision, bytes(1_000_000)
+        )
+        relay.add_reply(
+            revision - 1, registrations.StoredEntries([version], revision)
+        )
+    with pytest.raises(errors.HistoryGone):
+        relay.registry_changes(20, 0.0)
+    assert len(relay.registry_changes(39, 0.0).entries) == 1
+
+
 def test_stale_host_refuses(setting: _Setting) -> None:
     """Guards against followers that miss changes during an outage.
 
