Give a reply of the store more time when the link is slow for its size

Cause: a call ends after one second whatever it carries. The largest value of the store takes 1.1 s on an idle link of 10 Mbit/s, so that a host behind such a link reads it again and again and never has it. A silent store is still noticed after one second. Test: a reply that takes 1.4 s arrives with the second call; before, every call failed.

--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -28,6 +28,7 @@
     'Overloaded',
     'QuotaExceeded',
     'Refusal',
+    'ReplyIncomplete',
     'SettingInvalid',
     'TicketExpired',
     'TicketInvalid',
@@ -194,6 +195,10 @@
     """No reply arrived within the attempt's timeout."""
 
 
+class ReplyIncomplete(ConnectionSilent):
+    """A reply had begun to arrive when the attempt timed out."""
+
+
 class ConnectionStale(TransportError):
     """An idle connection was closed before anything was sent on it."""
 
--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -145,7 +145,10 @@
             self._fresh_connect = False
 
     def get(self, path: str, timeout_s: float) -> HttpReply:
-        """Send a GET request and wait; raises the same errors as post."""
+        """Send a GET request and wait; raises the same errors as post.
+
+        :raises ReplyIncomplete: a part of the response arrived in time.
+        """
         self._handle.setopt(pycurl.HTTPGET, 1)
         return self._perform(path, timeout_s)
 
@@ -224,6 +227,8 @@
         # connection.
         if connecting and not reused:
             return errors.ConnectFailed(message)
+        if timed_out and self._handle.getinfo(pycurl.HEADER_SIZE) > 0:
+            return errors.ReplyIncomplete(message)
         if timed_out:
             return errors.ConnectionSilent(message)
         return errors.ConnectionBroken(message)
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -70,6 +70,20 @@
         registry.watch('op/', 1, 1.0)
 
 
+def test_reply_that_takes_longer_than_a_call_arrives_in_the_end(
+    served: fakes.Store, registry: store.StoreRegistry
+) -> None:
+    """Guards against a host whose link is too slow for a large version.
+
+    Each call would end before the whole reply has arrived.
+    """
+    served.put('op/config', bytes(1_000))
+    served.transfer_s = 1.4 * store.CALL_TIMEOUT_S
+    with pytest.raises(errors.ConnectionSilent):
+        registry.read('op/')
+    assert len(registry.read('op/').entries) == 1
+
+
 @pytest.mark.parametrize(
     'body',
     [
