Answer every accepted request before a stopping host exits

It can happen here: with a route of 30 s, both a request that runs at the end of the grace period and one whose head is complete late in it ended with a closed connection and no answer, in a real process. Cause: a request was passed on with its own deadline, and the process ended at the end of the grace period whatever ran. Ruled out: idle connections. They are closed 2.8 s after SIGTERM after a last look, and each response carries Connection: close. Change: a shutdown has a deadline (drain). Requests that run get their final answer by it, 504 if a searcher may have run them and 503 if none has. A request that comes when less than four of its usual latencies are left is refused at once, with Retry-After, and is not passed on. Also: housekeeping and descriptions of answers have modules of their own. Tests: a process that gets SIGTERM with both requests (0 bytes were answered before, now 504 and 503); the decisions with a paused clock.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -15,6 +15,7 @@
 
 from corianderport_daemon.process import entry_settings
 from corianderport_daemon.process import fleet
+from corianderport_daemon.process import housekeeping
 from corianderport_daemon.process import registry_connection
 from corianderport_tier import clocks
 from corianderport_tier import closing
@@ -23,9 +24,9 @@
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
+from corianderport_tier.process import drain
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import metrics
-from corianderport_tier.process import periodic_task
 from corianderport_tier.process import registry_reader
 from corianderport_tier.process import registry_relay
 from corianderport_tier.process import registry_source
@@ -51,7 +52,8 @@
 _LOAD_BALANCER_LAG_S = 2.8
 # Part of the grace period reserved for closing connections and exiting.
 _EXIT_MARGIN_S = 0.4
-_HOUSEKEEPING_INTERVAL_S = 0.25
+# Time before that in which the last answers are sent.
+_LAST_ANSWER_MARGIN_S = 0.2
 
 
 class Adapter(typing.Protocol):
@@ -99,23 +101,6 @@
         """Encode the answer to a caller's request."""
 
 
-class _Housekeeping(periodic_task.PeriodicTask):
-    """Calls a function at regular intervals."""
-
-    def __init__(
-        self,
-        function: collections.abc.Callable[[], None],
-        clock: clocks.Clock,
-    ) -> None:
-        super().__init__(clock)
-        self._function = function
-
-    def step(self) -> float:
-        """Call the function once."""
-        self._function()
-        return _HOUSEKEEPING_INTERVAL_S
-
-
 class EntryHost(closing.Closing):
     """One entry host; it runs inside a ``with`` block."""
 
@@ -154,8 +139,14 @@
         self._directory = directory.Directory(
             self._open_service, clock, self._log
         )
+        self._drain = drain.Drain(clock)
         self._forwarder = forwarding.Forwarder(
-            self._directory, clock, self._log, self._rng, self._metrics
+            self._directory,
+            clock,
+            self._log,
+            self._rng,
+            self._metrics,
+            self._drain,
         )
         self._watcher = disconnect_watcher.DisconnectWatcher()
         self._caller_listener = self._listener(
@@ -170,7 +161,9 @@
             else None
         )
         self._settings_fingerprint = adapter.settings_fingerprint()
-        self._housekeeping = _Housekeeping(self._expire_and_reload, clock)
+        self._housekeeping = housekeeping.Housekeeping(
+            self._expire_and_reload, clock
+        )
         self._reader = registry_reader.RegistryReader(
             adapter.prefix,
             registry_source.RegistrySource(
@@ -256,7 +249,7 @@
         with self._condition:
             while not self._stopping:
                 self._clock.wait(self._condition, None)
-        self._drain()
+        self._shut_down()
 
     def reload(self) -> None:
         """Reload the settings and apply those that have changed.
@@ -283,12 +276,13 @@
         self._settings = settings
         self._directory.refresh()
 
-    def _drain(self) -> None:
+    def _shut_down(self) -> None:
         """Stop accepting and let requests in progress complete."""
         started_s = self._clock.monotonic()
         deadline = deadlines.Deadline(
             started_s + self._settings.grace_s - _EXIT_MARGIN_S
         )
+        self._drain.begin(deadline.earlier(_LAST_ANSWER_MARGIN_S))
         _LOG.info('stopping %s, no longer ready', self.name)
         self._caller_listener.closing = True
         with self._condition:
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -12,11 +12,13 @@
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import service_searchers
+from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 
 __all__ = [
     'CallerDisconnected',
     'CapacityFreed',
+    'DrainBegun',
     'Event',
     'SendAttempt',
     'SendFinished',
@@ -71,7 +73,14 @@
     """Event: the caller closed its connection."""
 
 
-Event = SendFinished | CapacityFreed | CallerDisconnected
+@attrs.frozen
+class DrainBegun:
+    """Event: the host is stopping; the request must end by a deadline."""
+
+    deadline: deadlines.Deadline
+
+
+Event = SendFinished | CapacityFreed | CallerDisconnected | DrainBegun
 
 
 class SendAttempt:
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -14,8 +14,10 @@
 from corianderport_tier import clocks
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
+from corianderport_tier.process import drain
 from corianderport_tier.process import metrics
 from corianderport_tier.process import route_latency
+from corianderport_tier.request import answer_summaries
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
@@ -70,8 +72,10 @@
         log: decision_log.DecisionLog,
         rng: random.Random,
         counts: metrics.Metrics | None = None,
+        host_drain: drain.Drain | None = None,
     ) -> None:
         self._metrics = counts or metrics.Metrics()
+        self.drain = host_drain or drain.Drain(clock)
         self.directory = searcher_directory
         self.clock = clock
         self.log = log
@@ -112,6 +116,10 @@
                 Failure(Code.UNKNOWN_SERVICE, 'no route matches the request'),
                 started_s,
             )
+        if not self.drain.accepts(self.latency(route).hedge_after_s):
+            return self._refuse(
+                request, Code.NOT_READY, 'the host is shutting down'
+            )
         task = ForwardTask(self, request, route)
         answer = task.run(caller)
         return self._record_answer(request, routing, answer, started_s, task)
@@ -147,8 +155,10 @@
         if task is not None:
             inputs.update(task.summary())
         route = _NO_ROUTE if task is None else task.route_name
-        self._metrics.finished(route, _result_code(answer), elapsed_s)
-        choice, reason = _describe_answer(answer)
+        self._metrics.finished(
+            route, answer_summaries.result_code(answer), elapsed_s
+        )
+        choice, reason = answer_summaries.describe(answer)
         self.log.record(
             decision_log.Decision(
                 'answer', request.request_id, choice, reason, inputs=inputs
@@ -188,8 +198,13 @@
         self, caller: DisconnectWatch
     ) -> forward_messages.ForwardAnswer | None:
         """Return the answer, or None if the caller disconnected."""
-        with caller.watch(
-            lambda: self._inbox.put(forward_send.CallerDisconnected())
+        with (
+            caller.watch(
+                lambda: self._inbox.put(forward_send.CallerDisconnected())
+            ),
+            self._forwarder.drain.watching(
+                lambda end: self._inbox.put(forward_send.DrainBegun(end))
+            ),
         ):
             try:
                 self._create_parts()
@@ -258,6 +273,8 @@
             event.send.part.on_result(event)
         elif isinstance(event, forward_send.CapacityFreed):
             event.part.on_capacity()
+        elif isinstance(event, forward_send.DrainBegun):
+            self._answer_by = min(self._answer_by, event.deadline)
         else:
             self._disconnected = True
 
@@ -378,26 +395,3 @@
             _MAX_RETRY_AFTER_FRACTION * remaining_s,
         )
         return Failure(code, detail, after_s)
-
-
-def _result_code(answer: forward_messages.ForwardAnswer | None) -> Code:
-    if answer is None:
-        # No caller is left to be told whether the request ran.
-        return Code.OUTCOME_UNKNOWN
-    if isinstance(answer, Failure):
-        return answer.code
-    if isinstance(answer, forward_messages.Gathered) and answer.missing:
-        return Code.PARTIAL
-    return Code.OK
-
-
-def _describe_answer(
-    answer: forward_messages.ForwardAnswer | None,
-) -> tuple[str, str]:
-    if answer is None:
-        return 'none', 'the caller disconnected'
-    if isinstance(answer, Failure):
-        return answer.code.name, answer.detail
-    if isinstance(answer, forward_messages.Relayed):
-        return 'relayed', f'status {answer.reply.status}'
-    return 'gathered', f'{answer.missing} parts are missing'
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -187,6 +187,9 @@
         self.name = name
         self.body = body
         self.status = 200
+        # Cleared to keep requests running.
+        self.may_answer = threading.Event()
+        self.may_answer.set()
         self.seen: list[dict[str, str]] = []
         super().__init__()
 
@@ -200,6 +203,7 @@
         if headers.get('x-target-instance') != self.name:
             request.send(421, headers={'X-Instance-Id': self.name})
             return
+        self.may_answer.wait()
         request.send(
             self.status,
             self.body,
--- a/tests/adapter/test_entry_process.py
+++ b/tests/adapter/test_entry_process.py
@@ -108,6 +108,7 @@
 @contextlib.contextmanager
 def _host_and_store(
     tmp_path: pathlib.Path,
+    may_answer: threading.Event | None = None,
 ) -> collections.abc.Iterator[tuple[_Host, fakes.Store]]:
     with contextlib.ExitStack() as stack:
         store = fakes.Store()
@@ -115,6 +116,8 @@
         for service in ('stock-1', 'stock-2', 'desk', 'desk-2'):
             searcher = fakes.Searcher(f'i-{service}', _RECORD)
             stack.callback(searcher.close)
+            if may_answer is not None:
+                searcher.may_answer = may_answer
             store.put(
                 f'servers/{searcher.name}',
                 {
@@ -224,6 +227,66 @@
     assert any(e['event'].startswith('stopped') for e in events)
 
 
+def _head(number: int) -> bytes:
+    return (
+        b'POST /one/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q%d\r\n'
+        b'X-Deadline-Ms: 30000\r\nContent-Length: 0\r\n\r\n' % number
+    )
+
+
+def _status(connection: socket.socket) -> int:
+    """Read a response; 0 if the connection ends without one."""
+    response = http.client.HTTPResponse(connection)
+    try:
+        response.begin()
+    except (http.client.BadStatusLine, ConnectionError):
+        return 0
+    return response.status
+
+
+def test_request_late_in_a_shutdown_is_answered_and_not_cut(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against requests that end with the process and without answer.
+
+    One still runs at the end of the grace period; of the other one the end
+    of the head arrives when no time is left to run it.
+    """
+    may_answer = threading.Event()
+    config = {
+        **test_documents.ROUTING,
+        'routes': [
+            {**route, 'timeout_ms': 30_000, 'goal_ms': 1_000}
+            for route in test_documents.ROUTING['routes']
+        ],
+    }
+    with _host_and_store(tmp_path, may_answer) as (host, store):
+        store.put('op/config', config)
+        host.wait_until(host.is_ready)
+        with contextlib.ExitStack() as stack:
+            stack.callback(may_answer.set)
+            running, late = (
+                stack.enter_context(
+                    socket.create_connection(
+                        ('127.0.0.1', host.front), _LONG_S
+                    )
+                )
+                for _ in range(2)
+            )
+            host.process.send_signal(signal.SIGTERM)
+            host.wait_until(lambda: not host.is_ready())
+            running.sendall(_head(1))
+            # Idle connections are closed 2.8 s after the signal, and a head
+            # has to arrive within three seconds.
+            time.sleep(1.5)
+            late.sendall(_head(2)[:20])
+            time.sleep(2.5)
+            late.sendall(_head(2)[20:])
+            assert _status(late) == 503
+            assert _status(running) == 504
+        assert host.process.wait(_LONG_S) == 0
+
+
 def test_invalid_settings_exit_with_a_log_line(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -496,3 +496,64 @@
     answer = host.finish()
     assert isinstance(answer, Failure)
     assert answer.code is Code.NOT_READY
+
+
+def test_request_that_runs_at_the_end_of_a_shutdown_is_answered() -> None:
+    """Guards against a request that ends with the process.
+
+    The searcher may have run it, so that the answer must not say otherwise.
+    """
+    host = _Host(_NON_IDEMPOTENT)
+    host.start(deadline_s=30.0)
+    send = host.take()
+    sent = threading.Event()
+
+    class _Silent(_Transport):
+        def exchange(self, call: forward_messages.SearcherCall) -> Reply:
+            sent.set()
+            aborted.wait(_WAIT_S)
+            raise errors.ConnectionBroken('aborted')
+
+        def abort(self) -> None:
+            aborted.set()
+
+    aborted = threading.Event()
+
+    def perform() -> None:
+        try:
+            send.perform(_Silent(_reply()))
+        except errors.CorianderportError as error:
+            send.finish(error)
+
+    connection = threading.Thread(target=perform, daemon=True)
+    connection.start()
+    assert sent.wait(_WAIT_S)
+    host.forwarder.drain.begin(deadlines.Deadline.after(host.clock, 0.2))
+    host.advance(0.3)
+    answer = host.finish()
+    connection.join(_WAIT_S)
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.OUTCOME_UNKNOWN
+
+
+def test_request_without_time_before_the_end_of_a_shutdown_is_refused() -> (
+    None
+):
+    """Guards against requests that are sent on and then cut."""
+    host = _Host(_NON_IDEMPOTENT)
+    host.forwarder.drain.begin(deadlines.Deadline.after(host.clock, 0.01))
+    host.start()
+    answer = host.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.NOT_READY
+    assert answer.retry_after_s is not None
+    assert host.idle
+
+
+def test_request_early_in_a_shutdown_is_served() -> None:
+    """Guards against refusing callers that the load balancer still sends."""
+    host = _Host(_NON_IDEMPOTENT)
+    host.forwarder.drain.begin(deadlines.Deadline.after(host.clock, 5.0))
+    host.start()
+    host.end(host.take(), _reply())
+    assert isinstance(host.finish(), forward_messages.Relayed)
