Take a response whose head is cut off for a broken connection

Cause: libcurl reports such a response as a 200 with an empty body, as soon as its status line has arrived. The product's own interface sends with it: a cancellation counted as confirmed by half a head, and an empty body was only found by the JSON decoder. The store is read with it too. Ruled out: the platform's searchers. Their answers are parsed by httptools; a new test cuts three heads after every byte and gets no response. Change: the client checks that the blank line after the head has arrived.

--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -55,6 +55,25 @@
         return int(pycurl.PREREQFUNC_OK)
 
 
+class _HeadTracker:
+    """libcurl's header callback: tells whether a head is complete.
+
+    libcurl reports a response whose connection closes within the head as if
+    it had an empty body.
+    """
+
+    def __init__(self) -> None:
+        self._informational = False
+        self.complete = False
+
+    def __call__(self, line: bytes) -> None:
+        if line.startswith(b'HTTP/'):
+            _, _, status = line.partition(b' ')
+            self._informational = status.startswith(b'1')
+        elif not line.strip():
+            self.complete = not self._informational
+
+
 class CurlClient:
     """A client that keeps one connection to ``ip:port`` open.
 
@@ -195,6 +214,8 @@
         reused = self._socket is not None
         body = io.BytesIO()
         handle.setopt(pycurl.URL, f'http://{self._address}{path}')
+        head = _HeadTracker()
+        handle.setopt(pycurl.HEADERFUNCTION, head)
         handle.setopt(pycurl.WRITEFUNCTION, body.write)
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1e3)))
         try:
@@ -204,6 +225,10 @@
         if handle.getinfo(pycurl.ACTIVESOCKET) == _NO_SOCKET:
             # The response had "Connection: close".
             self._close_socket()
+        if not head.complete:
+            raise errors.ConnectionBroken(
+                f'{self._address}: closed within the head of the response'
+            )
         return HttpReply(handle.getinfo(pycurl.RESPONSE_CODE), body.getvalue())
 
     def _close_socket(self) -> None:
--- /dev/null
+++ b/tests/wire/test_curl_client.py
@@ -0,0 +1,62 @@
+"""CurlClient: responses that end early or do not end."""
+
+import collections.abc
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from corianderport_tier import errors
+from corianderport_wire.connection import curl_client
+
+_LONG_S = 10.0
+_HEAD = (
+    b'HTTP/1.1 100 Continue\r\n\r\n'
+    b'HTTP/1.1 200 OK\r\nX-Id: q1\r\nContent-Length: 2\r\n\r\n'
+)
+
+
+@contextlib.contextmanager
+def _server(content: bytes) -> collections.abc.Iterator[str]:
+    """Answer one request with some bytes and close the connection."""
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def run() -> None:
+        accepted, _ = listener.accept()
+        with accepted:
+            accepted.recv(65_536)
+            accepted.sendall(content)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    try:
+        host, port = listener.getsockname()
+        yield f'{host}:{port}'
+    finally:
+        thread.join(_LONG_S)
+        listener.close()
+
+
+def _get(address: str) -> curl_client.HttpReply:
+    client = curl_client.CurlClient(address, _LONG_S, reconnect=False)
+    try:
+        return client.get('/', _LONG_S)
+    finally:
+        client.close()
+
+
+@pytest.mark.parametrize('length', range(len(_HEAD) + 1))
+def test_head_that_ends_early_is_not_a_response(length: int) -> None:
+    """Guards against a 200 with an empty body that nobody has sent.
+
+    libcurl reports a response whose connection closes within the head.
+    """
+    with _server(_HEAD[:length]) as address:
+        with pytest.raises(errors.TransportError):
+            _get(address)
+
+
+def test_complete_response() -> None:
+    with _server(_HEAD + b'ok') as address:
+        assert _get(address) == curl_client.HttpReply(200, b'ok')
--- a/tests/wire/test_reply_parser.py
+++ b/tests/wire/test_reply_parser.py
@@ -101,6 +101,22 @@
     assert parser.replies == []
 
 
+_UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Id: q1\r\n\r\n'
+
+
+@pytest.mark.parametrize('head', [_UNFRAMED, _PLAIN[:-2], _CHUNKED[:47]])
+def test_head_that_ends_early_is_not_a_response(head: bytes) -> None:
+    """Guards against a 200 with an empty body that nobody has sent."""
+    assert head.endswith(b'\r\n\r\n')
+    for length in range(len(head)):
+        parser = reply_parser.ReplyParser(b'GET')
+        with pytest.raises(errors.ConnectionBroken):
+            if length:
+                parser.receive(head[:length])
+            parser.receive(b'')
+        assert parser.replies == []
+
+
 def test_oversized_response_is_rejected() -> None:
     """Guards against a server that makes this host run out of memory.
 
