--- a/packages/tier/src/corianderport_tier/process/registry_relay.py
+++ b/packages/tier/src/corianderport_tier/process/registry_relay.py
@@ -11,7 +11,7 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
-from corianderport_tier.process import link_budget
+from corianderport_tier.process import token_bucket
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import registrations
 
@@ -30,6 +30,10 @@
 _MAX_FOLLOWERS = 32
 # Link of a host whose settings do not state one: 10 Mbit/s.
 DEFAULT_LINK_BYTES_S = 1_250_000.0
+# The rest of the link is left to callers and searchers.
+_MAX_LINK_SHARE = 0.2
+# Responses to callers wait behind a burst for at most this time.
+_MAX_LINK_BURST_S = 0.1
 
 
 @attrs.frozen
@@ -57,7 +61,11 @@
         link_bytes_s: float = DEFAULT_LINK_BYTES_S,
     ) -> None:
         self._clock = clock
-        self._budget = link_budget.LinkBudget(clock, link_bytes_s)
+        self._link_budget = token_bucket.TokenBucket(
+            clock,
+            _MAX_LINK_SHARE * link_bytes_s,
+            _MAX_LINK_BURST_S * link_bytes_s,
+        )
         self._condition = threading.Condition()
         self._batches: collections.deque[_Batch] = collections.deque()
         self._buffered_bytes = 0
@@ -140,7 +148,7 @@
             max(after, self._revision),
             any(b.returned for b in batches),
         )
-        if not self._budget.try_spend(changes.size_bytes):
+        if not self._link_budget.try_spend(changes.size_bytes):
             raise errors.NotRelayed(
                 f'{changes.size_bytes} bytes of changes exceed the budget'
             )
