Bound the bytes and reads of a searcher's response, alone and together

Cause: heads were counted field by field, once a field was complete. A field, a status line, blank lines, 100 Continue, chunk extensions, trailers and framing without end were read until the deadline, with all bytes of a field kept in memory. Nothing bounded single-byte reads, nor the responses of all searchers together: 16 MB each on hundreds of connections. Change: an exchange has an allowance: 128 KB and a sixteenth of the body for all that is no body, 1,024 reads and one more for each 256 bytes. What exceeds a usual response (64 KB, 64 reads) is taken from a quota of the whole host, 32 MB and 8 MB a second, 20,000 reads and 10,000 a second. Tests: nine kinds of bytes without end; eight of them and the single bytes were accepted to the end before. 64 large responses at once are bounded together; 50,000 usual ones use nothing of the quota.

--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -21,6 +21,7 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.request import deadlines
+from corianderport_wire.connection import reply_allowance
 from corianderport_wire.connection import reply_parser
 
 __all__ = ['HttpExchange', 'HttpReply', 'HttpRequest', 'connect']
@@ -77,9 +78,18 @@
 
 
 class HttpExchange:
-    """Sends requests one at a time and never repeats one."""
+    """Sends requests one at a time and never repeats one.
 
-    def __init__(self, connection: socket.socket, clock: clocks.Clock) -> None:
+    :param quota: limits the responses on all connections of the host.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        clock: clocks.Clock,
+        quota: reply_allowance.Quota | None = None,
+    ) -> None:
+        self._quota = quota
         # A socket with a timeout costs two more system calls per operation.
         connection.setblocking(False)
         self._socket = connection
@@ -145,7 +155,9 @@
         matches: ReplyMatcher,
     ) -> HttpReply:
         self._send(_encode(request), deadline)
-        parser = reply_parser.ReplyParser(request.method)
+        parser = reply_parser.ReplyParser(
+            request.method, reply_allowance.ReplyAllowance(self._quota)
+        )
         for _ in range(_MAX_UNMATCHED_REPLIES + 1):
             while not parser.replies:
                 parser.receive(self._receive(deadline))
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -7,6 +7,7 @@
 import httptools
 
 from corianderport_tier import errors
+from corianderport_wire.connection import reply_allowance
 
 __all__ = ['HttpReply', 'ReplyParser']
 
@@ -42,9 +43,15 @@
 
     :param method: method of the request; the response to HEAD has no body,
         whatever its headers say.
+    :param allowance: limits the bytes and reads of all responses.
     """
 
-    def __init__(self, method: bytes) -> None:
+    def __init__(
+        self,
+        method: bytes,
+        allowance: reply_allowance.ReplyAllowance | None = None,
+    ) -> None:
+        self._allowance = allowance or reply_allowance.ReplyAllowance()
         self._bodiless = method == _HEAD
         self._parser = httptools.HttpResponseParser(self)
         self._replies: list[HttpReply] = []
@@ -70,22 +77,17 @@
     def receive(self, content: bytes) -> None:
         """Parse the next bytes; an empty value means end of stream.
 
-        :raises ConnectionBroken: the bytes are not a valid response, or
-            the stream ends before the response is complete.
+        :raises ConnectionBroken: the bytes are not a valid response or
+            exceed a limit, or the stream ends before the response is
+            complete.
         """
         if not content:
             self._receive_eof()
             return
-        try:
-            self._parser.feed_data(content)
-        except httptools.HttpParserUpgrade as error:
-            raise errors.ConnectionBroken('protocol upgrade') from error
-        except httptools.HttpParserError as error:
-            # Invalid bytes after a complete response rule out reuse, but do
-            # not invalidate that response.
-            self._broken = True
-            if not self._replies:
-                raise errors.ConnectionBroken(str(error)) from error
+        self._allowance.count_read(len(content))
+        self._parse(content)
+        if not self._replies:
+            self._allowance.check_overhead()
 
     def on_message_begin(self) -> None:
         """Start a new response."""
@@ -114,6 +116,7 @@
 
     def on_body(self, content: bytes) -> None:
         """Add a chunk of the body."""
+        self._allowance.count_body(len(content))
         self._body_bytes += len(content)
         if self._body_bytes > _MAX_BODY_BYTES:
             raise errors.ConnectionBroken('response body is too large')
@@ -128,6 +131,18 @@
             return
         self._complete()
 
+    def _parse(self, content: bytes) -> None:
+        try:
+            self._parser.feed_data(content)
+        except httptools.HttpParserUpgrade as error:
+            raise errors.ConnectionBroken('protocol upgrade') from error
+        except httptools.HttpParserError as error:
+            # Invalid bytes after a complete response rule out reuse, but do
+            # not invalidate that response.
+            self._broken = True
+            if not self._replies:
+                raise errors.ConnectionBroken(str(error)) from error
+
     def _complete(self) -> None:
         self._in_message = self._in_body = False
         self._keep_alive = bool(self._parser.should_keep_alive())
