Bound what libcurl receives for a response in reads and framing

Cause: libcurl limits heads, but a body of small chunks was collected until the deadline, one call of Python for each chunk. Change: the callbacks that collect a response use the allowance of the platform's searchers. Chunk extensions stay inside libcurl and end with the timeout of the call.

--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -12,13 +12,16 @@
 import pycurl
 
 from corianderport_tier import errors
+from corianderport_wire.connection import reply_allowance
 
-__all__ = ['CurlClient', 'HttpReply']
+__all__ = ['CurlClient', 'HttpReply', 'ReplyCollector']
 
 _KEEPALIVE_INTERVAL_S = 5
 # The connection is closed when sent data stays unacknowledged for longer.
 _USER_TIMEOUT_MS = 2_000
 _MAX_IDLE_S = 30
+# Returned by a callback of libcurl, any number but that of the bytes.
+_END_CALL = -1
 _NO_SOCKET: int = pycurl.SOCKET_BAD
 _MAX_REPLY_BYTES = 16 * 1024 * 1024
 _CONNECT_ERRORS = frozenset(
@@ -55,23 +58,62 @@
         return int(pycurl.PREREQFUNC_OK)
 
 
-class _HeadTracker:
-    """libcurl's header callback: tells whether a head is complete.
+class ReplyCollector:
+    """libcurl's callbacks that receive the head and the body of a response.
 
     libcurl reports a response whose connection closes within the head as if
     it had an empty body.
     """
 
     def __init__(self) -> None:
+        self._allowance = reply_allowance.ReplyAllowance()
+        self._body = io.BytesIO()
         self._informational = False
-        self.complete = False
-
-    def __call__(self, line: bytes) -> None:
+        self._head_complete = False
+        self._error: errors.ConnectionBroken | None = None
+
+    @property
+    def body(self) -> bytes:
+        """Body received so far."""
+        return self._body.getvalue()
+
+    @property
+    def error(self) -> errors.ConnectionBroken | None:
+        """Why the response was rejected, or must be after its end."""
+        if self._error is None and not self._head_complete:
+            return errors.ConnectionBroken('closed within the response head')
+        return self._error
+
+    @property
+    def rejected(self) -> bool:
+        """Whether the response has exceeded a limit."""
+        return self._error is not None
+
+    def on_header(self, line: bytes) -> int | None:
+        """Receive a line of the head; return a value that ends the call."""
         if line.startswith(b'HTTP/'):
             _, _, status = line.partition(b' ')
             self._informational = status.startswith(b'1')
         elif not line.strip():
-            self.complete = not self._informational
+            self._head_complete = not self._informational
+        return self._count(line, body=False)
+
+    def on_body(self, content: bytes) -> int | None:
+        """Receive a piece of the body; return a value that ends the call."""
+        self._body.write(content)
+        return self._count(content, body=True)
+
+    def _count(self, content: bytes, body: bool) -> int | None:
+        # Exceptions must not propagate into libcurl.
+        try:
+            self._allowance.count_read(len(content))
+            if body:
+                self._allowance.count_body(len(content))
+            self._allowance.check_overhead()
+        except errors.ConnectionBroken as error:
+            self._error = error
+            return _END_CALL
+        return None
 
 
 class CurlClient:
@@ -212,24 +254,27 @@
     def _perform(self, path: str, timeout_s: float) -> HttpReply:
         handle = self._handle
         reused = self._socket is not None
-        body = io.BytesIO()
+        collector = ReplyCollector()
         handle.setopt(pycurl.URL, f'http://{self._address}{path}')
-        head = _HeadTracker()
-        handle.setopt(pycurl.HEADERFUNCTION, head)
-        handle.setopt(pycurl.WRITEFUNCTION, body.write)
+        handle.setopt(pycurl.HEADERFUNCTION, collector.on_header)
+        handle.setopt(pycurl.WRITEFUNCTION, collector.on_body)
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1e3)))
         try:
             handle.perform()
         except pycurl.error as error:
+            if collector.rejected:
+                raise errors.ConnectionBroken(
+                    f'{self._address}: {collector.error}'
+                ) from error
             raise self._transport_error(error, reused) from error
         if handle.getinfo(pycurl.ACTIVESOCKET) == _NO_SOCKET:
             # The response had "Connection: close".
             self._close_socket()
-        if not head.complete:
+        if collector.error is not None:
             raise errors.ConnectionBroken(
-                f'{self._address}: closed within the head of the response'
+                f'{self._address}: {collector.error}'
             )
-        return HttpReply(handle.getinfo(pycurl.RESPONSE_CODE), body.getvalue())
+        return HttpReply(handle.getinfo(pycurl.RESPONSE_CODE), collector.body)
 
     def _close_socket(self) -> None:
         with self._lock:
--- a/tests/wire/test_curl_client.py
+++ b/tests/wire/test_curl_client.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import itertools
 import socket
 import threading
 
@@ -18,15 +19,19 @@
 
 
 @contextlib.contextmanager
-def _server(content: bytes) -> collections.abc.Iterator[str]:
+def _server(
+    pieces: collections.abc.Iterable[bytes],
+) -> collections.abc.Iterator[str]:
     """Answer one request with some bytes and close the connection."""
     listener = socket.create_server(('127.0.0.1', 0))
 
     def run() -> None:
         accepted, _ = listener.accept()
-        with accepted:
+        with accepted, contextlib.suppress(OSError):
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             accepted.recv(65_536)
-            accepted.sendall(content)
+            for piece in pieces:
+                accepted.sendall(piece)
 
     thread = threading.Thread(target=run, daemon=True)
     thread.start()
@@ -52,11 +57,41 @@
 
     libcurl reports a response whose connection closes within the head.
     """
-    with _server(_HEAD[:length]) as address:
+    with _server([_HEAD[:length]]) as address:
         with pytest.raises(errors.TransportError):
             _get(address)
 
 
+@pytest.mark.parametrize(
+    ('start', 'piece'),
+    [
+        (b'HTTP/1.1 200 OK\r\n', b'x-a: b\r\n'),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+            b'1\r\nx\r\n',
+        ),
+    ],
+)
+def test_response_without_end_is_bounded(start: bytes, piece: bytes) -> None:
+    """Guards against a server whose bytes end only with the deadline."""
+    sent = itertools.chain([start], itertools.repeat(piece))
+    with _server(sent) as address:
+        with pytest.raises(errors.ConnectionBroken):
+            _get(address)
+
+
+def test_body_in_single_bytes_is_bounded_in_reads() -> None:
+    """Guards against a server that takes all the processor time."""
+    collector = curl_client.ReplyCollector()
+    collector.on_header(b'HTTP/1.1 200 OK\r\n')
+    collector.on_header(b'\r\n')
+    results = [collector.on_body(b'a') for _ in range(10_000)]
+    assert results[0] is None
+    assert results[-1] is not None
+    assert collector.rejected
+
+
 def test_complete_response() -> None:
-    with _server(_HEAD + b'ok') as address:
+    with _server([_HEAD + b'ok']) as address:
         assert _get(address) == curl_client.HttpReply(200, b'ok')
