Use a reply that arrives after its attempt was abandoned

Cause: a reply that arrived between the timeout and the abort of the connection was dropped. The attempt counted as lost, so the searcher counted as busy until the deadline of the request. Ruled out: a wake-up that the inbox loses; nothing had been put into it. Change: the connection is still closed, but the reply is delivered. Test: a reply after the attempt was abandoned; the request got none before (TimeoutError).

--- a/packages/testkit/src/corianderport_testkit/connection/fake_upstreams.py
+++ b/packages/testkit/src/corianderport_testkit/connection/fake_upstreams.py
@@ -12,7 +12,7 @@
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
 
-__all__ = ['FakeDialer', 'answer_all', 'never_answer']
+__all__ = ['FakeDialer', 'Handler', 'answer_all', 'never_answer']
 
 Reply = (
     messages.UpstreamSearchReply
--- a/packages/tier/src/corianderport_tier/request/attempts.py
+++ b/packages/tier/src/corianderport_tier/request/attempts.py
@@ -19,11 +19,8 @@
 
 _CANCEL_TIMEOUT_S = 0.25
 
-Reply = (
-    messages.UpstreamSearchReply
-    | messages.UpstreamRefusal
-    | errors.CorianderportError
-)
+SearchReply = messages.UpstreamSearchReply | messages.UpstreamRefusal
+Reply = SearchReply | errors.CorianderportError
 
 
 @attrs.frozen
@@ -56,6 +53,7 @@
     _transport: transports.UpstreamTransport | None = None
     _abandoned: bool = False
     _finished: bool = False
+    _late_reply: SearchReply | None = None
 
     @property
     def is_abandoned(self) -> bool:
@@ -80,11 +78,15 @@
         finally:
             self._end()
         if self._abandoned:
+            # The connection is aborted, but the reply is complete.
+            self._late_reply = reply
             raise errors.ConnectionSilent('the attempt was abandoned')
         return reply
 
     def finish(self, reply: object) -> None:
         """Deliver the result to the request."""
+        if self._late_reply is not None:
+            reply = self._late_reply
         assert isinstance(
             reply,
             messages.UpstreamSearchReply
@@ -138,9 +140,7 @@
         with self._condition:
             self._transport = None
 
-    def _search(
-        self, transport: transports.UpstreamTransport
-    ) -> messages.UpstreamSearchReply | messages.UpstreamRefusal:
+    def _search(self, transport: transports.UpstreamTransport) -> SearchReply:
         timeout_s = self.call.deadline.remaining(self.clock)
         try:
             reply = transport.search(self.call, timeout_s)
--- a/tests/tier/test_gather.py
+++ b/tests/tier/test_gather.py
@@ -3,6 +3,7 @@
 import collections.abc
 import concurrent.futures
 import random
+import threading
 
 import attrs
 import pytest
@@ -289,6 +290,37 @@
     assert host.dialer.dials[_A] >= 2
 
 
+def _answer_when(event: threading.Event) -> fake_upstreams.Handler:
+    def answer(
+        call: messages.UpstreamSearch,
+    ) -> messages.UpstreamSearchReply:
+        assert event.wait(_TIMEOUT_S)
+        return fake_upstreams.answer_all(call)
+
+    return answer
+
+
+def test_reply_of_an_abandoned_attempt_is_used(host: _Host) -> None:
+    """Guards against a request that loses a reply which has arrived.
+
+    The reply arrives after the attempt was abandoned.
+    """
+    host.publish(f'2,{_B},{_C}')
+    host.warm((_A,))
+    answer_now = threading.Event()
+    host.dialer.handlers[_A] = _answer_when(answer_now)
+    task = host.start(1_000.0)
+    host.dialer.await_calls(1)
+    (_, call), *_ = host.dialer.calls
+    host.clock.await_waiters(1)
+    host.clock.advance(1.0)
+    host.dialer.await_cancelled(call.attempt_id)
+    answer_now.set()
+    answer = task.result(_TIMEOUT_S)
+    assert _covered(answer) == list(_SHARDS)
+    assert answer.sub_requests == 1
+
+
 def test_nothing_is_sent_after_the_deadline(host: _Host) -> None:
     """Guards against sending requests that nobody waits for.
 
