--- a/packages/tier/src/corianderport_tier/process/capacity_queue.py
+++ b/packages/tier/src/corianderport_tier/process/capacity_queue.py
@@ -9,20 +9,24 @@
 
 import attrs
 
+from corianderport_tier import clocks
+from corianderport_tier import errors
+from corianderport_tier.process import upstream as upstream_module
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import configuration
 
-if typing.TYPE_CHECKING:
-    from corianderport_tier.process import upstreams
-
 __all__ = ['CapacityQueue', 'CapacityWaiter', 'QueuedRequest']
 
+_WAITERS_PER_SLOT = 32
+
+Upstream = upstream_module.Upstream
+
 
 class CapacityWaiter(typing.Protocol):
     """A request that waits for capacity at a searcher."""
 
     def capacity_granted(
-        self, service: str, upstream: 'upstreams.Upstream | None'
+        self, service: str, upstream: Upstream | None
     ) -> bool:
         """Accept capacity at a searcher that already counts the request.
 
@@ -59,6 +63,33 @@
             self._entries, deadline, key=lambda e: e.deadline
         )
 
+    def check(
+        self,
+        entry: QueuedRequest,
+        eligible: collections.abc.Sequence[Upstream],
+        median_s: float,
+        clock: clocks.Clock,
+    ) -> None:
+        """Check that a request can be served by its deadline.
+
+        :param eligible: the searchers that it may wait for.
+        :param median_s: median latency of the service in seconds.
+        :raises NoUpstream: every searcher backs off until after the deadline.
+        :raises Overloaded: the requests ahead take too long.
+        """
+        _check_backoff_ends_in_time(entry, eligible)
+        slots = sum(u.limit for u in eligible if u.health.normal) or 1
+        if len(self._entries) >= _WAITERS_PER_SLOT * slots:
+            raise errors.Overloaded(
+                'too many requests are waiting for the service'
+            )
+        turns = (self.ahead_of(entry.deadline) + 1) / slots
+        needed_s = (turns + 1) * median_s
+        if needed_s >= entry.deadline.remaining(clock):
+            raise errors.Overloaded(
+                f'needs {needed_s * 1e3:.0f} ms, more than the deadline allows'
+            )
+
     def add(self, entry: QueuedRequest) -> None:
         """Add a request after those with the same deadline."""
         self._entries.insert(self.ahead_of(entry.deadline), entry)
@@ -70,3 +101,21 @@
     def discard(self, waiter: CapacityWaiter) -> None:
         """Remove a request that has ended."""
         self._entries = [e for e in self._entries if e.waiter is not waiter]
+
+
+def _check_backoff_ends_in_time(
+    entry: QueuedRequest, eligible: collections.abc.Sequence[Upstream]
+) -> None:
+    retry_times_s = [
+        u.health.retry_at_s for u in eligible if not u.health.normal
+    ]
+    if len(retry_times_s) < len(eligible):
+        return
+    # None marks a searcher with a running probe.
+    first_retry_s = min(
+        (at_s for at_s in retry_times_s if at_s is not None), default=None
+    )
+    if first_retry_s is not None and first_retry_s >= entry.deadline.at_s:
+        raise errors.NoUpstream(
+            'every searcher is backing off until after the deadline'
+        )
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -24,8 +24,6 @@
 Upstream = upstream_module.Upstream
 SearcherFilter = collections.abc.Callable[[configuration.Searcher], bool]
 
-_WAITERS_PER_SLOT = 32
-
 
 class ServiceUpstreams:
     """The searchers of one service and the requests waiting for them.
@@ -211,7 +209,8 @@
             )
             if not eligible:
                 raise errors.NoUpstream('no searcher is left to try')
-            self._check_wait(entry, eligible)
+            median_s = self._window.times.median_s
+            self._queue.check(entry, eligible, median_s, self._clock)
             self._queue.add(entry)
             # Capacity may have become available since the last attempt.
             self._grant()
@@ -355,44 +354,6 @@
         median_s = self._window.times.median_s
         return entry.deadline.remaining(self._clock) > median_s
 
-    def _check_wait(
-        self,
-        entry: capacity_queue.QueuedRequest,
-        eligible: collections.abc.Sequence[Upstream],
-    ) -> None:
-        self._check_backoff_ends_in_time(entry, eligible)
-        slots = sum(u.limit for u in eligible if u.health.normal) or 1
-        if len(self._queue) >= _WAITERS_PER_SLOT * slots:
-            raise errors.Overloaded(
-                'too many requests are waiting for the service'
-            )
-        median_s = self._window.times.median_s
-        turns = (self._queue.ahead_of(entry.deadline) + 1) / slots
-        needed_s = (turns + 1) * median_s
-        if needed_s >= entry.deadline.remaining(self._clock):
-            raise errors.Overloaded(
-                f'needs {needed_s * 1e3:.0f} ms, more than the deadline allows'
-            )
-
-    def _check_backoff_ends_in_time(
-        self,
-        entry: capacity_queue.QueuedRequest,
-        eligible: collections.abc.Sequence[Upstream],
-    ) -> None:
-        retry_times_s = [
-            u.health.retry_at_s for u in eligible if not u.health.normal
-        ]
-        if len(retry_times_s) < len(eligible):
-            return
-        # None marks a searcher with a running probe.
-        first_retry_s = min(
-            (at_s for at_s in retry_times_s if at_s is not None), default=None
-        )
-        if first_retry_s is not None and first_retry_s >= entry.deadline.at_s:
-            raise errors.NoUpstream(
-                'every searcher is backing off until after the deadline'
-            )
-
     def _record_latency(self, outcome: outcomes.Outcome) -> None:
         # The elapsed time of an abandoned request is a lower bound. Without
         # it, no latency would be recorded while all searchers are slow.
