Abandon an attempt only if a retry can take its place

Cause: on a busy machine the reply of the only searcher took longer than the timeout of an attempt (50 ms). The attempt was abandoned, but a cold searcher counts as busy until the deadline of an abandoned request, since a second one may crash it. So nothing could be sent any more, and the reply that was about to come was lost. Ruled out: a lost wake-up of the inbox or of the capacity queue. The trace shows the searcher with no request in flight, one abandoned, limit 1. Change: a timed-out attempt is abandoned only if its searcher is warm or another one can take a request; otherwise it is looked at again after one more timeout. Tests: the slow reply of the only cold searcher is used, and a replica that returns to service takes over; both failed before.

--- a/packages/tier/src/corianderport_tier/process/upstream.py
+++ b/packages/tier/src/corianderport_tier/process/upstream.py
@@ -165,6 +165,10 @@
         """Whether one more request may be sent."""
         return self.load(now_s) < self.limit
 
+    def free_after_replies(self, now_s: float) -> bool:
+        """Whether the replies in flight will leave room for a request."""
+        return self.load(now_s) - self.in_flight < self.limit
+
     def can_accept_request(self, now_s: float) -> bool:
         """Whether a regular request may be sent."""
         self._start_over_when_idle(now_s)
--- a/packages/tier/src/corianderport_tier/process/upstreams.py
+++ b/packages/tier/src/corianderport_tier/process/upstreams.py
@@ -160,6 +160,24 @@
         with self._lock:
             return self._budgets.try_retry_running(self._clock.monotonic())
 
+    def can_replace_attempt(
+        self, upstream: Upstream, allowed: SearcherFilter
+    ) -> bool:
+        """Whether a retry could be sent once an attempt was abandoned.
+
+        :param upstream: the searcher of the attempt.
+        """
+        with self._lock:
+            if not upstream.slow_start.lowest:
+                return True
+            # A cold searcher stays occupied until the deadline of the
+            # abandoned request.
+            now_s = self._clock.monotonic()
+            return any(
+                u is not upstream and u.free_after_replies(now_s)
+                for u in self._candidates(allowed, (), now_s)
+            )
+
     def may_send(self, upstream: Upstream, allowed: SearcherFilter) -> bool:
         """Whether a request may still be sent to an acquired searcher."""
         with self._lock:
@@ -246,12 +264,7 @@
     ) -> list[Upstream]:
         """Return the searchers that a request may wait for."""
         with self._lock:
-            now_s = self._clock.monotonic()
-            return [
-                u
-                for u in self._eligible(allowed, excluded, now_s)
-                if u.health.normal or u.health.probe_due(now_s)
-            ]
+            return self._candidates(allowed, excluded, self._clock.monotonic())
 
     def states(self) -> list[Upstream]:
         """Return all searchers, for the administration interface."""
@@ -264,6 +277,18 @@
             baseline = self._baseline(upstream)
             upstream.on_superseded(baseline, self._clock.monotonic())
 
+    def _candidates(
+        self,
+        allowed: SearcherFilter,
+        excluded: collections.abc.Container[str],
+        now_s: float,
+    ) -> list[Upstream]:
+        return [
+            u
+            for u in self._eligible(allowed, excluded, now_s)
+            if u.health.normal or u.health.probe_due(now_s)
+        ]
+
     def _eligible(
         self,
         allowed: SearcherFilter,
--- a/packages/tier/src/corianderport_tier/request/sending.py
+++ b/packages/tier/src/corianderport_tier/request/sending.py
@@ -92,11 +92,21 @@
             self._start(pending, service_state, upstream, 'hedge')
 
     def abandon_attempt(self, active_attempt: ActiveAttempt) -> None:
-        """Abandon a timed-out attempt if the budget allows a retry."""
+        """Abandon a timed-out attempt if a retry can be sent.
+
+        The budget has to allow it, and a searcher has to take it before the
+        deadline. Otherwise the reply of the attempt is the only one to come.
+        """
+        attempt = active_attempt.attempt
+        upstreams = self._used_services[attempt.service].upstreams
+        if not self._can_replace(attempt):
+            now_s = self._clock.monotonic()
+            timeout_s = self._timeout_s(upstreams.attempt_times)
+            active_attempt.timeout_at_s = now_s + timeout_s
+            return
         active_attempt.timeout_at_s = None
-        service_state = self._used_services[active_attempt.attempt.service]
-        if service_state.upstreams.try_retry_running():
-            active_attempt.attempt.abandon()
+        if upstreams.try_retry_running():
+            attempt.abandon()
             self.cancel(active_attempt, superseded=False)
 
     def cancel(self, active_attempt: ActiveAttempt, superseded: bool) -> None:
@@ -206,6 +216,14 @@
         allowed = self._services.allowed()
         return upstreams.may_send(upstream, allowed)
 
+    def _can_replace(self, attempt: attempts.SearchAttempt) -> bool:
+        try:
+            upstreams = self._services.get(attempt.service).upstreams
+        except errors.CorianderportError:
+            return False
+        allowed = self._services.allowed()
+        return upstreams.can_replace_attempt(attempt.upstream, allowed)
+
     def _start_first(
         self,
         pending: PendingSubQuery,
--- a/tests/tier/test_gather.py
+++ b/tests/tier/test_gather.py
@@ -128,6 +128,15 @@
             self.clock.advance(0.005)
             self.dialer.await_calls(count, 0.002)
 
+    def advance_up_to_calls(self, count: int, seconds: float) -> None:
+        """Advance by ``seconds``, or until ``count`` searches have started."""
+        end_s = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < end_s and (
+            len(self.dialer.calls) < count
+        ):
+            self.clock.advance(0.05)
+            self.dialer.await_calls(count, 0.01)
+
     def names(self) -> list[str]:
         return [name for name, _ in self.dialer.calls]
 
@@ -321,6 +330,44 @@
     assert answer.sub_requests == 1
 
 
+def test_slow_reply_of_the_only_cold_searcher_is_awaited(host: _Host) -> None:
+    """Guards against abandoning an attempt that nothing can replace.
+
+    A cold searcher gets no second request while it may be running the
+    first.
+    """
+    host.publish(f'2,{_B},{_C}')
+    host.warm((_A,))
+    host.upstream(_A).slow_start.start_over()
+    answer_now = threading.Event()
+    host.dialer.handlers[_A] = _answer_when(answer_now)
+    task = host.start(60.0)
+    host.advance_up_to_calls(2, 2.0)
+    answer_now.set()
+    assert _covered(task.result(_TIMEOUT_S)) == list(_SHARDS)
+    assert (host.names(), host.dialer.dials[_A]) == ([_A], 1)
+
+
+def test_silent_cold_searcher_is_replaced_by_one_that_returns(
+    host: _Host,
+) -> None:
+    """Guards against a request that waits for a cold searcher until the end.
+
+    Its replicas return to service after the attempt has timed out.
+    """
+    host.publish(f'2,{_B},{_C}')
+    host.warm((_A,))
+    host.upstream(_A).slow_start.start_over()
+    host.dialer.handlers[_A] = fake_upstreams.never_answer
+    task = host.start(60.0)
+    host.advance_up_to_calls(2, 1.0)
+    assert host.names() == [_A]
+    host.publish('3')
+    host.advance_up_to_calls(2, 5.0)
+    assert _covered(task.result(_TIMEOUT_S)) == list(_SHARDS)
+    assert len(host.names()) == 2
+
+
 def test_nothing_is_sent_after_the_deadline(host: _Host) -> None:
     """Guards against sending requests that nobody waits for.
 
