Answer searches and actions of callers before a stopping daemon exits

Callers: in a graceful shutdown of corianderportd, a search or an action whose deadline lies beyond drain_lag_s + drain_limit_s was cut off without an answer. Cause: as on the platform's interface, a request that runs does not know when the process exits. Change: searches and actions listen to the same drain as forwarded requests. A search returns the answers that are in, an action OUTCOME_UNKNOWN if it was sent and NOT_READY if it was not. The event of the drain is part of its module, so that three kinds of request use it. Not covered: an action that waits for the host that issued its ticket.

--- a/packages/daemon/src/corianderport_daemon/process/daemon.py
+++ b/packages/daemon/src/corianderport_daemon/process/daemon.py
@@ -19,6 +19,7 @@
 from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import drain
 from corianderport_tier.process import entry
 from corianderport_tier.process import hand_over
 from corianderport_tier.process import handed_over
@@ -54,6 +55,7 @@
         self._stopped = threading.Event()
         self._caller_gate = shutdown.RequestGate(clock)
         self._peer_gate = shutdown.RequestGate(clock)
+        self._drain = drain.Drain(clock)
 
     @classmethod
     def from_settings(cls, settings: settings_module.Settings) -> 'Daemon':
@@ -138,7 +140,7 @@
             )
         )
         self._aggregator = aggregator.LocalAggregator(
-            self._services, self._clock, self._log
+            self._services, self._clock, self._log, self._drain
         )
 
     def _start_entry(self) -> None:
@@ -238,6 +240,7 @@
             self._readiness,
             self._caller_gate,
             self._peer_gate,
+            self._drain,
             self._control.leave,
             self._tickets.seal,
             task.run,
--- a/packages/testkit/src/corianderport_testkit/process/action_hosts.py
+++ b/packages/testkit/src/corianderport_testkit/process/action_hosts.py
@@ -21,6 +21,7 @@
 from corianderport_tier.process import aggregator
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import drain
 from corianderport_tier.process import entry
 from corianderport_tier.process import hand_over
 from corianderport_tier.process import handed_over
@@ -200,6 +201,7 @@
         self._stack = contextlib.ExitStack()
         self._gate = shutdown.RequestGate(cluster.clock)
         self._peer_gate = shutdown.RequestGate(cluster.clock)
+        self.drain = drain.Drain(cluster.clock)
         self._handed_over = handed_over.HandedOverTickets(cluster.clock)
         self._log = decision_log.DecisionLog()
         self._local = self._build_local()
@@ -251,6 +253,7 @@
             shutdown.Readiness(self.cluster.store),
             self._gate,
             self._peer_gate,
+            self.drain,
             lambda: None,
             self._table.seal,
             task.run,
@@ -280,7 +283,9 @@
                 random.Random(1),
             )
         )
-        return aggregator.LocalAggregator(services, self._clock, self._log)
+        return aggregator.LocalAggregator(
+            services, self._clock, self._log, self.drain
+        )
 
     def _run(self, request: messages.ActionRequest) -> messages.ActionAnswer:
         return actions.ActionTask(
--- a/packages/tier/src/corianderport_tier/process/aggregator.py
+++ b/packages/tier/src/corianderport_tier/process/aggregator.py
@@ -7,6 +7,7 @@
 
 from corianderport_tier import clocks
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import drain
 from corianderport_tier.process import upstream_services
 from corianderport_tier.request import action_attempts
 from corianderport_tier.request import gather
@@ -33,14 +34,19 @@
 
 
 class LocalAggregator:
-    """An aggregator that sends from this host."""
+    """An aggregator that sends from this host.
+
+    :param host_drain: ends what is running before a stopping host exits.
+    """
 
     def __init__(
         self,
         services: upstream_services.UpstreamServices,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
+        host_drain: drain.Drain | None = None,
     ) -> None:
+        self._drain = host_drain or drain.Drain(clock)
         self._services = services
         self._clock = clock
         self._log = log
@@ -48,11 +54,11 @@
     def run(self, batch: messages.SubQueryBatch) -> messages.BatchAnswer:
         """Run the batch on the calling task."""
         return gather.Gather(
-            batch, self._services, self._clock, self._log
+            batch, self._services, self._clock, self._log, self._drain
         ).run()
 
     def act(self, call: messages.ActionCall) -> messages.ActionAnswer:
         """Run the action on the calling task."""
         return action_attempts.ActionRun(
-            call, self._services, self._clock, self._log
+            call, self._services, self._clock, self._log, self._drain
         ).run()
--- a/packages/tier/src/corianderport_tier/process/drain.py
+++ b/packages/tier/src/corianderport_tier/process/drain.py
@@ -7,15 +7,25 @@
 import contextlib
 import threading
 
+import attrs
+
 from corianderport_tier import clocks
 from corianderport_tier.request import deadlines
 
-__all__ = ['Drain']
+__all__ = ['Drain', 'DrainBegun']
 
 # A request is accepted if this multiple of its usual latency remains.
 _MIN_LATENCIES = 4.0
 
-Callback = collections.abc.Callable[[deadlines.Deadline], None]
+
+@attrs.frozen
+class DrainBegun:
+    """Event: the host is stopping; the request must end by a deadline."""
+
+    deadline: deadlines.Deadline
+
+
+Callback = collections.abc.Callable[[DrainBegun], None]
 
 
 class Drain:
@@ -33,7 +43,7 @@
             self._deadline = deadline
             callbacks = list(self._callbacks)
         for callback in callbacks:
-            callback(deadline)
+            callback(DrainBegun(deadline))
 
     def accepts(self, usual_latency_s: float) -> bool:
         """Whether enough time remains to run a request."""
@@ -45,13 +55,13 @@
 
     @contextlib.contextmanager
     def watching(self, callback: Callback) -> collections.abc.Iterator[None]:
-        """Call back with the deadline, also if it has been set before."""
+        """Call back when the drain begins, also if it has begun before."""
         with self._lock:
             self._callbacks.add(callback)
             deadline = self._deadline
         try:
             if deadline is not None:
-                callback(deadline)
+                callback(DrainBegun(deadline))
             yield
         finally:
             with self._lock:
--- a/packages/tier/src/corianderport_tier/process/shutdown.py
+++ b/packages/tier/src/corianderport_tier/process/shutdown.py
@@ -13,6 +13,7 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
+from corianderport_tier.process import drain
 from corianderport_tier.request import deadlines
 
 __all__ = [
@@ -24,6 +25,8 @@
 ]
 
 _LOG = logging.getLogger(__name__)
+# Time before the end of the drain in which the last answers are returned.
+_LAST_ANSWER_MARGIN_S = 0.2
 
 
 class Readiness:
@@ -169,6 +172,7 @@
 class GracefulShutdown:
     """Takes a host out of service step by step.
 
+    :param host_drain: tells running requests when they have to end.
     :param announce_leaving: tells the other hosts that this one is leaving.
     :param seal_tickets: makes the ticket table refuse new actions; called
         once new requests of callers are refused.
@@ -181,6 +185,7 @@
         readiness: Readiness,
         caller_gate: RequestGate,
         peer_gate: RequestGate,
+        host_drain: drain.Drain,
         announce_leaving: collections.abc.Callable[[], None],
         seal_tickets: collections.abc.Callable[[], None],
         hand_over_outcomes: collections.abc.Callable[[], int],
@@ -190,6 +195,7 @@
         self._readiness = readiness
         self._caller_gate = caller_gate
         self._peer_gate = peer_gate
+        self._drain = host_drain
         self._announce_leaving = announce_leaving
         self._seal_tickets = seal_tickets
         self._hand_over_outcomes = hand_over_outcomes
@@ -205,8 +211,12 @@
         here need no other host to finish, but requests that run on other
         hosts may still need this one.
         """
+        until = deadlines.Deadline.after(
+            self._clock, self._times.lag_s + self._times.limit_s
+        )
         self._readiness.begin_stop()
         self._announce_leaving()
+        self._drain.begin(until.earlier(_LAST_ANSWER_MARGIN_S))
         _LOG.info('stopping: no longer ready')
         self._wait_lag()
         self._caller_gate.close()
@@ -214,7 +224,6 @@
         _LOG.info(
             'stopping: %d requests still running', self._caller_gate.running
         )
-        until = deadlines.Deadline.after(self._clock, self._times.limit_s)
         self._caller_gate.wait_idle(until)
         self._peer_gate.close()
         self._peer_gate.wait_idle(until)
--- a/packages/tier/src/corianderport_tier/request/action_attempts.py
+++ b/packages/tier/src/corianderport_tier/request/action_attempts.py
@@ -13,6 +13,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import capacity_queue
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import drain
 from corianderport_tier.process import outcomes
 from corianderport_tier.process import upstream_services
 from corianderport_tier.process import upstreams
@@ -106,6 +107,8 @@
 
     Another searcher is tried only if no byte was sent or the previous
     searcher explicitly refused, so the action runs at most once.
+
+    :param host_drain: ends the action before a stopping host exits.
     """
 
     def __init__(
@@ -114,17 +117,20 @@
         services: upstream_services.UpstreamServices,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
+        host_drain: drain.Drain | None = None,
     ) -> None:
+        self._drain = host_drain or drain.Drain(clock)
         self._call = call
         self._request = call.request
+        self._answer_by = call.request.deadline
         self._services = services
         self._clock = clock
         self._log = log
         self._tried: set[str] = set()
         self._refused = False
-        self._inbox: inboxes.Inbox[Reply | _CapacityGrant] = inboxes.Inbox(
-            clock
-        )
+        self._inbox: inboxes.Inbox[
+            Reply | _CapacityGrant | drain.DrainBegun
+        ] = inboxes.Inbox(clock)
 
     def run(self) -> messages.ActionAnswer:
         """Run the action and return its outcome.
@@ -133,15 +139,16 @@
         :raises OutcomeUnknown: a searcher may have run the action.
         """
         service = self._services.get(self._call.service)
-        try:
-            while True:
-                upstream = self._acquire(service)
-                reply = self._attempt(service, upstream)
-                if isinstance(reply, messages.UpstreamActionReply):
-                    return self._answer(reply)
-                self._check_not_run(upstream, reply)
-        finally:
-            self._end(service)
+        with self._drain.watching(self._inbox.put):
+            try:
+                while True:
+                    upstream = self._acquire(service)
+                    reply = self._attempt(service, upstream)
+                    if isinstance(reply, messages.UpstreamActionReply):
+                        return self._answer(reply)
+                    self._check_not_run(upstream, reply)
+            finally:
+                self._end(service)
 
     def capacity_granted(
         self, service: str, upstream: upstreams.Upstream | None
@@ -162,8 +169,8 @@
     def _acquire(
         self, service: upstream_services.UpstreamService
     ) -> upstreams.Upstream:
-        if self._request.deadline.passed(self._clock):
-            raise errors.DeadlinePast('the deadline has passed')
+        if self._answer_by.passed(self._clock):
+            raise self._end_error()
         allowed = self._services.allowed()
         upstream = service.upstreams.try_acquire(allowed, self._tried)
         if upstream is not None:
@@ -179,14 +186,29 @@
                 frozenset(self._tried),
             )
         )
-        item = self._inbox.take(self._request.deadline)
+        item = self._take()
         if isinstance(item, _CapacityGrant) and item.upstream is not None:
             return item.upstream
+        if item is None:
+            raise self._end_error()
         raise errors.Overloaded('no searcher had capacity before the deadline')
 
+    def _take(self) -> Reply | _CapacityGrant | None:
+        """Return the next item, or None if the request has to end."""
+        while True:
+            item = self._inbox.take(self._answer_by)
+            if not isinstance(item, drain.DrainBegun):
+                return item
+            self._answer_by = min(self._answer_by, item.deadline)
+
     def _allowed_now(self, searcher: configuration.Searcher) -> bool:
         return self._services.allowed()(searcher)
 
+    def _end_error(self) -> errors.Refusal:
+        if self._answer_by < self._request.deadline:
+            return errors.NotReady('the host is shutting down')
+        return errors.DeadlinePast('the deadline has passed')
+
     def _no_searcher_error(self) -> errors.Refusal:
         if self._refused:
             return errors.UpstreamRefused('every searcher refused the action')
@@ -212,9 +234,9 @@
         except errors.CorianderportError as error:
             attempt.finish(error)
         while True:
-            item = self._inbox.take(self._request.deadline)
+            item = self._take()
             if item is None and attempt.cancel():
-                return errors.DeadlinePast('the deadline has passed')
+                return self._end_error()
             if item is None:
                 return errors.OutcomeUnknown(
                     'the searcher did not answer by the deadline'
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -11,14 +11,13 @@
 from corianderport_tier import clocks
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
+from corianderport_tier.process import drain
 from corianderport_tier.process import service_searchers
-from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 
 __all__ = [
     'CallerDisconnected',
     'CapacityFreed',
-    'DrainBegun',
     'Event',
     'SendAttempt',
     'SendFinished',
@@ -73,14 +72,7 @@
     """Event: the caller closed its connection."""
 
 
-@attrs.frozen
-class DrainBegun:
-    """Event: the host is stopping; the request must end by a deadline."""
-
-    deadline: deadlines.Deadline
-
-
-Event = SendFinished | CapacityFreed | CallerDisconnected | DrainBegun
+Event = SendFinished | CapacityFreed | CallerDisconnected | drain.DrainBegun
 
 
 class SendAttempt:
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -202,9 +202,7 @@
             caller.watch(
                 lambda: self._inbox.put(forward_send.CallerDisconnected())
             ),
-            self._forwarder.drain.watching(
-                lambda end: self._inbox.put(forward_send.DrainBegun(end))
-            ),
+            self._forwarder.drain.watching(self._inbox.put),
         ):
             try:
                 self._create_parts()
@@ -273,7 +271,7 @@
             event.send.part.on_result(event)
         elif isinstance(event, forward_send.CapacityFreed):
             event.part.on_capacity()
-        elif isinstance(event, forward_send.DrainBegun):
+        elif isinstance(event, drain.DrainBegun):
             self._answer_by = min(self._answer_by, event.deadline)
         else:
             self._disconnected = True
--- a/packages/tier/src/corianderport_tier/request/gather.py
+++ b/packages/tier/src/corianderport_tier/request/gather.py
@@ -8,6 +8,7 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import drain
 from corianderport_tier.process import outcomes
 from corianderport_tier.process import upstream as upstream_module
 from corianderport_tier.process import upstream_services
@@ -38,11 +39,16 @@
     upstream: Upstream | None
 
 
+_Event = attempts.AttemptResult | _CapacityGrant | drain.DrainBegun
+
+
 class Gather:
     """Runs one batch on the request's task.
 
     Hedges, retries and timeouts are driven by the timeout of the task's
     wait for results.
+
+    :param host_drain: ends the batch before a stopping host exits.
     """
 
     def __init__(
@@ -51,14 +57,15 @@
         services: upstream_services.UpstreamServices,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
+        host_drain: drain.Drain | None = None,
     ) -> None:
+        self._drain = host_drain or drain.Drain(clock)
         self._batch = batch
+        self._answer_by = batch.deadline
         self._services = services
         self._clock = clock
         self._log = log
-        self._inbox: inboxes.Inbox[attempts.AttemptResult | _CapacityGrant] = (
-            inboxes.Inbox(clock)
-        )
+        self._inbox: inboxes.Inbox[_Event] = inboxes.Inbox(clock)
         self._sender = sending.Sender(
             batch, services, clock, log, self._inbox.put
         )
@@ -70,14 +77,15 @@
 
     def run(self) -> messages.BatchAnswer:
         """Return the answers that arrived by the batch's deadline."""
-        try:
-            for sub_query in self._batch.sub_queries:
-                pending = PendingSubQuery(sub_query)
-                self._pending[sub_query.service] = pending
-                self._send(pending)
-            self._gather()
-        finally:
-            self._end()
+        with self._drain.watching(self._inbox.put):
+            try:
+                for sub_query in self._batch.sub_queries:
+                    pending = PendingSubQuery(sub_query)
+                    self._pending[sub_query.service] = pending
+                    self._send(pending)
+                self._gather()
+            finally:
+                self._end()
         return messages.BatchAnswer(
             request_id=self._batch.request_id,
             snapshot=self._batch.snapshot,
@@ -101,16 +109,18 @@
         while self._pending and not self._gone_services:
             event = self._inbox.take(self._next_timer())
             if event is None:
-                if self._batch.deadline.passed(self._clock):
+                if self._answer_by.passed(self._clock):
                     return
                 self._on_timers()
+            elif isinstance(event, drain.DrainBegun):
+                self._answer_by = min(self._answer_by, event.deadline)
             elif isinstance(event, _CapacityGrant):
                 self._on_granted(event)
             else:
                 self._on_result(event)
 
     def _next_timer(self) -> deadlines.Deadline:
-        timers_s = [self._batch.deadline.at_s]
+        timers_s = [self._answer_by.at_s]
         for pending in self._pending.values():
             timer_s = pending.next_timer_s()
             if pending.waiting:
@@ -221,9 +231,7 @@
             )
         )
 
-    def _release_unused(
-        self, event: attempts.AttemptResult | _CapacityGrant | None
-    ) -> None:
+    def _release_unused(self, event: _Event) -> None:
         """Release a searcher that was granted but not used."""
         if isinstance(event, _CapacityGrant) and event.upstream is not None:
             self._sender.release_unused(event.service, event.upstream)
--- a/tests/tier/test_action_sending.py
+++ b/tests/tier/test_action_sending.py
@@ -134,6 +134,41 @@
     assert cluster.runs['p'] == runs
 
 
+@pytest.mark.parametrize(
+    ('stage', 'error', 'runs'),
+    [(_CONNECTED, errors.NotReady, 0), (_RUNNING, errors.OutcomeUnknown, 1)],
+)
+def test_action_ends_before_a_stopping_host_exits(
+    stage: action_links.SendStage,
+    error: type[errors.CorianderportError],
+    runs: int,
+) -> None:
+    """Guards against actions that get no answer in a graceful shutdown.
+
+    The host exits before the deadline of the action.
+    """
+    reached, release = threading.Event(), threading.Event()
+
+    def block() -> None:
+        reached.set()
+        release.wait()
+
+    with _build() as cluster:
+        cluster.on_send_stage = _at(stage, block)
+        future = cluster.executor.submit(_act, cluster)
+        reached.wait()
+        cluster.hosts[_HOST].drain.begin(
+            deadlines.Deadline.after(cluster.clock, 0.2)
+        )
+        cluster.clock.advance(0.3)
+        try:
+            with pytest.raises(error):
+                future.result(10)
+        finally:
+            release.set()
+    assert cluster.runs['p'] == runs
+
+
 def test_actions_stay_within_the_limits_of_the_searchers(
     cluster: action_hosts.SimulatedCluster,
 ) -> None:
--- a/tests/tier/test_drain.py
+++ b/tests/tier/test_drain.py
@@ -32,10 +32,11 @@
     clock = clock_module.ManualClock()
     host_drain = drain.Drain(clock)
     end = deadlines.Deadline.after(clock, 3.0)
-    seen: list[tuple[str, deadlines.Deadline]] = []
-    with host_drain.watching(lambda at: seen.append(('early', at))):
+    begun = drain.DrainBegun(end)
+    seen: list[tuple[str, drain.DrainBegun]] = []
+    with host_drain.watching(lambda event: seen.append(('early', event))):
         host_drain.begin(end)
-    with host_drain.watching(lambda at: seen.append(('late', at))):
+    with host_drain.watching(lambda event: seen.append(('late', event))):
         pass
     host_drain.begin(end)
-    assert seen == [('early', end), ('late', end)]
+    assert seen == [('early', begun), ('late', begun)]
--- a/tests/tier/test_gather.py
+++ b/tests/tier/test_gather.py
@@ -14,6 +14,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import drain
 from corianderport_tier.process import outcomes
 from corianderport_tier.process import selection
 from corianderport_tier.process import upstream as upstream_module
@@ -52,6 +53,7 @@
         )
         self.publish('1')
         self.executor = executor
+        self.drain = drain.Drain(self.clock)
         self.services = upstream_services.UpstreamServices(
             self.store,
             self.dialer,
@@ -116,6 +118,7 @@
             self.services,
             self.clock,
             decision_log.DecisionLog(),
+            self.drain,
         )
         return self.executor.submit(task.run)
 
@@ -378,6 +381,21 @@
     assert (answer.refused, host.dialer.calls) == ((_SERVICE,), [])
 
 
+def test_search_ends_before_a_stopping_host_exits(host: _Host) -> None:
+    """Guards against searches that get no answer in a graceful shutdown.
+
+    The host exits before the deadline of the search.
+    """
+    for name in (_A, _B, _C):
+        host.dialer.handlers[name] = fake_upstreams.never_answer
+    task = host.start(60.0)
+    host.dialer.await_calls(1)
+    host.drain.begin(deadlines.Deadline.after(host.clock, 5.0))
+    host.advance_up_to_calls(100, 6.0)
+    answer = task.result(5.0)
+    assert (answer.refused, answer.answers) == ((), ())
+
+
 def test_waiting_request_is_not_sent_out_of_service(host: _Host) -> None:
     """Guards against sending to a data centre that is out of service.
 
--- a/tests/tier/test_shutdown.py
+++ b/tests/tier/test_shutdown.py
@@ -9,6 +9,7 @@
 from corianderport_testkit import clock as manual_clock
 from corianderport_tier import errors
 from corianderport_tier.process import configuration_store
+from corianderport_tier.process import drain
 from corianderport_tier.process import shutdown
 
 
@@ -26,10 +27,12 @@
         self.readiness = shutdown.Readiness(store)
         self.caller_gate = shutdown.RequestGate(self.clock)
         self.peer_gate = shutdown.RequestGate(self.clock)
+        self.drain = drain.Drain(self.clock)
         self.graceful_shutdown = shutdown.GracefulShutdown(
             self.readiness,
             self.caller_gate,
             self.peer_gate,
+            self.drain,
             lambda: self.steps.append('announce'),
             lambda: self.steps.append('seal'),
             self._hand_over,
@@ -102,6 +105,23 @@
     assert case.steps == ['announce', 'seal', 'hand over']
 
 
+def test_running_requests_learn_when_the_host_exits() -> None:
+    """Guards against requests that are cut off when the process exits.
+
+    The request may take longer than the whole shutdown.
+    """
+    case = _Case()
+    events: list[drain.DrainBegun] = []
+    started_s = case.clock.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        with case.caller_gate.enter(), case.drain.watching(events.append):
+            report = executor.submit(case.graceful_shutdown.run)
+            case.await_waiters(1)
+            case.graceful_shutdown.interrupt()
+            report.result()
+    assert [e.deadline.at_s < started_s + 15.0 for e in events] == [True]
+
+
 def test_second_signal_ends_the_drain() -> None:
     """Guards against a shutdown that can be ended only by killing it.
 
