Bound the bodies of the own interface's searchers together

Callers: none seen. Found when comparing both interfaces. Change: the searchers called with libcurl share the same quota as those of the platform, 32 MB and 8 MB a second beyond usual responses. Tests: three bodies of 14 MB, of which the third was accepted before; a body without length and end, which libcurl already ended at 16 MB.

--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -63,10 +63,12 @@
 
     libcurl reports a response whose connection closes within the head as if
     it had an empty body.
+
+    :param quota: limits the responses on all connections of the host.
     """
 
-    def __init__(self) -> None:
-        self._allowance = reply_allowance.ReplyAllowance()
+    def __init__(self, quota: reply_allowance.Quota | None = None) -> None:
+        self._allowance = reply_allowance.ReplyAllowance(quota)
         self._body = io.BytesIO()
         self._informational = False
         self._head_complete = False
@@ -122,6 +124,7 @@
     :param reconnect: whether libcurl may replace a closed connection, which
         may send a request twice. Otherwise the call raises
         ConnectionBroken.
+    :param quota: limits the responses on all connections of the host.
     """
 
     def __init__(
@@ -129,8 +132,10 @@
         address: str,
         connect_timeout_s: float,
         reconnect: bool = True,
+        quota: reply_allowance.Quota | None = None,
     ) -> None:
         self._address = address
+        self._quota = quota
         self._reconnect = reconnect
         self._fresh_connect = False
         self._lock = threading.Lock()
@@ -254,7 +259,7 @@
     def _perform(self, path: str, timeout_s: float) -> HttpReply:
         handle = self._handle
         reused = self._socket is not None
-        collector = ReplyCollector()
+        collector = ReplyCollector(self._quota)
         handle.setopt(pycurl.URL, f'http://{self._address}{path}')
         handle.setopt(pycurl.HEADERFUNCTION, collector.on_header)
         handle.setopt(pycurl.WRITEFUNCTION, collector.on_body)
--- a/packages/wire/src/corianderport_wire/connection/upstream_client.py
+++ b/packages/wire/src/corianderport_wire/connection/upstream_client.py
@@ -11,6 +11,7 @@
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
 from corianderport_wire.connection import curl_client
+from corianderport_wire.process import reply_quota
 from corianderport_wire.request import upstream_codec
 
 __all__ = ['HttpUpstreamDialer', 'HttpUpstreamTransport']
@@ -70,6 +71,7 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
+        self._quota = reply_quota.ReplyQuota(clock)
 
     def dial(
         self, searcher: configuration.Searcher, timeout_s: float
@@ -78,7 +80,7 @@
         # A closed connection may mean that the searcher has restarted,
         # which the host must detect before it sends again.
         client = curl_client.CurlClient(
-            searcher.address, timeout_s, reconnect=False
+            searcher.address, timeout_s, reconnect=False, quota=self._quota
         )
         return HttpUpstreamTransport(client, self._clock)
 
--- a/tests/wire/test_curl_client.py
+++ b/tests/wire/test_curl_client.py
@@ -8,8 +8,14 @@
 
 import pytest
 
+from corianderport_testkit import clock as manual
+from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import messages
+from corianderport_tier.version import configuration
 from corianderport_wire.connection import curl_client
+from corianderport_wire.connection import upstream_client
 
 _LONG_S = 10.0
 _HEAD = (
@@ -43,6 +49,11 @@
         listener.close()
 
 
+def _call(clock: clocks.Clock) -> messages.UpstreamSearch:
+    deadline = deadlines.Deadline.after(clock, _LONG_S)
+    return messages.UpstreamSearch('q', 'q.1', 'i', 1, ('a',), '', 1, deadline)
+
+
 def _get(address: str) -> curl_client.HttpReply:
     client = curl_client.CurlClient(address, _LONG_S, reconnect=False)
     try:
@@ -67,6 +78,7 @@
     [
         (b'HTTP/1.1 200 OK\r\n', b'x-a: b\r\n'),
         (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (b'HTTP/1.1 200 OK\r\n\r\n', bytes(65_536)),
         (
             b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
             b'1\r\nx\r\n',
@@ -92,6 +104,27 @@
     assert collector.rejected
 
 
+def test_bodies_of_all_searchers_are_bounded_together() -> None:
+    """Guards against many large bodies that use up the host's memory.
+
+    Each of them stays within the limit of a single response.
+    """
+    body = bytes(14 * 1024 * 1024)
+    reply = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+    clock = manual.ManualClock()
+    dialer = upstream_client.HttpUpstreamDialer(clock)
+    rejected = []
+    for _ in range(3):
+        with _server([reply, body]) as address:
+            searcher = configuration.Searcher('s', address, 'dc-a')
+            transport = dialer.dial(searcher, _LONG_S)
+            with pytest.raises(errors.ConnectionBroken) as raised:
+                transport.search(_call(clock), _LONG_S)
+            transport.close()
+        rejected.append('searchers are too large' in str(raised.value))
+    assert rejected == [False, False, True]
+
+
 def test_complete_response() -> None:
     with _server([_HEAD + b'ok']) as address:
         assert _get(address) == curl_client.HttpReply(200, b'ok')
