Read all entries anew when the changes did not arrive whole

Cause: the store's reply to a watch holds every version that a host has missed. With 0.65 MB for each, two of them don't arrive in the second that a call has on a link of 10 Mbit/s: 1,179,572 of 1,294,450 bytes did. The next reply is larger still, so the host never gets another version. Change: when a reply of the changes was incomplete, the reader reads the entries, which hold only the newest version of each. Test: an incomplete reply is followed by a full read; it was followed by the same watch before.

--- a/packages/tier/src/corianderport_tier/process/registry_reader.py
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -83,6 +83,11 @@
                 'the store no longer has the history; reading all entries'
             )
             self._revision = None
+        except errors.ReplyIncomplete as error:
+            # The changes include every version that was missed, so that the
+            # next reply would be larger still; the entries do not grow.
+            self._revision = None
+            self._on_failure(error)
         except errors.CorianderportError as error:
             self._on_failure(error)
         return 0.0
--- a/tests/tier/test_registry_reader.py
+++ b/tests/tier/test_registry_reader.py
@@ -136,6 +136,25 @@
     ]
 
 
+def test_incomplete_changes_cause_a_full_read(directory: _Directory) -> None:
+    """Guards against a reply that grows with each version that is missed."""
+    registry = _Registry(
+        _EMPTY,
+        errors.ReplyIncomplete('timed out with 0.9 of 1.3 MB received'),
+        registrations.StoredEntries((), 20),
+        _EMPTY,
+    )
+    reader = _reader(registry, directory)
+    for _ in range(4):
+        reader.step()
+    assert [call for call, _ in registry.calls] == [
+        'read op/',
+        'watch 3',
+        'read op/',
+        'watch 20',
+    ]
+
+
 def test_routing_and_searchers_arrive_in_one_call(
     directory: _Directory,
 ) -> None:
