--- a/packages/wire/src/corianderport_wire/connection/deadline_stream.py
+++ b/packages/wire/src/corianderport_wire/connection/deadline_stream.py
@@ -7,11 +7,12 @@
 
 from corianderport_tier import clocks
 from corianderport_tier.request import deadlines
+from corianderport_wire.connection import stream_wrapper
 
 __all__ = ['DeadlineStream']
 
 
-class DeadlineStream:
+class DeadlineStream(stream_wrapper.StreamWrapper):
     """Stream below a framed transport with a deadline for each whole call.
 
     A timeout for each read would never expire while single bytes arrive.
@@ -20,7 +21,7 @@
     """
 
     def __init__(self, stream: typing.Any, clock: clocks.Clock) -> None:
-        self._stream = stream
+        super().__init__(stream)
         self._clock = clock
         self._deadline = deadlines.Deadline(float('inf'))
 
@@ -34,8 +35,7 @@
         :raises TimeoutError: no byte arrived before the deadline.
         """
         self._limit_wait()
-        received: bytes = self._stream.read(size)
-        return received
+        return super().read(size)
 
     def write(self, content: bytes) -> None:
         """Write all bytes.
@@ -43,19 +43,7 @@
         :raises TimeoutError: they were not written before the deadline.
         """
         self._limit_wait()
-        self._stream.write(content)
-
-    def flush(self) -> None:
-        """Flush buffered output."""
-        self._stream.flush()
-
-    def is_open(self) -> bool:
-        """Whether the connection is open."""
-        return bool(self._stream.is_open())
-
-    def close(self) -> None:
-        """Close the connection."""
-        self._stream.close()
+        super().write(content)
 
     def _limit_wait(self) -> None:
         remaining_s = self._deadline.remaining(self._clock)
--- a/packages/wire/src/corianderport_wire/connection/peer_authentication.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_authentication.py
@@ -22,6 +22,7 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.request import deadlines
+from corianderport_wire.connection import stream_wrapper
 
 __all__ = [
     'FrameLimiter',
@@ -60,7 +61,7 @@
         return self.keys[0], self.keys[-1]
 
 
-class FrameLimiter:
+class FrameLimiter(stream_wrapper.StreamWrapper):
     """Stream below a framed transport that rejects oversized frames.
 
     The compiled framed transport allocates memory for a frame as soon as it
@@ -68,7 +69,7 @@
     """
 
     def __init__(self, stream: typing.Any, limit_bytes: int) -> None:
-        self._stream = stream
+        super().__init__(stream)
         self._limit_bytes = limit_bytes
         self._header = b''
         self._remaining = 0
@@ -78,26 +79,10 @@
 
         :raises TTransportException: a frame exceeds the limit.
         """
-        received: bytes = self._stream.read(size)
+        received = super().read(size)
         self._track_frames(received)
         return received
 
-    def write(self, content: bytes) -> None:
-        """Write all bytes."""
-        self._stream.write(content)
-
-    def flush(self) -> None:
-        """Flush buffered output."""
-        self._stream.flush()
-
-    def is_open(self) -> bool:
-        """Whether the connection is open."""
-        return bool(self._stream.is_open())
-
-    def close(self) -> None:
-        """Close the connection."""
-        self._stream.close()
-
     def _track_frames(self, received: bytes) -> None:
         offset = 0
         while offset < len(received):
