Check a timed-out attempt again after a fixed interval

Without enough samples the timeout is half of the time left, so that the checks followed each other faster and faster towards the deadline. Found when reading; an interval of 50 ms, the shortest timeout, replaces it.

--- a/packages/tier/src/corianderport_tier/request/sending.py
+++ b/packages/tier/src/corianderport_tier/request/sending.py
@@ -27,6 +27,9 @@
 Service = upstream_services.UpstreamService
 Deliver = collections.abc.Callable[[attempts.AttemptResult], None]
 
+# Interval at which a timed-out attempt is checked for a possible retry.
+_RECHECK_INTERVAL_S = 0.05
+
 
 class Sender:
     """Acquires searchers and starts attempts for one batch."""
@@ -100,9 +103,9 @@
         attempt = active_attempt.attempt
         upstreams = self._used_services[attempt.service].upstreams
         if not self._can_replace(attempt):
-            now_s = self._clock.monotonic()
-            timeout_s = self._timeout_s(upstreams.attempt_times)
-            active_attempt.timeout_at_s = now_s + timeout_s
+            active_attempt.timeout_at_s = (
+                self._clock.monotonic() + _RECHECK_INTERVAL_S
+            )
             return
         active_attempt.timeout_at_s = None
         if upstreams.try_retry_running():
