Read all entries anew when the changes exceed the largest reply

With the largest values of the store (1 MB), the versions that a host misses in 20 s add up to more than the 16 MB that a reply may have. The call then failed at once, and the same one was repeated. Change: libcurl's error for it is an error of its own, after which the reader reads the entries, which fit. Tests: a reply of 17 MB has that error (a broken connection before), and a full read follows it (the same watch before).

--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -29,6 +29,7 @@
     'QuotaExceeded',
     'Refusal',
     'ReplyIncomplete',
+    'ReplyTooLarge',
     'SettingInvalid',
     'TicketExpired',
     'TicketInvalid',
@@ -191,6 +192,10 @@
     """The connection closed after bytes may have been sent."""
 
 
+class ReplyTooLarge(ConnectionBroken):
+    """The reply exceeds the largest size that is accepted."""
+
+
 class ConnectionSilent(TransportError):
     """No reply arrived within the attempt's timeout."""
 
--- a/packages/tier/src/corianderport_tier/process/registry_reader.py
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -83,7 +83,7 @@
                 'the store no longer has the history; reading all entries'
             )
             self._revision = None
-        except errors.ReplyIncomplete as error:
+        except (errors.ReplyIncomplete, errors.ReplyTooLarge) as error:
             # The changes include every version that was missed, so that the
             # next reply would be larger still; the entries do not grow.
             self._revision = None
--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -214,6 +214,7 @@
         """Send a GET request and wait; raises the same errors as post.
 
         :raises ReplyIncomplete: a part of the response arrived in time.
+        :raises ReplyTooLarge: the response exceeds 16 MB.
         """
         self._handle.setopt(pycurl.HTTPGET, 1)
         return self._perform(path, timeout_s)
@@ -306,6 +307,8 @@
             return errors.ReplyIncomplete(message)
         if timed_out:
             return errors.ConnectionSilent(message)
+        if code == pycurl.E_FILESIZE_EXCEEDED:
+            return errors.ReplyTooLarge(message)
         return errors.ConnectionBroken(message)
 
 
--- a/tests/tier/test_registry_reader.py
+++ b/tests/tier/test_registry_reader.py
@@ -136,11 +136,20 @@
     ]
 
 
-def test_incomplete_changes_cause_a_full_read(directory: _Directory) -> None:
+@pytest.mark.parametrize(
+    'error',
+    [
+        errors.ReplyIncomplete('timed out with 0.9 of 1.3 MB received'),
+        errors.ReplyTooLarge('maximum file size exceeded'),
+    ],
+)
+def test_incomplete_changes_cause_a_full_read(
+    directory: _Directory, error: errors.CorianderportError
+) -> None:
     """Guards against a reply that grows with each version that is missed."""
     registry = _Registry(
         _EMPTY,
-        errors.ReplyIncomplete('timed out with 0.9 of 1.3 MB received'),
+        error,
         registrations.StoredEntries((), 20),
         _EMPTY,
     )
--- a/tests/wire/test_curl_client.py
+++ b/tests/wire/test_curl_client.py
@@ -125,6 +125,15 @@
     assert rejected == [False, False, True]
 
 
+def test_response_above_the_limit_is_reported_as_too_large() -> None:
+    """Guards against reading a response again that can never arrive whole."""
+    size = 17 * 1024 * 1024
+    reply = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % size
+    with _server([reply, bytes(size)]) as address:
+        with pytest.raises(errors.ReplyTooLarge):
+            _get(address)
+
+
 def test_complete_response() -> None:
     with _server([_HEAD + b'ok']) as address:
         assert _get(address) == curl_client.HttpReply(200, b'ok')
