Honour searchers that leave or ask for a pause

Cause: nothing read the two headers. A searcher that said in its answers that it leaves got requests until the store said so, and a searcher that asked for a pause got the next request 20 ms later.

The adapter decodes both into fields of the reply. ServiceSearchers keeps what each lifetime has stated, apart from its registration, and excludes it at each choice and at the moment of sending. Requests wait for a pause that ends before the goal and are refused at once otherwise, with a Retry-After that differs between callers. A pause is no failure of the searcher.

tests/adapter/test_entry_process.py::test_statements_of_searchers fails on (21 requests to a searcher after its statement) and passes now. The state machine found a statement that was lost when it arrived after its searcher had been removed and listed again; the record is now looked up when the reply arrives.

--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from corianderport_tier.process import stated_availability
 from corianderport_tier.process import warm_up
 from corianderport_tier.version import registrations
 
@@ -61,7 +62,8 @@
 
     ``full`` is True if the searcher refused the request; ``elapsed_s`` is
     None if the send is no measure of the latency; ``median_s`` is the median
-    latency of the route.
+    latency of the route. ``leaving`` and ``pause_s`` are what the searcher
+    stated; see ``stated_availability``.
     """
 
     failed: bool
@@ -70,16 +72,25 @@
     full: bool = False
     elapsed_s: float | None = None
     median_s: float = 0.0
+    leaving: bool = False
+    pause_s: float = 0.0
 
 
 class SearcherState:
-    """State of one instance of a searcher; guarded by its service's lock."""
+    """State of one instance of a searcher; guarded by its service's lock.
+
+    :param availability: what the searcher's lifetime has stated.
+    """
 
     def __init__(
-        self, registration: registrations.Registration, pool: SendPool
+        self,
+        registration: registrations.Registration,
+        pool: SendPool,
+        availability: stated_availability.StatedAvailability,
     ) -> None:
         self.registration = registration
         self.pool = pool
+        self.availability = availability
         self.warm_up = warm_up.WarmUp()
         # Maximum number of connections from this host; 0 if the searcher is
         # left to other hosts.
@@ -107,6 +118,11 @@
         """End of the backoff; no request is sent before it."""
         return self._retry_at_s
 
+    @property
+    def available_at_s(self) -> float:
+        """End of the backoff and of the pause that the searcher asked for."""
+        return max(self._retry_at_s, self.availability.paused_until_s)
+
     def cost(self, now_s: float, own_data_centre: str) -> float:
         """Return the cost of one more request; 1 for an idle searcher."""
         relative = max(self._decayed_latency(now_s), self._overdue(now_s))
@@ -126,6 +142,7 @@
         """Record the end of a send."""
         self.in_flight -= 1
         self._pending.pop(key, None)
+        self.availability.record(result.leaving, result.pause_s, now_s)
         if result.elapsed_s is not None and result.median_s > 0:
             self._record_latency(result.elapsed_s / result.median_s, now_s)
         if result.full:
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -14,12 +14,19 @@
 from corianderport_tier.process import budgets
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import searcher_state
+from corianderport_tier.process import stated_availability
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
 
 __all__ = ['Choice', 'NoChoice', 'OpenPool', 'ServiceSearchers']
 
 SearcherState = searcher_state.SearcherState
+# Suggested retry delay when no searcher is registered that may be used.
+_DEFAULT_RETRY_DELAY_S = 1.0
+# Maximum extra delay of a caller's retry after a pause, as a fraction of the
+# pause, so that refused callers do not return at the same moment.
+_PAUSE_SPREAD = 0.5
+
 OpenPool = collections.abc.Callable[
     [registrations.Registration, int], searcher_state.SendPool
 ]
@@ -29,7 +36,9 @@
     """Reason why no searcher can be chosen now."""
 
     NONE_REGISTERED = 'no searcher is registered'
+    LEAVING = 'every searcher is leaving'
     ALL_TRIED = 'every searcher has been tried'
+    PAUSED = 'every searcher has asked for a pause'
     BACKING_OFF = 'every searcher has failed'
     COLD = 'every searcher is cold and has its share'
     FULL = 'every searcher has its share of requests'
@@ -64,6 +73,7 @@
         self._rng = rng
         self._lock = threading.Lock()
         self._states: dict[tuple[str, str, int], SearcherState] = {}
+        self._availability = stated_availability.AvailabilityRecords()
         self._parameters: routes.ServiceParameters | None = None
         self._next_key = 0
         self._capacity_callbacks: list[collections.abc.Callable[[], None]] = []
@@ -93,7 +103,9 @@
                 changed = state is None or state.registration != registration
                 if state is None:
                     state = SearcherState(
-                        registration, self._open_pool(registration, 1)
+                        registration,
+                        self._open_pool(registration, 1),
+                        self._availability.of(registration.lifetime),
                     )
                 state.registration = registration
                 state.connections = self._connections(state.name)
@@ -104,14 +116,21 @@
                 self._states[instance] = state
             for state in previous_states.values():
                 state.pool.close()
+            self._availability.discard_obsolete(
+                {s.registration.lifetime for s in self._states.values()},
+                now_s,
+            )
             self._run_capacity_callbacks()
 
-    def is_registered(self, state: SearcherState) -> bool:
+    def may_send(self, state: SearcherState) -> bool:
         """Whether a searcher may still receive requests.
 
         Checked without the lock immediately before sending.
         """
-        return self._states.get(state.registration.instance) is state
+        registered = self._states.get(state.registration.instance) is state
+        return registered and state.availability.permits_request(
+            self._clock.monotonic()
+        )
 
     def choose(
         self,
@@ -144,6 +163,11 @@
     ) -> None:
         """Record the result of a send."""
         with self._lock:
+            # The record may have been discarded while the searcher was not
+            # registered.
+            choice.state.availability = self._availability.of(
+                choice.state.registration.lifetime
+            )
             choice.state.finish(choice.key, result, self._clock.monotonic())
             self._run_capacity_callbacks()
 
@@ -173,12 +197,34 @@
         with self._lock:
             self._capacity_callbacks.append(callback)
 
+    def available_at_s(
+        self, excluded: collections.abc.Container[str] = ()
+    ) -> float | None:
+        """Return when the first searcher ends its backoff or its pause.
+
+        :return: None if there is no searcher to wait for.
+        """
+        with self._lock:
+            return self._first_available_s(excluded)
+
     def retry_delay_s(self) -> float:
-        """Return the seconds until the first backoff of a searcher ends."""
+        """Return the seconds after which a refused caller should return.
+
+        It is the time until the first backoff or pause of a searcher ends;
+        the time after a pause differs between callers.
+        """
         now_s = self._clock.monotonic()
         with self._lock:
-            delays_s = [s.retry_at_s - now_s for s in self._states.values()]
-        return max(0.0, min(delays_s, default=1.0))
+            first_s = self._first_available_s(())
+            if first_s is None:
+                return _DEFAULT_RETRY_DELAY_S
+            delay_s = max(0.0, first_s - now_s)
+            if any(
+                s.availability.paused_until_s > now_s
+                for s in self._states.values()
+            ):
+                delay_s *= self._rng.uniform(1.0, 1.0 + _PAUSE_SPREAD)
+        return delay_s
 
     def close(self) -> None:
         """Close all connections."""
@@ -209,7 +255,9 @@
         # all of them: its requests would fail otherwise.
         states = [s for s in states if s.connections > 0] or states
         filters = (
+            (NoChoice.LEAVING, lambda s: not s.availability.leaving),
             (NoChoice.ALL_TRIED, lambda s: s.name not in excluded),
+            (NoChoice.PAUSED, lambda s: s.availability.permits_request(now_s)),
             (NoChoice.BACKING_OFF, lambda s: s.retry_at_s <= now_s),
             (NoChoice.COLD, lambda s: self._within_cold_rate(s, now_s)),
             (NoChoice.FULL, lambda s: s.has_capacity),
@@ -220,6 +268,18 @@
                 return reason
         return states
 
+    def _first_available_s(
+        self, excluded: collections.abc.Container[str]
+    ) -> float | None:
+        return min(
+            (
+                s.available_at_s
+                for s in self._states.values()
+                if not s.availability.leaving and s.name not in excluded
+            ),
+            default=None,
+        )
+
     def _within_cold_rate(self, state: SearcherState, now_s: float) -> bool:
         rate = self._parameters.cold_rate if self._parameters else 0.0
         # Without a configured rate, cold searchers are not limited.
--- a/packages/tier/src/corianderport_tier/request/forward_messages.py
+++ b/packages/tier/src/corianderport_tier/request/forward_messages.py
@@ -67,7 +67,9 @@
 
     ``execution_proof`` is set if the searcher ran the request; ``ran`` is
     False only when the searcher said so. ``other_searcher`` is set when the
-    address now belongs to another searcher.
+    address now belongs to another searcher. ``leaving`` says that the
+    searcher is about to exit, and ``pause_s`` for how many seconds it wants
+    no request from this host.
     """
 
     status: int
@@ -76,6 +78,8 @@
     execution_proof: str | None
     ran: bool
     other_searcher: bool = False
+    leaving: bool = False
+    pause_s: float = 0.0
 
     @property
     def succeeded(self) -> bool:
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -118,8 +118,8 @@
         :raises Refusal: the searcher may no longer be sent to, the deadline
             is too close or the attempt was cancelled; nothing was sent.
         """
-        if not self.part.service.is_registered(self.choice.state):
-            raise errors.NoUpstream('the searcher is no longer in service')
+        if not self.part.service.may_send(self.choice.state):
+            raise errors.NoUpstream('the searcher is no longer available')
         if self._call.deadline.remaining(self._clock) < _MIN_REMAINING_S:
             raise errors.DeadlinePast('no time is left to send the request')
         with self._lock:
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -249,6 +249,7 @@
                     self._inbox,
                     self._clock,
                     self._forwarder.log,
+                    deadlines.Deadline(self._goal_s),
                 )
             )
 
@@ -263,7 +264,7 @@
             for event in events:
                 self._on_event(event)
             if not events:
-                self._hedge()
+                self._on_timer()
         return None
 
     def _on_event(self, event: forward_send.Event) -> None:
@@ -284,14 +285,23 @@
         timers_s.extend(
             p.hedge_at_s for p in self._parts if p.hedge_at_s is not None
         )
+        timers_s.extend(
+            p.resume_at_s for p in self._parts if p.resume_at_s is not None
+        )
         return deadlines.Deadline(min(timers_s))
 
     @property
     def _goal_s(self) -> float:
         return self._started_s + self._route.goal_s - _GOAL_MARGIN_S
 
-    def _hedge(self) -> None:
+    def _on_timer(self) -> None:
         now_s = self._clock.monotonic()
+        for part in self._parts:
+            if part.resume_at_s is not None and part.resume_at_s <= now_s:
+                part.resume()
+        self._hedge(now_s)
+
+    def _hedge(self, now_s: float) -> None:
         answered = sum(p.state is PartState.ANSWERED for p in self._parts)
         among_last = answered >= _LATE_HEDGE_FRACTION * len(self._parts)
         for part in self._parts:
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -11,6 +11,7 @@
 from corianderport_tier.process import route_latency
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import service_searchers
+from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import inboxes
@@ -48,6 +49,11 @@
     """Sends a request to searchers of one service.
 
     All methods except ``post_result`` are called on the request's task.
+
+    :param goal: latest time of a response with full worth. A part waits for
+        a searcher that has asked for a pause if the response can still arrive
+        by then; otherwise the caller is better off at another host, from
+        which the searchers may not have asked for a pause.
     """
 
     def __init__(
@@ -59,6 +65,7 @@
         inbox: inboxes.Inbox[forward_send.Event],
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
+        goal: deadlines.Deadline,
     ) -> None:
         self.service = service
         self.state = PartState.PENDING
@@ -71,11 +78,14 @@
         self._inbox = inbox
         self._clock = clock
         self._log = log
+        self._goal = goal
         self._sends: list[forward_send.SendAttempt] = []
         self._tried: list[str] = []
         self._sent_count = 0
         self._possible_runs = 0
         self._hedge_at_s: float | None = None
+        self._resume_at_s: float | None = None
+        self._last_failure: tuple[Code, str] | None = None
         self._failed_reply: forward_messages.SearcherReply | None = None
 
     @property
@@ -90,6 +100,11 @@
             return None
         return self._hedge_at_s
 
+    @property
+    def resume_at_s(self) -> float | None:
+        """Time at which a pause ends that the part waits for."""
+        return self._resume_at_s
+
     def send_first(self) -> None:
         """Start the first attempt."""
         self.service.count_request()
@@ -123,11 +138,18 @@
         if self.state is PartState.PENDING and not self._sends:
             self._send()
 
+    def resume(self) -> None:
+        """Retry a send that had to wait for the end of a pause."""
+        self._resume_at_s = None
+        if self.state is PartState.PENDING and not self._sends:
+            self._send(self._last_failure)
+
     def post_result(
         self, send: forward_send.SendAttempt, reply: object
     ) -> None:
         """Release the searcher and post the result to the inbox."""
         result = self._send_result(send, reply)
+        self._log_statements(send, result)
         self.service.finish(send.choice, result)
         self._inbox.put(forward_send.SendFinished(send, reply))
 
@@ -276,9 +298,23 @@
                 lambda: self._inbox.put(forward_send.CapacityFreed(self))
             )
             return
+        if reason is service_searchers.NoChoice.PAUSED and self._wait(failed):
+            return
         code, detail = failed or (Code.NO_UPSTREAM, reason.value)
         self._fail(code, detail)
 
+    def _wait(self, failed: tuple[Code, str] | None) -> bool:
+        """Wait for the end of a pause; return False if it ends too late."""
+        resume_at_s = self.service.available_at_s()
+        if resume_at_s is None:
+            return False
+        latest_s = self._goal.at_s - self._latency.median_s
+        if resume_at_s > latest_s:
+            return False
+        self._resume_at_s = resume_at_s
+        self._last_failure = failed
+        return True
+
     def _fail(self, code: Code, reason: str) -> None:
         self.state = PartState.FAILED
         if self._possible_runs == 0:
@@ -298,17 +334,24 @@
         elapsed_s = self._clock.monotonic() - send.started_s
         median_s = self._latency.median_s
         if isinstance(reply, forward_messages.SearcherReply):
+            if reply.pause_s > 0:
+                # A searcher that asks for a pause is not failing.
+                return searcher_state.SendResult(
+                    failed=False, leaving=reply.leaving, pause_s=reply.pause_s
+                )
             if reply.ran:
                 return searcher_state.SendResult(
                     failed=not reply.succeeded,
                     answered=reply.succeeded,
                     elapsed_s=elapsed_s,
                     median_s=median_s,
+                    leaving=reply.leaving,
                 )
             return searcher_state.SendResult(
                 failed=reply.other_searcher,
                 unreachable=reply.other_searcher,
                 full=True,
+                leaving=reply.leaving,
             )
         if isinstance(reply, errors.ConnectFailed):
             return searcher_state.SendResult(failed=True, unreachable=True)
@@ -322,6 +365,21 @@
             failed=True, elapsed_s=elapsed_s, median_s=median_s
         )
 
+    def _log_statements(
+        self, send: forward_send.SendAttempt, result: searcher_state.SendResult
+    ) -> None:
+        """Log what a searcher states about accepting more requests."""
+        if result.leaving and not send.choice.state.availability.leaving:
+            self._log_decision(
+                'leaving', send.searcher, 'the searcher said that it leaves'
+            )
+        if result.pause_s > 0:
+            self._log_decision(
+                'paused',
+                send.searcher,
+                f'the searcher wants no request for {result.pause_s:g} s',
+            )
+
     def _log_decision(self, kind: str, choice: str, reason: str) -> None:
         self._log.record(
             decision_log.Decision(
--- a/packages/tier/src/corianderport_tier/version/registrations.py
+++ b/packages/tier/src/corianderport_tier/version/registrations.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     'Entry',
+    'Lifetime',
     'Listing',
     'OutOfService',
     'Published',
@@ -22,6 +23,9 @@
     'Unreadable',
 ]
 
+# Name and start time of a searcher: the key of one start of its process.
+Lifetime = tuple[str, int]
+
 
 @attrs.frozen
 class Registration:
@@ -42,9 +46,14 @@
 
     @property
     def instance(self) -> tuple[str, str, int]:
-        """Key that identifies one start of the searcher process."""
+        """Key of one start of the searcher process at its address."""
         return (self.searcher, self.address, self.started_ms)
 
+    @property
+    def lifetime(self) -> Lifetime:
+        """Key of one start of the searcher process, at any address."""
+        return (self.searcher, self.started_ms)
+
 
 @attrs.frozen
 class OutOfService:
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -191,6 +191,8 @@
         self.may_answer = threading.Event()
         self.may_answer.set()
         self.seen: list[dict[str, str]] = []
+        # Sent with every response, whatever its status.
+        self.headers: dict[str, str] = {}
         super().__init__()
 
     def answer(self, request: _Handler) -> None:
@@ -201,7 +203,9 @@
         self.seen.append(headers)
         request_id = headers.get('x-request-id', '')
         if headers.get('x-target-instance') != self.name:
-            request.send(421, headers={'X-Instance-Id': self.name})
+            request.send(
+                421, headers={'X-Instance-Id': self.name, **self.headers}
+            )
             return
         self.may_answer.wait()
         request.send(
@@ -210,5 +214,6 @@
             {
                 'X-Request-Id': request_id,
                 'X-Response-Stamp': f'{self.name}.{request_id}',
+                **self.headers,
             },
         )
--- a/tests/adapter/test_codecs.py
+++ b/tests/adapter/test_codecs.py
@@ -121,6 +121,58 @@
     assert reply.execution_proof == execution_proof
 
 
+@pytest.mark.parametrize('status', [200, 421, 500, 503])
+@pytest.mark.parametrize(
+    ('values', 'leaving'),
+    [((), False), ((b'1',), True), ((b' 1 ',), True), ((b'0',), False)],
+)
+def test_reply_of_a_leaving_searcher(
+    status: int, values: tuple[bytes, ...], leaving: bool
+) -> None:
+    """Guards against missing that a searcher leaves.
+
+    The statement comes with every status.
+    """
+    fields = tuple((b'server-leaving', value) for value in values)
+    reply = searcher_codec._reply(http_exchange.HttpReply(status, fields, b''))
+    assert reply.leaving is leaving
+
+
+@pytest.mark.parametrize(
+    ('status', 'values', 'pause_s'),
+    [
+        (503, (b'2',), 2.0),
+        (503, (b'0.25',), 0.25),
+        (503, (b' 3 ',), 3.0),
+        (503, (b'1', b'4'), 4.0),
+        (503, (b'1, 4',), 4.0),
+        (503, (b'soon', b'1'), 1.0),
+        (503, (b'999999999',), 999_999_999.0),
+        (503, (), 0.0),
+        (503, (b'-1',), 0.0),
+        (503, (b'nan',), 0.0),
+        (503, (b'inf',), 0.0),
+        (503, (b'1e3',), 0.0),
+        (503, (b'1_0',), 0.0),
+        (503, (b'',), 0.0),
+        (503, (b'Sun, 06 Nov 1994 08:49:37 GMT',), 0.0),
+        (503, (b'9' * 400,), 0.0),
+        (429, (b'2',), 0.0),
+        (200, (b'2',), 0.0),
+    ],
+)
+def test_reply_that_asks_for_a_pause(
+    status: int, values: tuple[bytes, ...], pause_s: float
+) -> None:
+    """Guards against a wrong length of the pause that a searcher asks for.
+
+    Only seconds of a 503 count, and the longest of several values.
+    """
+    fields = tuple((b'retry-after', value) for value in values)
+    reply = searcher_codec._reply(http_exchange.HttpReply(status, fields, b''))
+    assert reply.pause_s == pause_s
+
+
 @pytest.mark.parametrize(
     ('code', 'status'),
     [
--- a/tests/adapter/test_entry_process.py
+++ b/tests/adapter/test_entry_process.py
@@ -105,6 +105,25 @@
 _RECORD = b'0123456789abcdef'
 
 
+def _register(
+    store: fakes.Store, searcher: fakes.Searcher, service: str, born: int = 1
+) -> None:
+    store.put(
+        f'servers/{searcher.name}',
+        {
+            'backend': service,
+            'addr': searcher.address,
+            'zone': 'west-a',
+            'version': 'v1',
+            'capacity': 2,
+            'state': 'ready',
+            'warmup_left_ms': 0,
+            'call_seq': 1,
+            'born': born,
+        },
+    )
+
+
 @contextlib.contextmanager
 def _host_and_store(
     tmp_path: pathlib.Path,
@@ -118,19 +137,7 @@
             stack.callback(searcher.close)
             if may_answer is not None:
                 searcher.may_answer = may_answer
-            store.put(
-                f'servers/{searcher.name}',
-                {
-                    'backend': service,
-                    'addr': searcher.address,
-                    'zone': 'west-a',
-                    'version': 'v1',
-                    'capacity': 2,
-                    'state': 'ready',
-                    'warmup_left_ms': 0,
-                    'call_seq': 1,
-                },
-            )
+            _register(store, searcher, service)
         host = _Host(tmp_path / 'boot.toml', store.address)
         stack.callback(host.close)
         yield host, store
@@ -287,6 +294,61 @@
         assert host.process.wait(_LONG_S) == 0
 
 
+def test_statements_of_searchers(
+    host_and_store: tuple[_Host, fakes.Store],
+) -> None:
+    """Guards against requests to a searcher that leaves or wants a pause.
+
+    The store lists both searchers as ready all the time.
+    """
+    host, store = host_and_store
+    routing = {
+        **test_documents.ROUTING,
+        'routes': [
+            {
+                **test_documents.ROUTING['routes'][1],
+                'kind': 'idempotent',
+                'split': [{'backend': 'pair', 'weight': 1}],
+            }
+        ],
+    }
+    with contextlib.ExitStack() as stack:
+        pair = [fakes.Searcher(f'i-pair-{n}', _RECORD) for n in range(2)]
+        for searcher in pair:
+            stack.callback(searcher.close)
+            _register(store, searcher, 'pair')
+        store.put('op/config', routing)
+        host.wait_until(host.is_ready)
+        client = host.client()
+        numbers = iter(range(1_000))
+
+        def statuses(count: int) -> set[int]:
+            results = set()
+            for _ in range(count):
+                answer = _send_request(client, 'GET', '/one/x', next(numbers))
+                answer.read()
+                results.add(answer.status)
+            return results
+
+        leaving, other = pair
+        leaving.headers = {'Server-Leaving': '1'}
+        host.wait_until(lambda: statuses(1) == {200} and bool(leaving.seen))
+        seen = len(leaving.seen)
+        assert statuses(20) == {200}
+        assert len(leaving.seen) == seen
+
+        other.status = 503
+        other.headers = {'Retry-After': '60', 'X-Not-Executed': '1'}
+        assert statuses(1) == {503}
+        seen = len(other.seen)
+        assert statuses(20) == {503}
+        assert len(other.seen) == seen
+        # A new lifetime serves again at once.
+        leaving.headers = {}
+        _register(store, leaving, 'pair', born=2)
+        host.wait_until(lambda: statuses(1) == {200})
+
+
 def test_invalid_settings_exit_with_a_log_line(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -7,6 +7,7 @@
 import threading
 import typing
 
+import attrs
 import pytest
 
 from corianderport_testkit import clock as clock_module
@@ -222,6 +223,90 @@
     assert isinstance(answer, forward_messages.Relayed)
 
 
+def _paused(pause_s: float) -> Reply:
+    return attrs.evolve(_reply(503, ran=False), pause_s=pause_s)
+
+
+def test_request_waits_for_a_short_pause_of_all_searchers() -> None:
+    """Guards against refusing what can still be answered with full worth."""
+    host = _Host(entries.route(), replicas=1)
+    host.start()
+    host.end(host.take(), _paused(0.02))
+    host.advance(0.02)
+    host.end(host.take(), _reply())
+    assert isinstance(host.finish(), forward_messages.Relayed)
+
+
+def test_request_is_refused_at_once_during_a_long_pause() -> None:
+    """Guards against holding a request that another host can serve.
+
+    The pause of a searcher concerns this host only.
+    """
+    host = _Host(_NON_IDEMPOTENT, replicas=2)
+    host.start()
+    for _ in range(2):
+        host.end(host.take(), _paused(0.15))
+    first = host.finish()
+    host.start()
+    second = host.finish()
+    assert host.idle
+    delays_s = []
+    for answer in (first, second):
+        assert isinstance(answer, Failure)
+        assert answer.code.ran is result_codes.Ran.NO
+        assert answer.retry_after_s is not None
+        assert 0.15 <= answer.retry_after_s <= 0.2
+        delays_s.append(answer.retry_after_s)
+    assert delays_s[0] != delays_s[1]
+
+
+@pytest.mark.parametrize(
+    'outcome', [_paused(1.0), attrs.evolve(_reply(), leaving=True)]
+)
+def test_statement_of_a_searcher_holds_for_a_send_that_waits(
+    outcome: Reply,
+) -> None:
+    """Guards against a send that was chosen before the statement arrived."""
+    host = _Host(entries.route(), replicas=1)
+    host.start()
+    first = host.take()
+    host.start()
+    second = host.take()
+    host.end(first, outcome)
+    host.end(second, AssertionError('must not be sent'))
+    assert not second.sent
+    host.finish()
+
+
+def test_hedge_avoids_a_leaving_searcher() -> None:
+    host = _Host(entries.route(), replicas=2)
+    host.start()
+    host.end(host.take(), attrs.evolve(_reply(), leaving=True))
+    host.finish()
+    host.start()
+    only = host.take()
+    host.advance(0.06)
+    host.advance(0.001)
+    assert host.idle
+    host.end(only, _reply())
+    host.finish()
+
+
+def test_statement_after_the_end_of_the_request_counts() -> None:
+    """Guards against ignoring the reply to a hedge that was answered first."""
+    host = _Host(entries.route(), replicas=2)
+    host.start()
+    first = host.take()
+    host.advance(0.06)
+    second = host.take()
+    host.end(second, _reply())
+    host.finish()
+    service = host.directory.service('stock')
+    assert service is not None
+    first.finish(attrs.evolve(_reply(), leaving=True))
+    assert not service.may_send(first.choice.state)
+
+
 def test_searchers_own_failure_is_relayed_once() -> None:
     host = _Host(_NON_IDEMPOTENT)
     host.start()
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -8,6 +8,7 @@
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import service_searchers
+from corianderport_tier.process import stated_availability
 
 from . import entries
 
@@ -180,9 +181,78 @@
 ) -> None:
     """Checked immediately before sending, after any wait."""
     choice = _choose(service)
-    assert service.is_registered(choice.state)
+    assert service.may_send(choice.state)
     service.update(None, [entries.registration('s1', started_ms=5)])
-    assert not service.is_registered(choice.state)
+    assert not service.may_send(choice.state)
+
+
+def test_leaving_searcher_gets_nothing_until_a_new_lifetime(
+    service: service_searchers.ServiceSearchers,
+) -> None:
+    """Guards against using a searcher that has said that it leaves.
+
+    The store may list it as ready for long, remove it and list it again, and
+    its data centre may go out of service and return.
+    """
+    choice = _choose(service, 's2', 's3')
+    service.finish(choice, SendResult(failed=False, leaving=True))
+    assert not service.may_send(choice.state)
+    listed = entries.registration('s1', started_ms=0)
+    for registered in (
+        [listed],
+        [],
+        [listed],
+        [entries.registration('s1', address='127.0.0.1:7001')],
+    ):
+        service.update(None, registered)
+        expected = NoChoice.LEAVING if registered else NoChoice.NONE_REGISTERED
+        assert service.choose((), 0.01) is expected
+    service.update(None, [entries.registration('s1', started_ms=5)])
+    assert _choose(service).state.name == 's1'
+
+
+def test_pause_ends_after_its_time_or_with_its_lifetime(
+    service: service_searchers.ServiceSearchers,
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against sending to a searcher that has asked for a pause."""
+    service.update(None, [entries.registration('s1')])
+    choice, later = _choose(service), _choose(service)
+    service.finish(choice, SendResult(failed=False, pause_s=2.0))
+    assert not service.may_send(choice.state)
+    # A shorter pause of a reply that arrives later changes nothing.
+    service.finish(later, SendResult(failed=False, pause_s=0.5))
+    clock.advance(1.5)
+    assert service.choose((), 0.01) is NoChoice.PAUSED
+    assert 0.5 <= service.retry_delay_s() <= 0.75
+    clock.advance(0.5)
+    again = _choose(service)
+    assert again.state.cost(clock.monotonic(), 'dc-a') == pytest.approx(2.0)
+    service.finish(again, SendResult(failed=False, pause_s=2.0))
+    service.update(None, [entries.registration('s1', started_ms=5)])
+    assert _choose(service).state.name == 's1'
+
+
+def test_pause_has_an_upper_bound(
+    service: service_searchers.ServiceSearchers,
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against losing a searcher for good by one faulty response."""
+    service.update(None, [entries.registration('s1')])
+    service.finish(_choose(service), SendResult(failed=False, pause_s=1e9))
+    clock.advance(stated_availability.MAX_PAUSE_S - 1)
+    assert service.choose((), 0.01) is NoChoice.PAUSED
+    clock.advance(1)
+    _choose(service)
+
+
+def test_other_searchers_serve_during_a_pause(
+    service: service_searchers.ServiceSearchers,
+) -> None:
+    """Guards against refusing while a searcher can serve."""
+    paused = _choose(service, 's2', 's3')
+    service.finish(paused, SendResult(failed=False, pause_s=2.0))
+    assert {_choose(service).state.name for _ in range(6)} == {'s2', 's3'}
 
 
 def test_searcher_that_refuses_often_is_avoided(
