Give each field of a searcher's entry a range

Cause: the decoder took any number and any text. Of 31 odd entries none ended the process (orjson bounds nesting and numbers), but 18 were accepted as searchers: start times of 1e308, a port written 8_0, names for which connecting raises an error other than OSError, so that a request that was never sent was reported as one that may have run, and names with line breaks, which end up in the header that names the searcher.

Registration checks its values; the decoder turns a ValueError into an entry that names no searcher, as it does for malformed JSON.

--- a/packages/tier/src/corianderport_tier/version/registrations.py
+++ b/packages/tier/src/corianderport_tier/version/registrations.py
@@ -4,6 +4,8 @@
 """
 
 import collections.abc
+import ipaddress
+import re
 import typing
 
 import attrs
@@ -26,6 +28,58 @@
 # Name and start time of a searcher: the key of one start of its process.
 Lifetime = tuple[str, int]
 
+# Names are sent in headers and written to logs and metrics.
+_SEARCHER_NAME = re.compile('[!-~]{1,200}')
+_MAX_NAME_LENGTH = 200
+_PORT = re.compile('[0-9]{1,5}')
+_MAX_PORT = 65_535
+_MAX_SLOTS = 1_000_000
+_MAX_WARM_UP_S = 86_400.0
+# The last millisecond of the year 9999.
+_MAX_STARTED_MS = 253_402_300_799_999
+
+
+def _check_searcher(
+    instance: object, attribute: 'attrs.Attribute[str]', value: str
+) -> None:
+    if not _SEARCHER_NAME.fullmatch(value):
+        raise ValueError(f'invalid searcher name {value!r:.80}')
+
+
+def _check_name(
+    instance: object, attribute: 'attrs.Attribute[str]', value: str
+) -> None:
+    if not value.isprintable() or not 0 < len(value) <= _MAX_NAME_LENGTH:
+        raise ValueError(f'invalid {attribute.name} {value!r:.80}')
+
+
+def _check_address(
+    instance: object, attribute: 'attrs.Attribute[str]', value: str
+) -> None:
+    host, _, port = value.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise ValueError(f'invalid address {value!r:.80}') from error
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f'invalid port in address {value!r:.80}')
+
+
+def _in_range(
+    low: float, high: float
+) -> collections.abc.Callable[
+    [object, 'attrs.Attribute[typing.Any]', float], None
+]:
+    def check(
+        instance: object,
+        attribute: 'attrs.Attribute[typing.Any]',
+        value: float,
+    ) -> None:
+        if not low <= value <= high:
+            raise ValueError(f'{attribute.name} {value!r:.80} is out of range')
+
+    return check
+
 
 @attrs.frozen
 class Registration:
@@ -33,16 +87,21 @@
 
     ``started_ms`` distinguishes successive starts under the same name; it
     is 0 if the searcher does not publish it.
+
+    :raises ValueError: a value is out of its range, as in an entry of
+        another program.
     """
 
-    searcher: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
+    searcher: str = attrs.field(validator=_check_searcher)
+    service: str = attrs.field(validator=_check_name)
+    address: str = attrs.field(validator=_check_address)
+    data_centre: str = attrs.field(validator=_check_name)
+    slots: int = attrs.field(validator=_in_range(1, _MAX_SLOTS))
     draining: bool
-    warm_up_left_s: float
-    started_ms: int = 0
+    warm_up_left_s: float = attrs.field(validator=_in_range(0, _MAX_WARM_UP_S))
+    started_ms: int = attrs.field(
+        default=0, validator=_in_range(0, _MAX_STARTED_MS)
+    )
 
     @property
     def instance(self) -> tuple[str, str, int]:
--- a/packages/wire/src/corianderport_wire/connection/registry_codec.py
+++ b/packages/wire/src/corianderport_wire/connection/registry_codec.py
@@ -5,6 +5,7 @@
 
 import typing
 
+from corianderport_tier import errors
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import peer_codec
 
@@ -35,7 +36,13 @@
 
 
 def entries_from_thrift(fields: typing.Any) -> registrations.StoredEntries:
-    """Decode registry entries."""
+    """Decode registry entries.
+
+    :raises ConnectionBroken: an entry lacks its key or its revision.
+    """
+    for entry in fields.entries or ():
+        if entry.key is None or entry.revision is None:
+            raise errors.ConnectionBroken('incomplete registry entry')
     return registrations.StoredEntries(
         [
             registrations.StoredEntry(e.key, e.revision, e.content)
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -122,6 +122,35 @@
         {'zone': None},
         {'warmup_left_ms': 'soon'},
         {'born': 'today'},
+        {'born': True},
+        {'born': []},
+        {'born': -5},
+        {'born': 1.5},
+        {'born': 10**30},
+        {'born': 1e308},
+        {'capacity': -1},
+        {'capacity': 1.5},
+        {'capacity': 10**30},
+        {'capacity': 1e308},
+        {'warmup_left_ms': -1},
+        {'warmup_left_ms': 1e308},
+        {'addr': '10.1.0.9:0'},
+        {'addr': '10.1.0.9:-1'},
+        {'addr': '10.1.0.9:+80'},
+        {'addr': '10.1.0.9:65536'},
+        {'addr': '10.1.0.9:8_0'},
+        {'addr': '10.1.0.9: 80'},
+        {'addr': '10.1.0.9:\uff18\uff10'},
+        {'addr': '10.1.0.9:' + '9' * 5_000},
+        {'addr': '10.1.0.9\r\nx:80'},
+        {'addr': '10.1.0.9\0:80'},
+        {'addr': 'a.example:80'},
+        {'addr': 'a' * 300 + ':80'},
+        {'addr': ['10.1.0.9', 80]},
+        {'zone': 'z' * 100_000},
+        {'zone': 'a\nb'},
+        {'backend': 'z' * 100_000},
+        {'backend': ''},
     ],
 )
 def test_invalid_fields_are_unreadable(changes: dict[str, object]) -> None:
@@ -129,7 +158,43 @@
 
     A field is missing or has a wrong type, or its value is out of range.
     """
-    assert isinstance(_searcher(**changes), registrations.Unreadable)
+    published = _searcher(**changes)
+    assert isinstance(published, registrations.Unreadable)
+    assert len(published.reason) <= 200
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'[' * 100_000 + b']' * 100_000,
+        json.dumps(_SEARCHER).encode().replace(
+            b'"v1"', b'[' * 100_000 + b']' * 100_000
+        ),
+        json.dumps(_SEARCHER).encode().replace(b'1500', b'1e400'),
+        json.dumps(_SEARCHER).encode().replace(b'1500', b'9' * 10_000),
+        json.dumps(_SEARCHER).encode().replace(b'west-a', b'\\ud800'),
+        json.dumps(_SEARCHER).encode().replace(b'west-a', b'\xff\xfe'),
+    ],
+)  # fmt: skip
+def test_odd_documents_are_unreadable(value: bytes) -> None:
+    """Guards against nesting and numbers that a decoder cannot hold."""
+    published = documents.decode('servers/i-1', value)
+    assert isinstance(published, registrations.Unreadable)
+    assert len(published.reason) <= 200
+
+
+@pytest.mark.parametrize(
+    'name', ['', 'a b', 'a\r\nX-Request-Id: q2', '\u20ac', 'x' * 5_000]
+)
+def test_names_that_no_header_can_hold_are_unreadable(name: str) -> None:
+    """Guards against a request smuggled through a searcher's name.
+
+    The name is sent in a header of each request to the searcher.
+    """
+    published = documents.decode(
+        f'servers/{name}', json.dumps(_SEARCHER).encode()
+    )
+    assert isinstance(published, registrations.Unreadable)
 
 
 @hypothesis.given(
--- a/tests/adapter/test_entry_process.py
+++ b/tests/adapter/test_entry_process.py
@@ -349,6 +349,75 @@
         host.wait_until(lambda: statuses(1) == {200})
 
 
+_NESTED = b'[' * 100_000 + b']' * 100_000
+_ODD_FIELDS: list[dict[str, object]] = [
+    {'addr': '10.1.0.9:99999'},
+    {'addr': '10.1.0.9:\uff18\uff10'},
+    {'addr': 'a' * 300 + ':80'},
+    {'capacity': 10**30},
+    {'born': 1e308},
+    {'zone': 'z' * 100_000},
+    {'state': 'x' * 100_000},
+    {'backend': ['stock-1']},
+]
+
+
+def test_odd_entries_among_the_searchers(
+    host_and_store: tuple[_Host, fakes.Store],
+) -> None:
+    """Guards against odd entries that end the process or its reading.
+
+    Another program writes them among the searchers, before the first read
+    and while the host watches; the others are served, and changes arrive.
+    """
+    host, store = host_and_store
+    good = {
+        'backend': 'desk',
+        'addr': '127.0.0.1:9',
+        'zone': 'west-a',
+        'capacity': 2,
+        'state': 'ready',
+        'warmup_left_ms': 0,
+        'born': 1,
+    }
+
+    def put_odd(prefix: str) -> int:
+        contents: list[object] = [{**good, **f} for f in _ODD_FIELDS]
+        contents += [_NESTED, b'\xff', b'', b'9' * 10_000]
+        for number, content in enumerate(contents):
+            store.put(f'servers/{prefix}-{number}', content)
+        store.put(f'servers/{prefix}\r\nX-Request-Id: q', good)
+        return len(contents) + 1
+
+    count = put_odd('early')
+    store.put('op/config', test_documents.ROUTING)
+    host.wait_until(host.is_ready)
+    count += put_odd('late')
+    # A new version arrives although odd entries came before it.
+    routing = json.loads(json.dumps(test_documents.ROUTING))
+    routing['version'] += 1
+    routing['routes'][0]['prefix'] = '/moved/'
+    store.put('op/config', routing)
+    client = host.client()
+
+    def moved() -> bool:
+        answer = _send_request(client, 'GET', '/moved/x', 1)
+        answer.read()
+        return answer.status == 200
+
+    host.wait_until(moved)
+    answer = _send_request(client, 'POST', '/one/x', 2)
+    assert answer.status == 200
+    answer.read()
+    assert host.process.poll() is None
+    host.process.terminate()
+    assert host.process.wait(_LONG_S) == 0
+    host.close()
+    odd = [e for e in host.events() if e.get('kind') == 'unreadable']
+    assert len(odd) == count
+    assert max(map(len, host.lines)) < 2_000
+
+
 def test_invalid_settings_exit_with_a_log_line(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -99,6 +99,11 @@
         b' "events": [{"key": 5, "rev": 3, "value": ""}]}',
         b'{"current_rev": 4, "items": [{"key": "k", "rev": []}],'
         b' "events": [{"key": "k", "rev": []}]}',
+        b'{"current_rev": 4, "items": [{"key": "k", "rev": 1e30}],'
+        b' "events": [{"key": "k", "rev": 1e30}]}',
+        b'{"current_rev": 1e30, "items": [], "events": []}',
+        b'{"current_rev": 1e400, "items": [], "events": []}',
+        b'[' * 100_000,
     ],
 )
 def test_malformed_reply_is_a_transport_error(
@@ -115,6 +120,26 @@
         registry.watch('op/', 3, 0.0)
 
 
+@pytest.mark.parametrize(
+    'value', ['"%%"', '"=A=="', '5', 'null', '[]', '"\\u00e9"']
+)
+def test_value_in_another_encoding_is_empty(
+    served: fakes.Store, registry: store.StoreRegistry, value: str
+) -> None:
+    """Guards against one value that hides the other entries.
+
+    Each read logs nothing; the directory logs the entry once.
+    """
+    items = (
+        f'[{{"key": "a", "rev": 2, "value": {value}}},'
+        ' {"key": "b", "rev": 3, "value": "e30="}]'
+    )
+    served.malformed = f'{{"current_rev": 4, "items": {items}}}'.encode()
+    odd, good = registry.read('').entries
+    assert odd.content in (b'', None)
+    assert good.content == b'{}'
+
+
 @pytest.mark.parametrize('status', [429, 503, 500])
 def test_failing_store(
     served: fakes.Store, registry: store.StoreRegistry, status: int
--- a/tests/tier/test_directory.py
+++ b/tests/tier/test_directory.py
@@ -48,6 +48,7 @@
             self.pools.append(_Pool())
             return self.pools[-1]
 
+        self.log = decision_log.DecisionLog()
         self.directory = directory.Directory(
             lambda name: service_searchers.ServiceSearchers(
                 name,
@@ -58,7 +59,7 @@
                 random.Random(1),
             ),
             self.clock,
-            decision_log.DecisionLog(),
+            self.log,
         )
 
     def apply(
@@ -213,6 +214,18 @@
     assert environment.usable() == set()
 
 
+def test_unreadable_entry_is_logged_once(environment: _Environment) -> None:
+    """Guards against a log line for each read of the same entry."""
+    odd = entries.entry(2, registrations.Unreadable('odd'), 'servers/s2')
+    for revision in range(2, 12):
+        environment.directory.replace(
+            'servers/', registrations.Listing([odd], revision), False
+        )
+        environment.apply(odd)
+    kinds = [d.kind for d in environment.log.recent()]
+    assert kinds == ['unreadable']
+
+
 def test_directory_is_complete_with_routing_and_a_searcher(
     environment: _Environment,
 ) -> None:
--- a/tests/wire/test_peer_versions.py
+++ b/tests/wire/test_peer_versions.py
@@ -4,11 +4,14 @@
 import re
 import typing
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 import thriftpy2
 import thriftpy2.protocol
 import thriftpy2.transport
 
+from corianderport_tier import errors
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
 from corianderport_tier.version import registrations
@@ -92,6 +95,49 @@
     assert read.joining
 
 
+@hypothesis.given(
+    strategies.lists(
+        strategies.builds(
+            registrations.StoredEntry,
+            strategies.text(max_size=20),
+            strategies.integers(0, 2**63 - 1),
+            strategies.none() | strategies.binary(max_size=20),
+        ),
+        max_size=4,
+    )
+)
+def test_any_registry_changes_can_be_relayed(
+    changes: list[registrations.StoredEntry],
+) -> None:
+    """Guards against one odd entry that keeps the others from being relayed.
+
+    Keys and contents come from any program that writes the store.
+    """
+    stored = registrations.StoredEntries(changes, 2**63 - 1)
+    read = _transfer(
+        registry_codec.entries_to_thrift(stored),
+        peer_codec.PEER.StoredEntries(),
+    )
+    assert registry_codec.entries_from_thrift(read) == stored
+
+
+@pytest.mark.parametrize('missing', ['key', 'revision'])
+def test_incomplete_registry_entry_is_a_transport_error(missing: str) -> None:
+    """Guards against an entry that the directory cannot compare.
+
+    The follower then reads the store itself.
+    """
+    fields = registry_codec.entries_to_thrift(
+        registrations.StoredEntries(
+            [registrations.StoredEntry('a', 3, b'{}')], 6
+        )
+    )
+    setattr(fields.entries[0], missing, None)
+    read = _transfer(fields, peer_codec.PEER.StoredEntries())
+    with pytest.raises(errors.TransportError):
+        registry_codec.entries_from_thrift(read)
+
+
 def test_registry_changes_keep_their_content() -> None:
     """Guards against confusing empty content with a removed key."""
     stored = registrations.StoredEntries(
