--- a/packages/tier/src/corianderport_tier/version/checks.py
+++ b/packages/tier/src/corianderport_tier/version/checks.py
@@ -5,10 +5,10 @@
 
 import collections
 import collections.abc
-import ipaddress
 import math
 
 from corianderport_tier import errors
+from corianderport_tier.version import addresses
 from corianderport_tier.version import configuration
 from corianderport_tier.version import faults
 from corianderport_tier.version import index_checks
@@ -19,7 +19,6 @@
 # and a host that is still closing its connections share the limit.
 _CONCURRENT_OWNERS = 3
 _MAX_FAULTS_LISTED = 20
-_MAX_PORT = 65_535
 _DEFAULT_CUSTOMER = 'default'
 
 Faults = collections.abc.Iterator[faults.Fault]
@@ -124,12 +123,12 @@
                 f'it is in region {data_centre.region}, its service in '
                 f'{service.region}',
             )
-        if not _is_address(searcher.address):
+        if not addresses.is_address(searcher.address):
             yield faults.Fault(
                 _Number.ADDRESS,
                 place,
                 f'address: {searcher.address!r} is not an IP address and a '
-                f'port from 1 to {_MAX_PORT}',
+                f'port from 1 to {addresses.MAX_PORT}',
             )
     if not service.searchers:
         yield faults.Fault(
@@ -262,15 +261,6 @@
     return used
 
 
-def _is_address(address: str) -> bool:
-    host, _, port = address.rpartition(':')
-    try:
-        ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
-    except ValueError:
-        return False
-    return port.isascii() and port.isdigit() and 1 <= int(port) <= _MAX_PORT
-
-
 def _join_names(names: collections.abc.Iterable[str]) -> str:
     return ', '.join(sorted(names)) or 'none'
 
--- a/packages/tier/src/corianderport_tier/version/registrations.py
+++ b/packages/tier/src/corianderport_tier/version/registrations.py
@@ -4,12 +4,12 @@
 """
 
 import collections.abc
-import ipaddress
 import re
 import typing
 
 import attrs
 
+from corianderport_tier.version import addresses
 from corianderport_tier.version import routes
 
 __all__ = [
@@ -31,8 +31,6 @@
 # Names are sent in headers and written to logs and metrics.
 _SEARCHER_NAME = re.compile('[!-~]{1,200}')
 _MAX_NAME_LENGTH = 200
-_PORT = re.compile('[0-9]{1,5}')
-_MAX_PORT = 65_535
 _MAX_SLOTS = 1_000_000
 _MAX_WARM_UP_S = 86_400.0
 # The last millisecond of the year 9999.
@@ -56,13 +54,8 @@
 def _check_address(
     instance: object, attribute: 'attrs.Attribute[str]', value: str
 ) -> None:
-    host, _, port = value.rpartition(':')
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError as error:
-        raise ValueError(f'invalid address {value!r:.80}') from error
-    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
-        raise ValueError(f'invalid port in address {value!r:.80}')
+    if not addresses.is_address(value):
+        raise ValueError(f'invalid address {value!r:.80}')
 
 
 def _in_range(
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -133,7 +133,8 @@
             connection = socket.create_connection((host, int(port)), timeout_s)
         except ConnectionRefusedError as error:
             raise errors.ConnectRefused(f'{peer}: {error}') from error
-        except OSError as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # Any text may have come as an address in a rumour.
             raise errors.ConnectFailed(f'{peer}: {error}') from error
         try:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/tier/test_checks.py
+++ b/tests/tier/test_checks.py
@@ -170,6 +170,11 @@
         'F10',
         'service s, searcher s-dc-a',
     ),
+    (
+        _change_searcher(address='127.0.0.1:' + '9' * 5_000),
+        'F10',
+        'service s, searcher s-dc-a',
+    ),
     (
         _change_searcher(address='127.0.0.1'),
         'F10',
