Never run a job that was refused for want of threads

Cause: ThreadPoolExecutor.submit queues the call before it starts a thread. When no thread can be started it raises, the pool reported the job as not sent, and the request was refused or sent to another searcher; a thread that became free later took the queued call and sent the request as well.

The pool now takes the job back when submit fails, and refuses it only if no thread has taken it first. The new test of a refused job fails without this.

--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -98,6 +98,10 @@
             self._closed = True
             self._condition.notify()
 
+    def abandon(self) -> bool:
+        """Discard the first job; return False if the task has taken it."""
+        return self._take() is not None
+
     def run(self) -> None:
         """Dial and perform jobs until the connection is closed."""
         try:
@@ -300,8 +304,11 @@
         try:
             self._executor.submit(connection.run)
         except RuntimeError as error:
-            self.forget(connection)
-            raise errors.NotReady('the executor is shut down') from error
+            # An executor that cannot start a thread has queued the task
+            # nevertheless, and a thread that becomes free may run it.
+            if connection.abandon():
+                self.forget(connection)
+                raise errors.NotReady(f'no thread: {error}') from error
 
 
 def _as_error(error: Exception) -> errors.CorianderportError:
--- a/tests/tier/test_pool.py
+++ b/tests/tier/test_pool.py
@@ -61,6 +61,52 @@
         return False
 
 
+class _WithoutThreads(_Deferred):
+    """Executor that queues a call although it cannot start a thread."""
+
+    def submit(
+        self, fn: typing.Any, /, *args: typing.Any, **kwargs: typing.Any
+    ) -> concurrent.futures.Future[typing.Any]:
+        super().submit(fn, *args, **kwargs)
+        raise RuntimeError("can't start new thread")
+
+
+def test_job_that_was_refused_for_want_of_threads_never_runs() -> None:
+    """Guards against running a request that was reported as not sent.
+
+    The executor of the standard library queues the call before it tries to
+    start a thread, and another thread runs it later.
+    """
+    executor = _WithoutThreads()
+    connections: pool.ConnectionPool[_Transport] = pool.ConnectionPool(
+        _Transport, executor, manual.ManualClock(), pool.PoolLimits(1)
+    )
+    job = _Job()
+    with pytest.raises(errors.NotReady):
+        connections.submit(job)
+    assert connections.size == 0
+    executor.calls[0]()
+    assert not job.done.done()
+
+
+def test_job_that_was_taken_at_once_is_not_refused() -> None:
+    """Guards against refusing a request that another thread has begun."""
+
+    class _Busy(_WithoutThreads):
+        def submit(
+            self, fn: typing.Any, /, *args: typing.Any, **kwargs: typing.Any
+        ) -> concurrent.futures.Future[typing.Any]:
+            fn()
+            return super().submit(fn, *args, **kwargs)
+
+    connections: pool.ConnectionPool[_Transport] = pool.ConnectionPool(
+        _Transport, _Busy(), _TimingOut(), pool.PoolLimits(1)
+    )
+    job = _Job()
+    connections.submit(job)
+    assert job.done.result(0) == 'reply'
+
+
 def test_job_assigned_at_the_idle_limit_survives_close() -> None:
     """Guards against a job that neither runs nor fails.
 
