Keep accepting after a connection that gets no thread

Cause: found while looking for the report of an unexpected error that takes a process down. When the executor cannot start a thread, the handler of an accepted connection raises, and the task that accepts ended with one log line: the host stayed up, and neither callers nor the load balancer's probes nor other hosts were served again.

The acceptor closes the connection, logs and goes on after the usual delay; the listener of callers forgets it, so that a shutdown does not wait for it.

--- a/packages/wire/src/corianderport_wire/connection/acceptor.py
+++ b/packages/wire/src/corianderport_wire/connection/acceptor.py
@@ -56,7 +56,13 @@
                 _LOG.warning('accepting a connection failed: %s', error)
                 self._wait_before_retry()
                 continue
-            on_accept(connection)
+            try:
+                on_accept(connection)
+            except Exception:
+                # The process may have no room for another thread.
+                _LOG.exception('an accepted connection cannot be served')
+                connection.close()
+                self._wait_before_retry()
 
     def stop(self) -> None:
         """Close the listening socket; accepted connections stay open."""
--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -302,7 +302,12 @@
         connection = CallerConnection(caller_socket, self, self._clock)
         with self._condition:
             self._open[connection] = caller_socket
-        self._executor.submit(self._run, connection)
+        try:
+            self._executor.submit(self._run, connection)
+        except RuntimeError:
+            # No thread could be started.
+            self._forget(connection)
+            raise
 
     def _run(self, connection: CallerConnection) -> None:
         try:
@@ -310,9 +315,13 @@
         except Exception:
             _LOG.exception('serving the connection of a caller failed')
         finally:
-            with self._condition:
-                caller_socket = self._open.pop(connection)
-                self._condition.notify_all()
+            self._forget(connection)
+
+    def _forget(self, connection: CallerConnection) -> None:
+        with self._condition:
+            caller_socket = self._open.pop(connection, None)
+            self._condition.notify_all()
+        if caller_socket is not None:
             caller_socket.close()
 
 
--- a/tests/wire/test_acceptor.py
+++ b/tests/wire/test_acceptor.py
@@ -25,6 +25,7 @@
             self.acceptor._listener, list(failures)
         )
         self.acceptor._listener = typing.cast(socket.socket, self.failing)
+        self.handler_errors: list[Exception] = []
         self.thread = threading.Thread(
             target=self.acceptor.run,
             args=(self._handle_connection,),
@@ -33,6 +34,8 @@
         self.thread.start()
 
     def _handle_connection(self, connection: socket.socket) -> None:
+        if self.handler_errors:
+            raise self.handler_errors.pop()
         with connection:
             connection.sendall(b'x')
 
@@ -57,6 +60,19 @@
         running.acceptor.stop()
 
 
+def test_connection_without_a_thread_does_not_end_the_listener(
+    start: collections.abc.Callable[..., _Running],
+) -> None:
+    """Guards against a host that serves nobody after a shortage of threads.
+
+    The connection that cannot be served is closed.
+    """
+    running = start()
+    running.handler_errors.append(RuntimeError("can't start new thread"))
+    assert running.receive_byte() == b''
+    assert running.receive_byte() == b'x'
+
+
 def test_failed_accept_does_not_end_the_listener(
     start: collections.abc.Callable[..., _Running],
 ) -> None:
