--- a/packages/tier/src/corianderport_tier/process/membership.py
+++ b/packages/tier/src/corianderport_tier/process/membership.py
@@ -215,6 +215,8 @@
                 self._refute(rumour)
                 return False
             if not self._outranks(rumour):
+                if self._records.get(rumour.member.name) == rumour:
+                    self._queue.received_again(rumour.member.name)
                 return False
             self._store(rumour)
             return True
--- a/packages/tier/src/corianderport_tier/process/rumour_queue.py
+++ b/packages/tier/src/corianderport_tier/process/rumour_queue.py
@@ -10,6 +10,10 @@
 _RUMOURS_PER_MESSAGE = 8
 # Number of times that a rumour is sent, per doubling of the fleet size.
 _SENDS_PER_DOUBLING = 3
+# A rumour that comes back has spread already. Each copy received replaces one
+# send, so that a rumour ends once most hosts know it; a larger number ends
+# rumours before all hosts do.
+_SENDS_SAVED_BY_DUPLICATE = 1
 
 
 class RumourQueue:
@@ -29,6 +33,11 @@
         """Stop sending rumours about a host."""
         self._sends.pop(name, None)
 
+    def received_again(self, name: str) -> None:
+        """Send a rumour less often, as another host sends it too."""
+        if name in self._sends:
+            self._count_send(name, _SENDS_SAVED_BY_DUPLICATE)
+
     def take(self, urgency: collections.abc.Callable[[str], int]) -> list[str]:
         """Return the hosts to include in one message, most urgent first.
 
@@ -40,7 +49,10 @@
             reverse=True,
         )[:_RUMOURS_PER_MESSAGE]
         for name in names:
-            self._sends[name] -= 1
-            if self._sends[name] <= 0:
-                del self._sends[name]
+            self._count_send(name, 1)
         return names
+
+    def _count_send(self, name: str, sends: int) -> None:
+        self._sends[name] -= sends
+        if self._sends[name] <= 0:
+            del self._sends[name]
