Answer wide gathers of hosts with little traffic in time

The half-life is at least four sends to the service; the margin before the goal follows the host's own delays (nine in ten) instead of 2.5 of fixed 14 ms; a hedge that was left out is sent once the part is among the last; successes of a gather wake its task once enough are in.

--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -12,14 +12,18 @@
 from corianderport_tier.process import warm_up
 from corianderport_tier.version import registrations
 
-__all__ = ['SearcherState', 'SendPool', 'SendResult']
+__all__ = [
+    'MIN_LATENCY_HALF_LIFE_S',
+    'SearcherState',
+    'SendPool',
+    'SendResult',
+]
 
 # Weights of the moving average of a searcher's relative latency. One slow
-# reply raises it immediately; it decays within seconds, so that the searcher
-# is tried again.
+# reply raises it immediately; it decays, so that the searcher is tried again.
 _RISE_WEIGHT = 0.5
 _FALL_WEIGHT = 0.2
-_LATENCY_HALF_LIFE_S = 1.5
+MIN_LATENCY_HALF_LIFE_S = 1.5
 _MAX_RELATIVE_LATENCY = 40.0
 _FAILURE_WEIGHT = 0.2
 # A searcher that refuses or fails every second request costs as much as one
@@ -95,6 +99,8 @@
         # Maximum number of connections from this host; 0 if the searcher is
         # left to other hosts.
         self.connections = 0
+        # Half-life of what is known of the searcher's latency, in seconds.
+        self.latency_half_life_s = MIN_LATENCY_HALF_LIFE_S
         self.in_flight = 0
         self._relative_latency = 1.0
         self._relative_latency_at_s = float('-inf')
@@ -123,6 +129,12 @@
         """End of the backoff and of the pause that the searcher asked for."""
         return max(self._retry_at_s, self.availability.paused_until_s)
 
+    def may_receive(self, now_s: float) -> bool:
+        """Whether neither the searcher's word nor a backoff forbids sends."""
+        return self._retry_at_s <= now_s and self.availability.permits_request(
+            now_s
+        )
+
     def cost(self, now_s: float, own_data_centre: str) -> float:
         """Return the cost of one more request; 1 for an idle searcher."""
         relative = max(self._decayed_latency(now_s), self._overdue(now_s))
@@ -142,7 +154,8 @@
         """Record the end of a send."""
         self.in_flight -= 1
         self._pending.pop(key, None)
-        self.availability.record(result.leaving, result.pause_s, now_s)
+        if result.leaving or result.pause_s > 0:
+            self.availability.record(result.leaving, result.pause_s, now_s)
         if result.elapsed_s is not None and result.median_s > 0:
             self._record_latency(result.elapsed_s / result.median_s, now_s)
         if result.full:
@@ -174,7 +187,7 @@
         # chosen again.
         age_s = now_s - self._relative_latency_at_s
         return 1.0 + (self._relative_latency - 1.0) * math.exp2(
-            -age_s / _LATENCY_HALF_LIFE_S
+            -age_s / self.latency_half_life_s
         )
 
     def _overdue(self, now_s: float) -> float:
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -14,6 +14,7 @@
 from corianderport_tier.process import budgets
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import searcher_state
+from corianderport_tier.process import send_interval
 from corianderport_tier.process import stated_availability
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
@@ -21,6 +22,10 @@
 __all__ = ['Choice', 'NoChoice', 'OpenPool', 'ServiceSearchers']
 
 SearcherState = searcher_state.SearcherState
+# Half-life of the knowledge of a searcher's latency, in sends of this host to
+# the service. A host with little traffic would otherwise have forgotten which
+# searchers are slow whenever it sends again.
+_LATENCY_HALF_LIFE_SENDS = 4
 # Suggested retry delay when no searcher is registered that may be used.
 _DEFAULT_RETRY_DELAY_S = 1.0
 # Maximum extra delay of a caller's retry after a pause, as a fraction of the
@@ -78,6 +83,7 @@
         self._next_key = 0
         self._capacity_callbacks: list[collections.abc.Callable[[], None]] = []
         self._extra = self._new_budget()
+        self._send_interval = send_interval.SendInterval()
 
     def update(
         self,
@@ -147,6 +153,12 @@
             candidates = self._candidates(excluded, now_s)
             if isinstance(candidates, NoChoice):
                 return candidates
+            half_life_s = max(
+                searcher_state.MIN_LATENCY_HALF_LIFE_S,
+                _LATENCY_HALF_LIFE_SENDS * self._send_interval.mean_s,
+            )
+            for state in candidates:
+                state.latency_half_life_s = half_life_s
             best = min(
                 candidates,
                 key=lambda s: (
@@ -163,11 +175,12 @@
     ) -> None:
         """Record the result of a send."""
         with self._lock:
-            # The record may have been discarded while the searcher was not
-            # registered.
-            choice.state.availability = self._availability.of(
-                choice.state.registration.lifetime
-            )
+            if result.leaving or result.pause_s > 0:
+                # The record may have been discarded while the searcher was
+                # not registered.
+                choice.state.availability = self._availability.of(
+                    choice.state.registration.lifetime
+                )
             choice.state.finish(choice.key, result, self._clock.monotonic())
             self._run_capacity_callbacks()
 
@@ -179,7 +192,9 @@
     def count_request(self) -> None:
         """Count the first send of a request towards the extra budget."""
         with self._lock:
-            self._extra.count_request(self._clock.monotonic())
+            now_s = self._clock.monotonic()
+            self._extra.count_request(now_s)
+            self._send_interval.record(now_s)
 
     def try_extra(self, reserve: float = 0.0) -> bool:
         """Spend one extra send from this host's share of the budget.
@@ -254,6 +269,23 @@
         # If this host has no share of the connections of any searcher, use
         # all of them: its requests would fail otherwise.
         states = [s for s in states if s.connections > 0] or states
+        allowed = [
+            s
+            for s in states
+            if s.name not in excluded
+            and s.may_receive(now_s)
+            and s.has_capacity
+            and self._within_cold_rate(s, now_s)
+        ]
+        return allowed or self._reason_of_none(states, excluded, now_s)
+
+    def _reason_of_none(
+        self,
+        states: list[SearcherState],
+        excluded: collections.abc.Container[str],
+        now_s: float,
+    ) -> NoChoice:
+        """Return which condition excludes the last of the searchers."""
         filters = (
             (NoChoice.LEAVING, lambda s: not s.availability.leaving),
             (NoChoice.ALL_TRIED, lambda s: s.name not in excluded),
@@ -266,7 +298,7 @@
             states = [s for s in states if allowed(s)]
             if not states:
                 return reason
-        return states
+        raise AssertionError('a searcher can be chosen')
 
     def _first_available_s(
         self, excluded: collections.abc.Container[str]
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -94,6 +94,7 @@
         self._cancelled = False
         self._transport: transports.SearcherTransport | None = None
         self._sent_s: float | None = None
+        self.finished_s = self.started_s
 
     @property
     def sent(self) -> bool:
@@ -132,6 +133,7 @@
     def finish(self, reply: object) -> None:
         """Post the reply or error, even if the request has ended."""
         self._transport = None
+        self.finished_s = self._clock.monotonic()
         self.part.post_result(self, reply)
 
     def cancel(self, at_once: bool) -> None:
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -6,12 +6,14 @@
 
 import collections
 import collections.abc
+import math
 import random
 import typing
 
 import attrs
 
 from corianderport_tier import clocks
+from corianderport_tier.process import answer_delay
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
 from corianderport_tier.process import drain
@@ -32,8 +34,8 @@
 # Time reserved for returning the response before the caller's deadline.
 _ANSWER_MARGIN_S = 0.01
 # Time that a request and its response spend outside this host. A route's
-# latency goal includes it.
-_GOAL_MARGIN_S = 0.014
+# latency goal includes it, and the delay with which this host answers.
+_PATH_MARGIN_S = 0.0115
 # Once this fraction of the parts has answered, hedges for the others may use
 # the whole hedging budget, since the others delay the response.
 _LATE_HEDGE_FRACTION = 0.7
@@ -80,6 +82,7 @@
         self.clock = clock
         self.log = log
         self.rng = rng
+        self.answer_delay = answer_delay.AnswerDelay()
         self._latencies: dict[str, route_latency.RouteLatency] = {}
 
     def latency(self, route: routes.Route) -> route_latency.RouteLatency:
@@ -122,6 +125,8 @@
             )
         task = ForwardTask(self, request, route)
         answer = task.run(caller)
+        if task.answered_at_goal:
+            self.answer_delay.record(self.clock.monotonic() - task.goal_s)
         return self._record_answer(request, routing, answer, started_s, task)
 
     def _refuse(
@@ -188,6 +193,15 @@
         self._parts: list[Part] = []
         self._unknown_services: list[str] = []
         self._disconnected = False
+        self.goal_s = (
+            self._started_s
+            + route.goal_s
+            - _PATH_MARGIN_S
+            - forwarder.answer_delay.expected_s
+        )
+        # Whether the answer was only waiting for the goal.
+        self.answered_at_goal = False
+        self._enough_before = False
 
     @property
     def route_name(self) -> str:
@@ -249,7 +263,7 @@
                     self._inbox,
                     self._clock,
                     self._forwarder.log,
-                    deadlines.Deadline(self._goal_s),
+                    deadlines.Deadline(self.goal_s),
                 )
             )
 
@@ -258,15 +272,32 @@
             answer = self._decide()
             if answer is not None:
                 return answer
-            # Responses of a gather arrive close together; deciding once for
-            # a batch of events costs less than deciding after each.
-            events = self._inbox.take_all(self._next_timer())
+            events = self._inbox.take_all(
+                self._next_timer(), self._awaited_replies()
+            )
             for event in events:
                 self._on_event(event)
-            if not events:
-                self._on_timer()
+            self._on_timer()
         return None
 
+    def _awaited_replies(self) -> int:
+        """Return how many successful replies the next decision needs."""
+        pending = sum(p.state is PartState.PENDING for p in self._parts)
+        target = self._route.target
+        if (
+            isinstance(target, routes.Gather)
+            and self._clock.monotonic() >= self.goal_s
+        ):
+            answered = sum(p.state is PartState.ANSWERED for p in self._parts)
+            needed = math.ceil(target.min_coverage * len(target.services))
+            pending = min(pending, needed - answered)
+        if any(p.hedge_denied for p in self._parts):
+            answered = sum(p.state is PartState.ANSWERED for p in self._parts)
+            late = math.ceil(_LATE_HEDGE_FRACTION * len(self._parts))
+            if answered < late:
+                pending = min(pending, late - answered)
+        return max(1, pending)
+
     def _on_event(self, event: forward_send.Event) -> None:
         if isinstance(event, forward_send.SendFinished):
             event.send.part.on_result(event)
@@ -280,8 +311,8 @@
     def _next_timer(self) -> deadlines.Deadline:
         timers_s = [self._answer_by.at_s]
         now_s = self._clock.monotonic()
-        if self._goal_s > now_s:
-            timers_s.append(self._goal_s)
+        if self.goal_s > now_s:
+            timers_s.append(self.goal_s)
         timers_s.extend(
             p.hedge_at_s for p in self._parts if p.hedge_at_s is not None
         )
@@ -290,10 +321,6 @@
         )
         return deadlines.Deadline(min(timers_s))
 
-    @property
-    def _goal_s(self) -> float:
-        return self._started_s + self._route.goal_s - _GOAL_MARGIN_S
-
     def _on_timer(self) -> None:
         now_s = self._clock.monotonic()
         for part in self._parts:
@@ -306,7 +333,8 @@
         among_last = answered >= _LATE_HEDGE_FRACTION * len(self._parts)
         for part in self._parts:
             due_s = part.hedge_at_s
-            if due_s is not None and due_s <= now_s:
+            due = due_s is not None and due_s <= now_s
+            if due or among_last and part.hedge_denied:
                 part.hedge(among_last)
 
     def _decide(self) -> forward_messages.ForwardAnswer | None:
@@ -339,9 +367,11 @@
         pending = sum(p.state is PartState.PENDING for p in self._parts)
         enough = len(answered) >= target.min_coverage * total
         if answered and enough:
-            goal_reached = self._clock.monotonic() >= self._goal_s
+            goal_reached = self._clock.monotonic() >= self.goal_s
             if pending == 0 or goal_reached:
+                self.answered_at_goal = pending > 0 and self._enough_before
                 return self._merged(answered, target)
+            self._enough_before = True
         elif len(answered) + pending < target.min_coverage * total:
             return self._coverage_failure(answered, total)
         if self._answer_by.passed(self._clock):
--- a/packages/tier/src/corianderport_tier/request/inboxes.py
+++ b/packages/tier/src/corianderport_tier/request/inboxes.py
@@ -22,16 +22,23 @@
         self._clock = clock
         self._condition = threading.Condition()
         self._items: collections.deque[T] = collections.deque()
+        # Number of items that wake the request's task, and whether a queued
+        # item does so alone.
+        self._awaited = 1
+        self._urgent = False
         self._closed = False
 
-    def put(self, item: T) -> None:
+    def put(self, item: T, urgent: bool = True) -> None:
         """Add an item and wake the request's task.
 
         The item is dropped if the inbox is closed.
+
+        :param urgent: False if the item needs to be handled only together
+            with as many items as the task waits for.
         """
-        self.offer(item)
+        self.offer(item, urgent)
 
-    def offer(self, item: T) -> bool:
+    def offer(self, item: T, urgent: bool = True) -> bool:
         """Add an item and wake the request's task.
 
         :return: False if the inbox is closed; the item is then dropped.
@@ -40,7 +47,9 @@
             if self._closed:
                 return False
             self._items.append(item)
-            self._condition.notify()
+            self._urgent = self._urgent or urgent
+            if self._may_be_taken:
+                self._condition.notify()
             return True
 
     def close(self) -> tuple[T, ...]:
@@ -57,25 +66,36 @@
         :return: the item, or None if ``until`` passed first.
         """
         with self._condition:
-            return (
-                self._items.popleft() if self._wait_for_item(until) else None
-            )
+            self._wait_for_items(until, 1)
+            return self._items.popleft() if self._items else None
+
+    def take_all(
+        self, until: deadlines.Deadline, count: int = 1
+    ) -> tuple[T, ...]:
+        """Wait for items and return all queued ones.
 
-    def take_all(self, until: deadlines.Deadline) -> tuple[T, ...]:
-        """Wait for the next item and return all queued items.
+        Each wake-up of the task costs as much as handling several items.
 
-        :return: the items in arrival order; empty if ``until`` passed first.
+        :param count: number of items to wait for; an urgent item ends the
+            wait at once.
+        :return: the items in arrival order; those queued so far if ``until``
+            passed first.
         """
         with self._condition:
-            self._wait_for_item(until)
+            self._wait_for_items(until, count)
             items = tuple(self._items)
             self._items.clear()
+            self._urgent = False
             return items
 
-    def _wait_for_item(self, until: deadlines.Deadline) -> bool:
-        while not self._items:
+    @property
+    def _may_be_taken(self) -> bool:
+        return self._urgent or len(self._items) >= self._awaited
+
+    def _wait_for_items(self, until: deadlines.Deadline, count: int) -> None:
+        self._awaited = count
+        while not self._may_be_taken:
             remaining_s = until.remaining(self._clock)
             if remaining_s <= 0:
-                return False
+                return
             self._clock.wait(self._condition, remaining_s)
-        return True
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -84,6 +84,7 @@
         self._sent_count = 0
         self._possible_runs = 0
         self._hedge_at_s: float | None = None
+        self._hedge_denied = False
         self._resume_at_s: float | None = None
         self._last_failure: tuple[Code, str] | None = None
         self._failed_reply: forward_messages.SearcherReply | None = None
@@ -100,6 +101,15 @@
             return None
         return self._hedge_at_s
 
+    @property
+    def hedge_denied(self) -> bool:
+        """Whether a due hedge was left out to spare the budget."""
+        return (
+            self._hedge_denied
+            and self.state is PartState.PENDING
+            and bool(self._sends)
+        )
+
     @property
     def resume_at_s(self) -> float | None:
         """Time at which a pause ends that the part waits for."""
@@ -117,6 +127,7 @@
             parts.
         """
         self._hedge_at_s = None
+        self._hedge_denied = False
         running = len(self._sends)
         if self._possible_runs + running >= self._route.attempts:
             return
@@ -127,6 +138,7 @@
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
             )
+            self._hedge_denied = not among_last
             self._log_decision(
                 'no-hedge', choice.state.name, 'budget is spent'
             )
@@ -149,9 +161,19 @@
     ) -> None:
         """Release the searcher and post the result to the inbox."""
         result = self._send_result(send, reply)
-        self._log_statements(send, result)
+        if result.leaving or result.pause_s > 0:
+            self._log_statements(send, result)
         self.service.finish(send.choice, result)
-        self._inbox.put(forward_send.SendFinished(send, reply))
+        # Before all parts of a gather have answered, a success alone decides
+        # nothing.
+        succeeded = (
+            isinstance(reply, forward_messages.SearcherReply)
+            and reply.succeeded
+        )
+        self._inbox.put(
+            forward_send.SendFinished(send, reply),
+            urgent=not (self._gathered and succeeded),
+        )
 
     def on_result(self, event: forward_send.SendFinished) -> None:
         """Handle the result of a send attempt."""
@@ -179,7 +201,7 @@
         if reply.ran:
             self._possible_runs += 1
         if reply.succeeded if self._gathered else reply.final:
-            self._latency.record(self._clock.monotonic() - send.started_s)
+            self._latency.record(send.finished_s - send.started_s)
             self.reply = reply
             self.state = PartState.ANSWERED
             return
@@ -331,7 +353,7 @@
     def _send_result(
         self, send: forward_send.SendAttempt, reply: object
     ) -> searcher_state.SendResult:
-        elapsed_s = self._clock.monotonic() - send.started_s
+        elapsed_s = send.finished_s - send.started_s
         median_s = self._latency.median_s
         if isinstance(reply, forward_messages.SearcherReply):
             if reply.pause_s > 0:
--- /dev/null
+++ b/tests/tier/test_answer_delay.py
@@ -0,0 +1,29 @@
+"""AnswerDelay: the margin that a slow host keeps before a goal."""
+
+import pytest
+
+from corianderport_tier.process import answer_delay
+
+
+def test_delay_follows_the_latest_answers() -> None:
+    """Guards against answers that leave just after the goal on slow hosts."""
+    delay = answer_delay.AnswerDelay()
+    assumed_s = delay.expected_s
+    for _ in range(4):
+        delay.record(0.008)
+    assert delay.expected_s == assumed_s
+    for _ in range(60):
+        delay.record(0.008)
+    assert delay.expected_s == pytest.approx(0.008)
+    for _ in range(64):
+        delay.record(0.001)
+    assert delay.expected_s == pytest.approx(0.001)
+
+
+def test_pause_of_the_process_is_no_delay() -> None:
+    """Guards against a margin that a single pause makes useless."""
+    delay = answer_delay.AnswerDelay()
+    for _ in range(64):
+        delay.record(0.002)
+        delay.record(3.0)
+    assert delay.expected_s == pytest.approx(0.002)
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -176,6 +176,10 @@
         return self.sends.empty()
 
 
+def _take(host: _Host, count: int) -> list[forward_send.SendAttempt]:
+    return [host.take() for _ in range(count)]
+
+
 _NON_IDEMPOTENT = entries.route(idempotent=False)
 
 
@@ -382,6 +386,37 @@
     assert isinstance(host.finish(), forward_messages.Relayed)
 
 
+def test_hedge_that_spared_the_budget_is_sent_for_the_last_part() -> None:
+    """Guards against giving a late part up for good.
+
+    When its hedge was due, most parts were pending, and such hedges leave
+    the rest of the budget to others.
+    """
+    services = tuple(f's{n}' for n in range(10))
+    host = _Host(
+        entries.route(services, min_coverage=1.0, goal_s=0.4), replicas=2
+    )
+    host.start()
+    sends = {send.part.service.name: send for send in _take(host, 10)}
+    late = sends.pop('s0')
+    # Leave one extra send of the service, which the reserve covers.
+    service = late.part.service
+    while service.try_extra(0.4):
+        continue
+    assert service.try_extra(0.2)
+    host.advance(0.25)
+    for _ in range(9):
+        hedge = host.take()
+        assert hedge.part.service is not service
+        host.end(hedge, _reply())
+    hedge = host.take()
+    assert hedge.part.service is service
+    host.end(hedge, _reply())
+    answer = host.finish()
+    assert isinstance(answer, forward_messages.Gathered)
+    assert answer.missing == 0
+
+
 def test_request_that_may_run_once_is_never_hedged() -> None:
     host = _Host(_NON_IDEMPOTENT)
     host.start(deadline_s=0.5)
--- a/tests/tier/test_inboxes.py
+++ b/tests/tier/test_inboxes.py
@@ -52,3 +52,31 @@
     clock.advance(2.0)
     assert inbox.take_all(deadline) == (1, 2)
     assert inbox.take_all(deadline) == ()
+
+
+def test_task_sleeps_until_enough_results_are_in() -> None:
+    """Guards against a wake-up for each part of a wide gather."""
+    clock = manual_clock.ManualClock()
+    inbox: inboxes.Inbox[int] = inboxes.Inbox(clock)
+    deadline = deadlines.Deadline.after(clock, 1.0)
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        taken = executor.submit(inbox.take_all, deadline, 3)
+        clock.await_waiters(1)
+        inbox.put(1, urgent=False)
+        inbox.put(2, urgent=False)
+        assert not taken.done()
+        inbox.put(3, urgent=False)
+        assert taken.result(timeout=20) == (1, 2, 3)
+
+
+def test_urgent_result_and_deadline_end_the_wait_for_more() -> None:
+    """Guards against a failure or a timer that waits for other results."""
+    clock = manual_clock.ManualClock()
+    inbox: inboxes.Inbox[int] = inboxes.Inbox(clock)
+    deadline = deadlines.Deadline.after(clock, 1.0)
+    inbox.put(1, urgent=False)
+    inbox.put(2)
+    assert inbox.take_all(deadline, 3) == (1, 2)
+    inbox.put(4, urgent=False)
+    clock.advance(2.0)
+    assert inbox.take_all(deadline, 3) == (4,)
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -92,6 +92,27 @@
     assert _choose(service, 's2', 's3').state.name == 's1'
 
 
+@pytest.mark.parametrize(('gap_s', 'avoided'), [(0.05, False), (2.0, True)])
+def test_slow_searcher_is_avoided_for_several_requests(
+    service: service_searchers.ServiceSearchers,
+    clock: clock_module.ManualClock,
+    gap_s: float,
+    avoided: bool,
+) -> None:
+    """Guards against trying a slow searcher with every second request.
+
+    With little traffic, the next request comes seconds after the slow one.
+    """
+    for _ in range(6):
+        service.count_request()
+        clock.advance(gap_s)
+    slow = _choose(service, 's2', 's3')
+    service.finish(slow, SendResult(False, elapsed_s=0.12, median_s=0.01))
+    clock.advance(10.0)
+    choice = _choose(service)
+    assert (choice.state.name != 's1') is avoided
+
+
 def test_searcher_whose_answer_is_overdue_counts_as_slow_at_once(
     service: service_searchers.ServiceSearchers,
     clock: clock_module.ManualClock,
