Let hosts that the store refuses read from other hosts

Each host keeps the entries of the store as it read them (2 MB at most) and returns them to others (new call of the peer protocol; earlier versions refuse it). A host that knows no entries takes the newest of up to three others when the store fails; one that knows some takes changes from the relay of another host for half a second, then calls the store again. None are asked for a second after none could help. What is removed stays removed, and the store's return is handled as before.

--- a/packages/daemon/src/corianderport_daemon/process/gossip_handler.py
+++ b/packages/daemon/src/corianderport_daemon/process/gossip_handler.py
@@ -36,6 +36,10 @@
         """Wait for registry changes that this host has read."""
         return self._relay.registry_changes(after, wait_s)
 
+    def registry_entries(self) -> registrations.StoredEntries:
+        """Return all registry entries that this host knows."""
+        return self._relay.registry_entries()
+
     def act_with_ticket(
         self, request: messages.ActionRequest
     ) -> messages.ActionAnswer:
--- a/packages/daemon/src/corianderport_daemon/process/peer_handler.py
+++ b/packages/daemon/src/corianderport_daemon/process/peer_handler.py
@@ -14,6 +14,8 @@
 
 __all__ = ['PeerHandler']
 
+_NO_REGISTRY = 'this host reads no registry'
+
 
 class PeerHandler:
     """Passes the calls of other hosts to the components that serve them."""
@@ -51,7 +53,11 @@
         self, after: registrations.Revision, wait_s: float
     ) -> registrations.StoredEntries:
         """Refuse, since this host does not read a registry of searchers."""
-        raise errors.NotReady('this host reads no registry')
+        raise errors.NotReady(_NO_REGISTRY)
+
+    def registry_entries(self) -> registrations.StoredEntries:
+        """Refuse, since this host does not read a registry of searchers."""
+        raise errors.NotReady(_NO_REGISTRY)
 
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the current version, and its document if it is newer."""
--- a/packages/daemon/src/corianderport_daemon/process/registry_connection.py
+++ b/packages/daemon/src/corianderport_daemon/process/registry_connection.py
@@ -33,16 +33,34 @@
 
         A transport error closes the connection.
         """
-        if self._transport is None or self._address != member.peer_address:
+        transport = self._connect(member)
+        try:
+            return transport.registry_changes(after, wait_s, timeout_s)
+        except errors.TransportError:
             self.close()
-            self._transport = self._dialer.dial(member, _DIAL_TIMEOUT_S)
-            self._address = member.peer_address
+            raise
+
+    def registry_entries(
+        self, member: membership.Member, timeout_s: float
+    ) -> registrations.StoredEntries:
+        """Return all entries that another host knows.
+
+        A transport error closes the connection.
+        """
+        transport = self._connect(member)
         try:
-            return self._transport.registry_changes(after, wait_s, timeout_s)
+            return transport.registry_entries(timeout_s)
         except errors.TransportError:
             self.close()
             raise
 
+    def _connect(self, member: membership.Member) -> transports.PeerTransport:
+        if self._transport is None or self._address != member.peer_address:
+            self.close()
+            self._transport = self._dialer.dial(member, _DIAL_TIMEOUT_S)
+            self._address = member.peer_address
+        return self._transport
+
     def close(self) -> None:
         """Close the connection."""
         transport, self._transport = self._transport, None
--- a/packages/testkit/src/corianderport_testkit/process/control_group.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_group.py
@@ -113,6 +113,11 @@
     ) -> registrations.StoredEntries:
         raise NotImplementedError
 
+    def registry_entries(
+        self, timeout_s: float
+    ) -> registrations.StoredEntries:
+        raise NotImplementedError
+
     def act_with_ticket(
         self, request: typing.Any, timeout_s: float
     ) -> typing.Any:
--- a/packages/testkit/src/corianderport_testkit/process/control_peers.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_peers.py
@@ -49,6 +49,10 @@
         """Refuse the call, since this host does not read the store."""
         raise errors.NotReady('this host does not read the store')
 
+    def registry_entries(self) -> registrations.StoredEntries:
+        """Refuse the call, since this host does not read the store."""
+        raise errors.NotReady('this host does not read the store')
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the current version, and its document if it is newer."""
         accepted = self._store.accepted()
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -168,6 +168,15 @@
         :raises NotReady: the store has not answered the peer recently.
         """
 
+    def registry_entries(
+        self, timeout_s: float
+    ) -> registrations.StoredEntries:
+        """Return all entries of the store that the peer knows.
+
+        :raises NotReady: the peer knows none.
+        :raises NotRelayed: they are too large to be sent.
+        """
+
     def heartbeat(
         self, message: heartbeats.Heartbeat, timeout_s: float
     ) -> heartbeats.Heartbeat:
--- a/packages/tier/src/corianderport_tier/process/registry_relay.py
+++ b/packages/tier/src/corianderport_tier/process/registry_relay.py
@@ -11,6 +11,7 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import registry_snapshot
 from corianderport_tier.process import token_bucket
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import registrations
@@ -61,6 +62,7 @@
         link_bytes_s: float = DEFAULT_LINK_BYTES_S,
     ) -> None:
         self._clock = clock
+        self.snapshot = registry_snapshot.RegistrySnapshot()
         self._link_budget = token_bucket.TokenBucket(
             clock,
             _MAX_LINK_SHARE * link_bytes_s,
@@ -98,6 +100,16 @@
             self._revision = max(after, stored.revision)
             self._on_store_reply()
 
+    def registry_entries(self) -> registrations.StoredEntries:
+        """Return all entries, for a host that the store does not answer.
+
+        :raises NotReady: this host has not read them.
+        :raises NotRelayed: they are too large for this host's link.
+        """
+        entries = self.snapshot.entries()
+        self._spend_link(entries)
+        return entries
+
     def registry_changes(
         self, after: registrations.Revision, wait_s: float
     ) -> registrations.StoredEntries:
@@ -148,11 +160,14 @@
             max(after, self._revision),
             any(b.returned for b in batches),
         )
-        if not self._link_budget.try_spend(changes.size_bytes):
+        self._spend_link(changes)
+        return changes
+
+    def _spend_link(self, stored: registrations.StoredEntries) -> None:
+        if not self._link_budget.try_spend(stored.size_bytes):
             raise errors.NotRelayed(
-                f'{changes.size_bytes} bytes of changes exceed the budget'
+                f'{stored.size_bytes} bytes exceed the budget of the link'
             )
-        return changes
 
     def _buffer(self, stored: registrations.StoredEntries) -> None:
         size_bytes = stored.size_bytes
--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -32,6 +32,9 @@
 # that relaying would save no calls.
 _HOSTS_PER_READER = 24
 _MIN_HOSTS = 6
+# Hosts that are asked while the store does not answer. Some of them may not
+# reach it either.
+_SUBSTITUTES = 3
 # Name of the store in log lines that name the host otherwise.
 _STORE = 'the store'
 
@@ -50,6 +53,12 @@
     follower_timeout_s: float = 1.4
     # Time during which a failed reader is not called again.
     reader_backoff_s: float = 5.0
+    # Duration and timeout of calls to other hosts while the store does not
+    # answer. The store is called again after each.
+    substitute_wait_s: float = 0.5
+    substitute_timeout_s: float = 0.8
+    # Time during which no hosts are asked after none could help.
+    substitute_backoff_s: float = 1.0
 
 
 class RegistryPeer(typing.Protocol):
@@ -64,6 +73,11 @@
     ) -> registrations.StoredEntries:
         """Wait for changes relayed by another host."""
 
+    def registry_entries(
+        self, member: membership.Member, timeout_s: float
+    ) -> registrations.StoredEntries:
+        """Return all entries that another host knows."""
+
 
 class RegistrySource:
     """Implements ``transports.Registry`` for this host's reader task.
@@ -91,20 +105,41 @@
         self._clock = clock
         self._times = SourceTimes() if times is None else times
         self._reader_retry_at_s = float('-inf')
+        self._substitutes_retry_at_s = float('-inf')
+        self._last_substitute = ''
         self._last_reader = ''
         self._store_failed = False
 
     def read(self, prefix: str) -> registrations.StoredEntries:
-        """Read all entries under a prefix directly from the store."""
-        stored = self._store.read(prefix)
-        self._relay.reset(stored.revision)
-        _log_changes(_STORE, stored)
+        """Read all entries under a prefix directly from the store.
+
+        A host that knows no entries takes those of another host while the
+        store does not answer.
+        """
+        try:
+            stored = self._store.read(prefix)
+        except errors.CorianderportError as error:
+            self._store_failed = True
+            if self._relay.snapshot.known:
+                raise
+            stored = self._read_from_hosts(error)
+        else:
+            self._relay.reset(stored.revision)
+            _log_changes(_STORE, stored)
+        self._relay.snapshot.replace(stored)
         return stored
 
     def watch(
         self, prefix: str, after: registrations.Revision, wait_s: float
     ) -> registrations.StoredEntries:
         """Wait for changes from the assigned reader or from the store."""
+        changes = self._watch(prefix, after, wait_s)
+        self._relay.snapshot.apply(changes)
+        return changes
+
+    def _watch(
+        self, prefix: str, after: registrations.Revision, wait_s: float
+    ) -> registrations.StoredEntries:
         reader = reader_for(self._own_host, self._current_view())
         self._log_reader_change(reader)
         if reader is None:
@@ -145,15 +180,102 @@
             stored = self._store.watch(prefix, after, wait_s)
         except errors.HistoryGone:
             raise
-        except errors.CorianderportError:
+        except errors.CorianderportError as error:
             self._store_failed = True
-            raise
+            return self._changes_from_hosts(after, error)
         stored = attrs.evolve(stored, returned=self._store_failed)
         self._store_failed = False
+        self._last_substitute = ''
         self._relay.add_reply(after, stored)
         _log_changes(_STORE, stored)
         return stored
 
+    def _read_from_hosts(
+        self, store_error: errors.CorianderportError
+    ) -> registrations.StoredEntries:
+        """Return the newest entries that some other hosts know.
+
+        :raises CorianderportError: the error of the store; no host has any.
+        """
+        newest: registrations.StoredEntries | None = None
+        for member in self._substitutes():
+            try:
+                stored = self._peer.registry_entries(
+                    member, self._times.substitute_timeout_s
+                )
+            except errors.CorianderportError as error:
+                _LOG.info('no entries from %s: %s', member.name, error)
+                continue
+            self._log_substitute(member, store_error)
+            _log_changes(member.name, stored)
+            if newest is None or stored.revision > newest.revision:
+                newest = stored
+        if newest is None:
+            self._back_off_substitutes()
+            raise store_error
+        return newest
+
+    def _changes_from_hosts(
+        self,
+        after: registrations.Revision,
+        store_error: errors.CorianderportError,
+    ) -> registrations.StoredEntries:
+        """Return changes that another host has read.
+
+        :raises CorianderportError: the error of the store; no host has read
+            it recently.
+        """
+        for member in self._substitutes():
+            try:
+                changes = self._peer.registry_changes(
+                    member,
+                    after,
+                    self._times.substitute_wait_s,
+                    self._times.substitute_timeout_s,
+                )
+            except errors.CorianderportError as error:
+                _LOG.debug('no changes from %s: %s', member.name, error)
+                continue
+            self._log_substitute(member, store_error)
+            _log_changes(member.name, changes)
+            return changes
+        self._back_off_substitutes()
+        raise store_error
+
+    def _substitutes(self) -> list[membership.Member]:
+        """Return hosts that may reach the store, nearest first."""
+        if self._clock.monotonic() < self._substitutes_retry_at_s:
+            return []
+        view = self._current_view()
+        alive = [
+            m
+            for m in view.live
+            if m.name != self._own_host.name
+            and view.standings[m.name] is membership.Standing.ALIVE
+        ]
+        ranked = rendezvous.rank(self._own_host.name, alive)
+        centre = self._own_host.data_centre
+        ranked.sort(key=lambda m: m.data_centre != centre)
+        return ranked[:_SUBSTITUTES]
+
+    def _back_off_substitutes(self) -> None:
+        # Hosts that start at the same time find each other in milliseconds.
+        if self._relay.snapshot.known:
+            self._substitutes_retry_at_s = (
+                self._clock.monotonic() + self._times.substitute_backoff_s
+            )
+
+    def _log_substitute(
+        self, member: membership.Member, error: errors.CorianderportError
+    ) -> None:
+        if member.name != self._last_substitute:
+            self._last_substitute = member.name
+            _LOG.warning(
+                'reading from %s, as the store does not answer: %s',
+                member.name,
+                error,
+            )
+
     def _log_reader_change(self, reader: membership.Member | None) -> None:
         name = self._own_host.name if reader is None else reader.name
         if name != self._last_reader:
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -88,6 +88,14 @@
             self._call(self._client.news, fields, timeout_s)
         )
 
+    def registry_entries(
+        self, timeout_s: float
+    ) -> registrations.StoredEntries:
+        """Return all registry entries that the peer knows."""
+        return registry_codec.entries_from_thrift(
+            self._call(lambda _: self._client.entries(), None, timeout_s)
+        )
+
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -58,6 +58,9 @@
     ) -> registrations.StoredEntries:
         """Wait for changes after a revision and return them."""
 
+    def registry_entries(self) -> registrations.StoredEntries:
+        """Return all registry entries that this host knows."""
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the current version, and its document if it is newer."""
 
@@ -102,6 +105,13 @@
             raise _refused(error) from error
         return registry_codec.entries_to_thrift(stored)
 
+    def entries(self) -> typing.Any:
+        try:
+            stored = self._service.registry_entries()
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return registry_codec.entries_to_thrift(stored)
+
     def configuration(self, known_version: int) -> typing.Any:
         try:
             version, content = self._service.document(known_version)
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -86,5 +86,7 @@
         throws (1: Refused refused)
     void hand_over(1: HandOver part) throws (1: Refused refused)
     StoredEntries news(1: NewsRequest request) throws (1: Refused refused)
+    // All entries of the store that the host knows. Absent in earlier versions.
+    StoredEntries entries() throws (1: Refused refused)
     Document configuration(1: i64 known_version) throws (1: Refused refused)
 }
--- a/tests/daemon/test_registry_connection.py
+++ b/tests/daemon/test_registry_connection.py
@@ -77,6 +77,17 @@
     assert changes.revision == 8
 
 
+def test_all_entries_are_returned(
+    reader: _Reader, connection: registry_connection.RegistryConnection
+) -> None:
+    """Guards against a started host that cannot learn from another one."""
+    with pytest.raises(errors.NotReady):
+        connection.registry_entries(reader.member, _LONG_S)
+    stored = registrations.StoredEntries([_CHANGE], 8)
+    reader.relay.snapshot.replace(stored)
+    assert connection.registry_entries(reader.member, _LONG_S) == stored
+
+
 def test_errors_keep_their_class_and_the_connection(
     reader: _Reader, connection: registry_connection.RegistryConnection
 ) -> None:
--- a/tests/tier/test_registry_source.py
+++ b/tests/tier/test_registry_source.py
@@ -95,7 +95,17 @@
     clock: clock_module.ManualClock
 
     def read(self, prefix: str) -> registrations.StoredEntries:
-        raise NotImplementedError
+        self.store.calls += 1
+        if self.host in self.store.disconnected:
+            raise errors.ConnectionSilent('lost')
+        return registrations.StoredEntries(
+            [
+                registrations.StoredEntry(
+                    'k', self.store.revision, self.store.content
+                )
+            ],
+            self.store.revision,
+        )
 
     def watch(
         self, prefix: str, after: int, wait_s: float
@@ -121,6 +131,7 @@
         self.store = _Store()
         self.view = _view(names)
         self.unreachable: set[str] = set()
+        self.peer_calls = 0
         self.relays = {
             n: registry_relay.RegistryRelay(self.clock) for n in names
         }
@@ -144,9 +155,19 @@
         wait_s: float,
         timeout_s: float,
     ) -> registrations.StoredEntries:
+        self._call(member)
+        return self.relays[member.name].registry_changes(after, 0.0)
+
+    def registry_entries(
+        self, member: membership.Member, timeout_s: float
+    ) -> registrations.StoredEntries:
+        self._call(member)
+        return self.relays[member.name].registry_entries()
+
+    def _call(self, member: membership.Member) -> None:
+        self.peer_calls += 1
         if member.name in self.unreachable:
             raise errors.ConnectionSilent('cut')
-        return self.relays[member.name].registry_changes(after, 0.0)
 
     def step(self, name: str) -> None:
         try:
@@ -235,6 +256,82 @@
     assert not source.watch('', 1, 0.0).returned
 
 
+_FEW = _NAMES[:4]
+
+
+def test_started_host_that_the_store_refuses_takes_the_entries_of_others() -> (
+    None
+):
+    """Guards against a host that refuses callers while others know all.
+
+    The store refuses single hosts for several seconds; others that it
+    refuses too know nothing.
+    """
+    fleet = _Fleet(_FEW)
+    fleet.store.disconnected |= {'h0', 'h1', 'h2'}
+    with pytest.raises(errors.ConnectionSilent):
+        fleet.sources['h0'].read('')
+    fleet.store.revision = 7
+    fleet.sources['h3'].read('')
+    stored = fleet.sources['h0'].read('')
+    assert [e.revision for e in stored.entries] == [7]
+    assert stored.revision == 7
+    # A host that took the entries from another one passes them on.
+    fleet.unreachable.add('h3')
+    assert fleet.sources['h1'].read('').revision == 7
+
+
+def test_host_that_the_store_refuses_gets_changes_from_others() -> None:
+    fleet = _Fleet(_FEW)
+    for source in fleet.sources.values():
+        source.read('')
+    fleet.store.disconnected.add('h0')
+    fleet.store.revision = 5
+    fleet.run(1.0)
+    assert fleet.revisions['h0'] == 5
+    # The store's return is noticed by the next call.
+    fleet.store.disconnected.clear()
+    assert fleet.sources['h0'].watch('', 5, 0.0).returned
+
+
+def test_hosts_are_seldom_asked_while_the_store_is_down() -> None:
+    """Guards against calls among all hosts during an outage of the store."""
+    fleet = _Fleet(_FEW)
+    for source in fleet.sources.values():
+        source.read('')
+    fleet.store.disconnected |= set(_FEW)
+    fleet.run(3.0)
+    calls = fleet.peer_calls
+    fleet.run(10.0)
+    assert fleet.peer_calls - calls <= 10 * 3 * len(_FEW)
+
+
+def test_removed_entries_are_not_passed_on() -> None:
+    """Guards against a searcher that is in use again after a restart."""
+    fleet = _Fleet(_FEW)
+    fleet.sources['h1'].read('')
+    snapshot = fleet.relays['h1'].snapshot
+    snapshot.apply(
+        registrations.StoredEntries(
+            [registrations.StoredEntry('k', 9, None)], 9
+        )
+    )
+    fleet.store.disconnected.add('h0')
+    stored = fleet.sources['h0'].read('')
+    assert list(stored.entries) == []
+    assert stored.revision == 9
+
+
+def test_large_registry_is_read_from_the_store_only() -> None:
+    """Guards against messages and memory that grow with the registry."""
+    fleet = _Fleet(_FEW)
+    fleet.store.content = bytes(3_000_000)
+    fleet.sources['h1'].read('')
+    fleet.store.disconnected.add('h0')
+    with pytest.raises(errors.ConnectionSilent):
+        fleet.sources['h0'].read('')
+
+
 class FollowersMachine(stateful.RuleBasedStateMachine):
     """A host that can reach the store gets each change in time.
 
