Wait for the next result after an urgent one was taken

Cause: an inbox remembered that an urgent item had come when a task took single items, as actions do, so that the next wait ended at once and was taken for the deadline.

--- a/packages/tier/src/corianderport_tier/request/inboxes.py
+++ b/packages/tier/src/corianderport_tier/request/inboxes.py
@@ -67,7 +67,9 @@
         """
         with self._condition:
             self._wait_for_items(until, 1)
-            return self._items.popleft() if self._items else None
+            item = self._items.popleft() if self._items else None
+            self._urgent = self._urgent and bool(self._items)
+            return item
 
     def take_all(
         self, until: deadlines.Deadline, count: int = 1
--- a/tests/tier/test_inboxes.py
+++ b/tests/tier/test_inboxes.py
@@ -80,3 +80,17 @@
     inbox.put(4, urgent=False)
     clock.advance(2.0)
     assert inbox.take_all(deadline, 3) == (4,)
+
+
+def test_next_take_waits_after_an_urgent_result() -> None:
+    """Guards against a wait that ends at once as if its time were over."""
+    clock = manual_clock.ManualClock()
+    inbox: inboxes.Inbox[int] = inboxes.Inbox(clock)
+    deadline = deadlines.Deadline.after(clock, 1.0)
+    inbox.put(1)
+    assert inbox.take(deadline) == 1
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        taken = executor.submit(inbox.take, deadline)
+        clock.await_waiters(1)
+        inbox.put(2)
+        assert taken.result(timeout=20) == 2
