Ask other hosts only after the store has failed twice in a row

Cause, by reading: a connection to the store that has gone silent shows after up to 3.2 s. Asking hosts that do not answer either would then take 3.9 s more, where a call on a new connection takes milliseconds, so that a change could be late at a host that is in touch again after four seconds.

A read that succeeds ends the outage, too.

--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -119,11 +119,13 @@
         try:
             stored = self._store.read(prefix)
         except errors.CorianderportError as error:
-            self._store_failed = True
-            if self._relay.snapshot.known:
+            failed_before, self._store_failed = self._store_failed, True
+            if self._relay.snapshot.known or not failed_before:
                 raise
             stored = self._read_from_hosts(error)
         else:
+            self._store_failed = False
+            self._last_substitute = ''
             self._relay.reset(stored.revision)
             _log_changes(_STORE, stored)
         self._relay.snapshot.replace(stored)
@@ -181,7 +183,11 @@
         except errors.HistoryGone:
             raise
         except errors.CorianderportError as error:
-            self._store_failed = True
+            failed_before, self._store_failed = self._store_failed, True
+            # A single failure may concern only the connection; calling the
+            # store again takes less time than asking hosts in vain.
+            if not failed_before:
+                raise
             return self._changes_from_hosts(after, error)
         stored = attrs.evolve(stored, returned=self._store_failed)
         self._store_failed = False
--- a/tests/tier/test_registry_source.py
+++ b/tests/tier/test_registry_source.py
@@ -269,8 +269,9 @@
     """
     fleet = _Fleet(_FEW)
     fleet.store.disconnected |= {'h0', 'h1', 'h2'}
-    with pytest.raises(errors.ConnectionSilent):
-        fleet.sources['h0'].read('')
+    for host in ('h0', 'h1'):
+        with pytest.raises(errors.ConnectionSilent):
+            fleet.sources[host].read('')
     fleet.store.revision = 7
     fleet.sources['h3'].read('')
     stored = fleet.sources['h0'].read('')
@@ -317,6 +318,8 @@
         )
     )
     fleet.store.disconnected.add('h0')
+    with pytest.raises(errors.ConnectionSilent):
+        fleet.sources['h0'].read('')
     stored = fleet.sources['h0'].read('')
     assert list(stored.entries) == []
     assert stored.revision == 9
@@ -328,8 +331,26 @@
     fleet.store.content = bytes(3_000_000)
     fleet.sources['h1'].read('')
     fleet.store.disconnected.add('h0')
+    for _ in range(3):
+        with pytest.raises(errors.ConnectionSilent):
+            fleet.sources['h0'].read('')
+
+
+def test_single_failure_of_the_store_asks_no_hosts() -> None:
+    """Guards against a late change after a connection went silent.
+
+    The store answers on a new connection, while other hosts may not answer.
+    """
+    fleet = _Fleet(_FEW)
+    for source in fleet.sources.values():
+        source.read('')
+    fleet.store.disconnected.add('h0')
     with pytest.raises(errors.ConnectionSilent):
-        fleet.sources['h0'].read('')
+        fleet.sources['h0'].watch('', 1, 2.2)
+    assert fleet.peer_calls == 0
+    fleet.store.disconnected.clear()
+    fleet.store.revision = 5
+    assert fleet.sources['h0'].watch('', 1, 0.0).revision == 5
 
 
 class FollowersMachine(stateful.RuleBasedStateMachine):
