--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -128,11 +128,11 @@
         self.answer: forward_messages.ForwardAnswer | None = None
         self._thread: threading.Thread | None = None
 
-    def start(self, deadline_s: float = 0.8) -> None:
+    def start(self, deadline_s: float = 0.8, path: str = '/find/x') -> None:
         request = forward_messages.ForwardRequest(
             'q1',
             'a.example',
-            '/find/x',
+            path,
             forward_messages.Payload(b'GET', b'/find/x', (), b''),
             deadlines.Deadline.after(self.clock, deadline_s),
         )
@@ -282,6 +282,22 @@
     host.finish()
 
 
+def test_flooded_route_does_not_stall_a_route_with_other_services() -> None:
+    """Guards against one customer's searches that hold up another's."""
+    flooded = entries.route(('s1',), prefix='/find/')
+    other = entries.route(('s2',), prefix='/other/', name='other')
+    host = _Host(flooded, other, replicas=1)
+    for _ in range(40):
+        host.start()
+    for _ in range(3):
+        assert host.take().part.service.name == 's1'
+    host.start(path='/other/x')
+    send = host.take()
+    assert send.part.service.name == 's2'
+    host.end(send, _reply())
+    assert isinstance(host.finish(), forward_messages.Relayed)
+
+
 def test_hedge_avoids_a_leaving_searcher() -> None:
     host = _Host(entries.route(), replicas=2)
     host.start()
