Take a share that grows during a choice for no error

Found in the read-through: the reason for which no searcher can be chosen is worked out after the choice, and the number of hosts may have changed since. The new test raises AssertionError without this. Removes an argument that nothing used.

--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -212,15 +212,13 @@
         with self._lock:
             self._capacity_callbacks.append(callback)
 
-    def available_at_s(
-        self, excluded: collections.abc.Container[str] = ()
-    ) -> float | None:
+    def available_at_s(self) -> float | None:
         """Return when the first searcher ends its backoff or its pause.
 
         :return: None if there is no searcher to wait for.
         """
         with self._lock:
-            return self._first_available_s(excluded)
+            return self._first_available_s()
 
     def retry_delay_s(self) -> float:
         """Return the seconds after which a refused caller should return.
@@ -230,7 +228,7 @@
         """
         now_s = self._clock.monotonic()
         with self._lock:
-            first_s = self._first_available_s(())
+            first_s = self._first_available_s()
             if first_s is None:
                 return _DEFAULT_RETRY_DELAY_S
             delay_s = max(0.0, first_s - now_s)
@@ -298,16 +296,15 @@
             states = [s for s in states if allowed(s)]
             if not states:
                 return reason
-        raise AssertionError('a searcher can be chosen')
+        # The share of a cold searcher grows when a host leaves meanwhile.
+        return NoChoice.COLD
 
-    def _first_available_s(
-        self, excluded: collections.abc.Container[str]
-    ) -> float | None:
+    def _first_available_s(self) -> float | None:
         return min(
             (
                 s.available_at_s
                 for s in self._states.values()
-                if not s.availability.leaving and s.name not in excluded
+                if not s.availability.leaving
             ),
             default=None,
         )
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -320,12 +320,15 @@
                 lambda: self._inbox.put(forward_send.CapacityFreed(self))
             )
             return
-        if reason is service_searchers.NoChoice.PAUSED and self._wait(failed):
+        if (
+            reason is service_searchers.NoChoice.PAUSED
+            and self._wait_for_pause(failed)
+        ):
             return
         code, detail = failed or (Code.NO_UPSTREAM, reason.value)
         self._fail(code, detail)
 
-    def _wait(self, failed: tuple[Code, str] | None) -> bool:
+    def _wait_for_pause(self, failed: tuple[Code, str] | None) -> bool:
         """Wait for the end of a pause; return False if it ends too late."""
         resume_at_s = self.service.available_at_s()
         if resume_at_s is None:
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -289,6 +289,28 @@
     assert 's1' not in chosen
 
 
+def test_host_that_leaves_during_a_choice_is_no_error(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against a failed request when the share of a host grows.
+
+    The share is asked for once for the choice and once for the reason why
+    there is none; hosts join and leave on another task.
+    """
+    rates = [0, 5]
+
+    class _Share(fleet_share.FleetShare):
+        def cold_rate(self, searcher: str, rate: float) -> int:
+            return rates.pop(0)
+
+    service = _service(_Share(_BOUNDS, 'h1', lambda: ('h1',)), clock)
+    service.update(
+        entries.parameters(cold_rate=1.0),
+        [entries.registration('s1', warm_up_left_s=5.0)],
+    )
+    assert service.choose((), 0.01) is NoChoice.COLD
+
+
 def test_changed_bounds_apply_to_existing_services(
     clock: clock_module.ManualClock,
 ) -> None:
