Ask other hosts again after a delay, and give two decisions modules of their own

Found in the read-through: while hosts were not asked because none could help a second ago, each failed call of the store began that second anew, so that none was asked until the store returned. The new test fails without this.

What a send says of its searcher moved to request/send_results.

--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -217,7 +217,6 @@
             if newest is None or stored.revision > newest.revision:
                 newest = stored
         if newest is None:
-            self._back_off_substitutes()
             raise store_error
         return newest
 
@@ -231,7 +230,8 @@
         :raises CorianderportError: the error of the store; no host has read
             it recently.
         """
-        for member in self._substitutes():
+        members = self._substitutes()
+        for member in members:
             try:
                 changes = self._peer.registry_changes(
                     member,
@@ -245,7 +245,10 @@
             self._log_substitute(member, store_error)
             _log_changes(member.name, changes)
             return changes
-        self._back_off_substitutes()
+        if members:
+            self._substitutes_retry_at_s = (
+                self._clock.monotonic() + self._times.substitute_backoff_s
+            )
         raise store_error
 
     def _substitutes(self) -> list[membership.Member]:
@@ -264,13 +267,6 @@
         ranked.sort(key=lambda m: m.data_centre != centre)
         return ranked[:_SUBSTITUTES]
 
-    def _back_off_substitutes(self) -> None:
-        # Hosts that start at the same time find each other in milliseconds.
-        if self._relay.snapshot.known:
-            self._substitutes_retry_at_s = (
-                self._clock.monotonic() + self._times.substitute_backoff_s
-            )
-
     def _log_substitute(
         self, member: membership.Member, error: errors.CorianderportError
     ) -> None:
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -6,7 +6,6 @@
 
 import collections
 import collections.abc
-import math
 import random
 import typing
 
@@ -23,6 +22,7 @@
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
+from corianderport_tier.request import gather_progress
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import part as part_module
 from corianderport_tier.request import records
@@ -36,9 +36,6 @@
 # Time that a request and its response spend outside this host. A route's
 # latency goal includes it, and the delay with which this host answers.
 _PATH_MARGIN_S = 0.0115
-# Once this fraction of the parts has answered, hedges for the others may use
-# the whole hedging budget, since the others delay the response.
-_LATE_HEDGE_FRACTION = 0.7
 # Assumed typical latency of a route without samples, as a fraction of its
 # latency goal.
 _INITIAL_LATENCY_FRACTION = 0.25
@@ -280,23 +277,26 @@
             self._on_timer()
         return None
 
+    def _progress(self) -> gather_progress.GatherProgress:
+        target = self._route.target
+        states = [p.state for p in self._parts]
+        total, min_coverage = len(states), 1.0
+        if isinstance(target, routes.Gather):
+            total, min_coverage = len(target.services), target.min_coverage
+        return gather_progress.GatherProgress(
+            total=total,
+            parts=len(states),
+            answered=states.count(PartState.ANSWERED),
+            pending=states.count(PartState.PENDING),
+            min_coverage=min_coverage,
+        )
+
     def _awaited_replies(self) -> int:
         """Return how many successful replies the next decision needs."""
-        pending = sum(p.state is PartState.PENDING for p in self._parts)
-        target = self._route.target
-        if (
-            isinstance(target, routes.Gather)
-            and self._clock.monotonic() >= self.goal_s
-        ):
-            answered = sum(p.state is PartState.ANSWERED for p in self._parts)
-            needed = math.ceil(target.min_coverage * len(target.services))
-            pending = min(pending, needed - answered)
-        if any(p.hedge_denied for p in self._parts):
-            answered = sum(p.state is PartState.ANSWERED for p in self._parts)
-            late = math.ceil(_LATE_HEDGE_FRACTION * len(self._parts))
-            if answered < late:
-                pending = min(pending, late - answered)
-        return max(1, pending)
+        return self._progress().awaited_replies(
+            goal_reached=self._clock.monotonic() >= self.goal_s,
+            hedge_denied=any(p.hedge_denied for p in self._parts),
+        )
 
     def _on_event(self, event: forward_send.Event) -> None:
         if isinstance(event, forward_send.SendFinished):
@@ -329,8 +329,7 @@
         self._hedge(now_s)
 
     def _hedge(self, now_s: float) -> None:
-        answered = sum(p.state is PartState.ANSWERED for p in self._parts)
-        among_last = answered >= _LATE_HEDGE_FRACTION * len(self._parts)
+        among_last = self._progress().among_last
         for part in self._parts:
             due_s = part.hedge_at_s
             due = due_s is not None and due_s <= now_s
@@ -358,31 +357,27 @@
     def _decide_gather(
         self, target: routes.Gather
     ) -> forward_messages.ForwardAnswer | None:
-        total = len(target.services)
-        answered = [
-            p.reply
-            for p in self._parts
-            if p.state is PartState.ANSWERED and p.reply is not None
-        ]
-        pending = sum(p.state is PartState.PENDING for p in self._parts)
-        enough = len(answered) >= target.min_coverage * total
-        if answered and enough:
+        progress = self._progress()
+        if progress.enough:
             goal_reached = self._clock.monotonic() >= self.goal_s
-            if pending == 0 or goal_reached:
-                self.answered_at_goal = pending > 0 and self._enough_before
-                return self._merged(answered, target)
+            if progress.pending == 0 or goal_reached:
+                self.answered_at_goal = (
+                    progress.pending > 0 and self._enough_before
+                )
+                return self._merged(target)
             self._enough_before = True
-        elif len(answered) + pending < target.min_coverage * total:
-            return self._coverage_failure(answered, total)
+        elif progress.out_of_reach:
+            return self._coverage_failure(progress)
         if self._answer_by.passed(self._clock):
             return self._deadline_failure()
         return None
 
-    def _merged(
-        self,
-        answered: list[forward_messages.SearcherReply],
-        target: routes.Gather,
-    ) -> forward_messages.Gathered:
+    def _merged(self, target: routes.Gather) -> forward_messages.Gathered:
+        answered = [
+            p.reply
+            for p in self._parts
+            if p.state is PartState.ANSWERED and p.reply is not None
+        ]
         execution_proofs = tuple(
             r.execution_proof
             for r in answered
@@ -397,9 +392,9 @@
         )
 
     def _coverage_failure(
-        self, answered: list[forward_messages.SearcherReply], total: int
+        self, progress: gather_progress.GatherProgress
     ) -> Failure:
-        detail = f'only {len(answered)} of {total} parts answered'
+        detail = f'only {progress.answered} of {progress.total} parts answered'
         if self._cancel_sends():
             return Failure(Code.COVERAGE_NOT_MET, detail)
         return self._refusal(Code.NO_UPSTREAM, detail)
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -15,6 +15,7 @@
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import inboxes
+from corianderport_tier.request import send_results
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
@@ -160,7 +161,7 @@
         self, send: forward_send.SendAttempt, reply: object
     ) -> None:
         """Release the searcher and post the result to the inbox."""
-        result = self._send_result(send, reply)
+        result = send_results.send_result(send, reply, self._latency.median_s)
         if result.leaving or result.pause_s > 0:
             self._log_statements(send, result)
         self.service.finish(send.choice, result)
@@ -353,43 +354,6 @@
             self.failure = forward_messages.Failure(code, reason)
             self.reply = self._failed_reply
 
-    def _send_result(
-        self, send: forward_send.SendAttempt, reply: object
-    ) -> searcher_state.SendResult:
-        elapsed_s = send.finished_s - send.started_s
-        median_s = self._latency.median_s
-        if isinstance(reply, forward_messages.SearcherReply):
-            if reply.pause_s > 0:
-                # A searcher that asks for a pause is not failing.
-                return searcher_state.SendResult(
-                    failed=False, leaving=reply.leaving, pause_s=reply.pause_s
-                )
-            if reply.ran:
-                return searcher_state.SendResult(
-                    failed=not reply.succeeded,
-                    answered=reply.succeeded,
-                    elapsed_s=elapsed_s,
-                    median_s=median_s,
-                    leaving=reply.leaving,
-                )
-            return searcher_state.SendResult(
-                failed=reply.other_searcher,
-                unreachable=reply.other_searcher,
-                full=True,
-                leaving=reply.leaving,
-            )
-        if isinstance(reply, errors.ConnectFailed):
-            return searcher_state.SendResult(failed=True, unreachable=True)
-        if isinstance(reply, errors.ConnectionStale | errors.Refusal):
-            return searcher_state.SendResult(failed=False)
-        if send.cancelled:
-            return searcher_state.SendResult(
-                failed=False, elapsed_s=elapsed_s, median_s=median_s
-            )
-        return searcher_state.SendResult(
-            failed=True, elapsed_s=elapsed_s, median_s=median_s
-        )
-
     def _log_statements(
         self, send: forward_send.SendAttempt, result: searcher_state.SendResult
     ) -> None:
--- a/tests/tier/test_registry_source.py
+++ b/tests/tier/test_registry_source.py
@@ -295,6 +295,20 @@
     assert fleet.sources['h0'].watch('', 5, 0.0).returned
 
 
+def test_hosts_are_asked_again_after_none_could_help() -> None:
+    """Guards against a delay that each failed call of the store prolongs."""
+    fleet = _Fleet(_FEW)
+    for source in fleet.sources.values():
+        source.read('')
+    fleet.store.disconnected.add('h0')
+    fleet.unreachable |= {'h1', 'h2', 'h3'}
+    fleet.run(3.0)
+    fleet.unreachable.clear()
+    fleet.store.revision = 5
+    fleet.run(1.5)
+    assert fleet.revisions['h0'] == 5
+
+
 def test_hosts_are_seldom_asked_while_the_store_is_down() -> None:
     """Guards against calls among all hosts during an outage of the store."""
     fleet = _Fleet(_FEW)
