--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -53,8 +53,8 @@
     follower_timeout_s: float = 1.4
     # Time during which a failed reader is not called again.
     reader_backoff_s: float = 5.0
-    # Duration and timeout of calls to other hosts while the store does not
-    # answer. The store is called again after each.
+    # Duration and timeout of calls to substitutes, the hosts that are asked
+    # while the store does not answer. The store is called again after each.
     substitute_wait_s: float = 0.5
     substitute_timeout_s: float = 0.8
     # Time during which no hosts are asked after none could help.
--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -130,7 +130,7 @@
         return max(self._retry_at_s, self.availability.paused_until_s)
 
     def may_receive(self, now_s: float) -> bool:
-        """Whether neither the searcher's word nor a backoff forbids sends."""
+        """Whether neither a statement nor a backoff forbids requests."""
         return self._retry_at_s <= now_s and self.availability.permits_request(
             now_s
         )
--- a/tests/tier/test_stated_availability_states.py
+++ b/tests/tier/test_stated_availability_states.py
@@ -1,4 +1,4 @@
-"""Random statements of searchers: none of them is sent to against its word.
+"""Random statements of searchers: no request is sent that they forbid.
 
 The searchers of one service say that they leave or ask for a pause, register
 with new lifetimes or addresses, and vanish and return in the list.
