Review: draw the second copies of case 1 at random

Change: 4 in 100 of all answers of one searcher in two get a second copy; full searchers state a Retry-After; bookings also come in clumps. The record is not kept in the repository.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,53 +18,53 @@
 import standins  # noqa: E402
 
 HOSTS = 3
-SERVICES = 4
-SECONDS = 70
-PER_SECOND = 26  # requests to each service
-WORK_S = 0.1
-REFUSAL_S = 0.025  # a searcher slows down when it is full
-EXTRA_SHARE = 0.04  # of a searcher's answers, at most
+SERVICES = 8
+SECONDS = 90
+PER_SECOND = 16  # requests to each service, one by one
+CLUMP = 6  # requests to each service that come at once
+CLUMP_EVERY_S = 1.2
+WORK_S = 0.07
+EXTRA_SHARE = 0.04  # of a searcher's answers, at random
 EXTRA_ON_S = 5.0  # the disturbance lasts so long, and comes again
 EXTRA_OFF_S = 1.0
-LATE_S = (0.03, 0.09)
+LATE_S = (0.08, 0.14)
+PAUSE = '0.08'  # Retry-After of a full searcher, seconds
 REFUSALS = (429, 503)
 
 
 class Garbler(standins.Searcher):
-    """Sends a second copy of some refusals, late."""
+    """Sends a second copy of some answers, late."""
+
+    refusal_headers = (('Retry-After', PAUSE),)
 
     copies = 0
     garbles = False
     started_s = 0.0
 
-    def refuse(self, connection, request):
-        super().refuse(connection, request)
+    def respond(self, connection, request, status, headers, body=b''):
+        super().respond(connection, request, status, headers, body)
         now_s = time.monotonic() - self.started_s
         active = now_s % (EXTRA_ON_S + EXTRA_OFF_S) < EXTRA_ON_S
-        if not (self.garbles and active):
-            return
-        if self.copies + 1 > EXTRA_SHARE * self.answers:
+        if not (self.garbles and active and random.random() < EXTRA_SHARE):
             return
         self.copies += 1
-        late_s = random.uniform(*LATE_S)
-        copy = self.encode(
-            request, '503 Service Unavailable', [('X-Not-Executed', '1')]
-        )
-        request_id = request.headers['x-request-id']
+        copy = self.encode(request, status, headers, body)
 
         def send():
-            self.record.write('second-copy', self.name, request_id)
+            self.record.write(
+                'second-copy', self.name, request.headers['x-request-id'],
+                status,
+            )
             try:
                 connection.sendall(copy)
             except OSError:
                 pass
 
-        threading.Timer(late_s, send).start()
+        threading.Timer(random.uniform(*LATE_S), send).start()
 
 
 def main():
     record = standins.Record(HERE / 'record.txt')
-    random.seed(1)
     outcomes = {}
     with standins.Deployment(HOSTS) as deployment:
         searchers = []
@@ -75,7 +75,6 @@
                     f'i-{number}-{copy}', f'desk{number}', zone,
                     deployment.store, record, slots=2, waiting=0,
                     work_s=lambda: random.uniform(0.5, 1.5) * WORK_S,
-                    refusal_s=REFUSAL_S,
                 )
                 searcher.started_s = started_s
                 searcher.garbles = standins.TROUBLE and copy == 0
@@ -98,7 +97,6 @@
             ),
         )
         deployment.await_ready()
-        until_s = time.monotonic() + SECONDS
         lock = threading.Lock()
         count = [0]
 
@@ -116,11 +114,10 @@
             record.write('answer', request_id, status)
             outcomes[request_id] = status
 
-        def caller(host, number, rate):
+        def caller(host, number, times_s):
             requester = standins.Requester(host)
-            chance = random.Random(f'{host.node} {number} {rate}')
-            while time.monotonic() < until_s:
-                time.sleep(chance.expovariate(rate))
+            for at_s in times_s:
+                time.sleep(max(0.0, at_s - (time.monotonic() - started_s)))
                 try:
                     request(requester, number)
                 except OSError as error:
@@ -128,15 +125,25 @@
                     requester.close()
             requester.close()
 
-        threads = [
-            threading.Thread(
-                target=caller,
-                args=(host, number, PER_SECOND / HOSTS / 4 * (1 + k / 100)),
-            )
-            for host in deployment.hosts
-            for number in range(SERVICES)
-            for k in range(4)
-        ]
+        def arrivals(chance, every_s):
+            at_s = time.monotonic() - started_s
+            times_s = []
+            while (at_s := at_s + chance.expovariate(1 / every_s)) < SECONDS:
+                times_s.append(at_s)
+            return times_s
+
+        threads = []
+        for number in range(SERVICES):
+            clumps = arrivals(random, CLUMP_EVERY_S)
+            for k in range(CLUMP):
+                host = deployment.hosts[k % HOSTS]
+                alone = arrivals(random, CLUMP / PER_SECOND)
+                for times_s in (clumps, alone):
+                    threads.append(
+                        threading.Thread(
+                            target=caller, args=(host, number, times_s)
+                        )
+                    )
         for thread in threads:
             thread.start()
         for thread in threads:
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -215,6 +215,8 @@
     """
 
     _numbers = iter(range(1, 1_000_000))
+    # Header fields of a full searcher's refusal.
+    refusal_headers = ()
 
     def __init__(
         self,
@@ -367,7 +369,7 @@
     def refuse(self, connection, request):
         self.respond(
             connection, request, '503 Service Unavailable',
-            [('X-Not-Executed', '1')],
+            [('X-Not-Executed', '1'), *self.refusal_headers],
         )
 
     def respond(self, connection, request, status, headers, body=b''):
