Review: more services in case 1, a stated moment in case 4

Change: 14 services in case 1; case 4 lets the connections go silent just after a watch has begun; a stopped script ends its processes.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,15 +18,15 @@
 import standins  # noqa: E402
 
 HOSTS = 3
-SERVICES = 8
+SERVICES = 14
 SECONDS = 90
-PER_SECOND = 16  # requests to each service, one by one
+PER_SECOND = 14  # requests to each service, one by one
 CLUMP = 6  # requests to each service that come at once
-CLUMP_EVERY_S = 1.2
+CLUMP_EVERY_S = 1.8
 WORK_S = 0.07
 EXTRA_SHARE = 0.04  # of a searcher's answers, at random
 EXTRA_ON_S = 5.0  # the disturbance lasts so long, and comes again
-EXTRA_OFF_S = 1.0
+EXTRA_OFF_S = 0.5
 LATE_S = (0.08, 0.14)
 PAUSE = '0.08'  # Retry-After of a full searcher, seconds
 REFUSALS = (429, 503)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -100,6 +100,8 @@
         for thread in threads:
             thread.start()
         time.sleep(SILENT_S)
+        # The longest detection is that of a host whose watch has just begun.
+        deployment.store.await_watch()
         silent_s = time.monotonic()
         if standins.TROUBLE:
             deployment.store.silence()
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -62,6 +63,7 @@
         # Connections that were opened before are silent: they stay open and
         # carry nothing more, while new ones work.
         self._silent_before_s = float('-inf')
+        self._watch_began = False
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -108,6 +110,13 @@
             )
             self._condition.notify_all()
 
+    def await_watch(self):
+        """Wait until some host begins a watch of more than two seconds."""
+        with self._condition:
+            self._watch_began = False
+            while not self._watch_began:
+                self._condition.wait()
+
     def silence(self):
         """Let all open connections go silent for good, without a reset."""
         with self._condition:
@@ -132,6 +141,9 @@
             else:
                 after = int(query['after'])
                 until_s = time.monotonic() + int(query['wait_ms']) / 1e3
+                if int(query['wait_ms']) > 2000:
+                    self._watch_began = True
+                    self._condition.notify_all()
                 while True:
                     events = [
                         e
@@ -559,6 +571,8 @@
         ]
 
     def __enter__(self):
+        # A script that is stopped ends its processes, too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         for host in self.hosts:
             host.start()
         return self
