Do not count a connection that is being closed against the limit

Callers saw: a request refused (or sent to another searcher) with 'the connection limit is reached' while all connections of the searcher were idle ones being closed.

Cause: ConnectionPool counted a connection until its task had ended. Between the idle timeout (or close_unverified) and that end it was neither idle nor free.

Change: a retired connection leaves the count at once, as one that failed already does. test_connection_that_is_being_closed_leaves_its_place fails without the change.

--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -272,22 +272,20 @@
             # connections.
             if connection.has_job:
                 return False
-            if connection in self._idle:
-                self._idle.remove(connection)
+            self._retire(connection)
             return True
 
     def forget(self, connection: Connection[T]) -> None:
         """Remove a connection whose task is ending."""
         with self._lock:
-            self._all.discard(connection)
-            if connection in self._idle:
-                self._idle.remove(connection)
+            self._retire(connection)
 
     def close_unverified(self, since_s: float) -> None:
         """Close idle connections without a reply after ``since_s``."""
         with self._lock:
             unverified = [c for c in self._idle if c.verified_s <= since_s]
-            self._idle = [c for c in self._idle if c.verified_s > since_s]
+            for connection in unverified:
+                self._retire(connection)
         for connection in unverified:
             connection.close()
 
@@ -300,6 +298,12 @@
         for connection in connections:
             connection.close()
 
+    def _retire(self, connection: Connection[T]) -> None:
+        """Stop counting a connection, whose task may still be closing it."""
+        self._all.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
     def _start(self, connection: Connection[T]) -> None:
         try:
             self._executor.submit(connection.run)
--- a/tests/tier/test_pool.py
+++ b/tests/tier/test_pool.py
@@ -170,3 +170,32 @@
     with pytest.raises(errors.NotReady):
         connections.submit(_Job())
     assert connections.size == 0
+
+
+class _SlowToClose(_Transport):
+    """Transport whose ``close`` waits until the test permits its end."""
+
+    closing = threading.Event()
+    may_end = threading.Event()
+
+    def close(self) -> None:
+        self.closing.set()
+        self.may_end.wait(10.0)
+        super().close()
+
+
+def test_connection_that_is_being_closed_leaves_its_place() -> None:
+    """Guards against refusing a request while idle connections are closed."""
+    with concurrent.futures.ThreadPoolExecutor(2) as executor:
+        connections = pool.ConnectionPool(
+            _SlowToClose, executor, _TimingOut(), pool.PoolLimits(1)
+        )
+        first = _Job()
+        connections.submit(first)
+        assert first.done.result(10.0) == 'reply'
+        assert _SlowToClose.closing.wait(10.0)
+        second = _Job()
+        connections.submit(second)
+        assert second.done.result(10.0) == 'reply'
+        _SlowToClose.may_end.set()
+        connections.close()
