Send a request again on another connection than before

Cause: all sends of a request bear the caller's id, by which responses are matched. A searcher's late second copy of a refusal, on the connection that the next send of the same request uses, was taken as the response to that send. The pool hands out the connection used last, which is that one.

Change: a part of a request remembers the connections that have carried it, and the pool gives the next send another one. The pool's flag for a new connection becomes a description of the connections that may be reused, which also holds the time of the last reply: it was read from the pool before, so that another request could take the verified connection in between.

Ruled out on related paths: hedges and the parts of gathers go to another searcher or service; actions of the product's own interface use a new connection for each send; calls between hosts are answered by own code, and a call without an answer closes its connection.

test_second_copy_of_a_refusal_is_no_reply_to_the_next_send fails without the exclusion (both forms end in a time-out). The state machine of the pool checks excluded connections.

--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -14,7 +14,15 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 
-__all__ = ['Connection', 'ConnectionPool', 'Job', 'PoolLimits']
+__all__ = [
+    'ANY_CONNECTION',
+    'Connection',
+    'ConnectionPool',
+    'Job',
+    'NEW_CONNECTION',
+    'PoolLimits',
+    'Reuse',
+]
 
 _LOG = logging.getLogger('corianderport.pool')
 
@@ -54,6 +62,30 @@
     idle_s: float = 30.0
 
 
+@attrs.frozen
+class Reuse:
+    """Which open connections may carry a job.
+
+    The last reply on the connection, or without one its opening, must not be
+    before ``verified_since_s``. None of the transports in ``excluded``
+    carries the job.
+    """
+
+    verified_since_s: float = float('-inf')
+    excluded: tuple[object, ...] = ()
+
+    def permits(self, verified_s: float, transport: object) -> bool:
+        """Whether a connection may carry the job."""
+        return (
+            verified_s >= self.verified_since_s
+            and transport not in self.excluded
+        )
+
+
+ANY_CONNECTION = Reuse()
+NEW_CONNECTION = Reuse(verified_since_s=float('inf'))
+
+
 @attrs.frozen
 class _Assignment(typing.Generic[T]):
     """A job; ``fresh`` if it must get a newly opened connection."""
@@ -72,6 +104,7 @@
         self._condition = threading.Condition()
         self._assigned: _Assignment[T] | None = _Assignment(job, False)
         self._closed = False
+        self._transport: T | None = None
         self._replies = 0
         self._verified_s = opened_s
 
@@ -80,6 +113,10 @@
         """Time of the last reply or, without one, of the opening."""
         return self._verified_s
 
+    def permitted_by(self, reuse: Reuse) -> bool:
+        """Whether the idle connection may carry a job."""
+        return reuse.permits(self._verified_s, self._transport)
+
     @property
     def has_job(self) -> bool:
         """Whether an assigned job has not started yet."""
@@ -120,6 +157,7 @@
             self._pool.forget(self)
             first.job.finish(_as_error(error))
             return None
+        self._transport = transport
         self._replies = 0
         self._verified_s = self._pool.clock.monotonic()
         try:
@@ -224,31 +262,28 @@
         """Number of connections without a job."""
         return len(self._idle)
 
-    @property
-    def verified_s(self) -> float:
-        """Time of the last reply on the idle connection used next."""
-        with self._lock:
-            return self._idle[-1].verified_s if self._idle else float('-inf')
-
-    def submit(self, job: Job[T], fresh: bool = False) -> None:
+    def submit(self, job: Job[T], reuse: Reuse = ANY_CONNECTION) -> None:
         """Run a job on an idle or a new connection.
 
-        :param fresh: use a new connection. At the connection limit it
-            replaces an idle one.
+        At the connection limit, a new connection replaces an idle one.
+
+        :param reuse: which idle connections may carry the job.
         :raises Overloaded: the connection limit is reached.
         :raises NotReady: the pool or the executor is closed.
         """
         with self._lock:
             if self._closed:
                 raise errors.NotReady('the connection pool is closed')
-            full = len(self._all) >= self.limits.connections
-            if self._idle and (full or not fresh):
-                # Replace the longest idle one or reuse the latest used one.
-                idle = self._idle.pop(0 if fresh else -1)
-                idle.assign(job, fresh)
+            latest = self._latest_idle(reuse)
+            if latest is not None:
+                self._idle.remove(latest)
+                latest.assign(job, fresh=False)
+                return
+            if len(self._all) >= self.limits.connections:
+                if not self._idle:
+                    raise errors.Overloaded('the connection limit is reached')
+                self._idle.pop(0).assign(job, fresh=True)
                 return
-            if full:
-                raise errors.Overloaded('the connection limit is reached')
             connection = Connection(self, job, self.clock.monotonic())
             self._all.add(connection)
         self._start(connection)
@@ -304,6 +339,12 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def _latest_idle(self, reuse: Reuse) -> Connection[T] | None:
+        """Return the permitted connection that was used last."""
+        return next(
+            (c for c in reversed(self._idle) if c.permitted_by(reuse)), None
+        )
+
     def _start(self, connection: Connection[T]) -> None:
         try:
             self._executor.submit(connection.run)
--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from corianderport_tier.connection import pool
 from corianderport_tier.process import stated_availability
 from corianderport_tier.process import warm_up
 from corianderport_tier.version import registrations
@@ -46,12 +47,10 @@
 class SendPool(typing.Protocol):
     """Connection pool of one searcher."""
 
-    @property
-    def verified_s(self) -> float:
-        """When the next connection to be used last carried a reply."""
-
-    def submit(self, job: typing.Any, fresh: bool = False) -> None:
-        """Run a job on a connection; on a new one if ``fresh``."""
+    def submit(
+        self, job: typing.Any, reuse: pool.Reuse = pool.ANY_CONNECTION
+    ) -> None:
+        """Run a job on a permitted idle connection or on a new one."""
 
     def limit_connections(self, limit: int) -> None:
         """Change the maximum number of open connections."""
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -92,14 +92,21 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._cancelled = False
+        # Set only while the exchange is in progress: afterwards, the
+        # connection may carry another request, which must not be aborted.
         self._transport: transports.SearcherTransport | None = None
-        self._sent_s: float | None = None
+        self._carrier: transports.SearcherTransport | None = None
         self.finished_s = self.started_s
 
+    @property
+    def carrier(self) -> transports.SearcherTransport | None:
+        """The connection on which any bytes may have been sent."""
+        return self._carrier
+
     @property
     def sent(self) -> bool:
         """Whether any bytes may have been sent."""
-        return self._sent_s is not None
+        return self._carrier is not None
 
     @property
     def cancelled(self) -> bool:
@@ -126,8 +133,7 @@
         with self._lock:
             if self._cancelled:
                 raise errors.DeadlinePast('the request has ended')
-            self._transport = transport
-            self._sent_s = self._clock.monotonic()
+            self._transport = self._carrier = transport
         return transport.exchange(self._call)
 
     def finish(self, reply: object) -> None:
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -6,6 +6,8 @@
 import enum
 
 from corianderport_tier import clocks
+from corianderport_tier.connection import pool
+from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import route_latency
@@ -82,6 +84,7 @@
         self._goal = goal
         self._sends: list[forward_send.SendAttempt] = []
         self._tried: list[str] = []
+        self._carriers: list[transports.SearcherTransport] = []
         self._sent_count = 0
         self._possible_runs = 0
         self._hedge_at_s: float | None = None
@@ -180,7 +183,8 @@
         """Handle the result of a send attempt."""
         send = event.send
         self._sends.remove(send)
-        if send.sent:
+        if send.carrier is not None:
+            self._carriers.append(send.carrier)
             self._sent_count += 1
         if self.state is not PartState.PENDING:
             return
@@ -292,24 +296,24 @@
             send.started_s + hedge_after_s if self._route.idempotent else None
         )
         try:
-            choice.state.pool.submit(
-                send, self._needs_fresh_connection(choice)
-            )
+            choice.state.pool.submit(send, self._reuse())
         except errors.CorianderportError as error:
             send.finish(error)
 
-    def _needs_fresh_connection(
-        self, choice: service_searchers.Choice
-    ) -> bool:
-        """Whether the request must not use an idle connection.
+    def _reuse(self) -> pool.Reuse:
+        """Return which idle connections may carry the next send.
+
+        All sends of a request have the same id. On a connection that has
+        carried one, a late second copy of the response to it would be taken
+        for the response to the next send.
 
         An idle connection may have been closed unnoticed. A non-idempotent
         request that is lost on one cannot be sent again.
         """
-        if self._route.idempotent:
-            return False
-        age_s = self._clock.monotonic() - choice.state.pool.verified_s
-        return age_s > _VERIFIED_MAX_AGE_S
+        verified_since_s = float('-inf')
+        if not self._route.idempotent:
+            verified_since_s = self._clock.monotonic() - _VERIFIED_MAX_AGE_S
+        return pool.Reuse(verified_since_s, tuple(self._carriers))
 
     def _on_no_choice(
         self,
--- a/packages/tier/src/corianderport_tier/request/sending.py
+++ b/packages/tier/src/corianderport_tier/request/sending.py
@@ -8,6 +8,7 @@
 import collections.abc
 
 from corianderport_tier import clocks
+from corianderport_tier.connection import pool
 from corianderport_tier import errors
 from corianderport_tier.process import capacity_queue
 from corianderport_tier.process import decision_log
@@ -134,7 +135,7 @@
         )
         try:
             service_state.pool(attempt.upstream.searcher).submit(
-                job, fresh=True
+                job, pool.NEW_CONNECTION
             )
         except errors.CorianderportError as error:
             self._record('cancel', attempt.upstream.name, str(error))
@@ -269,7 +270,10 @@
         )
         try:
             connections = service_state.pool(upstream.searcher)
-            connections.submit(attempt, fresh=pending.fresh)
+            connections.submit(
+                attempt,
+                pool.NEW_CONNECTION if pending.fresh else pool.ANY_CONNECTION,
+            )
         except errors.CorianderportError as error:
             attempt.finish(error)
 
--- a/tests/tier/test_directory.py
+++ b/tests/tier/test_directory.py
@@ -19,12 +19,10 @@
 
 
 class _Pool:
-    verified_s = 0.0
-
     def __init__(self) -> None:
         self.closed = False
 
-    def submit(self, job: object, fresh: bool = False) -> None:
+    def submit(self, job: object, reuse: object = None) -> None:
         raise AssertionError('this test must not send requests')
 
     def limit_connections(self, limit: int) -> None:
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding keeps its guarantees to callers when searchers fail."""
 
 import collections.abc
+import concurrent.futures
 import contextlib
 import queue
 import random
@@ -11,6 +12,7 @@
 import pytest
 
 from corianderport_testkit import clock as clock_module
+from corianderport_tier.connection import pool
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
@@ -62,13 +64,13 @@
 class _Pool:
     """Pool that queues send attempts for the test to finish."""
 
-    verified_s = float('-inf')
-
     def __init__(self, sends: 'queue.Queue[forward_send.SendAttempt]') -> None:
         self._sends = sends
 
     def submit(
-        self, job: forward_send.SendAttempt, fresh: bool = False
+        self,
+        job: forward_send.SendAttempt,
+        reuse: pool.Reuse = pool.ANY_CONNECTION,
     ) -> None:
         self._sends.put(job)
 
@@ -96,7 +98,12 @@
 class _Host:
     """One host, its services and a request that runs on a thread."""
 
-    def __init__(self, *host_routes: routes.Route, replicas: int = 3) -> None:
+    def __init__(
+        self,
+        *host_routes: routes.Route,
+        replicas: int = 3,
+        open_pool: service_searchers.OpenPool | None = None,
+    ) -> None:
         self.clock = clock_module.ManualClock()
         self.sends: queue.Queue[forward_send.SendAttempt] = queue.Queue()
         self.caller = _Caller()
@@ -107,7 +114,7 @@
                 name,
                 'dc-a',
                 share,
-                lambda registration, limit: _Pool(self.sends),
+                open_pool or (lambda registration, limit: _Pool(self.sends)),
                 self.clock,
                 rng,
             ),
@@ -312,6 +319,66 @@
     host.finish()
 
 
+class _RepeatingSearcher:
+    """Searcher that pauses for its first request and repeats that refusal.
+
+    The second copy arrives on the same connection, after the next request
+    was sent on it.
+    """
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.runs = 0
+
+    def dial(self) -> '_RepeatingTransport':
+        return _RepeatingTransport(self)
+
+
+class _RepeatingTransport(_Transport):
+    def __init__(self, searcher: _RepeatingSearcher) -> None:
+        super().__init__(_reply())
+        self._searcher = searcher
+        self._copy: Reply | None = None
+
+    def exchange(self, call: forward_messages.SearcherCall) -> Reply:
+        copy, self._copy = self._copy, None
+        self._searcher.requests += 1
+        if self._searcher.requests == 1:
+            self._copy = _paused(0.02)
+            return self._copy
+        self._searcher.runs += 1
+        return copy or _reply()
+
+
+@pytest.mark.parametrize('idempotent', [False, True])
+def test_second_copy_of_a_refusal_is_no_reply_to_the_next_send(
+    idempotent: bool,
+) -> None:
+    """Guards against running a request again, or refusing it after it ran.
+
+    All sends of a request have the same id, by which replies are matched.
+    """
+    searcher = _RepeatingSearcher()
+    with concurrent.futures.ThreadPoolExecutor() as executor:
+        connections = pool.ConnectionPool(
+            searcher.dial,
+            executor,
+            clock_module.ManualClock(),
+            pool.PoolLimits(2),
+        )
+        host = _Host(
+            entries.route(idempotent=idempotent),
+            replicas=1,
+            open_pool=lambda registration, limit: connections,
+        )
+        host.start()
+        host.advance(0.02)
+        answer = host.finish()
+        connections.close()
+    assert searcher.runs == 1
+    assert isinstance(answer, forward_messages.Relayed)
+
+
 def test_statement_after_the_end_of_the_request_counts() -> None:
     """Guards against ignoring the reply to a hedge that was answered first."""
     host = _Host(entries.route(), replicas=2)
--- a/tests/tier/test_pool.py
+++ b/tests/tier/test_pool.py
@@ -172,6 +172,34 @@
     assert connections.size == 0
 
 
+@pytest.mark.parametrize('limit', [1, 2])
+def test_connection_without_a_recent_reply_is_not_used(limit: int) -> None:
+    """Guards against losing a request on a connection closed unnoticed.
+
+    At the connection limit, the idle connection makes room for a new one.
+    """
+    clock = manual.ManualClock()
+    dialled: list[_Transport] = []
+
+    def dial() -> _Transport:
+        dialled.append(_Transport())
+        return dialled[-1]
+
+    with concurrent.futures.ThreadPoolExecutor(4) as executor:
+        connections = pool.ConnectionPool(
+            dial, executor, clock, pool.PoolLimits(limit)
+        )
+        for _ in range(2):
+            job = _Job()
+            connections.submit(job, pool.Reuse(clock.monotonic()))
+            assert job.done.result(10.0) == 'reply'
+            clock.advance(1.0)
+        assert len(dialled) == 2
+        assert dialled[0].closed is (limit == 1)
+        assert connections.size == limit
+        connections.close()
+
+
 class _SlowToClose(_Transport):
     """Transport whose ``close`` waits until the test permits its end."""
 
--- a/tests/tier/test_pool_states.py
+++ b/tests/tier/test_pool_states.py
@@ -31,8 +31,8 @@
 class _Job:
     """Job that runs on its connection's task until the test ends it."""
 
-    fresh: bool
     used_before: int | None = None
+    transport: _Transport | None = None
     started: threading.Event = attrs.Factory(threading.Event)
     ending: concurrent.futures.Future[object] = attrs.Factory(
         concurrent.futures.Future
@@ -43,6 +43,7 @@
 
     def perform(self, transport: _Transport) -> object:
         assert not transport.closed
+        self.transport = transport
         self.used_before = transport.used
         transport.used += 1
         self.started.set()
@@ -69,13 +70,21 @@
             pool.PoolLimits(_CONNECTIONS, _IDLE_S),
         )
         self.running: list[_Job] = []
+        self.transports: list[_Transport] = []
         self.closed = False
 
-    @stateful.rule(fresh=strategies.booleans())
-    def submit(self, fresh: bool) -> None:
-        job = _Job(fresh)
+    @stateful.rule(
+        fresh=strategies.booleans(),
+        excluded_at=strategies.sets(strategies.integers(0, _CONNECTIONS)),
+    )
+    def submit(self, fresh: bool, excluded_at: set[int]) -> None:
+        job = _Job()
+        recent = self.transports[::-1]
+        excluded = tuple(recent[n] for n in excluded_at if n < len(recent))
+        since_s = float('inf') if fresh else float('-inf')
+        reuse = pool.Reuse(since_s, excluded)
         try:
-            self.pool.submit(job, fresh)
+            self.pool.submit(job, reuse)
         except errors.Overloaded:
             assert len(self.running) == _CONNECTIONS
             return
@@ -85,6 +94,10 @@
         assert job.started.wait(_TIMEOUT_S)
         if fresh:
             assert job.used_before == 0
+        assert job.transport is not None
+        assert job.transport not in excluded
+        if job.transport not in self.transports:
+            self.transports.append(job.transport)
         self.running.append(job)
 
     @stateful.precondition(lambda self: self.running)
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -18,9 +18,7 @@
 
 
 class _Pool:
-    verified_s = 0.0
-
-    def submit(self, job: object, fresh: bool = False) -> None:
+    def submit(self, job: object, reuse: object = None) -> None:
         raise AssertionError('nothing is sent here')
 
     def limit_connections(self, limit: int) -> None:
--- a/tests/tier/test_shared_bounds_states.py
+++ b/tests/tier/test_shared_bounds_states.py
@@ -25,10 +25,9 @@
 
 
 class _Pool:
-    verified_s = 0.0
     limit = 0
 
-    def submit(self, job: object, fresh: bool = False) -> None:
+    def submit(self, job: object, reuse: object = None) -> None:
         raise AssertionError('nothing is sent here')
 
     def limit_connections(self, limit: int) -> None:
