Strip white space at the end of a searcher's header lines

Cause: httptools keeps white space at the end of a header value, which RFC 9112 permits and h11 refuses to send. The error of h11 ended the connection of the caller. A probe of each byte at each place of a header line shows that SP and HTAB at the end of a value are all that httptools accepts and h11 refuses. It also shows a second effect of the same cause: 'Transfer-Encoding: chunked' with a tab behind it is not recognised, so that the response was given up.

Change: the head of a response is stripped before it is parsed, so that framing, matching by id and forwarding see the same values. Folded lines stay as they are and are refused as before. As a second line of defence, a response that h11 refuses is replaced by a 502 with a warning in the log.

test_parsed_response_can_be_sent, test_complete_response with white space and test_response_that_cannot_be_sent_is_replaced fail without the change.

--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -35,6 +35,7 @@
 _MAX_HEAD_BYTES = 256 * 1024
 # Time within which a caller has to receive a response.
 _WRITE_TIMEOUT_S = 10.0
+_BAD_GATEWAY = 502
 # Limits until a configuration provides them.
 _DEFAULT_LIMITS = routes.CallerLimits(16_384, 262_144, 3.0, 15.0)
 
@@ -208,18 +209,17 @@
         return deadlines.Deadline.after(self._clock, seconds)
 
     def _send(self, response: HttpResponse, closing: bool) -> None:
-        headers = [
-            *response.headers,
-            (b'content-length', str(len(response.body)).encode()),
-        ]
-        if closing:
-            headers.append((b'connection', b'close'))
-        self._socket.settimeout(_WRITE_TIMEOUT_S)
-        parts = [
-            self._protocol.send(
-                h11.Response(status_code=response.status, headers=headers)
+        try:
+            head = _response_head(response, closing)
+        except h11.LocalProtocolError as error:
+            _LOG.warning(
+                'a response that cannot be passed on is replaced: %.200s',
+                error,
             )
-        ]
+            response = HttpResponse(_BAD_GATEWAY, (), b'')
+            head = _response_head(response, closing)
+        self._socket.settimeout(_WRITE_TIMEOUT_S)
+        parts = [self._protocol.send(head)]
         if response.body:
             parts.append(self._protocol.send(h11.Data(data=response.body)))
         parts.append(self._protocol.send(h11.EndOfMessage()))
@@ -325,6 +325,20 @@
             caller_socket.close()
 
 
+def _response_head(response: HttpResponse, closing: bool) -> h11.Response:
+    """Return the head of a response.
+
+    :raises LocalProtocolError: HTTP does not permit the status or a header.
+    """
+    headers = [
+        *response.headers,
+        (b'content-length', str(len(response.body)).encode()),
+    ]
+    if closing:
+        headers.append((b'connection', b'close'))
+    return h11.Response(status_code=response.status, headers=headers)
+
+
 def _header_size(head: h11.Request) -> int:
     return len(head.target) + sum(
         len(name) + len(value) for name, value in head.headers
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -18,6 +18,9 @@
 _CONTENT_LENGTH = b'content-length'
 _TRANSFER_ENCODING = b'transfer-encoding'
 _HEAD = b'HEAD'
+_LINE_END = b'\r\n'
+_HEAD_END = b'\r\n\r\n'
+_WHITE_SPACE = b' \t'
 
 
 @attrs.frozen
@@ -55,6 +58,7 @@
         self._bodiless = method == _HEAD
         self._parser = httptools.HttpResponseParser(self)
         self._replies: list[HttpReply] = []
+        self._head = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
         self._body: list[bytes] = []
@@ -85,7 +89,10 @@
             self._receive_eof()
             return
         self._allowance.count_read(len(content))
-        self._parse(content)
+        if self._in_message:
+            self._parse(content)
+        else:
+            self._receive_head(content)
         if not self._replies:
             self._allowance.check_overhead()
 
@@ -131,6 +138,22 @@
             return
         self._complete()
 
+    def _receive_head(self, content: bytes) -> None:
+        """Parse the head of a response once it is complete.
+
+        httptools keeps white space at the end of a header line, which is no
+        part of the value, and then does not recognise values such as
+        ``chunked``.
+        """
+        self._head += content
+        end = self._head.find(_HEAD_END)
+        if end < 0:
+            return
+        head, self._head = self._head, b''
+        lines = head[:end].split(_LINE_END)
+        stripped = _LINE_END.join(map(_strip_line_end, lines))
+        self._parse(stripped + head[end:])
+
     def _parse(self, content: bytes) -> None:
         try:
             self._parser.feed_data(content)
@@ -161,3 +184,11 @@
             raise errors.ConnectionBroken('closed before a complete response')
         self._complete()
         self._keep_alive = False
+
+
+def _strip_line_end(line: bytes) -> bytes:
+    if line.startswith((b' ', b'\t')):
+        # Continues the line before, which the parser refuses. Stripped, it
+        # could be the empty line that ends the head.
+        return line
+    return line.rstrip(_WHITE_SPACE)
--- a/tests/wire/test_caller_listener.py
+++ b/tests/wire/test_caller_listener.py
@@ -139,6 +139,33 @@
         assert _status(_receive_all(caller)) == status
 
 
+@pytest.mark.parametrize(
+    'headers', [((b'x-note', b'v '),), ((b'x note', b'v'),)]
+)
+def test_response_that_cannot_be_sent_is_replaced(
+    headers: http_exchange.Headers, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against closing a caller's connection without an answer.
+
+    The connection stays usable, and the log names the reason.
+    """
+    answers = iter(
+        [
+            caller_listener.HttpResponse(200, headers, b'body'),
+            caller_listener.HttpResponse(200, (), b'next'),
+        ]
+    )
+    with _listening(lambda request, caller: next(answers)) as listener:
+        client = _client(listener)
+        client.request('GET', '/x')
+        response = client.getresponse()
+        assert (response.status, response.read()) == (502, b'')
+        client.request('GET', '/x')
+        assert client.getresponse().read() == b'next'
+        client.close()
+    assert 'cannot be passed on' in caplog.text
+
+
 def test_disconnect_is_detected_while_request_runs() -> None:
     """Guards against searchers that work on for a disconnected caller.
 
--- a/tests/wire/test_reply_parser.py
+++ b/tests/wire/test_reply_parser.py
@@ -1,5 +1,8 @@
 """ReplyParser: complete, incomplete and invalid responses."""
 
+import h11
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from corianderport_tier import errors
@@ -23,6 +26,9 @@
         (_PLAIN.replace(b'X-Id', b'Connection: close\r\nX-Id'), 200, b'ok', 0),
         (_PLAIN + b'more', 200, b'ok', False),
         (_PLAIN + b'HTTP/1.1 2', 200, b'ok', False),
+        (_PLAIN.replace(b'\r\n', b' \t\r\n', 3), 200, b'ok', True),
+        (_CHUNKED.replace(b'chunked', b'chunked \t'), 200, b'ok', True),
+        (b'\r\n' + _PLAIN, 200, b'ok', True),
     ],
 )
 @pytest.mark.parametrize('step', [1, 7, 1_000])
@@ -52,6 +58,42 @@
     assert parser.replies[0].header(b'x-id') == b'q1'
 
 
+_name = strategies.text('Az09!#-_~:', max_size=3).map(str.encode)
+_value = strategies.one_of(
+    strategies.text('\tv ,"\\\x80\xff', max_size=5).map(
+        lambda text: text.encode('latin-1')
+    ),
+    strategies.binary(max_size=2),
+)
+_space = strategies.text(' \t', max_size=2).map(str.encode)
+
+
+@hypothesis.given(
+    strategies.integers(190, 1_000),
+    strategies.lists(
+        strategies.tuples(_name, _space, _value, _space), max_size=3
+    ),
+)
+def test_parsed_response_can_be_sent(
+    status: int, fields: list[tuple[bytes, bytes, bytes, bytes]]
+) -> None:
+    """Guards against a response that one library accepts and the other not.
+
+    httptools parses the responses of searchers, and h11 sends them to the
+    caller, which gets the values without the white space around them.
+    """
+    lines = [b'HTTP/1.1 %03d X' % status, b'content-length: 0']
+    lines += [b''.join((b'x', n, b':', a, v, b)) for n, a, v, b in fields]
+    parser = reply_parser.ReplyParser(b'GET')
+    try:
+        parser.receive(b'\r\n'.join((*lines, b'', b'')))
+    except errors.ConnectionBroken:
+        return
+    for reply in parser.replies:
+        head = h11.Response(status_code=reply.status, headers=reply.headers)
+        assert all(v == v.strip(b' \t') for _, v in head.headers)
+
+
 def test_response_to_head_has_no_body() -> None:
     """Guards against waiting for a body that the headers announce."""
     parser = reply_parser.ReplyParser(b'HEAD')
@@ -87,6 +129,8 @@
         b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n'
         b'transfer-encoding: chunked\r\n\r\n',
         b'HTTP/1.1 200 OK\r\nx-id : q1\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nx-id: q1\r\n \r\n\r\n',
+        b'HTTP/1.1 200 OK\r\n \r\nx-id: q1\r\n\r\n',
         b'HTTP/1.1 200 OK\r\nx-long: ' + 70_000 * b'x' + b'\r\n\r\n',
         b'HTTP/1.1 101 Switching\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n',
     ],
