Tell the loss of a connection to the store from an outage of the store

Cause: after any failed call of its own, a host took the changes that it read next for those after an outage, and kept removed searchers for the two seconds in which they may register again. A connection that went silent takes up to 3.2 s to be noticed, and the two seconds came on top of it, though the store had served new connections all the while.

Change: the two kinds have names of their own (store_contact.Interruption). A failed call on a connection that has carried replies tells nothing about the store; one on a new connection, or an error of the server itself, shows an outage. Status 429, and replies that are too large for the link, show none. The source of the entries decides, for watches, whole reads and what is relayed; the reader passes the decision on.

An outage of at most watch plus time-out (3.2 s with the usual bounds) that shows only as one silent connection now counts as a lost connection.

--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -31,6 +31,7 @@
     'ReplyIncomplete',
     'ReplyTooLarge',
     'SettingInvalid',
+    'StoreUnavailable',
     'TicketExpired',
     'TicketInvalid',
     'TransportError',
@@ -196,6 +197,10 @@
     """The reply exceeds the largest size that is accepted."""
 
 
+class StoreUnavailable(ConnectionBroken):
+    """The store replied that it cannot serve calls at present."""
+
+
 class ConnectionSilent(TransportError):
     """No reply arrived within the attempt's timeout."""
 
--- a/packages/tier/src/corianderport_tier/process/registry_reader.py
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -69,7 +69,6 @@
         self._rng = rng
         self._revision: registrations.Revision | None = None
         self._failures = 0
-        self._ever_read = False
 
     def step(self) -> float:
         """Read or watch once, then wait if there was a change or failure."""
@@ -94,25 +93,23 @@
 
     def _read(self) -> None:
         stored = self._registry.read(self._prefix)
-        returned = self._failures > 0 and self._ever_read
         self._on_success()
         listing = registrations.Listing(
             self._decode_entries(stored.entries), stored.revision
         )
-        self._directory.replace(self._prefix, listing, returned)
+        self._directory.replace(self._prefix, listing, stored.returned)
         self._revision = listing.revision
-        self._ever_read = True
 
     def _watch(self, after: registrations.Revision) -> None:
-        returned = self._failures > 0
         times = self._times
-        wait_s = times.watch_after_failure_s if returned else times.watch_s
+        wait_s = (
+            times.watch_after_failure_s if self._failures else times.watch_s
+        )
         changes = self._registry.watch(self._prefix, after, wait_s)
         self._on_success()
         if changes.entries:
             self._directory.apply(
-                self._decode_entries(changes.entries),
-                returned or changes.returned,
+                self._decode_entries(changes.entries), changes.returned
             )
             self._wait(self._times.coalesce_s)
         self._revision = max(after, changes.revision)
--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -21,6 +21,7 @@
 from corianderport_tier.process import membership
 from corianderport_tier.process import registry_relay
 from corianderport_tier.process import rendezvous
+from corianderport_tier.process import store_contact
 from corianderport_tier.version import registrations
 
 __all__ = ['RegistryPeer', 'RegistrySource', 'SourceTimes', 'reader_for']
@@ -108,7 +109,7 @@
         self._substitutes_retry_at_s = float('-inf')
         self._last_substitute = ''
         self._last_reader = ''
-        self._store_failed = False
+        self._contact = store_contact.StoreContact()
 
     def read(self, prefix: str) -> registrations.StoredEntries:
         """Read all entries under a prefix directly from the store.
@@ -119,13 +120,12 @@
         try:
             stored = self._store.read(prefix)
         except errors.CorianderportError as error:
-            failed_before, self._store_failed = self._store_failed, True
+            failed_before = self._record_failure(error)
             if self._relay.snapshot.known or not failed_before:
                 raise
             stored = self._read_from_hosts(error)
         else:
-            self._store_failed = False
-            self._last_substitute = ''
+            stored = self._record_reply(stored)
             self._relay.reset(stored.revision)
             _log_changes(_STORE, stored)
         self._relay.snapshot.replace(stored)
@@ -183,19 +183,30 @@
         except errors.HistoryGone:
             raise
         except errors.CorianderportError as error:
-            failed_before, self._store_failed = self._store_failed, True
+            failed_before = self._record_failure(error)
             # A single failure may concern only the connection; calling the
             # store again takes less time than asking hosts in vain.
             if not failed_before:
                 raise
             return self._changes_from_hosts(after, error)
-        stored = attrs.evolve(stored, returned=self._store_failed)
-        self._store_failed = False
-        self._last_substitute = ''
+        stored = self._record_reply(stored)
         self._relay.add_reply(after, stored)
         _log_changes(_STORE, stored)
         return stored
 
+    def _record_failure(self, error: errors.CorianderportError) -> bool:
+        """Record a failed call; return whether the last one failed too."""
+        failed_before = self._contact.interruption is not None
+        self._contact.record_failure(error)
+        return failed_before
+
+    def _record_reply(
+        self, stored: registrations.StoredEntries
+    ) -> registrations.StoredEntries:
+        """Record a reply; return it with what is known of an outage."""
+        self._last_substitute = ''
+        return attrs.evolve(stored, returned=self._contact.record_reply())
+
     def _read_from_hosts(
         self, store_error: errors.CorianderportError
     ) -> registrations.StoredEntries:
--- a/packages/tier/src/corianderport_tier/version/registrations.py
+++ b/packages/tier/src/corianderport_tier/version/registrations.py
@@ -162,8 +162,8 @@
 class StoredEntries:
     """Stored entries and the revision from which a watch continues.
 
-    ``returned`` is True if the reader has just reconnected to the store
-    after losing it.
+    ``returned`` is True in the first reply of the store after an outage, not
+    after the loss of a connection to it.
     """
 
     entries: collections.abc.Sequence[StoredEntry]
--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -140,6 +140,7 @@
         self._fresh_connect = False
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
+        self._opened = False
         self._aborted = False
         handle = pycurl.Curl()
         handle.setopt(pycurl.NOSIGNAL, 1)
@@ -255,11 +256,13 @@
             if self._socket is not None:
                 self._socket.close()
             self._socket = connection
+        self._opened = True
         return connection
 
     def _perform(self, path: str, timeout_s: float) -> HttpReply:
         handle = self._handle
         reused = self._socket is not None
+        self._opened = False
         collector = ReplyCollector(self._quota)
         handle.setopt(pycurl.URL, f'http://{self._address}{path}')
         handle.setopt(pycurl.HEADERFUNCTION, collector.on_header)
@@ -272,7 +275,9 @@
                 raise errors.ConnectionBroken(
                     f'{self._address}: {collector.error}'
                 ) from error
-            raise self._transport_error(error, reused) from error
+            failure = self._transport_error(error, reused)
+            failure.fresh = self._opened
+            raise failure from error
         if handle.getinfo(pycurl.ACTIVESOCKET) == _NO_SOCKET:
             # The response had "Connection: close".
             self._close_socket()
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -151,3 +151,20 @@
     served.status = status
     with pytest.raises(errors.TransportError):
         registry.read('op/')
+
+
+@pytest.mark.parametrize(
+    ('status', 'unavailable'), [(503, True), (429, False)]
+)
+def test_refused_call_is_no_outage(
+    served: fakes.Store,
+    registry: store.StoreRegistry,
+    status: int,
+    unavailable: bool,
+) -> None:
+    """A store that limits the rate of calls is available."""
+    served.status = status
+    with pytest.raises(errors.ConnectionBroken) as failure:
+        registry.watch('op/', 3, 0.0)
+    assert not failure.value.fresh
+    assert isinstance(failure.value, errors.StoreUnavailable) is unavailable
--- a/tests/wire/test_curl_client.py
+++ b/tests/wire/test_curl_client.py
@@ -1,6 +1,7 @@
 """CurlClient: responses that end early or do not end."""
 
 import collections.abc
+import concurrent.futures
 import contextlib
 import itertools
 import socket
@@ -137,3 +138,28 @@
 def test_complete_response() -> None:
     with _server([_HEAD + b'ok']) as address:
         assert _get(address) == curl_client.HttpReply(200, b'ok')
+
+
+def test_error_tells_whether_the_connection_was_new() -> None:
+    """Guards against a lost connection that passes for a failed server.
+
+    The server answers once and is silent from then on; at last it is gone.
+    """
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        host, port = listener.getsockname()
+        client = curl_client.CurlClient(f'{host}:{port}', _LONG_S)
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            first = executor.submit(client.get, '/', _LONG_S)
+            accepted, _ = listener.accept()
+            accepted.sendall(_HEAD + b'ok')
+            assert first.result(_LONG_S).body == b'ok'
+        failures = []
+        for _ in range(2):
+            with pytest.raises(errors.ConnectionSilent) as silent:
+                client.get('/', 0.1)
+            failures.append(silent.value.fresh)
+    accepted.close()
+    with pytest.raises(errors.TransportError) as refused:
+        client.get('/', _LONG_S)
+    client.close()
+    assert [*failures, refused.value.fresh] == [False, True, True]
