--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -21,6 +21,7 @@
 _LINE_END = b'\r\n'
 _HEAD_END = b'\r\n\r\n'
 _WHITE_SPACE = b' \t'
+_PADDED_ENDINGS = (b' \r\n', b'\t\r\n')
 
 
 @attrs.frozen
@@ -150,9 +151,11 @@
         if end < 0:
             return
         head, self._head = self._head, b''
-        lines = head[:end].split(_LINE_END)
-        stripped = _LINE_END.join(map(_strip_line_end, lines))
-        self._parse(stripped + head[end:])
+        if any(ending in head for ending in _PADDED_ENDINGS):
+            lines = head[:end].split(_LINE_END)
+            stripped = _LINE_END.join(map(_strip_line_end, lines))
+            head = stripped + head[end:]
+        self._parse(head)
 
     def _parse(self, content: bytes) -> None:
         try:
