Count the goal of a gather from the first byte to the sent answer

Cause: 1,717 of 1,875 gathers wait until their goal for parts that they then leave out. It was also taken only if the task happened to wake between.

Change: the listener notes when the first bytes of a request were read, and calls back once its answer is written. The goal and X-Deadline-Ms count from the first, the delay ends at the second.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -37,7 +37,6 @@
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import caller_listener
 from corianderport_wire.connection import disconnect_watcher
-from corianderport_wire.connection import http_exchange
 
 __all__ = ['Adapter', 'EntryHost']
 
@@ -86,7 +85,7 @@
         """Return a dialer for connections to searchers."""
 
     def request(
-        self, request: http_exchange.HttpRequest, clock: clocks.Clock
+        self, request: caller_listener.ReceivedRequest
     ) -> forward_messages.ForwardRequest:
         """Decode a caller's request.
 
@@ -96,7 +95,7 @@
     def answer(
         self,
         answer: forward_messages.ForwardAnswer,
-        request: http_exchange.HttpRequest,
+        request: caller_listener.ReceivedRequest,
     ) -> caller_listener.HttpResponse:
         """Encode the answer to a caller's request."""
 
@@ -318,12 +317,12 @@
 
     def _serve(
         self,
-        received: http_exchange.HttpRequest,
+        received: caller_listener.ReceivedRequest,
         caller: caller_listener.CallerConnection,
     ) -> caller_listener.HttpResponse | None:
         answer: forward_messages.ForwardAnswer | None
         try:
-            request = self._adapter.request(received, self._clock)
+            request = self._adapter.request(received)
             answer = self._forwarder.answer(request, caller)
         except errors.CorianderportError as error:
             answer = forward_messages.Failure(error.code, str(error))
@@ -333,7 +332,7 @@
 
     def _serve_readiness(
         self,
-        received: http_exchange.HttpRequest,
+        received: caller_listener.ReceivedRequest,
         caller: caller_listener.CallerConnection,
     ) -> caller_listener.HttpResponse:
         if received.target != self._adapter.readiness_target:
@@ -344,7 +343,7 @@
 
     def _serve_metrics(
         self,
-        received: http_exchange.HttpRequest,
+        received: caller_listener.ReceivedRequest,
         caller: caller_listener.CallerConnection,
     ) -> caller_listener.HttpResponse:
         # Imported on the first scrape, since a host without a scraper does
--- a/packages/tier/src/corianderport_tier/request/forward_messages.py
+++ b/packages/tier/src/corianderport_tier/request/forward_messages.py
@@ -42,13 +42,18 @@
 
 @attrs.frozen
 class ForwardRequest:
-    """A caller's request for one route."""
+    """A caller's request for one route.
+
+    ``received_s`` is the time at which its first bytes were read, in seconds
+    of the host's monotonic clock.
+    """
 
     request_id: str
     host: str
     path: str
     payload: Payload
     deadline: deadlines.Deadline
+    received_s: float
 
 
 @attrs.frozen
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -52,14 +52,19 @@
 Failure = forward_messages.Failure
 
 
-class DisconnectWatch(typing.Protocol):
-    """Notifies when the caller of a request closes its connection."""
+class Caller(typing.Protocol):
+    """The connection on which a request arrived."""
 
     def watch(
         self, on_disconnect: collections.abc.Callable[[], None]
     ) -> typing.ContextManager[object]:
         """Call ``on_disconnect`` on a close within the context."""
 
+    def call_when_sent(
+        self, on_sent: collections.abc.Callable[[], None]
+    ) -> None:
+        """Call ``on_sent`` once the answer is written to the network."""
+
 
 class Forwarder:
     """Forwards requests and holds the state that they share."""
@@ -97,10 +102,9 @@
     def answer(
         self,
         request: forward_messages.ForwardRequest,
-        caller: DisconnectWatch,
+        caller: Caller,
     ) -> forward_messages.ForwardAnswer | None:
         """Serve a request; return None if the caller disconnected."""
-        started_s = self.clock.monotonic()
         routing = self.directory.routing
         if routing is None:
             return self._refuse(
@@ -114,7 +118,6 @@
                 request,
                 routing,
                 Failure(Code.UNKNOWN_SERVICE, 'no route matches the request'),
-                started_s,
             )
         if not self.drain.accepts(self.latency(route).hedge_after_s):
             return self._refuse(
@@ -123,8 +126,12 @@
         task = ForwardTask(self, request, route)
         answer = task.run(caller)
         if task.answered_at_goal:
-            self.answer_delay.record(self.clock.monotonic() - task.goal_s)
-        return self._record_answer(request, routing, answer, started_s, task)
+            caller.call_when_sent(
+                lambda: self.answer_delay.record(
+                    self.clock.monotonic() - task.goal_s
+                )
+            )
+        return self._record_answer(request, routing, answer, task)
 
     def _refuse(
         self,
@@ -146,10 +153,9 @@
         request: forward_messages.ForwardRequest,
         routing: routes.RoutingVersion,
         answer: forward_messages.ForwardAnswer | None,
-        started_s: float,
         task: 'ForwardTask | None' = None,
     ) -> forward_messages.ForwardAnswer | None:
-        elapsed_s = self.clock.monotonic() - started_s
+        elapsed_s = self.clock.monotonic() - request.received_s
         inputs: dict[str, object] = {
             'version': routing.version,
             'elapsed_ms': round(elapsed_s * 1e3, 1),
@@ -181,7 +187,6 @@
         self._forwarder = forwarder
         self._clock = forwarder.clock
         self._route = route
-        self._started_s = self._clock.monotonic()
         deadline = request.deadline.within(self._clock, route.timeout_s * 1e3)
         self._request = attrs.evolve(request, deadline=deadline)
         self._answer_by = deadline.earlier(_ANSWER_MARGIN_S)
@@ -191,23 +196,20 @@
         self._unknown_services: list[str] = []
         self._disconnected = False
         self.goal_s = (
-            self._started_s
+            request.received_s
             + route.goal_s
             - _PATH_MARGIN_S
             - forwarder.answer_delay.expected_s
         )
         # Whether the answer was only waiting for the goal.
         self.answered_at_goal = False
-        self._enough_before = False
 
     @property
     def route_name(self) -> str:
         """Name of the request's route."""
         return self._route.name
 
-    def run(
-        self, caller: DisconnectWatch
-    ) -> forward_messages.ForwardAnswer | None:
+    def run(self, caller: Caller) -> forward_messages.ForwardAnswer | None:
         """Return the answer, or None if the caller disconnected."""
         with (
             caller.watch(
@@ -362,16 +364,22 @@
             goal_reached = self._clock.monotonic() >= self.goal_s
             if progress.pending == 0 or goal_reached:
                 self.answered_at_goal = (
-                    progress.pending > 0 and self._enough_before
+                    progress.pending > 0 and self._enough_at_goal(progress)
                 )
                 return self._merged(target)
-            self._enough_before = True
         elif progress.out_of_reach:
             return self._coverage_failure(progress)
         if self._answer_by.passed(self._clock):
             return self._deadline_failure()
         return None
 
+    def _enough_at_goal(
+        self, progress: gather_progress.GatherProgress
+    ) -> bool:
+        """Whether enough parts had arrived by the goal."""
+        in_time = sum(p.answered_s <= self.goal_s for p in self._parts)
+        return attrs.evolve(progress, answered=in_time).enough
+
     def _merged(self, target: routes.Gather) -> forward_messages.Gathered:
         answered = [
             p.reply
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -73,6 +73,8 @@
         self.service = service
         self.state = PartState.PENDING
         self.reply: forward_messages.SearcherReply | None = None
+        # When the reply of an answered part arrived.
+        self.answered_s = float('inf')
         self.failure: forward_messages.Failure | None = None
         self._request = request
         self._route = route
@@ -208,6 +210,7 @@
         if reply.succeeded if self._gathered else reply.final:
             self._latency.record(send.finished_s - send.started_s)
             self.reply = reply
+            self.answered_s = send.finished_s
             self.state = PartState.ANSWERED
             return
         reason = f'status {reply.status}'
--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -25,6 +25,7 @@
     'CallerConnection',
     'CallerListener',
     'HttpResponse',
+    'ReceivedRequest',
     'RequestHandler',
 ]
 
@@ -40,6 +41,17 @@
 _DEFAULT_LIMITS = routes.CallerLimits(16_384, 262_144, 3.0, 15.0)
 
 
+@attrs.frozen
+class ReceivedRequest(http_exchange.HttpRequest):
+    """A caller's request.
+
+    ``received_s`` is the time at which its first bytes were read, in seconds
+    of the host's monotonic clock.
+    """
+
+    received_s: float
+
+
 @attrs.frozen
 class HttpResponse:
     """A response; its Content-Length is added when it is sent."""
@@ -57,7 +69,7 @@
 
 
 RequestHandler = collections.abc.Callable[
-    [http_exchange.HttpRequest, 'CallerConnection'], HttpResponse | None
+    [ReceivedRequest, 'CallerConnection'], HttpResponse | None
 ]
 Limits = collections.abc.Callable[[], routes.CallerLimits | None]
 
@@ -79,6 +91,7 @@
         )
         self._idle = True
         self._disconnected = False
+        self._on_sent: collections.abc.Callable[[], None] | None = None
 
     @property
     def idle(self) -> bool:
@@ -96,6 +109,12 @@
 
         return self._listener.watcher.watching(self._socket, handle_disconnect)
 
+    def call_when_sent(
+        self, on_sent: collections.abc.Callable[[], None]
+    ) -> None:
+        """Call back once the response to the current request is written."""
+        self._on_sent = on_sent
+
     def run(self) -> None:
         """Serve requests until either side closes."""
         try:
@@ -124,21 +143,23 @@
             return False
         if request is None:
             return False
+        self._on_sent = None
         response = self._listener.serve(request, self)
         if response is None or self._disconnected:
             return False
         closing = self._listener.closing
         self._send(response, closing)
+        if self._on_sent is not None:
+            self._on_sent()
         return (
             not closing
             and self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
         )
 
-    def _receive(
-        self, limits: routes.CallerLimits
-    ) -> http_exchange.HttpRequest | None:
+    def _receive(self, limits: routes.CallerLimits) -> ReceivedRequest | None:
         """Return the next request, or None at the end of the connection."""
+        received_s: float | None = None
         deadline: deadlines.Deadline | None = None
         head: h11.Request | None = None
         body: list[bytes] = []
@@ -154,11 +175,13 @@
                         h11.InformationalResponse(status_code=100, headers=[])
                     )
                 if deadline is None and self._protocol.trailing_data[0]:
+                    received_s = self._clock.monotonic()
                     deadline = self._deadline_after(limits.header_timeout_s)
                 received = self._read(deadline, limits.idle_timeout_s)
                 if received is None:
                     return None
                 if deadline is None:
+                    received_s = self._clock.monotonic()
                     deadline = self._deadline_after(limits.header_timeout_s)
                 self._idle = False
                 self._protocol.receive_data(received)
@@ -167,6 +190,9 @@
                     raise _RequestRejected(431)
             elif isinstance(event, h11.Request):
                 self._idle = False
+                if received_s is None:
+                    # It came with the bytes of the request before it.
+                    received_s = self._clock.monotonic()
                 head = event
                 if _header_size(event) > limits.header_bytes:
                     raise _RequestRejected(431)
@@ -177,12 +203,13 @@
                 if size > limits.body_bytes:
                     raise _RequestRejected(413)
             elif isinstance(event, h11.EndOfMessage):
-                assert head is not None
-                return http_exchange.HttpRequest(
+                assert head is not None and received_s is not None
+                return ReceivedRequest(
                     head.method,
                     head.target,
                     tuple(head.headers),
                     b''.join(body),
+                    received_s,
                 )
             else:
                 return None
--- a/tests/adapter/test_codecs.py
+++ b/tests/adapter/test_codecs.py
@@ -1,5 +1,6 @@
 """Codecs: header fields that are forwarded, added and removed."""
 
+import attrs
 import pytest
 
 from corianderport_platform import caller_codec
@@ -10,6 +11,7 @@
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 from corianderport_tier import result_codes
+from corianderport_wire.connection import caller_listener
 from corianderport_wire.connection import http_exchange
 
 Code = result_codes.ResultCode
@@ -20,8 +22,10 @@
     return clock_module.ManualClock()
 
 
-def _received(*extra: tuple[bytes, bytes]) -> http_exchange.HttpRequest:
-    return http_exchange.HttpRequest(
+def _received(
+    *extra: tuple[bytes, bytes], received_s: float = 0.0
+) -> caller_listener.ReceivedRequest:
+    return caller_listener.ReceivedRequest(
         b'POST',
         b'/one%20x?y=1',
         (
@@ -35,6 +39,7 @@
             *extra,
         ),
         b'body',
+        received_s,
     )
 
 
@@ -44,18 +49,19 @@
     A field that Connection names, such as x-hop, concerns only that
     connection, as do Connection and Transfer-Encoding.
     """
-    request = caller_codec.request_from_http(_received(), clock)
+    request = caller_codec.request_from_http(
+        _received(received_s=clock.monotonic() - 0.1)
+    )
     assert request.host == 'a.example'
     assert request.path == '/one%20x'
-    assert request.deadline.remaining(clock) == pytest.approx(0.3)
+    # The caller has waited since its first bytes arrived.
+    assert request.deadline.remaining(clock) == pytest.approx(0.2)
     names = {name for name, _ in request.payload.headers}
     assert names == {b'host', b'x-request-id', b'x-deadline-ms', b'accept'}
 
 
 @pytest.mark.parametrize('missing', [b'host', b'x-request-id'])
-def test_request_without_identity_or_host(
-    clock: clock_module.ManualClock, missing: bytes
-) -> None:
+def test_request_without_identity_or_host(missing: bytes) -> None:
     """Guards against forwarding a request without an id or a host.
 
     The host selects the route, and responses are matched by the id.
@@ -64,7 +70,7 @@
     kept_headers = tuple((n, v) for n, v in received.headers if n != missing)
     with pytest.raises(errors.MalformedRequest):
         caller_codec.request_from_http(
-            http_exchange.HttpRequest(b'GET', b'/', kept_headers, b''), clock
+            attrs.evolve(received, headers=kept_headers)
         )
 
 
@@ -76,8 +82,10 @@
     The caller sends the header that names the searcher; the value has to be
     replaced.
     """
-    received = _received((b'x-target-instance', b'i-evil'))
-    request = caller_codec.request_from_http(received, clock)
+    received = _received(
+        (b'x-target-instance', b'i-evil'), received_s=clock.monotonic()
+    )
+    request = caller_codec.request_from_http(received)
     clock.advance(0.1)
     call = forward_messages.SearcherCall(
         'q1', 'i-7', request.payload, request.deadline
@@ -217,19 +225,20 @@
     assert response.body == b'records'
 
 
-def test_invalid_deadline(clock: clock_module.ManualClock) -> None:
+def test_invalid_deadline() -> None:
     """Guards against an internal error when the deadline is not a number.
 
     The value is text that the caller has sent.
     """
-    received = http_exchange.HttpRequest(
+    received = caller_listener.ReceivedRequest(
         b'GET',
         b'/',
         ((b'host', b'a'), (b'x-request-id', b'q'), (b'x-deadline-ms', b'x')),
         b'',
+        0.0,
     )
     with pytest.raises(errors.MalformedRequest):
-        caller_codec.request_from_http(received, clock)
+        caller_codec.request_from_http(received)
 
 
 def test_deadline_has_a_default(clock: clock_module.ManualClock) -> None:
@@ -237,8 +246,12 @@
 
     The header is optional; a missing value must not count as zero.
     """
-    received = http_exchange.HttpRequest(
-        b'GET', b'/', ((b'host', b'a'), (b'x-request-id', b'q')), b''
+    received = caller_listener.ReceivedRequest(
+        b'GET',
+        b'/',
+        ((b'host', b'a'), (b'x-request-id', b'q')),
+        b'',
+        clock.monotonic(),
     )
-    request = caller_codec.request_from_http(received, clock)
+    request = caller_codec.request_from_http(received)
     assert request.deadline > deadlines.Deadline.after(clock, 1.0)
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -86,6 +86,7 @@
 
     def __init__(self) -> None:
         self.on_disconnect: collections.abc.Callable[[], None] | None = None
+        self.on_sent: collections.abc.Callable[[], None] | None = None
 
     @contextlib.contextmanager
     def watch(
@@ -94,6 +95,11 @@
         self.on_disconnect = on_disconnect
         yield
 
+    def call_when_sent(
+        self, on_sent: collections.abc.Callable[[], None]
+    ) -> None:
+        self.on_sent = on_sent
+
 
 class _Host:
     """One host, its services and a request that runs on a thread."""
@@ -135,13 +141,19 @@
         self.answer: forward_messages.ForwardAnswer | None = None
         self._thread: threading.Thread | None = None
 
-    def start(self, deadline_s: float = 0.8, path: str = '/find/x') -> None:
+    def start(
+        self,
+        deadline_s: float = 0.8,
+        path: str = '/find/x',
+        waited_s: float = 0.0,
+    ) -> None:
         request = forward_messages.ForwardRequest(
             'q1',
             'a.example',
             path,
             forward_messages.Payload(b'GET', b'/find/x', (), b''),
             deadlines.Deadline.after(self.clock, deadline_s),
+            self.clock.monotonic() - waited_s,
         )
 
         def run() -> None:
@@ -629,6 +641,39 @@
     assert answer.missing == 1
 
 
+def test_goal_counts_from_the_first_byte_of_the_request() -> None:
+    """Guards against a late answer on a host that is slow to read.
+
+    The goal is 100 ms; the request has waited for 60 ms of them.
+    """
+    host = _Host(_gather(0.75), replicas=1)
+    host.start(waited_s=0.06)
+    sends = _take_all(host)
+    for name in _SHARDS[:3]:
+        host.end(sends[name], _reply(execution_proof=name))
+    host.advance(0.03)
+    assert isinstance(host.finish(), forward_messages.Gathered)
+
+
+def test_delay_of_an_answer_ends_when_it_is_sent() -> None:
+    """Guards against a margin that leaves out the writing of the answer."""
+    host = _Host(_gather(0.75), replicas=1)
+    before_s = host.forwarder.answer_delay.expected_s
+    for _ in range(20):
+        host.start()
+        sends = _take_all(host)
+        for name in _SHARDS[:3]:
+            host.end(sends[name], _reply(execution_proof=name))
+        host.advance(0.05)
+        host.advance(0.05)
+        host.finish()
+        host.clock.advance(0.004)
+        assert host.caller.on_sent is not None
+        host.caller.on_sent()
+        host.end(sends['shard-d'], _reply(execution_proof='shard-d'))
+    assert host.forwarder.answer_delay.expected_s > before_s
+
+
 def test_failed_part_is_not_waited_for() -> None:
     host = _Host(_gather(0.75), replicas=1)
     host.start()
--- a/tests/wire/test_caller_listener.py
+++ b/tests/wire/test_caller_listener.py
@@ -25,7 +25,7 @@
 
 
 def _echo(
-    request: http_exchange.HttpRequest,
+    request: caller_listener.ReceivedRequest,
     caller: caller_listener.CallerConnection,
 ) -> caller_listener.HttpResponse:
     return caller_listener.HttpResponse(
@@ -175,7 +175,7 @@
     disconnected = threading.Event()
 
     def serve(
-        request: http_exchange.HttpRequest,
+        request: caller_listener.ReceivedRequest,
         caller: caller_listener.CallerConnection,
     ) -> caller_listener.HttpResponse | None:
         with caller.watch(disconnected.set):
@@ -192,6 +192,40 @@
         assert disconnected.wait(_LONG_S)
 
 
+def test_request_is_timed_from_its_first_byte_to_the_sent_response() -> None:
+    """Guards against taking the time of reading and writing for none.
+
+    Callers count the deadline and the latency from when they began to send.
+    """
+    events: list[str] = []
+    received_s: list[float] = []
+
+    def serve(
+        request: caller_listener.ReceivedRequest,
+        caller: caller_listener.CallerConnection,
+    ) -> caller_listener.HttpResponse:
+        events.append('served')
+        received_s.append(request.received_s)
+        caller.call_when_sent(lambda: events.append('sent'))
+        return caller_listener.HttpResponse(200, (), b'')
+
+    with _listening(serve) as listener:
+        caller = _connect(listener)
+        caller.sendall(
+            b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n'
+            b'expect: 100-continue\r\n\r\n'
+        )
+        assert _status(caller.recv(65_536)) == 100
+        body_s = _CLOCK.monotonic()
+        caller.sendall(b'x')
+        assert _status(caller.recv(65_536)) == 200
+        caller.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+        assert _status(caller.recv(65_536)) == 200
+        caller.close()
+    assert events == 2 * ['served', 'sent']
+    assert received_s[0] <= body_s <= received_s[1]
+
+
 def test_stop_answers_what_runs_and_closes_what_is_idle() -> None:
     """Guards against a shutdown that cuts requests or waits for idle callers.
 
@@ -202,7 +236,7 @@
     release = threading.Event()
 
     def serve(
-        request: http_exchange.HttpRequest,
+        request: caller_listener.ReceivedRequest,
         caller: caller_listener.CallerConnection,
     ) -> caller_listener.HttpResponse | None:
         if request.target == b'/slow':
