End a connection when its searcher may close it

Cause: the pool did not know how long a searcher keeps an idle connection (Keep-Alive). It gave such connections out, and the send failed, was logged and was sent a second time.

Change: a connection tells until when it can be used; the pool does not give it out after that, and its task closes it then. A connection that cannot be reused at all ends at once. The header is parsed once for each of its values, and the clock is read without a call in between.

test_connection_ends_when_its_server_may_close_it fails without the change.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -375,6 +375,7 @@
             self._executor,
             self._clock,
             pool.PoolLimits(connections, _IDLE_TIMEOUT_S),
+            lambda transport: transport.usable_until_s,
         )
 
     def _expire_and_reload(self) -> None:
--- a/packages/tier/src/corianderport_tier/clocks.py
+++ b/packages/tier/src/corianderport_tier/clocks.py
@@ -32,13 +32,9 @@
 class SystemClock:
     """Clock backed by the ``time`` module."""
 
-    def monotonic(self) -> float:
-        """Return ``time.monotonic()``."""
-        return time.monotonic()
-
-    def time(self) -> float:
-        """Return ``time.time()``."""
-        return time.time()
+    # Read many times for each request, so that a call less counts.
+    monotonic = staticmethod(time.monotonic)
+    time = staticmethod(time.time)
 
     def wait(
         self, condition: threading.Condition, timeout_s: float | None
--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -105,6 +105,7 @@
         self._assigned: _Assignment[T] | None = _Assignment(job, False)
         self._closed = False
         self._transport: T | None = None
+        self._usable_until_s = float('inf')
         self._replies = 0
         self._verified_s = opened_s
 
@@ -113,9 +114,11 @@
         """Time of the last reply or, without one, of the opening."""
         return self._verified_s
 
-    def permitted_by(self, reuse: Reuse) -> bool:
+    def permitted_by(self, reuse: Reuse, now_s: float) -> bool:
         """Whether the idle connection may carry a job."""
-        return reuse.permits(self._verified_s, self._transport)
+        return now_s < self._usable_until_s and reuse.permits(
+            self._verified_s, self._transport
+        )
 
     @property
     def has_job(self) -> bool:
@@ -192,6 +195,7 @@
             return False
         self._replies += 1
         self._verified_s = self._pool.clock.monotonic()
+        self._usable_until_s = self._pool.usable_until_s(transport)
         # Mark the connection idle before delivering the reply, so that the
         # request's next attempt can reuse it.
         self._pool.mark_idle(self)
@@ -211,12 +215,14 @@
     def _next(self) -> _Assignment[T] | None:
         with self._condition:
             if self._assigned is None and not self._closed:
-                self._pool.clock.wait(
-                    self._condition, self._pool.limits.idle_s
-                )
+                self._pool.clock.wait(self._condition, self._idle_limit_s())
         # A job can still be assigned until the pool removes the connection.
         return None if self._pool.remove_if_idle(self) else self._take()
 
+    def _idle_limit_s(self) -> float:
+        until_s = self._usable_until_s - self._pool.clock.monotonic()
+        return max(0.0, min(self._pool.limits.idle_s, until_s))
+
     def _take(self) -> _Assignment[T] | None:
         with self._condition:
             assignment, self._assigned = self._assigned, None
@@ -230,10 +236,17 @@
             )
 
 
+def _usable_for_good(transport: object) -> float:
+    return float('inf')
+
+
 class ConnectionPool(typing.Generic[T]):
     """Connections of this host to one address.
 
     Each open connection occupies one thread of the executor.
+
+    :param usable_until_s: returns the time until which an idle transport can
+        carry another job, in seconds of the monotonic clock.
     """
 
     def __init__(
@@ -242,8 +255,12 @@
         executor: concurrent.futures.Executor,
         clock: clocks.Clock,
         limits: PoolLimits,
+        usable_until_s: collections.abc.Callable[
+            [T], float
+        ] = _usable_for_good,
     ) -> None:
         self.dial = dial
+        self.usable_until_s = usable_until_s
         self.clock = clock
         self.limits = limits
         self._executor = executor
@@ -341,8 +358,10 @@
 
     def _latest_idle(self, reuse: Reuse) -> Connection[T] | None:
         """Return the permitted connection that was used last."""
+        now_s = self.clock.monotonic()
         return next(
-            (c for c in reversed(self._idle) if c.permitted_by(reuse)), None
+            (c for c in reversed(self._idle) if c.permitted_by(reuse, now_s)),
+            None,
         )
 
     def _start(self, connection: Connection[T]) -> None:
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -86,6 +86,13 @@
 class SearcherTransport(typing.Protocol):
     """Persistent connection to a searcher for forwarded requests."""
 
+    @property
+    def usable_until_s(self) -> float:
+        """When the searcher may close the idle connection.
+
+        In seconds of the monotonic clock; infinite if that is unknown.
+        """
+
     def exchange(
         self, call: forward_messages.SearcherCall
     ) -> forward_messages.SearcherReply:
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -12,6 +12,7 @@
 """
 
 import collections.abc
+import functools
 import select
 import socket
 import threading
@@ -101,6 +102,15 @@
         self._reusable = True
         self._usable_until_s = float('inf')
 
+    @property
+    def usable_until_s(self) -> float:
+        """When the server may close the idle connection.
+
+        In seconds of the monotonic clock; infinite if it has not said so, and
+        in the past if the connection cannot be reused.
+        """
+        return self._usable_until_s if self._reusable else float('-inf')
+
     def exchange(
         self,
         request: HttpRequest,
@@ -199,11 +209,21 @@
         options = reply.header(b'keep-alive')
         if options is None:
             return
-        for option in options.split(b','):
-            name, _, value = option.strip().partition(b'=')
-            if name.lower() == b'timeout' and value.isdigit():
-                idle_s = _KEEP_ALIVE_FRACTION * int(value)
-                self._usable_until_s = self._clock.monotonic() + idle_s
+        timeout_s = _keep_alive_s(options)
+        if timeout_s is not None:
+            idle_s = _KEEP_ALIVE_FRACTION * timeout_s
+            self._usable_until_s = self._clock.monotonic() + idle_s
+
+
+@functools.lru_cache(maxsize=64)
+def _keep_alive_s(options: bytes) -> int | None:
+    """Return the idle timeout in a Keep-Alive header, in seconds."""
+    timeout_s = None
+    for option in options.split(b','):
+        name, _, value = option.strip().partition(b'=')
+        if name.lower() == b'timeout' and value.isdigit():
+            timeout_s = int(value)
+    return timeout_s
 
 
 def _encode(request: HttpRequest) -> bytes:
--- a/tests/tier/test_pool.py
+++ b/tests/tier/test_pool.py
@@ -227,3 +227,40 @@
         assert second.done.result(10.0) == 'reply'
         _SlowToClose.may_end.set()
         connections.close()
+
+
+@pytest.mark.parametrize('usable_s', [5.0, 0.0, float('-inf')])
+def test_connection_ends_when_its_server_may_close_it(
+    usable_s: float,
+) -> None:
+    """Guards against a send that fails on a connection that idled too long.
+
+    The send would have to be repeated, and the thread is held for nothing.
+    """
+    clock = manual.ManualClock()
+    until_s = clock.monotonic() + usable_s
+    dialled: list[_Transport] = []
+
+    def dial() -> _Transport:
+        dialled.append(_Transport())
+        return dialled[-1]
+
+    with concurrent.futures.ThreadPoolExecutor(4) as executor:
+        connections = pool.ConnectionPool(
+            dial,
+            executor,
+            clock,
+            pool.PoolLimits(1),
+            lambda transport: until_s,
+        )
+        for _ in range(2):
+            job = _Job()
+            connections.submit(job)
+            assert job.done.result(10.0) == 'reply'
+            if usable_s > 0:
+                clock.await_waiters(1)
+            clock.advance(max(0.0, usable_s))
+        assert len(dialled) == 2
+    # The tasks have ended by themselves.
+    assert connections.size == 0
+    assert all(t.closed for t in dialled)
