Hedge a part of a gather only if the reply can arrive by the goal

A hedge is due when nine in ten sends have been answered, and that time was measured from the decision to send, so that it contained the queue of this host.

Change: latencies and hedge delays count from the actual send. A hedge whose reply would usually miss the goal waits for the goal, and is sent then only if too few parts are in. A send whose connection does not open is hedged after twice the delay.

test_hedge_is_left_out_if_its_reply_would_miss_the_goal and test_connection_that_does_not_open_is_hedged fail without the change. Three tests took a send that was never begun for one without a reply; they begin it now.

--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -96,6 +96,7 @@
         # connection may carry another request, which must not be aborted.
         self._transport: transports.SearcherTransport | None = None
         self._carrier: transports.SearcherTransport | None = None
+        self._sent_s: float | None = None
         self.finished_s = self.started_s
 
     @property
@@ -108,6 +109,21 @@
         """Whether any bytes may have been sent."""
         return self._carrier is not None
 
+    @property
+    def sent_s(self) -> float | None:
+        """When the first byte may have been sent; None if not yet.
+
+        Before it, the attempt waits for its connection and for the processor
+        of this host.
+        """
+        return self._sent_s
+
+    @property
+    def elapsed_s(self) -> float:
+        """Seconds from sending to the reply or error."""
+        begun_s = self.started_s if self._sent_s is None else self._sent_s
+        return self.finished_s - begun_s
+
     @property
     def cancelled(self) -> bool:
         """Whether the attempt was cancelled."""
@@ -134,6 +150,7 @@
             if self._cancelled:
                 raise errors.DeadlinePast('the request has ended')
             self._transport = self._carrier = transport
+            self._sent_s = self._clock.monotonic()
         return transport.exchange(self._call)
 
     def finish(self, reply: object) -> None:
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -201,6 +201,10 @@
             - _PATH_MARGIN_S
             - forwarder.answer_delay.expected_s
         )
+        # Latest time of a hedge whose reply can arrive by the goal.
+        self._latest_hedge_s = self.goal_s
+        if isinstance(route.target, routes.Gather):
+            self._latest_hedge_s -= forwarder.latency(route).median_s
         # Whether the answer was only waiting for the goal.
         self.answered_at_goal = False
 
@@ -316,7 +320,9 @@
         if self.goal_s > now_s:
             timers_s.append(self.goal_s)
         timers_s.extend(
-            p.hedge_at_s for p in self._parts if p.hedge_at_s is not None
+            due_s
+            for due_s in map(self._hedge_due_s, self._parts)
+            if due_s is not None
         )
         timers_s.extend(
             p.resume_at_s for p in self._parts if p.resume_at_s is not None
@@ -330,10 +336,24 @@
                 part.resume()
         self._hedge(now_s)
 
+    def _hedge_due_s(self, part: Part) -> float | None:
+        """Return when a hedge of a part is due.
+
+        A gather is answered at its goal without the parts that are late. A
+        hedge whose reply would arrive after that waits until then, and is
+        sent only if too few parts have answered.
+        """
+        due_s = part.hedge_at_s
+        if due_s is None or due_s <= self._latest_hedge_s:
+            return due_s
+        return max(due_s, self.goal_s)
+
     def _hedge(self, now_s: float) -> None:
+        if self._latest_hedge_s < now_s < self.goal_s:
+            return
         among_last = self._progress().among_last
         for part in self._parts:
-            due_s = part.hedge_at_s
+            due_s = self._hedge_due_s(part)
             due = due_s is not None and due_s <= now_s
             if due or among_last and part.hedge_denied:
                 part.hedge(among_last)
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -89,7 +89,8 @@
         self._carriers: list[transports.SearcherTransport] = []
         self._sent_count = 0
         self._possible_runs = 0
-        self._hedge_at_s: float | None = None
+        # Seconds from the latest send to a hedge; None if none is to follow.
+        self._hedge_after_s: float | None = None
         self._hedge_denied = False
         self._resume_at_s: float | None = None
         self._last_failure: tuple[Code, str] | None = None
@@ -103,9 +104,21 @@
     @property
     def hedge_at_s(self) -> float | None:
         """Time at which to consider a hedge; None if none is due."""
-        if self.state is not PartState.PENDING or not self._sends:
+        if (
+            self.state is not PartState.PENDING
+            or not self._sends
+            or self._hedge_after_s is None
+        ):
             return None
-        return self._hedge_at_s
+        latest = self._sends[-1]
+        if latest.sent_s is not None:
+            return latest.sent_s + self._hedge_after_s
+        # The attempt waits for this host, or for a connection that may never
+        # open: look again once it is late if sent at once, then hedge.
+        at_s = latest.started_s + self._hedge_after_s
+        if self._clock.monotonic() >= at_s:
+            at_s += self._hedge_after_s
+        return at_s
 
     @property
     def hedge_denied(self) -> bool:
@@ -132,7 +145,7 @@
         :param among_last: the response waits only for this and a few other
             parts.
         """
-        self._hedge_at_s = None
+        self._hedge_after_s = None
         self._hedge_denied = False
         running = len(self._sends)
         if self._possible_runs + running >= self._route.attempts:
@@ -208,7 +221,7 @@
         if reply.ran:
             self._possible_runs += 1
         if reply.succeeded if self._gathered else reply.final:
-            self._latency.record(send.finished_s - send.started_s)
+            self._latency.record(send.elapsed_s)
             self.reply = reply
             self.answered_s = send.finished_s
             self.state = PartState.ANSWERED
@@ -291,13 +304,11 @@
             self._log.count(_FIRST_SEND)
         self._sends.append(send)
         self._tried.append(choice.state.name)
-        hedge_after_s = max(
-            self._latency.hedge_after_s,
-            _MIN_HEDGE_DELAY_RATIO * self._latency.median_s,
-        )
-        self._hedge_at_s = (
-            send.started_s + hedge_after_s if self._route.idempotent else None
-        )
+        if self._route.idempotent:
+            self._hedge_after_s = max(
+                self._latency.hedge_after_s,
+                _MIN_HEDGE_DELAY_RATIO * self._latency.median_s,
+            )
         try:
             choice.state.pool.submit(send, self._reuse())
         except errors.CorianderportError as error:
--- a/packages/tier/src/corianderport_tier/request/send_results.py
+++ b/packages/tier/src/corianderport_tier/request/send_results.py
@@ -21,7 +21,7 @@
     :param reply: the reply, or the error with which the send ended.
     :param median_s: median latency of the route in seconds.
     """
-    elapsed_s = send.finished_s - send.started_s
+    elapsed_s = send.elapsed_s
     if isinstance(reply, forward_messages.SearcherReply):
         return _result_of_reply(reply, elapsed_s, median_s)
     if isinstance(reply, errors.ConnectFailed):
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -166,6 +166,12 @@
         """Return the next send attempt."""
         return self.sends.get(timeout=_WAIT_S)
 
+    def begin(self) -> forward_send.SendAttempt:
+        """Return the next send attempt, sent but without a reply."""
+        send = self.take()
+        send.perform(_Transport(_reply()))
+        return send
+
     def end(
         self, send: forward_send.SendAttempt, outcome: Reply | Exception
     ) -> None:
@@ -195,10 +201,6 @@
         return self.sends.empty()
 
 
-def _take(host: _Host, count: int) -> list[forward_send.SendAttempt]:
-    return [host.take() for _ in range(count)]
-
-
 _NON_IDEMPOTENT = entries.route(idempotent=False)
 
 
@@ -395,7 +397,7 @@
     """Guards against ignoring the reply to a hedge that was answered first."""
     host = _Host(entries.route(), replicas=2)
     host.start()
-    first = host.take()
+    first = host.begin()
     host.advance(0.06)
     second = host.take()
     host.end(second, _reply())
@@ -471,16 +473,74 @@
 
 
 def test_late_answer_is_hedged_at_another_searcher() -> None:
+    host = _Host(entries.route())
+    host.start()
+    first = host.begin()
+    host.advance(0.06)
+    second = host.take()
+    assert second.searcher != first.searcher
+    host.end(second, _reply())
+    assert isinstance(host.finish(), forward_messages.Relayed)
+
+
+def test_connection_that_does_not_open_is_hedged() -> None:
+    """Guards against waiting for a searcher that cannot be reached.
+
+    The time until the request is sent is this host's own at first, so that
+    twice the usual time passes.
+    """
     host = _Host(entries.route())
     host.start()
     first = host.take()
     host.advance(0.06)
+    host.advance(0.03)
+    assert host.idle
+    host.advance(0.02)
     second = host.take()
     assert second.searcher != first.searcher
     host.end(second, _reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
 
 
+def test_hedge_is_left_out_if_its_reply_would_miss_the_goal() -> None:
+    """Guards against sends that only delay the replies of other parts.
+
+    At the goal, three of four parts suffice; the reply to a hedge usually
+    takes 25 ms.
+    """
+    host = _Host(_gather(0.75), replicas=2)
+    host.start()
+    for _ in _SHARDS[:3]:
+        host.end(host.take(), _reply())
+    host.clock.await_waiters(1)
+    late = host.take()
+    host.clock.advance(0.065)
+    late.perform(_Transport(_reply()))
+    host.advance(0.015)
+    assert host.idle
+    host.advance(0.02)
+    assert isinstance(host.finish(), forward_messages.Gathered)
+    assert host.idle
+
+
+def test_hedge_is_sent_at_the_goal_if_too_few_parts_have_answered() -> None:
+    """Guards against a late gather that waits for a silent searcher."""
+    host = _Host(_gather(1.0), replicas=2)
+    host.start()
+    for _ in _SHARDS[:3]:
+        host.end(host.take(), _reply())
+    late = host.take()
+    host.advance(0.07)
+    late.perform(_Transport(_reply()))
+    host.advance(0.01)
+    assert host.idle
+    host.advance(0.05)
+    host.end(host.take(), _reply())
+    answer = host.finish()
+    assert isinstance(answer, forward_messages.Gathered)
+    assert answer.missing == 0
+
+
 def test_hedge_that_spared_the_budget_is_sent_for_the_last_part() -> None:
     """Guards against giving a late part up for good.
 
@@ -492,7 +552,7 @@
         entries.route(services, min_coverage=1.0, goal_s=0.4), replicas=2
     )
     host.start()
-    sends = {send.part.service.name: send for send in _take(host, 10)}
+    sends = {s.part.service.name: s for s in (host.begin() for _ in services)}
     late = sends.pop('s0')
     # Leave one extra send of the service, which the reserve covers.
     service = late.part.service
