--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -241,8 +241,25 @@
             'route': self._route.name,
             'parts': len(self._parts),
             'not_answered': dict(reasons),
+            'sent_ms': self._spread_ms(p.sent_s for p in self._parts),
+            'arrived_ms': self._spread_ms(p.answered_s for p in self._parts),
         }
 
+    def _spread_ms(
+        self, times_s: collections.abc.Iterable[float]
+    ) -> list[float]:
+        """Return the earliest, the median and the latest of some times.
+
+        In milliseconds since the request was received; empty without times.
+        """
+        ordered = sorted(t for t in times_s if t != float('inf'))
+        chosen = ordered and (
+            ordered[0],
+            ordered[len(ordered) // 2],
+            ordered[-1],
+        )
+        return [round((t - self._request.received_s) * 1e3, 1) for t in chosen]
+
     def _create_parts(self) -> None:
         target = self._route.target
         if isinstance(target, routes.Gather):
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -73,7 +73,9 @@
         self.service = service
         self.state = PartState.PENDING
         self.reply: forward_messages.SearcherReply | None = None
-        # When the reply of an answered part arrived.
+        # When the request was first sent, and when the reply of an answered
+        # part arrived.
+        self.sent_s = float('inf')
         self.answered_s = float('inf')
         self.failure: forward_messages.Failure | None = None
         self._request = request
@@ -201,6 +203,8 @@
         if send.carrier is not None:
             self._carriers.append(send.carrier)
             self._sent_count += 1
+        if send.sent_s is not None:
+            self.sent_s = min(self.sent_s, send.sent_s)
         if self.state is not PartState.PENDING:
             return
         if isinstance(event.reply, forward_messages.SearcherReply):
