Divide the budget of extra sends without rounding it down

In a fleet of 76 hosts the share of one host is about two extra sends of a service in ten seconds, and hedges may use 1.8 of them.

Each host adds a random offset below one, so that the hosts together use their shares on average. A host that restarts starts with a quarter of the slack for one window instead of all hosts giving up half of it for good: three quarters before and one quarter after the restart stay within the bound.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -132,7 +132,11 @@
             relay,
         )
         self._fleet_share = fleet_share.FleetShare(
-            settings.fleet, settings.host, lambda: self._fleet.hosts
+            settings.fleet,
+            settings.host,
+            lambda: self._fleet.hosts,
+            clock,
+            restarted=not settings.first_start,
         )
         self._dialer = adapter.dialer(clock)
         self._directory = directory.Directory(
--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -20,7 +20,8 @@
     ``regions`` maps data centres to regions. ``grace_s`` is the time between
     the request to stop and the kill of the process. ``seeds`` are peer
     addresses of other hosts, which may be down. ``link_bytes_s`` is the
-    capacity of this host's link in bytes per second.
+    capacity of this host's link in bytes per second. ``first_start`` is True
+    only when all hosts of the deployment start for the first time.
     """
 
     host: str
@@ -37,4 +38,5 @@
     watch_s: float
     fleet: fleet_share.FleetBounds
     link_bytes_s: float = registry_relay.DEFAULT_LINK_BYTES_S
+    first_start: bool = False
     log_level: str = 'INFO'
--- a/packages/tier/src/corianderport_tier/process/fleet_share.py
+++ b/packages/tier/src/corianderport_tier/process/fleet_share.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from corianderport_tier import clocks
 from corianderport_tier.process import rendezvous
 
 __all__ = ['FleetBounds', 'FleetShare']
@@ -23,8 +24,11 @@
 _RATE_FACTOR = 0.8
 # The windows of different hosts are not aligned.
 _RATIO_FACTOR = 0.75
-# A restarted host does not know how much it has spent before the restart.
-_SLACK_FACTOR = 0.5
+# A restarted host does not know how much it has spent before the restart, so
+# it starts with a small part of its slack. Both parts together stay within the
+# bound if every host restarts in the same window.
+_SLACK_FACTOR = 0.75
+_SLACK_FACTOR_AFTER_RESTART = 0.25
 
 
 @attrs.frozen
@@ -50,14 +54,23 @@
 
     :param hosts: returns the names of all hosts that may be sending,
         including this one.
+    :param restarted: whether the host may have been sending before it
+        started.
     """
 
     def __init__(
-        self, bounds: FleetBounds, own_name: str, hosts: HostNames
+        self,
+        bounds: FleetBounds,
+        own_name: str,
+        hosts: HostNames,
+        clock: clocks.Clock,
+        restarted: bool = False,
     ) -> None:
         self._bounds = bounds
         self._own_name = own_name
         self._hosts = hosts
+        self._clock = clock
+        self._restarted_s = clock.monotonic() if restarted else float('-inf')
         # A sequence of hosts and, for each searcher, this host's rank among
         # them. Services read the pair under different locks, so it is
         # replaced as a whole.
@@ -101,7 +114,13 @@
     @property
     def extra_slack(self) -> float:
         """Permitted extra sends in a window in addition to the ratio."""
-        return _SLACK_FACTOR * self._bounds.extra_slack / self.hosts
+        age_s = self._clock.monotonic() - self._restarted_s
+        factor = (
+            _SLACK_FACTOR_AFTER_RESTART
+            if age_s < self._bounds.extra_window_s
+            else _SLACK_FACTOR
+        )
+        return factor * self._bounds.extra_slack / self.hosts
 
     def cold_rate(self, searcher: str, rate: float) -> int:
         """Return how many requests this host may send in any second.
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -83,6 +83,10 @@
         self._next_key = 0
         self._capacity_callbacks: list[collections.abc.Callable[[], None]] = []
         self._extra = self._new_budget()
+        # In a large fleet the share of a host is one or two sends. Rounding
+        # it down on every host would leave much of the bound unused; with a
+        # random offset the hosts together use their shares on average.
+        self._rounding = rng.random()
         self._send_interval = send_interval.SendInterval()
 
     def update(
@@ -201,7 +205,7 @@
 
         :param reserve: fraction of the slack that must remain.
         """
-        slack = self._share.extra_slack * (1 - reserve)
+        slack = self._share.extra_slack * (1 - reserve) + self._rounding
         with self._lock:
             return self._extra.try_spend(self._clock.monotonic(), slack=slack)
 
