Hedge the parts that a gather lacks shortly before its goal

One and a half median latencies before its goal, a gather now hedges as many parts as it still needs, those that were sent first before others.

--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -39,6 +39,9 @@
 # Assumed typical latency of a route without samples, as a fraction of its
 # latency goal.
 _INITIAL_LATENCY_FRACTION = 0.25
+# Nearly all replies arrive within this multiple of a route's median latency.
+# The parts that a gather lacks so long before its goal are hedged at once.
+_COMPLETION_RATIO = 1.5
 # Maximum retry delay given to a refused caller, as a fraction of its
 # remaining time: a caller does not wait past its deadline.
 _MAX_RETRY_AFTER_FRACTION = 0.25
@@ -203,8 +206,15 @@
         )
         # Latest time of a hedge whose reply can arrive by the goal.
         self._latest_hedge_s = self.goal_s
+        # When to hedge the parts without which a gather would miss its goal;
+        # None once this is done.
+        self._completion_hedge_s: float | None = None
         if isinstance(route.target, routes.Gather):
-            self._latest_hedge_s -= forwarder.latency(route).median_s
+            median_s = forwarder.latency(route).median_s
+            self._latest_hedge_s -= median_s
+            self._completion_hedge_s = (
+                self.goal_s - _COMPLETION_RATIO * median_s
+            )
         # Whether the answer was only waiting for the goal.
         self.answered_at_goal = False
 
@@ -336,6 +346,8 @@
         now_s = self._clock.monotonic()
         if self.goal_s > now_s:
             timers_s.append(self.goal_s)
+        if self._completion_hedge_s is not None:
+            timers_s.append(self._completion_hedge_s)
         timers_s.extend(
             due_s
             for due_s in map(self._hedge_due_s, self._parts)
@@ -352,6 +364,12 @@
             if part.resume_at_s is not None and part.resume_at_s <= now_s:
                 part.resume()
         self._hedge(now_s)
+        if (
+            self._completion_hedge_s is not None
+            and self._completion_hedge_s <= now_s
+        ):
+            self._completion_hedge_s = None
+            self._hedge_lacking_parts(now_s)
 
     def _hedge_due_s(self, part: Part) -> float | None:
         """Return when a hedge of a part is due.
@@ -365,6 +383,29 @@
             return due_s
         return max(due_s, self.goal_s)
 
+    def _hedge_lacking_parts(self, now_s: float) -> None:
+        """Hedge as many parts as the gather needs to be answered in time.
+
+        The usual delay of a hedge is a quantile of the route's latencies,
+        which is longer than the goal allows while many searchers are slow.
+        """
+        lacking = self._progress().lacking
+        # The parts that are hedged already are likely to arrive, and so are
+        # those that were sent just now.
+        lacking -= sum(p.running_sends > 1 for p in self._parts)
+        late_s = now_s - self._forwarder.latency(self._route).median_s
+        waiting = [
+            (since_s, number)
+            for number, part in enumerate(self._parts)
+            if (since_s := part.unhedged_since_s) is not None
+            and since_s <= late_s
+        ]
+        for _, number in sorted(waiting):
+            if lacking <= 0:
+                return
+            if self._parts[number].hedge(among_last=True):
+                lacking -= 1
+
     def _hedge(self, now_s: float) -> None:
         if self._latest_hedge_s < now_s < self.goal_s:
             return
--- a/packages/tier/src/corianderport_tier/request/gather_progress.py
+++ b/packages/tier/src/corianderport_tier/request/gather_progress.py
@@ -43,6 +43,12 @@
         possible = self.answered + self.pending
         return possible < self.min_coverage * self.total
 
+    @property
+    def lacking(self) -> int:
+        """Parts that must still answer before there is an answer."""
+        needed = math.ceil(self.min_coverage * self.total)
+        return max(0, max(1, needed) - self.answered)
+
     @property
     def among_last(self) -> bool:
         """Whether the answer waits only for a few parts."""
@@ -58,8 +64,7 @@
         """
         awaited = self.pending
         if goal_reached:
-            needed = math.ceil(self.min_coverage * self.total)
-            awaited = min(awaited, needed - self.answered)
+            awaited = min(awaited, self.lacking)
         if hedge_denied and not self.among_last:
             late = math.ceil(_LATE_HEDGE_FRACTION * self.parts)
             awaited = min(awaited, late - self.answered)
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -122,6 +122,22 @@
             at_s += self._hedge_after_s
         return at_s
 
+    @property
+    def running_sends(self) -> int:
+        """Number of attempts without a result, 0 once the part has ended."""
+        return len(self._sends) if self.state is PartState.PENDING else 0
+
+    @property
+    def unhedged_since_s(self) -> float | None:
+        """When the only attempt was sent; None if there is none or another.
+
+        An attempt that still waits for its connection says nothing about its
+        searcher.
+        """
+        if self.hedge_at_s is None or len(self._sends) != 1:
+            return None
+        return self._sends[0].sent_s
+
     @property
     def hedge_denied(self) -> bool:
         """Whether a due hedge was left out to spare the budget."""
@@ -141,20 +157,21 @@
         self.service.count_request()
         self._send()
 
-    def hedge(self, among_last: bool) -> None:
+    def hedge(self, among_last: bool) -> bool:
         """Send to another searcher because the response is late.
 
         :param among_last: the response waits only for this and a few other
             parts.
+        :return: whether the request was sent.
         """
         self._hedge_after_s = None
         self._hedge_denied = False
         running = len(self._sends)
         if self._possible_runs + running >= self._route.attempts:
-            return
+            return False
         choice = self.service.choose(self._tried, self._latency.median_s)
         if isinstance(choice, service_searchers.NoChoice):
-            return
+            return False
         if not self.service.try_extra(0.0 if among_last else _HEDGE_RESERVE):
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
@@ -163,8 +180,9 @@
             self._log_decision(
                 'no-hedge', choice.state.name, 'budget is spent'
             )
-            return
+            return False
         self._start(choice, hedge=True)
+        return True
 
     def on_capacity(self) -> None:
         """Retry a send that had to wait for capacity."""
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -34,7 +34,7 @@
 Failure = forward_messages.Failure
 
 
-def _reply(
+def reply(
     status: int = 200,
     body: bytes = b'',
     ran: bool = True,
@@ -101,7 +101,7 @@
         self.on_sent = on_sent
 
 
-class _Host:
+class Host:
     """One host, its services and a request that runs on a thread."""
 
     def __init__(
@@ -171,7 +171,7 @@
     def begin(self) -> forward_send.SendAttempt:
         """Return the next send attempt, sent but without a reply."""
         send = self.take()
-        send.perform(_Transport(_reply()))
+        send.perform(_Transport(reply()))
         return send
 
     def end(
@@ -221,7 +221,7 @@
     The connection fails after the request was sent, so the searcher may
     have run it.
     """
-    host = _Host(_NON_IDEMPOTENT)
+    host = Host(_NON_IDEMPOTENT)
     host.start()
     host.end(host.take(), error)
     answer = host.finish()
@@ -234,7 +234,7 @@
 @pytest.mark.parametrize(
     'outcome',
     [
-        _reply(503, ran=False),
+        reply(503, ran=False),
         errors.ConnectFailed('refused'),
         errors.ConnectionStale('ended'),
     ],
@@ -242,25 +242,25 @@
 def test_request_that_did_not_run_goes_to_another_searcher(
     outcome: Reply | Exception,
 ) -> None:
-    host = _Host(_NON_IDEMPOTENT)
+    host = Host(_NON_IDEMPOTENT)
     host.start()
     host.end(host.take(), outcome)
-    host.end(host.take(), _reply())
+    host.end(host.take(), reply())
     answer = host.finish()
     assert isinstance(answer, forward_messages.Relayed)
 
 
 def _paused(pause_s: float) -> Reply:
-    return attrs.evolve(_reply(503, ran=False), pause_s=pause_s)
+    return attrs.evolve(reply(503, ran=False), pause_s=pause_s)
 
 
 def test_request_waits_for_a_short_pause_of_all_searchers() -> None:
     """Guards against refusing what can still be answered with full worth."""
-    host = _Host(entries.route(), replicas=1)
+    host = Host(entries.route(), replicas=1)
     host.start()
     host.end(host.take(), _paused(0.02))
     host.advance(0.02)
-    host.end(host.take(), _reply())
+    host.end(host.take(), reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
 
 
@@ -269,7 +269,7 @@
 
     The pause of a searcher concerns this host only.
     """
-    host = _Host(_NON_IDEMPOTENT, replicas=2)
+    host = Host(_NON_IDEMPOTENT, replicas=2)
     host.start()
     for _ in range(2):
         host.end(host.take(), _paused(0.15))
@@ -288,13 +288,13 @@
 
 
 @pytest.mark.parametrize(
-    'outcome', [_paused(1.0), attrs.evolve(_reply(), leaving=True)]
+    'outcome', [_paused(1.0), attrs.evolve(reply(), leaving=True)]
 )
 def test_statement_of_a_searcher_holds_for_a_send_that_waits(
     outcome: Reply,
 ) -> None:
     """Guards against a send that was chosen before the statement arrived."""
-    host = _Host(entries.route(), replicas=1)
+    host = Host(entries.route(), replicas=1)
     host.start()
     first = host.take()
     host.start()
@@ -309,7 +309,7 @@
     """Guards against one customer's searches that hold up another's."""
     flooded = entries.route(('s1',), prefix='/find/')
     other = entries.route(('s2',), prefix='/other/', name='other')
-    host = _Host(flooded, other, replicas=1)
+    host = Host(flooded, other, replicas=1)
     for _ in range(40):
         host.start()
     for _ in range(3):
@@ -317,21 +317,21 @@
     host.start(path='/other/x')
     send = host.take()
     assert send.part.service.name == 's2'
-    host.end(send, _reply())
+    host.end(send, reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
 
 
 def test_hedge_avoids_a_leaving_searcher() -> None:
-    host = _Host(entries.route(), replicas=2)
+    host = Host(entries.route(), replicas=2)
     host.start()
-    host.end(host.take(), attrs.evolve(_reply(), leaving=True))
+    host.end(host.take(), attrs.evolve(reply(), leaving=True))
     host.finish()
     host.start()
     only = host.take()
     host.advance(0.06)
     host.advance(0.001)
     assert host.idle
-    host.end(only, _reply())
+    host.end(only, reply())
     host.finish()
 
 
@@ -352,7 +352,7 @@
 
 class _RepeatingTransport(_Transport):
     def __init__(self, searcher: _RepeatingSearcher) -> None:
-        super().__init__(_reply())
+        super().__init__(reply())
         self._searcher = searcher
         self._copy: Reply | None = None
 
@@ -363,7 +363,7 @@
             self._copy = _paused(0.02)
             return self._copy
         self._searcher.runs += 1
-        return copy or _reply()
+        return copy or reply()
 
 
 @pytest.mark.parametrize('idempotent', [False, True])
@@ -382,7 +382,7 @@
             clock_module.ManualClock(),
             pool.PoolLimits(2),
         )
-        host = _Host(
+        host = Host(
             entries.route(idempotent=idempotent),
             replicas=1,
             open_pool=lambda registration, limit: connections,
@@ -397,23 +397,23 @@
 
 def test_statement_after_the_end_of_the_request_counts() -> None:
     """Guards against ignoring the reply to a hedge that was answered first."""
-    host = _Host(entries.route(), replicas=2)
+    host = Host(entries.route(), replicas=2)
     host.start()
     first = host.begin()
     host.advance(0.06)
     second = host.take()
-    host.end(second, _reply())
+    host.end(second, reply())
     host.finish()
     service = host.directory.service('stock')
     assert service is not None
-    first.finish(attrs.evolve(_reply(), leaving=True))
+    first.finish(attrs.evolve(reply(), leaving=True))
     assert not service.may_send(first.choice.state)
 
 
 def test_searchers_own_failure_is_relayed_once() -> None:
-    host = _Host(_NON_IDEMPOTENT)
+    host = Host(_NON_IDEMPOTENT)
     host.start()
-    host.end(host.take(), _reply(500))
+    host.end(host.take(), reply(500))
     answer = host.finish()
     assert isinstance(answer, forward_messages.Relayed)
     assert answer.reply.status == 500
@@ -427,9 +427,9 @@
     Callers take these statuses to mean that the request did not run, but
     the searcher may have sent one after running it.
     """
-    host = _Host(_NON_IDEMPOTENT)
+    host = Host(_NON_IDEMPOTENT)
     host.start()
-    host.end(host.take(), _reply(status))
+    host.end(host.take(), reply(status))
     answer = host.finish()
     assert isinstance(answer, Failure)
     assert answer.code is Code.UPSTREAM_FAILED
@@ -437,10 +437,10 @@
 
 
 def test_refusals_by_all_searchers_are_refused_with_a_time() -> None:
-    host = _Host(_NON_IDEMPOTENT, replicas=2)
+    host = Host(_NON_IDEMPOTENT, replicas=2)
     host.start()
     for _ in range(2):
-        host.end(host.take(), _reply(503, ran=False))
+        host.end(host.take(), reply(503, ran=False))
     answer = host.finish()
     assert isinstance(answer, Failure)
     assert answer.code.ran is result_codes.Ran.NO
@@ -453,19 +453,19 @@
 
     Both searchers refuse every send of one request.
     """
-    host = _Host(entries.route(), replicas=2)
+    host = Host(entries.route(), replicas=2)
     host.start()
     for _ in range(4):
         send = host.take()
         host.clock.advance(0.03)
-        host.end(send, _reply(503, ran=False))
+        host.end(send, reply(503, ran=False))
     answer = host.finish()
     assert isinstance(answer, Failure)
     assert answer.code is Code.UPSTREAM_REFUSED
 
 
 def test_idempotent_request_runs_on_no_more_searchers_than_allowed() -> None:
-    host = _Host(entries.route(attempts=2))
+    host = Host(entries.route(attempts=2))
     host.start()
     for _ in range(2):
         host.end(host.take(), errors.ConnectionBroken('reset'))
@@ -475,13 +475,13 @@
 
 
 def test_late_answer_is_hedged_at_another_searcher() -> None:
-    host = _Host(entries.route())
+    host = Host(entries.route())
     host.start()
     first = host.begin()
     host.advance(0.06)
     second = host.take()
     assert second.searcher != first.searcher
-    host.end(second, _reply())
+    host.end(second, reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
 
 
@@ -491,7 +491,7 @@
     The time until the request is sent is this host's own at first, so that
     twice the usual time passes.
     """
-    host = _Host(entries.route())
+    host = Host(entries.route())
     host.start()
     first = host.take()
     host.advance(0.06)
@@ -500,7 +500,7 @@
     host.advance(0.02)
     second = host.take()
     assert second.searcher != first.searcher
-    host.end(second, _reply())
+    host.end(second, reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
 
 
@@ -510,14 +510,14 @@
     At the goal, three of four parts suffice; the reply to a hedge usually
     takes 25 ms.
     """
-    host = _Host(_gather(0.75), replicas=2)
+    host = Host(_gather(0.75), replicas=2)
     host.start()
     for _ in _SHARDS[:3]:
-        host.end(host.take(), _reply())
+        host.end(host.take(), reply())
     host.clock.await_waiters(1)
     late = host.take()
     host.clock.advance(0.065)
-    late.perform(_Transport(_reply()))
+    late.perform(_Transport(reply()))
     host.advance(0.015)
     assert host.idle
     host.advance(0.02)
@@ -527,17 +527,17 @@
 
 def test_hedge_is_sent_at_the_goal_if_too_few_parts_have_answered() -> None:
     """Guards against a late gather that waits for a silent searcher."""
-    host = _Host(_gather(1.0), replicas=2)
+    host = Host(_gather(1.0), replicas=2)
     host.start()
     for _ in _SHARDS[:3]:
-        host.end(host.take(), _reply())
+        host.end(host.take(), reply())
     late = host.take()
     host.advance(0.07)
-    late.perform(_Transport(_reply()))
+    late.perform(_Transport(reply()))
     host.advance(0.01)
     assert host.idle
     host.advance(0.05)
-    host.end(host.take(), _reply())
+    host.end(host.take(), reply())
     answer = host.finish()
     assert isinstance(answer, forward_messages.Gathered)
     assert answer.missing == 0
@@ -550,7 +550,7 @@
     the rest of the budget to others.
     """
     services = tuple(f's{n}' for n in range(10))
-    host = _Host(
+    host = Host(
         entries.route(services, min_coverage=1.0, goal_s=0.4), replicas=2
     )
     host.start()
@@ -565,27 +565,27 @@
     for _ in range(9):
         hedge = host.take()
         assert hedge.part.service is not service
-        host.end(hedge, _reply())
+        host.end(hedge, reply())
     hedge = host.take()
     assert hedge.part.service is service
-    host.end(hedge, _reply())
+    host.end(hedge, reply())
     answer = host.finish()
     assert isinstance(answer, forward_messages.Gathered)
     assert answer.missing == 0
 
 
 def test_request_that_may_run_once_is_never_hedged() -> None:
-    host = _Host(_NON_IDEMPOTENT)
+    host = Host(_NON_IDEMPOTENT)
     host.start(deadline_s=0.5)
     send = host.take()
     host.advance(0.3)
     assert host.idle
-    host.end(send, _reply())
+    host.end(send, reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
 
 
 def test_final_answer_comes_at_the_timeout_of_the_route() -> None:
-    host = _Host(entries.route(timeout_s=0.2, attempts=1))
+    host = Host(entries.route(timeout_s=0.2, attempts=1))
     host.start(deadline_s=5.0)
     send = host.take()
     sending = threading.Event()
@@ -598,7 +598,7 @@
             raise errors.ConnectionBroken('aborted')
 
     worker = threading.Thread(
-        target=lambda: _perform_and_finish(send, _Hanging(_reply())),
+        target=lambda: _perform_and_finish(send, _Hanging(reply())),
         daemon=True,
     )
     worker.start()
@@ -625,7 +625,7 @@
 
     The deadline passes while the send waits for its connection.
     """
-    host = _Host(entries.route(attempts=1))
+    host = Host(entries.route(attempts=1))
     host.start(deadline_s=0.2)
     send = host.take()
     host.advance(0.2)
@@ -633,22 +633,22 @@
     assert isinstance(answer, Failure)
     assert answer.code is Code.DEADLINE_PAST
     with pytest.raises(errors.Refusal):
-        send.perform(_Transport(_reply()))
+        send.perform(_Transport(reply()))
 
 
 def test_nothing_is_sent_to_a_searcher_that_left_while_it_waited() -> None:
-    host = _Host(entries.route(), replicas=1)
+    host = Host(entries.route(), replicas=1)
     host.start()
     send = host.take()
     host.directory.apply([entries.entry(9, None, 'servers/stock-0')])
-    host.end(send, _reply())
+    host.end(send, reply())
     answer = host.finish()
     assert isinstance(answer, Failure)
     assert answer.code is Code.NO_UPSTREAM
 
 
 def test_caller_that_goes_away_ends_everything() -> None:
-    host = _Host(entries.route())
+    host = Host(entries.route())
     host.start()
     send = host.take()
     host.clock.await_waiters(1)
@@ -657,7 +657,7 @@
     assert host.finish() is None
     assert send.cancelled
     with pytest.raises(errors.Refusal):
-        send.perform(_Transport(_reply()))
+        send.perform(_Transport(reply()))
 
 
 _SHARDS = ('shard-a', 'shard-b', 'shard-c', 'shard-d')
@@ -667,17 +667,17 @@
     return entries.route(_SHARDS, min_coverage)
 
 
-def _take_all(host: _Host) -> dict[str, forward_send.SendAttempt]:
+def _take_all(host: Host) -> dict[str, forward_send.SendAttempt]:
     sends = [host.take() for _ in _SHARDS]
     return {send.part.service.name: send for send in sends}
 
 
 def test_gather_merges_the_greatest_records_of_all_parts() -> None:
-    host = _Host(_gather(0.75))
+    host = Host(_gather(0.75))
     host.start()
     for number, send in enumerate(_take_all(host).values()):
         body = bytes([number]) * 16
-        host.end(send, _reply(body=body, execution_proof=f'r{number}'))
+        host.end(send, reply(body=body, execution_proof=f'r{number}'))
     answer = host.finish()
     assert isinstance(answer, forward_messages.Gathered)
     assert answer.missing == 0
@@ -691,11 +691,11 @@
     Three of four parts suffice for the route; the fourth has not answered
     by the latency goal.
     """
-    host = _Host(_gather(0.75), replicas=1)
+    host = Host(_gather(0.75), replicas=1)
     host.start()
     sends = _take_all(host)
     for name in _SHARDS[:3]:
-        host.end(sends[name], _reply(execution_proof=name))
+        host.end(sends[name], reply(execution_proof=name))
     host.advance(0.05)
     host.advance(0.05)
     answer = host.finish()
@@ -708,40 +708,40 @@
 
     The goal is 100 ms; the request has waited for 60 ms of them.
     """
-    host = _Host(_gather(0.75), replicas=1)
+    host = Host(_gather(0.75), replicas=1)
     host.start(waited_s=0.06)
     sends = _take_all(host)
     for name in _SHARDS[:3]:
-        host.end(sends[name], _reply(execution_proof=name))
+        host.end(sends[name], reply(execution_proof=name))
     host.advance(0.03)
     assert isinstance(host.finish(), forward_messages.Gathered)
 
 
 def test_delay_of_an_answer_ends_when_it_is_sent() -> None:
     """Guards against a margin that leaves out the writing of the answer."""
-    host = _Host(_gather(0.75), replicas=1)
+    host = Host(_gather(0.75), replicas=1)
     before_s = host.forwarder.answer_delay.expected_s
     for _ in range(20):
         host.start()
         sends = _take_all(host)
         for name in _SHARDS[:3]:
-            host.end(sends[name], _reply(execution_proof=name))
+            host.end(sends[name], reply(execution_proof=name))
         host.advance(0.05)
         host.advance(0.05)
         host.finish()
         host.clock.advance(0.004)
         assert host.caller.on_sent is not None
         host.caller.on_sent()
-        host.end(sends['shard-d'], _reply(execution_proof='shard-d'))
+        host.end(sends['shard-d'], reply(execution_proof='shard-d'))
     assert host.forwarder.answer_delay.expected_s > before_s
 
 
 def test_failed_part_is_not_waited_for() -> None:
-    host = _Host(_gather(0.75), replicas=1)
+    host = Host(_gather(0.75), replicas=1)
     host.start()
     sends = _take_all(host)
     for name in _SHARDS[:3]:
-        host.end(sends[name], _reply(execution_proof=name))
+        host.end(sends[name], reply(execution_proof=name))
     host.end(sends['shard-d'], errors.ConnectFailed('refused'))
     answer = host.finish()
     assert isinstance(answer, forward_messages.Gathered)
@@ -749,20 +749,20 @@
 
 
 def test_searchers_failure_is_no_part() -> None:
-    host = _Host(_gather(0.75), replicas=1)
+    host = Host(_gather(0.75), replicas=1)
     host.start()
     sends = _take_all(host)
     for name in _SHARDS[:3]:
-        host.end(sends[name], _reply(execution_proof=name))
-    host.end(sends['shard-d'], _reply(500, execution_proof='x'))
-    host.end(host.take(), _reply(500, execution_proof='x'))
+        host.end(sends[name], reply(execution_proof=name))
+    host.end(sends['shard-d'], reply(500, execution_proof='x'))
+    host.end(host.take(), reply(500, execution_proof='x'))
     answer = host.finish()
     assert isinstance(answer, forward_messages.Gathered)
     assert 'x' not in answer.execution_proofs
 
 
 def test_too_few_parts_are_refused_at_once_when_nothing_ran() -> None:
-    host = _Host(_gather(0.75), replicas=0)
+    host = Host(_gather(0.75), replicas=0)
     host.start()
     answer = host.finish()
     assert isinstance(answer, Failure)
@@ -771,10 +771,10 @@
 
 
 def test_too_few_parts_after_a_run_promise_nothing() -> None:
-    host = _Host(_gather(1.0), replicas=1)
+    host = Host(_gather(1.0), replicas=1)
     host.start()
     sends = _take_all(host)
-    host.end(sends['shard-a'], _reply())
+    host.end(sends['shard-a'], reply())
     host.end(sends['shard-b'], errors.ConnectFailed('refused'))
     answer = host.finish()
     assert isinstance(answer, Failure)
@@ -782,7 +782,7 @@
 
 
 def test_unknown_route_and_missing_routing() -> None:
-    host = _Host(entries.route(prefix='/other/'))
+    host = Host(entries.route(prefix='/other/'))
     host.start()
     answer = host.finish()
     assert isinstance(answer, Failure)
@@ -795,7 +795,7 @@
     Callers would take the 404 response to mean that no such route is
     configured.
     """
-    host = _Host(entries.route())
+    host = Host(entries.route())
     empty = directory.Directory(
         typing.cast(typing.Any, None),
         host.clock,
@@ -813,7 +813,7 @@
 
     The searcher may have run it, so that the answer must not say otherwise.
     """
-    host = _Host(_NON_IDEMPOTENT)
+    host = Host(_NON_IDEMPOTENT)
     host.start(deadline_s=30.0)
     send = host.take()
     sent = threading.Event()
@@ -831,7 +831,7 @@
 
     def perform() -> None:
         try:
-            send.perform(_Silent(_reply()))
+            send.perform(_Silent(reply()))
         except errors.CorianderportError as error:
             send.finish(error)
 
@@ -850,7 +850,7 @@
     None
 ):
     """Guards against requests that are sent on and then cut."""
-    host = _Host(_NON_IDEMPOTENT)
+    host = Host(_NON_IDEMPOTENT)
     host.forwarder.drain.begin(deadlines.Deadline.after(host.clock, 0.01))
     host.start()
     answer = host.finish()
@@ -862,8 +862,8 @@
 
 def test_request_early_in_a_shutdown_is_served() -> None:
     """Guards against refusing callers that the load balancer still sends."""
-    host = _Host(_NON_IDEMPOTENT)
+    host = Host(_NON_IDEMPOTENT)
     host.forwarder.drain.begin(deadlines.Deadline.after(host.clock, 5.0))
     host.start()
-    host.end(host.take(), _reply())
+    host.end(host.take(), reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
