Add workspaces to the routing version

Requests are to be authorized by keys that the configuration names, and quotas need the workspaces' limits. op/config may now hold tenants, and a route may be public. RoutingVersion.workspaces maps each key to its workspace; it is None without tenants. Errors name the workspace and never quote a value, since any value may be a misplaced key.

--- a/packages/tier/src/corianderport_tier/version/routes.py
+++ b/packages/tier/src/corianderport_tier/version/routes.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from corianderport_tier.version import workspaces as workspaces_module
+
 __all__ = [
     'CallerLimits',
     'Gather',
@@ -57,7 +59,7 @@
     ``goal_s`` is the latency goal, at which a gather answers without its
     late parts. ``rank`` is the priority, 0 being the highest. ``attempts``
     is the maximum number of searchers of a service that may run one
-    request.
+    request. ``public`` requests need no key of a workspace.
     """
 
     name: str
@@ -69,6 +71,7 @@
     rank: int
     attempts: int
     target: Split | Gather
+    public: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -114,12 +117,16 @@
 
 @attrs.frozen
 class RoutingVersion:
-    """One version of all routes and services, applied atomically."""
+    """One version of all routes and services, applied atomically.
+
+    ``workspaces`` is None if requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: collections.abc.Mapping[str, ServiceParameters]
     limits: CallerLimits
+    workspaces: workspaces_module.Workspaces | None = None
     _by_host: dict[str, dict[str, Route]] = attrs.field(
         init=False,
         repr=False,
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -10,6 +10,7 @@
 from corianderport_platform import documents
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
+from corianderport_tier.version import workspaces
 
 _SEARCHER: dict[str, typing.Any] = {
     'backend': 'stock-1',
@@ -248,3 +249,94 @@
     assert documents.decode(
         'op/evacuate/west-a', b'{}'
     ) == registrations.OutOfService('west-a')
+
+
+_KEY = 'rvnz-secret'
+_TENANT: dict[str, typing.Any] = {
+    'name': 'kami770',
+    'api_keys': [_KEY, '6b5c'],
+    'priority': 3,
+    'rate_per_s': 11,
+    'burst': 12.5,
+}
+
+
+def _routing_with_tenants(tenants: object) -> registrations.Published:
+    document = json.dumps({**ROUTING, 'tenants': tenants}).encode()
+    return documents.decode('op/config', document)
+
+
+def test_tenants_are_decoded() -> None:
+    """Guards against a customer's limit read from the wrong field."""
+    routing = _routing_with_tenants(
+        [_TENANT, {'name': 'small', 'api_keys': ['third']}]
+    )
+    assert isinstance(routing, routes.RoutingVersion)
+    assert routing.workspaces is not None
+    expected = workspaces.Workspace('kami770', 3, 11.0, 12.5)
+    assert routing.workspaces.find(_KEY) == expected
+    assert routing.workspaces.find('6b5c') == expected
+    assert routing.workspaces.find('third') == workspaces.Workspace('small', 0)
+
+
+@pytest.mark.parametrize('tenants', [None, []])
+def test_no_tenants_means_no_keys(tenants: object) -> None:
+    """Guards against 401 for every request of a deployment without keys."""
+    routing = _routing_with_tenants(tenants)
+    assert isinstance(routing, routes.RoutingVersion)
+    assert routing.workspaces is None
+
+
+def test_tenants_without_any_key_are_not_absent() -> None:
+    """Guards against a deployment left open when its last key is removed."""
+    routing = _routing_with_tenants([{'name': 'a', 'api_keys': []}])
+    assert isinstance(routing, routes.RoutingVersion)
+    assert routing.workspaces is not None
+
+
+@pytest.mark.parametrize(
+    'tenants',
+    [
+        {_KEY: 'kami770'},
+        [_KEY],
+        [{**_TENANT, 'name': None}],
+        [{**_TENANT, 'name': ''}],
+        [{**_TENANT, 'name': [_KEY]}],
+        [{**_TENANT, 'api_keys': _KEY}],
+        [{**_TENANT, 'api_keys': [_KEY, 5]}],
+        [{**_TENANT, 'api_keys': [_KEY, '']}],
+        [{**_TENANT, 'priority': -1}],
+        [{**_TENANT, 'priority': 1.5}],
+        [{**_TENANT, 'priority': _KEY}],
+        [{**_TENANT, 'rate_per_s': -11}],
+        [{**_TENANT, 'rate_per_s': _KEY}],
+        [{**_TENANT, 'burst': True}],
+        [_TENANT, {**_TENANT, 'name': 'other'}],
+        [_TENANT, {**_TENANT, 'api_keys': ['x'], 'rate_per_s': 1}],
+    ],
+)
+def test_invalid_tenants_are_unreadable_without_quoting_a_key(
+    tenants: object,
+) -> None:
+    """Guards against a key in the log line about an unreadable value."""
+    published = _routing_with_tenants(tenants)
+    assert isinstance(published, registrations.Unreadable)
+    assert _KEY not in published.reason
+
+
+def test_route_may_be_public() -> None:
+    """Guards against keys demanded on a public route, or on none."""
+    route = ROUTING['routes'][0]
+    document = {**ROUTING, 'routes': [route, {**route, 'public': True}]}
+    routing = documents.decode('op/config', json.dumps(document).encode())
+    assert isinstance(routing, routes.RoutingVersion)
+    assert [r.public for r in routing.routes] == [False, True]
+
+
+@pytest.mark.parametrize('public', ['false', 1, None])
+def test_public_must_be_true_or_false(public: object) -> None:
+    """Guards against a route opened by a value such as the text 'false'."""
+    route = {**ROUTING['routes'][0], 'public': public}
+    document = {**ROUTING, 'routes': [route]}
+    published = documents.decode('op/config', json.dumps(document).encode())
+    assert isinstance(published, registrations.Unreadable)
