--- a/packages/testkit/src/corianderport_testkit/clock.py
+++ b/packages/testkit/src/corianderport_testkit/clock.py
@@ -17,12 +17,17 @@
     def __init__(self, start_s: float = 1_000.0) -> None:
         self._lock = threading.Condition()
         self._now_s = start_s
+        self._suspended_s = 0.0
         self._waiters: dict[object, tuple[float, threading.Condition]] = {}
 
     def monotonic(self) -> float:
         """Return the current time of the test, in seconds."""
         return self._now_s
 
+    def boottime(self) -> float:
+        """Return the time of the test including suspensions."""
+        return self._now_s + self._suspended_s
+
     def time(self) -> float:
         """Return the same value as ``monotonic``."""
         return self._now_s
@@ -66,6 +71,11 @@
             with condition:
                 condition.notify_all()
 
+    def suspend(self, seconds: float) -> None:
+        """Let time pass that only ``boottime`` counts."""
+        with self._lock:
+            self._suspended_s += seconds
+
     def await_waiters(self, count: int) -> None:
         """Block until at least ``count`` waits with a timeout are pending."""
         with self._lock:
--- a/packages/tier/src/corianderport_tier/clocks.py
+++ b/packages/tier/src/corianderport_tier/clocks.py
@@ -3,6 +3,7 @@
 Clock interface for reading the time and waiting on conditions.
 """
 
+import functools
 import threading
 import time
 import typing
@@ -16,6 +17,12 @@
     def monotonic(self) -> float:
         """Return seconds since an arbitrary point; never decreases."""
 
+    def boottime(self) -> float:
+        """Return seconds that also pass while the machine is suspended.
+
+        Never decreases; ``monotonic`` may stop during a suspension.
+        """
+
     def time(self) -> float:
         """Return seconds since the Unix epoch."""
 
@@ -34,6 +41,9 @@
 
     # Read many times for each request, so that a call less counts.
     monotonic = staticmethod(time.monotonic)
+    boottime = staticmethod(
+        functools.partial(time.clock_gettime, time.CLOCK_BOOTTIME)
+    )
     time = staticmethod(time.time)
 
     def wait(
