State the age of the store's entries on every way to a host

A host must know when its knowledge was certainly current, whether it reads the store, a reader, a substitute or the entries of another host. The age counts from the sending of the call, or of the call for the first page. A reply between hosts states its age and for how long the call was held, as optional fields; without them it proves nothing. A relay measures the time since its last reply on boottime, so that a reader that resumes relays nothing old. In strict mode, a follower whose reader is too old reads the store, and a watch is short enough for the age limit.

--- a/packages/tier/src/corianderport_tier/process/registry_reader.py
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -17,6 +17,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import directory
 from corianderport_tier.process import periodic_task
+from corianderport_tier.process import store_freshness
 from corianderport_tier.version import registrations
 
 __all__ = ['Decode', 'ReaderTimes', 'RegistryReader']
@@ -48,7 +49,11 @@
 
 
 class RegistryReader(periodic_task.PeriodicTask):
-    """Periodic task that reads the entries under a prefix."""
+    """Periodic task that reads the entries under a prefix.
+
+    :param freshness: receives the age of what has been applied, and limits
+        the length of a watch.
+    """
 
     def __init__(
         self,
@@ -59,9 +64,11 @@
         clock: clocks.Clock,
         times: ReaderTimes,
         rng: random.Random,
+        freshness: store_freshness.StoreFreshness | None = None,
     ) -> None:
         super().__init__(clock)
         self._prefix = prefix
+        self._freshness = freshness
         self._registry = registry
         self._decode = decode
         self._directory = registry_directory
@@ -98,6 +105,7 @@
             self._decode_entries(stored.entries), stored.revision
         )
         self._directory.replace(self._prefix, listing, stored.returned)
+        self._record_age(stored)
         self._revision = listing.revision
 
     def _watch(self, after: registrations.Revision) -> None:
@@ -105,15 +113,24 @@
         wait_s = (
             times.watch_after_failure_s if self._failures else times.watch_s
         )
+        if self._freshness is not None:
+            wait_s = min(wait_s, self._freshness.longest_watch_s)
         changes = self._registry.watch(self._prefix, after, wait_s)
         self._on_success()
         if changes.entries:
             self._directory.apply(
                 self._decode_entries(changes.entries), changes.returned
             )
+        self._record_age(changes)
+        if changes.entries:
             self._wait(self._times.coalesce_s)
         self._revision = max(after, changes.revision)
 
+    def _record_age(self, stored: registrations.StoredEntries) -> None:
+        """Record the age of entries that the directory has applied."""
+        if self._freshness is not None:
+            self._freshness.record(stored.as_of_s)
+
     def _decode_entries(
         self, entries: collections.abc.Iterable[registrations.StoredEntry]
     ) -> list[registrations.Entry]:
--- a/packages/tier/src/corianderport_tier/process/registry_relay.py
+++ b/packages/tier/src/corianderport_tier/process/registry_relay.py
@@ -75,14 +75,21 @@
         self._discarded_revision: registrations.Revision | None = None
         self._revision: registrations.Revision = -1
         self._last_reply_s = float('-inf')
+        # When the buffered state of the store was certainly current.
+        self._as_of_s: float | None = None
         self._followers = 0
 
-    def reset(self, revision: registrations.Revision) -> None:
-        """Clear the buffer after all entries were read at a revision."""
+    def reset(
+        self, revision: registrations.Revision, as_of_s: float | None = None
+    ) -> None:
+        """Clear the buffer after all entries were read at a revision.
+
+        :param as_of_s: when the entries were certainly current.
+        """
         with self._condition:
             self._discard_all()
             self._discarded_revision = self._revision = revision
-            self._on_store_reply()
+            self._on_store_reply(as_of_s)
 
     def add_reply(
         self,
@@ -98,7 +105,7 @@
             if stored.entries:
                 self._buffer(stored)
             self._revision = max(after, stored.revision)
-            self._on_store_reply()
+            self._on_store_reply(stored.as_of_s)
 
     def registry_entries(self) -> registrations.StoredEntries:
         """Return all entries, for a host that the store does not answer.
@@ -138,7 +145,7 @@
         until = deadlines.Deadline.after(self._clock, wait_s)
         while True:
             until_stale_s = (
-                self._last_reply_s + MAX_REPLY_AGE_S - self._clock.monotonic()
+                self._last_reply_s + MAX_REPLY_AGE_S - self._clock.boottime()
             )
             if self._discarded_revision is None or until_stale_s <= 0:
                 raise errors.NotReady('no answer of the store just now')
@@ -159,6 +166,7 @@
             [e for b in batches for e in b.entries if e.revision > after],
             max(after, self._revision),
             any(b.returned for b in batches),
+            self._as_of_s,
         )
         self._spend_link(changes)
         return changes
@@ -189,6 +197,8 @@
         self._batches.clear()
         self._buffered_bytes = 0
 
-    def _on_store_reply(self) -> None:
-        self._last_reply_s = self._clock.monotonic()
+    def _on_store_reply(self, as_of_s: float | None) -> None:
+        # A host that was suspended must not relay what it knew before.
+        self._last_reply_s = self._clock.boottime()
+        self._as_of_s = as_of_s
         self._condition.notify_all()
--- a/packages/tier/src/corianderport_tier/process/registry_snapshot.py
+++ b/packages/tier/src/corianderport_tier/process/registry_snapshot.py
@@ -21,6 +21,7 @@
         self._lock = threading.Lock()
         self._entries: dict[str, registrations.StoredEntry] = {}
         self._revision: registrations.Revision | None = None
+        self._as_of_s: float | None = None
         self._size_bytes = 0
         self._too_large = False
 
@@ -36,6 +37,7 @@
             self._size_bytes = 0
             self._too_large = False
             self._revision = stored.revision
+            self._as_of_s = stored.as_of_s
             self._add(stored)
 
     def apply(self, changes: registrations.StoredEntries) -> None:
@@ -44,6 +46,14 @@
             if self._revision is None:
                 return
             self._revision = max(self._revision, changes.revision)
+            if changes.as_of_s is not None:
+                # Changes that say nothing of their age make none older.
+                self._as_of_s = max(
+                    changes.as_of_s,
+                    changes.as_of_s
+                    if self._as_of_s is None
+                    else self._as_of_s,
+                )
             self._add(changes)
 
     def entries(self) -> registrations.StoredEntries:
@@ -58,7 +68,9 @@
             if self._too_large:
                 raise errors.NotRelayed('the entries are too large')
             return registrations.StoredEntries(
-                list(self._entries.values()), self._revision
+                list(self._entries.values()),
+                self._revision,
+                as_of_s=self._as_of_s,
             )
 
     def _add(self, changes: registrations.StoredEntries) -> None:
--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -22,6 +22,7 @@
 from corianderport_tier.process import registry_relay
 from corianderport_tier.process import rendezvous
 from corianderport_tier.process import store_contact
+from corianderport_tier.process import store_freshness
 from corianderport_tier.version import registrations
 
 __all__ = ['RegistryPeer', 'RegistrySource', 'SourceTimes', 'reader_for']
@@ -86,6 +87,7 @@
     :param store: direct connection to the store.
     :param relay: buffers the changes that this host reads from the store.
     :param current_view: returns the membership view.
+    :param freshness: how old relayed changes may be; None for any age.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         current_view: collections.abc.Callable[[], membership.View],
         clock: clocks.Clock,
         times: SourceTimes | None = None,
+        freshness: store_freshness.StoreFreshness | None = None,
     ) -> None:
         self._store = store
         self._relay = relay
@@ -105,6 +108,7 @@
         self._current_view = current_view
         self._clock = clock
         self._times = SourceTimes() if times is None else times
+        self._freshness = freshness
         self._reader_retry_at_s = float('-inf')
         self._substitutes_retry_at_s = float('-inf')
         self._last_substitute = ''
@@ -117,6 +121,7 @@
         A host that knows no entries takes those of another host while the
         store does not answer.
         """
+        called_s = self._clock.boottime()
         try:
             stored = self._store.read(prefix)
         except errors.CorianderportError as error:
@@ -125,8 +130,8 @@
                 raise
             stored = self._read_from_hosts(error)
         else:
-            stored = self._record_reply(stored)
-            self._relay.reset(stored.revision)
+            stored = self._record_reply(stored, called_s)
+            self._relay.reset(stored.revision, stored.as_of_s)
             _log_changes(_STORE, stored)
         self._relay.snapshot.replace(stored)
         return stored
@@ -153,11 +158,13 @@
                 stored = self._peer.registry_changes(
                     reader,
                     after,
-                    self._times.follower_wait_s,
+                    self._follower_wait_s(),
                     self._times.follower_timeout_s,
                 )
-                _log_changes(reader.name, stored)
-                return stored
+                if self._suffices(stored):
+                    _log_changes(reader.name, stored)
+                    return stored
+                raise errors.NotReady('its knowledge is too old')
             except errors.NotRelayed as error:
                 _LOG.info(
                     'reading once from the store, not %s: %s',
@@ -178,6 +185,7 @@
     def _watch_store(
         self, prefix: str, after: registrations.Revision, wait_s: float
     ) -> registrations.StoredEntries:
+        called_s = self._clock.boottime()
         try:
             stored = self._store.watch(prefix, after, wait_s)
         except errors.HistoryGone:
@@ -189,7 +197,7 @@
             if not failed_before:
                 raise
             return self._changes_from_hosts(after, error)
-        stored = self._record_reply(stored)
+        stored = self._record_reply(stored, called_s)
         self._relay.add_reply(after, stored)
         _log_changes(_STORE, stored)
         return stored
@@ -201,11 +209,33 @@
         return failed_before
 
     def _record_reply(
-        self, stored: registrations.StoredEntries
+        self, stored: registrations.StoredEntries, called_s: float
     ) -> registrations.StoredEntries:
-        """Record a reply; return it with what is known of an outage."""
+        """Record a reply; return it with its age and the end of an outage.
+
+        The reply shows the state at some time after the call was sent. That
+        a watch ends without a change proves nothing more: the store may hold
+        back changes while it drops history.
+
+        :param called_s: when the call, or that for the first page, was sent.
+        """
         self._last_substitute = ''
-        return attrs.evolve(stored, returned=self._contact.record_reply())
+        return attrs.evolve(
+            stored, returned=self._contact.record_reply(), as_of_s=called_s
+        )
+
+    def _follower_wait_s(self) -> float:
+        if self._freshness is None:
+            return self._times.follower_wait_s
+        return min(
+            self._times.follower_wait_s, self._freshness.longest_watch_s
+        )
+
+    def _suffices(self, stored: registrations.StoredEntries) -> bool:
+        """Whether a reader's reply is recent enough to rely on the reader."""
+        return self._freshness is None or self._freshness.relay_suffices(
+            stored.as_of_s
+        )
 
     def _read_from_hosts(
         self, store_error: errors.CorianderportError
--- a/packages/tier/src/corianderport_tier/version/registrations.py
+++ b/packages/tier/src/corianderport_tier/version/registrations.py
@@ -150,7 +150,8 @@
 
     key: str
     revision: Revision
-    content: bytes | None
+    # May hold keys of workspaces.
+    content: bytes | None = attrs.field(repr=False)
 
     @property
     def size_bytes(self) -> int:
@@ -163,12 +164,14 @@
     """Stored entries and the revision from which a watch continues.
 
     ``returned`` is True in the first reply of the store after an outage, not
-    after the loss of a connection to it.
+    after the loss of a connection to it. ``as_of_s`` is a time of this host's
+    ``Clock.boottime`` at which no later changes existed; None if unknown.
     """
 
     entries: collections.abc.Sequence[StoredEntry]
     revision: Revision
     returned: bool = False
+    as_of_s: float | None = None
 
     @property
     def size_bytes(self) -> int:
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -84,7 +84,8 @@
     ) -> registrations.StoredEntries:
         """Wait for registry changes that the peer has read."""
         fields = registry_codec.request_to_thrift(after, wait_s)
-        return registry_codec.entries_from_thrift(
+        timer = registry_codec.CallTimer(self._clock)
+        return timer.entries_from_thrift(
             self._call(self._client.news, fields, timeout_s)
         )
 
@@ -92,7 +93,8 @@
         self, timeout_s: float
     ) -> registrations.StoredEntries:
         """Return all registry entries that the peer knows."""
-        return registry_codec.entries_from_thrift(
+        timer = registry_codec.CallTimer(self._clock)
+        return timer.entries_from_thrift(
             self._call(lambda _: self._client.entries(), None, timeout_s)
         )
 
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -97,20 +97,22 @@
             raise _refused(error) from error
 
     def news(self, request: typing.Any) -> typing.Any:
+        timer = registry_codec.CallTimer(self._clock)
         try:
             stored = self._service.registry_changes(
                 request.after, request.wait_ms / 1e3
             )
         except errors.CorianderportError as error:
             raise _refused(error) from error
-        return registry_codec.entries_to_thrift(stored)
+        return timer.entries_to_thrift(stored)
 
     def entries(self) -> typing.Any:
+        timer = registry_codec.CallTimer(self._clock)
         try:
             stored = self._service.registry_entries()
         except errors.CorianderportError as error:
             raise _refused(error) from error
-        return registry_codec.entries_to_thrift(stored)
+        return timer.entries_to_thrift(stored)
 
     def configuration(self, known_version: int) -> typing.Any:
         try:
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -68,6 +68,10 @@
     1: list<StoredEntry> entries
     2: i64 revision
     3: optional bool returned
+    // Milliseconds since the entries were certainly current, and for which the
+    // call was held until this reply. Absent if the age is unknown.
+    4: optional double age_ms
+    5: optional double held_ms
 }
 
 struct NewsRequest {
--- a/tests/daemon/test_registry_connection.py
+++ b/tests/daemon/test_registry_connection.py
@@ -88,6 +88,25 @@
     assert connection.registry_entries(reader.member, _LONG_S) == stored
 
 
+def test_age_of_the_entries_is_carried_over_the_connection(
+    reader: _Reader, connection: registry_connection.RegistryConnection
+) -> None:
+    """Guards against a server or client that leaves the age out.
+
+    The call waits for 0.2 s, during which the knowledge gets older.
+    """
+    current_s = _CLOCK.boottime() - 0.3
+    reader.relay.reset(7, current_s)
+    reader.relay.snapshot.replace(
+        registrations.StoredEntries([_CHANGE], 8, as_of_s=current_s)
+    )
+    changes = connection.registry_changes(reader.member, 7, 0.2, _LONG_S)
+    stored = connection.registry_entries(reader.member, _LONG_S)
+    for as_of_s in (changes.as_of_s, stored.as_of_s):
+        assert as_of_s is not None
+        assert current_s - _LONG_S < as_of_s <= current_s
+
+
 def test_errors_keep_their_class_and_the_connection(
     reader: _Reader, connection: registry_connection.RegistryConnection
 ) -> None:
--- a/tests/tier/test_registry_reader.py
+++ b/tests/tier/test_registry_reader.py
@@ -9,7 +9,9 @@
 
 from corianderport_testkit import clock as clock_module
 from corianderport_tier import errors
+from corianderport_tier.process import decision_log
 from corianderport_tier.process import registry_reader
+from corianderport_tier.process import store_freshness
 from corianderport_tier.version import registrations
 
 from . import entries
@@ -77,7 +79,9 @@
 
 
 def _reader(
-    registry: _Registry, directory: _Directory
+    registry: _Registry,
+    directory: _Directory,
+    freshness: store_freshness.StoreFreshness | None = None,
 ) -> registry_reader.RegistryReader:
     return registry_reader.RegistryReader(
         'op/',
@@ -87,6 +91,7 @@
         _ImmediateClock(),
         registry_reader.ReaderTimes(),
         random.Random(1),
+        freshness,
     )
 
 
@@ -229,3 +234,59 @@
         gaps.append(clock.monotonic() - before_s)
     assert max(gaps) <= 0.5
     assert gaps[0] <= 0.1
+
+
+def _freshness(
+    clock: clock_module.ManualClock,
+) -> store_freshness.StoreFreshness:
+    return store_freshness.StoreFreshness(
+        clock, decision_log.DecisionLog(), lambda: True, 5.0
+    )
+
+
+def test_age_is_recorded_after_the_entries_are_applied() -> None:
+    """Guards against an age that is renewed before the keys are.
+
+    A request that arrives in between would be served with the old keys.
+    """
+    clock = clock_module.ManualClock()
+    freshness = _freshness(clock)
+    ages_s: list[float] = []
+
+    class _RecordingDirectory(_Directory):
+        def replace(self, *arguments: typing.Any) -> None:
+            ages_s.append(freshness.age_s)
+
+        def apply(self, *arguments: typing.Any) -> None:
+            ages_s.append(freshness.age_s)
+
+    now_s = clock.boottime()
+    registry = _Registry(
+        attrs.evolve(_EMPTY, as_of_s=now_s - 3.0),
+        registrations.StoredEntries((_stored(4, 's1'),), 4, as_of_s=now_s),
+        attrs.evolve(_EMPTY, as_of_s=now_s + 1.0),
+    )
+    reader = _reader(registry, _RecordingDirectory(), freshness)
+    reader.step()
+    assert freshness.age_s == 3.0
+    reader.step()
+    assert freshness.age_s == 0.0
+    assert ages_s == [float('inf'), 3.0]
+    # A reply without changes renews the age too.
+    reader.step()
+    assert freshness.age_s == -1.0
+
+
+def test_watch_is_short_enough_for_the_age(directory: _Directory) -> None:
+    """Guards against keys refused between two long watches.
+
+    Without strict mode the watch is as long as before.
+    """
+    registry = _Registry(*[_EMPTY] * 4)
+    freshness = _freshness(clock_module.ManualClock())
+    reader = _reader(registry, directory, freshness)
+    reader.step()
+    reader.step()
+    freshness.set_revoke_s(None)
+    reader.step()
+    assert [wait_s for _, wait_s in registry.calls] == [0.0, 1.5, 4.0]
--- a/tests/wire/test_peer_versions.py
+++ b/tests/wire/test_peer_versions.py
@@ -11,6 +11,7 @@
 import thriftpy2.protocol
 import thriftpy2.transport
 
+from corianderport_testkit import clock as clock_module
 from corianderport_tier import errors
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
@@ -154,3 +155,97 @@
         peer_codec.PEER.StoredEntries(),
     )
     assert registry_codec.entries_from_thrift(read) == stored
+
+
+class _TwoHosts:
+    """The clocks of two hosts, which started at different times."""
+
+    def __init__(self) -> None:
+        self.caller = clock_module.ManualClock(50.0)
+        self.peer = clock_module.ManualClock(9_000.0)
+
+    def pass_time(self, seconds: float) -> None:
+        self.caller.advance(seconds)
+        self.peer.advance(seconds)
+
+
+def _relayed(
+    stored: registrations.StoredEntries, hosts: _TwoHosts, held_s: float
+) -> registrations.StoredEntries:
+    """Send a reply from one host to another; each way takes 0.1 s."""
+    caller = registry_codec.CallTimer(hosts.caller)
+    hosts.pass_time(0.1)
+    peer = registry_codec.CallTimer(hosts.peer)
+    hosts.pass_time(held_s)
+    fields = peer.entries_to_thrift(stored)
+    hosts.pass_time(0.1)
+    read = _transfer(fields, peer_codec.PEER.StoredEntries())
+    return caller.entries_from_thrift(read)
+
+
+def test_age_of_relayed_entries_counts_from_the_sending_of_the_call() -> None:
+    """Guards against relayed changes that look newer than they are.
+
+    The reader's knowledge dates from a time during the call, and the clocks
+    of the hosts have nothing in common.
+    """
+    hosts = _TwoHosts()
+    sent_s = hosts.caller.boottime()
+    current_s = hosts.peer.boottime() + 0.5
+    stored = registrations.StoredEntries([], 6, as_of_s=current_s)
+    read = _relayed(stored, hosts, held_s=1.0)
+    # Current 0.5 s after the sending, but the way to the peer is unknown.
+    assert read.as_of_s == pytest.approx(sent_s + 0.4)
+
+
+def test_suspension_of_the_reader_makes_its_reply_older() -> None:
+    """Guards against a reader that resumes with what it knew before."""
+    hosts = _TwoHosts()
+    stored = registrations.StoredEntries([], 6, as_of_s=hosts.peer.boottime())
+    hosts.peer.suspend(60.0)
+    sent_s = hosts.caller.boottime()
+    read = _relayed(stored, hosts, held_s=1.0)
+    assert read.as_of_s is not None
+    assert read.as_of_s <= sent_s - 59.0
+
+
+def test_reply_of_an_earlier_version_proves_no_age() -> None:
+    """Guards against a follower that trusts a host without ages."""
+    hosts = _TwoHosts()
+    stored = registrations.StoredEntries([], 6)
+    assert _relayed(stored, hosts, held_s=1.0).as_of_s is None
+
+
+@pytest.mark.parametrize(
+    'age_ms, held_ms',
+    [
+        (None, 5.0),
+        (5.0, None),
+        (-1.0, 5.0),
+        (5.0, -1.0),
+        (float('nan'), 5.0),
+        (5.0, float('inf')),
+    ],
+)
+def test_age_out_of_range_proves_nothing(
+    age_ms: float | None, held_ms: float | None
+) -> None:
+    """Guards against knowledge from the future."""
+    timer = registry_codec.CallTimer(clock_module.ManualClock())
+    fields = registry_codec.entries_to_thrift(
+        registrations.StoredEntries([], 6)
+    )
+    fields.age_ms, fields.held_ms = age_ms, held_ms
+    assert timer.entries_from_thrift(fields).as_of_s is None
+
+
+def test_call_held_for_longer_than_it_took_is_no_newer() -> None:
+    """Guards against a peer whose clock runs ahead."""
+    clock = clock_module.ManualClock()
+    timer = registry_codec.CallTimer(clock)
+    clock.advance(1.0)
+    fields = registry_codec.entries_to_thrift(
+        registrations.StoredEntries([], 6)
+    )
+    fields.age_ms, fields.held_ms = 0.0, 60_000.0
+    assert timer.entries_from_thrift(fields).as_of_s == clock.boottime()
