Promise no "not run" after a send that may have run

An idempotent request whose first send broke and whose later searchers all refused was answered with 503, which guarantees that it did not run. The code of the last refusal replaced that of the possible run. A part of which a send may have run now fails with an unknown outcome.

--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -373,6 +373,9 @@
                 code, reason, self.service.retry_delay_s()
             )
         else:
+            if code.ran is result_codes.Ran.NO:
+                # Another send of the request may have run.
+                code = Code.OUTCOME_UNKNOWN
             self.failure = forward_messages.Failure(code, reason)
             self.reply = self._failed_reply
 
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -147,7 +147,19 @@
         path: str = '/find/x',
         waited_s: float = 0.0,
     ) -> None:
-        request = forward_messages.ForwardRequest(
+        request = self.request(path, deadline_s, waited_s)
+
+        def run() -> None:
+            self.answer = self.forwarder.answer(request, self.caller)
+
+        self._thread = threading.Thread(target=run, daemon=True)
+        self._thread.start()
+
+    def request(
+        self, path: str, deadline_s: float, waited_s: float
+    ) -> forward_messages.ForwardRequest:
+        """Return the request that ``start`` starts."""
+        return forward_messages.ForwardRequest(
             'q1',
             'a.example',
             path,
@@ -156,12 +168,6 @@
             self.clock.monotonic() - waited_s,
         )
 
-        def run() -> None:
-            self.answer = self.forwarder.answer(request, self.caller)
-
-        self._thread = threading.Thread(target=run, daemon=True)
-        self._thread.start()
-
     def take(self) -> forward_send.SendAttempt:
         """Return the next send attempt."""
         return self.sends.get(timeout=_WAIT_S)
@@ -248,6 +254,28 @@
     assert isinstance(answer, forward_messages.Relayed)
 
 
+def test_possible_run_is_not_denied_by_later_refusals() -> None:
+    """Guards against 503 after a send that may have run.
+
+    The last searcher says that it did not run the request, which says
+    nothing about the first one.
+    """
+    host = _Host(entries.route(), replicas=2)
+    host.start()
+    host.end(host.take(), errors.ConnectionBroken('reset'))
+    assert host._thread is not None
+    while host._thread.is_alive():
+        try:
+            send = host.sends.get(timeout=0.1)
+        except queue.Empty:
+            continue
+        host.end(send, _reply(503, ran=False))
+    answer = host.finish()
+    assert isinstance(answer, Failure)
+    assert answer.code is Code.OUTCOME_UNKNOWN
+    assert answer.retry_after_s is None
+
+
 def _paused(pause_s: float) -> Reply:
     return attrs.evolve(_reply(503, ran=False), pause_s=pause_s)
 
