Authorize requests with the keys of workspaces

A deployment with tenants must serve only requests with a known key, and none whose key was taken away. The key is decoded from Authorization and replaced by X-Tenant towards searchers; 401 answers a missing or unknown key. The check is repeated at the moment of each send, so that a retry, a hedge, a part of a gather or a send that waited is not made after the key was taken away or when the knowledge is too old. If nothing was sent, the caller gets 401 or 503. In strict mode, a host with too old knowledge refuses keys, is not ready and says so in its log and metrics; public routes are still served. No repr of a request holds its headers, which may hold a key. Without tenants, headers, ages and readiness are as before.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -31,6 +31,7 @@
 from corianderport_tier.process import registry_relay
 from corianderport_tier.process import registry_source
 from corianderport_tier.process import service_searchers
+from corianderport_tier.process import store_freshness
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forwarding
@@ -138,6 +139,12 @@
         self._directory = directory.Directory(
             self._open_service, clock, self._log
         )
+        self._freshness = store_freshness.StoreFreshness(
+            clock,
+            self._log,
+            lambda: self._directory.workspaces is not None,
+            settings.revoke_s,
+        )
         self._drain = drain.Drain(clock)
         self._forwarder = forwarding.Forwarder(
             self._directory,
@@ -146,6 +153,7 @@
             self._rng,
             self._metrics,
             self._drain,
+            self._freshness,
         )
         self._watcher = disconnect_watcher.DisconnectWatcher()
         self._caller_listener = self._listener(
@@ -174,12 +182,14 @@
                 self._fleet.own,
                 lambda: self._fleet.view,
                 clock,
+                freshness=self._freshness,
             ),
             adapter.decode,
             self._directory,
             clock,
             registry_reader.ReaderTimes(watch_s=settings.watch_s),
             self._rng,
+            self._freshness,
         )
 
     @classmethod
@@ -232,6 +242,7 @@
         return (
             self._directory.complete
             and self._fleet.joined
+            and not self._freshness.refuses_keys
             and not self._stopping
         )
 
@@ -272,6 +283,7 @@
         ]
         _LOG.info('settings read anew, changed: %s', changed or 'nothing')
         self._fleet_share.set_bounds(settings.fleet)
+        self._freshness.set_revoke_s(settings.revoke_s)
         self._settings = settings
         self._directory.refresh()
 
@@ -354,7 +366,7 @@
         return caller_listener.HttpResponse(
             200,
             ((b'content-type', content_type),),
-            metrics_text.render(self._metrics.totals()),
+            metrics_text.render(self._metrics.totals(), self._freshness.age_s),
         )
 
     def _open_service(self, name: str) -> service_searchers.ServiceSearchers:
@@ -379,8 +391,9 @@
         )
 
     def _expire_and_reload(self) -> None:
-        """Expire directory entries and reload changed settings."""
+        """Expire what is due and reload changed settings."""
         self._directory.expire()
+        self._freshness.observe()
         if self._adapter.settings_fingerprint() != self._settings_fingerprint:
             self.reload()
 
--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -20,7 +20,9 @@
     ``regions`` maps data centres to regions. ``grace_s`` is the time between
     the request to stop and the kill of the process. ``seeds`` are peer
     addresses of other hosts, which may be down. ``link_bytes_s`` is the
-    capacity of this host's link in bytes per second.
+    capacity of this host's link in bytes per second. ``revoke_s`` is the time
+    within which a key that was taken away must stop working, in seconds; None
+    if the age of what is known is not checked.
     """
 
     host: str
@@ -38,3 +40,4 @@
     fleet: fleet_share.FleetBounds
     link_bytes_s: float = registry_relay.DEFAULT_LINK_BYTES_S
     log_level: str = 'INFO'
+    revoke_s: float | None = None
--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -19,6 +19,7 @@
     'CorianderportError',
     'DeadlinePast',
     'HistoryGone',
+    'KeyUnconfirmed',
     'MalformedRequest',
     'NoUpstream',
     'NotOwner',
@@ -84,6 +85,10 @@
     code = result_codes.ResultCode.NOT_READY
 
 
+class KeyUnconfirmed(NotReady):
+    """The host cannot confirm the key of a request at present."""
+
+
 class Overloaded(Refusal):
     """The request cannot finish in time under the current load."""
 
@@ -133,7 +138,7 @@
 
 
 class Unauthenticated(Refusal):
-    """The peer failed to prove possession of the shared key."""
+    """A host has no shared key, or a request no key of a workspace."""
 
     code = result_codes.ResultCode.UNAUTHENTICATED
 
--- a/packages/tier/src/corianderport_tier/process/directory.py
+++ b/packages/tier/src/corianderport_tier/process/directory.py
@@ -17,6 +17,7 @@
 from corianderport_tier.process import service_searchers
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
+from corianderport_tier.version import workspaces as workspaces_module
 
 __all__ = ['Directory', 'ServiceFactory']
 
@@ -65,6 +66,7 @@
         # time at which it is activated without them.
         self._next_routing: routes.RoutingVersion | None = None
         self._next_routing_due_s = 0.0
+        self._workspaces: workspaces_module.Workspaces | None = None
         self._out_of_service: frozenset[str] = frozenset()
         self._searcher_seen = False
 
@@ -73,6 +75,15 @@
         """The routing in force, None before one has been read."""
         return self._routing
 
+    @property
+    def workspaces(self) -> workspaces_module.Workspaces | None:
+        """The workspaces of the newest version known.
+
+        They apply at once, also while the version waits for searchers. None
+        if requests need no key.
+        """
+        return self._workspaces
+
     @property
     def complete(self) -> bool:
         """Whether routing and searchers have been read."""
@@ -234,6 +245,9 @@
                 self._clock.monotonic() + _SEARCHER_WAIT_S
             )
         self._next_routing = routing
+        # Set before the routing, so that no request is served by a version
+        # without its keys.
+        self._workspaces = routing.workspaces
         missing = self._services_without_searchers(routing)
         if self._routing is None or not missing:
             self._activate_next_routing('newer')
--- a/packages/tier/src/corianderport_tier/request/forward_messages.py
+++ b/packages/tier/src/corianderport_tier/request/forward_messages.py
@@ -9,6 +9,7 @@
 from corianderport_tier import result_codes
 
 __all__ = [
+    'CallerIdentity',
     'Failure',
     'ForwardAnswer',
     'ForwardRequest',
@@ -36,16 +37,28 @@
 
     method: bytes
     target: bytes
-    headers: Headers
+    # May hold a key.
+    headers: Headers = attrs.field(repr=False)
     body: bytes
 
 
+@attrs.frozen
+class CallerIdentity:
+    """What a searcher learns of a caller in place of its key.
+
+    ``workspace`` is None if the request is served without a key.
+    """
+
+    workspace: str | None
+
+
 @attrs.frozen
 class ForwardRequest:
     """A caller's request for one route.
 
     ``received_s`` is the time at which its first bytes were read, in seconds
-    of the host's monotonic clock.
+    of the host's monotonic clock. ``credential`` is the key of the request,
+    None without a valid one.
     """
 
     request_id: str
@@ -54,16 +67,22 @@
     payload: Payload
     deadline: deadlines.Deadline
     received_s: float
+    credential: str | None = attrs.field(default=None, repr=False)
 
 
 @attrs.frozen
 class SearcherCall:
-    """One request to one searcher."""
+    """One request to one searcher.
+
+    ``identity`` replaces the caller's own headers about its identity; if it
+    is None, they are forwarded unchanged.
+    """
 
     request_id: str
     searcher: str
     payload: Payload
     deadline: deadlines.Deadline
+    identity: CallerIdentity | None = None
 
 
 @attrs.frozen
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -13,6 +13,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import drain
 from corianderport_tier.process import service_searchers
+from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import forward_messages
 
 __all__ = [
@@ -35,6 +36,7 @@
     """The part of a request that a send attempt belongs to."""
 
     service: service_searchers.ServiceSearchers
+    authorization: authorization_module.Authorization
 
     def post_result(self, send: 'SendAttempt', reply: object) -> None:
         """Post the result of a send attempt.
@@ -140,12 +142,15 @@
         """Send the request and return the searcher's response.
 
         :raises Refusal: the searcher may no longer be sent to, the deadline
-            is too close or the attempt was cancelled; nothing was sent.
+            is too close, the request is no longer authorized or the attempt
+            was cancelled; nothing was sent.
         """
         if not self.part.service.may_send(self.choice.state):
             raise errors.NoUpstream('the searcher is no longer available')
         if self._call.deadline.remaining(self._clock) < _MIN_REMAINING_S:
             raise errors.DeadlinePast('no time is left to send the request')
+        # The attempt may have waited for a connection since it began.
+        self.part.authorization.check()
         with self._lock:
             if self._cancelled:
                 raise errors.DeadlinePast('the request has ended')
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -12,13 +12,16 @@
 import attrs
 
 from corianderport_tier import clocks
+from corianderport_tier import errors
 from corianderport_tier.process import answer_delay
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
 from corianderport_tier.process import drain
 from corianderport_tier.process import metrics
 from corianderport_tier.process import route_latency
+from corianderport_tier.process import store_freshness
 from corianderport_tier.request import answer_summaries
+from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
@@ -47,6 +50,8 @@
 _NO_ROUTE = 'none'
 
 Code = result_codes.ResultCode
+# Codes of parts whose sends the authorization of the request refused.
+_KEY_CODES = frozenset({Code.NOT_READY, Code.UNAUTHENTICATED})
 Part = part_module.Part
 PartState = part_module.PartState
 Failure = forward_messages.Failure
@@ -77,8 +82,14 @@
         rng: random.Random,
         counts: metrics.Metrics | None = None,
         host_drain: drain.Drain | None = None,
+        freshness: store_freshness.StoreFreshness | None = None,
     ) -> None:
         self._metrics = counts or metrics.Metrics()
+        self._authorizer = authorization_module.Authorizer(
+            searcher_directory,
+            freshness
+            or store_freshness.StoreFreshness(clock, log, lambda: False),
+        )
         self.drain = host_drain or drain.Drain(clock)
         self.directory = searcher_directory
         self.clock = clock
@@ -123,7 +134,11 @@
             return self._refuse(
                 request, Code.NOT_READY, 'the host is shutting down'
             )
-        task = ForwardTask(self, request, route)
+        try:
+            authorization = self._authorizer.admit(route, request.credential)
+        except (errors.Unauthenticated, errors.KeyUnconfirmed) as error:
+            return self._refuse(request, error.code, str(error), route.name)
+        task = ForwardTask(self, request, route, authorization)
         answer = task.run(caller)
         if task.answered_at_goal:
             caller.call_when_sent(
@@ -138,9 +153,15 @@
         request: forward_messages.ForwardRequest,
         code: Code,
         detail: str,
+        route_name: str = _NO_ROUTE,
     ) -> Failure:
-        failure = Failure(code, detail, _MIN_RETRY_AFTER_S)
-        self._metrics.finished(_NO_ROUTE, code, 0.0)
+        # A request without a valid key is not to be repeated.
+        failure = Failure(
+            code,
+            detail,
+            None if code is Code.UNAUTHENTICATED else _MIN_RETRY_AFTER_S,
+        )
+        self._metrics.finished(route_name, code, 0.0)
         self.log.record(
             decision_log.Decision(
                 'answer', request.request_id, code.name, detail
@@ -183,10 +204,12 @@
         forwarder: Forwarder,
         request: forward_messages.ForwardRequest,
         route: routes.Route,
+        authorization: authorization_module.Authorization,
     ) -> None:
         self._forwarder = forwarder
         self._clock = forwarder.clock
         self._route = route
+        self._authorization = authorization
         deadline = request.deadline.within(self._clock, route.timeout_s * 1e3)
         self._request = attrs.evolve(request, deadline=deadline)
         self._answer_by = deadline.earlier(_ANSWER_MARGIN_S)
@@ -237,13 +260,18 @@
             for p in self._parts
             if p.state is not PartState.ANSWERED
         )
-        return {
+        summary: dict[str, object] = {
             'route': self._route.name,
             'parts': len(self._parts),
             'not_answered': dict(reasons),
             'sent_ms': self._spread_ms(p.sent_s for p in self._parts),
             'arrived_ms': self._spread_ms(p.answered_s for p in self._parts),
         }
+        workspace = self._authorization.workspace
+        if workspace is not None:
+            summary['workspace'] = workspace.name
+            summary['rank'] = self._authorization.rank(self._route)
+        return summary
 
     def _spread_ms(
         self, times_s: collections.abc.Iterable[float]
@@ -284,6 +312,7 @@
                     self._clock,
                     self._forwarder.log,
                     deadlines.Deadline(self.goal_s),
+                    self._authorization,
                 )
             )
 
@@ -442,6 +471,9 @@
         detail = f'only {progress.answered} of {progress.total} parts answered'
         if self._cancel_sends():
             return Failure(Code.COVERAGE_NOT_MET, detail)
+        for part in self._parts:
+            if part.failure is not None and part.failure.code in _KEY_CODES:
+                return self._failure(part.failure)
         return self._refusal(Code.NO_UPSTREAM, detail)
 
     def _deadline_failure(self) -> Failure:
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -13,6 +13,7 @@
 from corianderport_tier.process import route_latency
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import service_searchers
+from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
@@ -38,6 +39,15 @@
 _MIN_HEDGE_DELAY_RATIO = 1.3
 
 Code = result_codes.ResultCode
+# Codes of a part that no searcher ran; any other one becomes NO_UPSTREAM.
+_NOT_RUN_CODES = frozenset(
+    {
+        Code.NOT_READY,
+        Code.OVERLOADED,
+        Code.UNAUTHENTICATED,
+        Code.UPSTREAM_REFUSED,
+    }
+)
 
 
 class PartState(enum.Enum):
@@ -69,8 +79,10 @@
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
         goal: deadlines.Deadline,
+        authorization: authorization_module.Authorization,
     ) -> None:
         self.service = service
+        self.authorization = authorization
         self.state = PartState.PENDING
         self.reply: forward_messages.SearcherReply | None = None
         # When the request was first sent, and when the reply of an answered
@@ -241,6 +253,12 @@
         self._retry_or_fail(send, Code.UPSTREAM_FAILED, reason)
 
     def _on_error(self, send: forward_send.SendAttempt, error: object) -> None:
+        if isinstance(error, errors.Unauthenticated | errors.KeyUnconfirmed):
+            # No other searcher may be sent to either.
+            self._log_decision('send-refused', send.searcher, str(error))
+            if not self._sends:
+                self._fail(error.code, str(error))
+            return
         not_sent = not send.sent or isinstance(
             error, errors.ConnectFailed | errors.ConnectionStale
         )
@@ -298,6 +316,7 @@
             choice.state.name,
             self._request.payload,
             self._request.deadline,
+            self.authorization.identity,
         )
         send = forward_send.SendAttempt(self, choice, call, self._clock)
         if self._tried:
@@ -367,10 +386,14 @@
         self.state = PartState.FAILED
         if self._possible_runs == 0:
             # The request did not run, whatever the last error was.
-            if code not in (Code.UPSTREAM_REFUSED, Code.OVERLOADED):
+            if code not in _NOT_RUN_CODES:
                 code = Code.NO_UPSTREAM
             self.failure = forward_messages.Failure(
-                code, reason, self.service.retry_delay_s()
+                code,
+                reason,
+                None
+                if code is Code.UNAUTHENTICATED
+                else self.service.retry_delay_s(),
             )
         else:
             if code.ran is result_codes.Ran.NO:
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -50,7 +50,8 @@
 
     method: bytes
     target: bytes
-    headers: Headers
+    # May hold a key.
+    headers: Headers = attrs.field(repr=False)
     body: bytes
 
 
--- a/packages/wire/src/corianderport_wire/process/metrics_text.py
+++ b/packages/wire/src/corianderport_wire/process/metrics_text.py
@@ -19,13 +19,24 @@
 Counter = aioprometheus.collectors.Counter
 
 
-def render(totals: metrics.Totals) -> bytes:
-    """Return the response body of one scrape."""
+def render(totals: metrics.Totals, store_age_s: float = math.inf) -> bytes:
+    """Return the response body of one scrape.
+
+    :param store_age_s: age of what the host knows of the store, in seconds;
+        infinite if it is unknown.
+    """
     registry = Registry()
     _add_results(registry, totals)
     _add_refusals(registry, totals)
     _add_decisions(registry, totals)
     _add_latencies(registry, totals)
+    if store_age_s < math.inf:
+        gauge = aioprometheus.collectors.Gauge(
+            'corianderport_store_age_seconds',
+            'Time since what is known of the store was certainly current.',
+            registry=registry,
+        )
+        gauge.set({}, store_age_s)
     formatter = aioprometheus.formats.text.TextFormatter()
     return formatter.marshall(registry)
 
--- a/tests/adapter/test_codecs.py
+++ b/tests/adapter/test_codecs.py
@@ -255,3 +255,124 @@
     )
     request = caller_codec.request_from_http(received)
     assert request.deadline > deadlines.Deadline.after(clock, 1.0)
+
+
+_KEY = b'rvnz-secret'
+_BEARER = (b'authorization', b'Bearer ' + _KEY)
+
+
+@pytest.mark.parametrize(
+    'value', [b'Bearer k1', b'bearer k1', b'BEARER  k1', b' Bearer k1 ']
+)
+def test_bearer_key_is_decoded(value: bytes) -> None:
+    """Guards against 401 because of spaces or the case of the scheme."""
+    received = _received((b'authorization', value))
+    assert caller_codec.request_from_http(received).credential == 'k1'
+
+
+@pytest.mark.parametrize(
+    'values',
+    [
+        [],
+        [b''],
+        [b'k1'],
+        [b'Bearer'],
+        [b'Bearer '],
+        [b'Bearer k1 k2'],
+        [b'Basic k1'],
+        [b'Bearerk1'],
+        [b'Bearer k\xe9'],
+        [b'Bearer k1', b'Bearer k1'],
+        [b'Bearer k1', b'Bearer k2'],
+    ],
+)
+def test_malformed_key_is_none(values: list[bytes]) -> None:
+    """Guards against a key that is taken from a malformed header."""
+    received = _received(*((b'authorization', v) for v in values))
+    assert caller_codec.request_from_http(received).credential is None
+
+
+def test_no_repr_of_a_request_holds_the_key() -> None:
+    """Guards against keys in log lines and errors that print a request."""
+    received = _received(_BEARER)
+    request = caller_codec.request_from_http(received)
+    call = forward_messages.SearcherCall(
+        'q1', 'i-7', request.payload, request.deadline
+    )
+    for value in (received, request, request.payload, call):
+        assert _KEY.decode() not in repr(value)
+
+
+def _sent_headers(
+    clock: clock_module.ManualClock,
+    identity: forward_messages.CallerIdentity | None,
+    *extra: tuple[bytes, bytes],
+) -> forward_messages.Headers:
+    request = caller_codec.request_from_http(
+        _received(*extra, received_s=clock.monotonic())
+    )
+    call = forward_messages.SearcherCall(
+        'q1', 'i-7', request.payload, request.deadline, identity
+    )
+    return searcher_codec._request(call, clock).headers
+
+
+_CALLERS_IDENTITY = (
+    _BEARER,
+    (b'x-tenant', b'evil'),
+    (b'x-tenant', b'evil-2'),
+)
+
+
+def test_headers_without_tenants_are_forwarded_as_before() -> None:
+    """Guards against a change for deployments without tenants.
+
+    Their searchers may use these headers in their own way.
+    """
+    clock = clock_module.ManualClock(0.0)
+    assert _sent_headers(clock, None, *_CALLERS_IDENTITY) == (
+        (b'host', b'A.example'),
+        (b'x-request-id', b'q1'),
+        (b'accept', b'*/*'),
+        *_CALLERS_IDENTITY,
+        (b'x-deadline-ms', b'300'),
+        (b'x-target-instance', b'i-7'),
+        (b'content-length', b'4'),
+    )
+
+
+def test_searcher_receives_the_workspace_in_place_of_the_key(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against a key that leaves the host.
+
+    Also guards against a caller that names another workspace itself.
+    """
+    sent = _sent_headers(
+        clock, forward_messages.CallerIdentity('kami770'), *_CALLERS_IDENTITY
+    )
+    assert [v for n, v in sent if n == b'x-tenant'] == [b'kami770']
+    assert b'authorization' not in dict(sent)
+    assert _KEY not in b' '.join(v for _, v in sent)
+
+
+def test_request_without_a_key_has_no_workspace(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against a workspace that a caller of a public route claims."""
+    sent = _sent_headers(
+        clock, forward_messages.CallerIdentity(None), *_CALLERS_IDENTITY
+    )
+    assert not {b'x-tenant', b'authorization'} & dict(sent).keys()
+
+
+def test_unauthenticated_is_answered_with_401() -> None:
+    """Guards against a status after which callers repeat the request."""
+    response = caller_codec.answer_to_http(
+        forward_messages.Failure(Code.UNAUTHENTICATED, 'no key'), b'q1'
+    )
+    assert response.status == 401
+    assert dict(response.headers) == {
+        b'x-request-id': b'q1',
+        b'www-authenticate': b'Bearer',
+    }
--- a/tests/adapter/test_entry_process.py
+++ b/tests/adapter/test_entry_process.py
@@ -440,3 +440,120 @@
     )
     assert ended.returncode == 2
     assert 'node: missing' in ended.stdout
+
+
+_TENANTS = [
+    {'name': 'alpha', 'api_keys': ['secret-a1', 'secret-a2'], 'priority': 0},
+    {'name': 'beta', 'api_keys': ['secret-b1']},
+]
+
+
+def _strict(host: _Host) -> None:
+    """Enable strict mode; the host reads the file by itself.
+
+    Knowledge is too old after 2.5 s.
+    """
+    text = host.path.read_text().replace(
+        '[bounds]', '[bounds]\nstrict_revoke = true\nrevoke_ms = 3000'
+    )
+    host.path.write_text(text)
+    host.wait_until(lambda: host.reloads() == 1)
+
+
+def _config(version: int, tenants: object) -> dict[str, typing.Any]:
+    gathered, single = test_documents.ROUTING['routes']
+    return {
+        **test_documents.ROUTING,
+        'version': version,
+        'tenants': tenants,
+        'routes': [{**gathered, 'public': True}, single],
+    }
+
+
+def _status_with_key(
+    host: _Host, key: str | None, path: str = '/one/x', method: str = 'POST'
+) -> int:
+    client = host.client()
+    fields = {'Host': 'a.example', 'X-Request-Id': 'q', 'X-Tenant': 'evil'}
+    if key is not None:
+        fields['Authorization'] = f'Bearer {key}'
+    client.request(method, path, headers=fields)
+    response = client.getresponse()
+    response.read()
+    if response.status == 503:
+        assert float(response.getheader('retry-after') or '0') > 0
+    client.close()
+    return response.status
+
+
+def test_keys_of_workspaces(tmp_path: pathlib.Path) -> None:
+    """Guards against components of authorization that are wired wrongly.
+
+    Keys are demanded, taken away and confirmed by a running store; the key
+    reaches neither a searcher nor the log nor the metrics.
+    """
+    with contextlib.ExitStack() as stack:
+        store = fakes.Store()
+        stack.callback(store.close)
+        searchers = []
+        for service in ('stock-1', 'stock-2', 'desk', 'desk-2'):
+            searcher = fakes.Searcher(f'i-{service}', _RECORD)
+            stack.callback(searcher.close)
+            _register(store, searcher, service)
+            searchers.append(searcher)
+        host = _Host(tmp_path / 'boot.toml', store.address)
+        stack.callback(host.close)
+        host.wait_until(lambda: any('started' in line for line in host.lines))
+        # Without a configuration, no key is judged.
+        assert _status_with_key(host, None) == 503
+        _strict(host)
+        store.put('op/config', _config(8, _TENANTS))
+        host.wait_until(host.is_ready)
+
+        assert _status_with_key(host, 'secret-a2') == 200
+        assert _status_with_key(host, 'unknown') == 401
+        assert _status_with_key(host, None) == 401
+        assert _status_with_key(host, None, '/none/x') == 404
+        assert _status_with_key(host, None, '/all/x', 'GET') == 200
+        assert _status_with_key(host, 'secret-b1', '/all/x', 'GET') == 200
+        seen = [headers for s in searchers for headers in s.seen]
+        assert all('authorization' not in headers for headers in seen)
+        assert sorted(str(h.get('x-tenant')) for h in seen) == [
+            'None', 'None', 'alpha', 'beta', 'beta'
+        ]  # fmt: skip
+
+        store.put('op/config', _config(9, _TENANTS[1:]))
+        host.wait_until(lambda: _status_with_key(host, 'secret-a2') == 401)
+        assert _status_with_key(host, 'secret-b1') == 200
+
+        # Knowledge becomes too old without the store.
+        store.status = 503
+        host.wait_until(lambda: _status_with_key(host, 'secret-b1') == 503)
+        assert not host.is_ready()
+        assert _status_with_key(host, None) == 401
+        assert _status_with_key(host, None, '/all/x', 'GET') == 200
+        store.status = None
+        host.wait_until(host.is_ready)
+        assert _status_with_key(host, 'secret-b1') == 200
+
+        # A process that was frozen refuses until it has read the store. The
+        # key is taken away meanwhile, and the store then does not answer.
+        host.process.send_signal(signal.SIGSTOP)
+        store.put('op/config', _config(10, _TENANTS[:1]))
+        store.status = 503
+        time.sleep(3.0)
+        host.process.send_signal(signal.SIGCONT)
+        assert _status_with_key(host, 'secret-b1') == 503
+        store.status = None
+        host.wait_until(lambda: _status_with_key(host, 'secret-b1') == 401)
+        assert _status_with_key(host, 'secret-a1') == 200
+
+        text = _metrics(host)
+        assert 'corianderport_store_age_seconds' in text
+        assert 'kind="keys-refused"' in text
+        host.process.send_signal(signal.SIGTERM)
+        assert host.process.wait(_LONG_S) == 0
+        host.close()
+        kinds = [e.get('kind') for e in host.events()]
+        assert kinds.count('keys-refused') == kinds.count('keys-accepted') > 0
+        assert 'secret' not in ''.join(host.lines) + text
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -118,3 +118,43 @@
         settings.load({})
     with pytest.raises(errors.SettingInvalid):
         settings.load({settings.PATH_VARIABLE: str(tmp_path / 'none')})
+
+
+def _with_bounds(text: str) -> str:
+    return TEXT.replace('[platform]', text + '\n[platform]')
+
+
+@pytest.mark.parametrize(
+    ('text', 'revoke_s'),
+    [
+        ('', None),
+        ('strict_revoke = false', None),
+        ('revoke_ms = 6000', None),
+        ('strict_revoke = true', 5.0),
+        ('strict_revoke = true\nrevoke_ms = 6000', 6.0),
+    ],
+)
+def test_revocation_time(
+    tmp_path: pathlib.Path, text: str, revoke_s: float | None
+) -> None:
+    """Guards against strict mode that nobody asked for, or that is ignored."""
+    assert _load(tmp_path / 'x', _with_bounds(text)).revoke_s == revoke_s
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        'strict_revoke = "true"',
+        'strict_revoke = 1',
+        'strict_revoke = true\nrevoke_ms = 1999',
+        'revoke_ms = -1',
+        'revoke_ms = "soon"',
+        'revoke_ms = nan',
+    ],
+)
+def test_invalid_revocation_time_is_refused(
+    tmp_path: pathlib.Path, text: str
+) -> None:
+    """Guards against a host that refuses every key, or checks none."""
+    with pytest.raises(errors.SettingInvalid, match='bounds.*revoke'):
+        _load(tmp_path / 'x', _with_bounds(text))
