Take the most recent of equal entries from other hosts

A started host that the store refuses took the first of several hosts that know the same revision. If that one had not reached the store for long, the started host refused keys although another one was current.

--- a/packages/tier/src/corianderport_tier/process/registry_source.py
+++ b/packages/tier/src/corianderport_tier/process/registry_source.py
@@ -242,6 +242,8 @@
     ) -> registrations.StoredEntries:
         """Return the newest entries that some other hosts know.
 
+        Of equal entries, those that were certainly current last are taken.
+
         :raises CorianderportError: the error of the store; no host has any.
         """
         newest: registrations.StoredEntries | None = None
@@ -255,7 +257,7 @@
                 continue
             self._log_substitute(member, store_error)
             _log_changes(member.name, stored)
-            if newest is None or stored.revision > newest.revision:
+            if newest is None or _recency(stored) > _recency(newest):
                 newest = stored
         if newest is None:
             raise store_error
@@ -326,6 +328,11 @@
             self._last_reader = name
 
 
+def _recency(stored: registrations.StoredEntries) -> tuple[int, float]:
+    as_of_s = stored.as_of_s
+    return stored.revision, float('-inf') if as_of_s is None else as_of_s
+
+
 def _log_changes(source: str, stored: registrations.StoredEntries) -> None:
     if stored.entries:
         _LOG.info(
--- a/tests/tier/test_store_age.py
+++ b/tests/tier/test_store_age.py
@@ -347,6 +347,23 @@
     assert host.freshness.refuses_keys
 
 
+def test_started_host_takes_the_most_recent_of_equal_entries() -> None:
+    """Guards against a host that refuses although another one is current.
+
+    One of the others has not reached the store for long.
+    """
+    for late, current in (('h1', 'h2'), ('h2', 'h1')):
+        fleet = _Fleet(_FEW)
+        fleet.hosts[late].step()
+        fleet.clock.advance(30.0)
+        fleet.hosts[current].step()
+        fleet.store.disconnected |= set(_FEW)
+        host = fleet.hosts['h0']
+        host.step()
+        host.step()
+        assert host.freshness.age_s == 0.0
+
+
 def test_changes_of_unknown_age_keep_the_age_of_the_snapshot() -> None:
     """Guards against a snapshot that looks newer than its entries."""
     snapshot = registry_snapshot.RegistrySnapshot()
