Rate searchers by a placement policy

The cost of one more request was computed by the state of a searcher, so that no second rule could be added beside it. The rule is now the first kind of PlacementPolicy, least-loaded.

--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -101,6 +101,9 @@
         # Half-life of what is known of the searcher's latency, in seconds.
         self.latency_half_life_s = MIN_LATENCY_HALF_LIFE_S
         self.in_flight = 0
+        # Cost factors; see ``placement.Searcher``.
+        self.failure_factor = 1.0
+        self.distance_factor = 1.0
         self._relative_latency = 1.0
         self._relative_latency_at_s = float('-inf')
         self._failure_rate = 0.0
@@ -134,14 +137,20 @@
             now_s
         )
 
-    def cost(self, now_s: float, own_data_centre: str) -> float:
-        """Return the cost of one more request; 1 for an idle searcher."""
-        relative = max(self._decayed_latency(now_s), self._overdue(now_s))
-        cost = (self.in_flight + 1) * relative
-        cost *= 1 + _FAILURE_COST * self._failure_rate
-        if self.registration.data_centre != own_data_centre:
-            cost *= _OTHER_DATA_CENTRE_COST
-        return cost
+    def set_registration(
+        self, registration: registrations.Registration, own_data_centre: str
+    ) -> None:
+        """Replace the registration of the instance."""
+        self.registration = registration
+        local = registration.data_centre == own_data_centre
+        self.distance_factor = 1.0 if local else _OTHER_DATA_CENTRE_COST
+
+    def relative_latency(self, now_s: float) -> float:
+        """Return the latency relative to the median of the route.
+
+        It includes that of a pending request which is overdue.
+        """
+        return max(self._decayed_latency(now_s), self._overdue(now_s))
 
     def start(self, key: int, now_s: float, median_s: float) -> None:
         """Record the start of a send."""
@@ -160,14 +169,22 @@
         if result.full:
             self._retry_at_s = max(self._retry_at_s, now_s + _FULL_BACKOFF_S)
         if result.failed or result.full:
-            self._failure_rate += _FAILURE_WEIGHT * (1 - self._failure_rate)
+            self._set_failure_rate(
+                self._failure_rate + _FAILURE_WEIGHT * (1 - self._failure_rate)
+            )
         if result.failed:
             self._failures += 1
             if result.unreachable or self._failures >= _FAILURES_TO_BACK_OFF:
                 self._back_off(now_s)
         elif result.answered:
             self._failures = 0
-            self._failure_rate -= _FAILURE_WEIGHT * self._failure_rate
+            self._set_failure_rate(
+                self._failure_rate - _FAILURE_WEIGHT * self._failure_rate
+            )
+
+    def _set_failure_rate(self, rate: float) -> None:
+        self._failure_rate = rate
+        self.failure_factor = 1 + _FAILURE_COST * rate
 
     def _back_off(self, now_s: float) -> None:
         backoff_s = _INITIAL_BACKOFF_S * 2.0 ** min(self._failures - 1, 10)
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -13,6 +13,7 @@
 from corianderport_tier import clocks
 from corianderport_tier.process import budgets
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import placement
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import send_interval
 from corianderport_tier.process import stated_availability
@@ -84,6 +85,7 @@
         self._capacity_callbacks: list[collections.abc.Callable[[], None]] = []
         self._extra = self._new_budget()
         self._send_interval = send_interval.SendInterval()
+        self._policy = placement.policy(placement.LEAST_LOADED)
 
     def update(
         self,
@@ -113,7 +115,7 @@
                         self._open_pool(registration, 1),
                         self._availability.of(registration.lifetime),
                     )
-                state.registration = registration
+                state.set_registration(registration, self._own_data_centre)
                 state.connections = self._connections(state.name)
                 state.pool.limit_connections(max(1, state.connections))
                 returned = registration.data_centre in cold
@@ -159,12 +161,10 @@
             )
             for state in candidates:
                 state.latency_half_life_s = half_life_s
+            cost = self._policy.cost
             best = min(
                 candidates,
-                key=lambda s: (
-                    s.cost(now_s, self._own_data_centre),
-                    self._rng.random(),
-                ),
+                key=lambda s: (cost(s, now_s), self._rng.random()),
             )
             self._next_key += 1
             best.start(self._next_key, now_s, median_s)
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -6,6 +6,7 @@
 
 from corianderport_testkit import clock as clock_module
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import placement
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import service_searchers
 from corianderport_tier.process import stated_availability
@@ -246,7 +247,8 @@
     assert 0.5 <= service.retry_delay_s() <= 0.75
     clock.advance(0.5)
     again = _choose(service)
-    assert again.state.cost(clock.monotonic(), 'dc-a') == pytest.approx(2.0)
+    cost = placement.LeastLoaded().cost(again.state, clock.monotonic())
+    assert cost == pytest.approx(2.0)
     service.finish(again, SendResult(failed=False, pause_s=2.0))
     service.update(None, [entries.registration('s1', started_ms=5)])
     assert _choose(service).state.name == 's1'
