Use searchers beyond the host's share for hedges and when its own are slow

With 70 connections a searcher and 76 hosts, each searcher is left to 59 of them: one host in eight has a share of only one of the three searchers of a shard, and no searcher for a hedge.

A hedge or a retry may now use the other searchers, and so may a first send if those of the share are slow or out of use. Such a connection is closed after half a second, so that few of them are open at any time; a first send still waits while the searchers of the share are merely busy.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -45,8 +45,6 @@
 
 # One thread for each connection of a caller, searcher or peer.
 _MAX_TASKS = 1_500
-# An idle connection to a searcher is closed after this time.
-_IDLE_TIMEOUT_S = 20.0
 # The load balancer probes readiness once a second and removes a host after
 # two failed probes.
 _LOAD_BALANCER_LAG_S = 2.8
@@ -390,7 +388,7 @@
             lambda: self._dialer.dial(registration),
             self._executor,
             self._clock,
-            pool.PoolLimits(connections, _IDLE_TIMEOUT_S),
+            pool.PoolLimits(connections),
             lambda transport: transport.usable_until_s,
         )
 
--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -309,6 +309,10 @@
         """Set the maximum number of connections."""
         self.limits = attrs.evolve(self.limits, connections=limit)
 
+    def limit_idle_time(self, idle_s: float) -> None:
+        """Set the time after which an idle connection is closed."""
+        self.limits = attrs.evolve(self.limits, idle_s=idle_s)
+
     def mark_idle(self, connection: Connection[T]) -> None:
         """Make a connection available for the next job."""
         with self._lock:
--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -55,6 +55,9 @@
     def limit_connections(self, limit: int) -> None:
         """Change the maximum number of open connections."""
 
+    def limit_idle_time(self, idle_s: float) -> None:
+        """Change the time after which an idle connection is closed."""
+
     def close(self) -> None:
         """Close idle connections now and busy ones after use."""
 
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -33,6 +33,15 @@
 # pause, so that refused callers do not return at the same moment.
 _PAUSE_SPREAD = 0.5
 
+# Cost from which the searchers in this host's share count as slow: it is that
+# of one that takes three times as long as usual.
+_SLOW_COST = 3.0
+# Idle time of connections to searchers of this host's share, and of those to
+# other searchers. The latter are few at any time if they are closed soon, so
+# that they fit into what the shares leave of a searcher's connections.
+_IDLE_S = 20.0
+_OVERFLOW_IDLE_S = 0.5
+
 OpenPool = collections.abc.Callable[
     [registrations.Registration, int], searcher_state.SendPool
 ]
@@ -122,6 +131,9 @@
                 state.set_registration(registration, self._own_data_centre)
                 state.connections = self._connections(state.name)
                 state.pool.limit_connections(max(1, state.connections))
+                state.pool.limit_idle_time(
+                    _IDLE_S if state.connections else _OVERFLOW_IDLE_S
+                )
                 returned = registration.data_centre in cold
                 if changed or returned:
                     self._mark_cold(state, now_s, returned)
@@ -146,7 +158,7 @@
 
     def choose(
         self,
-        excluded: collections.abc.Container[str],
+        excluded: collections.abc.Collection[str],
         median_s: float,
     ) -> Choice | NoChoice:
         """Choose the searcher with the lowest cost and start a send to it.
@@ -263,15 +275,28 @@
         self._extra.ratio = budgets.BudgetRatio(self._share.extra_ratio)
 
     def _candidates(
-        self, excluded: collections.abc.Container[str], now_s: float
+        self, excluded: collections.abc.Collection[str], now_s: float
     ) -> list[SearcherState] | NoChoice:
         states = list(self._states.values())
         if not states:
             return NoChoice.NONE_REGISTERED
         # If this host has no share of the connections of any searcher, use
         # all of them: its requests would fail otherwise.
-        states = [s for s in states if s.connections > 0] or states
-        allowed = [
+        shared = [s for s in states if s.connections > 0] or states
+        allowed = self._permitted(shared, excluded, now_s)
+        if len(shared) < len(states) and self._needs_others(
+            shared, allowed, excluded, now_s
+        ):
+            allowed = self._permitted(states, excluded, now_s)
+        return allowed or self._reason_of_none(shared, excluded, now_s)
+
+    def _permitted(
+        self,
+        states: list[SearcherState],
+        excluded: collections.abc.Collection[str],
+        now_s: float,
+    ) -> list[SearcherState]:
+        return [
             s
             for s in states
             if s.name not in excluded
@@ -279,12 +304,29 @@
             and s.has_capacity
             and self._within_cold_rate(s, now_s)
         ]
-        return allowed or self._reason_of_none(states, excluded, now_s)
+
+    def _needs_others(
+        self,
+        shared: list[SearcherState],
+        allowed: list[SearcherState],
+        excluded: collections.abc.Collection[str],
+        now_s: float,
+    ) -> bool:
+        """Whether to use searchers that are left to other hosts.
+
+        Where searchers accept fewer connections than there are hosts, a host
+        may have a share of only one or two searchers of a service. A first
+        send waits for one of them as long as they are merely busy.
+        """
+        if allowed:
+            cost = self._policy.cost
+            return min(cost(s, now_s) for s in allowed) >= _SLOW_COST
+        return bool(excluded) or not any(s.may_receive(now_s) for s in shared)
 
     def _reason_of_none(
         self,
         states: list[SearcherState],
-        excluded: collections.abc.Container[str],
+        excluded: collections.abc.Collection[str],
         now_s: float,
     ) -> NoChoice:
         """Return which condition excludes the last of the searchers."""
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -77,6 +77,9 @@
     def limit_connections(self, limit: int) -> None:
         return
 
+    def limit_idle_time(self, idle_s: float) -> None:
+        return
+
     def close(self) -> None:
         return
 
@@ -262,7 +265,7 @@
     The last searcher says that it did not run the request, which says
     nothing about the first one.
     """
-    host = _Host(entries.route(), replicas=2)
+    host = Host(entries.route(), replicas=2)
     host.start()
     host.end(host.take(), errors.ConnectionBroken('reset'))
     assert host._thread is not None
@@ -271,7 +274,7 @@
             send = host.sends.get(timeout=0.1)
         except queue.Empty:
             continue
-        host.end(send, _reply(503, ran=False))
+        host.end(send, reply(503, ran=False))
     answer = host.finish()
     assert isinstance(answer, Failure)
     assert answer.code is Code.OUTCOME_UNKNOWN
--- a/tests/tier/test_forwarding_keys.py
+++ b/tests/tier/test_forwarding_keys.py
@@ -29,7 +29,7 @@
     return workspaces.Workspaces.from_keys(by_key.items())
 
 
-class _Host(test_forwarding._Host):
+class _Host(test_forwarding.Host):
     """A host in strict mode whose configuration has workspaces."""
 
     def __init__(self, *host_routes: routes.Route, replicas: int = 3) -> None:
@@ -93,7 +93,7 @@
     host.start()
     send = host.take()
     assert _identity(send) == forward_messages.CallerIdentity('alpha')
-    host.end(send, test_forwarding._reply())
+    host.end(send, test_forwarding.reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
     inputs = host.log.recent()[-1].inputs
     assert (inputs['workspace'], inputs['rank']) == ('alpha', 0)
@@ -124,7 +124,7 @@
 
 def test_host_without_configuration_does_not_judge_keys() -> None:
     """Guards against 401 from a host that has just started."""
-    host = test_forwarding._Host()
+    host = test_forwarding.Host()
     host.directory._routing = None
     host.start()
     answer = host.finish()
@@ -140,7 +140,7 @@
     host.start()
     send = host.take()
     assert _identity(send) == forward_messages.CallerIdentity(None)
-    host.end(send, test_forwarding._reply())
+    host.end(send, test_forwarding.reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
 
 
@@ -154,7 +154,7 @@
         host.start()
         send = host.take()
         assert _identity(send) is None
-        host.end(send, test_forwarding._reply())
+        host.end(send, test_forwarding.reply())
         assert isinstance(host.finish(), forward_messages.Relayed)
         assert 'workspace' not in host.log.recent()[-1].inputs
 
@@ -170,7 +170,7 @@
     assert host.idle
     host.freshness.record(host.clock.boottime())
     host.start()
-    host.end(host.take(), test_forwarding._reply())
+    host.end(host.take(), test_forwarding.reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
 
 
@@ -219,7 +219,7 @@
     """
     host = _Host(entries.route())
     host.start()
-    host.end(host.take(), test_forwarding._reply(503, ran=False))
+    host.end(host.take(), test_forwarding.reply(503, ran=False))
     retry = host.take()
     host.take_away()
     _end_unsent(host, retry)
@@ -262,7 +262,7 @@
     hedge = host.take()
     host.take_away()
     _end_unsent(host, hedge)
-    first.finish(test_forwarding._reply())
+    first.finish(test_forwarding.reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
     assert host.idle
 
@@ -291,7 +291,7 @@
         running.append((host._thread, host.begin()))
     host.take_away()
     first_thread, first = running[0]
-    first.finish(test_forwarding._reply())
+    first.finish(test_forwarding.reply())
     assert first_thread is not None
     first_thread.join(10.0)
     # The request that ``start`` has started last was waiting.
@@ -331,7 +331,7 @@
     host = _Host(_gather(1.0))
     host.start()
     sends = [host.take() for _ in _SHARDS]
-    host.end(sends[0], test_forwarding._reply())
+    host.end(sends[0], test_forwarding.reply())
     host.take_away()
     for send in sends[1:]:
         _end_unsent(host, send)
@@ -356,5 +356,5 @@
     host.refusal(Code.UNAUTHENTICATED)
     host.credential = 'k2'
     host.start()
-    host.end(host.take(), test_forwarding._reply())
+    host.end(host.take(), test_forwarding.reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
--- a/tests/tier/test_placement.py
+++ b/tests/tier/test_placement.py
@@ -22,6 +22,9 @@
     def limit_connections(self, limit: int) -> None:
         return
 
+    def limit_idle_time(self, idle_s: float) -> None:
+        return
+
     def close(self) -> None:
         return
 
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -25,6 +25,9 @@
     def limit_connections(self, limit: int) -> None:
         self.limit = limit
 
+    def limit_idle_time(self, idle_s: float) -> None:
+        return
+
     def close(self) -> None:
         return
 
@@ -372,3 +375,81 @@
         while service.try_extra():
             spent += 1
     assert 0.65 * 192 < spent <= 192
+
+
+def _large_fleet_service(
+    clock: clock_module.ManualClock, host: int
+) -> service_searchers.ServiceSearchers:
+    """Return the service as one of 76 hosts of which each uses some.
+
+    A searcher accepts 70 connections.
+    """
+    hosts = tuple(f'h{n}' for n in range(76))
+    share = fleet_share.FleetShare(_BOUNDS, hosts[host], lambda: hosts, clock)
+    service = _service(share, clock)
+    service.update(
+        entries.parameters(connections=70),
+        [entries.registration(f's{n}') for n in range(3)],
+    )
+    return service
+
+
+def _first_searchers(
+    service: service_searchers.ServiceSearchers,
+) -> list[service_searchers.Choice]:
+    """Choose until no searcher of the host's share is left."""
+    choices = []
+    while isinstance(
+        choice := service.choose((), 0.01), service_searchers.Choice
+    ):
+        choices.append(choice)
+    return choices
+
+
+def test_searcher_beyond_the_share_is_used_for_another_send(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against a gather that waits for the one searcher of its host.
+
+    One host in eight has a share of the connections of one searcher only,
+    and had no other one for a hedge or a retry.
+    """
+    for host in range(76):
+        service = _large_fleet_service(clock, host)
+        first = _choose(service)
+        second = _choose(service, first.state.name)
+        third = _choose(service, first.state.name, second.state.name)
+        assert len({c.state.name for c in (first, second, third)}) == 3
+
+
+def test_first_send_waits_for_the_share_of_its_host(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against more connections than a searcher accepts.
+
+    Under load all hosts are busy, and each would open further connections.
+    """
+    counts = [
+        len(_first_searchers(_large_fleet_service(clock, host)))
+        for host in range(76)
+    ]
+    assert sum(counts) <= 3 * 70
+
+
+def test_slow_searchers_of_the_share_are_left_for_another_one(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against a host that is bound to its slow searchers."""
+    services = [_large_fleet_service(clock, host) for host in range(76)]
+    service, own = next(
+        (s, c) for s in services if len(c := _first_searchers(s)) == 2
+    )
+    for choice in own:
+        service.finish(
+            choice,
+            SendResult(
+                failed=False, answered=True, elapsed_s=0.3, median_s=0.01
+            ),
+        )
+    other = _choose(service)
+    assert other.state.name not in {c.state.name for c in own}
