Count heads and bodies of callers' requests apart

Cause: the limit of the head was compared with all bytes that were received and not yet parsed. A body that arrived in the same read as its head was refused with 431.

Change: RequestParser passes no byte after the head to h11 until the head is complete. The raw head alone counts against max_header_bytes, the decoded body against max_body_bytes, and trailers against the limit of the head. A declared length above the limit is refused with the head.

--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -11,15 +11,15 @@
 import socket
 import threading
 
-import attrs
 import h11
 
 from corianderport_tier import clocks
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import routes
 from corianderport_wire.connection import acceptor
+from corianderport_wire.connection import caller_messages
 from corianderport_wire.connection import disconnect_watcher
-from corianderport_wire.connection import http_exchange
+from corianderport_wire.connection import request_parser
 
 __all__ = [
     'CallerConnection',
@@ -32,42 +32,16 @@
 _LOG = logging.getLogger(__name__)
 _BACKLOG = 512
 _RECEIVE_BYTES = 65_536
-# Upper bound for h11; the configured limits are checked in addition.
-_MAX_HEAD_BYTES = 256 * 1024
 # Time within which a caller has to receive a response.
 _WRITE_TIMEOUT_S = 10.0
 _BAD_GATEWAY = 502
+_CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 # Limits until a configuration provides them.
 _DEFAULT_LIMITS = routes.CallerLimits(16_384, 262_144, 3.0, 15.0)
 
 
-@attrs.frozen
-class ReceivedRequest(http_exchange.HttpRequest):
-    """A caller's request.
-
-    ``received_s`` is the time at which its first bytes were read, in seconds
-    of the host's monotonic clock.
-    """
-
-    received_s: float
-
-
-@attrs.frozen
-class HttpResponse:
-    """A response; its Content-Length is added when it is sent."""
-
-    status: int
-    headers: http_exchange.Headers
-    body: bytes
-
-
-@attrs.frozen
-class _RequestRejected(Exception):
-    """A request is invalid; the connection is closed after the response."""
-
-    status: int
-
-
+HttpResponse = caller_messages.HttpResponse
+ReceivedRequest = caller_messages.ReceivedRequest
 RequestHandler = collections.abc.Callable[
     [ReceivedRequest, 'CallerConnection'], HttpResponse | None
 ]
@@ -86,9 +60,8 @@
         self._socket = connection
         self._listener = listener
         self._clock = clock
-        self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=_MAX_HEAD_BYTES
-        )
+        # Bytes that arrived after the end of the last request.
+        self._surplus = b''
         self._idle = True
         self._disconnected = False
         self._on_sent: collections.abc.Callable[[], None] | None = None
@@ -119,7 +92,6 @@
         """Serve requests until either side closes."""
         try:
             while self._serve_request():
-                self._protocol.start_next_cycle()
                 self._idle = True
         except (OSError, h11.ProtocolError) as error:
             _LOG.debug('connection of a caller closed: %s', error)
@@ -136,10 +108,11 @@
     def _serve_request(self) -> bool:
         """Serve one request; return False when the connection must close."""
         limits = self._listener.limits()
+        parser = request_parser.RequestParser(limits)
         try:
-            request = self._receive(limits)
-        except _RequestRejected as rejected:
-            self._send(HttpResponse(rejected.status, (), b''), True)
+            request = self._receive(parser, limits)
+        except caller_messages.RequestRejected as rejected:
+            self._send(parser, HttpResponse(rejected.status, (), b''), True)
             return False
         if request is None:
             return False
@@ -148,35 +121,30 @@
         if response is None or self._disconnected:
             return False
         closing = self._listener.closing
-        self._send(response, closing)
+        self._send(parser, response, closing)
         if self._on_sent is not None:
             self._on_sent()
-        return (
-            not closing
-            and self._protocol.our_state is h11.DONE
-            and self._protocol.their_state is h11.DONE
-        )
+        self._surplus = parser.surplus
+        return not closing and parser.reusable
 
-    def _receive(self, limits: routes.CallerLimits) -> ReceivedRequest | None:
+    def _receive(
+        self, parser: request_parser.RequestParser, limits: routes.CallerLimits
+    ) -> ReceivedRequest | None:
         """Return the next request, or None at the end of the connection."""
         received_s: float | None = None
         deadline: deadlines.Deadline | None = None
         head: h11.Request | None = None
         body: list[bytes] = []
-        size = 0
+        if self._surplus:
+            received_s = self._clock.monotonic()
+            deadline = self._deadline_after(limits.header_timeout_s)
+            self._idle = False
+            parser.feed(self._surplus)
         while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise _RequestRejected(error.error_status_hint) from error
-            if event is h11.NEED_DATA:
-                if self._protocol.they_are_waiting_for_100_continue:
-                    self._write(
-                        h11.InformationalResponse(status_code=100, headers=[])
-                    )
-                if deadline is None and self._protocol.trailing_data[0]:
-                    received_s = self._clock.monotonic()
-                    deadline = self._deadline_after(limits.header_timeout_s)
+            event = parser.next_event()
+            if event is None:
+                if parser.awaits_continue:
+                    self._write(parser, _CONTINUE)
                 received = self._read(deadline, limits.idle_timeout_s)
                 if received is None:
                     return None
@@ -184,24 +152,12 @@
                     received_s = self._clock.monotonic()
                     deadline = self._deadline_after(limits.header_timeout_s)
                 self._idle = False
-                self._protocol.receive_data(received)
-                pending, _ = self._protocol.trailing_data
-                if head is None and len(pending) > limits.header_bytes:
-                    raise _RequestRejected(431)
+                parser.feed(received)
             elif isinstance(event, h11.Request):
-                self._idle = False
-                if received_s is None:
-                    # It came with the bytes of the request before it.
-                    received_s = self._clock.monotonic()
                 head = event
-                if _header_size(event) > limits.header_bytes:
-                    raise _RequestRejected(431)
                 deadline = self._deadline_after(limits.idle_timeout_s)
             elif isinstance(event, h11.Data):
                 body.append(bytes(event.data))
-                size += len(event.data)
-                if size > limits.body_bytes:
-                    raise _RequestRejected(413)
             elif isinstance(event, h11.EndOfMessage):
                 assert head is not None and received_s is not None
                 return ReceivedRequest(
@@ -219,7 +175,7 @@
     ) -> bytes | None:
         """Return received bytes, or None when an idle connection times out.
 
-        :raises _RequestRejected: the request was not received in time.
+        :raises RequestRejected: the request was not received in time.
         """
         timeout_s = idle_s
         if deadline is not None:
@@ -230,32 +186,38 @@
         except TimeoutError as error:
             if deadline is None:
                 return None
-            raise _RequestRejected(408) from error
+            raise caller_messages.RequestRejected(408) from error
 
     def _deadline_after(self, seconds: float) -> deadlines.Deadline:
         return deadlines.Deadline.after(self._clock, seconds)
 
-    def _send(self, response: HttpResponse, closing: bool) -> None:
+    def _send(
+        self,
+        parser: request_parser.RequestParser,
+        response: HttpResponse,
+        closing: bool,
+    ) -> None:
         try:
-            head = _response_head(response, closing)
+            head = caller_messages.response_head(response, closing)
         except h11.LocalProtocolError as error:
             _LOG.warning(
                 'a response that cannot be passed on is replaced: %.200s',
                 error,
             )
             response = HttpResponse(_BAD_GATEWAY, (), b'')
-            head = _response_head(response, closing)
-        self._socket.settimeout(_WRITE_TIMEOUT_S)
-        parts = [self._protocol.send(head)]
+            head = caller_messages.response_head(response, closing)
+        events: list[h11.Event] = [head]
         if response.body:
-            parts.append(self._protocol.send(h11.Data(data=response.body)))
-        parts.append(self._protocol.send(h11.EndOfMessage()))
-        self._socket.sendall(b''.join(p for p in parts if p))
+            events.append(h11.Data(data=response.body))
+        events.append(h11.EndOfMessage())
+        self._write(parser, *events)
 
-    def _write(self, event: h11.InformationalResponse) -> None:
-        content = self._protocol.send(event)
-        if content:
-            self._socket.sendall(content)
+    def _write(
+        self, parser: request_parser.RequestParser, *events: h11.Event
+    ) -> None:
+        content = parser.encode(*events)
+        self._socket.settimeout(_WRITE_TIMEOUT_S)
+        self._socket.sendall(content)
 
 
 class CallerListener:
@@ -350,23 +312,3 @@
             self._condition.notify_all()
         if caller_socket is not None:
             caller_socket.close()
-
-
-def _response_head(response: HttpResponse, closing: bool) -> h11.Response:
-    """Return the head of a response.
-
-    :raises LocalProtocolError: HTTP does not permit the status or a header.
-    """
-    headers = [
-        *response.headers,
-        (b'content-length', str(len(response.body)).encode()),
-    ]
-    if closing:
-        headers.append((b'connection', b'close'))
-    return h11.Response(status_code=response.status, headers=headers)
-
-
-def _header_size(head: h11.Request) -> int:
-    return len(head.target) + sum(
-        len(name) + len(value) for name, value in head.headers
-    )
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -0,0 +1,138 @@
+"""corianderport_wire.connection.request_parser
+
+Parses one request of a caller and enforces the size limits.
+
+The verdict on a request does not depend on how its bytes are divided into
+reads: the parser receives no byte after the head until the head is complete.
+"""
+
+import re
+
+import h11
+
+from corianderport_tier.version import routes
+from corianderport_wire.connection import caller_messages
+
+__all__ = ['Event', 'RequestParser']
+
+# Bytes that one read may add to an incomplete line of a chunked body.
+_MAX_READ_BYTES = 65_536
+# A line break and an empty line, as h11 recognizes them.
+_HEAD_END = re.compile(rb'\n\r?\n')
+# Bytes of a head end that may have arrived with earlier reads.
+_HEAD_END_OVERLAP = 2
+# Bytes of a header field besides its name and value.
+_FIELD_SEPARATOR_BYTES = 4
+_HEADERS_TOO_LARGE = 431
+_BODY_TOO_LARGE = 413
+
+Event = h11.Request | h11.Data | h11.EndOfMessage | h11.ConnectionClosed
+
+
+class RequestParser:
+    """Parses one request, and encodes the response to it.
+
+    ``limits.header_bytes`` bounds the bytes from the request line to the
+    empty line, and ``limits.body_bytes`` the bytes of the decoded body.
+    """
+
+    def __init__(self, limits: routes.CallerLimits) -> None:
+        self._limits = limits
+        self._protocol = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=limits.header_bytes + _MAX_READ_BYTES,
+        )
+        self._head_bytes = 0
+        self._head_complete = False
+        # The bytes before the request count as a line break, so that an
+        # empty first line ends the head.
+        self._head_tail = b'\n'
+        self._after_head = b''
+        self._body_bytes = 0
+
+    @property
+    def awaits_continue(self) -> bool:
+        """Whether the caller waits for ``100 Continue``."""
+        return self._protocol.they_are_waiting_for_100_continue
+
+    @property
+    def surplus(self) -> bytes:
+        """Bytes received after the end of the request."""
+        return self._protocol.trailing_data[0]
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another request."""
+        return (
+            self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+        )
+
+    def feed(self, received: bytes) -> None:
+        """Add received bytes; none at the end of the connection.
+
+        :raises RequestRejected: the head is too large.
+        """
+        if self._head_complete or not received:
+            self._protocol.receive_data(received)
+            return
+        searched = self._head_tail + received
+        match = _HEAD_END.search(searched)
+        if match is None:
+            head, after_head = received, b''
+        else:
+            length = match.end() - len(self._head_tail)
+            head, after_head = received[:length], received[length:]
+        self._head_bytes += len(head)
+        if self._head_bytes > self._limits.header_bytes:
+            raise caller_messages.RequestRejected(_HEADERS_TOO_LARGE)
+        self._head_complete = match is not None
+        self._head_tail = searched[-_HEAD_END_OVERLAP:]
+        self._after_head = after_head
+        self._protocol.receive_data(head)
+
+    def next_event(self) -> Event | None:
+        """Return the next event, or None when more bytes are needed.
+
+        :raises RequestRejected: the request is malformed or too large.
+        """
+        try:
+            event = self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise caller_messages.RequestRejected(
+                error.error_status_hint
+            ) from error
+        if isinstance(event, h11.Request):
+            self._check_declared_length(event)
+            if self._after_head:
+                self._protocol.receive_data(self._after_head)
+                self._after_head = b''
+        elif isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._limits.body_bytes:
+                raise caller_messages.RequestRejected(_BODY_TOO_LARGE)
+        elif isinstance(event, h11.EndOfMessage):
+            self._check_trailers(event)
+        elif not isinstance(event, h11.ConnectionClosed):
+            return None
+        return event
+
+    def encode(self, *events: h11.Event) -> bytes:
+        """Return the bytes of a response or a part of it."""
+        return b''.join(self._protocol.send(event) or b'' for event in events)
+
+    def _check_declared_length(self, head: h11.Request) -> None:
+        """Reject a body before it arrives if its length is declared."""
+        headers = dict(head.headers)
+        if b'transfer-encoding' in headers:
+            return
+        if int(headers.get(b'content-length', 0)) > self._limits.body_bytes:
+            raise caller_messages.RequestRejected(_BODY_TOO_LARGE)
+
+    def _check_trailers(self, end: h11.EndOfMessage) -> None:
+        size = sum(
+            len(name) + len(value) + _FIELD_SEPARATOR_BYTES
+            for name, value in end.headers
+        )
+        if size > self._limits.header_bytes:
+            raise caller_messages.RequestRejected(_HEADERS_TOO_LARGE)
