Wait until a crowd has its effect on the host

Cause: the checks began when the clients had connected, while many connections still waited to be accepted (153 of 300 were open in one run), and a task that reused the thread id of an ended one was not counted, so that some tests waited five seconds for nothing.

Change: clients are counted by number. The checks wait until no connection is waiting and the host doesn't grow any more, for a bounded time. A test fails if fewer than half of its clients have connected.

--- a/tests/adapter/crowds.py
+++ b/tests/adapter/crowds.py
@@ -60,6 +60,11 @@
 _POLL_INTERVAL_S = 0.02
 # The crowd has this long to send what it wants to send.
 _SENDING_S = 5.0
+# A host that grows less than this in this time has taken what it takes.
+_STEADY_S = 0.4
+_GROWTH_MB = 0.5
+# State of a listening socket in /proc/net/tcp.
+_LISTENING = '0A'
 # Connections that a client of a crowd opens one after the other when the
 # host closes them.
 _ATTEMPTS = 3
@@ -117,6 +122,18 @@
         )
 
 
+def _waiting_connections(port: int) -> int:
+    """Return the number of connections that wait to be accepted.
+
+    ``/proc/net/tcp`` shows it as the receive queue of a listening socket.
+    """
+    lines = pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
+    for fields in map(str.split, lines):
+        if fields[1].endswith(f':{port:04X}') and fields[3] == _LISTENING:
+            return int(fields[4].split(':')[1], 16)
+    return 0
+
+
 class Host:
     """An entry host process with lowered limits, and its addresses."""
 
@@ -171,6 +188,18 @@
         """Current usage of the process."""
         return Usage.of_process(self.process.pid)
 
+    def grown_since(self, before: Usage) -> bool:
+        """Whether the process uses noticeably more than before."""
+        try:
+            usage = self.usage
+        except (OSError, KeyError):
+            # The process has ended.
+            return False
+        return (
+            usage.descriptors > before.descriptors
+            or usage.resident_mb > before.resident_mb + _GROWTH_MB
+        )
+
     def is_ready(self) -> bool:
         """Whether the readiness address says that the host is ready."""
         try:
@@ -521,9 +550,14 @@
     """One connection of a client in a crowd, used by one task."""
 
     def __init__(
-        self, connection: socket.socket, target: Target, crowd: 'Crowd'
+        self,
+        connection: socket.socket,
+        target: Target,
+        crowd: 'Crowd',
+        client: int,
     ) -> None:
         self.path = target.path
+        self._client = client
         self._connection = connection
         self._crowd = crowd
 
@@ -552,7 +586,7 @@
             if self._crowd.pause(SLOW_INTERVAL_S):
                 return
             self.send(content[number : number + 1])
-            self._crowd.done_sending()
+            self._crowd.done_sending(self._client)
 
     def read_slowly(self) -> None:
         """Read one byte now and then until the crowd ends."""
@@ -561,7 +595,7 @@
             with contextlib.suppress(TimeoutError):
                 if not self._connection.recv(1):
                     return
-            self._crowd.done_sending()
+            self._crowd.done_sending(self._client)
             if self._crowd.pause(SLOW_INTERVAL_S):
                 return
 
@@ -579,7 +613,7 @@
 
     def hold(self) -> None:
         """Keep the connection open until the crowd ends."""
-        self._crowd.done_sending()
+        self._crowd.done_sending(self._client)
         self._crowd.await_end()
 
 
@@ -601,17 +635,19 @@
         connections: int,
         receive_bytes: int | None = None,
     ) -> None:
-        self._address = ('127.0.0.1', int(getattr(host, target.port)))
+        self._host = host
+        self._port = int(getattr(host, target.port))
         self._target = target
         self._receive_bytes = receive_bytes
         self._ended = threading.Event()
         self._condition = threading.Condition()
         self._sent: set[int] = set()
+        self._connected: set[int] = set()
         self._sending_until_s = time.monotonic() + _SENDING_S
         self._tasks = [
             threading.Thread(
                 target=self._run,
-                args=(behaviours[number % len(behaviours)],),
+                args=(number, behaviours[number % len(behaviours)]),
                 daemon=True,
             )
             for number in range(connections)
@@ -627,23 +663,42 @@
         for task in self._tasks:
             task.join(_LONG_S)
 
+    @property
+    def connected(self) -> int:
+        """Number of clients that have connected at least once."""
+        with self._condition:
+            return len(self._connected)
+
     @property
     def sending_left_s(self) -> float:
         """Time left for sending; at least a moment."""
         return max(_POLL_INTERVAL_S, self._sending_until_s - time.monotonic())
 
-    def await_sent(self) -> None:
-        """Wait until all clients have sent, or the time for it is over."""
+    def await_effect(self) -> None:
+        """Wait until the crowd has sent and the host has taken what it takes.
+
+        That is the case when no connection waits to be accepted and the host
+        doesn't grow any more. A time bounds each of the two waits.
+        """
         with self._condition:
             self._condition.wait_for(
                 lambda: len(self._sent) == len(self._tasks),
                 self.sending_left_s,
             )
+        deadline_s = time.monotonic() + _SENDING_S
+        growing = True
+        while growing and self._host.alive and time.monotonic() < deadline_s:
+            before = self._host.usage
+            time.sleep(_STEADY_S)
+            growing = (
+                self._host.grown_since(before)
+                or _waiting_connections(self._port) > 0
+            )
 
-    def done_sending(self) -> None:
-        """Note that the calling client has sent what it wants to send."""
+    def done_sending(self, client: int) -> None:
+        """Note that a client has sent what it wants to send."""
         with self._condition:
-            self._sent.add(threading.get_ident())
+            self._sent.add(client)
             self._condition.notify_all()
 
     def await_end(self) -> None:
@@ -654,17 +709,19 @@
         """Pause a client; return True when the crowd has ended."""
         return self._ended.wait(seconds)
 
-    def _run(self, behaviour: Behaviour) -> None:
+    def _run(self, client: int, behaviour: Behaviour) -> None:
         for _ in range(_ATTEMPTS):
             try:
                 with self._connect() as connection:
-                    behaviour(Caller(connection, self._target, self))
+                    with self._condition:
+                        self._connected.add(client)
+                    behaviour(Caller(connection, self._target, self, client))
             except OSError:
                 # The host refused or closed the connection, which it may.
                 pass
             if self.pause(_RECONNECT_PAUSE_S):
                 return
-        self.done_sending()
+        self.done_sending(client)
 
     def _connect(self) -> socket.socket:
         connection = socket.socket()
@@ -675,7 +732,7 @@
                 )
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             connection.settimeout(self.sending_left_s)
-            connection.connect(self._address)
+            connection.connect(('127.0.0.1', self._port))
         except OSError:
             connection.close()
             raise
--- a/tests/adapter/test_untrusted_clients.py
+++ b/tests/adapter/test_untrusted_clients.py
@@ -431,7 +431,9 @@
                 row.receive_bytes,
             ) as crowd,
         ):
-            crowd.await_sent()
+            crowd.await_effect()
+            # Without a crowd, the other checks would prove nothing.
+            assert crowd.connected > row.connections / 2
             _check_limits(host)
             assert crowds.answer_to_ordinary_request(host)[-1] == 200
             _check_limits(host)
@@ -464,7 +466,7 @@
             _figures(host, 'searchers', _FEW),
             crowds.Crowd(host, target, (_ordinary,), _FEW) as crowd,
         ):
-            crowd.await_sent()
+            crowd.await_effect()
             _check_limits(host)
             assert crowds.answer_to_ordinary_request(host)[-1] == 200
             _check_limits(host)
@@ -481,7 +483,7 @@
         with crowds.Crowd(
             host, _SERVED, (_silent,), _MORE_THAN_DESCRIPTORS
         ) as crowd:
-            crowd.await_sent()
+            crowd.await_effect()
             assert any(host.is_ready() for _ in range(10))
 
 
