Test long chunk extensions in many chunks

The row of the never-ending extension is refused at once where extensions are bounded. Many complete chunks with extensions of 4 KB reach the parser.

--- a/tests/adapter/test_untrusted_clients.py
+++ b/tests/adapter/test_untrusted_clients.py
@@ -142,6 +142,12 @@
     caller.hold()
 
 
+def _chunks_with_long_extensions(caller: crowds.Caller) -> None:
+    caller.send(crowds.request_head(caller.path, _CHUNKED))
+    caller.send(200 * (b'1;' + 4_096 * b'e' + b'\r\nx\r\n'))
+    caller.hold()
+
+
 def _trailers(caller: crowds.Caller) -> None:
     caller.send(crowds.request_head(caller.path, _CHUNKED))
     caller.send(b'1\r\nx\r\n0\r\n' + 32_768 * b'a:\r\n' + b'\r\n')
@@ -309,6 +315,12 @@
         _MANY,
         (_SERVED, _UNROUTED),
     ),
+    _Row(
+        'chunks-with-extensions',
+        (_chunks_with_long_extensions,),
+        _MANY,
+        (_SERVED, _UNROUTED),
+    ),
     _Row('trailers', (_trailers,), _FEW, _SERVED_ONLY),
     _Row(
         'trailers-short-of-end',
