Read the limits when a request's first byte arrives

Cause: a keep-alive connection took the limits in force when its last request ended, which may have been an older configuration's.

Change: a connection waits for the first bytes before it reads the limits.

Result: a test changes the limits up and down while a connection is idle; the request is judged by the new ones.

--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -35,6 +35,7 @@
 # Time within which a caller has to receive a response.
 _WRITE_TIMEOUT_S = 10.0
 _BAD_GATEWAY = 502
+_REQUEST_TIMEOUT = 408
 _CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 # Limits until a configuration provides them.
 _DEFAULT_LIMITS = routes.CallerLimits(16_384, 262_144, 3.0, 15.0)
@@ -107,10 +108,17 @@
 
     def _serve_request(self) -> bool:
         """Serve one request; return False when the connection must close."""
+        received = self._surplus or self._read_first()
+        if not received:
+            return False
+        self._idle = False
+        received_s = self._clock.monotonic()
+        # A new configuration applies to each request that begins after it.
         limits = self._listener.limits()
         parser = request_parser.RequestParser(limits)
         try:
-            request = self._receive(parser, limits)
+            parser.feed(received)
+            request = self._receive(parser, limits, received_s)
         except caller_messages.RequestRejected as rejected:
             self._send(parser, HttpResponse(rejected.status, (), b''), True)
             return False
@@ -128,38 +136,28 @@
         return not closing and parser.reusable
 
     def _receive(
-        self, parser: request_parser.RequestParser, limits: routes.CallerLimits
+        self,
+        parser: request_parser.RequestParser,
+        limits: routes.CallerLimits,
+        received_s: float,
     ) -> ReceivedRequest | None:
         """Return the next request, or None at the end of the connection."""
-        received_s: float | None = None
-        deadline: deadlines.Deadline | None = None
+        deadline = self._deadline_after(limits.header_timeout_s)
         head: h11.Request | None = None
         body: list[bytes] = []
-        if self._surplus:
-            received_s = self._clock.monotonic()
-            deadline = self._deadline_after(limits.header_timeout_s)
-            self._idle = False
-            parser.feed(self._surplus)
         while True:
             event = parser.next_event()
             if event is None:
                 if parser.awaits_continue:
                     self._write(parser, _CONTINUE)
-                received = self._read(deadline, limits.idle_timeout_s)
-                if received is None:
-                    return None
-                if deadline is None:
-                    received_s = self._clock.monotonic()
-                    deadline = self._deadline_after(limits.header_timeout_s)
-                self._idle = False
-                parser.feed(received)
+                parser.feed(self._read(deadline))
             elif isinstance(event, h11.Request):
                 head = event
                 deadline = self._deadline_after(limits.idle_timeout_s)
             elif isinstance(event, h11.Data):
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                assert head is not None and received_s is not None
+                assert head is not None
                 return ReceivedRequest(
                     head.method,
                     head.target,
@@ -170,23 +168,28 @@
             else:
                 return None
 
-    def _read(
-        self, deadline: deadlines.Deadline | None, idle_s: float
-    ) -> bytes | None:
-        """Return received bytes, or None when an idle connection times out.
+    def _read_first(self) -> bytes:
+        """Return the first bytes of a request.
+
+        They are empty at the end of the connection, or when it was idle for
+        too long.
+        """
+        self._socket.settimeout(self._listener.limits().idle_timeout_s)
+        try:
+            return self._socket.recv(_RECEIVE_BYTES)
+        except TimeoutError:
+            return b''
+
+    def _read(self, deadline: deadlines.Deadline) -> bytes:
+        """Return further bytes of a request.
 
         :raises RequestRejected: the request was not received in time.
         """
-        timeout_s = idle_s
-        if deadline is not None:
-            timeout_s = deadline.remaining(self._clock)
-        self._socket.settimeout(max(timeout_s, 0.001))
+        self._socket.settimeout(max(deadline.remaining(self._clock), 0.001))
         try:
             return self._socket.recv(_RECEIVE_BYTES)
         except TimeoutError as error:
-            if deadline is None:
-                return None
-            raise caller_messages.RequestRejected(408) from error
+            raise caller_messages.RequestRejected(_REQUEST_TIMEOUT) from error
 
     def _deadline_after(self, seconds: float) -> deadlines.Deadline:
         return deadlines.Deadline.after(self._clock, seconds)
--- a/tests/wire/test_caller_listener.py
+++ b/tests/wire/test_caller_listener.py
@@ -9,6 +9,7 @@
 import threading
 import typing
 
+import attrs
 import pytest
 
 from corianderport_testkit.connection import failing_socket
@@ -36,11 +37,12 @@
 @contextlib.contextmanager
 def _listening(
     serve: caller_listener.RequestHandler = _echo,
+    limits: caller_listener.Limits = lambda: _LIMITS,
 ) -> collections.abc.Iterator[caller_listener.CallerListener]:
     executor = concurrent.futures.ThreadPoolExecutor(16)
     watcher = disconnect_watcher.DisconnectWatcher()
     listener = caller_listener.CallerListener(
-        '127.0.0.1:0', serve, lambda: _LIMITS, watcher, executor, _CLOCK
+        '127.0.0.1:0', serve, limits, watcher, executor, _CLOCK
     )
     executor.submit(watcher.run)
     executor.submit(listener.run)
@@ -281,6 +283,28 @@
         client.close()
 
 
+def test_limits_in_force_at_the_first_byte_apply() -> None:
+    """Guards against judging a request by limits of an older configuration.
+
+    The connection was idle when the configuration changed, in one direction
+    and in the other.
+    """
+    current = _LIMITS
+    with _listening(limits=lambda: current) as listener:
+        client = _client(listener)
+        for body_bytes, size, status in (
+            (1_000, 1_000, 200),
+            (2_500, 2_500, 200),
+            (1_000, 1_001, 413),
+        ):
+            current = attrs.evolve(_LIMITS, body_bytes=body_bytes)
+            client.request('POST', '/x', b'z' * size)
+            answer = client.getresponse()
+            answer.read()
+            assert answer.status == status
+        client.close()
+
+
 def test_failed_accept_does_not_end_the_listener() -> None:
     """Guards against refusing callers after one failed accept.
 
