Bound the connections, tasks and memory of callers

Cause: one executor of 1,500 threads served callers, searchers, peers and probes, and connections were accepted without a bound. With 1,700 keep-alive connections on one host, 202 to 236 requests were never answered. Nothing bounded the memory that all requests hold together, and bodies that no handler reads were stored.

Change: callers, searchers with peers, and probes have executors of their own. An idle connection gives up its task after 2 s, or at once when tasks are needed; one task per listener waits on the idle ones with epoll. CallerTable decides which connection is accepted, served, refused or closed, ByteBudget how many bytes requests may hold, and HostBounds derives the bounds from the machine. The body of a request without a route is counted and dropped; a route that appears meanwhile leads to 503, since the request cannot be forwarded without it. After a rejection, the connection is read for up to a second, so that the response is not lost.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -15,6 +15,7 @@
 
 from corianderport_daemon.process import entry_settings
 from corianderport_daemon.process import fleet
+from corianderport_daemon.process import host_listeners
 from corianderport_daemon.process import housekeeping
 from corianderport_daemon.process import registry_connection
 from corianderport_tier import clocks
@@ -36,14 +37,11 @@
 from corianderport_tier.request import forwarding
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import caller_listener
-from corianderport_wire.connection import disconnect_watcher
 
 __all__ = ['Adapter', 'EntryHost']
 
 _LOG = logging.getLogger(__name__)
 
-# One thread for each connection of a caller, searcher or peer.
-_MAX_TASKS = 1_500
 # An idle connection to a searcher is closed after this time.
 _IDLE_TIMEOUT_S = 20.0
 # The load balancer probes readiness once a second and removes a host after
@@ -116,8 +114,9 @@
         self._stack = contextlib.ExitStack()
         self._condition = threading.Condition()
         self._stopping = False
+        # Searchers, peers and the host's own tasks; callers have others.
         self._executor = concurrent.futures.ThreadPoolExecutor(
-            _MAX_TASKS, thread_name_prefix='task'
+            settings.limits.upstream_tasks, thread_name_prefix='task'
         )
         self._metrics = metrics.Metrics()
         self._log = decision_log.DecisionLog(observer=self._metrics)
@@ -147,17 +146,17 @@
             self._metrics,
             self._drain,
         )
-        self._watcher = disconnect_watcher.DisconnectWatcher()
-        self._caller_listener = self._listener(
-            settings.caller_address, self._serve
-        )
-        self._readiness_listener = self._listener(
-            settings.ready_address, self._serve_readiness
-        )
-        self._metrics_listener = (
-            self._listener(settings.metrics_address, self._serve_metrics)
-            if settings.metrics_address
-            else None
+        self._listeners = host_listeners.HostListeners(
+            settings,
+            host_listeners.RequestHandlers(
+                self._serve,
+                self._wants_body,
+                self._serve_readiness,
+                self._serve_metrics,
+            ),
+            self._limits,
+            self._log,
+            clock,
         )
         self._settings_fingerprint = adapter.settings_fingerprint()
         self._housekeeping = housekeeping.Housekeeping(
@@ -194,17 +193,13 @@
 
     def __enter__(self) -> typing.Self:
         tasks: list[collections.abc.Callable[[], None]] = [
-            self._watcher.run,
-            self._caller_listener.run,
-            self._readiness_listener.run,
             self._housekeeping.run,
             self._reader.run,
         ]
-        if self._metrics_listener is not None:
-            tasks.append(self._metrics_listener.run)
         self._stack.enter_context(self._fleet)
         for task in tasks:
             self._executor.submit(self._run, task)
+        self._stack.enter_context(self._listeners)
         _LOG.info('started %s in %s', self.name, self._settings.data_centre)
         return self
 
@@ -212,10 +207,6 @@
         """Close everything at once; ``wait`` runs a graceful shutdown."""
         self._reader.close()
         self._housekeeping.close()
-        self._watcher.close()
-        self._readiness_listener.stop_accepting()
-        if self._metrics_listener is not None:
-            self._metrics_listener.stop_accepting()
         self._stack.close()
         self._directory.close()
         self._executor.shutdown(wait=False, cancel_futures=True)
@@ -283,13 +274,13 @@
         )
         self._drain.begin(deadline.earlier(_LAST_ANSWER_MARGIN_S))
         _LOG.info('stopping %s, no longer ready', self.name)
-        self._caller_listener.closing = True
+        self._listeners.callers.closing = True
         with self._condition:
             self._clock.wait(self._condition, _LOAD_BALANCER_LAG_S)
-        self._caller_listener.stop_accepting()
-        self._caller_listener.close_idle()
+        self._listeners.callers.stop_accepting()
+        self._listeners.callers.close_idle()
         self._fleet.leave()
-        if not self._caller_listener.await_closed(deadline):
+        if not self._listeners.callers.await_closed(deadline):
             _LOG.warning('callers are still connected after the grace period')
 
     def _version(self) -> int:
@@ -299,22 +290,18 @@
     def _fleet_changed(self) -> None:
         self._directory.refresh()
 
-    def _listener(
-        self, address: str, serve: caller_listener.RequestHandler
-    ) -> caller_listener.CallerListener:
-        return caller_listener.CallerListener(
-            address,
-            serve,
-            self._limits,
-            self._watcher,
-            self._executor,
-            self._clock,
-        )
-
     def _limits(self) -> typing.Any:
         routing = self._directory.routing
         return None if routing is None else routing.limits
 
+    def _wants_body(self, head: caller_listener.ReceivedRequest) -> bool:
+        try:
+            request = self._adapter.request(head)
+        except errors.CorianderportError:
+            # The handler answers it.
+            return False
+        return self._forwarder.wants_body(request)
+
     def _serve(
         self,
         received: caller_listener.ReceivedRequest,
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/byte_budget.py
@@ -0,0 +1,63 @@
+"""corianderport_tier.process.byte_budget
+
+Bounds the memory that the requests of all callers hold together.
+"""
+
+import threading
+
+from corianderport_tier import clocks
+from corianderport_tier.request import deadlines
+
+__all__ = ['ByteBudget', 'SMALL_REQUEST_BYTES']
+
+# A request below this size may use the reserved part of the budget.
+SMALL_REQUEST_BYTES = 16_384
+_RESERVED_SHARE = 0.25
+
+
+class ByteBudget:
+    """Counts bytes before they are stored.
+
+    The last quarter is reserved for small requests, so that large bodies do
+    not displace them. A request that alone holds bytes is always accepted:
+    without other load, the configured limits are the only ones.
+    """
+
+    def __init__(self, total_bytes: int, clock: clocks.Clock) -> None:
+        self._total_bytes = total_bytes
+        self._unreserved_bytes = int(total_bytes * (1 - _RESERVED_SHARE))
+        self._clock = clock
+        self._condition = threading.Condition()
+        self._used_bytes = 0
+
+    @property
+    def used_bytes(self) -> int:
+        """Number of bytes that all requests hold."""
+        return self._used_bytes
+
+    def charge(self, amount: int, held: int, wait_s: float = 0.0) -> bool:
+        """Add bytes to a request that holds ``held`` bytes already.
+
+        Wait up to ``wait_s`` for other requests to release theirs; return
+        False if the bytes are not available.
+        """
+        until = deadlines.Deadline.after(self._clock, wait_s)
+        with self._condition:
+            while not self._available(amount, held):
+                left_s = until.remaining(self._clock)
+                if left_s <= 0:
+                    return False
+                self._clock.wait(self._condition, left_s)
+            self._used_bytes += amount
+            return True
+
+    def release(self, amount: int) -> None:
+        """Return bytes of a request."""
+        with self._condition:
+            self._used_bytes -= amount
+            self._condition.notify_all()
+
+    def _available(self, amount: int, held: int) -> bool:
+        small = held + amount < SMALL_REQUEST_BYTES
+        limit = self._total_bytes if small else self._unreserved_bytes
+        return self._used_bytes == held or self._used_bytes + amount <= limit
--- a/packages/tier/src/corianderport_tier/request/forward_messages.py
+++ b/packages/tier/src/corianderport_tier/request/forward_messages.py
@@ -45,7 +45,8 @@
     """A caller's request for one route.
 
     ``received_s`` is the time at which its first bytes were read, in seconds
-    of the host's monotonic clock.
+    of the host's monotonic clock. ``body_dropped`` says that the payload
+    lacks its body, because no route matched when the body arrived.
     """
 
     request_id: str
@@ -54,6 +55,7 @@
     payload: Payload
     deadline: deadlines.Deadline
     received_s: float
+    body_dropped: bool = False
 
 
 @attrs.frozen
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -99,6 +99,14 @@
             )
         return latency
 
+    def wants_body(self, request: forward_messages.ForwardRequest) -> bool:
+        """Return whether a route matches a request, so that it may run."""
+        routing = self.directory.routing
+        return (
+            routing is not None
+            and routing.match(request.host, request.path) is not None
+        )
+
     def answer(
         self,
         request: forward_messages.ForwardRequest,
@@ -119,6 +127,10 @@
                 routing,
                 Failure(Code.UNKNOWN_SERVICE, 'no route matches the request'),
             )
+        if request.body_dropped:
+            return self._refuse(
+                request, Code.NOT_READY, 'the route is newer than the request'
+            )
         if not self.drain.accepts(self.latency(route).hedge_after_s):
             return self._refuse(
                 request, Code.NOT_READY, 'the host is shutting down'
--- a/packages/wire/src/corianderport_wire/connection/acceptor.py
+++ b/packages/wire/src/corianderport_wire/connection/acceptor.py
@@ -26,13 +26,26 @@
     :param host: IP address to listen on.
     :param port: port to listen on; 0 picks a free one.
     :param backlog: maximum number of connections waiting to be accepted.
+    :param buffer_bytes: size of the send buffer and of the receive buffer of
+        each connection; None leaves both to the system.
     """
 
     def __init__(
-        self, host: str, port: int, backlog: int, clock: clocks.Clock
+        self,
+        host: str,
+        port: int,
+        backlog: int,
+        clock: clocks.Clock,
+        buffer_bytes: int | None = None,
     ) -> None:
         self._clock = clock
         self._listener = socket.create_server((host, port), backlog=backlog)
+        if buffer_bytes is not None:
+            # Accepted connections inherit the sizes.
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                self._listener.setsockopt(
+                    socket.SOL_SOCKET, option, buffer_bytes
+                )
         self._condition = threading.Condition()
         self._stopped = False
 
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -0,0 +1,308 @@
+"""corianderport_wire.connection.caller_connection
+
+One connection of a caller, served by one task while it is not idle.
+"""
+
+import collections.abc
+import contextlib
+import logging
+import select
+import socket
+
+import attrs
+import h11
+
+from corianderport_tier import clocks
+from corianderport_tier.connection import request_charge
+from corianderport_tier.process import byte_budget
+from corianderport_tier.process import caller_bounds
+from corianderport_tier.process import caller_table
+from corianderport_tier.process import limit_events
+from corianderport_tier.request import deadlines
+from corianderport_tier.version import routes
+from corianderport_wire.connection import caller_messages
+from corianderport_wire.connection import disconnect_watcher
+from corianderport_wire.connection import request_parser
+from corianderport_wire.connection import request_reader
+from corianderport_wire.connection import task_pressure
+
+__all__ = ['CallerConnection', 'RequestHandler', 'Serving']
+
+_LOG = logging.getLogger(__name__)
+_RECEIVE_BYTES = 16_384
+# Time in which a caller can finish a request that has been rejected. Closing
+# the connection earlier could discard the response before it is read.
+_LINGER_S = 1.0
+_BAD_GATEWAY = 502
+_REQUEST_TIMEOUT = 408
+
+Phase = caller_table.Phase
+HttpResponse = caller_messages.HttpResponse
+RequestHandler = collections.abc.Callable[
+    [caller_messages.ReceivedRequest, 'CallerConnection'], HttpResponse | None
+]
+
+
+@attrs.define
+class Serving:
+    """What all connections of a listener share."""
+
+    serve: RequestHandler
+    limits: collections.abc.Callable[[], routes.CallerLimits]
+    wants_body: caller_messages.WantsBody
+    watcher: disconnect_watcher.DisconnectWatcher
+    bounds: caller_bounds.CallerBounds
+    table: 'caller_table.CallerTable[CallerConnection]'
+    budget: byte_budget.ByteBudget
+    events: limit_events.LimitEvents
+    pressure: task_pressure.TaskPressure
+    clock: clocks.Clock
+    closing: bool = False
+
+
+class _ClosedByHost(Exception):
+    """The connection has been chosen to be closed."""
+
+
+class CallerConnection:
+    """One connection of a caller, serving its requests in turn."""
+
+    def __init__(self, connection: socket.socket, serving: Serving) -> None:
+        self._socket = connection
+        self._socket.setblocking(False)
+        self._serving = serving
+        self._clock = serving.clock
+        # Bytes that arrived after the end of the last request.
+        self._surplus = b''
+        self._charge = request_charge.RequestCharge(
+            serving.budget, self._close_stalled
+        )
+        self._disconnected = False
+        self._on_sent: collections.abc.Callable[[], None] | None = None
+
+    def fileno(self) -> int:
+        """Return the descriptor; -1 after ``close``."""
+        return self._socket.fileno()
+
+    def watch(
+        self, on_disconnect: collections.abc.Callable[[], None]
+    ) -> contextlib.AbstractContextManager[None]:
+        """Call back when the caller disconnects inside the ``with`` block."""
+
+        def handle_disconnect() -> None:
+            self._disconnected = True
+            on_disconnect()
+
+        return self._serving.watcher.watching(self._socket, handle_disconnect)
+
+    def call_when_sent(
+        self, on_sent: collections.abc.Callable[[], None]
+    ) -> None:
+        """Call back once the response to the current request is written."""
+        self._on_sent = on_sent
+
+    def peek(self) -> bytes | None:
+        """Return a received byte, none at the end, None if nothing came."""
+        try:
+            return self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b''
+
+    def has_received(self) -> bool:
+        """Whether bytes of a request wait to be read."""
+        return bool(self.peek())
+
+    def run(self) -> bool:
+        """Serve requests; return whether the connection is idle at the end.
+
+        The connection has to be closed otherwise.
+        """
+        try:
+            while True:
+                received = self._surplus or self._read_first()
+                if received is None:
+                    return True
+                if not received or not self._serve_request(received):
+                    return False
+        except (OSError, h11.ProtocolError) as error:
+            _LOG.debug('connection of a caller closed: %s', error)
+        except _ClosedByHost:
+            _LOG.debug('connection of a caller closed to limit their use')
+        finally:
+            self._charge.reduce_to(len(self._surplus))
+        return False
+
+    def abort(self) -> None:
+        """Make the task of the connection end."""
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            _LOG.debug('closing a connection of a caller failed: %s', error)
+
+    def refuse(self) -> None:
+        """Refuse to serve the connection, without waiting for the caller."""
+        retry_after_s = request_reader.retry_after_s()
+        try:
+            self._socket.send(
+                b'HTTP/1.1 503 \r\nretry-after: %.3f\r\nconnection: close\r\n'
+                b'content-length: 0\r\n\r\n' % retry_after_s
+            )
+            self._socket.shutdown(socket.SHUT_WR)
+            # Unread bytes would make the close discard the response.
+            self._socket.recv(_RECEIVE_BYTES)
+        except OSError as error:
+            _LOG.debug('refusing a connection of a caller failed: %s', error)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._charge.reduce_to(0)
+        self._socket.close()
+
+    def _read_first(self) -> bytes | None:
+        """Return the first bytes of a request; None if the caller is idle.
+
+        The bytes are empty at the end of the connection.
+        """
+        self._begin(Phase.IDLE)
+        self._surplus = b''
+        hold_s = min(
+            self._serving.bounds.hold_s, self._serving.limits().idle_timeout_s
+        )
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        poll.register(self._serving.pressure, select.POLLIN)
+        ready = [descriptor for descriptor, _ in poll.poll(hold_s * 1e3)]
+        if self._socket.fileno() not in ready:
+            return None
+        # From here on, the received bytes are not visible in the socket.
+        self._begin(Phase.RECEIVING)
+        return self._receive()
+
+    def _serve_request(self, received: bytes) -> bool:
+        """Serve one request; return False when the connection must close."""
+        self._begin(Phase.RECEIVING)
+        # A new configuration applies to each request that begins after it.
+        limits = self._serving.limits()
+        parser = request_parser.RequestParser(limits)
+        reader = request_reader.RequestReader(
+            parser,
+            limits,
+            self._charge,
+            self._serving.wants_body,
+            self._clock,
+        )
+        # The bytes of the surplus are charged again as part of the request.
+        self._charge.reduce_to(0)
+        try:
+            request = reader.receive(received, self._read)
+        except caller_messages.RequestRejected as rejected:
+            self._reject(parser, rejected)
+            return False
+        if request is None:
+            return False
+        self._on_sent = None
+        self._begin(Phase.RUNNING)
+        response = self._serving.serve(request, self)
+        if response is None or self._disconnected:
+            return False
+        del request, reader
+        self._surplus = parser.surplus
+        self._charge.reduce_to(len(self._surplus))
+        closing = self._serving.closing
+        self._respond(parser, response, closing)
+        if self._on_sent is not None:
+            self._on_sent()
+        return not closing and parser.reusable
+
+    def _reject(
+        self,
+        parser: request_parser.RequestParser,
+        rejected: caller_messages.RequestRejected,
+    ) -> None:
+        if rejected.retry_after_s is not None:
+            self._serving.events.record('caller_bytes_refused')
+        self._charge.reduce_to(0)
+        self._respond(parser, rejected.response, True)
+        self._begin(Phase.LINGERING)
+        self._socket.shutdown(socket.SHUT_WR)
+        deadline = deadlines.Deadline.after(self._clock, _LINGER_S)
+        while self._await(select.POLLIN, deadline) and self._receive():
+            continue
+
+    def _read(self, interim: bytes, deadline: deadlines.Deadline) -> bytes:
+        """Return further bytes of a request.
+
+        :raises RequestRejected: the request was not received in time.
+        """
+        if interim:
+            self._write(interim)
+        self._begin(Phase.RECEIVING)
+        if not self._await(select.POLLIN, deadline):
+            raise caller_messages.RequestRejected(_REQUEST_TIMEOUT)
+        return self._receive()
+
+    def _receive(self) -> bytes:
+        return self._socket.recv(_RECEIVE_BYTES)
+
+    def _respond(
+        self,
+        parser: request_parser.RequestParser,
+        response: HttpResponse,
+        closing: bool,
+    ) -> None:
+        try:
+            head = caller_messages.response_head(response, closing)
+        except h11.LocalProtocolError as error:
+            _LOG.warning(
+                'a response that cannot be passed on is replaced: %.200s',
+                error,
+            )
+            response = HttpResponse(_BAD_GATEWAY, (), b'')
+            head = caller_messages.response_head(response, closing)
+        events: list[h11.Event] = [head]
+        if response.body:
+            events.append(h11.Data(data=response.body))
+        events.append(h11.EndOfMessage())
+        self._write(parser.encode(*events))
+
+    def _write(self, content: bytes) -> None:
+        """Write all bytes.
+
+        :raises TimeoutError: the caller does not read them in time.
+        """
+        deadline = deadlines.Deadline.after(
+            self._clock, self._serving.bounds.write_timeout_s
+        )
+        rest = memoryview(content)
+        while True:
+            try:
+                rest = rest[self._socket.send(rest) :]
+            except BlockingIOError:
+                _LOG.debug('a caller does not read its response')
+            if not rest:
+                return
+            self._begin(Phase.SENDING)
+            if not self._await(select.POLLOUT, deadline):
+                raise TimeoutError('a response was not read in time')
+
+    def _await(self, event: int, deadline: deadlines.Deadline) -> bool:
+        """Wait until the socket is ready; return False at the deadline."""
+        poll = select.poll()
+        poll.register(self._socket, event)
+        left_s = max(deadline.remaining(self._clock), 0.001)
+        return bool(poll.poll(left_s * 1e3))
+
+    def _begin(self, phase: Phase) -> None:
+        if not self._serving.table.begin(self, phase):
+            raise _ClosedByHost
+
+    def _close_stalled(self) -> bool:
+        """Close a connection to make room in the budget."""
+        victim = self._serving.table.close_for_bytes()
+        if victim is None:
+            return False
+        self._serving.events.record('caller_bytes_evicted')
+        victim.connection.abort()
+        return True
--- a/packages/wire/src/corianderport_wire/connection/caller_messages.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_messages.py
@@ -3,6 +3,8 @@
 Requests and responses as a listener exchanges them with its handler.
 """
 
+import collections.abc
+
 import attrs
 import h11
 
@@ -12,6 +14,7 @@
     'HttpResponse',
     'ReceivedRequest',
     'RequestRejected',
+    'WantsBody',
     'response_head',
 ]
 
@@ -21,10 +24,12 @@
     """A caller's request.
 
     ``received_s`` is the time at which its first bytes were read, in seconds
-    of the host's monotonic clock.
+    of the host's monotonic clock. ``body_dropped`` says that the request had
+    a body that was not stored.
     """
 
     received_s: float
+    body_dropped: bool = False
 
 
 @attrs.frozen
@@ -41,6 +46,19 @@
     """A request is not served; its connection closes after the response."""
 
     status: int
+    retry_after_s: float | None = None
+
+    @property
+    def response(self) -> HttpResponse:
+        """The response to the request."""
+        if self.retry_after_s is None:
+            return HttpResponse(self.status, (), b'')
+        retry_after = f'{self.retry_after_s:.3f}'.encode()
+        return HttpResponse(self.status, ((b'retry-after', retry_after),), b'')
+
+
+# Whether the body of a request is needed, asked with an empty body.
+WantsBody = collections.abc.Callable[[ReceivedRequest], bool]
 
 
 def response_head(response: HttpResponse, closing: bool) -> h11.Response:
--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -16,7 +16,7 @@
 __all__ = ['Event', 'RequestParser']
 
 # Bytes that one read may add to an incomplete line of a chunked body.
-_MAX_READ_BYTES = 65_536
+_MAX_READ_BYTES = 16_384
 # A line break and an empty line, as h11 recognizes them.
 _HEAD_END = re.compile(rb'\n\r?\n')
 # Bytes of a head end that may have arrived with earlier reads.
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/request_reader.py
@@ -0,0 +1,140 @@
+"""corianderport_wire.connection.request_reader
+
+Receives one request of a caller within its limits and its budget.
+"""
+
+import collections.abc
+import io
+import random
+
+import h11
+
+from corianderport_tier import clocks
+from corianderport_tier.connection import request_charge
+from corianderport_tier.request import deadlines
+from corianderport_tier.version import routes
+from corianderport_wire.connection import caller_messages
+from corianderport_wire.connection import request_parser
+
+__all__ = ['CallerBytes', 'RequestReader', 'retry_after_s']
+
+# Size of a header field's objects besides its bytes: two byte strings of 33
+# bytes and more, two tuples and their list slots.
+_FIELD_BYTES = 300
+# A buffer grows in steps of an eighth of its size.
+_BUFFER_GROWTH = 8
+_UNAVAILABLE = 503
+# Spreads the attempts of callers that are refused together.
+_RETRY_AFTER_RANGE_S = (0.2, 1.0)
+
+# Returns further bytes of the request by a deadline, or none at the end of
+# the connection. The argument is what to send to the caller first.
+CallerBytes = collections.abc.Callable[[bytes, deadlines.Deadline], bytes]
+
+
+def retry_after_s() -> float:
+    """Return after which time a refused caller may try again."""
+    return random.uniform(*_RETRY_AFTER_RANGE_S)
+
+
+class RequestReader:
+    """Receives one request.
+
+    :param wants_body: asked once for a request that has a body; a body that
+        is not wanted is counted and dropped.
+    """
+
+    def __init__(
+        self,
+        parser: request_parser.RequestParser,
+        limits: routes.CallerLimits,
+        charge: request_charge.RequestCharge,
+        wants_body: caller_messages.WantsBody,
+        clock: clocks.Clock,
+    ) -> None:
+        self._parser = parser
+        self._limits = limits
+        self._charge = charge
+        self._wants_body = wants_body
+        self._clock = clock
+        self._received_s = clock.monotonic()
+        self._head: caller_messages.ReceivedRequest | None = None
+        self._body = io.BytesIO()
+        self._body_wanted: bool | None = None
+
+    def receive(
+        self, received: bytes, read: CallerBytes
+    ) -> caller_messages.ReceivedRequest | None:
+        """Return the request that begins with the received bytes.
+
+        Return None at the end of the connection.
+
+        :raises RequestRejected: the request is invalid or too large, was not
+            received in time, or there is no room for it.
+        """
+        deadline = self._deadline_after(self._limits.header_timeout_s)
+        self._feed(received)
+        while True:
+            event = self._parser.next_event()
+            if event is None:
+                interim = b''
+                if self._parser.awaits_continue:
+                    interim = self._parser.encode(_CONTINUE)
+                self._feed(read(interim, deadline))
+            elif isinstance(event, h11.Request):
+                deadline = self._deadline_after(self._limits.idle_timeout_s)
+                self._head = caller_messages.ReceivedRequest(
+                    event.method,
+                    event.target,
+                    tuple(event.headers),
+                    b'',
+                    self._received_s,
+                )
+            elif isinstance(event, h11.Data):
+                self._store(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return self._request()
+            else:
+                return None
+
+    def _feed(self, received: bytes) -> None:
+        """Charge the bytes and pass them to the parser."""
+        amount = len(received)
+        if self._head is None:
+            amount += _FIELD_BYTES * received.count(b'\n')
+        elif self._body_wanted is False:
+            amount = 0
+        else:
+            amount += amount // _BUFFER_GROWTH
+        try:
+            self._charge.add(amount)
+        except request_charge.BudgetExceeded as error:
+            raise caller_messages.RequestRejected(
+                _UNAVAILABLE, retry_after_s()
+            ) from error
+        self._parser.feed(received)
+
+    def _store(self, data: bytes) -> None:
+        assert self._head is not None
+        if self._body_wanted is None:
+            self._body_wanted = self._wants_body(self._head)
+        if self._body_wanted:
+            self._body.write(data)
+
+    def _request(self) -> caller_messages.ReceivedRequest:
+        assert self._head is not None
+        return caller_messages.ReceivedRequest(
+            self._head.method,
+            self._head.target,
+            self._head.headers,
+            # The buffer is returned without a copy.
+            self._body.getvalue(),
+            self._received_s,
+            self._body_wanted is False,
+        )
+
+    def _deadline_after(self, seconds: float) -> deadlines.Deadline:
+        return deadlines.Deadline.after(self._clock, seconds)
+
+
+_CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
