Describe and set the bounds on callers

At the bound on connections, a stalled connection is closed if none is idle. The dispatcher goes on after a failure, and a connection that cannot be watched is closed.

--- a/packages/tier/src/corianderport_tier/process/caller_table.py
+++ b/packages/tier/src/corianderport_tier/process/caller_table.py
@@ -23,7 +23,7 @@
 _MAX_EXAMINED = 32
 # Shorter waits occur in calm too, when a task has to wait for the processor.
 _MIN_TASK_WAIT_S = 0.25
-# A request that has made no progress for this time is stalled.
+# A connection whose caller has made no progress for this time is stalled.
 _STALLED_S = 1.0
 # A connection that has waited for a task for longer is refused.
 _MAX_QUEUED_S = 1.0
@@ -111,12 +111,13 @@
     ) -> tuple[bool, Victim[_ConnectionT] | None]:
         """Return whether to accept a connection, and which one to close.
 
-        An accepted connection is idle.
+        An accepted connection is idle. At the bound, a connection is closed
+        that is idle or, if there is none, that is stalled by its caller.
         """
         with self._condition:
             victim = None
             if len(self._entries) >= self._bounds.connections:
-                victim = self._longest_idle()
+                victim = self._longest_idle() or self._longest_stalled()
                 if victim is None:
                     return False, None
             entry = _Entry(Phase.IDLE, self._clock.monotonic())
@@ -262,6 +263,13 @@
                     return self._choose(connection)
         return None
 
+    def _longest_stalled(self) -> Victim[_ConnectionT] | None:
+        for connection in self._for_caller:
+            if self._waited_s(connection) < _STALLED_S:
+                break
+            return self._choose(connection)
+        return None
+
     def _choose(self, connection: _ConnectionT) -> Victim[_ConnectionT]:
         entry = self._entries[connection]
         entry.closing = True
--- a/packages/wire/src/corianderport_wire/connection/connection_dispatcher.py
+++ b/packages/wire/src/corianderport_wire/connection/connection_dispatcher.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import contextlib
+import logging
 import os
 import select
 import threading
@@ -14,6 +15,7 @@
 
 __all__ = ['ConnectionDispatcher']
 
+_LOG = logging.getLogger(__name__)
 _MAX_EVENTS = 64
 # Interval at which the waits are examined while connections need a task.
 _RECHECK_S = 0.1
@@ -47,23 +49,34 @@
         self._lock = threading.Lock()
         self._polled: dict[int, CallerConnection] = {}
         self._timeout_s: float | None = None
+        self._pause = threading.Condition()
         self._stopped = False
 
     def run(self) -> None:
         """Serve the connections until ``stop``, and until all are closed."""
         while not (self._stopped and len(self._table) == 0):
-            with self._lock:
-                self._timeout_s = self._next_timeout_s()
-            for descriptor, _ in self._poll.poll(
-                self._timeout_s, maxevents=_MAX_EVENTS
-            ):
-                if descriptor == self._wake:
-                    os.eventfd_read(self._wake)
-                else:
-                    self._handle(descriptor)
-            self._give_tasks()
-            idle_s = self._serving.limits().idle_timeout_s
-            self.close_all(self._table.close_expired(idle_s))
+            try:
+                self._wait_and_handle()
+            except Exception:
+                # The process may be short of memory. All connections of the
+                # listener depend on this task.
+                _LOG.exception('handling the idle connections failed')
+                with self._pause:
+                    self._serving.clock.wait(self._pause, _RECHECK_S)
+
+    def _wait_and_handle(self) -> None:
+        with self._lock:
+            self._timeout_s = self._next_timeout_s()
+        for descriptor, _ in self._poll.poll(
+            self._timeout_s, maxevents=_MAX_EVENTS
+        ):
+            if descriptor == self._wake:
+                os.eventfd_read(self._wake)
+            else:
+                self._handle(descriptor)
+        self._give_tasks()
+        idle_s = self._serving.limits().idle_timeout_s
+        self.close_all(self._table.close_expired(idle_s))
 
     def stop(self) -> None:
         """Let ``run`` end with the last connection."""
@@ -73,17 +86,19 @@
     def watch(self, connection: CallerConnection) -> None:
         """Wait for bytes of a connection without a task."""
         with self._lock:
-            self._register(connection)
-            is_new_expiry = self._timeout_s is None
-        if is_new_expiry:
+            watched = self._register(connection)
+            wake = self._timeout_s is None
+        if not watched:
+            self.end(connection)
+        elif wake:
             self._wake_up()
 
     def park(self, connection: CallerConnection) -> None:
         """Take the task from a connection and wait for its next bytes."""
         with self._lock:
-            parked = self._table.park(connection)
-            if parked:
-                self._register(connection)
+            parked = self._table.park(connection) and self._register(
+                connection
+            )
             wake = self._timeout_s is None or self._table.has_queued
         if not parked:
             self.end(connection)
@@ -110,13 +125,18 @@
             else:
                 self.end(victim.connection)
 
-    def _register(self, connection: CallerConnection) -> None:
+    def _register(self, connection: CallerConnection) -> bool:
         descriptor = connection.fileno()
         if descriptor < 0:
             # It has been closed to make room for another one.
-            return
+            return False
+        try:
+            self._poll.register(descriptor, select.EPOLLIN | select.EPOLLRDHUP)
+        except OSError as error:
+            _LOG.warning('an idle connection cannot be watched: %s', error)
+            return False
         self._polled[descriptor] = connection
-        self._poll.register(descriptor, select.EPOLLIN | select.EPOLLRDHUP)
+        return True
 
     def _handle(self, descriptor: int) -> None:
         with self._lock:
@@ -125,10 +145,9 @@
                 return
             self._poll.unregister(descriptor)
             received = connection.peek()
-            if received is None:
-                # The event was one of an earlier connection that had the
-                # same descriptor.
-                self._register(connection)
+            # Without bytes, the event was one of an earlier connection that
+            # had the same descriptor.
+            if received is None and self._register(connection):
                 return
         if not received or not self._table.queue(connection):
             self.end(connection)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -2,12 +2,16 @@
 
 import pathlib
 
+import attrs
 import pytest
 
 from corianderport_daemon.process import entry_settings
 from corianderport_platform import settings
 from corianderport_platform import store
 from corianderport_tier import errors
+from corianderport_tier.process import host_bounds
+
+_PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'settings.md'
 
 TEXT = """
 node = "edge-a-1"
@@ -118,3 +122,61 @@
         settings.load({})
     with pytest.raises(errors.SettingInvalid):
         settings.load({settings.PATH_VARIABLE: str(tmp_path / 'none')})
+
+
+@attrs.frozen
+class _Row:
+    """A line of the table of variables in docs/settings.md."""
+
+    variable: str
+    default: str
+    allowed: str
+
+
+def _rows() -> dict[str, _Row]:
+    section = _PAGE.read_text().partition('\n## ')[2]
+    lines = [line for line in section.splitlines() if line[:3] == '| `']
+    cells = [[c.strip().strip('`') for c in line.split('|')] for line in lines]
+    return {c[1]: _Row(c[1], c[3], c[4]) for c in cells}
+
+
+def _load_with(
+    path: pathlib.Path, variable: str, value: object
+) -> host_bounds.HostBounds:
+    path.write_text(TEXT)
+    environment = {settings.PATH_VARIABLE: str(path), variable: str(value)}
+    return settings.load(environment).limits
+
+
+@pytest.mark.parametrize('name', settings.BOUND_VARIABLES)
+def test_variables_of_the_bounds(tmp_path: pathlib.Path, name: str) -> None:
+    """Guards against bounds that the page states wrongly or leaves out."""
+    path = tmp_path / 'x'
+    variable, least, most = settings.BOUND_VARIABLES[name]
+    row = _rows()[variable]
+    bounds = _load_with(path, 'OTHER', '')
+    assert row.default == str(getattr(bounds.callers, name))
+    assert [float(n) for n in row.allowed.split(' to ')] == [least, most]
+    for value in (least, most):
+        changed = _load_with(path, variable, value)
+        assert getattr(changed.callers, name) == value
+        assert changed.admin == bounds.admin
+    for value in (least - 1, most + 1, 'x', ''):
+        with pytest.raises(errors.SettingInvalid, match=variable):
+            _load_with(path, variable, value)
+
+
+def test_page_lists_every_variable() -> None:
+    """Guards against lines about variables that have no effect."""
+    listed = [variable for variable, _, _ in settings.BOUND_VARIABLES.values()]
+    assert list(_rows()) == listed
+
+
+def test_bounds_follow_from_the_machine(tmp_path: pathlib.Path) -> None:
+    """Guards against bounds of another machine than the one in the file."""
+    limits = '[limits]\nram_mb = 300\nmax_fds = 10436\n'
+    loaded = _load(tmp_path / 'x', TEXT + limits).limits
+    assert loaded == host_bounds.HostBounds.from_machine(300, 10_436)
+    for name in ('ram_mb', 'max_fds'):
+        with pytest.raises(errors.SettingInvalid, match=f'limits.{name}'):
+            _load(tmp_path / 'x', f'{TEXT}[limits]\n{name} = "many"\n')
