Charge responses that callers do not read to the budget

Cause: the budget held requests only.

Change: a response is charged once its caller does not read it at once, and may be closed for its bytes when it is stalled for a second. Responses are written in parts, without joining head and body.

Result: tests of the budget, of the table and of the listener with unread responses.

--- a/packages/tier/src/corianderport_tier/connection/request_charge.py
+++ b/packages/tier/src/corianderport_tier/connection/request_charge.py
@@ -1,6 +1,6 @@
 """corianderport_tier.connection.request_charge
 
-The bytes that the requests of one connection are charged for.
+The bytes that the requests and responses of one connection are charged for.
 """
 
 import collections.abc
@@ -22,7 +22,9 @@
 class RequestCharge:
     """Charges the bytes of one connection to the budget of the process.
 
-    :param close_stalled: closes the connection whose incomplete request has
+    A response is charged only if its caller does not read it at once.
+
+    :param close_stalled: closes the connection whose request or response has
         made no progress for longest; returns False if there is none.
     """
 
@@ -52,6 +54,17 @@
             )
         self._held += amount
 
+    def add_response(self, amount: int) -> None:
+        """Charge a response that its caller does not read at once.
+
+        It has to be sent, since its request has run. Beyond the budget, a
+        stalled connection is closed.
+        """
+        self._budget.charge_in_any_case(amount)
+        self._held += amount
+        if self._budget.exceeded:
+            self._close_stalled()
+
     def reduce_to(self, amount: int) -> None:
         """Release all bytes but the given number."""
         released = max(0, self._held - amount)
--- a/packages/tier/src/corianderport_tier/process/byte_budget.py
+++ b/packages/tier/src/corianderport_tier/process/byte_budget.py
@@ -30,9 +30,14 @@
         self._condition = threading.Condition()
         self._used_bytes = 0
 
+    @property
+    def exceeded(self) -> bool:
+        """Whether more bytes are in use than the budget has."""
+        return self._used_bytes > self._total_bytes
+
     @property
     def used_bytes(self) -> int:
-        """Number of bytes that all requests hold."""
+        """Number of bytes that all requests and responses hold."""
         return self._used_bytes
 
     def charge(self, amount: int, held: int, wait_s: float = 0.0) -> bool:
@@ -51,6 +56,11 @@
             self._used_bytes += amount
             return True
 
+    def charge_in_any_case(self, amount: int) -> None:
+        """Add bytes that are stored already."""
+        with self._condition:
+            self._used_bytes += amount
+
     def release(self, amount: int) -> None:
         """Return bytes of a request."""
         with self._condition:
--- a/packages/tier/src/corianderport_tier/process/caller_table.py
+++ b/packages/tier/src/corianderport_tier/process/caller_table.py
@@ -236,12 +236,12 @@
         return None
 
     def close_for_bytes(self) -> Victim[_ConnectionT] | None:
-        """Choose the incomplete request that is stalled longest."""
+        """Choose the request or response that is stalled longest."""
         with self._condition:
             for connection in self._for_caller:
                 if self._waited_s(connection) < _STALLED_S:
                     break
-                if self._entries[connection].phase == Phase.RECEIVING:
+                if self._entries[connection].phase != Phase.LINGERING:
                     return self._choose(connection)
         return None
 
--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -212,6 +212,7 @@
         self._charge.reduce_to(len(self._surplus))
         closing = self._serving.closing
         self._respond(parser, response, closing)
+        self._charge.reduce_to(len(self._surplus))
         if self._on_sent is not None:
             self._on_sent()
         return not closing and parser.reusable
@@ -237,7 +238,7 @@
         :raises RequestRejected: the request was not received in time.
         """
         if interim:
-            self._write(interim)
+            self._write([interim])
         self._begin(Phase.RECEIVING)
         if not self._await(select.POLLIN, deadline):
             raise caller_messages.RequestRejected(_REQUEST_TIMEOUT)
@@ -267,23 +268,27 @@
         events.append(h11.EndOfMessage())
         self._write(parser.encode(*events))
 
-    def _write(self, content: bytes) -> None:
-        """Write all bytes.
+    def _write(self, parts: list[bytes]) -> None:
+        """Write all parts.
 
         :raises TimeoutError: the caller does not read them in time.
         """
         deadline = deadlines.Deadline.after(
             self._clock, self._serving.bounds.write_timeout_s
         )
-        rest = memoryview(content)
+        unsent = [memoryview(part) for part in parts]
+        charged = False
         while True:
             try:
-                rest = rest[self._socket.send(rest) :]
+                unsent = _skip(unsent, self._socket.sendmsg(unsent))
             except BlockingIOError:
                 _LOG.debug('a caller does not read its response')
-            if not rest:
+            if not unsent:
                 return
             self._begin(Phase.SENDING)
+            if not charged:
+                self._charge.add_response(sum(len(part) for part in parts))
+                charged = True
             if not self._await(select.POLLOUT, deadline):
                 raise TimeoutError('a response was not read in time')
 
@@ -306,3 +311,14 @@
         self._serving.events.record('caller_bytes_evicted')
         victim.connection.abort()
         return True
+
+
+def _skip(views: list[memoryview], count: int) -> list[memoryview]:
+    """Return the views without their first bytes."""
+    rest = []
+    for view in views:
+        skipped = min(count, len(view))
+        count -= skipped
+        if skipped < len(view):
+            rest.append(view[skipped:])
+    return rest
--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -117,9 +117,10 @@
             return None
         return event
 
-    def encode(self, *events: h11.Event) -> bytes:
-        """Return the bytes of a response or a part of it."""
-        return b''.join(self._protocol.send(event) or b'' for event in events)
+    def encode(self, *events: h11.Event) -> list[bytes]:
+        """Return the bytes of a response or a part of it, without copies."""
+        parts = [self._protocol.send(event) for event in events]
+        return [part for part in parts if part]
 
     def _check_declared_length(self, head: h11.Request) -> None:
         """Reject a body before it arrives if its length is declared."""
--- a/packages/wire/src/corianderport_wire/connection/request_reader.py
+++ b/packages/wire/src/corianderport_wire/connection/request_reader.py
@@ -79,7 +79,7 @@
             if event is None:
                 interim = b''
                 if self._parser.awaits_continue:
-                    interim = self._parser.encode(_CONTINUE)
+                    interim = b''.join(self._parser.encode(_CONTINUE))
                 self._feed(read(interim, deadline))
             elif isinstance(event, h11.Request):
                 deadline = self._deadline_after(self._limits.idle_timeout_s)
--- a/tests/tier/test_byte_budget.py
+++ b/tests/tier/test_byte_budget.py
@@ -49,6 +49,32 @@
     assert budget.used_bytes == 50_000
 
 
+def test_response_is_charged_in_any_case() -> None:
+    """Guards against memory that grows with responses that are not read.
+
+    A response is sent even if the budget has no room; a stalled connection
+    then makes room, and further requests are refused.
+    """
+    budget = byte_budget.ByteBudget(_TOTAL, clock.ManualClock())
+    closed: list[bool] = []
+
+    def close_stalled() -> bool:
+        closed.append(True)
+        return False
+
+    charge = request_charge.RequestCharge(budget, close_stalled)
+    charge.add_response(_TOTAL)
+    assert not closed
+    other = request_charge.RequestCharge(budget, close_stalled)
+    other.add_response(1)
+    assert len(closed) == 1
+    with pytest.raises(request_charge.BudgetExceeded):
+        other.add(1)
+    charge.reduce_to(0)
+    other.add(1)
+    assert budget.used_bytes == 2
+
+
 def test_stalled_request_makes_room() -> None:
     """Guards against refusing callers while stalled ones hold the budget."""
     budget = byte_budget.ByteBudget(_TOTAL, clock.ManualClock())
--- a/tests/tier/test_caller_table.py
+++ b/tests/tier/test_caller_table.py
@@ -164,17 +164,20 @@
     assert table.start_next() is waiting
 
 
-def test_incomplete_request_without_progress_gives_up_its_bytes() -> None:
-    """Guards against bodies that stop short of their end.
-
-    A request that receives bytes is not stalled, and a caller that does not
-    read holds no incomplete request.
+@pytest.mark.parametrize('phase', [_Phase.RECEIVING, _Phase.SENDING])
+def test_connection_without_progress_gives_up_its_bytes(
+    phase: _Phase,
+) -> None:
+    """Guards against bodies without an end and responses that are not read.
+
+    A request that receives bytes is not stalled, and a rejected one holds no
+    bytes.
     """
     manual = clock.ManualClock()
     table = _table(manual, tasks=4)
-    unread, stalled, active = _admit(table, 3)
-    _start(table, unread, _Phase.SENDING)
-    _start(table, stalled, _Phase.RECEIVING)
+    rejected, stalled, active = _admit(table, 3)
+    _start(table, rejected, _Phase.LINGERING)
+    _start(table, stalled, phase)
     _start(table, active, _Phase.RECEIVING)
     manual.advance(0.9)
     assert table.begin(active, _Phase.RECEIVING)
--- a/tests/wire/test_caller_bounds.py
+++ b/tests/wire/test_caller_bounds.py
@@ -29,8 +29,12 @@
 
 @attrs.define
 class _Service:
-    """Answers with the size of the body; ``/run`` waits for ``release``."""
+    """Answers with the size of the body; ``/run`` waits for ``release``.
 
+    The response to ``/large`` has a body.
+    """
+
+    body: bytes = bytes(16_000_000)
     running: threading.Semaphore = attrs.Factory(
         lambda: threading.Semaphore(0)
     )
@@ -46,9 +50,9 @@
         if request.target == b'/run':
             self.running.release()
             self.release.wait(_LONG_S)
-        size = 16_000_000 if request.target == b'/large' else 0
+        body = self.body if request.target == b'/large' else b''
         headers = ((b'x-size', str(len(request.body)).encode()),)
-        return caller_listener.HttpResponse(200, headers, bytes(size))
+        return caller_listener.HttpResponse(200, headers, body)
 
 
 @contextlib.contextmanager
@@ -268,6 +272,24 @@
         _wait_until(lambda: listener._serving.budget.used_bytes == 0)
 
 
+def test_unread_responses_make_room_for_other_requests() -> None:
+    """Guards against memory that grows with responses that are not read."""
+    bounds = attrs.evolve(_BOUNDS, budget_bytes=400_000)
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(_listening(_Service(), bounds))
+        unread, early, late = (
+            stack.enter_context(_connect(listener)) for _ in range(3)
+        )
+        unread.sendall(_GET % b'large')
+        _wait_until(lambda: listener._serving.budget.exceeded)
+        early.sendall(_GET % b'x')
+        assert _response(early).status == 503
+        time.sleep(1.1)
+        late.sendall(_GET % b'x')
+        assert _response(late).status == 200
+        _wait_until(lambda: listener._serving.budget.used_bytes == 0)
+
+
 @pytest.mark.parametrize('chunked', [False, True])
 def test_unwanted_body_is_counted_and_dropped(chunked: bool) -> None:
     """Guards against storing a body that no handler reads.
@@ -324,3 +346,37 @@
             received = b''
             while received.count(b'HTTP/1.1 200') < 20:
                 received += caller.recv(65_536)
+
+
+def test_large_response_is_written_in_parts() -> None:
+    """Guards against a response with lost or repeated bytes.
+
+    The caller reads late, so that the host writes what fits in the buffers
+    and the rest later.
+    """
+    body = b''.join(b'%08d' % number for number in range(500_000))
+
+    with (
+        _listening(_Service(body=body)) as listener,
+        _connect(listener) as caller,
+    ):
+        caller.sendall(2 * (_GET % b'large'))
+        time.sleep(0.1)
+        reader = caller.makefile('rb')
+        for _ in range(2):
+            assert b' 200 ' in reader.readline()
+            while reader.readline() != b'\r\n':
+                continue
+            assert reader.read(len(body)) == body
+
+
+def test_unread_response_ends_the_connection() -> None:
+    """Guards against callers that never read and keep memory for ever."""
+    bounds = attrs.evolve(_BOUNDS, write_timeout_s=0.3)
+    with (
+        _listening(_Service(), bounds) as listener,
+        _connect(listener) as caller,
+    ):
+        caller.sendall(_GET % b'large')
+        _wait_until(lambda: len(listener._table) == 1)
+        _wait_until(lambda: len(listener._table) == 0)
