--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -787,6 +787,39 @@
     assert answer.code is Code.UNKNOWN_SERVICE
 
 
+@pytest.mark.parametrize(
+    ('prefix', 'wanted', 'code'),
+    [
+        ('/find/', True, Code.NOT_READY),
+        ('/other/', False, Code.UNKNOWN_SERVICE),
+    ],
+)
+def test_request_without_its_body_is_not_sent(
+    prefix: str, wanted: bool, code: Code
+) -> None:
+    """Guards against sending a request whose body was dropped.
+
+    No route matched when the body arrived; one matches when the request is
+    complete.
+    """
+    host = _Host(entries.route(prefix=prefix))
+    request = forward_messages.ForwardRequest(
+        'q1',
+        'a.example',
+        '/find/x',
+        forward_messages.Payload(b'POST', b'/find/x', (), b''),
+        deadlines.Deadline.after(host.clock, 1.0),
+        host.clock.monotonic(),
+        body_dropped=True,
+    )
+    assert host.forwarder.wants_body(request) == wanted
+    answer = host.forwarder.answer(request, host.caller)
+    assert isinstance(answer, Failure)
+    assert answer.code is code
+    assert (answer.retry_after_s is not None) == wanted
+    assert host.idle
+
+
 def test_host_without_routing_says_that_it_is_not_ready() -> None:
     """Guards against 'unknown service' before the routes are loaded.
 
