Keep unread responses apart from the budget of requests

Cause: with one budget, a caller that read a large response slowly made the host refuse the requests of all others.

Change: responses have a second budget of the same size, which never refuses a request. Fewer than 512 bytes of a request are no progress.

--- a/packages/daemon/src/corianderport_daemon/process/host_listeners.py
+++ b/packages/daemon/src/corianderport_daemon/process/host_listeners.py
@@ -67,8 +67,8 @@
         self._limits = limits
         self._clock = clock
         self._watcher = disconnect_watcher.DisconnectWatcher()
-        self._budget = byte_budget.ByteBudget(
-            bounds.callers.budget_bytes, clock
+        self._budgets = byte_budget.CallerBudgets.from_bounds(
+            bounds.callers, clock
         )
         self._events = limit_events.LimitEvents(log, clock)
         self._executor = concurrent.futures.ThreadPoolExecutor(
@@ -133,7 +133,7 @@
             self._clock,
             bounds,
             wants_body,
-            self._budget,
+            self._budgets,
             self._events,
         )
 
--- a/packages/tier/src/corianderport_tier/connection/request_charge.py
+++ b/packages/tier/src/corianderport_tier/connection/byte_charge.py
@@ -1,13 +1,13 @@
-"""corianderport_tier.connection.request_charge
+"""corianderport_tier.connection.byte_charge
 
-The bytes that the requests and responses of one connection are charged for.
+The bytes that one connection is charged for.
 """
 
 import collections.abc
 
 from corianderport_tier.process import byte_budget
 
-__all__ = ['BudgetExceeded', 'RequestCharge']
+__all__ = ['BudgetExceeded', 'ByteCharge']
 
 # Time for a closed connection to release its bytes.
 _RELEASE_TIMEOUT_S = 0.2
@@ -19,13 +19,11 @@
     """The budget has no room, and no stalled request makes room."""
 
 
-class RequestCharge:
-    """Charges the bytes of one connection to the budget of the process.
+class ByteCharge:
+    """Charges the bytes of one connection to a budget of the process.
 
-    A response is charged only if its caller does not read it at once.
-
-    :param close_stalled: closes the connection whose request or response has
-        made no progress for longest; returns False if there is none.
+    :param close_stalled: closes the connection that has made no progress for
+        longest; returns False if there is none.
     """
 
     def __init__(
@@ -54,11 +52,10 @@
             )
         self._held += amount
 
-    def add_response(self, amount: int) -> None:
-        """Charge a response that its caller does not read at once.
+    def add_in_any_case(self, amount: int) -> None:
+        """Charge bytes that are stored already.
 
-        It has to be sent, since its request has run. Beyond the budget, a
-        stalled connection is closed.
+        Beyond the budget, a stalled connection is closed.
         """
         self._budget.charge_in_any_case(amount)
         self._held += amount
--- a/packages/tier/src/corianderport_tier/process/byte_budget.py
+++ b/packages/tier/src/corianderport_tier/process/byte_budget.py
@@ -1,14 +1,19 @@
 """corianderport_tier.process.byte_budget
 
-Bounds the memory that the requests of all callers hold together.
+Bounds the memory that the requests of all callers hold together, and that of
+the responses that they do not read.
 """
 
 import threading
+import typing
+
+import attrs
 
 from corianderport_tier import clocks
+from corianderport_tier.process import caller_bounds
 from corianderport_tier.request import deadlines
 
-__all__ = ['ByteBudget', 'SMALL_REQUEST_BYTES']
+__all__ = ['ByteBudget', 'CallerBudgets', 'SMALL_REQUEST_BYTES']
 
 # A request below this size may use the reserved part of the budget.
 SMALL_REQUEST_BYTES = 16_384
@@ -37,7 +42,7 @@
 
     @property
     def used_bytes(self) -> int:
-        """Number of bytes that all requests and responses hold."""
+        """Number of bytes that are charged."""
         return self._used_bytes
 
     def charge(self, amount: int, held: int, wait_s: float = 0.0) -> bool:
@@ -71,3 +76,25 @@
         small = held + amount < SMALL_REQUEST_BYTES
         limit = self._total_bytes if small else self._unreserved_bytes
         return self._used_bytes == held or self._used_bytes + amount <= limit
+
+
+@attrs.frozen
+class CallerBudgets:
+    """Budgets of one process.
+
+    They are separate, so that callers who do not read their responses do not
+    make the host refuse the requests of others.
+    """
+
+    requests: ByteBudget
+    responses: ByteBudget
+
+    @classmethod
+    def from_bounds(
+        cls, bounds: caller_bounds.CallerBounds, clock: clocks.Clock
+    ) -> typing.Self:
+        """Return two budgets of the same size."""
+        return cls(
+            ByteBudget(bounds.budget_bytes, clock),
+            ByteBudget(bounds.budget_bytes, clock),
+        )
--- a/packages/tier/src/corianderport_tier/process/caller_bounds.py
+++ b/packages/tier/src/corianderport_tier/process/caller_bounds.py
@@ -13,7 +13,8 @@
     """Bounds of one listener for callers.
 
     ``connections`` bounds the open connections, ``tasks`` those that are
-    served at one time, and ``budget_bytes`` the memory of all their requests.
+    served at one time, and ``budget_bytes`` the memory of all their requests
+    and that of all responses that they do not read.
     An idle connection keeps its task for ``hold_s``. A response has to be
     received within ``write_timeout_s``. ``socket_bytes`` is the size of each
     socket's send buffer and of its receive buffer.
--- a/packages/tier/src/corianderport_tier/process/caller_table.py
+++ b/packages/tier/src/corianderport_tier/process/caller_table.py
@@ -235,13 +235,13 @@
                 return self._choose(connection)
         return None
 
-    def close_for_bytes(self) -> Victim[_ConnectionT] | None:
-        """Choose the request or response that is stalled longest."""
+    def close_for_bytes(self, phase: Phase) -> Victim[_ConnectionT] | None:
+        """Choose the connection that is stalled in a phase for longest."""
         with self._condition:
             for connection in self._for_caller:
                 if self._waited_s(connection) < _STALLED_S:
                     break
-                if self._entries[connection].phase != Phase.LINGERING:
+                if self._entries[connection].phase is phase:
                     return self._choose(connection)
         return None
 
--- a/packages/tier/src/corianderport_tier/process/limit_events.py
+++ b/packages/tier/src/corianderport_tier/process/limit_events.py
@@ -25,6 +25,7 @@
     'caller_task_refused',
     'caller_bytes_evicted',
     'caller_bytes_refused',
+    'caller_response_evicted',
 ]
 
 
--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -13,7 +13,7 @@
 import h11
 
 from corianderport_tier import clocks
-from corianderport_tier.connection import request_charge
+from corianderport_tier.connection import byte_charge
 from corianderport_tier.process import byte_budget
 from corianderport_tier.process import caller_bounds
 from corianderport_tier.process import caller_table
@@ -33,6 +33,9 @@
 # Time in which a caller can finish a request that has been rejected. Closing
 # the connection earlier could discard the response before it is read.
 _LINGER_S = 1.0
+# Fewer bytes of a request are no progress, so that a caller that sends a byte
+# now and then counts as stalled.
+_PROGRESS_BYTES = 512
 _BAD_GATEWAY = 502
 _REQUEST_TIMEOUT = 408
 
@@ -53,7 +56,7 @@
     watcher: disconnect_watcher.DisconnectWatcher
     bounds: caller_bounds.CallerBounds
     table: 'caller_table.CallerTable[CallerConnection]'
-    budget: byte_budget.ByteBudget
+    budgets: byte_budget.CallerBudgets
     events: limit_events.LimitEvents
     pressure: task_pressure.TaskPressure
     clock: clocks.Clock
@@ -74,9 +77,13 @@
         self._clock = serving.clock
         # Bytes that arrived after the end of the last request.
         self._surplus = b''
-        self._charge = request_charge.RequestCharge(
-            serving.budget, self._close_stalled
+        self._charge = byte_charge.ByteCharge(
+            serving.budgets.requests, self._close_stalled_request
         )
+        self._response_charge = byte_charge.ByteCharge(
+            serving.budgets.responses, self._close_stalled_response
+        )
+        self._progress_bytes = 0
         self._disconnected = False
         self._on_sent: collections.abc.Callable[[], None] | None = None
 
@@ -132,6 +139,7 @@
             _LOG.debug('connection of a caller closed to limit their use')
         finally:
             self._charge.reduce_to(len(self._surplus))
+            self._response_charge.reduce_to(0)
         return False
 
     def abort(self) -> None:
@@ -212,7 +220,6 @@
         self._charge.reduce_to(len(self._surplus))
         closing = self._serving.closing
         self._respond(parser, response, closing)
-        self._charge.reduce_to(len(self._surplus))
         if self._on_sent is not None:
             self._on_sent()
         return not closing and parser.reusable
@@ -239,10 +246,15 @@
         """
         if interim:
             self._write([interim])
-        self._begin(Phase.RECEIVING)
+            self._begin(Phase.RECEIVING)
         if not self._await(select.POLLIN, deadline):
             raise caller_messages.RequestRejected(_REQUEST_TIMEOUT)
-        return self._receive()
+        received = self._receive()
+        self._progress_bytes += len(received)
+        if self._progress_bytes >= _PROGRESS_BYTES:
+            self._progress_bytes = 0
+            self._begin(Phase.RECEIVING)
+        return received
 
     def _receive(self) -> bytes:
         return self._socket.recv(_RECEIVE_BYTES)
@@ -277,18 +289,18 @@
             self._clock, self._serving.bounds.write_timeout_s
         )
         unsent = [memoryview(part) for part in parts]
-        charged = False
         while True:
             try:
                 unsent = _skip(unsent, self._socket.sendmsg(unsent))
             except BlockingIOError:
                 _LOG.debug('a caller does not read its response')
             if not unsent:
+                self._response_charge.reduce_to(0)
                 return
             self._begin(Phase.SENDING)
-            if not charged:
-                self._charge.add_response(sum(len(part) for part in parts))
-                charged = True
+            if not self._response_charge.held:
+                # The request has run, so that its response is not refused.
+                self._response_charge.add_in_any_case(sum(map(len, parts)))
             if not self._await(select.POLLOUT, deadline):
                 raise TimeoutError('a response was not read in time')
 
@@ -303,12 +315,20 @@
         if not self._serving.table.begin(self, phase):
             raise _ClosedByHost
 
-    def _close_stalled(self) -> bool:
-        """Close a connection to make room in the budget."""
-        victim = self._serving.table.close_for_bytes()
+    def _close_stalled_request(self) -> bool:
+        return self._close_stalled(Phase.RECEIVING, 'caller_bytes_evicted')
+
+    def _close_stalled_response(self) -> bool:
+        return self._close_stalled(Phase.SENDING, 'caller_response_evicted')
+
+    def _close_stalled(
+        self, phase: Phase, event: limit_events.LimitEvent
+    ) -> bool:
+        """Close a connection to make room in a budget."""
+        victim = self._serving.table.close_for_bytes(phase)
         if victim is None:
             return False
-        self._serving.events.record('caller_bytes_evicted')
+        self._serving.events.record(event)
         victim.connection.abort()
         return True
 
--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -61,7 +61,7 @@
     :param bounds: bounds on the connections; the executor must have one
         thread more than ``bounds.tasks``, and one for ``run``.
     :param wants_body: says whether the body of a request is stored.
-    :param budget: bounds the memory of all requests.
+    :param budgets: bound the memory of requests and responses.
     :param events: counts how often a bound takes effect.
     """
 
@@ -75,7 +75,7 @@
         clock: clocks.Clock,
         bounds: caller_bounds.CallerBounds | None = None,
         wants_body: caller_messages.WantsBody = _wants_every_body,
-        budget: byte_budget.ByteBudget | None = None,
+        budgets: byte_budget.CallerBudgets | None = None,
         events: limit_events.LimitEvents | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
@@ -92,7 +92,7 @@
             watcher,
             bounds,
             self._table,
-            budget or byte_budget.ByteBudget(bounds.budget_bytes, clock),
+            budgets or byte_budget.CallerBudgets.from_bounds(bounds, clock),
             events
             or limit_events.LimitEvents(decision_log.DecisionLog(), clock),
             task_pressure.TaskPressure(),
--- a/packages/wire/src/corianderport_wire/connection/request_reader.py
+++ b/packages/wire/src/corianderport_wire/connection/request_reader.py
@@ -10,7 +10,7 @@
 import h11
 
 from corianderport_tier import clocks
-from corianderport_tier.connection import request_charge
+from corianderport_tier.connection import byte_charge
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import routes
 from corianderport_wire.connection import caller_messages
@@ -48,7 +48,7 @@
         self,
         parser: request_parser.RequestParser,
         limits: routes.CallerLimits,
-        charge: request_charge.RequestCharge,
+        charge: byte_charge.ByteCharge,
         wants_body: caller_messages.WantsBody,
         clock: clocks.Clock,
     ) -> None:
@@ -108,7 +108,7 @@
             amount += amount // _BUFFER_GROWTH
         try:
             self._charge.add(amount)
-        except request_charge.BudgetExceeded as error:
+        except byte_charge.BudgetExceeded as error:
             raise caller_messages.RequestRejected(
                 _UNAVAILABLE, retry_after_s()
             ) from error
