--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -16,7 +16,7 @@
 __all__ = ['Event', 'RequestParser']
 
 # Bytes that one read may add to an incomplete line of a chunked body.
-_MAX_READ_BYTES = 65_536
+_MAX_READ_BYTES = 16_384
 # A line break and an empty line, as h11 recognizes them.
 _HEAD_END = re.compile(rb'\n\r?\n')
 # Bytes of a head end that may have arrived with earlier reads.
@@ -117,9 +117,10 @@
             return None
         return event
 
-    def encode(self, *events: h11.Event) -> bytes:
-        """Return the bytes of a response or a part of it."""
-        return b''.join(self._protocol.send(event) or b'' for event in events)
+    def encode(self, *events: h11.Event) -> list[bytes]:
+        """Return the bytes of a response or a part of it, without copies."""
+        parts = [self._protocol.send(event) for event in events]
+        return [part for part in parts if part]
 
     def _check_declared_length(self, head: h11.Request) -> None:
         """Reject a body before it arrives if its length is declared."""
