Spend less on the parsing of a request

Change: the header fields are read from h11 once, the table finds the order of a connection without a search, and the budget computes a deadline only when it has to wait.

--- a/packages/tier/src/corianderport_tier/process/byte_budget.py
+++ b/packages/tier/src/corianderport_tier/process/byte_budget.py
@@ -51,13 +51,11 @@
         Wait up to ``wait_s`` for other requests to release theirs; return
         False if the bytes are not available.
         """
-        until = deadlines.Deadline.after(self._clock, wait_s)
         with self._condition:
-            while not self._available(amount, held):
-                left_s = until.remaining(self._clock)
-                if left_s <= 0:
-                    return False
-                self._clock.wait(self._condition, left_s)
+            if not self._available(amount, held) and not self._await(
+                amount, held, wait_s
+            ):
+                return False
             self._used_bytes += amount
             return True
 
@@ -72,6 +70,15 @@
             self._used_bytes -= amount
             self._condition.notify_all()
 
+    def _await(self, amount: int, held: int, wait_s: float) -> bool:
+        until = deadlines.Deadline.after(self._clock, wait_s)
+        while not self._available(amount, held):
+            left_s = until.remaining(self._clock)
+            if left_s <= 0:
+                return False
+            self._clock.wait(self._condition, left_s)
+        return True
+
     def _available(self, amount: int, held: int) -> bool:
         small = held + amount < SMALL_REQUEST_BYTES
         limit = self._total_bytes if small else self._unreserved_bytes
--- a/packages/tier/src/corianderport_tier/process/caller_table.py
+++ b/packages/tier/src/corianderport_tier/process/caller_table.py
@@ -40,9 +40,6 @@
     LINGERING = 'end of a rejected request'
 
 
-_FOR_CALLER = (Phase.RECEIVING, Phase.SENDING, Phase.LINGERING)
-
-
 class Connection(typing.Protocol):
     """A connection of a caller."""
 
@@ -51,7 +48,6 @@
 
 
 _ConnectionT = typing.TypeVar('_ConnectionT', bound=Connection)
-_Order = collections.OrderedDict[_ConnectionT, None]
 
 
 @attrs.frozen
@@ -65,10 +61,15 @@
     on_task: bool
 
 
+_Order = collections.OrderedDict[_ConnectionT, None]
+
+
 @attrs.define
-class _Entry:
+class _Entry(typing.Generic[_ConnectionT]):
     phase: Phase
     since_s: float
+    # The order that the connection is in, if any.
+    order: _Order[_ConnectionT] | None = None
     on_task: bool = False
     closing: bool = False
 
@@ -82,13 +83,21 @@
         self._bounds = bounds
         self._clock = clock
         self._condition = threading.Condition()
-        self._entries: dict[_ConnectionT, _Entry] = {}
+        self._entries: dict[_ConnectionT, _Entry[_ConnectionT]] = {}
         # Connections of a phase, the one that has waited longest first. An
         # idle connection is held by its task at first and then parked.
         self._parked: _Order[_ConnectionT] = collections.OrderedDict()
         self._held: _Order[_ConnectionT] = collections.OrderedDict()
         self._queued: _Order[_ConnectionT] = collections.OrderedDict()
         self._for_caller: _Order[_ConnectionT] = collections.OrderedDict()
+        self._orders = {
+            Phase.IDLE: self._held,
+            Phase.QUEUED: self._queued,
+            Phase.RECEIVING: self._for_caller,
+            Phase.RUNNING: None,
+            Phase.SENDING: self._for_caller,
+            Phase.LINGERING: self._for_caller,
+        }
         self._tasks = 0
         # Tasks whose connections have been chosen to be closed.
         self._closing = 0
@@ -120,9 +129,9 @@
                 victim = self._longest_idle() or self._longest_stalled()
                 if victim is None:
                     return False, None
-            entry = _Entry(Phase.IDLE, self._clock.monotonic())
+            entry = _Entry[_ConnectionT](Phase.IDLE, self._clock.monotonic())
             self._entries[connection] = entry
-            self._parked[connection] = None
+            self._enter_order(connection, entry, self._parked)
             return True, victim
 
     def begin(self, connection: _ConnectionT, phase: Phase) -> bool:
@@ -147,8 +156,7 @@
             if entry is None or entry.closing:
                 return False
             self._release_task(entry)
-            self._leave_order(connection)
-            self._parked[connection] = None
+            self._enter_order(connection, entry, self._parked)
             return True
 
     def queue(self, connection: _ConnectionT) -> bool:
@@ -275,7 +283,7 @@
         entry.closing = True
         if entry.on_task:
             self._closing += 1
-            self._leave_order(connection)
+            self._enter_order(connection, entry, None)
         else:
             self._remove(connection)
         return Victim(connection, entry.on_task)
@@ -284,28 +292,28 @@
         return self._clock.monotonic() - self._entries[connection].since_s
 
     def _move(
-        self, connection: _ConnectionT, entry: _Entry, phase: Phase
+        self,
+        connection: _ConnectionT,
+        entry: _Entry[_ConnectionT],
+        phase: Phase,
     ) -> None:
-        self._leave_order(connection)
         entry.phase = phase
         entry.since_s = self._clock.monotonic()
-        if phase is Phase.IDLE:
-            self._held[connection] = None
-        elif phase is Phase.QUEUED:
-            self._queued[connection] = None
-        elif phase in _FOR_CALLER:
-            self._for_caller[connection] = None
-
-    def _leave_order(self, connection: _ConnectionT) -> None:
-        for order in (
-            self._parked,
-            self._held,
-            self._queued,
-            self._for_caller,
-        ):
-            order.pop(connection, None)
-
-    def _release_task(self, entry: _Entry) -> None:
+        self._enter_order(connection, entry, self._orders[phase])
+
+    def _enter_order(
+        self,
+        connection: _ConnectionT,
+        entry: _Entry[_ConnectionT],
+        order: _Order[_ConnectionT] | None,
+    ) -> None:
+        if entry.order is not None:
+            del entry.order[connection]
+        entry.order = order
+        if order is not None:
+            order[connection] = None
+
+    def _release_task(self, entry: _Entry[_ConnectionT]) -> None:
         if entry.on_task:
             entry.on_task = False
             self._tasks -= 1
@@ -316,6 +324,6 @@
         if entry is None:
             return False
         self._release_task(entry)
-        self._leave_order(connection)
+        self._enter_order(connection, entry, None)
         self._condition.notify_all()
         return True
--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -190,7 +190,8 @@
 
     def _serve_request(self, received: bytes) -> bool:
         """Serve one request; return False when the connection must close."""
-        self._begin(Phase.RECEIVING)
+        if self._surplus:
+            self._begin(Phase.RECEIVING)
         # A new configuration applies to each request that begins after it.
         limits = self._serving.limits()
         parser = request_parser.RequestParser(limits)
--- a/packages/wire/src/corianderport_wire/connection/caller_messages.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_messages.py
@@ -13,12 +13,22 @@
 __all__ = [
     'HttpResponse',
     'ReceivedRequest',
+    'RequestHead',
     'RequestRejected',
     'WantsBody',
     'response_head',
 ]
 
 
+@attrs.frozen
+class RequestHead:
+    """The request line and the header fields of a request."""
+
+    method: bytes
+    target: bytes
+    headers: http_exchange.Headers
+
+
 @attrs.frozen
 class ReceivedRequest(http_exchange.HttpRequest):
     """A caller's request.
--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -26,7 +26,8 @@
 _HEADERS_TOO_LARGE = 431
 _BODY_TOO_LARGE = 413
 
-Event = h11.Request | h11.Data | h11.EndOfMessage | h11.ConnectionClosed
+RequestHead = caller_messages.RequestHead
+Event = RequestHead | h11.Data | h11.EndOfMessage | h11.ConnectionClosed
 
 
 class RequestParser:
@@ -103,16 +104,21 @@
                 error.error_status_hint
             ) from error
         if isinstance(event, h11.Request):
-            self._check_declared_length(event)
+            head = RequestHead(
+                event.method, event.target, tuple(event.headers)
+            )
+            self._check_declared_length(head)
             if self._after_head:
                 self._protocol.receive_data(self._after_head)
                 self._after_head = b''
-        elif isinstance(event, h11.Data):
+            return head
+        if isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
             if self._body_bytes > self._limits.body_bytes:
                 raise caller_messages.RequestRejected(_BODY_TOO_LARGE)
         elif isinstance(event, h11.EndOfMessage):
-            self._check_trailers(event)
+            if event.headers:
+                self._check_trailers(event)
         elif not isinstance(event, h11.ConnectionClosed):
             return None
         return event
@@ -122,7 +128,7 @@
         parts = [self._protocol.send(event) for event in events]
         return [part for part in parts if part]
 
-    def _check_declared_length(self, head: h11.Request) -> None:
+    def _check_declared_length(self, head: RequestHead) -> None:
         """Reject a body before it arrives if its length is declared."""
         headers = dict(head.headers)
         if b'transfer-encoding' in headers:
--- a/packages/wire/src/corianderport_wire/connection/request_reader.py
+++ b/packages/wire/src/corianderport_wire/connection/request_reader.py
@@ -58,7 +58,7 @@
         self._wants_body = wants_body
         self._clock = clock
         self._received_s = clock.monotonic()
-        self._head: caller_messages.ReceivedRequest | None = None
+        self._head: caller_messages.RequestHead | None = None
         self._body = io.BytesIO()
         self._body_wanted: bool | None = None
 
@@ -81,19 +81,14 @@
                 if self._parser.awaits_continue:
                     interim = b''.join(self._parser.encode(_CONTINUE))
                 self._feed(read(interim, deadline))
-            elif isinstance(event, h11.Request):
+            elif isinstance(event, caller_messages.RequestHead):
                 deadline = self._deadline_after(self._limits.idle_timeout_s)
-                self._head = caller_messages.ReceivedRequest(
-                    event.method,
-                    event.target,
-                    tuple(event.headers),
-                    b'',
-                    self._received_s,
-                )
+                self._head = event
             elif isinstance(event, h11.Data):
                 self._store(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                return self._request()
+                assert self._head is not None
+                return self._request(self._head)
             else:
                 return None
 
@@ -117,16 +112,17 @@
     def _store(self, data: bytes) -> None:
         assert self._head is not None
         if self._body_wanted is None:
-            self._body_wanted = self._wants_body(self._head)
+            self._body_wanted = self._wants_body(self._request(self._head))
         if self._body_wanted:
             self._body.write(data)
 
-    def _request(self) -> caller_messages.ReceivedRequest:
-        assert self._head is not None
+    def _request(
+        self, head: caller_messages.RequestHead
+    ) -> caller_messages.ReceivedRequest:
         return caller_messages.ReceivedRequest(
-            self._head.method,
-            self._head.target,
-            self._head.headers,
+            head.method,
+            head.target,
+            head.headers,
             # The buffer is returned without a copy.
             self._body.getvalue(),
             self._received_s,
