Decide in the tier when a refused caller may try again

Change: the reader of a request reports that the budget has no room, and the connection refuses the request.

--- a/packages/daemon/src/corianderport_daemon/process/host_listeners.py
+++ b/packages/daemon/src/corianderport_daemon/process/host_listeners.py
@@ -111,8 +111,9 @@
     def close(self) -> None:
         """Close everything at once."""
         self._watcher.close()
-        for listener in self._admin:
+        for listener in (self.callers, *self._admin):
             listener.stop_accepting()
+            listener.close_idle()
         for executor in (self._executor, self._admin_executor):
             executor.shutdown(wait=False, cancel_futures=True)
 
--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -16,6 +16,7 @@
 from corianderport_tier.connection import byte_charge
 from corianderport_tier.process import byte_budget
 from corianderport_tier.process import caller_bounds
+from corianderport_tier.process import caller_refusals
 from corianderport_tier.process import caller_table
 from corianderport_tier.process import limit_events
 from corianderport_tier.request import deadlines
@@ -37,6 +38,7 @@
 # now and then counts as stalled.
 _PROGRESS_BYTES = 512
 _BAD_GATEWAY = 502
+_UNAVAILABLE = 503
 _REQUEST_TIMEOUT = 408
 
 Phase = caller_table.Phase
@@ -58,6 +60,7 @@
     table: 'caller_table.CallerTable[CallerConnection]'
     budgets: byte_budget.CallerBudgets
     events: limit_events.LimitEvents
+    refusals: caller_refusals.CallerRefusals
     pressure: task_pressure.TaskPressure
     clock: clocks.Clock
     closing: bool = False
@@ -151,7 +154,7 @@
 
     def refuse(self) -> None:
         """Refuse to serve the connection, without waiting for the caller."""
-        retry_after_s = request_reader.retry_after_s()
+        retry_after_s = self._serving.refusals.retry_after_s()
         try:
             self._socket.send(
                 b'HTTP/1.1 503 \r\nretry-after: %.3f\r\nconnection: close\r\n'
@@ -209,6 +212,14 @@
         except caller_messages.RequestRejected as rejected:
             self._reject(parser, rejected)
             return False
+        except byte_charge.BudgetExceeded:
+            self._serving.events.record('caller_bytes_refused')
+            retry_after_s = self._serving.refusals.retry_after_s()
+            self._reject(
+                parser,
+                caller_messages.RequestRejected(_UNAVAILABLE, retry_after_s),
+            )
+            return False
         if request is None:
             return False
         self._on_sent = None
@@ -230,8 +241,6 @@
         parser: request_parser.RequestParser,
         rejected: caller_messages.RequestRejected,
     ) -> None:
-        if rejected.retry_after_s is not None:
-            self._serving.events.record('caller_bytes_refused')
         self._charge.reduce_to(0)
         self._respond(parser, rejected.response, True)
         self._begin(Phase.LINGERING)
--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -6,11 +6,13 @@
 import collections.abc
 import concurrent.futures
 import logging
+import random
 import socket
 
 from corianderport_tier import clocks
 from corianderport_tier.process import byte_budget
 from corianderport_tier.process import caller_bounds
+from corianderport_tier.process import caller_refusals
 from corianderport_tier.process import caller_table
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import limit_events
@@ -95,6 +97,7 @@
             budgets or byte_budget.CallerBudgets.from_bounds(bounds, clock),
             events
             or limit_events.LimitEvents(decision_log.DecisionLog(), clock),
+            caller_refusals.CallerRefusals(random.Random()),
             task_pressure.TaskPressure(),
             clock,
         )
--- a/packages/wire/src/corianderport_wire/connection/request_reader.py
+++ b/packages/wire/src/corianderport_wire/connection/request_reader.py
@@ -5,7 +5,6 @@
 
 import collections.abc
 import io
-import random
 
 import h11
 
@@ -16,27 +15,20 @@
 from corianderport_wire.connection import caller_messages
 from corianderport_wire.connection import request_parser
 
-__all__ = ['CallerBytes', 'RequestReader', 'retry_after_s']
+__all__ = ['CallerBytes', 'RequestReader']
 
 # Size of a header field's objects besides its bytes: two byte strings of 33
 # bytes and more, two tuples and their list slots.
 _FIELD_BYTES = 300
 # A buffer grows in steps of an eighth of its size.
 _BUFFER_GROWTH = 8
-_UNAVAILABLE = 503
-# Spreads the attempts of callers that are refused together.
-_RETRY_AFTER_RANGE_S = (0.2, 1.0)
+_CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 # Returns further bytes of the request by a deadline, or none at the end of
 # the connection. The argument is what to send to the caller first.
 CallerBytes = collections.abc.Callable[[bytes, deadlines.Deadline], bytes]
 
 
-def retry_after_s() -> float:
-    """Return after which time a refused caller may try again."""
-    return random.uniform(*_RETRY_AFTER_RANGE_S)
-
-
 class RequestReader:
     """Receives one request.
 
@@ -69,8 +61,9 @@
 
         Return None at the end of the connection.
 
-        :raises RequestRejected: the request is invalid or too large, was not
-            received in time, or there is no room for it.
+        :raises RequestRejected: the request is invalid or too large, or was
+            not received in time.
+        :raises BudgetExceeded: there is no room for the request.
         """
         deadline = self._deadline_after(self._limits.header_timeout_s)
         self._feed(received)
@@ -101,12 +94,7 @@
             amount = 0
         else:
             amount += amount // _BUFFER_GROWTH
-        try:
-            self._charge.add(amount)
-        except byte_charge.BudgetExceeded as error:
-            raise caller_messages.RequestRejected(
-                _UNAVAILABLE, retry_after_s()
-            ) from error
+        self._charge.add(amount)
         self._parser.feed(received)
 
     def _store(self, data: bytes) -> None:
@@ -131,6 +119,3 @@
 
     def _deadline_after(self, seconds: float) -> deadlines.Deadline:
         return deadlines.Deadline.after(self._clock, seconds)
-
-
-_CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
