--- a/packages/tier/src/corianderport_tier/request/forward_messages.py
+++ b/packages/tier/src/corianderport_tier/request/forward_messages.py
@@ -58,7 +58,8 @@
 
     ``received_s`` is the time at which its first bytes were read, in seconds
     of the host's monotonic clock. ``credential`` is the key of the request,
-    None without a valid one.
+    None without a valid one. ``body_dropped`` says that the payload lacks its
+    body, because no route matched when the body arrived.
     """
 
     request_id: str
@@ -68,6 +69,7 @@
     deadline: deadlines.Deadline
     received_s: float
     credential: str | None = attrs.field(default=None, repr=False)
+    body_dropped: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/wire/src/corianderport_wire/connection/caller_messages.py
@@ -0,0 +1,85 @@
+"""corianderport_wire.connection.caller_messages
+
+Requests and responses as a listener exchanges them with its handler.
+"""
+
+import collections.abc
+
+import attrs
+import h11
+
+from corianderport_wire.connection import http_exchange
+
+__all__ = [
+    'HttpResponse',
+    'ReceivedRequest',
+    'RequestHead',
+    'RequestRejected',
+    'WantsBody',
+    'response_head',
+]
+
+
+@attrs.frozen
+class RequestHead:
+    """The request line and the header fields of a request."""
+
+    method: bytes
+    target: bytes
+    headers: http_exchange.Headers
+
+
+@attrs.frozen
+class ReceivedRequest(http_exchange.HttpRequest):
+    """A caller's request.
+
+    ``received_s`` is the time at which its first bytes were read, in seconds
+    of the host's monotonic clock. ``body_dropped`` says that the request had
+    a body that was not stored.
+    """
+
+    received_s: float
+    body_dropped: bool = False
+
+
+@attrs.frozen
+class HttpResponse:
+    """A response; its Content-Length is added when it is sent."""
+
+    status: int
+    headers: http_exchange.Headers
+    body: bytes
+
+
+@attrs.frozen
+class RequestRejected(Exception):
+    """A request is not served; its connection closes after the response."""
+
+    status: int
+    retry_after_s: float | None = None
+
+    @property
+    def response(self) -> HttpResponse:
+        """The response to the request."""
+        if self.retry_after_s is None:
+            return HttpResponse(self.status, (), b'')
+        retry_after = f'{self.retry_after_s:.3f}'.encode()
+        return HttpResponse(self.status, ((b'retry-after', retry_after),), b'')
+
+
+# Whether the body of a request is needed, asked with an empty body.
+WantsBody = collections.abc.Callable[[ReceivedRequest], bool]
+
+
+def response_head(response: HttpResponse, closing: bool) -> h11.Response:
+    """Return the head of a response.
+
+    :raises LocalProtocolError: HTTP does not permit the status or a header.
+    """
+    headers = [
+        *response.headers,
+        (b'content-length', str(len(response.body)).encode()),
+    ]
+    if closing:
+        headers.append((b'connection', b'close'))
+    return h11.Response(status_code=response.status, headers=headers)
