Count the goal of a gather with the round trip of its connection

A gather is answered at its goal less a fixed 11.5 ms for the network.

The round trip is read from the kernel's TCP information; the first request of a connection counts it twice. A request now counts from the moment at which its bytes were noticed, before its connection got a task.

--- a/packages/tier/src/corianderport_tier/request/forward_messages.py
+++ b/packages/tier/src/corianderport_tier/request/forward_messages.py
@@ -57,9 +57,10 @@
     """A caller's request for one route.
 
     ``received_s`` is the time at which its first bytes were read, in seconds
-    of the host's monotonic clock. ``credential`` is the key of the request,
-    None without a valid one. ``body_dropped`` says that the payload lacks its
-    body, because no route matched when the body arrived.
+    of the host's monotonic clock. ``path_s`` is the time that the request and
+    its answer spend on the network; None if unknown. ``credential`` is the
+    key of the request, None without a valid one. ``body_dropped`` says that
+    the payload lacks its body, because no route matched when it arrived.
     """
 
     request_id: str
@@ -70,6 +71,7 @@
     received_s: float
     credential: str | None = attrs.field(default=None, repr=False)
     body_dropped: bool = False
+    path_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -36,9 +36,12 @@
 
 # Time reserved for returning the response before the caller's deadline.
 _ANSWER_MARGIN_S = 0.01
-# Time that a request and its response spend outside this host. A route's
-# latency goal includes it, and the delay with which this host answers.
-_PATH_MARGIN_S = 0.0115
+# Assumed time that a request and its answer spend outside this host if the
+# connection does not tell. A route's latency goal includes it, and the delay
+# with which this host answers.
+_DEFAULT_PATH_S = 0.009
+# Variation of that time, for example while packets wait at a link.
+_PATH_MARGIN_S = 0.0025
 # Assumed typical latency of a route without samples, as a fraction of its
 # latency goal.
 _INITIAL_LATENCY_FRACTION = 0.25
@@ -236,6 +239,7 @@
         self.goal_s = (
             request.received_s
             + route.goal_s
+            - (request.path_s or _DEFAULT_PATH_S)
             - _PATH_MARGIN_S
             - forwarder.answer_delay.expected_s
         )
--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -25,6 +25,7 @@
 from corianderport_wire.connection import disconnect_watcher
 from corianderport_wire.connection import request_parser
 from corianderport_wire.connection import request_reader
+from corianderport_wire.connection import round_trip
 from corianderport_wire.connection import task_pressure
 
 __all__ = ['CallerConnection', 'RequestHandler', 'Serving']
@@ -87,6 +88,9 @@
             serving.budgets.responses, self._close_stalled_response
         )
         self._progress_bytes = 0
+        self._requests = 0
+        # When bytes were noticed that no task has read yet.
+        self._noticed_s: float | None = None
         self._disconnected = False
         self._on_sent: collections.abc.Callable[[], None] | None = None
 
@@ -120,6 +124,10 @@
         except OSError:
             return b''
 
+    def notice(self) -> None:
+        """Record that bytes of a request wait to be read."""
+        self._noticed_s = self._clock.monotonic()
+
     def has_received(self) -> bool:
         """Whether bytes of a request wait to be read."""
         return bool(self.peek())
@@ -204,6 +212,7 @@
             self._charge,
             self._serving.wants_body,
             self._clock,
+            self._arrival(),
         )
         # The bytes of the surplus are charged again as part of the request.
         self._charge.reduce_to(0)
@@ -236,6 +245,18 @@
             self._on_sent()
         return not closing and parser.reusable
 
+    def _arrival(self) -> caller_messages.Arrival:
+        """Return how the request that begins now has arrived."""
+        noticed_s, self._noticed_s = self._noticed_s, None
+        if noticed_s is None:
+            noticed_s = self._clock.monotonic()
+        path_s = round_trip.round_trip_s(self._socket)
+        self._requests += 1
+        if path_s is not None and self._requests == 1:
+            # The caller also waited for the connection to be opened.
+            path_s *= 2
+        return caller_messages.Arrival(noticed_s, path_s)
+
     def _reject(
         self,
         parser: request_parser.RequestParser,
--- a/packages/wire/src/corianderport_wire/connection/caller_messages.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_messages.py
@@ -11,6 +11,7 @@
 from corianderport_wire.connection import http_exchange
 
 __all__ = [
+    'Arrival',
     'HttpResponse',
     'ReceivedRequest',
     'RequestHead',
@@ -29,17 +30,31 @@
     headers: http_exchange.Headers
 
 
+@attrs.frozen
+class Arrival:
+    """When and how a request reached this host.
+
+    ``received_s`` is the time at which its first bytes were noticed, in
+    seconds of the host's monotonic clock. ``path_s`` is the time that the
+    request and its response spend on the network as the caller counts it,
+    with the opening of the connection; None if it is unknown.
+    """
+
+    received_s: float
+    path_s: float | None = None
+
+
 @attrs.frozen
 class ReceivedRequest(http_exchange.HttpRequest):
     """A caller's request.
 
-    ``received_s`` is the time at which its first bytes were read, in seconds
-    of the host's monotonic clock. ``body_dropped`` says that the request had
-    a body that was not stored.
+    ``received_s`` and ``path_s`` are those of its ``Arrival``.
+    ``body_dropped`` says that the request had a body that was not stored.
     """
 
     received_s: float
     body_dropped: bool = False
+    path_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/wire/src/corianderport_wire/connection/connection_dispatcher.py
+++ b/packages/wire/src/corianderport_wire/connection/connection_dispatcher.py
@@ -149,6 +149,7 @@
             # had the same descriptor.
             if received is None and self._register(connection):
                 return
+            connection.notice()
         if not received or not self._table.queue(connection):
             self.end(connection)
 
--- a/packages/wire/src/corianderport_wire/connection/request_reader.py
+++ b/packages/wire/src/corianderport_wire/connection/request_reader.py
@@ -43,13 +43,14 @@
         charge: byte_charge.ByteCharge,
         wants_body: caller_messages.WantsBody,
         clock: clocks.Clock,
+        arrival: caller_messages.Arrival,
     ) -> None:
         self._parser = parser
         self._limits = limits
         self._charge = charge
         self._wants_body = wants_body
         self._clock = clock
-        self._received_s = clock.monotonic()
+        self._arrival = arrival
         self._head: caller_messages.RequestHead | None = None
         self._body = io.BytesIO()
         self._body_wanted: bool | None = None
@@ -113,8 +114,9 @@
             head.headers,
             # The buffer is returned without a copy.
             self._body.getvalue(),
-            self._received_s,
+            self._arrival.received_s,
             self._body_wanted is False,
+            self._arrival.path_s,
         )
 
     def _deadline_after(self, seconds: float) -> deadlines.Deadline:
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -151,8 +151,11 @@
         deadline_s: float = 0.8,
         path: str = '/find/x',
         waited_s: float = 0.0,
+        path_s: float | None = None,
     ) -> None:
-        request = self.request(path, deadline_s, waited_s)
+        request = attrs.evolve(
+            self.request(path, deadline_s, waited_s), path_s=path_s
+        )
 
         def run() -> None:
             self.answer = self.forwarder.answer(request, self.caller)
@@ -748,6 +751,28 @@
     assert isinstance(host.finish(), forward_messages.Gathered)
 
 
+@pytest.mark.parametrize(('path_s', 'in_time'), [(0.03, True), (0.002, False)])
+def test_goal_leaves_the_time_on_the_network(
+    path_s: float, in_time: bool
+) -> None:
+    """Guards against answers that are late by the way to their callers.
+
+    And against leaving out parts that a caller nearby could still get. The
+    goal is 100 ms.
+    """
+    host = Host(_gather(0.75), replicas=1)
+    host.start(path_s=path_s)
+    sends = _take_all(host)
+    for name in _SHARDS[:3]:
+        host.end(sends[name], reply(execution_proof=name))
+    host.advance(0.07)
+    if not in_time:
+        host.clock.await_waiters(1)
+        assert host.answer is None
+        host.advance(0.03)
+    assert isinstance(host.finish(), forward_messages.Gathered)
+
+
 def test_delay_of_an_answer_ends_when_it_is_sent() -> None:
     """Guards against a margin that leaves out the writing of the answer."""
     host = Host(_gather(0.75), replicas=1)
--- a/tests/wire/test_caller_listener.py
+++ b/tests/wire/test_caller_listener.py
@@ -35,7 +35,7 @@
 
 
 @contextlib.contextmanager
-def _listening(
+def listening(
     serve: caller_listener.RequestHandler = _echo,
     limits: caller_listener.Limits = lambda: _LIMITS,
 ) -> collections.abc.Iterator[caller_listener.CallerListener]:
@@ -60,7 +60,7 @@
     return socket.create_connection((host, int(port)), _LONG_S)
 
 
-def _client(
+def connect_client(
     listener: caller_listener.CallerListener,
 ) -> http.client.HTTPConnection:
     host, _, port = listener.address.rpartition(':')
@@ -85,8 +85,8 @@
     The length or the last chunk tells where a body ends; a wrong end breaks
     the second request on the connection.
     """
-    with _listening() as listener:
-        client = _client(listener)
+    with listening() as listener:
+        client = connect_client(listener)
         body = iter([b'ab', b'cd']) if chunked else b'abcd'
         for _ in range(2):
             client.request(
@@ -108,7 +108,7 @@
     """
     one = b'GET /1 HTTP/1.1\r\nhost: a\r\n\r\n'
     two = b'GET /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'
-    with _listening() as listener, _connect(listener) as caller:
+    with listening() as listener, _connect(listener) as caller:
         caller.sendall(one + two)
         answers = _receive_all(caller)
     assert answers.index(b'/1') < answers.index(b'/2')
@@ -136,7 +136,7 @@
     The request is too large, malformed or never completed. The caller gets
     a status, and the connection is closed.
     """
-    with _listening() as listener, _connect(listener) as caller:
+    with listening() as listener, _connect(listener) as caller:
         caller.sendall(sent)
         assert _status(_receive_all(caller)) == status
 
@@ -157,8 +157,8 @@
             caller_listener.HttpResponse(200, (), b'next'),
         ]
     )
-    with _listening(lambda request, caller: next(answers)) as listener:
-        client = _client(listener)
+    with listening(lambda request, caller: next(answers)) as listener:
+        client = connect_client(listener)
         client.request('GET', '/x')
         response = client.getresponse()
         assert (response.status, response.read()) == (502, b'')
@@ -186,7 +186,7 @@
         return None
 
     running = threading.Event()
-    with _listening(serve) as listener:
+    with listening(serve) as listener:
         caller = _connect(listener)
         caller.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
         assert running.wait(_LONG_S)
@@ -211,7 +211,7 @@
         caller.call_when_sent(lambda: events.append('sent'))
         return caller_listener.HttpResponse(200, (), b'')
 
-    with _listening(serve) as listener:
+    with listening(serve) as listener:
         caller = _connect(listener)
         caller.sendall(
             b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n'
@@ -246,8 +246,8 @@
             release.wait(_LONG_S)
         return caller_listener.HttpResponse(200, (), b'done')
 
-    with _listening(serve) as listener:
-        busy, idle = _client(listener), _client(listener)
+    with listening(serve) as listener:
+        busy, idle = connect_client(listener), connect_client(listener)
         idle.request('GET', '/fast')
         assert idle.getresponse().read() == b'done'
         busy.request('GET', '/slow')
@@ -271,8 +271,8 @@
     A caller may use an idle connection until a response tells it that the
     host closes the connection.
     """
-    with _listening() as listener:
-        client = _client(listener)
+    with listening() as listener:
+        client = connect_client(listener)
         client.request('GET', '/1')
         client.getresponse().read()
         listener.closing = True
@@ -290,8 +290,8 @@
     and in the other.
     """
     current = _LIMITS
-    with _listening(limits=lambda: current) as listener:
-        client = _client(listener)
+    with listening(limits=lambda: current) as listener:
+        client = connect_client(listener)
         for body_bytes, size, status in (
             (1_000, 1_000, 200),
             (2_500, 2_500, 200),
@@ -311,7 +311,7 @@
     Accepting fails while the process has no free file descriptor, and when
     a caller closes its connection before it is accepted.
     """
-    with _listening() as listener:
+    with listening() as listener:
         # The accept call in progress uses the real socket; the failures
         # start after the first connection.
         failing = failing_socket.FailingSocket(
@@ -323,7 +323,7 @@
         )
         listener._acceptor._listener = typing.cast(socket.socket, failing)
         for _ in range(2):
-            client = _client(listener)
+            client = connect_client(listener)
             client.request('GET', '/x')
             assert client.getresponse().status == 200
             client.close()
