Hold large responses once, and for a shorter time when unread

A response was held twice while its pieces were joined, and an unread one for a second at least.

Change: the reply parser collects a body in one buffer and returns it without a copy. Beyond the budget of responses, the connection whose response has waited longest is closed after 0.1 s.

--- a/packages/tier/src/corianderport_tier/process/caller_table.py
+++ b/packages/tier/src/corianderport_tier/process/caller_table.py
@@ -25,6 +25,9 @@
 _MIN_TASK_WAIT_S = 0.25
 # A connection whose caller has made no progress for this time is stalled.
 _STALLED_S = 1.0
+# A response is held already, so that there is less time to wait for a caller
+# that does not read than for one that does not send.
+_MIN_UNREAD_S = 0.1
 # A connection that has waited for a task for longer is refused.
 _MAX_QUEUED_S = 1.0
 
@@ -243,15 +246,13 @@
                 return self._choose(connection)
         return None
 
-    def close_for_bytes(self, phase: Phase) -> Victim[_ConnectionT] | None:
-        """Choose the connection that is stalled in a phase for longest."""
-        with self._condition:
-            for connection in self._for_caller:
-                if self._waited_s(connection) < _STALLED_S:
-                    break
-                if self._entries[connection].phase is phase:
-                    return self._choose(connection)
-        return None
+    def close_for_bytes(self) -> Victim[_ConnectionT] | None:
+        """Choose the connection whose request is stalled longest."""
+        return self._choose_waiting(Phase.RECEIVING, _STALLED_S)
+
+    def close_for_response(self) -> Victim[_ConnectionT] | None:
+        """Choose the connection whose response has waited longest."""
+        return self._choose_waiting(Phase.SENDING, _MIN_UNREAD_S)
 
     def refuse_queued(self) -> list[_ConnectionT]:
         """Remove the connections that have waited too long for a task."""
@@ -271,6 +272,17 @@
                     return self._choose(connection)
         return None
 
+    def _choose_waiting(
+        self, phase: Phase, least_s: float
+    ) -> Victim[_ConnectionT] | None:
+        with self._condition:
+            for connection in self._for_caller:
+                if self._waited_s(connection) < least_s:
+                    break
+                if self._entries[connection].phase is phase:
+                    return self._choose(connection)
+        return None
+
     def _longest_stalled(self) -> Victim[_ConnectionT] | None:
         for connection in self._for_caller:
             if self._waited_s(connection) < _STALLED_S:
--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -326,16 +326,19 @@
             raise _ClosedByHost
 
     def _close_stalled_request(self) -> bool:
-        return self._close_stalled(Phase.RECEIVING, 'caller_bytes_evicted')
+        victim = self._serving.table.close_for_bytes()
+        return self._close(victim, 'caller_bytes_evicted')
 
     def _close_stalled_response(self) -> bool:
-        return self._close_stalled(Phase.SENDING, 'caller_response_evicted')
+        victim = self._serving.table.close_for_response()
+        return self._close(victim, 'caller_response_evicted')
 
-    def _close_stalled(
-        self, phase: Phase, event: limit_events.LimitEvent
+    def _close(
+        self,
+        victim: 'caller_table.Victim[CallerConnection] | None',
+        event: limit_events.LimitEvent,
     ) -> bool:
-        """Close a connection to make room in a budget."""
-        victim = self._serving.table.close_for_bytes(phase)
+        """Close a connection to make room in a budget, if there is one."""
         if victim is None:
             return False
         self._serving.events.record(event)
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -3,6 +3,8 @@
 Parses the responses that arrive on one connection.
 """
 
+import io
+
 import attrs
 import httptools
 
@@ -62,7 +64,7 @@
         self._head = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
+        self._body = io.BytesIO()
         self._body_bytes = 0
         self._in_message = False
         self._in_body = False
@@ -101,7 +103,7 @@
         """Start a new response."""
         self._in_message = True
         self._headers = []
-        self._body = []
+        self._body = io.BytesIO()
         self._header_bytes = self._body_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -128,7 +130,7 @@
         self._body_bytes += len(content)
         if self._body_bytes > _MAX_BODY_BYTES:
             raise errors.ConnectionBroken('response body is too large')
-        self._body.append(content)
+        self._body.write(content)
 
     def on_message_complete(self) -> None:
         """Complete a response; skip informational (1xx) responses."""
@@ -176,9 +178,11 @@
             HttpReply(
                 self._parser.get_status_code(),
                 tuple(self._headers),
-                b''.join(self._body),
+                # The buffer is returned without a copy.
+                self._body.getvalue(),
             )
         )
+        self._body = io.BytesIO()
 
     def _receive_eof(self) -> None:
         names = {name for name, _ in self._headers}
