Keep the ports of a host reserved until it listens

Cause: one of 85 hosts of a run ended with "Address already in use". Its ports were picked and released, and a connection of another program took one before the host listened.

Change: the test keeps a bound socket, which doesn't listen, on each port. The kernel gives no such port to a connection, and the host can still listen.

--- a/tests/adapter/crowds.py
+++ b/tests/adapter/crowds.py
@@ -90,9 +90,17 @@
 _HEAD_END = b'\r\n\r\n'
 
 
-def _free_port() -> int:
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        return int(listener.getsockname()[1])
+def _reserved_port() -> socket.socket:
+    """Return a socket that keeps a port from being used for connections.
+
+    A host can listen on the port meanwhile, since the socket doesn't listen
+    and both have SO_REUSEADDR. A port that was only picked and released was
+    taken by one of the many connections of another test run.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(('127.0.0.1', 0))
+    return reserved
 
 
 @attrs.frozen
@@ -138,8 +146,9 @@
     """An entry host process with lowered limits, and its addresses."""
 
     def __init__(self, path: pathlib.Path, store: str) -> None:
+        self._reserved = [_reserved_port() for _ in range(4)]
         self.front, self.ready, self.control, self.metrics = (
-            _free_port() for _ in range(4)
+            int(reserved.getsockname()[1]) for reserved in self._reserved
         )
         text = test_settings.TEXT.replace('127.0.0.1:8229', store)
         for name in ('front', 'ready', 'control'):
@@ -219,6 +228,8 @@
         self.process.wait(_LONG_S)
         for task in self._tasks:
             task.join(_LONG_S)
+        for reserved in self._reserved:
+            reserved.close()
 
     def _read_lines(self) -> None:
         assert self.process.stdout is not None
