--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -8,6 +8,7 @@
 import attrs
 
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import host_bounds
 from corianderport_tier.process import registry_relay
 
 __all__ = ['EntrySettings']
@@ -20,9 +21,11 @@
     ``regions`` maps data centres to regions. ``grace_s`` is the time between
     the request to stop and the kill of the process. ``seeds`` are peer
     addresses of other hosts, which may be down. ``link_bytes_s`` is the
-    capacity of this host's link in bytes per second. ``revoke_s`` is the time
-    within which a key that was taken away must stop working, in seconds; None
-    if the age of what is known is not checked.
+    capacity of this host's link in bytes per second. ``limits`` bounds what
+    callers and tasks use of the host. ``revoke_s`` is the time within which a
+    key that was taken away must stop working, in seconds; None if the age of
+    what is known is not checked. ``first_start`` is True only when all hosts
+    of the deployment start for the first time.
     """
 
     host: str
@@ -39,5 +42,9 @@
     watch_s: float
     fleet: fleet_share.FleetBounds
     link_bytes_s: float = registry_relay.DEFAULT_LINK_BYTES_S
+    first_start: bool = False
+    limits: host_bounds.HostBounds = attrs.Factory(
+        host_bounds.HostBounds.from_machine
+    )
     log_level: str = 'INFO'
     revoke_s: float | None = None
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -36,12 +36,18 @@
 
 # Time reserved for returning the response before the caller's deadline.
 _ANSWER_MARGIN_S = 0.01
-# Time that a request and its response spend outside this host. A route's
-# latency goal includes it, and the delay with which this host answers.
-_PATH_MARGIN_S = 0.0115
+# Assumed time that a request and its answer spend outside this host if the
+# connection does not tell. A route's latency goal includes it, and the delay
+# with which this host answers.
+_DEFAULT_PATH_S = 0.009
+# Variation of that time, for example while packets wait at a link.
+_PATH_MARGIN_S = 0.0025
 # Assumed typical latency of a route without samples, as a fraction of its
 # latency goal.
 _INITIAL_LATENCY_FRACTION = 0.25
+# Nearly all replies arrive within this multiple of a route's median latency.
+# The parts that a gather lacks so long before its goal are hedged at once.
+_COMPLETION_RATIO = 1.5
 # Maximum retry delay given to a refused caller, as a fraction of its
 # remaining time: a caller does not wait past its deadline.
 _MAX_RETRY_AFTER_FRACTION = 0.25
@@ -110,6 +116,14 @@
             )
         return latency
 
+    def wants_body(self, request: forward_messages.ForwardRequest) -> bool:
+        """Return whether a route matches a request, so that it may run."""
+        routing = self.directory.routing
+        return (
+            routing is not None
+            and routing.match(request.host, request.path) is not None
+        )
+
     def answer(
         self,
         request: forward_messages.ForwardRequest,
@@ -130,6 +144,10 @@
                 routing,
                 Failure(Code.UNKNOWN_SERVICE, 'no route matches the request'),
             )
+        if request.body_dropped:
+            return self._refuse(
+                request, Code.NOT_READY, 'the route is newer than the request'
+            )
         if not self.drain.accepts(self.latency(route).hedge_after_s):
             return self._refuse(
                 request, Code.NOT_READY, 'the host is shutting down'
@@ -221,13 +239,21 @@
         self.goal_s = (
             request.received_s
             + route.goal_s
+            - (request.path_s or _DEFAULT_PATH_S)
             - _PATH_MARGIN_S
             - forwarder.answer_delay.expected_s
         )
         # Latest time of a hedge whose reply can arrive by the goal.
         self._latest_hedge_s = self.goal_s
+        # When to hedge the parts without which a gather would miss its goal;
+        # None once this is done.
+        self._completion_hedge_s: float | None = None
         if isinstance(route.target, routes.Gather):
-            self._latest_hedge_s -= forwarder.latency(route).median_s
+            median_s = forwarder.latency(route).median_s
+            self._latest_hedge_s -= median_s
+            self._completion_hedge_s = (
+                self.goal_s - _COMPLETION_RATIO * median_s
+            )
         # Whether the answer was only waiting for the goal.
         self.answered_at_goal = False
 
@@ -365,6 +391,8 @@
         now_s = self._clock.monotonic()
         if self.goal_s > now_s:
             timers_s.append(self.goal_s)
+        if self._completion_hedge_s is not None:
+            timers_s.append(self._completion_hedge_s)
         timers_s.extend(
             due_s
             for due_s in map(self._hedge_due_s, self._parts)
@@ -381,6 +409,12 @@
             if part.resume_at_s is not None and part.resume_at_s <= now_s:
                 part.resume()
         self._hedge(now_s)
+        if (
+            self._completion_hedge_s is not None
+            and self._completion_hedge_s <= now_s
+        ):
+            self._completion_hedge_s = None
+            self._hedge_lacking_parts(now_s)
 
     def _hedge_due_s(self, part: Part) -> float | None:
         """Return when a hedge of a part is due.
@@ -394,6 +428,29 @@
             return due_s
         return max(due_s, self.goal_s)
 
+    def _hedge_lacking_parts(self, now_s: float) -> None:
+        """Hedge as many parts as the gather needs to be answered in time.
+
+        The usual delay of a hedge is a quantile of the route's latencies,
+        which is longer than the goal allows while many searchers are slow.
+        """
+        lacking = self._progress().lacking
+        # The parts that are hedged already are likely to arrive, and so are
+        # those that were sent just now.
+        lacking -= sum(p.running_sends > 1 for p in self._parts)
+        late_s = now_s - self._forwarder.latency(self._route).median_s
+        waiting = [
+            (since_s, number)
+            for number, part in enumerate(self._parts)
+            if (since_s := part.unhedged_since_s) is not None
+            and since_s <= late_s
+        ]
+        for _, number in sorted(waiting):
+            if lacking <= 0:
+                return
+            if self._parts[number].hedge(among_last=True):
+                lacking -= 1
+
     def _hedge(self, now_s: float) -> None:
         if self._latest_hedge_s < now_s < self.goal_s:
             return
--- a/tests/tier/test_directory.py
+++ b/tests/tier/test_directory.py
@@ -28,6 +28,9 @@
     def limit_connections(self, limit: int) -> None:
         self.limit = limit
 
+    def limit_idle_time(self, idle_s: float) -> None:
+        return
+
     def close(self) -> None:
         self.closed = True
 
@@ -37,7 +40,9 @@
 
     def __init__(self) -> None:
         self.clock = clock_module.ManualClock()
-        share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
+        share = fleet_share.FleetShare(
+            _BOUNDS, 'h1', lambda: ('h1',), self.clock
+        )
         self.pools: list[_Pool] = []
 
         def open_pool(
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -6,6 +6,7 @@
 
 from corianderport_testkit import clock as clock_module
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import placement
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import service_searchers
 from corianderport_tier.process import stated_availability
@@ -24,6 +25,9 @@
     def limit_connections(self, limit: int) -> None:
         self.limit = limit
 
+    def limit_idle_time(self, idle_s: float) -> None:
+        return
+
     def close(self) -> None:
         return
 
@@ -50,7 +54,7 @@
 def service(
     clock: clock_module.ManualClock,
 ) -> service_searchers.ServiceSearchers:
-    share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
+    share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',), clock)
     searchers = _service(share, clock)
     searchers.update(
         entries.parameters(),
@@ -167,7 +171,8 @@
     """In a large fleet, each host gets few of the requests of a service."""
     for _ in range(10):
         service.count_request()
-    assert sum(service.try_extra() for _ in range(20)) == 5
+    # 0.15 of ten requests, and a sixth of three quarters of the slack.
+    assert sum(service.try_extra() for _ in range(20)) == 8
 
 
 def test_hedges_leave_slack_for_retries(
@@ -246,7 +251,8 @@
     assert 0.5 <= service.retry_delay_s() <= 0.75
     clock.advance(0.5)
     again = _choose(service)
-    assert again.state.cost(clock.monotonic(), 'dc-a') == pytest.approx(2.0)
+    cost = placement.LeastLoaded().cost(again.state, clock.monotonic())
+    assert cost == pytest.approx(2.0)
     service.finish(again, SendResult(failed=False, pause_s=2.0))
     service.update(None, [entries.registration('s1', started_ms=5)])
     assert _choose(service).state.name == 's1'
@@ -301,7 +307,7 @@
         def cold_rate(self, searcher: str, rate: float) -> int:
             return rates.pop(0)
 
-    service = _service(_Share(_BOUNDS, 'h1', lambda: ('h1',)), clock)
+    service = _service(_Share(_BOUNDS, 'h1', lambda: ('h1',), clock), clock)
     service.update(
         entries.parameters(cold_rate=1.0),
         [entries.registration('s1', warm_up_left_s=5.0)],
@@ -316,11 +322,11 @@
 
     A service keeps the budget that it created with the earlier bounds.
     """
-    share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',))
+    share = fleet_share.FleetShare(_BOUNDS, 'h1', lambda: ('h1',), clock)
     service = _service(share, clock)
     share.set_bounds(fleet_share.FleetBounds(0.0, 12, 4.0, 1.5, 5))
     service.update(entries.parameters(), [entries.registration('s1')])
-    # Half of the slack, divided among six hosts.
+    # Three quarters of the slack, divided among six hosts.
     assert [service.try_extra() for _ in range(3)] == [True, False, False]
     clock.advance(4.5)
     assert service.try_extra()
@@ -337,7 +343,7 @@
     names = tuple(f'h{n}' for n in range(30))
     searchers = [entries.registration(f's{n}') for n in range(3)]
     for own in names:
-        share = fleet_share.FleetShare(_BOUNDS, own, lambda: names)
+        share = fleet_share.FleetShare(_BOUNDS, own, lambda: names, clock)
         service = _service(share, clock)
         service.update(entries.parameters(connections=12), searchers)
         mine = {
@@ -347,3 +353,103 @@
         }
         # A host that may connect to none of them may use any.
         assert _choose(service).state.name in (mine or {'s0', 's1', 's2'})
+
+
+def test_hosts_of_a_large_fleet_use_fractions_of_their_shares(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against shares that every host rounds down.
+
+    With 76 hosts a share of 1.9 sends would become one on each of them, and
+    half of the bound would never be used.
+    """
+    hosts = tuple(f'h{n}' for n in range(76))
+    bounds = fleet_share.FleetBounds(0.2, 192, 10, 1.5, 5)
+    rng = random.Random(7)
+    spent = 0
+    for name in hosts:
+        share = fleet_share.FleetShare(bounds, name, lambda: hosts, clock)
+        service = service_searchers.ServiceSearchers(
+            'stock', 'dc-a', share, lambda r, limit: _Pool(), clock, rng
+        )
+        while service.try_extra():
+            spent += 1
+    assert 0.65 * 192 < spent <= 192
+
+
+def _large_fleet_service(
+    clock: clock_module.ManualClock, host: int
+) -> service_searchers.ServiceSearchers:
+    """Return the service as one of 76 hosts of which each uses some.
+
+    A searcher accepts 70 connections.
+    """
+    hosts = tuple(f'h{n}' for n in range(76))
+    share = fleet_share.FleetShare(_BOUNDS, hosts[host], lambda: hosts, clock)
+    service = _service(share, clock)
+    service.update(
+        entries.parameters(connections=70),
+        [entries.registration(f's{n}') for n in range(3)],
+    )
+    return service
+
+
+def _first_searchers(
+    service: service_searchers.ServiceSearchers,
+) -> list[service_searchers.Choice]:
+    """Choose until no searcher of the host's share is left."""
+    choices = []
+    while isinstance(
+        choice := service.choose((), 0.01), service_searchers.Choice
+    ):
+        choices.append(choice)
+    return choices
+
+
+def test_searcher_beyond_the_share_is_used_for_another_send(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against a gather that waits for the one searcher of its host.
+
+    One host in eight has a share of the connections of one searcher only,
+    and had no other one for a hedge or a retry.
+    """
+    for host in range(76):
+        service = _large_fleet_service(clock, host)
+        first = _choose(service)
+        second = _choose(service, first.state.name)
+        third = _choose(service, first.state.name, second.state.name)
+        assert len({c.state.name for c in (first, second, third)}) == 3
+
+
+def test_first_send_waits_for_the_share_of_its_host(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against more connections than a searcher accepts.
+
+    Under load all hosts are busy, and each would open further connections.
+    """
+    counts = [
+        len(_first_searchers(_large_fleet_service(clock, host)))
+        for host in range(76)
+    ]
+    assert sum(counts) <= 3 * 70
+
+
+def test_slow_searchers_of_the_share_are_left_for_another_one(
+    clock: clock_module.ManualClock,
+) -> None:
+    """Guards against a host that is bound to its slow searchers."""
+    services = [_large_fleet_service(clock, host) for host in range(76)]
+    service, own = next(
+        (s, c) for s in services if len(c := _first_searchers(s)) == 2
+    )
+    for choice in own:
+        service.finish(
+            choice,
+            SendResult(
+                failed=False, answered=True, elapsed_s=0.3, median_s=0.01
+            ),
+        )
+    other = _choose(service)
+    assert other.state.name not in {c.state.name for c in own}
--- a/tests/tier/test_stated_availability_states.py
+++ b/tests/tier/test_stated_availability_states.py
@@ -28,6 +28,9 @@
     def limit_connections(self, limit: int) -> None:
         return
 
+    def limit_idle_time(self, idle_s: float) -> None:
+        return
+
     def close(self) -> None:
         return
 
@@ -42,7 +45,7 @@
         self.service = service_searchers.ServiceSearchers(
             'stock',
             'dc-a',
-            fleet_share.FleetShare(bounds, 'h1', lambda: ('h1',)),
+            fleet_share.FleetShare(bounds, 'h1', lambda: ('h1',), self.clock),
             lambda registration, limit: _Pool(),
             self.clock,
             random.Random(1),
