--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -91,10 +91,17 @@
 
 
 class QuotaExceeded(Refusal):
-    """The customer exceeds its share while the host is overloaded."""
+    """The customer exceeds its quota, or its share of a loaded host.
+
+    :param retry_after_s: time after which there will be quota available.
+    """
 
     code = result_codes.ResultCode.QUOTA_EXCEEDED
 
+    def __init__(self, text: str = '', retry_after_s: float = 0.0) -> None:
+        super().__init__(text)
+        self.retry_after_s = retry_after_s
+
 
 class NoUpstream(Refusal):
     """No searcher in service can accept the request."""
