--- a/tests/tier/quota_network.py
+++ b/tests/tier/quota_network.py
@@ -27,8 +27,9 @@
 # Time until an unreachable host is declared dead, and until it is forgotten.
 _DEAD_S = (3.0, 8.0)
 _FORGOTTEN_S = 120.0
-# Time until a starting host has contacted the seeds.
+# Time until a starting host has contacted the seeds, and their number.
 _JOIN_S = (0.2, 1.5)
+_SEEDS = 3
 
 Standing = membership.Standing
 
@@ -71,6 +72,7 @@
         self.frozen = False
         self.clock = _HostClock(fleet, offset_s)
         self.workspaces: tuple[workspaces.Workspace, ...] = ()
+        self.version = 0
         self._fleet = fleet
         self._known: dict[str, _Knowledge] = {}
         self._hosts: quota_hosts.QuotaHosts | None = None
@@ -84,6 +86,7 @@
         self.running, self.frozen = True, False
         self._started_s = self._fleet.now_s
         self._joined_s = self._started_s
+        self._contacted: set[str] = set()
         if not settled:
             self._joined_s += rng.uniform(*_JOIN_S)
         self._known = collections.defaultdict(_Knowledge)
@@ -132,7 +135,15 @@
     @property
     def serving(self) -> bool:
         """Implements ``QuotaFleet``."""
-        return self._fleet.now_s >= self._joined_s
+        if self._fleet.now_s < self._joined_s:
+            return False
+        seeds = [*self._fleet.hosts.values()][:_SEEDS]
+        self._contacted.update(
+            seed.name
+            for seed in seeds
+            if seed.group == self.group and not seed.frozen
+        )
+        return len(self._contacted) > _SEEDS / 2
 
     @property
     def first_start(self) -> bool:
@@ -157,6 +168,10 @@
         known.standing, known.forgotten = standing, forgotten
         self._hosts = None
 
+    def knows(self, name: str) -> bool:
+        """Return whether another host is not known to have ended."""
+        return self._known[name].standing not in (None, Standing.GONE)
+
     def known(self, name: str) -> _Knowledge:
         """Return what this host knows of another one."""
         return self._known[name]
@@ -257,6 +272,10 @@
         self.admitted[workspace].append(self.now_s)
         return True
 
+    def owners(self, workspace: str) -> tuple[str, ...]:
+        """Return the owners of a workspace if all hosts run."""
+        return quota_hosts.first_hosts(workspace, self.hosts, 4)
+
     def partition(self, groups: collections.abc.Sequence[int]) -> None:
         """Assign the hosts to groups that can't reach each other."""
         for host, group in zip(self.hosts.values(), groups, strict=True):
@@ -272,6 +291,7 @@
         """Start a new process of a host."""
         host.start()
         host.workspaces = self.versions[-1][1]
+        host.version = len(self.versions) - 1
         self._spread_news(host)
         for other in self.hosts.values():
             self._schedule(host, other)
@@ -291,11 +311,13 @@
     ) -> None:
         """Publish a version, which reaches the hosts within ``NEWS_S``."""
         published = tuple(version)
+        number = len(self.versions)
         self.versions.append((self.now_s, published))
         for host in self.hosts.values():
 
             def apply(host: Host = host) -> None:
-                host.workspaces = published
+                if number > host.version:
+                    host.version, host.workspaces = number, published
 
             self._at(self.now_s + self.rng.uniform(0, NEWS_S), apply)
 
@@ -312,7 +334,14 @@
         self._sequence += 1
         known.next_change = self._sequence
         if observer.group != subject.group or subject.frozen:
-            if known.standing in (None, Standing.GONE):
+            if known.standing in (None, Standing.GONE) and not any(
+                other.knows(subject.name)
+                for other in self.hosts.values()
+                if other.group == observer.group
+                and other.running
+                and not other.frozen
+            ):
+                # No host has told it of the other one.
                 return
             due_s = self.now_s + self.rng.uniform(*_DEAD_S)
             self._learn(observer, subject, Standing.DEAD, False, due_s)
