Serve quotas between hosts and admit requests with them

Adds the thrift call for tokens, a connection for each owner in use, settings, composition in the entry host, and the admission before any part of a request is created. A host that restarts cut off from most hosts grants nothing, since it cannot know of the owners on the other side: it must know most seeds.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from corianderport_daemon.process import entry_quotas
 from corianderport_daemon.process import entry_settings
 from corianderport_daemon.process import fleet
 from corianderport_daemon.process import housekeeping
@@ -131,6 +132,7 @@
             lambda member, version: None,
             self._fleet_changed,
             relay,
+            lambda request: self._quotas.grant(request),
         )
         self._fleet_share = fleet_share.FleetShare(
             settings.fleet, settings.host, lambda: self._fleet.hosts
@@ -145,6 +147,18 @@
             lambda: self._directory.workspaces is not None,
             settings.revoke_s,
         )
+        self._quotas = self._stack.enter_context(
+            entry_quotas.EntryQuotas(
+                settings.host,
+                self._fleet,
+                settings.quota,
+                lambda: self._directory.workspaces,
+                self._executor,
+                clock,
+                self._log,
+                self._rng,
+            )
+        )
         self._drain = drain.Drain(clock)
         self._forwarder = forwarding.Forwarder(
             self._directory,
@@ -154,6 +168,7 @@
             self._metrics,
             self._drain,
             self._freshness,
+            self._quotas.used,
         )
         self._watcher = disconnect_watcher.DisconnectWatcher()
         self._caller_listener = self._listener(
@@ -284,6 +299,7 @@
         _LOG.info('settings read anew, changed: %s', changed or 'nothing')
         self._fleet_share.set_bounds(settings.fleet)
         self._freshness.set_revoke_s(settings.revoke_s)
+        self._quotas.set_bounds(settings.quota)
         self._settings = settings
         self._directory.refresh()
 
@@ -394,6 +410,7 @@
         """Expire what is due and reload changed settings."""
         self._directory.expire()
         self._freshness.observe()
+        self._quotas.expire()
         if self._adapter.settings_fingerprint() != self._settings_fingerprint:
             self.reload()
 
--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -8,6 +8,7 @@
 import attrs
 
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import quota_bucket
 from corianderport_tier.process import registry_relay
 
 __all__ = ['EntrySettings']
@@ -22,7 +23,8 @@
     addresses of other hosts, which may be down. ``link_bytes_s`` is the
     capacity of this host's link in bytes per second. ``revoke_s`` is the time
     within which a key that was taken away must stop working, in seconds; None
-    if the age of what is known is not checked.
+    if the age of what is known is not checked. ``quota`` bounds the requests
+    of workspaces over all hosts; None if they are not limited.
     """
 
     host: str
@@ -41,3 +43,4 @@
     link_bytes_s: float = registry_relay.DEFAULT_LINK_BYTES_S
     log_level: str = 'INFO'
     revoke_s: float | None = None
+    quota: quota_bucket.QuotaBounds | None = None
--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -17,6 +17,7 @@
 from corianderport_tier.process import gossip
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
+from corianderport_tier.process import quota_hosts
 from corianderport_tier.process import registry_relay
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_client
@@ -24,7 +25,10 @@
 
 __all__ = ['Fleet']
 
-_PEER_CONNECTIONS = 64
+# A host that owns parts of quotas has a connection from each host that uses
+# them, besides those for heartbeats and registry changes. The largest
+# deployment has 195 hosts.
+_PEER_CONNECTIONS = 256
 
 
 class Fleet(closing.Closing):
@@ -34,6 +38,7 @@
     :param on_version: called with the version of each host.
     :param on_change: called after the number of hosts has changed.
     :param relay: provides registry changes to other hosts.
+    :param grant: grants tokens of quotas to other hosts.
     """
 
     def __init__(
@@ -45,6 +50,7 @@
         on_version: heartbeats.VersionCallback,
         on_change: collections.abc.Callable[[], None],
         relay: registry_relay.RegistryRelay,
+        grant: gossip_handler.Grant,
     ) -> None:
         self._executor = executor
         self._stack = contextlib.ExitStack()
@@ -63,6 +69,7 @@
         region_of = settings.regions.get
         self._members = membership.Membership(own, clock, region_of)
         self._relay = relay
+        self._grant = grant
         self.dialer = peer_client.ThriftPeerDialer(clock, keys)
         self._exchange = heartbeats.HeartbeatExchange(
             self._members, version, on_version
@@ -80,10 +87,20 @@
             on_change,
         )
         self._stack.callback(self._gossip.close)
+        self.quota_hosts = quota_hosts.MembershipHosts(
+            self._members,
+            lambda: self._gossip.hosts,
+            lambda: self._gossip.joined and self._gossip.most_seeds_known,
+            incarnations.earliest_incarnation(
+                clock.time() - quota_hosts.YOUNG_S
+            ),
+        )
 
     def __enter__(self) -> typing.Self:
         self._server.start(
-            gossip_handler.GossipHandler(self._exchange, self._relay)
+            gossip_handler.GossipHandler(
+                self._exchange, self._relay, self._grant
+            )
         )
         self._executor.submit(self._gossip.run)
         return self
@@ -112,6 +129,10 @@
         """Whether the seeds have responded or timed out."""
         return self._gossip.joined
 
+    def process_ended(self, member: membership.Member) -> None:
+        """Handle an address on which no process listens any more."""
+        self._members.suspect(member, gone=True)
+
     def leave(self) -> None:
         """Announce to the other hosts that this one is leaving."""
         self._gossip.leave()
--- a/packages/daemon/src/corianderport_daemon/process/gossip_handler.py
+++ b/packages/daemon/src/corianderport_daemon/process/gossip_handler.py
@@ -3,28 +3,37 @@
 Serves the calls of other hosts to an entry host on the platform.
 """
 
+import collections.abc
+
 from corianderport_tier import errors
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
+from corianderport_tier.process import quota_messages
 from corianderport_tier.process import registry_relay
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 
-__all__ = ['GossipHandler']
+__all__ = ['GossipHandler', 'Grant']
+
+Grant = collections.abc.Callable[
+    [quota_messages.QuotaRequest], quota_messages.QuotaGrant
+]
 
 _NOT_SERVED = 'this host serves no tickets and no documents'
 
 
 class GossipHandler:
-    """Serves heartbeats and registry changes, and refuses other calls."""
+    """Serves heartbeats, registry changes and quotas; refuses other calls."""
 
     def __init__(
         self,
         exchange: heartbeats.HeartbeatExchange,
         relay: registry_relay.RegistryRelay,
+        grant: Grant,
     ) -> None:
         self._exchange = exchange
         self._relay = relay
+        self._grant = grant
 
     def heartbeat(self, message: heartbeats.Heartbeat) -> heartbeats.Heartbeat:
         """Process a heartbeat and return the reply."""
@@ -40,6 +49,12 @@
         """Return all registry entries that this host knows."""
         return self._relay.registry_entries()
 
+    def quota(
+        self, request: quota_messages.QuotaRequest
+    ) -> quota_messages.QuotaGrant:
+        """Grant tokens of a quota of which this host owns a part."""
+        return self._grant(request)
+
     def act_with_ticket(
         self, request: messages.ActionRequest
     ) -> messages.ActionAnswer:
--- a/packages/daemon/src/corianderport_daemon/process/peer_handler.py
+++ b/packages/daemon/src/corianderport_daemon/process/peer_handler.py
@@ -8,6 +8,7 @@
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
+from corianderport_tier.process import quota_messages
 from corianderport_tier.process import shutdown
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
@@ -59,6 +60,12 @@
         """Refuse, since this host does not read a registry of searchers."""
         raise errors.NotReady(_NO_REGISTRY)
 
+    def quota(
+        self, request: quota_messages.QuotaRequest
+    ) -> quota_messages.QuotaGrant:
+        """Refuse, since this host has no workspaces."""
+        raise errors.NotOwner('this host grants no quotas')
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the current version, and its document if it is newer."""
         accepted = self._store.accepted()
--- a/packages/testkit/src/corianderport_testkit/process/control_group.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_group.py
@@ -126,6 +126,9 @@
     def hand_over(self, part: typing.Any, timeout_s: float) -> None:
         raise NotImplementedError
 
+    def quota(self, request: typing.Any, timeout_s: float) -> typing.Any:
+        raise NotImplementedError
+
     def close(self) -> None:
         return
 
--- a/packages/testkit/src/corianderport_testkit/process/control_peers.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_peers.py
@@ -13,6 +13,7 @@
 from corianderport_tier.process import configuration_store
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
+from corianderport_tier.process import quota_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 
@@ -53,6 +54,12 @@
         """Refuse the call, since this host does not read the store."""
         raise errors.NotReady('this host does not read the store')
 
+    def quota(
+        self, request: quota_messages.QuotaRequest
+    ) -> quota_messages.QuotaGrant:
+        """Refuse the call, since this host grants no quotas."""
+        raise errors.NotOwner('this host grants no quotas')
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the current version, and its document if it is newer."""
         accepted = self._store.accepted()
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -9,6 +9,7 @@
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
+from corianderport_tier.process import quota_messages
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
@@ -184,6 +185,17 @@
         :raises NotRelayed: they are too large to be sent.
         """
 
+    def quota(
+        self, request: quota_messages.QuotaRequest, timeout_s: float
+    ) -> quota_messages.QuotaGrant:
+        """Ask for tokens of a workspace's quota.
+
+        :raises NotOwner: the peer owns no part of the quota.
+        :raises NotReady: the peer grants no tokens at present.
+        :raises ConnectionSilent: no reply arrived within the timeout.
+        :raises ConnectionBroken: the connection was closed.
+        """
+
     def heartbeat(
         self, message: heartbeats.Heartbeat, timeout_s: float
     ) -> heartbeats.Heartbeat:
--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -83,6 +83,8 @@
         self._started_s = clock.monotonic()
         self._seeds_contacted_s = float('-inf')
         self._seeds_answered = 0
+        # Addresses of seeds at which no process was listening.
+        self._refused_seeds: set[str] = set()
         self._senders = heartbeat_sender_set.HeartbeatSenderSet(
             members,
             region_of,
@@ -102,12 +104,23 @@
     def joined(self) -> bool:
         """Whether the seeds have answered or the join has timed out."""
         waited_s = self._clock.monotonic() - self._started_s
-        other_seeds = [s for s in self._seeds if s != self._own_address]
         return (
-            self._seeds_answered >= len(other_seeds)
+            self._seeds_answered >= len(self._other_seeds)
             or waited_s >= self._times.join_timeout_s
         )
 
+    @property
+    def most_seeds_known(self) -> bool:
+        """Whether this host knows of most seeds if they are running.
+
+        If it does not, it may have started while it is cut off from most
+        hosts. No heartbeat of another host has then told it of them.
+        """
+        known = {m.peer_address for m in self._members.members()}
+        known |= self._refused_seeds
+        seeds = self._other_seeds
+        return not seeds or 2 * sum(s in known for s in seeds) > len(seeds)
+
     @property
     def hosts(self) -> tuple[str, ...]:
         """Names of the hosts that may be sending, including this one.
@@ -142,6 +155,10 @@
             else self._times.seed_period_s
         )
 
+    @property
+    def _other_seeds(self) -> list[str]:
+        return [s for s in self._seeds if s != self._own_address]
+
     @property
     def _own_address(self) -> str:
         return self._members.own.peer_address
@@ -176,6 +193,8 @@
             finally:
                 transport.close()
         except errors.CorianderportError as error:
+            if isinstance(error, errors.ConnectRefused):
+                self._refused_seeds.add(address)
             _LOG.info('no heartbeat reply from seed %s: %s', address, error)
             return
         self._exchange.on_reply(reply, sent_s)
--- a/packages/tier/src/corianderport_tier/process/quota_bucket.py
+++ b/packages/tier/src/corianderport_tier/process/quota_bucket.py
@@ -7,10 +7,10 @@
 
 from corianderport_tier.version import workspaces
 
-__all__ = ['QuotaBounds', 'QuotaBucket', 'QuotaShare']
+__all__ = ['MAX_OWNERS', 'QuotaBounds', 'QuotaBucket', 'QuotaShare']
 
 # Maximum number of owners that divide the quota of a workspace.
-_MAX_OWNERS = 4
+MAX_OWNERS = 4
 # Limits of the time for which a granted token can be used. Below the lower
 # one, a token could expire on its way to the host that asked for it.
 _MAX_VALID_S = 1.0
@@ -58,7 +58,7 @@
         :param hosts: number of hosts that may be owners.
         """
         whole_tokens = int(self.saved(workspace))
-        return max(1, min(_MAX_OWNERS, hosts, whole_tokens))
+        return max(1, min(MAX_OWNERS, hosts, whole_tokens))
 
     def share(
         self,
--- a/packages/tier/src/corianderport_tier/process/quota_hosts.py
+++ b/packages/tier/src/corianderport_tier/process/quota_hosts.py
@@ -74,7 +74,8 @@
     """Implements ``QuotaFleet`` with the membership of the fleet.
 
     :param sending: returns the names of the hosts that may be sending.
-    :param joined: returns whether this host has joined the fleet.
+    :param joined: returns whether this host has joined the fleet and knows
+        most of it.
     :param young_since: an incarnation that sorts below this text started at
         least ``YOUNG_S`` before this process.
     """
--- a/packages/tier/src/corianderport_tier/process/quota_owner.py
+++ b/packages/tier/src/corianderport_tier/process/quota_owner.py
@@ -194,7 +194,7 @@
         if owned is not None:
             return owned
         hosts = self._fleet.hosts
-        owners = bounds.owners(workspace, len(hosts.names))
+        owners = self._owners(workspace, bounds, hosts, now_s)
         if not self._is_owner(workspace, hosts, owners):
             return None
         # Nobody else has granted this host's part since then.
@@ -219,7 +219,7 @@
         if owned is None:
             return None
         hosts = self._fleet.hosts
-        owners = bounds.owners(workspace, len(hosts.names))
+        owners = self._owners(workspace, bounds, hosts, now_s)
         if owned.names is not hosts.names or owned.owners != owners:
             owned.names = hosts.names
             if self._is_owner(workspace, hosts, owners):
@@ -237,6 +237,23 @@
             return None
         return owned
 
+    def _owners(
+        self,
+        workspace: workspaces.Workspace,
+        bounds: quota_bucket.QuotaBounds,
+        hosts: quota_hosts.QuotaHosts,
+        now_s: float,
+    ) -> int:
+        """Return the number of owners of a workspace.
+
+        A host that has just started may not know all hosts yet and assumes
+        that the quota is divided among the maximum number of owners.
+        """
+        count = len(hosts.names)
+        if now_s - self._started_s < quota_hosts.YOUNG_S:
+            count = max(count, quota_bucket.MAX_OWNERS)
+        return bounds.owners(workspace, count)
+
     def _is_owner(
         self,
         workspace: workspaces.Workspace,
--- a/packages/tier/src/corianderport_tier/process/quotas.py
+++ b/packages/tier/src/corianderport_tier/process/quotas.py
@@ -4,6 +4,7 @@
 """
 
 import collections.abc
+import math
 import random
 import threading
 
@@ -15,7 +16,9 @@
 from corianderport_tier.process import quota_calls
 from corianderport_tier.version import workspaces
 
-__all__ = ['Quotas']
+__all__ = ['QuotaToken', 'Quotas']
+
+QuotaToken = quota_account.QuotaToken
 
 # Maximum time for which a request waits for tokens.
 _MAX_WAIT_S = 0.5
@@ -59,10 +62,14 @@
         return len(self._accounts)
 
     def admit(
-        self, workspace: workspaces.Workspace, request_id: str = ''
+        self,
+        workspace: workspaces.Workspace,
+        request_id: str = '',
+        latest_s: float = math.inf,
     ) -> quota_account.QuotaToken | None:
         """Take a token for a request, waiting for owners if necessary.
 
+        :param latest_s: time until which the request may wait.
         :return: None if the workspace has no quota.
         :raises QuotaExceeded: the quota is used up.
         :raises NotReady: no owner of the quota could be reached.
@@ -71,7 +78,7 @@
         if bounds is None or workspace.rate_per_s <= 0:
             return None
         account, now_s = self._enter(workspace.name)
-        deadline_s = now_s + _MAX_WAIT_S
+        deadline_s = min(now_s + _MAX_WAIT_S, latest_s)
         try:
             while True:
                 token = self._take_or_wait(account, workspace, deadline_s)
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -18,6 +18,7 @@
 from corianderport_tier.process import directory
 from corianderport_tier.process import drain
 from corianderport_tier.process import metrics
+from corianderport_tier.process import quotas as quotas_module
 from corianderport_tier.process import route_latency
 from corianderport_tier.process import store_freshness
 from corianderport_tier.request import answer_summaries
@@ -83,6 +84,7 @@
         counts: metrics.Metrics | None = None,
         host_drain: drain.Drain | None = None,
         freshness: store_freshness.StoreFreshness | None = None,
+        quotas: quotas_module.Quotas | None = None,
     ) -> None:
         self._metrics = counts or metrics.Metrics()
         self._authorizer = authorization_module.Authorizer(
@@ -90,6 +92,7 @@
             freshness
             or store_freshness.StoreFreshness(clock, log, lambda: False),
         )
+        self._quotas = quotas
         self.drain = host_drain or drain.Drain(clock)
         self.directory = searcher_directory
         self.clock = clock
@@ -138,8 +141,24 @@
             authorization = self._authorizer.admit(route, request.credential)
         except (errors.Unauthenticated, errors.KeyUnconfirmed) as error:
             return self._refuse(request, error.code, str(error), route.name)
+        try:
+            token = self._take_token(request, authorization)
+        except errors.QuotaExceeded as error:
+            return self._refuse(
+                request,
+                error.code,
+                str(error),
+                route.name,
+                max(_MIN_RETRY_AFTER_S, error.retry_after_s),
+            )
+        except errors.NotReady as error:
+            return self._refuse(request, error.code, str(error), route.name)
         task = ForwardTask(self, request, route, authorization)
-        answer = task.run(caller)
+        try:
+            answer = task.run(caller)
+        finally:
+            if token is not None and not task.may_have_run:
+                self._give_back(token)
         if task.answered_at_goal:
             caller.call_when_sent(
                 lambda: self.answer_delay.record(
@@ -148,18 +167,40 @@
             )
         return self._record_answer(request, routing, answer, task)
 
+    def _take_token(
+        self,
+        request: forward_messages.ForwardRequest,
+        authorization: authorization_module.Authorization,
+    ) -> quotas_module.QuotaToken | None:
+        """Take a token of the quota of the caller's workspace.
+
+        :raises QuotaExceeded: the quota is used up.
+        :raises NotReady: no owner of the quota could be reached.
+        """
+        workspace = authorization.workspace
+        if self._quotas is None or workspace is None:
+            return None
+        return self._quotas.admit(
+            workspace, request.request_id, request.deadline.at_s
+        )
+
+    def _give_back(self, token: quotas_module.QuotaToken) -> None:
+        assert self._quotas is not None
+        self._quotas.give_back(token)
+
     def _refuse(
         self,
         request: forward_messages.ForwardRequest,
         code: Code,
         detail: str,
         route_name: str = _NO_ROUTE,
+        retry_after_s: float = _MIN_RETRY_AFTER_S,
     ) -> Failure:
         # A request without a valid key is not to be repeated.
         failure = Failure(
             code,
             detail,
-            None if code is Code.UNAUTHENTICATED else _MIN_RETRY_AFTER_S,
+            None if code is Code.UNAUTHENTICATED else retry_after_s,
         )
         self._metrics.finished(route_name, code, 0.0)
         self.log.record(
@@ -253,6 +294,11 @@
                 for part in self._parts:
                     part.cancel(at_once=self._disconnected)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any searcher may have run the request."""
+        return any(part.may_have_run for part in self._parts)
+
     def summary(self) -> dict[str, object]:
         """Return what the decision log records about the answer."""
         reasons = collections.Counter(
@@ -487,7 +533,7 @@
         """Cancel all attempts; return whether the request may have run."""
         for part in self._parts:
             part.cancel()
-        return any(p.may_have_run for p in self._parts)
+        return self.may_have_run
 
     def _failure(self, failure: Failure) -> Failure:
         if failure.retry_after_s is None:
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -16,6 +16,7 @@
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
+from corianderport_tier.process import quota_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import action_codec
@@ -23,6 +24,7 @@
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
+from corianderport_wire.connection import quota_codec
 from corianderport_wire.connection import registry_codec
 from corianderport_wire import faults
 
@@ -98,6 +100,15 @@
             self._call(lambda _: self._client.entries(), None, timeout_s)
         )
 
+    def quota(
+        self, request: quota_messages.QuotaRequest, timeout_s: float
+    ) -> quota_messages.QuotaGrant:
+        """Ask for tokens of a workspace's quota."""
+        fields = quota_codec.request_to_thrift(request)
+        return quota_codec.grant_from_thrift(
+            self._call(self._client.quota, fields, timeout_s)
+        )
+
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -17,6 +17,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
+from corianderport_tier.process import quota_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import acceptor
@@ -24,6 +25,7 @@
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
+from corianderport_wire.connection import quota_codec
 from corianderport_wire.connection import registry_codec
 
 __all__ = ['PeerServer', 'PeerService']
@@ -61,6 +63,14 @@
     def registry_entries(self) -> registrations.StoredEntries:
         """Return all registry entries that this host knows."""
 
+    def quota(
+        self, request: quota_messages.QuotaRequest
+    ) -> quota_messages.QuotaGrant:
+        """Grant tokens of a workspace's quota.
+
+        :raises CorianderportError: its result code is sent to the peer.
+        """
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the current version, and its document if it is newer."""
 
@@ -114,6 +124,14 @@
             raise _refused(error) from error
         return timer.entries_to_thrift(stored)
 
+    def quota(self, request: typing.Any) -> typing.Any:
+        try:
+            decoded = quota_codec.request_from_thrift(request)
+            grant = self._service.quota(decoded)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return quota_codec.grant_to_thrift(grant)
+
     def configuration(self, known_version: int) -> typing.Any:
         try:
             version, content = self._service.document(known_version)
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -79,6 +79,19 @@
     2: double wait_ms
 }
 
+struct QuotaRequest {
+    1: string workspace
+    2: i32 tokens
+    // Position of the asked host in the asking host's order of owners.
+    3: i32 rank
+}
+
+struct QuotaGrant {
+    1: i32 granted
+    2: double retry_after_ms
+    3: double valid_ms
+}
+
 exception Refused {
     1: i32 code
     2: string text
@@ -92,5 +105,7 @@
     StoredEntries news(1: NewsRequest request) throws (1: Refused refused)
     // All entries of the store that the host knows. Absent in earlier versions.
     StoredEntries entries() throws (1: Refused refused)
+    // Tokens of a workspace's quota. Absent in earlier versions.
+    QuotaGrant quota(1: QuotaRequest request) throws (1: Refused refused)
     Document configuration(1: i64 known_version) throws (1: Refused refused)
 }
--- a/tests/daemon/test_registry_connection.py
+++ b/tests/daemon/test_registry_connection.py
@@ -16,6 +16,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
+from corianderport_tier.process import quota_messages
 from corianderport_tier.process import registry_relay
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import peer_authentication
@@ -29,6 +30,12 @@
 _PIECE_INTERVAL_S = 0.05
 
 
+def _no_quota(
+    request: quota_messages.QuotaRequest,
+) -> quota_messages.QuotaGrant:
+    raise errors.NotOwner('no quotas')
+
+
 class _Reader:
     """A host that reads the registry, as seen by other hosts."""
 
@@ -37,7 +44,9 @@
         self._server = peer_server.PeerServer('127.0.0.1', 0, _CLOCK, 8, _KEYS)
         # No test here sends a heartbeat.
         exchange = typing.cast(heartbeats.HeartbeatExchange, None)
-        self._server.start(gossip_handler.GossipHandler(exchange, self.relay))
+        self._server.start(
+            gossip_handler.GossipHandler(exchange, self.relay, _no_quota)
+        )
         self.member = membership.Member('reader', 'dc-a', self._server.address)
 
     def change(self) -> None:
--- a/tests/tier/quota_network.py
+++ b/tests/tier/quota_network.py
@@ -138,12 +138,22 @@
         if self._fleet.now_s < self._joined_s:
             return False
         seeds = [*self._fleet.hosts.values()][:_SEEDS]
-        self._contacted.update(
-            seed.name
-            for seed in seeds
-            if seed.group == self.group and not seed.frozen
-        )
-        return len(self._contacted) > _SEEDS / 2
+        for seed in seeds:
+            if seed.group != self.group or seed.frozen:
+                continue
+            self._contacted.add(seed.name)
+            if seed.running and not self.knows(seed.name):
+                self._join(seed)
+        known = {name for name, k in self._known.items() if k.standing}
+        reached = [s for s in seeds if s.name in known | self._contacted]
+        return len(reached) > _SEEDS / 2
+
+    def _join(self, seed: 'Host') -> None:
+        """Exchange what both hosts know, like the first heartbeat."""
+        seed.learn(self.name, Standing.ALIVE, False)
+        for name, known in list(seed._known.items()):
+            if known.standing is not None and not self._known[name].standing:
+                self.learn(name, known.standing, known.forgotten)
 
     @property
     def first_start(self) -> bool:
