--- /dev/null
+++ b/tests/tier/test_forwarding_quotas.py
@@ -0,0 +1,138 @@
+"""Forwarding within quotas: admission, refusals and returned tokens."""
+
+import pytest
+
+from corianderport_tier import errors
+from corianderport_tier.process import quota_account
+from corianderport_tier.process import quotas
+from corianderport_tier.request import forward_messages
+from corianderport_tier import result_codes
+from corianderport_tier.version import workspaces
+
+from . import entries
+from . import test_forwarding
+from . import test_forwarding_keys
+
+Code = result_codes.ResultCode
+_LIMITED = workspaces.Workspace('alpha', 0, 11, 11)
+
+
+class _Quotas(quotas.Quotas):
+    """Quotas that admit or refuse as the test says."""
+
+    def __init__(self) -> None:
+        self.refusal: errors.Refusal | None = None
+        self.admitted: list[str] = []
+        self.given_back: list[quota_account.QuotaToken] = []
+
+    def admit(
+        self,
+        workspace: workspaces.Workspace,
+        request_id: str = '',
+        latest_s: float = 0.0,
+    ) -> quota_account.QuotaToken:
+        if self.refusal is not None:
+            raise self.refusal
+        self.admitted.append(workspace.name)
+        return quota_account.QuotaToken(workspace.name, latest_s)
+
+    def give_back(self, token: quota_account.QuotaToken) -> None:
+        self.given_back.append(token)
+
+
+class _Host(test_forwarding_keys._Host):
+    """A host whose callers' workspace has a quota."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            entries.route(),
+            entries.route(name='open', prefix='/open/', public=True),
+        )
+        self.quotas = _Quotas()
+        self.forwarder._quotas = self.quotas
+        self.publish(test_forwarding_keys._keys(k1=_LIMITED))
+
+
+@pytest.fixture(name='host')
+def _host() -> _Host:
+    return _Host()
+
+
+def test_request_takes_one_token(host: _Host) -> None:
+    """Guards against requests that are served without a token."""
+    host.start()
+    host.end(host.take(), test_forwarding._reply())
+    assert isinstance(host.finish(), forward_messages.Relayed)
+    assert host.quotas.admitted == ['alpha']
+    assert host.quotas.given_back == []
+
+
+def test_refused_request_is_not_sent(host: _Host) -> None:
+    """Guards against a 429 to a request that runs nevertheless.
+
+    The retry delay is the time at which there will be a token, even if it is
+    longer than the delays of other refusals.
+    """
+    host.quotas.refusal = errors.QuotaExceeded('used up', 0.7)
+    host.start()
+    assert host.refusal(Code.QUOTA_EXCEEDED).retry_after_s == 0.7
+    assert host.idle
+
+
+def test_without_an_owner_the_retry_delay_is_short(host: _Host) -> None:
+    """Guards against callers that wait although another host can serve."""
+    host.quotas.refusal = errors.NotReady('no owner replied')
+    host.start()
+    retry_after_s = host.refusal(Code.NOT_READY).retry_after_s
+    assert retry_after_s is not None and retry_after_s <= 0.1
+    assert host.idle
+
+
+def test_token_of_a_request_that_no_searcher_ran_is_given_back(
+    host: _Host,
+) -> None:
+    """Guards against counting requests that did not run."""
+    host.start()
+    for _ in range(3):
+        host.end(host.take(), test_forwarding._reply(503, ran=False))
+    host.refusal(Code.UPSTREAM_REFUSED)
+    assert len(host.quotas.given_back) == 1
+
+
+def test_token_of_a_request_that_may_have_run_is_kept(host: _Host) -> None:
+    """Guards against more requests than the quota permits.
+
+    The connection is lost after the request was sent.
+    """
+    host.start()
+    for _ in range(2):
+        host.end(host.take(), errors.ConnectionBroken('reset'))
+    answer = host.finish()
+    assert isinstance(answer, forward_messages.Failure)
+    assert answer.code is Code.OUTCOME_UNKNOWN
+    assert host.quotas.given_back == []
+
+
+def test_unknown_key_takes_no_token(host: _Host) -> None:
+    """Guards against strangers who use up the quota of a workspace."""
+    host.credential = 'unknown'
+    host.start()
+    host.refusal(Code.UNAUTHENTICATED)
+    assert host.quotas.admitted == []
+
+
+@pytest.mark.parametrize(
+    ('credential', 'admitted'), [(None, []), ('k1', ['alpha'])]
+)
+def test_public_route(
+    host: _Host, credential: str | None, admitted: list[str]
+) -> None:
+    """Guards against requests of a workspace that its quota leaves out.
+
+    A known key is treated on a public route as on any other one.
+    """
+    host.credential = credential
+    host.start(path='/open/x')
+    host.end(host.take(), test_forwarding._reply())
+    assert isinstance(host.finish(), forward_messages.Relayed)
+    assert host.quotas.admitted == admitted
