--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -90,7 +90,8 @@
         self.quota_hosts = quota_hosts.MembershipHosts(
             self._members,
             lambda: self._gossip.hosts,
-            lambda: self._gossip.joined and self._gossip.most_seeds_known,
+            lambda: self._gossip.joined,
+            lambda: self._gossip.known_seeds,
             incarnations.earliest_incarnation(
                 clock.time() - quota_hosts.YOUNG_S
             ),
--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -110,16 +110,16 @@
         )
 
     @property
-    def most_seeds_known(self) -> bool:
-        """Whether this host knows of most seeds if they are running.
+    def known_seeds(self) -> float:
+        """Fraction of the other seeds that are known, or known not to run.
 
-        If it does not, it may have started while it is cut off from most
-        hosts. No heartbeat of another host has then told it of them.
+        If it is small, this host may have started while it was cut off from
+        most hosts, and no heartbeat has told it of them.
         """
         known = {m.peer_address for m in self._members.members()}
         known |= self._refused_seeds
         seeds = self._other_seeds
-        return not seeds or 2 * sum(s in known for s in seeds) > len(seeds)
+        return sum(s in known for s in seeds) / len(seeds) if seeds else 1.0
 
     @property
     def hosts(self) -> tuple[str, ...]:
--- a/packages/tier/src/corianderport_tier/process/quota_hosts.py
+++ b/packages/tier/src/corianderport_tier/process/quota_hosts.py
@@ -23,6 +23,7 @@
 # A host that has just started grants nothing for this time, until all hosts
 # know it and its predecessor among the owners has stopped granting.
 YOUNG_S = 8.0
+_MIN_KNOWN_SEEDS = 0.5
 
 
 @attrs.frozen
@@ -74,8 +75,9 @@
     """Implements ``QuotaFleet`` with the membership of the fleet.
 
     :param sending: returns the names of the hosts that may be sending.
-    :param joined: returns whether this host has joined the fleet and knows
-        most of it.
+    :param joined: returns whether this host has joined the fleet.
+    :param known_seeds: returns the fraction of the seeds that are known, or
+        known not to run.
     :param young_since: an incarnation that sorts below this text started at
         least ``YOUNG_S`` before this process.
     """
@@ -85,11 +87,13 @@
         members: membership.Membership,
         sending: collections.abc.Callable[[], tuple[str, ...]],
         joined: collections.abc.Callable[[], bool],
+        known_seeds: collections.abc.Callable[[], float],
         young_since: str,
     ) -> None:
         self._members = members
         self._sending = sending
         self._joined = joined
+        self._known_seeds = known_seeds
         self._young_since = young_since
         # The view and the names for which the hosts were built. Tasks read
         # them without a lock, so they are replaced as a whole.
@@ -106,13 +110,23 @@
 
     @property
     def serving(self) -> bool:
-        """Whether this host has joined the fleet and is not leaving it."""
+        """Whether this host has joined the fleet and is not leaving it.
+
+        A host that has started while it was cut off from most of the fleet
+        does not know the owners on the other side.
+        """
         state = self._members.own.state
-        return self._joined() and state is membership.MemberState.LIVE
+        return (
+            self._joined()
+            and self._known_seeds() > _MIN_KNOWN_SEEDS
+            and state is membership.MemberState.LIVE
+        )
 
     @property
     def first_start(self) -> bool:
         """Whether no known host has started much earlier than this one."""
+        if self._known_seeds() < 1:
+            return False
         view = self._members.view
         return not any(
             '' < m.incarnation < self._young_since
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+import attrs
 import pytest
 
 from corianderport_daemon.process import entry_settings
@@ -158,3 +159,42 @@
     """Guards against a host that refuses every key, or checks none."""
     with pytest.raises(errors.SettingInvalid, match='bounds.*revoke'):
         _load(tmp_path / 'x', _with_bounds(text))
+
+
+@pytest.mark.parametrize(
+    ('text', 'bounds'),
+    [
+        ('', None),
+        ('quota_window_s = 5', (5.0, 0.25, 20.0)),
+        ('quota_slack = 8', (5.0, 0.25, 8.0)),
+        (
+            'quota_window_s = 10\nquota_excess = 0.5\nquota_slack = 0',
+            (10.0, 0.5, 0.0),
+        ),
+    ],
+)
+def test_bounds_of_quotas(
+    tmp_path: pathlib.Path,
+    text: str,
+    bounds: tuple[float, float, float] | None,
+) -> None:
+    """Guards against quotas that nobody asked for, or that are ignored."""
+    quota = _load(tmp_path / 'x', _with_bounds(text)).quota
+    assert (None if quota is None else attrs.astuple(quota)) == bounds
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        'quota_window_s = 0',
+        'quota_window_s = "long"',
+        'quota_excess = -0.1',
+        'quota_slack = nan',
+    ],
+)
+def test_invalid_bounds_of_quotas_are_refused(
+    tmp_path: pathlib.Path, text: str
+) -> None:
+    """Guards against a bound that refuses every request, or none."""
+    with pytest.raises(errors.SettingInvalid, match=r'bounds\.quota'):
+        _load(tmp_path / 'x', _with_bounds(text))
--- a/tests/tier/test_gossip.py
+++ b/tests/tier/test_gossip.py
@@ -187,3 +187,22 @@
     assert not network.hosts['h0'].joined
     network.run(1)
     assert network.hosts['h0'].joined
+
+
+def test_known_seeds_count_those_that_answer_refuse_or_are_heard_of() -> None:
+    """Guards against a restarted host that takes itself for the whole fleet.
+
+    It is cut off from two of four seeds; one seed does not run.
+    """
+    network = _Network(1, ('h0', 'h1', 'h2', 'h3', 'h4'))
+    host = network.hosts['h0']
+    network.stopped.add('h1')
+    network.cut = {frozenset(('h0', name)) for name in ('h2', 'h3', 'h4')}
+    network.run(1)
+    assert host.known_seeds == 0.25
+    network.start('h2', ('h0', 'h3'), '1')
+    network.start('h3', ('h0', 'h2'), '1')
+    network.cut.remove(frozenset(('h0', 'h2')))
+    network.run(7)
+    # The host has heard of h3 from h2.
+    assert host.known_seeds == 0.75
--- a/tests/tier/test_quota_faults.py
+++ b/tests/tier/test_quota_faults.py
@@ -142,6 +142,8 @@
             names = self.fleet.owners(_NAME)
             some = [self.fleet.hosts[name] for name in names]
         for host in some:
+            if host is self.fleet.seed and fault.kind != 'restart-all':
+                continue
             if begins and host.running:
                 self.fleet.stop(host)
             if not begins and not host.running:
--- a/tests/tier/test_quota_hosts.py
+++ b/tests/tier/test_quota_hosts.py
@@ -19,10 +19,12 @@
         self.members.apply(membership.Rumour(_OTHER))
         self.names: tuple[str, ...] = ('other', 'own')
         self.joined = True
+        self.known_seeds = 1.0
         self.fleet = quota_hosts.MembershipHosts(
             self.members,
             lambda: self.names,
             lambda: self.joined,
+            lambda: self.known_seeds,
             '000000008000',
         )
 
@@ -89,3 +91,13 @@
     host.joined = True
     host.members.leave()
     assert not host.fleet.serving
+
+
+def test_host_that_started_while_it_was_cut_off() -> None:
+    """Guards against a host that takes itself for the whole fleet."""
+    host = _Host()
+    host.known_seeds = 0.6
+    assert host.fleet.serving
+    assert not host.fleet.first_start
+    host.known_seeds = 0.5
+    assert not host.fleet.serving
