Grant quotas soon after all hosts have restarted

Hosts that start together waited until no host had become known for a second, which takes 8 s with 195 hosts. They now wait until the known hosts change by less than a tenth within a second.

--- a/packages/tier/src/corianderport_tier/process/quota_calls.py
+++ b/packages/tier/src/corianderport_tier/process/quota_calls.py
@@ -154,7 +154,7 @@
             forget_s = self._clock.monotonic() - _MAX_SILENT_S
             for host, avoided in list(self._avoided.items()):
                 if avoided.until_s <= forget_s:
-                    del self._avoided[host]
+                    self._avoided.pop(host, None)
 
     def _owners(
         self,
--- a/packages/tier/src/corianderport_tier/process/quota_owner.py
+++ b/packages/tier/src/corianderport_tier/process/quota_owner.py
@@ -23,9 +23,11 @@
 # for this time. The news of the new host reaches all hosts within five
 # seconds, and the new host grants nothing for eight.
 _RELEASE_S = 3.0
-# When all hosts start together, they grant once no other host has become
-# known for this time.
-_STABLE_S = 1.0
+# When all hosts start together, they grant once the known hosts have changed
+# by less than a tenth within a second. With the gossip of up to 195 hosts, the
+# parts of all hosts that take themselves for owners then sum up to 1.12.
+_CALM_PERIOD_S = 1.0
+_CALM_CHANGE = 0.1
 # After a pause of the process of this length, other hosts may have taken its
 # place. They do so after 120 s.
 _MAX_PAUSE_S = 60.0
@@ -100,6 +102,10 @@
         self._names: tuple[str, ...] = ()
         now_s = clock.monotonic()
         self._names_since_s = now_s
+        # The hosts known at the last check of how much they change.
+        self._checked_names: tuple[str, ...] = ()
+        self._checked_s = now_s
+        self._calm = False
         self._started_s = now_s
         self._observed_s = now_s
         self._paused = False
@@ -170,6 +176,11 @@
         if names != self._names:
             self._names = names
             self._names_since_s = now_s
+        if now_s - self._checked_s >= _CALM_PERIOD_S:
+            changed = len(set(names).symmetric_difference(self._checked_names))
+            self._calm = changed < _CALM_CHANGE * len(names)
+            self._checked_names = names
+            self._checked_s = now_s
         if self._granting_since_s is None and self._may_begin(now_s):
             self._granting_since_s = now_s
 
@@ -178,11 +189,7 @@
             return False
         if now_s - self._started_s >= quota_hosts.YOUNG_S:
             return True
-        return (
-            not self._paused
-            and self._fleet.first_start
-            and now_s - self._names_since_s >= _STABLE_S
-        )
+        return self._calm and self._fleet.first_start and not self._paused
 
     def _find(
         self,
