--- a/packages/tier/src/corianderport_tier/process/quotas.py
+++ b/packages/tier/src/corianderport_tier/process/quotas.py
@@ -184,10 +184,12 @@
         request_id: str,
     ) -> None:
         """Ask the owners and wake the tasks that wait for the result."""
-        replies = quota_calls.QuotaReplies(account.wanted)
+        with account.condition:
+            wanted = account.wanted
+        replies = quota_calls.QuotaReplies(wanted)
         try:
             replies = self._calls.ask(
-                account, workspace, bounds, replies.wanted, deadline_s
+                account, workspace, bounds, wanted, deadline_s
             )
         finally:
             with account.condition:
