--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -83,8 +83,9 @@
         self._started_s = clock.monotonic()
         self._seeds_contacted_s = float('-inf')
         self._seeds_answered = 0
-        # Addresses of seeds at which no process was listening.
-        self._refused_seeds: set[str] = set()
+        # Addresses of seeds that have answered, or at which no process was
+        # listening. A seed may announce another address than this one.
+        self._reached_seeds: set[str] = set()
         self._senders = heartbeat_sender_set.HeartbeatSenderSet(
             members,
             region_of,
@@ -117,7 +118,7 @@
         most hosts, and no heartbeat has told it of them.
         """
         known = {m.peer_address for m in self._members.members()}
-        known |= self._refused_seeds
+        known |= self._reached_seeds
         seeds = self._other_seeds
         return sum(s in known for s in seeds) / len(seeds) if seeds else 1.0
 
@@ -194,10 +195,11 @@
                 transport.close()
         except errors.CorianderportError as error:
             if isinstance(error, errors.ConnectRefused):
-                self._refused_seeds.add(address)
+                self._reached_seeds.add(address)
             _LOG.info('no heartbeat reply from seed %s: %s', address, error)
             return
         self._exchange.on_reply(reply, sent_s)
+        self._reached_seeds.add(address)
         self._seeds_answered += 1
         self.wake()
 
--- a/tests/tier/test_gossip.py
+++ b/tests/tier/test_gossip.py
@@ -189,6 +189,19 @@
     assert network.hosts['h0'].joined
 
 
+def test_seed_that_announces_another_address_is_known() -> None:
+    """Guards against a host that never grants quotas.
+
+    The seed is reached at an address that it does not announce.
+    """
+    network = _Network(1, ())
+    network.exchanges['alias'] = network.exchanges['h0']
+    network.start('h1', ('alias',), '1')
+    assert network.hosts['h1'].known_seeds == 0
+    network.hosts['h1'].step()
+    assert network.hosts['h1'].known_seeds == 1
+
+
 def test_known_seeds_count_those_that_answer_refuse_or_are_heard_of() -> None:
     """Guards against a restarted host that takes itself for the whole fleet.
 
