--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -9,6 +9,7 @@
 
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import host_bounds
+from corianderport_tier.process import quota_bucket
 from corianderport_tier.process import registry_relay
 
 __all__ = ['EntrySettings']
@@ -25,7 +26,8 @@
     callers and tasks use of the host. ``revoke_s`` is the time within which a
     key that was taken away must stop working, in seconds; None if the age of
     what is known is not checked. ``first_start`` is True only when all hosts
-    of the deployment start for the first time.
+    of the deployment start for the first time. ``quota`` bounds the requests
+    of workspaces over all hosts; None if they are not limited.
     """
 
     host: str
@@ -48,3 +50,4 @@
     )
     log_level: str = 'INFO'
     revoke_s: float | None = None
+    quota: quota_bucket.QuotaBounds | None = None
--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -83,6 +83,9 @@
         self._started_s = clock.monotonic()
         self._seeds_contacted_s = float('-inf')
         self._seeds_answered = 0
+        # Addresses of seeds that have answered, or at which no process was
+        # listening. A seed may announce another address than this one.
+        self._reached_seeds: set[str] = set()
         self._senders = heartbeat_sender_set.HeartbeatSenderSet(
             members,
             region_of,
@@ -102,12 +105,23 @@
     def joined(self) -> bool:
         """Whether the seeds have answered or the join has timed out."""
         waited_s = self._clock.monotonic() - self._started_s
-        other_seeds = [s for s in self._seeds if s != self._own_address]
         return (
-            self._seeds_answered >= len(other_seeds)
+            self._seeds_answered >= len(self._other_seeds)
             or waited_s >= self._times.join_timeout_s
         )
 
+    @property
+    def known_seeds(self) -> float:
+        """Fraction of the other seeds that are known, or known not to run.
+
+        If it is small, this host may have started while it was cut off from
+        most hosts, and no heartbeat has told it of them.
+        """
+        known = {m.peer_address for m in self._members.members()}
+        known |= self._reached_seeds
+        seeds = self._other_seeds
+        return sum(s in known for s in seeds) / len(seeds) if seeds else 1.0
+
     @property
     def hosts(self) -> tuple[str, ...]:
         """Names of the hosts that may be sending, including this one.
@@ -142,6 +156,10 @@
             else self._times.seed_period_s
         )
 
+    @property
+    def _other_seeds(self) -> list[str]:
+        return [s for s in self._seeds if s != self._own_address]
+
     @property
     def _own_address(self) -> str:
         return self._members.own.peer_address
@@ -176,9 +194,12 @@
             finally:
                 transport.close()
         except errors.CorianderportError as error:
+            if isinstance(error, errors.ConnectRefused):
+                self._reached_seeds.add(address)
             _LOG.info('no heartbeat reply from seed %s: %s', address, error)
             return
         self._exchange.on_reply(reply, sent_s)
+        self._reached_seeds.add(address)
         self._seeds_answered += 1
         self.wake()
 
