Place requests by expected finish

Requests of very different cost counted the same when a searcher was chosen, so that cheap requests waited behind expensive ones. The expected run time is now learned by class of request, and the new policy expected-finish rates a searcher by its outstanding work and the cost of the request. By default, it is used for services that a route of the highest priority shares with routes of others. The answer line and the metrics state the policy, the expected cost and the outstanding work.

The filter of candidates moves to its own module.

--- /dev/null
+++ b/packages/tier/src/corianderport_tier/process/candidates.py
@@ -0,0 +1,91 @@
+"""corianderport_tier.process.candidates
+
+Which searchers of a service may receive one more request now.
+"""
+
+import collections.abc
+import enum
+
+from corianderport_tier.process import fleet_share
+from corianderport_tier.process import searcher_state
+
+__all__ = ['CandidateFilter', 'NoChoice']
+
+SearcherState = searcher_state.SearcherState
+
+
+class NoChoice(enum.Enum):
+    """Reason why no searcher can be chosen now."""
+
+    NONE_REGISTERED = 'no searcher is registered'
+    LEAVING = 'every searcher is leaving'
+    ALL_TRIED = 'every searcher has been tried'
+    PAUSED = 'every searcher has asked for a pause'
+    BACKING_OFF = 'every searcher has failed'
+    COLD = 'every searcher is cold and has its share'
+    FULL = 'every searcher has its share of requests'
+
+
+class CandidateFilter:
+    """Excludes searchers; guarded by the lock of their service."""
+
+    def __init__(self, share: fleet_share.FleetShare) -> None:
+        self._share = share
+        # Requests a second that a cold searcher handles; 0 if not limited.
+        self.cold_rate = 0.0
+
+    def candidates(
+        self,
+        registered: collections.abc.Iterable[SearcherState],
+        excluded: collections.abc.Container[str],
+        now_s: float,
+    ) -> list[SearcherState] | NoChoice:
+        """Return the searchers that may be chosen.
+
+        :param excluded: names of searchers that must not be chosen.
+        """
+        states = list(registered)
+        if not states:
+            return NoChoice.NONE_REGISTERED
+        # If this host has no share of the connections of any searcher, use
+        # all of them: its requests would fail otherwise.
+        states = [s for s in states if s.connections > 0] or states
+        allowed = [
+            s
+            for s in states
+            if s.name not in excluded
+            and s.may_receive(now_s)
+            and s.has_capacity
+            and self._within_cold_rate(s, now_s)
+        ]
+        return allowed or self._reason_of_none(states, excluded, now_s)
+
+    def _reason_of_none(
+        self,
+        states: list[SearcherState],
+        excluded: collections.abc.Container[str],
+        now_s: float,
+    ) -> NoChoice:
+        """Return which condition excludes the last of the searchers."""
+        filters = (
+            (NoChoice.LEAVING, lambda s: not s.availability.leaving),
+            (NoChoice.ALL_TRIED, lambda s: s.name not in excluded),
+            (NoChoice.PAUSED, lambda s: s.availability.permits_request(now_s)),
+            (NoChoice.BACKING_OFF, lambda s: s.retry_at_s <= now_s),
+            (NoChoice.COLD, lambda s: self._within_cold_rate(s, now_s)),
+            (NoChoice.FULL, lambda s: s.has_capacity),
+        )
+        for reason, allowed in filters:
+            states = [s for s in states if allowed(s)]
+            if not states:
+                return reason
+        # The share of a cold searcher grows when a host leaves meanwhile.
+        return NoChoice.COLD
+
+    def _within_cold_rate(self, state: SearcherState, now_s: float) -> bool:
+        # Without a configured rate, cold searchers are not limited.
+        if self.cold_rate <= 0 or not state.warm_up.is_cold(now_s):
+            return True
+        return state.warm_up.may_send(
+            now_s, self._share.cold_rate(state.name, self.cold_rate)
+        )
--- a/packages/tier/src/corianderport_tier/process/directory.py
+++ b/packages/tier/src/corianderport_tier/process/directory.py
@@ -306,6 +306,9 @@
             ):
                 usable[value.service].append(value)
         parameters = self._routing.services if self._routing else {}
+        mixed_ranks: frozenset[str] = (
+            self._routing.mixed_rank_services if self._routing else frozenset()
+        )
         names = usable.keys() | parameters.keys()
         services = dict(self._services)
         for name in services.keys() - names:
@@ -313,5 +316,7 @@
         for name in names:
             if name not in services:
                 services[name] = self._create_service(name)
-            services[name].update(parameters.get(name), usable[name], cold)
+            services[name].update(
+                parameters.get(name), usable[name], cold, name in mixed_ranks
+            )
         self._services = services
--- a/packages/tier/src/corianderport_tier/process/metrics.py
+++ b/packages/tier/src/corianderport_tier/process/metrics.py
@@ -6,6 +6,7 @@
 import bisect
 import collections
 import collections.abc
+import enum
 import threading
 
 import attrs
@@ -13,7 +14,13 @@
 from corianderport_tier.process import decision_log
 from corianderport_tier import result_codes
 
-__all__ = ['LATENCY_BOUNDS_S', 'LatencyHistogram', 'Metrics', 'Totals']
+__all__ = [
+    'LATENCY_BOUNDS_S',
+    'LatencyHistogram',
+    'Metrics',
+    'PlacementTotals',
+    'Totals',
+]
 
 # Upper bounds of the histogram buckets; a further bucket has no bound.
 LATENCY_BOUNDS_S = (
@@ -48,7 +55,19 @@
     request: str
 
 
-_Key = _ResultKey | _DecisionKey | _BucketKey | _LatencySumKey
+class _PlacementQuantity(enum.Enum):
+    SENDS = enum.auto()
+    EXPECTED_S = enum.auto()
+    OUTSTANDING_S = enum.auto()
+
+
+@attrs.frozen
+class _PlacementKey:
+    policy: str
+    quantity: _PlacementQuantity
+
+
+_Key = _ResultKey | _DecisionKey | _BucketKey | _LatencySumKey | _PlacementKey
 
 
 class _ThreadCounters:
@@ -95,6 +114,19 @@
     sum_s: float
 
 
+@attrs.define
+class PlacementTotals:
+    """Sends that a placement policy has chosen a searcher for.
+
+    ``expected_s`` is the sum of their expected run times, ``outstanding_s``
+    that of the work which the chosen searchers still had to do.
+    """
+
+    sends: int = 0
+    expected_s: float = 0.0
+    outstanding_s: float = 0.0
+
+
 @attrs.frozen
 class Totals:
     """Values of all counters since the start of the process."""
@@ -102,6 +134,9 @@
     results: collections.abc.Mapping[tuple[str, result_codes.ResultCode], int]
     decisions: collections.abc.Mapping[str, int]
     latencies: collections.abc.Mapping[str, LatencyHistogram]
+    placements: collections.abc.Mapping[str, PlacementTotals] = attrs.Factory(
+        dict
+    )
 
     @property
     def sub_requests(self) -> int:
@@ -143,12 +178,23 @@
         """Count a decision by its kind."""
         self._counters.add(_DecisionKey(decision.kind))
 
+    def placed(self, policy: str, placements: PlacementTotals) -> None:
+        """Count the sends of a request by the policy that placed them."""
+        add, quantity = self._counters.add, _PlacementQuantity
+        add(_PlacementKey(policy, quantity.SENDS), placements.sends)
+        add(_PlacementKey(policy, quantity.EXPECTED_S), placements.expected_s)
+        add(
+            _PlacementKey(policy, quantity.OUTSTANDING_S),
+            placements.outstanding_s,
+        )
+
     def totals(self) -> Totals:
         """Return the totals since the start of the process."""
         results: dict[tuple[str, result_codes.ResultCode], int] = {}
         decisions: dict[str, int] = {}
         buckets: dict[str, list[int]] = {}
         sums_s: dict[str, float] = {}
+        placements: dict[str, PlacementTotals] = {}
         for key, count in self._counters.totals().items():
             if isinstance(key, _ResultKey):
                 results[key.request, key.code] = int(count)
@@ -156,6 +202,14 @@
                 decisions[key.kind] = int(count)
             elif isinstance(key, _LatencySumKey):
                 sums_s[key.request] = count
+            elif isinstance(key, _PlacementKey):
+                placed = placements.setdefault(key.policy, PlacementTotals())
+                if key.quantity is _PlacementQuantity.SENDS:
+                    placed.sends = int(count)
+                elif key.quantity is _PlacementQuantity.EXPECTED_S:
+                    placed.expected_s = count
+                else:
+                    placed.outstanding_s = count
             else:
                 empty = [0] * (len(LATENCY_BOUNDS_S) + 1)
                 counts = buckets.setdefault(key.request, empty)
@@ -164,4 +218,4 @@
             request: LatencyHistogram(tuple(counts), sums_s.get(request, 0.0))
             for request, counts in buckets.items()
         }
-        return Totals(results, decisions, latencies)
+        return Totals(results, decisions, latencies, placements)
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -4,7 +4,7 @@
 """
 
 import collections.abc
-import enum
+import math
 import random
 import threading
 
@@ -12,8 +12,11 @@
 
 from corianderport_tier import clocks
 from corianderport_tier.process import budgets
+from corianderport_tier.process import candidates
+from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import placement
+from corianderport_tier.process import rendezvous
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import send_interval
 from corianderport_tier.process import stated_availability
@@ -23,6 +26,7 @@
 __all__ = ['Choice', 'NoChoice', 'OpenPool', 'ServiceSearchers']
 
 SearcherState = searcher_state.SearcherState
+NoChoice = candidates.NoChoice
 # Half-life of the knowledge of a searcher's latency, in sends of this host to
 # the service. A host with little traffic would otherwise have forgotten which
 # searchers are slow whenever it sends again.
@@ -38,25 +42,19 @@
 ]
 
 
-class NoChoice(enum.Enum):
-    """Reason why no searcher can be chosen now."""
-
-    NONE_REGISTERED = 'no searcher is registered'
-    LEAVING = 'every searcher is leaving'
-    ALL_TRIED = 'every searcher has been tried'
-    PAUSED = 'every searcher has asked for a pause'
-    BACKING_OFF = 'every searcher has failed'
-    COLD = 'every searcher is cold and has its share'
-    FULL = 'every searcher has its share of requests'
-
-
 @attrs.frozen
 class Choice:
-    """A chosen searcher, the key of the send and the number of candidates."""
+    """A chosen searcher and the key of the send.
+
+    ``expected_s`` is the expected run time of the request, and
+    ``outstanding_s`` the searcher's outstanding work before it.
+    """
 
     state: SearcherState
     key: int
-    candidates: int
+    policy: placement.PlacementPolicy
+    expected_s: float
+    outstanding_s: float
 
 
 class ServiceSearchers:
@@ -70,6 +68,7 @@
         open_pool: OpenPool,
         clock: clocks.Clock,
         rng: random.Random,
+        placement_setting: placement.PlacementSetting | None = None,
     ) -> None:
         self.name = name
         self._own_data_centre = own_data_centre
@@ -85,6 +84,8 @@
         self._capacity_callbacks: list[collections.abc.Callable[[], None]] = []
         self._extra = self._new_budget()
         self._send_interval = send_interval.SendInterval()
+        self._filter = candidates.CandidateFilter(share)
+        self._placement = placement_setting or placement.PlacementSetting()
         self._policy = placement.policy(placement.LEAST_LOADED)
 
     def update(
@@ -92,18 +93,25 @@
         parameters: routes.ServiceParameters | None,
         registered: collections.abc.Iterable[registrations.Registration],
         cold: collections.abc.Container[str] = (),
+        mixed_ranks: bool = False,
     ) -> None:
         """Replace the set of searchers that may receive requests.
 
         :param registered: registrations of the searchers.
         :param cold: data centres whose searchers are treated as cold, because
             they have returned to service.
+        :param mixed_ranks: whether routes of the highest priority share the
+            service with others.
         """
         now_s = self._clock.monotonic()
         with self._lock:
             self._update_budget()
             if parameters is not None:
                 self._parameters = parameters
+                self._filter.cold_rate = parameters.cold_rate
+            policy_name = self._placement.policy_name(mixed_ranks)
+            if policy_name != self._policy.name:
+                self._policy = placement.policy(policy_name)
             previous_states, self._states = self._states, {}
             for registration in registered:
                 instance = registration.instance
@@ -115,7 +123,9 @@
                         self._open_pool(registration, 1),
                         self._availability.of(registration.lifetime),
                     )
-                state.set_registration(registration, self._own_data_centre)
+                state.set_registration(
+                    registration, self._own_data_centre, self._share.hosts
+                )
                 state.connections = self._connections(state.name)
                 state.pool.limit_connections(max(1, state.connections))
                 returned = registration.data_centre in cold
@@ -124,6 +134,7 @@
                 self._states[instance] = state
             for state in previous_states.values():
                 state.pool.close()
+            self._order_searchers()
             self._availability.discard_obsolete(
                 {s.registration.lifetime for s in self._states.values()},
                 now_s,
@@ -143,32 +154,49 @@
     def choose(
         self,
         excluded: collections.abc.Container[str],
-        median_s: float,
+        request_class: cost_estimates.RequestClass,
     ) -> Choice | NoChoice:
         """Choose the searcher with the lowest cost and start a send to it.
 
         :param excluded: names of searchers that must not be chosen.
-        :param median_s: median latency of the request's route in seconds.
         """
+        expected_s = request_class.expected_s
         now_s = self._clock.monotonic()
         with self._lock:
-            candidates = self._candidates(excluded, now_s)
-            if isinstance(candidates, NoChoice):
-                return candidates
+            found = self._filter.candidates(
+                self._states.values(), excluded, now_s
+            )
+            if isinstance(found, NoChoice):
+                return found
             half_life_s = max(
                 searcher_state.MIN_LATENCY_HALF_LIFE_S,
                 _LATENCY_HALF_LIFE_SENDS * self._send_interval.mean_s,
             )
-            for state in candidates:
+            policy = self._policy
+            cost, random = policy.cost, self._rng.random
+            best, best_rating = found[0], (math.inf, 0.0)
+            for state in found:
                 state.latency_half_life_s = half_life_s
-            cost = self._policy.cost
-            best = min(
-                candidates,
-                key=lambda s: (cost(s, now_s), self._rng.random()),
-            )
+                # Ties are broken at random.
+                rating = (cost(state, request_class, now_s), random())
+                if rating < best_rating:
+                    best, best_rating = state, rating
+            outstanding_s = best.outstanding_s(now_s)
             self._next_key += 1
-            best.start(self._next_key, now_s, median_s)
-            return Choice(best, self._next_key, len(candidates))
+            best.start(
+                self._next_key,
+                now_s,
+                policy.reference_s(request_class),
+                expected_s,
+            )
+            policy.record(request_class)
+            return Choice(
+                best,
+                self._next_key,
+                policy,
+                expected_s,
+                outstanding_s,
+            )
 
     def finish(
         self, choice: Choice, result: searcher_state.SendResult
@@ -258,46 +286,14 @@
             self._extra = self._new_budget()
         self._extra.ratio = budgets.BudgetRatio(self._share.extra_ratio)
 
-    def _candidates(
-        self, excluded: collections.abc.Container[str], now_s: float
-    ) -> list[SearcherState] | NoChoice:
-        states = list(self._states.values())
-        if not states:
-            return NoChoice.NONE_REGISTERED
-        # If this host has no share of the connections of any searcher, use
-        # all of them: its requests would fail otherwise.
-        states = [s for s in states if s.connections > 0] or states
-        allowed = [
-            s
-            for s in states
-            if s.name not in excluded
-            and s.may_receive(now_s)
-            and s.has_capacity
-            and self._within_cold_rate(s, now_s)
-        ]
-        return allowed or self._reason_of_none(states, excluded, now_s)
-
-    def _reason_of_none(
-        self,
-        states: list[SearcherState],
-        excluded: collections.abc.Container[str],
-        now_s: float,
-    ) -> NoChoice:
-        """Return which condition excludes the last of the searchers."""
-        filters = (
-            (NoChoice.LEAVING, lambda s: not s.availability.leaving),
-            (NoChoice.ALL_TRIED, lambda s: s.name not in excluded),
-            (NoChoice.PAUSED, lambda s: s.availability.permits_request(now_s)),
-            (NoChoice.BACKING_OFF, lambda s: s.retry_at_s <= now_s),
-            (NoChoice.COLD, lambda s: self._within_cold_rate(s, now_s)),
-            (NoChoice.FULL, lambda s: s.has_capacity),
+    def _order_searchers(self) -> None:
+        """Give each searcher its position in the order of all hosts."""
+        ordered = sorted(
+            self._states.values(),
+            key=lambda s: rendezvous.weight(self.name, s.name),
         )
-        for reason, allowed in filters:
-            states = [s for s in states if allowed(s)]
-            if not states:
-                return reason
-        # The share of a cold searcher grows when a host leaves meanwhile.
-        return NoChoice.COLD
+        for position, state in enumerate(ordered):
+            state.set_position(position, len(ordered))
 
     def _first_available_s(self) -> float | None:
         return min(
@@ -309,15 +305,6 @@
             default=None,
         )
 
-    def _within_cold_rate(self, state: SearcherState, now_s: float) -> bool:
-        rate = self._parameters.cold_rate if self._parameters else 0.0
-        # Without a configured rate, cold searchers are not limited.
-        if rate <= 0 or not state.warm_up.is_cold(now_s):
-            return True
-        return state.warm_up.may_send(
-            now_s, self._share.cold_rate(state.name, rate)
-        )
-
     def _connections(self, searcher: str) -> int:
         max_connections = (
             self._parameters.connections if self._parameters else 1
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -13,11 +13,13 @@
 
 from corianderport_tier import clocks
 from corianderport_tier.process import answer_delay
+from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
 from corianderport_tier.process import drain
 from corianderport_tier.process import metrics
 from corianderport_tier.process import route_latency
+from corianderport_tier.process import service_searchers
 from corianderport_tier.request import answer_summaries
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
@@ -25,6 +27,7 @@
 from corianderport_tier.request import gather_progress
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import part as part_module
+from corianderport_tier.request import placements
 from corianderport_tier.request import records
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
@@ -85,6 +88,7 @@
         self.log = log
         self.rng = rng
         self.answer_delay = answer_delay.AnswerDelay()
+        self._costs = cost_estimates.CostEstimates()
         self._latencies: dict[str, route_latency.RouteLatency] = {}
 
     def latency(self, route: routes.Route) -> route_latency.RouteLatency:
@@ -99,6 +103,17 @@
             )
         return latency
 
+    def request_class(
+        self, route: routes.Route, request: forward_messages.ForwardRequest
+    ) -> cost_estimates.RequestClass:
+        """Return the class of a request, by its expected cost."""
+        return self._costs.request_class(
+            route,
+            self.latency(route),
+            len(request.payload.body),
+            request.path,
+        )
+
     def answer(
         self,
         request: forward_messages.ForwardRequest,
@@ -162,6 +177,10 @@
         }
         if task is not None:
             inputs.update(task.summary())
+            choices = task.choices
+            inputs.update(placements.log_inputs(choices))
+            for policy, placed in placements.totals(choices).items():
+                self._metrics.placed(policy, placed)
         route = _NO_ROUTE if task is None else task.route_name
         self._metrics.finished(
             route, answer_summaries.result_code(answer), elapsed_s
@@ -213,6 +232,11 @@
         """Name of the request's route."""
         return self._route.name
 
+    @property
+    def choices(self) -> list[service_searchers.Choice]:
+        """The choices of all sends so far."""
+        return [choice for part in self._parts for choice in part.choices]
+
     def run(self, caller: Caller) -> forward_messages.ForwardAnswer | None:
         """Return the answer, or None if the caller disconnected."""
         with (
@@ -269,6 +293,9 @@
             chosen = self._forwarder.rng.choices(target.shares, weights)[0]
             names = (chosen.service,)
         latency = self._forwarder.latency(self._route)
+        request_class = self._forwarder.request_class(
+            self._route, self._request
+        )
         for name in names:
             service = self._forwarder.directory.service(name)
             if service is None:
@@ -280,6 +307,7 @@
                     self._request,
                     self._route,
                     latency,
+                    request_class,
                     self._inbox,
                     self._clock,
                     self._forwarder.log,
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -9,6 +9,7 @@
 from corianderport_tier.connection import pool
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
+from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import route_latency
 from corianderport_tier.process import searcher_state
@@ -65,6 +66,7 @@
         request: forward_messages.ForwardRequest,
         route: routes.Route,
         latency: route_latency.RouteLatency,
+        request_class: cost_estimates.RequestClass,
         inbox: inboxes.Inbox[forward_send.Event],
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
@@ -82,12 +84,15 @@
         self._route = route
         self._gathered = isinstance(route.target, routes.Gather)
         self._latency = latency
+        self._class = request_class
         self._inbox = inbox
         self._clock = clock
         self._log = log
         self._goal = goal
         self._sends: list[forward_send.SendAttempt] = []
         self._tried: list[str] = []
+        # The choices of all sends, for the log and the metrics.
+        self.choices: list[service_searchers.Choice] = []
         self._carriers: list[transports.SearcherTransport] = []
         self._sent_count = 0
         self._possible_runs = 0
@@ -152,7 +157,7 @@
         running = len(self._sends)
         if self._possible_runs + running >= self._route.attempts:
             return
-        choice = self.service.choose(self._tried, self._latency.median_s)
+        choice = self.service.choose(self._tried, self._class)
         if isinstance(choice, service_searchers.NoChoice):
             return
         if not self.service.try_extra(0.0 if among_last else _HEDGE_RESERVE):
@@ -181,10 +186,13 @@
         self, send: forward_send.SendAttempt, reply: object
     ) -> None:
         """Release the searcher and post the result to the inbox."""
-        result = send_results.send_result(send, reply, self._latency.median_s)
+        reference_s = send.choice.policy.reference_s(self._class)
+        result = send_results.send_result(send, reply, reference_s)
         if result.leaving or result.pause_s > 0:
             self._log_statements(send, result)
         self.service.finish(send.choice, result)
+        if isinstance(reply, forward_messages.SearcherReply) and reply.final:
+            self._class.record(send.elapsed_s)
         # Before all parts of a gather have answered, a success alone decides
         # nothing.
         succeeded = (
@@ -275,9 +283,9 @@
             self._send((code, reason))
 
     def _send(self, failed: tuple[Code, str] | None = None) -> None:
-        choice = self.service.choose(self._tried, self._latency.median_s)
+        choice = self.service.choose(self._tried, self._class)
         if choice is service_searchers.NoChoice.ALL_TRIED and failed:
-            choice = self.service.choose((), self._latency.median_s)
+            choice = self.service.choose((), self._class)
         if isinstance(choice, service_searchers.NoChoice):
             self._on_no_choice(choice, failed)
             return
@@ -308,6 +316,7 @@
             self._log.count(_FIRST_SEND)
         self._sends.append(send)
         self._tried.append(choice.state.name)
+        self.choices.append(choice)
         if self._route.idempotent:
             self._hedge_after_s = max(
                 self._latency.hedge_after_s,
--- a/packages/tier/src/corianderport_tier/request/send_results.py
+++ b/packages/tier/src/corianderport_tier/request/send_results.py
@@ -19,7 +19,7 @@
     """Return the result of a send for the searcher's record.
 
     :param reply: the reply, or the error with which the send ended.
-    :param median_s: median latency of the route in seconds.
+    :param median_s: usual latency of the request in seconds.
     """
     elapsed_s = send.elapsed_s
     if isinstance(reply, forward_messages.SearcherReply):
--- a/packages/tier/src/corianderport_tier/version/routes.py
+++ b/packages/tier/src/corianderport_tier/version/routes.py
@@ -134,6 +134,13 @@
         """Names of all services of all routes."""
         return frozenset(n for r in self.routes for n in r.services)
 
+    @functools.cached_property
+    def mixed_rank_services(self) -> frozenset[str]:
+        """Services that routes of the highest priority share with others."""
+        urgent = {n for r in self.routes if r.rank == 0 for n in r.services}
+        other = {n for r in self.routes if r.rank != 0 for n in r.services}
+        return frozenset(urgent & other)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix."""
         prefixes = self._by_host.get(host)
--- a/packages/wire/src/corianderport_wire/process/metrics_text.py
+++ b/packages/wire/src/corianderport_wire/process/metrics_text.py
@@ -25,6 +25,7 @@
     _add_results(registry, totals)
     _add_refusals(registry, totals)
     _add_decisions(registry, totals)
+    _add_placements(registry, totals)
     _add_latencies(registry, totals)
     formatter = aioprometheus.formats.text.TextFormatter()
     return formatter.marshall(registry)
@@ -70,6 +71,27 @@
     counter.set({}, totals.hedges)
 
 
+def _add_placements(registry: Registry, totals: metrics.Totals) -> None:
+    sends = _counter(
+        registry, 'placement_sends_total', 'Sends by placement policy.'
+    )
+    expected = _counter(
+        registry,
+        'placement_expected_seconds_total',
+        'Expected run times of the sends.',
+    )
+    outstanding = _counter(
+        registry,
+        'placement_outstanding_seconds_total',
+        'Outstanding work of the chosen searchers.',
+    )
+    for policy, placed in sorted(totals.placements.items()):
+        labels = {'policy': policy}
+        sends.set(labels, placed.sends)
+        expected.set(labels, placed.expected_s)
+        outstanding.set(labels, placed.outstanding_s)
+
+
 def _add_latencies(registry: Registry, totals: metrics.Totals) -> None:
     bounds = (*metrics.LATENCY_BOUNDS_S, math.inf)
     histogram = aioprometheus.collectors.Histogram(
--- a/tests/tier/entries.py
+++ b/tests/tier/entries.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from corianderport_tier.process import cost_estimates
+from corianderport_tier.process import route_latency
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
 
@@ -48,6 +50,17 @@
     return attrs.evolve(base, **fields)
 
 
+def request_class(
+    median_s: float = 0.01, expected_s: float | None = None
+) -> cost_estimates.RequestClass:
+    """Return a class of requests of a route with this median latency."""
+    return cost_estimates.RequestClass(
+        route_latency.RouteLatency(median_s),
+        median_s if expected_s is None else expected_s,
+        1.0,
+    )
+
+
 def route(
     services: tuple[str, ...] = ('stock',),
     min_coverage: float | None = None,
--- a/tests/tier/test_directory.py
+++ b/tests/tier/test_directory.py
@@ -70,7 +70,7 @@
         searchers = self.directory.service(service)
         names: set[str] = set()
         while searchers is not None:
-            choice = searchers.choose(names, 0.01)
+            choice = searchers.choose(names, entries.request_class(0.01))
             if isinstance(choice, service_searchers.NoChoice):
                 break
             searchers.finish(choice, searcher_state.SendResult(failed=False))
@@ -255,9 +255,12 @@
     environment.apply(entries.entry(4, None, 'out/dc-a'))
     searchers = environment.directory.service('stock')
     assert searchers is not None
-    first = searchers.choose((), 0.01)
+    first = searchers.choose((), entries.request_class(0.01))
     assert isinstance(first, service_searchers.Choice)
-    assert searchers.choose((), 0.01) is service_searchers.NoChoice.COLD
+    assert (
+        searchers.choose((), entries.request_class(0.01))
+        is service_searchers.NoChoice.COLD
+    )
 
 
 def test_version_waits_for_the_searchers_of_a_new_service(
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -248,6 +248,36 @@
     assert isinstance(answer, forward_messages.Relayed)
 
 
+@pytest.mark.parametrize(
+    ('other_rank', 'policy'), [(1, 'least-loaded'), (0, 'expected-finish')]
+)
+def test_answer_states_how_its_sends_were_placed(
+    other_rank: int, policy: str
+) -> None:
+    """Guards against choices that nobody can explain afterwards.
+
+    By default, only services that a route of the highest priority shares
+    with others are placed by expected finish.
+    """
+    host = _Host(
+        entries.route(goal_s=0.1),
+        entries.route(name='other', prefix='/other/', rank=other_rank),
+    )
+    for _ in range(2):
+        host.start()
+        send = host.begin()
+        host.advance(0.04)
+        send.finish(_reply())
+        assert isinstance(host.finish(), forward_messages.Relayed)
+    first, second = (
+        d.inputs for d in host.forwarder.log.recent() if d.kind == 'answer'
+    )
+    assert first['placement'] == second['placement'] == [policy]
+    # A quarter of the goal, then the time of the first reply.
+    assert (first['expected_ms'], second['expected_ms']) == (25.0, 40.0)
+    assert first['outstanding_ms'] == [0.0, 0.0, 0.0]
+
+
 def _paused(pause_s: float) -> Reply:
     return attrs.evolve(_reply(503, ran=False), pause_s=pause_s)
 
--- a/tests/tier/test_metrics.py
+++ b/tests/tier/test_metrics.py
@@ -46,3 +46,15 @@
     totals = counters.totals()
     assert totals.refusals == {_Code.OVERLOADED: 2}
     assert totals.latencies['action'].counts[-1] == 1
+
+
+def test_placements_are_summed_by_policy() -> None:
+    """Guards against sums that mix the policies of different services."""
+    counters = metrics.Metrics()
+    for _ in range(2):
+        counters.placed('a', metrics.PlacementTotals(3, 0.5, 0.25))
+    counters.placed('b', metrics.PlacementTotals(1, 0.1, 0.0))
+    assert counters.totals().placements == {
+        'a': metrics.PlacementTotals(6, 1.0, 0.5),
+        'b': metrics.PlacementTotals(1, 0.1, 0.0),
+    }
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -67,7 +67,7 @@
 def _choose(
     service: service_searchers.ServiceSearchers, *excluded: str
 ) -> service_searchers.Choice:
-    choice = service.choose(excluded, 0.01)
+    choice = service.choose(excluded, entries.request_class(0.01))
     assert isinstance(choice, service_searchers.Choice)
     return choice
 
@@ -131,7 +131,9 @@
         others = {'s1', 's2', 's3'} - {name}
         choice = _choose(service, *others)
         service.finish(choice, SendResult(failed=True, unreachable=True))
-    assert service.choose((), 0.01) is NoChoice.BACKING_OFF
+    assert (
+        service.choose((), entries.request_class(0.01)) is NoChoice.BACKING_OFF
+    )
     assert 0 < service.retry_delay_s() <= 0.25
     clock.advance(0.3)
     _choose(service)
@@ -141,7 +143,7 @@
     service: service_searchers.ServiceSearchers,
 ) -> None:
     chosen = [_choose(service) for _ in range(9)]
-    assert service.choose((), 0.01) is NoChoice.FULL
+    assert service.choose((), entries.request_class(0.01)) is NoChoice.FULL
     woken = []
     service.notify_on_capacity(lambda: woken.append(True))
     service.finish(chosen[0], SendResult(failed=False))
@@ -193,7 +195,7 @@
     expected: NoChoice,
 ) -> None:
     service.update(None, [entries.registration(n) for n in registered])
-    assert service.choose(excluded, 0.01) is expected
+    assert service.choose(excluded, entries.request_class(0.01)) is expected
 
 
 def test_replaced_searcher_gets_no_more_requests(
@@ -226,7 +228,7 @@
     ):
         service.update(None, registered)
         expected = NoChoice.LEAVING if registered else NoChoice.NONE_REGISTERED
-        assert service.choose((), 0.01) is expected
+        assert service.choose((), entries.request_class(0.01)) is expected
     service.update(None, [entries.registration('s1', started_ms=5)])
     assert _choose(service).state.name == 's1'
 
@@ -243,11 +245,13 @@
     # A shorter pause of a reply that arrives later changes nothing.
     service.finish(later, SendResult(failed=False, pause_s=0.5))
     clock.advance(1.5)
-    assert service.choose((), 0.01) is NoChoice.PAUSED
+    assert service.choose((), entries.request_class(0.01)) is NoChoice.PAUSED
     assert 0.5 <= service.retry_delay_s() <= 0.75
     clock.advance(0.5)
     again = _choose(service)
-    cost = placement.LeastLoaded().cost(again.state, clock.monotonic())
+    cost = placement.LeastLoaded().cost(
+        again.state, entries.request_class(), clock.monotonic()
+    )
     assert cost == pytest.approx(2.0)
     service.finish(again, SendResult(failed=False, pause_s=2.0))
     service.update(None, [entries.registration('s1', started_ms=5)])
@@ -262,7 +266,7 @@
     service.update(None, [entries.registration('s1')])
     service.finish(_choose(service), SendResult(failed=False, pause_s=1e9))
     clock.advance(stated_availability.MAX_PAUSE_S - 1)
-    assert service.choose((), 0.01) is NoChoice.PAUSED
+    assert service.choose((), entries.request_class(0.01)) is NoChoice.PAUSED
     clock.advance(1)
     _choose(service)
 
@@ -308,7 +312,7 @@
         entries.parameters(cold_rate=1.0),
         [entries.registration('s1', warm_up_left_s=5.0)],
     )
-    assert service.choose((), 0.01) is NoChoice.COLD
+    assert service.choose((), entries.request_class(0.01)) is NoChoice.COLD
 
 
 def test_changed_bounds_apply_to_existing_services(
--- a/tests/tier/test_stated_availability_states.py
+++ b/tests/tier/test_stated_availability_states.py
@@ -89,7 +89,7 @@
 
     @stateful.rule()
     def choose(self) -> None:
-        choice = self.service.choose((), 0.01)
+        choice = self.service.choose((), entries.request_class(0.01))
         lifetimes = [r.lifetime for r in self.registered.values()]
         if isinstance(choice, service_searchers.NoChoice):
             # Nothing is refused while a searcher can serve.
