--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -27,6 +27,7 @@
 from corianderport_tier.process import drain
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import metrics
+from corianderport_tier.process import placement
 from corianderport_tier.process import registry_reader
 from corianderport_tier.process import registry_relay
 from corianderport_tier.process import registry_source
@@ -134,6 +135,7 @@
         self._fleet_share = fleet_share.FleetShare(
             settings.fleet, settings.host, lambda: self._fleet.hosts
         )
+        self._placement = placement.PlacementSetting(settings.placement)
         self._dialer = adapter.dialer(clock)
         self._directory = directory.Directory(
             self._open_service, clock, self._log
@@ -272,6 +274,7 @@
         ]
         _LOG.info('settings read anew, changed: %s', changed or 'nothing')
         self._fleet_share.set_bounds(settings.fleet)
+        self._placement.value = settings.placement
         self._settings = settings
         self._directory.refresh()
 
@@ -365,6 +368,7 @@
             self._open_pool,
             self._clock,
             self._rng,
+            self._placement,
         )
 
     def _open_pool(
--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -8,6 +8,7 @@
 import attrs
 
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import placement
 from corianderport_tier.process import registry_relay
 
 __all__ = ['EntrySettings']
@@ -20,7 +21,8 @@
     ``regions`` maps data centres to regions. ``grace_s`` is the time between
     the request to stop and the kill of the process. ``seeds`` are peer
     addresses of other hosts, which may be down. ``link_bytes_s`` is the
-    capacity of this host's link in bytes per second.
+    capacity of this host's link in bytes per second. ``placement`` is one of
+    ``placement.SETTINGS``.
     """
 
     host: str
@@ -37,4 +39,5 @@
     watch_s: float
     fleet: fleet_share.FleetBounds
     link_bytes_s: float = registry_relay.DEFAULT_LINK_BYTES_S
+    placement: str = placement.AUTO
     log_level: str = 'INFO'
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -118,3 +118,30 @@
         settings.load({})
     with pytest.raises(errors.SettingInvalid):
         settings.load({settings.PATH_VARIABLE: str(tmp_path / 'none')})
+
+
+@pytest.mark.parametrize(
+    ('variable', 'expected'),
+    [(None, 'auto'), ('expected-finish', 'expected-finish')],
+)
+def test_placement(
+    tmp_path: pathlib.Path, variable: str | None, expected: str
+) -> None:
+    """Guards against a changed placement where none is set."""
+    (tmp_path / 'x').write_text(TEXT)
+    environment = {settings.PATH_VARIABLE: str(tmp_path / 'x')}
+    if variable is not None:
+        environment['CORIANDERPORT_PLACEMENT'] = variable
+    assert settings.load(environment).placement == expected
+
+
+def test_unknown_placement_is_named(tmp_path: pathlib.Path) -> None:
+    """Guards against a host that ignores a misspelt policy."""
+    (tmp_path / 'x').write_text(TEXT)
+    with pytest.raises(errors.SettingInvalid, match='CORIANDERPORT_PLACEMENT'):
+        settings.load(
+            {
+                settings.PATH_VARIABLE: str(tmp_path / 'x'),
+                'CORIANDERPORT_PLACEMENT': 'least_loaded',
+            }
+        )
