--- a/tests/tier/placement_simulation.py
+++ b/tests/tier/placement_simulation.py
@@ -60,7 +60,7 @@
     falsify = None
 
 
-class _Pool:
+class Pool:
     def submit(self, job: object, reuse: object = None) -> None:
         raise AssertionError('nothing is sent here')
 
@@ -104,7 +104,7 @@
             'stock',
             'dc-a',
             fleet_share.FleetShare(_BOUNDS, name, lambda: names),
-            lambda registration, limit: _Pool(),
+            lambda registration, limit: Pool(),
             clock,
             rng,
             placement.PlacementSetting(policy),
