Rate the searchers of a request without sending it

Operators could not see why a host prefers a searcher. The admission of a request moves to a class of its own, the conditions on candidates are one table, and both are used by the decision and by its explanation.

--- a/packages/tier/src/corianderport_tier/process/candidates.py
+++ b/packages/tier/src/corianderport_tier/process/candidates.py
@@ -26,6 +26,18 @@
     FULL = 'every searcher has its share of requests'
 
 
+_Condition = tuple[NoChoice, collections.abc.Callable[[SearcherState], bool]]
+# Reason for which a single searcher is excluded.
+_REASONS = {
+    NoChoice.LEAVING: 'is leaving',
+    NoChoice.ALL_TRIED: 'has been tried',
+    NoChoice.PAUSED: 'has asked for a pause',
+    NoChoice.BACKING_OFF: 'has failed',
+    NoChoice.COLD: 'is cold and has its share',
+    NoChoice.FULL: 'has its share of requests',
+}
+
+
 class CandidateFilter:
     """Excludes searchers; guarded by the lock of their service."""
 
@@ -44,12 +56,9 @@
 
         :param excluded: names of searchers that must not be chosen.
         """
-        states = list(registered)
+        states = self._used(registered)
         if not states:
             return NoChoice.NONE_REGISTERED
-        # If this host has no share of the connections of any searcher, use
-        # all of them: its requests would fail otherwise.
-        states = [s for s in states if s.connections > 0] or states
         allowed = [
             s
             for s in states
@@ -67,7 +76,56 @@
         now_s: float,
     ) -> NoChoice:
         """Return which condition excludes the last of the searchers."""
-        filters = (
+        for reason, allowed in self._conditions(excluded, now_s):
+            states = [s for s in states if allowed(s)]
+            if not states:
+                return reason
+        # The share of a cold searcher grows when a host leaves meanwhile.
+        return NoChoice.COLD
+
+    def exclusions(
+        self,
+        registered: collections.abc.Iterable[SearcherState],
+        excluded: collections.abc.Container[str],
+        now_s: float,
+    ) -> list[tuple[SearcherState, str]]:
+        """Return all searchers with the reason for which each is excluded.
+
+        The reason is empty for a candidate; a test compares the result with
+        that of ``candidates``.
+        """
+        states = list(registered)
+        used = self._used(states)
+        conditions = self._conditions(excluded, now_s)
+        return [
+            (
+                state,
+                next(
+                    (
+                        _REASONS[reason]
+                        for reason, allowed in conditions
+                        if not allowed(state)
+                    ),
+                    '',
+                )
+                if state in used
+                else 'left to other hosts',
+            )
+            for state in states
+        ]
+
+    def _used(
+        self, registered: collections.abc.Iterable[SearcherState]
+    ) -> list[SearcherState]:
+        # If this host has no share of the connections of any searcher, use
+        # all of them: its requests would fail otherwise.
+        states = list(registered)
+        return [s for s in states if s.connections > 0] or states
+
+    def _conditions(
+        self, excluded: collections.abc.Container[str], now_s: float
+    ) -> tuple[_Condition, ...]:
+        return (
             (NoChoice.LEAVING, lambda s: not s.availability.leaving),
             (NoChoice.ALL_TRIED, lambda s: s.name not in excluded),
             (NoChoice.PAUSED, lambda s: s.availability.permits_request(now_s)),
@@ -75,12 +133,6 @@
             (NoChoice.COLD, lambda s: self._within_cold_rate(s, now_s)),
             (NoChoice.FULL, lambda s: s.has_capacity),
         )
-        for reason, allowed in filters:
-            states = [s for s in states if allowed(s)]
-            if not states:
-                return reason
-        # The share of a cold searcher grows when a host leaves meanwhile.
-        return NoChoice.COLD
 
     def _within_cold_rate(self, state: SearcherState, now_s: float) -> bool:
         # Without a configured rate, cold searchers are not limited.
--- a/packages/tier/src/corianderport_tier/process/cost_estimates.py
+++ b/packages/tier/src/corianderport_tier/process/cost_estimates.py
@@ -105,8 +105,7 @@
         path: str,
     ) -> RequestClass:
         """Return the class of a request."""
-        path_class = zlib.crc32(path.encode()) % _PATH_CLASSES
-        key = (route.name, size_class(body_bytes), path_class)
+        key = _key(route, body_bytes, path)
         with self._lock:
             found = self._classes.get(key)
             if found is not None:
@@ -116,9 +115,30 @@
                 return found
             if len(self._classes) >= _MAX_CLASSES:
                 self._classes.popitem(last=False)
-            found = self._classes[key] = RequestClass(
-                latency,
-                _INITIAL_GOAL_FRACTION * route.goal_s,
-                route.timeout_s,
-            )
+            found = self._classes[key] = _new_class(route, latency)
             return found
+
+    def peek(
+        self,
+        route: routes.Route,
+        latency: route_latency.RouteLatency,
+        body_bytes: int,
+        path: str,
+    ) -> RequestClass:
+        """Return the class of a request without adding it."""
+        with self._lock:
+            found = self._classes.get(_key(route, body_bytes, path))
+        return found or _new_class(route, latency)
+
+
+def _key(route: routes.Route, body_bytes: int, path: str) -> _Key:
+    path_class = zlib.crc32(path.encode()) % _PATH_CLASSES
+    return (route.name, size_class(body_bytes), path_class)
+
+
+def _new_class(
+    route: routes.Route, latency: route_latency.RouteLatency
+) -> RequestClass:
+    return RequestClass(
+        latency, _INITIAL_GOAL_FRACTION * route.goal_s, route.timeout_s
+    )
--- a/packages/tier/src/corianderport_tier/process/route_latency.py
+++ b/packages/tier/src/corianderport_tier/process/route_latency.py
@@ -9,13 +9,18 @@
 
 import collections
 
-__all__ = ['RouteLatency']
+from corianderport_tier.version import routes
+
+__all__ = ['RouteLatencies', 'RouteLatency']
 
 _WINDOW_SAMPLES = 256
 _MIN_SAMPLES = 12
 _REFRESH_SAMPLES = 16
 _MEDIAN_QUANTILE = 0.5
 _HEDGE_QUANTILE = 0.9
+# Assumed typical latency of a route without samples, as a fraction of its
+# latency goal.
+_INITIAL_GOAL_FRACTION = 0.25
 
 
 class RouteLatency:
@@ -48,3 +53,25 @@
         self._has_quantiles = True
         self.median_s = ordered[int(_MEDIAN_QUANTILE * len(ordered))]
         self.hedge_after_s = ordered[int(_HEDGE_QUANTILE * len(ordered))]
+
+
+class RouteLatencies:
+    """Latencies of all routes, by the name of the route."""
+
+    def __init__(self) -> None:
+        self._latencies: dict[str, RouteLatency] = {}
+
+    def of(self, route: routes.Route) -> RouteLatency:
+        """Return the latencies of a route; add them if they are new."""
+        latency = self._latencies.get(route.name)
+        if latency is None:
+            latency = self._latencies.setdefault(route.name, _assumed(route))
+        return latency
+
+    def peek(self, route: routes.Route) -> RouteLatency:
+        """Return the latencies of a route without adding them."""
+        return self._latencies.get(route.name) or _assumed(route)
+
+
+def _assumed(route: routes.Route) -> RouteLatency:
+    return RouteLatency(_INITIAL_GOAL_FRACTION * route.goal_s)
--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -191,6 +191,11 @@
             + self._excess_s * self.slots * self._latency_decay(now_s)
         )
 
+    def reply_age_s(self, now_s: float) -> float | None:
+        """Return the seconds since the latest reply, None without any."""
+        age_s = now_s - self._relative_latency_at_s
+        return None if math.isinf(age_s) else age_s
+
     def start(
         self, key: int, now_s: float, median_s: float, expected_s: float
     ) -> None:
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -16,6 +16,7 @@
 from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import placement
+from corianderport_tier.process import ratings
 from corianderport_tier.process import rendezvous
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import send_interval
@@ -168,10 +169,7 @@
             )
             if isinstance(found, NoChoice):
                 return found
-            half_life_s = max(
-                searcher_state.MIN_LATENCY_HALF_LIFE_S,
-                _LATENCY_HALF_LIFE_SENDS * self._send_interval.mean_s,
-            )
+            half_life_s = self._half_life_s()
             policy = self._policy
             cost, random = policy.cost, self._rng.random
             best, best_rating = found[0], (math.inf, 0.0)
@@ -198,6 +196,32 @@
                 outstanding_s,
             )
 
+    def ratings(
+        self, request_class: cost_estimates.RequestClass
+    ) -> ratings.ServiceRatings:
+        """Return how ``choose`` rates the searchers now; change nothing."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            half_life_s = self._half_life_s()
+            return ratings.ServiceRatings(
+                self.name,
+                self._policy.name,
+                self._extra.may_spend(now_s, slack=self._share.extra_slack),
+                tuple(
+                    ratings.rate(
+                        self._policy,
+                        state,
+                        excluded,
+                        request_class,
+                        half_life_s,
+                        now_s,
+                    )
+                    for state, excluded in self._filter.exclusions(
+                        self._states.values(), (), now_s
+                    )
+                ),
+            )
+
     def finish(
         self, choice: Choice, result: searcher_state.SendResult
     ) -> None:
@@ -286,6 +310,12 @@
             self._extra = self._new_budget()
         self._extra.ratio = budgets.BudgetRatio(self._share.extra_ratio)
 
+    def _half_life_s(self) -> float:
+        return max(
+            searcher_state.MIN_LATENCY_HALF_LIFE_S,
+            _LATENCY_HALF_LIFE_SENDS * self._send_interval.mean_s,
+        )
+
     def _order_searchers(self) -> None:
         """Give each searcher its position in the order of all hosts."""
         ordered = sorted(
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -22,6 +22,7 @@
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import answer_summaries
 from corianderport_tier.request import deadlines
+from corianderport_tier.request import explanation
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import gather_progress
@@ -29,6 +30,7 @@
 from corianderport_tier.request import part as part_module
 from corianderport_tier.request import placements
 from corianderport_tier.request import records
+from corianderport_tier.request import route_admission
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
@@ -39,9 +41,6 @@
 # Time that a request and its response spend outside this host. A route's
 # latency goal includes it, and the delay with which this host answers.
 _PATH_MARGIN_S = 0.0115
-# Assumed typical latency of a route without samples, as a fraction of its
-# latency goal.
-_INITIAL_LATENCY_FRACTION = 0.25
 # Maximum retry delay given to a refused caller, as a fraction of its
 # remaining time: a caller does not wait past its deadline.
 _MAX_RETRY_AFTER_FRACTION = 0.25
@@ -89,19 +88,17 @@
         self.rng = rng
         self.answer_delay = answer_delay.AnswerDelay()
         self._costs = cost_estimates.CostEstimates()
-        self._latencies: dict[str, route_latency.RouteLatency] = {}
+        self._latencies = route_latency.RouteLatencies()
+        self._admission = route_admission.RouteAdmission(
+            self.drain, self._latencies
+        )
+        self.explainer = explanation.Explainer(
+            searcher_directory, self._admission, self._latencies, self._costs
+        )
 
     def latency(self, route: routes.Route) -> route_latency.RouteLatency:
         """Return the latency statistics of a route."""
-        latency = self._latencies.get(route.name)
-        if latency is None:
-            latency = self._latencies.setdefault(
-                route.name,
-                route_latency.RouteLatency(
-                    _INITIAL_LATENCY_FRACTION * route.goal_s
-                ),
-            )
-        return latency
+        return self._latencies.of(route)
 
     def request_class(
         self, route: routes.Route, request: forward_messages.ForwardRequest
@@ -120,23 +117,17 @@
         caller: Caller,
     ) -> forward_messages.ForwardAnswer | None:
         """Serve a request; return None if the caller disconnected."""
-        routing = self.directory.routing
-        if routing is None:
-            return self._refuse(
-                request, Code.NOT_READY, 'the host has not loaded its routes'
-            )
-        route = routing.match(request.host, request.path)
+        admission = self._admission.check(
+            self.directory, request.host, request.path
+        )
+        routing, route = admission.routing, admission.route
+        if admission.code is Code.NOT_READY or routing is None:
+            return self._refuse(request, Code.NOT_READY, admission.detail)
         if route is None:
-            if not self.directory.complete:
-                return self._refuse(request, Code.NOT_READY, 'starting')
             return self._record_answer(
                 request,
                 routing,
-                Failure(Code.UNKNOWN_SERVICE, 'no route matches the request'),
-            )
-        if not self.drain.accepts(self.latency(route).hedge_after_s):
-            return self._refuse(
-                request, Code.NOT_READY, 'the host is shutting down'
+                Failure(Code.UNKNOWN_SERVICE, admission.detail),
             )
         task = ForwardTask(self, request, route)
         answer = task.run(caller)
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -278,6 +278,42 @@
     assert first['outstanding_ms'] == [0.0, 0.0, 0.0]
 
 
+def test_explanation_of_each_shard_sends_nothing() -> None:
+    """Guards against an explanation that is a request."""
+    host = _Host(
+        entries.route(('a', 'b'), min_coverage=0.5, rank=0), replicas=2
+    )
+    explained = host.forwarder.explainer.explain('a.example', '/find/x', 0)
+    assert explained.version == 1
+    assert explained.refusal == ''
+    assert explained.route is not None and explained.route.gather
+    assert explained.expected_s == pytest.approx(0.025)
+    assert [s.service for s in explained.services] == ['a', 'b']
+    for service in explained.services:
+        assert service.policy == 'least-loaded'
+        assert service.extra_permitted
+        assert service.chosen in {r.searcher for r in service.searchers}
+        assert [r.excluded for r in service.searchers] == ['', '']
+    assert host.idle
+    assert not host.forwarder.log.recent()
+
+
+@pytest.mark.parametrize(
+    ('path', 'refusal'),
+    [
+        ('/none', 'no route matches the request'),
+        ('/find/x', 'the host is shutting down'),
+    ],
+)
+def test_explanation_of_a_refusal(path: str, refusal: str) -> None:
+    """Guards against an explanation that leaves out the admission."""
+    host = _Host(entries.route())
+    host.forwarder.drain.begin(deadlines.Deadline.after(host.clock, 0.01))
+    explained = host.forwarder.explainer.explain('a.example', path, 0)
+    assert explained.refusal == refusal
+    assert bool(explained.services) is (path == '/find/x')
+
+
 def _paused(pause_s: float) -> Reply:
     return attrs.evolve(_reply(503, ran=False), pause_s=pause_s)
 
