Add the command that explains where a request would go

corianderport explain where asks a running host at /explain of its metrics address, and prints the route, the admission and each searcher with its state, work and cost.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -54,6 +54,7 @@
 _EXIT_MARGIN_S = 0.4
 # Time before the end of the drain in which the last answers are sent.
 _LAST_ANSWER_MARGIN_S = 0.2
+_EXPLAIN_TARGET = b'/explain'
 
 
 class Adapter(typing.Protocol):
@@ -349,8 +350,14 @@
         received: caller_listener.ReceivedRequest,
         caller: caller_listener.CallerConnection,
     ) -> caller_listener.HttpResponse:
-        # Imported on the first scrape, since a host without a scraper does
-        # not need the memory that the metrics library takes.
+        # The libraries are imported when they are first needed, since a host
+        # without a scraper does not need the memory that they take.
+        if received.target.partition(b'?')[0] == _EXPLAIN_TARGET:
+            from corianderport_wire.request import explain_codec
+
+            return explain_codec.respond(
+                received.target, self._forwarder.explainer.explain
+            )
         from corianderport_wire.process import metrics_text
 
         content_type = metrics_text.CONTENT_TYPE.encode()
--- a/packages/operator/src/corianderport_operator/main.py
+++ b/packages/operator/src/corianderport_operator/main.py
@@ -13,6 +13,7 @@
 from corianderport_operator.process import commands
 from corianderport_operator.process import live_commands
 from corianderport_operator.process import log_commands
+from corianderport_operator.process import where_command
 from corianderport_tier import errors
 
 __all__ = ['COMMANDS', 'main']
@@ -33,11 +34,15 @@
     'trace': log_commands.trace,
 }
 
+# Words of a command that is not ``explain`` with a source named ``where``.
+_WHERE = ('explain', 'where')
+
 # Flags with string values. Fire would parse a query such as ``1`` or a file
 # name such as ``None`` as a Python literal of another type.
 _STRING_FLAGS = (
     '--source', '--output_file', '--old', '--new', '--search', '--hosts',
     '--platform', '--host', '--name', '--query', '--customer', '--request_id',
+    '--header',
 )  # fmt: skip
 
 
@@ -48,10 +53,14 @@
     traceback.
     """
     argv = list(sys.argv[1:] if arguments is None else arguments)
+    known = COMMANDS
+    if tuple(argv[:2]) == _WHERE:
+        known = {'where': where_command.where}
+        argv = ['where', *_merge_headers(argv[2:])]
     command = argv[:1] + [_quote_argument(argument) for argument in argv[1:]]
     try:
         try:
-            fire.Fire(COMMANDS, command=command, name='corianderport')
+            fire.Fire(known, command=command, name='corianderport')
         finally:
             sys.stdout.flush()
     except BrokenPipeError:
@@ -65,6 +74,25 @@
         sys.exit(_EXIT_INTERRUPTED)
 
 
+def _merge_headers(arguments: list[str]) -> list[str]:
+    """Merge all ``--header`` flags into one, whose value has a line for each.
+
+    Fire keeps only the last one of repeated flags.
+    """
+    merged, values = [], []
+    rest = iter(arguments)
+    for argument in rest:
+        if argument == '--header':
+            values.append(next(rest, ''))
+        elif argument.startswith('--header='):
+            values.append(argument.partition('=')[2])
+        else:
+            merged.append(argument)
+    if values:
+        merged.append('--header=' + '\n'.join(values))
+    return merged
+
+
 def _quote_argument(argument: str) -> str:
     """Quote a positional argument or the value of a string flag for Fire."""
     if not argument.startswith('-'):
--- a/tests/adapter/test_entry_process.py
+++ b/tests/adapter/test_entry_process.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import http.client
+import io
 import json
 import os
 import pathlib
@@ -16,6 +17,8 @@
 
 import pytest
 
+from corianderport_operator import main
+
 from . import fakes
 from . import test_documents
 from . import test_settings
@@ -168,6 +171,20 @@
     return text
 
 
+def _where(host: _Host, url: str) -> str:
+    """Return what ``corianderport explain where`` prints."""
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        main.main(
+            [
+                'explain', 'where', 'GET', url,
+                '--host', f'127.0.0.1:{host.metrics}',
+                '--header', 'content-length:5', '--header', 'accept:*/*',
+            ]
+        )  # fmt: skip
+    return output.getvalue()
+
+
 @pytest.fixture
 def host_and_store(
     tmp_path: pathlib.Path,
@@ -207,6 +224,11 @@
     assert 'request="r1"' in text
     assert 'corianderport_sub_requests_total 3' in text
 
+    where = _where(host, 'http://a.example/all/x')
+    assert 'route r1' in where
+    assert where.count(' chosen ') == 2
+    assert 'corianderport_sub_requests_total 3' in _metrics(host)
+
     host.process.send_signal(signal.SIGHUP)
     host.wait_until(lambda: host.reloads() == 1)
     host.path.write_text(host.path.read_text() + '# changed\n')
--- /dev/null
+++ b/tests/operator/test_where_command.py
@@ -0,0 +1,162 @@
+"""Tests of the command that asks a host where a request would go."""
+
+import collections.abc
+import http.server
+import json
+import threading
+import typing
+import urllib.parse
+
+import pytest
+
+from corianderport_operator import main
+
+Capture = pytest.CaptureFixture[str]
+
+
+def _searcher(name: str, **fields: object) -> dict[str, object]:
+    return {
+        'searcher': name,
+        'data_centre': 'dc-a',
+        'excluded': '',
+        'in_flight': 1,
+        'outstanding_s': 0.02,
+        'relative_latency': 1.5,
+        'cost': 0.04,
+        'reply_age_s': None,
+        **fields,
+    }
+
+
+_ANSWER: dict[str, typing.Any] = {
+    'version': 7,
+    'route': {
+        'name': 'find',
+        'host': 'a.example',
+        'prefix': '/find/',
+        'gather': False,
+        'priority': 0,
+    },
+    'refusal': '',
+    'expected_s': 0.01,
+    'services': [
+        {
+            'service': 'stock',
+            'share': 1.0,
+            'policy': 'expected-finish',
+            'chosen': 's1',
+            'extra_permitted': False,
+            'searchers': [
+                _searcher('s1'),
+                _searcher('s2', reply_age_s=3.0),
+                _searcher('s3', excluded='has failed'),
+            ],
+        }
+    ],
+}
+
+
+class _Host:
+    """Stands in for the metrics address of a host."""
+
+    def __init__(self) -> None:
+        self.answer = _ANSWER
+        self.status = 200
+        self.targets: list[str] = []
+        host = self
+
+        class _Handler(http.server.BaseHTTPRequestHandler):
+            def do_GET(self) -> None:
+                host.targets.append(self.path)
+                body = json.dumps(host.answer).encode()
+                self.send_response(host.status)
+                self.send_header('content-length', str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *arguments: object) -> None:
+                return
+
+        self._server = http.server.HTTPServer(('127.0.0.1', 0), _Handler)
+        self.address = f'127.0.0.1:{self._server.server_port}'
+        threading.Thread(
+            target=self._server.serve_forever, daemon=True
+        ).start()
+
+    def close(self) -> None:
+        self._server.shutdown()
+        self._server.server_close()
+
+
+@pytest.fixture
+def host() -> collections.abc.Iterator[_Host]:
+    started = _Host()
+    yield started
+    started.close()
+
+
+def _run(host: _Host, *arguments: str) -> None:
+    main.main(
+        [
+            'explain', 'where', 'GET', 'http://a.example/find/x?q=1',
+            '--host', host.address, *arguments,
+        ]
+    )  # fmt: skip
+
+
+def test_table_names_the_state_of_each_searcher(
+    host: _Host, capsys: Capture
+) -> None:
+    """Guards against a table that hides why a searcher is not used."""
+    _run(host)
+    text = capsys.readouterr().out
+    assert 'version 7' in text and 'admitted' in text
+    rows = [line for line in text.splitlines() if 'stock' in line]
+    assert [
+        state in row
+        for row, state in zip(
+            rows, ('chosen', 'candidate', 'excluded: has failed'), strict=True
+        )
+    ] == [True, True, True]
+    assert all('budget is spent' in row for row in rows)
+
+
+def test_all_headers_reach_the_host(host: _Host, capsys: Capture) -> None:
+    """Guards against losing all headers but the last."""
+    _run(host, '--header', 'content-length:5', '--header=a:b=c', '--json')
+    query = urllib.parse.parse_qs(urllib.parse.urlsplit(host.targets[0]).query)
+    assert query == {
+        'method': ['GET'],
+        'host': ['a.example'],
+        'path': ['/find/x?q=1'],
+        'header': ['content-length:5', 'a:b=c'],
+    }
+    assert json.loads(capsys.readouterr().out) == _ANSWER
+
+
+def test_refusal_is_a_problem(host: _Host, capsys: Capture) -> None:
+    host.answer = {
+        'version': 7, 'route': None, 'refusal': 'no route', 'services': [],
+    }  # fmt: skip
+    with pytest.raises(SystemExit) as stopped:
+        _run(host)
+    assert stopped.value.code == 1
+    assert 'refused: no route' in capsys.readouterr().out
+
+
+def test_usage_errors_are_one_line(host: _Host, capsys: Capture) -> None:
+    """Guards against tracebacks for mistakes of the caller."""
+    with pytest.raises(SystemExit) as stopped:
+        main.main(['explain', 'where', 'GET', '/find/x'])
+    assert stopped.value.code == 2
+    host.status, host.answer = 400, {'error': 'content-length: not a number'}
+    with pytest.raises(SystemExit) as stopped:
+        _run(host)
+    assert stopped.value.code == 2
+    host.close()
+    with pytest.raises(SystemExit) as stopped:
+        _run(host)
+    assert stopped.value.code == 1
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 3
+    assert 'url' in lines[0] and 'content-length' in lines[1]
