Ignore the end of an unknown send as before

A result for a send that isn't pending was ignored by the record of latencies and raised an error after the change to outstanding work.

--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -57,6 +57,7 @@
 # Start, usual latency, expected run time and expected wait for other requests
 # of this host, in seconds.
 _Pending = tuple[float, float, float, float]
+_NOT_PENDING: _Pending = (0.0, 0.0, 0.0, 0.0)
 
 
 class SendPool(typing.Protocol):
@@ -213,7 +214,7 @@
     def finish(self, key: int, result: SendResult, now_s: float) -> None:
         """Record the end of a send."""
         self.in_flight -= 1
-        expected_s, wait_s = self._pending.pop(key)[2:]
+        expected_s, wait_s = self._pending.pop(key, _NOT_PENDING)[2:]
         # Without the reset, rounding errors would add up.
         self._in_flight_s = (
             self._in_flight_s - expected_s if self._pending else 0.0
