--- a/tests/tier/test_placement.py
+++ b/tests/tier/test_placement.py
@@ -250,3 +250,12 @@
         entries.route(('a',), name='urgent too', rank=0),
     )
     assert routing.mixed_rank_services == {'b'}
+
+
+def test_result_of_an_unknown_send_adds_no_work() -> None:
+    """Guards against an error on the task that reports a result twice."""
+    state = _state('dc-a', 1.5)
+    state.start(1, 0.0, 0.01, 0.01)
+    state.finish(1, searcher_state.SendResult(False), 0.02)
+    state.finish(1, searcher_state.SendResult(False), 0.02)
+    assert state.outstanding_s(0.02) == 0.0
