--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -14,22 +14,27 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.process import answer_delay
+from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
 from corianderport_tier.process import drain
 from corianderport_tier.process import metrics
 from corianderport_tier.process import quotas as quotas_module
 from corianderport_tier.process import route_latency
+from corianderport_tier.process import service_searchers
 from corianderport_tier.process import store_freshness
 from corianderport_tier.request import answer_summaries
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
+from corianderport_tier.request import explanation
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import gather_progress
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import part as part_module
+from corianderport_tier.request import placements
 from corianderport_tier.request import records
+from corianderport_tier.request import route_admission
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
@@ -43,9 +48,6 @@
 _DEFAULT_PATH_S = 0.009
 # Variation of that time, for example while packets wait at a link.
 _PATH_MARGIN_S = 0.0025
-# Assumed typical latency of a route without samples, as a fraction of its
-# latency goal.
-_INITIAL_LATENCY_FRACTION = 0.25
 # Nearly all replies arrive within this multiple of a route's median latency.
 # The parts that a gather lacks so long before its goal are hedged at once.
 _COMPLETION_RATIO = 1.5
@@ -105,19 +107,29 @@
         self.log = log
         self.rng = rng
         self.answer_delay = answer_delay.AnswerDelay()
-        self._latencies: dict[str, route_latency.RouteLatency] = {}
+        self._costs = cost_estimates.CostEstimates()
+        self._latencies = route_latency.RouteLatencies()
+        self._admission = route_admission.RouteAdmission(
+            self.drain, self._latencies
+        )
+        self.explainer = explanation.Explainer(
+            searcher_directory, self._admission, self._latencies, self._costs
+        )
 
     def latency(self, route: routes.Route) -> route_latency.RouteLatency:
         """Return the latency statistics of a route."""
-        latency = self._latencies.get(route.name)
-        if latency is None:
-            latency = self._latencies.setdefault(
-                route.name,
-                route_latency.RouteLatency(
-                    _INITIAL_LATENCY_FRACTION * route.goal_s
-                ),
-            )
-        return latency
+        return self._latencies.of(route)
+
+    def request_class(
+        self, route: routes.Route, request: forward_messages.ForwardRequest
+    ) -> cost_estimates.RequestClass:
+        """Return the class of a request, by its expected cost."""
+        return self._costs.request_class(
+            route,
+            self.latency(route),
+            len(request.payload.body),
+            request.path,
+        )
 
     def wants_body(self, request: forward_messages.ForwardRequest) -> bool:
         """Return whether a route matches a request, so that it may run."""
@@ -133,28 +145,22 @@
         caller: Caller,
     ) -> forward_messages.ForwardAnswer | None:
         """Serve a request; return None if the caller disconnected."""
-        routing = self.directory.routing
-        if routing is None:
-            return self._refuse(
-                request, Code.NOT_READY, 'the host has not loaded its routes'
-            )
-        route = routing.match(request.host, request.path)
+        admission = self._admission.check(
+            self.directory, request.host, request.path
+        )
+        routing, route = admission.routing, admission.route
+        if admission.code is Code.NOT_READY or routing is None:
+            return self._refuse(request, Code.NOT_READY, admission.detail)
         if route is None:
-            if not self.directory.complete:
-                return self._refuse(request, Code.NOT_READY, 'starting')
             return self._record_answer(
                 request,
                 routing,
-                Failure(Code.UNKNOWN_SERVICE, 'no route matches the request'),
+                Failure(Code.UNKNOWN_SERVICE, admission.detail),
             )
         if request.body_dropped:
             return self._refuse(
                 request, Code.NOT_READY, 'the route is newer than the request'
             )
-        if not self.drain.accepts(self.latency(route).hedge_after_s):
-            return self._refuse(
-                request, Code.NOT_READY, 'the host is shutting down'
-            )
         try:
             authorization = self._authorizer.admit(route, request.credential)
         except (errors.Unauthenticated, errors.KeyUnconfirmed) as error:
@@ -242,6 +248,10 @@
         }
         if task is not None:
             inputs.update(task.summary())
+            choices = task.choices
+            inputs.update(placements.log_inputs(choices))
+            for policy, placed in placements.totals(choices).items():
+                self._metrics.placed(policy, placed)
         route = _NO_ROUTE if task is None else task.route_name
         self._metrics.finished(
             route, answer_summaries.result_code(answer), elapsed_s
@@ -303,6 +313,11 @@
         """Name of the request's route."""
         return self._route.name
 
+    @property
+    def choices(self) -> list[service_searchers.Choice]:
+        """The choices of all sends so far."""
+        return [choice for part in self._parts for choice in part.choices]
+
     def run(self, caller: Caller) -> forward_messages.ForwardAnswer | None:
         """Return the answer, or None if the caller disconnected."""
         with (
@@ -369,6 +384,9 @@
             chosen = self._forwarder.rng.choices(target.shares, weights)[0]
             names = (chosen.service,)
         latency = self._forwarder.latency(self._route)
+        request_class = self._forwarder.request_class(
+            self._route, self._request
+        )
         for name in names:
             service = self._forwarder.directory.service(name)
             if service is None:
@@ -380,6 +398,7 @@
                     self._request,
                     self._route,
                     latency,
+                    request_class,
                     self._inbox,
                     self._clock,
                     self._forwarder.log,
--- a/tests/tier/test_forwarding_quotas.py
+++ b/tests/tier/test_forwarding_quotas.py
@@ -61,7 +61,7 @@
 def test_request_takes_one_token(host: _Host) -> None:
     """Guards against requests that are served without a token."""
     host.start()
-    host.end(host.take(), test_forwarding._reply())
+    host.end(host.take(), test_forwarding.reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
     assert host.quotas.admitted == ['alpha']
     assert host.quotas.given_back == []
@@ -94,7 +94,7 @@
     """Guards against counting requests that did not run."""
     host.start()
     for _ in range(3):
-        host.end(host.take(), test_forwarding._reply(503, ran=False))
+        host.end(host.take(), test_forwarding.reply(503, ran=False))
     host.refusal(Code.UPSTREAM_REFUSED)
     assert len(host.quotas.given_back) == 1
 
@@ -133,6 +133,6 @@
     """
     host.credential = credential
     host.start(path='/open/x')
-    host.end(host.take(), test_forwarding._reply())
+    host.end(host.take(), test_forwarding.reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
     assert host.quotas.admitted == admitted
