--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -1,15 +1,9 @@
 """corianderport_tier.request.forwarding
 
-Forwards a caller's request to one searcher, or to one searcher of each
-service of a gather, and decides when to respond.
+Admits callers' requests and forwards them to searchers.
 """
 
-import collections
-import collections.abc
 import random
-import typing
-
-import attrs
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
@@ -21,65 +15,26 @@
 from corianderport_tier.process import metrics
 from corianderport_tier.process import quotas as quotas_module
 from corianderport_tier.process import route_latency
-from corianderport_tier.process import service_searchers
 from corianderport_tier.process import store_freshness
 from corianderport_tier.request import answer_summaries
 from corianderport_tier.request import authorization as authorization_module
-from corianderport_tier.request import deadlines
 from corianderport_tier.request import explanation
 from corianderport_tier.request import forward_messages
-from corianderport_tier.request import forward_send
-from corianderport_tier.request import gather_progress
-from corianderport_tier.request import inboxes
-from corianderport_tier.request import part as part_module
+from corianderport_tier.request import forward_task
 from corianderport_tier.request import placements
-from corianderport_tier.request import records
 from corianderport_tier.request import route_admission
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
-__all__ = ['Forwarder', 'ForwardTask']
+__all__ = ['Forwarder']
 
-# Time reserved for returning the response before the caller's deadline.
-_ANSWER_MARGIN_S = 0.01
-# Assumed time that a request and its answer spend outside this host if the
-# connection does not tell. A route's latency goal includes it, and the delay
-# with which this host answers.
-_DEFAULT_PATH_S = 0.009
-# Variation of that time, for example while packets wait at a link.
-_PATH_MARGIN_S = 0.0025
-# Nearly all replies arrive within this multiple of a route's median latency.
-# The parts that a gather lacks so long before its goal are hedged at once.
-_COMPLETION_RATIO = 1.5
-# Maximum retry delay given to a refused caller, as a fraction of its
-# remaining time: a caller does not wait past its deadline.
-_MAX_RETRY_AFTER_FRACTION = 0.25
-_MIN_RETRY_AFTER_S = 0.05
 # Label of requests that match no route.
 _NO_ROUTE = 'none'
 
 Code = result_codes.ResultCode
-# Codes of parts whose sends the authorization of the request refused.
-_KEY_CODES = frozenset({Code.NOT_READY, Code.UNAUTHENTICATED})
-Part = part_module.Part
-PartState = part_module.PartState
 Failure = forward_messages.Failure
 
 
-class Caller(typing.Protocol):
-    """The connection on which a request arrived."""
-
-    def watch(
-        self, on_disconnect: collections.abc.Callable[[], None]
-    ) -> typing.ContextManager[object]:
-        """Call ``on_disconnect`` on a close within the context."""
-
-    def call_when_sent(
-        self, on_sent: collections.abc.Callable[[], None]
-    ) -> None:
-        """Call ``on_sent`` once the answer is written to the network."""
-
-
 class Forwarder:
     """Forwards requests and holds the state that they share."""
 
@@ -142,7 +97,7 @@
     def answer(
         self,
         request: forward_messages.ForwardRequest,
-        caller: Caller,
+        caller: forward_task.Caller,
     ) -> forward_messages.ForwardAnswer | None:
         """Serve a request; return None if the caller disconnected."""
         admission = self._admission.check(
@@ -173,11 +128,11 @@
                 error.code,
                 str(error),
                 route.name,
-                max(_MIN_RETRY_AFTER_S, error.retry_after_s),
+                max(forward_task.MIN_RETRY_AFTER_S, error.retry_after_s),
             )
         except errors.NotReady as error:
             return self._refuse(request, error.code, str(error), route.name)
-        task = ForwardTask(self, request, route, authorization)
+        task = forward_task.ForwardTask(self, request, route, authorization)
         try:
             answer = task.run(caller)
         finally:
@@ -218,7 +173,7 @@
         code: Code,
         detail: str,
         route_name: str = _NO_ROUTE,
-        retry_after_s: float = _MIN_RETRY_AFTER_S,
+        retry_after_s: float = forward_task.MIN_RETRY_AFTER_S,
     ) -> Failure:
         # A request without a valid key is not to be repeated.
         failure = Failure(
@@ -239,7 +194,7 @@
         request: forward_messages.ForwardRequest,
         routing: routes.RoutingVersion,
         answer: forward_messages.ForwardAnswer | None,
-        task: 'ForwardTask | None' = None,
+        task: forward_task.ForwardTask | None = None,
     ) -> forward_messages.ForwardAnswer | None:
         elapsed_s = self.clock.monotonic() - request.received_s
         inputs: dict[str, object] = {
@@ -263,367 +218,3 @@
             )
         )
         return answer
-
-
-class ForwardTask:
-    """Forwards one request on the task of the caller's connection."""
-
-    def __init__(
-        self,
-        forwarder: Forwarder,
-        request: forward_messages.ForwardRequest,
-        route: routes.Route,
-        authorization: authorization_module.Authorization,
-    ) -> None:
-        self._forwarder = forwarder
-        self._clock = forwarder.clock
-        self._route = route
-        self._authorization = authorization
-        deadline = request.deadline.within(self._clock, route.timeout_s * 1e3)
-        self._request = attrs.evolve(request, deadline=deadline)
-        self._answer_by = deadline.earlier(_ANSWER_MARGIN_S)
-        self._inbox: inboxes.Inbox[forward_send.Event]
-        self._inbox = inboxes.Inbox(self._clock)
-        self._parts: list[Part] = []
-        self._unknown_services: list[str] = []
-        self._disconnected = False
-        self.goal_s = (
-            request.received_s
-            + route.goal_s
-            - (request.path_s or _DEFAULT_PATH_S)
-            - _PATH_MARGIN_S
-            - forwarder.answer_delay.expected_s
-        )
-        # Latest time of a hedge whose reply can arrive by the goal.
-        self._latest_hedge_s = self.goal_s
-        # When to hedge the parts without which a gather would miss its goal;
-        # None once this is done.
-        self._completion_hedge_s: float | None = None
-        if isinstance(route.target, routes.Gather):
-            median_s = forwarder.latency(route).median_s
-            self._latest_hedge_s -= median_s
-            self._completion_hedge_s = (
-                self.goal_s - _COMPLETION_RATIO * median_s
-            )
-        # Whether the answer was only waiting for the goal.
-        self.answered_at_goal = False
-
-    @property
-    def route_name(self) -> str:
-        """Name of the request's route."""
-        return self._route.name
-
-    @property
-    def choices(self) -> list[service_searchers.Choice]:
-        """The choices of all sends so far."""
-        return [choice for part in self._parts for choice in part.choices]
-
-    def run(self, caller: Caller) -> forward_messages.ForwardAnswer | None:
-        """Return the answer, or None if the caller disconnected."""
-        with (
-            caller.watch(
-                lambda: self._inbox.put(forward_send.CallerDisconnected())
-            ),
-            self._forwarder.drain.watching(self._inbox.put),
-        ):
-            try:
-                self._create_parts()
-                for part in self._parts:
-                    part.send_first()
-                return self._await_answer()
-            finally:
-                for part in self._parts:
-                    part.cancel(at_once=self._disconnected)
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether any searcher may have run the request."""
-        return any(part.may_have_run for part in self._parts)
-
-    def summary(self) -> dict[str, object]:
-        """Return what the decision log records about the answer."""
-        reasons = collections.Counter(
-            'waiting' if p.failure is None else p.failure.detail
-            for p in self._parts
-            if p.state is not PartState.ANSWERED
-        )
-        summary: dict[str, object] = {
-            'route': self._route.name,
-            'parts': len(self._parts),
-            'not_answered': dict(reasons),
-            'sent_ms': self._spread_ms(p.sent_s for p in self._parts),
-            'arrived_ms': self._spread_ms(p.answered_s for p in self._parts),
-        }
-        workspace = self._authorization.workspace
-        if workspace is not None:
-            summary['workspace'] = workspace.name
-            summary['rank'] = self._authorization.rank(self._route)
-        return summary
-
-    def _spread_ms(
-        self, times_s: collections.abc.Iterable[float]
-    ) -> list[float]:
-        """Return the earliest, the median and the latest of some times.
-
-        In milliseconds since the request was received; empty without times.
-        """
-        ordered = sorted(t for t in times_s if t != float('inf'))
-        chosen = ordered and (
-            ordered[0],
-            ordered[len(ordered) // 2],
-            ordered[-1],
-        )
-        return [round((t - self._request.received_s) * 1e3, 1) for t in chosen]
-
-    def _create_parts(self) -> None:
-        target = self._route.target
-        if isinstance(target, routes.Gather):
-            names: tuple[str, ...] = target.services
-        else:
-            weights = [share.weight for share in target.shares]
-            chosen = self._forwarder.rng.choices(target.shares, weights)[0]
-            names = (chosen.service,)
-        latency = self._forwarder.latency(self._route)
-        request_class = self._forwarder.request_class(
-            self._route, self._request
-        )
-        for name in names:
-            service = self._forwarder.directory.service(name)
-            if service is None:
-                self._unknown_services.append(name)
-                continue
-            self._parts.append(
-                Part(
-                    service,
-                    self._request,
-                    self._route,
-                    latency,
-                    request_class,
-                    self._inbox,
-                    self._clock,
-                    self._forwarder.log,
-                    deadlines.Deadline(self.goal_s),
-                    self._authorization,
-                )
-            )
-
-    def _await_answer(self) -> forward_messages.ForwardAnswer | None:
-        while not self._disconnected:
-            answer = self._decide()
-            if answer is not None:
-                return answer
-            events = self._inbox.take_all(
-                self._next_timer(), self._awaited_replies()
-            )
-            for event in events:
-                self._on_event(event)
-            self._on_timer()
-        return None
-
-    def _progress(self) -> gather_progress.GatherProgress:
-        target = self._route.target
-        states = [p.state for p in self._parts]
-        total, min_coverage = len(states), 1.0
-        if isinstance(target, routes.Gather):
-            total, min_coverage = len(target.services), target.min_coverage
-        return gather_progress.GatherProgress(
-            total=total,
-            parts=len(states),
-            answered=states.count(PartState.ANSWERED),
-            pending=states.count(PartState.PENDING),
-            min_coverage=min_coverage,
-        )
-
-    def _awaited_replies(self) -> int:
-        """Return how many successful replies the next decision needs."""
-        return self._progress().awaited_replies(
-            goal_reached=self._clock.monotonic() >= self.goal_s,
-            hedge_denied=any(p.hedge_denied for p in self._parts),
-        )
-
-    def _on_event(self, event: forward_send.Event) -> None:
-        if isinstance(event, forward_send.SendFinished):
-            event.send.part.on_result(event)
-        elif isinstance(event, forward_send.CapacityFreed):
-            event.part.on_capacity()
-        elif isinstance(event, drain.DrainBegun):
-            self._answer_by = min(self._answer_by, event.deadline)
-        else:
-            self._disconnected = True
-
-    def _next_timer(self) -> deadlines.Deadline:
-        timers_s = [self._answer_by.at_s]
-        now_s = self._clock.monotonic()
-        if self.goal_s > now_s:
-            timers_s.append(self.goal_s)
-        if self._completion_hedge_s is not None:
-            timers_s.append(self._completion_hedge_s)
-        timers_s.extend(
-            due_s
-            for due_s in map(self._hedge_due_s, self._parts)
-            if due_s is not None
-        )
-        timers_s.extend(
-            p.resume_at_s for p in self._parts if p.resume_at_s is not None
-        )
-        return deadlines.Deadline(min(timers_s))
-
-    def _on_timer(self) -> None:
-        now_s = self._clock.monotonic()
-        for part in self._parts:
-            if part.resume_at_s is not None and part.resume_at_s <= now_s:
-                part.resume()
-        self._hedge(now_s)
-        if (
-            self._completion_hedge_s is not None
-            and self._completion_hedge_s <= now_s
-        ):
-            self._completion_hedge_s = None
-            self._hedge_lacking_parts(now_s)
-
-    def _hedge_due_s(self, part: Part) -> float | None:
-        """Return when a hedge of a part is due.
-
-        A gather is answered at its goal without the parts that are late. A
-        hedge whose reply would arrive after that waits until then, and is
-        sent only if too few parts have answered.
-        """
-        due_s = part.hedge_at_s
-        if due_s is None or due_s <= self._latest_hedge_s:
-            return due_s
-        return max(due_s, self.goal_s)
-
-    def _hedge_lacking_parts(self, now_s: float) -> None:
-        """Hedge as many parts as the gather needs to be answered in time.
-
-        The usual delay of a hedge is a quantile of the route's latencies,
-        which is longer than the goal allows while many searchers are slow.
-        """
-        lacking = self._progress().lacking
-        # The parts that are hedged already are likely to arrive, and so are
-        # those that were sent just now.
-        lacking -= sum(p.running_sends > 1 for p in self._parts)
-        late_s = now_s - self._forwarder.latency(self._route).median_s
-        waiting = [
-            (since_s, number)
-            for number, part in enumerate(self._parts)
-            if (since_s := part.unhedged_since_s) is not None
-            and since_s <= late_s
-        ]
-        for _, number in sorted(waiting):
-            if lacking <= 0:
-                return
-            if self._parts[number].hedge(among_last=True):
-                lacking -= 1
-
-    def _hedge(self, now_s: float) -> None:
-        if self._latest_hedge_s < now_s < self.goal_s:
-            return
-        among_last = self._progress().among_last
-        for part in self._parts:
-            due_s = self._hedge_due_s(part)
-            due = due_s is not None and due_s <= now_s
-            if due or among_last and part.hedge_denied:
-                part.hedge(among_last)
-
-    def _decide(self) -> forward_messages.ForwardAnswer | None:
-        if isinstance(self._route.target, routes.Gather):
-            return self._decide_gather(self._route.target)
-        return self._decide_single()
-
-    def _decide_single(self) -> forward_messages.ForwardAnswer | None:
-        if not self._parts:
-            return self._refusal(Code.NO_UPSTREAM, 'the service is unknown')
-        part = self._parts[0]
-        if part.reply is not None and part.reply.relayable:
-            return forward_messages.Relayed(part.reply)
-        if part.state is PartState.FAILED:
-            assert part.failure is not None
-            return self._failure(part.failure)
-        if self._answer_by.passed(self._clock):
-            return self._deadline_failure()
-        return None
-
-    def _decide_gather(
-        self, target: routes.Gather
-    ) -> forward_messages.ForwardAnswer | None:
-        progress = self._progress()
-        if progress.enough:
-            goal_reached = self._clock.monotonic() >= self.goal_s
-            if progress.pending == 0 or goal_reached:
-                self.answered_at_goal = (
-                    progress.pending > 0 and self._enough_at_goal(progress)
-                )
-                return self._merged(target)
-        elif progress.out_of_reach:
-            return self._coverage_failure(progress)
-        if self._answer_by.passed(self._clock):
-            return self._deadline_failure()
-        return None
-
-    def _enough_at_goal(
-        self, progress: gather_progress.GatherProgress
-    ) -> bool:
-        """Whether enough parts had arrived by the goal."""
-        in_time = sum(p.answered_s <= self.goal_s for p in self._parts)
-        return attrs.evolve(progress, answered=in_time).enough
-
-    def _merged(self, target: routes.Gather) -> forward_messages.Gathered:
-        answered = [
-            p.reply
-            for p in self._parts
-            if p.state is PartState.ANSWERED and p.reply is not None
-        ]
-        execution_proofs = tuple(
-            r.execution_proof
-            for r in answered
-            if r.execution_proof is not None
-        )
-        return forward_messages.Gathered(
-            execution_proofs=execution_proofs,
-            missing=len(target.services) - len(execution_proofs),
-            body=records.merge_greatest(
-                (r.body for r in answered), target.max_records
-            ),
-        )
-
-    def _coverage_failure(
-        self, progress: gather_progress.GatherProgress
-    ) -> Failure:
-        detail = f'only {progress.answered} of {progress.total} parts answered'
-        if self._cancel_sends():
-            return Failure(Code.COVERAGE_NOT_MET, detail)
-        for part in self._parts:
-            if part.failure is not None and part.failure.code in _KEY_CODES:
-                return self._failure(part.failure)
-        return self._refusal(Code.NO_UPSTREAM, detail)
-
-    def _deadline_failure(self) -> Failure:
-        if self._cancel_sends():
-            return Failure(Code.OUTCOME_UNKNOWN, 'no answer in time')
-        return self._refusal(
-            Code.DEADLINE_PAST, 'no searcher ran the request in time'
-        )
-
-    def _cancel_sends(self) -> bool:
-        """Cancel all attempts; return whether the request may have run."""
-        for part in self._parts:
-            part.cancel()
-        return self.may_have_run
-
-    def _failure(self, failure: Failure) -> Failure:
-        if failure.retry_after_s is None:
-            return failure
-        return self._refusal(
-            failure.code, failure.detail, failure.retry_after_s
-        )
-
-    def _refusal(
-        self, code: Code, detail: str, after_s: float = _MIN_RETRY_AFTER_S
-    ) -> Failure:
-        remaining_s = self._request.deadline.remaining(self._clock)
-        after_s = min(
-            max(after_s, _MIN_RETRY_AFTER_S),
-            _MAX_RETRY_AFTER_FRACTION * remaining_s,
-        )
-        return Failure(code, detail, after_s)
