Hedge only when the goal of a request is at risk

A request with a loose goal was hedged as soon as it was later than nine in ten of its route: a census of 235 ms after 55 ms, mostly because a searcher paused for a moment. With a larger budget these hedges took the processors of half-core hosts from urgent gathers, whose p90 rose from 55 to 78 ms.

A hedge now also waits until two and a half median latencies before the goal, which leaves time for its reply.

--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -38,6 +38,10 @@
 # Minimum hedge delay as a multiple of the route's median latency, for routes
 # whose latencies vary little.
 _MIN_HEDGE_DELAY_RATIO = 1.3
+# A hedge leaves this multiple of the median latency until the goal, in which
+# nearly all replies to it arrive. An earlier one would often repeat a request
+# that is answered in time, at the expense of requests with less time.
+_GOAL_RESERVE_RATIO = 2.5
 
 Code = result_codes.ResultCode
 # Codes of a part that no searcher ran; any other one becomes NO_UPSTREAM.
@@ -355,9 +359,15 @@
         self._tried.append(choice.state.name)
         self.choices.append(choice)
         if self._route.idempotent:
+            median_s = self._latency.median_s
+            spare_s = (
+                self._goal.remaining(self._clock)
+                - _GOAL_RESERVE_RATIO * median_s
+            )
             self._hedge_after_s = max(
                 self._latency.hedge_after_s,
-                _MIN_HEDGE_DELAY_RATIO * self._latency.median_s,
+                _MIN_HEDGE_DELAY_RATIO * median_s,
+                spare_s,
             )
         try:
             choice.state.pool.submit(send, self._reuse())
--- a/tests/tier/test_gather_hedges.py
+++ b/tests/tier/test_gather_hedges.py
@@ -67,3 +67,25 @@
     answer = host.finish()
     assert isinstance(answer, forward_messages.Gathered)
     assert host.idle
+
+
+def test_hedge_waits_while_the_goal_is_not_at_risk() -> None:
+    """Guards against hedges that only take capacity from urgent requests.
+
+    The median latency is 20 ms and the goal one second: a reply after 200 ms
+    is not late yet.
+    """
+    route = entries.route(goal_s=1.0, timeout_s=4.0)
+    host = test_forwarding.Host(route)
+    latency = host.forwarder.latency(route)
+    for _ in range(28):
+        latency.record(0.02)
+    host.start(deadline_s=4.0)
+    first = host.begin()
+    host.advance(0.9)
+    assert host.idle
+    host.advance(0.05)
+    hedge = host.take()
+    assert hedge.searcher != first.searcher
+    host.end(hedge, test_forwarding.reply())
+    assert isinstance(host.finish(), forward_messages.Relayed)
