Give callers' sockets buffers of 64 KB

Cause: with 32 KB, a response larger than the buffers waited 40 ms for each acknowledgement over loopback: 2.0 MB/s for responses of 1 MB.

Change: the default of the setting is 64 KB.

--- a/packages/tier/src/corianderport_tier/process/caller_bounds.py
+++ b/packages/tier/src/corianderport_tier/process/caller_bounds.py
@@ -25,4 +25,6 @@
     budget_bytes: int = 16_000_000
     hold_s: float = 2.0
     write_timeout_s: float = 10.0
-    socket_bytes: int = 32_768
+    # Half of it holds less than two segments of the loopback interface, whose
+    # acknowledgements are then delayed by 40 ms each (2 MB/s).
+    socket_bytes: int = 65_536
