Advance the clock only once the caller of an owner waits

test_call_ends_at_its_timeout failed once in a busy run: the wait that it saw was that of the idle connection, so that the clock advanced before the call began.

--- a/tests/tier/test_owner_connections.py
+++ b/tests/tier/test_owner_connections.py
@@ -182,7 +182,9 @@
     host.dialer.may_reply.clear()
     with concurrent.futures.ThreadPoolExecutor(1) as executor:
         asked = executor.submit(host.ask)
-        host.clock.await_waiters(1)
+        # The call begins once its caller waits; before that, the only wait
+        # may be that of the idle connection.
+        assert host.dialer.begun.acquire(timeout=_WAIT_S)
         host.clock.advance(0.25)
         with pytest.raises(errors.ConnectionSilent):
             asked.result(_WAIT_S)
