--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -29,6 +29,7 @@
 from corianderport_tier.process import drain
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import metrics
+from corianderport_tier.process import placement
 from corianderport_tier.process import registry_reader
 from corianderport_tier.process import registry_relay
 from corianderport_tier.process import registry_source
@@ -51,6 +52,7 @@
 _EXIT_MARGIN_S = 0.4
 # Time before the end of the drain in which the last answers are sent.
 _LAST_ANSWER_MARGIN_S = 0.2
+_EXPLAIN_TARGET = b'/explain'
 
 
 class Adapter(typing.Protocol):
@@ -138,6 +140,7 @@
             clock,
             restarted=not settings.first_start,
         )
+        self._placement = placement.PlacementSetting(settings.placement)
         self._dialer = adapter.dialer(clock)
         self._directory = directory.Directory(
             self._open_service, clock, self._log
@@ -293,6 +296,7 @@
         self._fleet_share.set_bounds(settings.fleet)
         self._freshness.set_revoke_s(settings.revoke_s)
         self._quotas.set_bounds(settings.quota)
+        self._placement.value = settings.placement
         self._settings = settings
         self._directory.refresh()
 
@@ -363,8 +367,14 @@
         received: caller_listener.ReceivedRequest,
         caller: caller_listener.CallerConnection,
     ) -> caller_listener.HttpResponse:
-        # Imported on the first scrape, since a host without a scraper does
-        # not need the memory that the metrics library takes.
+        # The libraries are imported when they are first needed, since a host
+        # without a scraper does not need the memory that they take.
+        if received.target.partition(b'?')[0] == _EXPLAIN_TARGET:
+            from corianderport_wire.request import explain_codec
+
+            return explain_codec.respond(
+                received.target, self._forwarder.explainer.explain
+            )
         from corianderport_wire.process import metrics_text
 
         content_type = metrics_text.CONTENT_TYPE.encode()
@@ -382,6 +392,7 @@
             self._open_pool,
             self._clock,
             self._rng,
+            self._placement,
         )
 
     def _open_pool(
--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -9,6 +9,7 @@
 
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import host_bounds
+from corianderport_tier.process import placement
 from corianderport_tier.process import quota_bucket
 from corianderport_tier.process import registry_relay
 
@@ -28,6 +29,7 @@
     what is known is not checked. ``first_start`` is True only when all hosts
     of the deployment start for the first time. ``quota`` bounds the requests
     of workspaces over all hosts; None if they are not limited.
+    ``placement`` is one of ``placement.SETTINGS``.
     """
 
     host: str
@@ -48,6 +50,7 @@
     limits: host_bounds.HostBounds = attrs.Factory(
         host_bounds.HostBounds.from_machine
     )
+    placement: str = placement.AUTO
     log_level: str = 'INFO'
     revoke_s: float | None = None
     quota: quota_bucket.QuotaBounds | None = None
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -284,6 +284,72 @@
     assert answer.retry_after_s is None
 
 
+@pytest.mark.parametrize(
+    ('other_rank', 'policy'), [(1, 'least-loaded'), (0, 'expected-finish')]
+)
+def test_answer_states_how_its_sends_were_placed(
+    other_rank: int, policy: str
+) -> None:
+    """Guards against choices that nobody can explain afterwards.
+
+    By default, only services that a route of the highest priority shares
+    with others are placed by expected finish.
+    """
+    host = Host(
+        entries.route(goal_s=0.1),
+        entries.route(name='other', prefix='/other/', rank=other_rank),
+    )
+    for _ in range(2):
+        host.start()
+        send = host.begin()
+        host.advance(0.04)
+        send.finish(reply())
+        assert isinstance(host.finish(), forward_messages.Relayed)
+    first, second = (
+        d.inputs for d in host.forwarder.log.recent() if d.kind == 'answer'
+    )
+    assert first['placement'] == second['placement'] == [policy]
+    # A quarter of the goal, then the time of the first reply.
+    assert (first['expected_ms'], second['expected_ms']) == (25.0, 40.0)
+    assert first['outstanding_ms'] == [0.0, 0.0, 0.0]
+
+
+def test_explanation_of_each_shard_sends_nothing() -> None:
+    """Guards against an explanation that is a request."""
+    host = Host(
+        entries.route(('a', 'b'), min_coverage=0.5, rank=0), replicas=2
+    )
+    explained = host.forwarder.explainer.explain('a.example', '/find/x', 0)
+    assert explained.version == 1
+    assert explained.refusal == ''
+    assert explained.route is not None and explained.route.gather
+    assert explained.expected_s == pytest.approx(0.025)
+    assert [s.service for s in explained.services] == ['a', 'b']
+    for service in explained.services:
+        assert service.policy == 'least-loaded'
+        assert service.extra_permitted
+        assert service.chosen in {r.searcher for r in service.searchers}
+        assert [r.excluded for r in service.searchers] == ['', '']
+    assert host.idle
+    assert not host.forwarder.log.recent()
+
+
+@pytest.mark.parametrize(
+    ('path', 'refusal'),
+    [
+        ('/none', 'no route matches the request'),
+        ('/find/x', 'the host is shutting down'),
+    ],
+)
+def test_explanation_of_a_refusal(path: str, refusal: str) -> None:
+    """Guards against an explanation that leaves out the admission."""
+    host = Host(entries.route())
+    host.forwarder.drain.begin(deadlines.Deadline.after(host.clock, 0.01))
+    explained = host.forwarder.explainer.explain('a.example', path, 0)
+    assert explained.refusal == refusal
+    assert bool(explained.services) is (path == '/find/x')
+
+
 def _paused(pause_s: float) -> Reply:
     return attrs.evolve(reply(503, ran=False), pause_s=pause_s)
 
