--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -37,7 +37,6 @@
 # Maximum extra delay of a caller's retry after a pause, as a fraction of the
 # pause, so that refused callers do not return at the same moment.
 _PAUSE_SPREAD = 0.5
-
 # Idle time of connections to searchers of this host's share, and of those to
 # other searchers. The latter are few at any time if they are closed soon, so
 # that they fit into what the shares leave of a searcher's connections.
--- a/tests/tier/placement_simulation.py
+++ b/tests/tier/placement_simulation.py
@@ -61,6 +61,8 @@
 
 
 class Pool:
+    """Pool of a searcher to which nothing is sent."""
+
     def submit(self, job: object, reuse: object = None) -> None:
         raise AssertionError('nothing is sent here')
 
--- a/tests/tier/test_placement.py
+++ b/tests/tier/test_placement.py
@@ -12,24 +12,11 @@
 from corianderport_tier.process import stated_availability
 
 from . import entries
+from . import placement_simulation
 
 _OWN = 'dc-a'
 
 
-class _Pool:
-    def submit(self, job: object, reuse: object = None) -> None:
-        raise AssertionError('nothing is sent here')
-
-    def limit_connections(self, limit: int) -> None:
-        return
-
-    def limit_idle_time(self, idle_s: float) -> None:
-        return
-
-    def close(self) -> None:
-        return
-
-
 @attrs.define
 class _FormerRule:
     """The cost as it was computed before there were policies.
@@ -100,7 +87,9 @@
 ) -> searcher_state.SearcherState:
     registration = entries.registration('s1', data_centre=data_centre)
     state = searcher_state.SearcherState(
-        registration, _Pool(), stated_availability.StatedAvailability()
+        registration,
+        placement_simulation.Pool(),
+        stated_availability.StatedAvailability(),
     )
     state.set_registration(registration, _OWN, 6)
     state.latency_half_life_s = half_life_s
