--- a/tests/adapter/crowds.py
+++ b/tests/adapter/crowds.py
@@ -90,19 +90,6 @@
 _HEAD_END = b'\r\n\r\n'
 
 
-def _reserved_port() -> socket.socket:
-    """Return a socket that keeps a port from being used for connections.
-
-    A host can listen on the port meanwhile, since the socket doesn't listen
-    and both have SO_REUSEADDR. A port that was only picked and released was
-    taken by one of the many connections of another test run.
-    """
-    reserved = socket.socket()
-    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    reserved.bind(('127.0.0.1', 0))
-    return reserved
-
-
 @attrs.frozen
 class Usage:
     """Memory and descriptors of a process.
@@ -146,7 +133,7 @@
     """An entry host process with lowered limits, and its addresses."""
 
     def __init__(self, path: pathlib.Path, store: str) -> None:
-        self._reserved = [_reserved_port() for _ in range(4)]
+        self._reserved = [fakes.reserved_port() for _ in range(4)]
         self.front, self.ready, self.control, self.metrics = (
             int(reserved.getsockname()[1]) for reserved in self._reserved
         )
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -5,17 +5,31 @@
 import contextlib
 import http.server
 import json
+import socket
 import threading
 import time
 import typing
 import urllib.parse
 
-__all__ = ['Searcher', 'Store']
+__all__ = ['Searcher', 'Store', 'reserved_port']
 
 _PAGE = 2
 _POLL_INTERVAL_S = 0.01
 
 
+def reserved_port() -> socket.socket:
+    """Return a socket that keeps a port from being used for connections.
+
+    A host can listen on the port meanwhile, since the socket doesn't listen
+    and both have SO_REUSEADDR. A port that was only picked and released was
+    taken by one of the many connections of another test run.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(('127.0.0.1', 0))
+    return reserved
+
+
 class _Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
     owner: typing.Any
--- a/tests/adapter/test_entry_process.py
+++ b/tests/adapter/test_entry_process.py
@@ -27,16 +27,14 @@
 _POLL_INTERVAL_S = 0.02
 
 
-def _free_port() -> int:
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        return int(listener.getsockname()[1])
-
-
 class _Host:
     """An entry host process and its addresses."""
 
     def __init__(self, path: pathlib.Path, store: str) -> None:
-        self.front, self.ready, self.control = (_free_port() for _ in range(3))
+        self._reserved = [fakes.reserved_port() for _ in range(4)]
+        self.front, self.ready, self.control, self.metrics = (
+            int(reserved.getsockname()[1]) for reserved in self._reserved
+        )
         text = test_settings.TEXT.replace('127.0.0.1:8229', store)
         for name in ('front', 'ready', 'control'):
             port = getattr(self, name)
@@ -45,7 +43,6 @@
             )
         path.write_text(text)
         self.path = path
-        self.metrics = _free_port()
         environment = {
             'CORIANDERPORT_METRICS_PORT': str(self.metrics),
             **os.environ,
@@ -97,6 +94,8 @@
             self.process.kill()
         self.process.wait(_LONG_S)
         self._reader.join(_LONG_S)
+        for reserved in self._reserved:
+            reserved.close()
 
     def reloads(self) -> int:
         return sum('read anew' in line for line in self.lines)
