--- a/tests/wire/test_act_once.py
+++ b/tests/wire/test_act_once.py
@@ -154,13 +154,14 @@
 
     No process listens on the address, so the action cannot have run.
     """
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        address = '127.0.0.1:%d' % listener.getsockname()[1]
     checked: list[bool] = []
-    transport = _dial(address)
-    with pytest.raises(errors.ConnectFailed):
-        transport.act(_call('p'), _TIMEOUT_S, lambda: checked.append(True))
-    transport.close()
+    with socket.socket() as unused:
+        # The port stays bound, so that no other socket can listen on it.
+        unused.bind(('127.0.0.1', 0))
+        transport = _dial('127.0.0.1:%d' % unused.getsockname()[1])
+        with pytest.raises(errors.ConnectFailed):
+            transport.act(_call('p'), _TIMEOUT_S, lambda: checked.append(True))
+        transport.close()
     assert not checked
 
 
