Write the requests of a gather on its own task

Each send of a gather woke the task of its connection, which checked the connection, wrote, and slept again before the reply: 6.3 context switches and 369 us for each of 54 parts, and the last part was sent 11.4 ms after the request arrived (200 gathers over loopback on a machine with load 17).

A send that outlives its request is ended at its deadline by the host's housekeeping, since its connection's task waits for as long as the connection may be idle.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -21,6 +21,7 @@
 from corianderport_daemon.process import registry_connection
 from corianderport_tier import clocks
 from corianderport_tier import closing
+from corianderport_tier.connection import direct_connection
 from corianderport_tier.connection import pool
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
@@ -404,6 +405,7 @@
             self._clock,
             pool.PoolLimits(connections),
             lambda transport: transport.usable_until_s,
+            direct_connection.DirectConnection,
         )
 
     def _expire_and_reload(self) -> None:
@@ -411,6 +413,7 @@
         self._directory.expire()
         self._freshness.observe()
         self._quotas.expire()
+        self._forwarder.unanswered_sends.abort_overdue()
         if self._adapter.settings_fingerprint() != self._settings_fingerprint:
             self.reload()
 
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -105,6 +105,30 @@
             is invalid.
         """
 
+    def send(self, call: forward_messages.SearcherCall) -> None:
+        """Send a request exactly once; ``receive`` has to follow.
+
+        :raises ConnectionStale: nothing was sent.
+        :raises ConnectionSilent: it was not sent by the deadline.
+        :raises ConnectionBroken: the connection was closed.
+        """
+
+    def await_readable(self, timeout_s: float) -> bool:
+        """Wait until bytes arrive or the connection is closed or aborted.
+
+        :return: False if neither happened in time.
+        """
+
+    def receive(
+        self, call: forward_messages.SearcherCall
+    ) -> forward_messages.SearcherReply:
+        """Wait for the response to the request that was sent.
+
+        :raises ConnectionSilent: no complete response by the deadline.
+        :raises ConnectionBroken: the connection was closed, or the response
+            is invalid.
+        """
+
     def abort(self) -> None:
         """Abort the exchange in progress; called from another task."""
 
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -30,6 +30,9 @@
 _MAX_UNANSWERED_S = 0.15
 # With less time until the deadline, the response would arrive too late.
 _MIN_REMAINING_S = 0.002
+# With its head, a request up to this size fits into the send buffer of an idle
+# connection, which has at least 46 KB.
+_MAX_DIRECT_BODY_BYTES = 16_384
 
 
 class SendOwner(typing.Protocol):
@@ -145,6 +148,38 @@
             is too close, the request is no longer authorized or the attempt
             was cancelled; nothing was sent.
         """
+        self._begin(transport)
+        try:
+            return transport.exchange(self._call)
+        finally:
+            self._release()
+
+    @property
+    def writes_at_once(self) -> bool:
+        """Whether an idle connection accepts the request without waiting."""
+        return len(self._call.payload.body) <= _MAX_DIRECT_BODY_BYTES
+
+    def start(self, transport: transports.SearcherTransport) -> None:
+        """Send the request on the calling task; raises as ``perform``."""
+        self._begin(transport)
+        transport.send(self._call)
+
+    def complete(
+        self, transport: transports.SearcherTransport
+    ) -> forward_messages.SearcherReply:
+        """Return the searcher's response to the request that was sent."""
+        try:
+            return transport.receive(self._call)
+        finally:
+            self._release()
+
+    def _release(self) -> None:
+        """Leave the connection to the next request."""
+        with self._lock:
+            self._transport = None
+
+    def _begin(self, transport: transports.SearcherTransport) -> None:
+        """Check that the request may be sent, and note that it is."""
         if not self.part.service.may_send(self.choice.state):
             raise errors.NoUpstream('the searcher is no longer available')
         if self._call.deadline.remaining(self._clock) < _MIN_REMAINING_S:
@@ -156,14 +191,18 @@
                 raise errors.DeadlinePast('the request has ended')
             self._transport = self._carrier = transport
             self._sent_s = self._clock.monotonic()
-        return transport.exchange(self._call)
 
     def finish(self, reply: object) -> None:
         """Post the reply or error, even if the request has ended."""
-        self._transport = None
+        self._release()
         self.finished_s = self._clock.monotonic()
         self.part.post_result(self, reply)
 
+    @property
+    def ended(self) -> bool:
+        """Whether the attempt has a reply or an error, or was never sent."""
+        return self._transport is None
+
     def cancel(self, at_once: bool) -> None:
         """Cancel the attempt; a request not yet sent is never sent.
 
@@ -175,7 +214,18 @@
         """
         with self._lock:
             self._cancelled = True
-            transport = self._transport
         age_s = self._clock.monotonic() - self.started_s
-        if transport is not None and (at_once or age_s >= _MAX_UNANSWERED_S):
-            transport.abort()
+        if at_once or age_s >= _MAX_UNANSWERED_S:
+            self._abort()
+
+    def abort_if_overdue(self) -> bool:
+        """Abort the attempt if its deadline has passed; return whether."""
+        overdue = self._call.deadline.passed(self._clock)
+        if overdue:
+            self._abort()
+        return overdue
+
+    def _abort(self) -> None:
+        with self._lock:
+            if self._transport is not None:
+                self._transport.abort()
--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -18,6 +18,7 @@
 from corianderport_tier.process import drain
 from corianderport_tier.process import route_latency
 from corianderport_tier.process import service_searchers
+from corianderport_tier.process import unanswered_sends
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
@@ -79,6 +80,7 @@
     drain: drain.Drain
     directory: directory.Directory
     answer_delay: answer_delay.AnswerDelay
+    unanswered_sends: unanswered_sends.UnansweredSends
 
     def latency(self, route: routes.Route) -> route_latency.RouteLatency:
         """Return the latency statistics of a route."""
@@ -158,6 +160,8 @@
             finally:
                 for part in self._parts:
                     part.cancel(at_once=self._disconnected)
+                    for send in part.unanswered_sends:
+                        self._host.unanswered_sends.add(send)
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -16,6 +16,7 @@
 from corianderport_tier.process import quotas as quotas_module
 from corianderport_tier.process import route_latency
 from corianderport_tier.process import store_freshness
+from corianderport_tier.process import unanswered_sends
 from corianderport_tier.request import answer_summaries
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import explanation
@@ -62,6 +63,7 @@
         self.log = log
         self.rng = rng
         self.answer_delay = answer_delay.AnswerDelay()
+        self.unanswered_sends = unanswered_sends.UnansweredSends()
         self._costs = cost_estimates.CostEstimates()
         self._latencies = route_latency.RouteLatencies()
         self._admission = route_admission.RouteAdmission(
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -254,6 +254,11 @@
         else:
             self._on_error(send, event.reply)
 
+    @property
+    def unanswered_sends(self) -> list[forward_send.SendAttempt]:
+        """The attempts whose replies have not arrived."""
+        return [send for send in self._sends if not send.ended]
+
     def cancel(self, at_once: bool = False) -> None:
         """Cancel all running attempts."""
         for send in self._sends:
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -97,10 +97,15 @@
         self._socket = connection
         self._read_poll = select.poll()
         self._read_poll.register(connection, select.POLLIN)
+        # A poll object must not be used by two tasks at the same time.
+        self._check_poll = select.poll()
+        self._check_poll.register(connection, select.POLLIN)
         self._clock = clock
         self._lock = threading.Lock()
         self._closed = False
         self._reusable = True
+        # Method of the request that was sent last.
+        self._method = b''
         self._usable_until_s = float('inf')
 
     @property
@@ -128,10 +133,48 @@
         :raises ConnectionBroken: the connection was closed, or the server
             sent no valid response.
         """
+        self.send(request, deadline)
+        return self.receive(deadline, matches)
+
+    def send(self, request: HttpRequest, deadline: deadlines.Deadline) -> None:
+        """Send a request; ``receive`` has to follow, possibly on another task.
+
+        :raises ConnectionStale: the connection was no longer usable;
+            nothing was sent.
+        :raises ConnectionSilent: the request was not sent by the deadline.
+        :raises ConnectionBroken: the connection was closed.
+        """
         self._check_reusable()
         self._reusable = False
+        self._method = request.method
         try:
-            return self._exchange(request, deadline, matches)
+            self._send(_encode(request), deadline)
+        except TimeoutError as error:
+            raise errors.ConnectionSilent('not sent in time') from error
+        except OSError as error:
+            raise errors.ConnectionBroken(str(error)) from error
+
+    def await_readable(self, timeout_s: float) -> bool:
+        """Wait until bytes arrive or the connection is closed or aborted.
+
+        :return: False if neither happened in time.
+        """
+        return bool(self._read_poll.poll(timeout_s * 1e3))
+
+    def receive(
+        self,
+        deadline: deadlines.Deadline,
+        matches: ReplyMatcher = lambda reply: True,
+    ) -> HttpReply:
+        """Wait for the complete response to the request that was sent.
+
+        :param matches: see ``exchange``.
+        :raises ConnectionSilent: no complete response before the deadline.
+        :raises ConnectionBroken: the connection was closed, or the server
+            sent no valid response.
+        """
+        try:
+            return self._receive_reply(deadline, matches)
         except TimeoutError as error:
             raise errors.ConnectionSilent('no complete response') from error
         except OSError as error:
@@ -156,18 +199,14 @@
             raise errors.ConnectionStale('the connection idled too long')
         # A readable socket means that the server has closed the connection
         # or sent bytes that belong to no request.
-        if self._read_poll.poll(0):
+        if self._check_poll.poll(0):
             raise errors.ConnectionStale('closed, or unexpected bytes')
 
-    def _exchange(
-        self,
-        request: HttpRequest,
-        deadline: deadlines.Deadline,
-        matches: ReplyMatcher,
+    def _receive_reply(
+        self, deadline: deadlines.Deadline, matches: ReplyMatcher
     ) -> HttpReply:
-        self._send(_encode(request), deadline)
         parser = reply_parser.ReplyParser(
-            request.method, reply_allowance.ReplyAllowance(self._quota)
+            self._method, reply_allowance.ReplyAllowance(self._quota)
         )
         for _ in range(_MAX_UNMATCHED_REPLIES + 1):
             while not parser.replies:
--- a/tests/wire/test_http_exchange.py
+++ b/tests/wire/test_http_exchange.py
@@ -281,3 +281,43 @@
         host, port = listener.getsockname()
     with pytest.raises(errors.ConnectFailed):
         http_exchange.connect(f'{host}:{port}', _LONG_S)
+
+
+def test_one_task_sends_while_another_waits_for_the_reply() -> None:
+    """Guards against a check before sending that disturbs the waiting task.
+
+    A poll object raises an error if two tasks use it at the same time.
+    """
+    with _exchange(_answering(_OK, _OK)) as exchange:
+        _send(exchange)
+        readable: list[bool] = []
+        waiting = threading.Thread(
+            target=lambda: readable.append(exchange.await_readable(_LONG_S))
+        )
+        waiting.start()
+        deadline = deadlines.Deadline.after(_CLOCK, _LONG_S)
+        exchange.send(_REQUEST, deadline)
+        waiting.join(_LONG_S)
+        assert readable == [True]
+        assert exchange.receive(deadline, _matches).body == b'ok'
+
+
+def test_abort_wakes_the_task_that_waits_for_bytes() -> None:
+    """Guards against an idle connection whose task can't be ended."""
+    with _exchange(_answering(_OK)) as exchange:
+        _send(exchange)
+        readable: list[bool] = []
+        waiting = threading.Thread(
+            target=lambda: readable.append(exchange.await_readable(_LONG_S))
+        )
+        waiting.start()
+        exchange.abort()
+        waiting.join(_LONG_S)
+        assert readable == [True]
+
+
+def test_no_bytes_in_time() -> None:
+    """Guards against an idle connection that is never closed."""
+    with _exchange(_answering(_OK)) as exchange:
+        _send(exchange)
+        assert not exchange.await_readable(0.01)
