Split the modules of a request's parts and of its task

The timing of hedges, the history of sends, the log of a part and the description of its failure move into modules of their own. The behaviour does not change.

--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -26,6 +26,7 @@
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import part as part_module
 from corianderport_tier.request import records
+from corianderport_tier.request import task_hedges
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
@@ -40,9 +41,6 @@
 # Variation of that time. From busy hosts with links of 20 Mbit/s, answers
 # reach their callers 4 ms later than the round trip explains.
 _PATH_MARGIN_S = 0.005
-# Nearly all replies arrive within this multiple of a route's median latency.
-# The parts that a gather lacks so long before its goal are hedged at once.
-_COMPLETION_RATIO = 1.5
 # Maximum retry delay given to a refused caller, as a fraction of its
 # remaining time: a caller does not wait past its deadline.
 _MAX_RETRY_AFTER_FRACTION = 0.25
@@ -118,17 +116,13 @@
             - _PATH_MARGIN_S
             - host.answer_delay.expected_s
         )
-        # Latest time of a hedge whose reply can arrive by the goal.
-        self._latest_hedge_s = self.goal_s
-        # When to hedge the parts without which a gather would miss its goal;
-        # None once this is done.
-        self._completion_hedge_s: float | None = None
-        if isinstance(route.target, routes.Gather):
-            median_s = host.latency(route).median_s
-            self._latest_hedge_s -= median_s
-            self._completion_hedge_s = (
-                self.goal_s - _COMPLETION_RATIO * median_s
-            )
+        self._hedges = task_hedges.TaskHedges(
+            self._parts,
+            self._progress,
+            host.latency(route),
+            self.goal_s,
+            gathered=isinstance(route.target, routes.Gather),
+        )
         # Whether the answer was only waiting for the goal.
         self.answered_at_goal = False
 
@@ -278,13 +272,7 @@
         now_s = self._clock.monotonic()
         if self.goal_s > now_s:
             timers_s.append(self.goal_s)
-        if self._completion_hedge_s is not None:
-            timers_s.append(self._completion_hedge_s)
-        timers_s.extend(
-            due_s
-            for due_s in map(self._hedge_due_s, self._parts)
-            if due_s is not None
-        )
+        timers_s.extend(self._hedges.timers_s())
         timers_s.extend(
             p.resume_at_s for p in self._parts if p.resume_at_s is not None
         )
@@ -295,58 +283,7 @@
         for part in self._parts:
             if part.resume_at_s is not None and part.resume_at_s <= now_s:
                 part.resume()
-        self._hedge(now_s)
-        if (
-            self._completion_hedge_s is not None
-            and self._completion_hedge_s <= now_s
-        ):
-            self._completion_hedge_s = None
-            self._hedge_lacking_parts(now_s)
-
-    def _hedge_due_s(self, part: Part) -> float | None:
-        """Return when a hedge of a part is due.
-
-        A gather is answered at its goal without the parts that are late. A
-        hedge whose reply would arrive after that waits until then, and is
-        sent only if too few parts have answered.
-        """
-        due_s = part.hedge_at_s
-        if due_s is None or due_s <= self._latest_hedge_s:
-            return due_s
-        return max(due_s, self.goal_s)
-
-    def _hedge_lacking_parts(self, now_s: float) -> None:
-        """Hedge as many parts as the gather needs to be answered in time.
-
-        The usual delay of a hedge is a quantile of the route's latencies,
-        which is longer than the goal allows while many searchers are slow.
-        """
-        lacking = self._progress().lacking
-        # The parts that are hedged already are likely to arrive, and so are
-        # those that were sent just now.
-        lacking -= sum(p.running_sends > 1 for p in self._parts)
-        late_s = now_s - self._host.latency(self._route).median_s
-        waiting = [
-            (since_s, number)
-            for number, part in enumerate(self._parts)
-            if (since_s := part.unhedged_since_s) is not None
-            and since_s <= late_s
-        ]
-        for _, number in sorted(waiting):
-            if lacking <= 0:
-                return
-            if self._parts[number].hedge(among_last=True):
-                lacking -= 1
-
-    def _hedge(self, now_s: float) -> None:
-        if self._latest_hedge_s < now_s < self.goal_s:
-            return
-        among_last = self._progress().among_last
-        for part in self._parts:
-            due_s = self._hedge_due_s(part)
-            due = due_s is not None and due_s <= now_s
-            if due or among_last and part.hedge_denied:
-                part.hedge(among_last)
+        self._hedges.on_timer(now_s)
 
     def _decide(self) -> forward_messages.ForwardAnswer | None:
         if isinstance(self._route.target, routes.Gather):
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -6,8 +6,6 @@
 import enum
 
 from corianderport_tier import clocks
-from corianderport_tier.connection import pool
-from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import decision_log
@@ -18,41 +16,24 @@
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
+from corianderport_tier.request import hedge_timing
 from corianderport_tier.request import inboxes
+from corianderport_tier.request import part_failures
+from corianderport_tier.request import part_log
+from corianderport_tier.request import send_history
 from corianderport_tier.request import send_results
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
 __all__ = ['Part', 'PartState']
 
-_LOG_KINDS = {False: 'retry', True: 'hedge'}
-# First sends are only counted; the decision line of the answer implies them.
-_FIRST_SEND = decision_log.Decision('route', '', '', 'first send')
 # Without this limit, one request to a service that refuses every send would
 # use up the budget of extra sends shared by all requests.
 _MAX_SENDS_PER_PART = 4
-# An idle connection that carried a reply this recently is assumed open.
-_VERIFIED_MAX_AGE_S = 1.0
 # Fraction of the budget slack that hedges leave to retries of failed sends.
 _HEDGE_RESERVE = 0.3
-# Minimum hedge delay as a multiple of the route's median latency, for routes
-# whose latencies vary little.
-_MIN_HEDGE_DELAY_RATIO = 1.3
-# A hedge leaves this multiple of the median latency until the goal, in which
-# nearly all replies to it arrive. An earlier one would often repeat a request
-# that is answered in time, at the expense of requests with less time.
-_GOAL_RESERVE_RATIO = 2.5
 
 Code = result_codes.ResultCode
-# Codes of a part that no searcher ran; any other one becomes NO_UPSTREAM.
-_NOT_RUN_CODES = frozenset(
-    {
-        Code.NOT_READY,
-        Code.OVERLOADED,
-        Code.UNAUTHENTICATED,
-        Code.UPSTREAM_REFUSED,
-    }
-)
 
 
 class PartState(enum.Enum):
@@ -103,18 +84,15 @@
         self._class = request_class
         self._inbox = inbox
         self._clock = clock
-        self._log = log
+        self._history = send_history.SendHistory()
+        self._log = part_log.PartLog(
+            log, request.request_id, service.name, self._history
+        )
         self._goal = goal
+        self._hedge_timing = hedge_timing.HedgeTiming(latency, goal, clock)
         self._sends: list[forward_send.SendAttempt] = []
-        self._tried: list[str] = []
         # The choices of all sends, for the log and the metrics.
         self.choices: list[service_searchers.Choice] = []
-        self._carriers: list[transports.SearcherTransport] = []
-        self._sent_count = 0
-        self._possible_runs = 0
-        # Seconds from the latest send to a hedge; None if none is to follow.
-        self._hedge_after_s: float | None = None
-        self._hedge_denied = False
         self._resume_at_s: float | None = None
         self._last_failure: tuple[Code, str] | None = None
         self._failed_reply: forward_messages.SearcherReply | None = None
@@ -122,26 +100,14 @@
     @property
     def may_have_run(self) -> bool:
         """Whether any searcher may have run the request."""
-        return self._possible_runs > 0 or any(s.sent for s in self._sends)
+        return self._history.ran > 0 or any(s.sent for s in self._sends)
 
     @property
     def hedge_at_s(self) -> float | None:
         """Time at which to consider a hedge; None if none is due."""
-        if (
-            self.state is not PartState.PENDING
-            or not self._sends
-            or self._hedge_after_s is None
-        ):
+        if self.state is not PartState.PENDING or not self._sends:
             return None
-        latest = self._sends[-1]
-        if latest.sent_s is not None:
-            return latest.sent_s + self._hedge_after_s
-        # The attempt waits for this host, or for a connection that may never
-        # open: look again once it is late if sent at once, then hedge.
-        at_s = latest.started_s + self._hedge_after_s
-        if self._clock.monotonic() >= at_s:
-            at_s += self._hedge_after_s
-        return at_s
+        return self._hedge_timing.due_s(self._sends[-1])
 
     @property
     def running_sends(self) -> int:
@@ -163,7 +129,7 @@
     def hedge_denied(self) -> bool:
         """Whether a due hedge was left out to spare the budget."""
         return (
-            self._hedge_denied
+            self._hedge_timing.denied
             and self.state is PartState.PENDING
             and bool(self._sends)
         )
@@ -185,22 +151,19 @@
             parts.
         :return: whether the request was sent.
         """
-        self._hedge_after_s = None
-        self._hedge_denied = False
+        self._hedge_timing.stop()
         running = len(self._sends)
-        if self._possible_runs + running >= self._route.attempts:
+        if self._history.ran + running >= self._route.attempts:
             return False
-        choice = self.service.choose(self._tried, self._class)
+        choice = self.service.choose(self._history.tried, self._class)
         if isinstance(choice, service_searchers.NoChoice):
             return False
         if not self.service.try_extra(0.0 if among_last else _HEDGE_RESERVE):
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
             )
-            self._hedge_denied = not among_last
-            self._log_decision(
-                'no-hedge', choice.state.name, 'budget is spent'
-            )
+            self._hedge_timing.denied = not among_last
+            self._log.record('no-hedge', choice.state.name, 'budget is spent')
             return False
         self._start(choice, hedge=True)
         return True
@@ -223,7 +186,7 @@
         reference_s = send.choice.policy.reference_s(self._class)
         result = send_results.send_result(send, reply, reference_s)
         if result.leaving or result.pause_s > 0:
-            self._log_statements(send, result)
+            self._log.statements(send, result)
         self.service.finish(send.choice, result)
         if isinstance(reply, forward_messages.SearcherReply) and reply.final:
             self._class.record(send.elapsed_s)
@@ -243,8 +206,8 @@
         send = event.send
         self._sends.remove(send)
         if send.carrier is not None:
-            self._carriers.append(send.carrier)
-            self._sent_count += 1
+            self._history.carriers.append(send.carrier)
+            self._history.sent += 1
         if send.sent_s is not None:
             self.sent_s = min(self.sent_s, send.sent_s)
         if self.state is not PartState.PENDING:
@@ -265,7 +228,7 @@
         reply: forward_messages.SearcherReply,
     ) -> None:
         if reply.ran:
-            self._possible_runs += 1
+            self._history.ran += 1
         if reply.succeeded if self._gathered else reply.final:
             self._latency.record(send.elapsed_s)
             self.reply = reply
@@ -285,7 +248,7 @@
     def _on_error(self, send: forward_send.SendAttempt, error: object) -> None:
         if isinstance(error, errors.Unauthenticated | errors.KeyUnconfirmed):
             # No other searcher may be sent to either.
-            self._log_decision('send-refused', send.searcher, str(error))
+            self._log.record('send-refused', send.searcher, str(error))
             if not self._sends:
                 self._fail(error.code, str(error))
             return
@@ -294,13 +257,13 @@
         )
         if not_sent:
             if send.sent:
-                self._sent_count -= 1
+                self._history.sent -= 1
             if isinstance(error, errors.ConnectionStale):
                 # The connection was stale; the searcher may be tried again.
-                self._tried.remove(send.searcher)
+                self._history.tried.remove(send.searcher)
             self._retry_or_fail(send, Code.NO_UPSTREAM, str(error))
             return
-        self._possible_runs += 1
+        self._history.ran += 1
         code = Code.OUTCOME_UNKNOWN
         self._retry_or_fail(send, code, f'{type(error).__name__}: {error}')
 
@@ -308,35 +271,33 @@
         self, send: forward_send.SendAttempt, code: Code, reason: str
     ) -> None:
         """Send the request again if that is allowed, else fail the part."""
-        self._log_decision('send-failed', send.searcher, reason)
+        self._log.record('send-failed', send.searcher, reason)
         if self._sends:
             return
-        ran = self._possible_runs
+        ran = self._history.ran
         if ran and not self._route.idempotent:
             self._fail(code, reason)
         elif (
             ran >= self._route.attempts
-            or self._sent_count >= _MAX_SENDS_PER_PART
+            or self._history.sent >= _MAX_SENDS_PER_PART
         ):
             self._fail(code, reason)
         else:
             self._send((code, reason))
 
     def _send(self, failed: tuple[Code, str] | None = None) -> None:
-        choice = self.service.choose(self._tried, self._class)
+        choice = self.service.choose(self._history.tried, self._class)
         if choice is service_searchers.NoChoice.ALL_TRIED and failed:
             choice = self.service.choose((), self._class)
         if isinstance(choice, service_searchers.NoChoice):
             self._on_no_choice(choice, failed)
             return
-        if self._sent_count and not self.service.try_extra():
+        if self._history.sent and not self.service.try_extra():
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
             )
             self._fail(*(failed or (Code.OVERLOADED, '')))
-            self._log_decision(
-                'no-retry', choice.state.name, 'budget is spent'
-            )
+            self._log.record('no-retry', choice.state.name, 'budget is spent')
             return
         self._start(choice, hedge=False)
 
@@ -349,46 +310,25 @@
             self.authorization.identity,
         )
         send = forward_send.SendAttempt(self, choice, call, self._clock)
-        if self._tried:
-            self._log_decision(
-                _LOG_KINDS[hedge], choice.state.name, 'another searcher'
-            )
+        if self._history.tried:
+            self._log.another_send(choice.state.name, hedge)
         else:
-            self._log.count(_FIRST_SEND)
+            self._log.first_send()
         self._sends.append(send)
-        self._tried.append(choice.state.name)
+        self._history.tried.append(choice.state.name)
         self.choices.append(choice)
         if self._route.idempotent:
-            median_s = self._latency.median_s
-            spare_s = (
-                self._goal.remaining(self._clock)
-                - _GOAL_RESERVE_RATIO * median_s
-            )
-            self._hedge_after_s = max(
-                self._latency.hedge_after_s,
-                _MIN_HEDGE_DELAY_RATIO * median_s,
-                spare_s,
-            )
+            self._hedge_timing.start()
         try:
-            choice.state.pool.submit(send, self._reuse())
+            choice.state.pool.submit(
+                send,
+                self._history.reuse(
+                    self._route.idempotent, self._clock.monotonic()
+                ),
+            )
         except errors.CorianderportError as error:
             send.finish(error)
 
-    def _reuse(self) -> pool.Reuse:
-        """Return which idle connections may carry the next send.
-
-        All sends of a request have the same id. On a connection that has
-        carried one, a late second copy of the response to it would be taken
-        for the response to the next send.
-
-        An idle connection may have been closed unnoticed. A non-idempotent
-        request that is lost on one cannot be sent again.
-        """
-        verified_since_s = float('-inf')
-        if not self._route.idempotent:
-            verified_since_s = self._clock.monotonic() - _VERIFIED_MAX_AGE_S
-        return pool.Reuse(verified_since_s, tuple(self._carriers))
-
     def _on_no_choice(
         self,
         reason: service_searchers.NoChoice,
@@ -421,50 +361,9 @@
 
     def _fail(self, code: Code, reason: str) -> None:
         self.state = PartState.FAILED
-        if self._possible_runs == 0:
-            # The request did not run, whatever the last error was.
-            if code not in _NOT_RUN_CODES:
-                code = Code.NO_UPSTREAM
-            self.failure = forward_messages.Failure(
-                code,
-                reason,
-                None
-                if code is Code.UNAUTHENTICATED
-                else self.service.retry_delay_s(),
-            )
-        else:
-            if code.ran is result_codes.Ran.NO:
-                # Another send of the request may have run.
-                code = Code.OUTCOME_UNKNOWN
-            self.failure = forward_messages.Failure(code, reason)
-            self.reply = self._failed_reply
-
-    def _log_statements(
-        self, send: forward_send.SendAttempt, result: searcher_state.SendResult
-    ) -> None:
-        """Log what a searcher states about accepting more requests."""
-        if result.leaving and not send.choice.state.availability.leaving:
-            self._log_decision(
-                'leaving', send.searcher, 'the searcher said that it leaves'
-            )
-        if result.pause_s > 0:
-            self._log_decision(
-                'paused',
-                send.searcher,
-                f'the searcher wants no request for {result.pause_s:g} s',
-            )
-
-    def _log_decision(self, kind: str, choice: str, reason: str) -> None:
-        self._log.record(
-            decision_log.Decision(
-                kind=kind,
-                request_id=self._request.request_id,
-                choice=choice,
-                reason=reason,
-                inputs={
-                    'service': self.service.name,
-                    'tried': len(self._tried),
-                    'ran': self._possible_runs,
-                },
-            )
+        may_have_run = self._history.ran > 0
+        self.failure = part_failures.describe(
+            code, reason, may_have_run, self.service.retry_delay_s
         )
+        if may_have_run:
+            self.reply = self._failed_reply
