Serve the sends that wait for capacity in an order

Capacity that becomes free is reserved for one waiting send, by urgency where requests of a service may have different priorities, else in the order of arrival. Before, all waiting tasks were woken and competed for it with requests that had just arrived. Capacity that became free between the choice and the wait was not noticed until the next result.

--- a/packages/tier/src/corianderport_tier/process/directory.py
+++ b/packages/tier/src/corianderport_tier/process/directory.py
@@ -323,6 +323,9 @@
         mixed_ranks: frozenset[str] = (
             self._routing.mixed_rank_services if self._routing else frozenset()
         )
+        by_urgency: frozenset[str] = (
+            self._routing.services_by_urgency if self._routing else frozenset()
+        )
         names = usable.keys() | parameters.keys()
         services = dict(self._services)
         for name in services.keys() - names:
@@ -331,6 +334,10 @@
             if name not in services:
                 services[name] = self._create_service(name)
             services[name].update(
-                parameters.get(name), usable[name], cold, name in mixed_ranks
+                parameters.get(name),
+                usable[name],
+                cold,
+                name in mixed_ranks,
+                name in by_urgency,
             )
         self._services = services
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -8,18 +8,19 @@
 import random
 import threading
 
-import attrs
-
 from corianderport_tier import clocks
 from corianderport_tier.process import budgets
 from corianderport_tier.process import candidates
+from corianderport_tier.process import capacity_waits
 from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import placement
 from corianderport_tier.process import ratings
 from corianderport_tier.process import rendezvous
 from corianderport_tier.process import searcher_state
+from corianderport_tier.process import send_choice
 from corianderport_tier.process import send_interval
+from corianderport_tier.process import send_order
 from corianderport_tier.process import stated_availability
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
@@ -43,26 +44,12 @@
 _IDLE_S = 20.0
 _OVERFLOW_IDLE_S = 0.5
 
+Choice = send_choice.Choice
 OpenPool = collections.abc.Callable[
     [registrations.Registration, int], searcher_state.SendPool
 ]
 
 
-@attrs.frozen
-class Choice:
-    """A chosen searcher and the key of the send.
-
-    ``expected_s`` is the expected run time of the request, and
-    ``outstanding_s`` the searcher's outstanding work before it.
-    """
-
-    state: SearcherState
-    key: int
-    policy: placement.PlacementPolicy
-    expected_s: float
-    outstanding_s: float
-
-
 class ServiceSearchers:
     """The searchers of one service that may receive requests."""
 
@@ -87,7 +74,7 @@
         self._availability = stated_availability.AvailabilityRecords()
         self._parameters: routes.ServiceParameters | None = None
         self._next_key = 0
-        self._capacity_callbacks: list[collections.abc.Callable[[], None]] = []
+        self._waits = capacity_waits.CapacityWaits()
         self._extra = self._new_budget()
         # In a large fleet the share of a host is one or two sends. Rounding
         # it down on every host would leave much of the bound unused; with a
@@ -104,6 +91,7 @@
         registered: collections.abc.Iterable[registrations.Registration],
         cold: collections.abc.Container[str] = (),
         mixed_ranks: bool = False,
+        by_urgency: bool = False,
     ) -> None:
         """Replace the set of searchers that may receive requests.
 
@@ -112,10 +100,15 @@
             they have returned to service.
         :param mixed_ranks: whether routes of the highest priority share the
             service with others.
+        :param by_urgency: whether waiting sends are served by urgency, since
+            the requests of the service may have different priorities.
         """
         now_s = self._clock.monotonic()
         with self._lock:
             self._update_budget()
+            self._waits.set_order(
+                send_order.URGENCY if by_urgency else send_order.ARRIVAL
+            )
             if parameters is not None:
                 self._parameters = parameters
                 self._filter.cold_rate = parameters.cold_rate
@@ -152,7 +145,7 @@
                 {s.registration.lifetime for s in self._states.values()},
                 now_s,
             )
-            self._run_capacity_callbacks()
+            self._serve_waiting(now_s)
 
     def may_send(self, state: SearcherState) -> bool:
         """Whether a searcher may still receive requests.
@@ -173,40 +166,11 @@
 
         :param excluded: names of searchers that must not be chosen.
         """
-        expected_s = request_class.expected_s
         now_s = self._clock.monotonic()
         with self._lock:
-            found = self._filter.candidates(
-                self._states.values(), excluded, now_s
-            )
-            if isinstance(found, NoChoice):
-                return found
-            half_life_s = self._half_life_s()
-            policy = self._policy
-            cost, random = policy.cost, self._rng.random
-            best, best_rating = found[0], (math.inf, 0.0)
-            for state in found:
-                state.latency_half_life_s = half_life_s
-                # Ties are broken at random.
-                rating = (cost(state, request_class, now_s), random())
-                if rating < best_rating:
-                    best, best_rating = state, rating
-            outstanding_s = best.outstanding_s(now_s)
-            self._next_key += 1
-            best.start(
-                self._next_key,
-                now_s,
-                policy.reference_s(request_class),
-                expected_s,
-            )
-            policy.record(request_class)
-            return Choice(
-                best,
-                self._next_key,
-                policy,
-                expected_s,
-                outstanding_s,
-            )
+            # Searchers may have ended their backoff since the last result.
+            self._serve_waiting(now_s)
+            return self._choose(excluded, request_class, now_s)
 
     def ratings(
         self, request_class: cost_estimates.RequestClass
@@ -245,8 +209,9 @@
                 choice.state.availability = self._availability.of(
                     choice.state.registration.lifetime
                 )
-            choice.state.finish(choice.key, result, self._clock.monotonic())
-            self._run_capacity_callbacks()
+            now_s = self._clock.monotonic()
+            choice.state.finish(choice.key, result, now_s)
+            self._serve_waiting(now_s)
 
     def set_cold(self, state: SearcherState, seconds: float) -> None:
         """Mark a searcher as cold after it has reported so."""
@@ -269,12 +234,26 @@
         with self._lock:
             return self._extra.try_spend(self._clock.monotonic(), slack=slack)
 
-    def notify_on_capacity(
-        self, callback: collections.abc.Callable[[], None]
-    ) -> None:
-        """Call ``callback`` once when a searcher may have capacity again."""
+    def wait_for_capacity(self, send: send_order.WaitingSend) -> None:
+        """Notify a send when it is given capacity at a searcher.
+
+        The send is notified at once if there is capacity.
+        """
+        now_s = self._clock.monotonic()
+        with self._lock:
+            self._waits.add(send, now_s)
+            self._serve_waiting(now_s)
+
+    def stop_waiting(self, send: send_order.WaitingSend) -> None:
+        """Remove a waiting send, or take back the capacity it was given.
+
+        Not called for a send whose capacity is in use.
+        """
         with self._lock:
-            self._capacity_callbacks.append(callback)
+            if self._waits.remove(send):
+                return
+        if send.choice is not None:
+            self.finish(send.choice, searcher_state.SendResult(failed=False))
 
     def available_at_s(self) -> float | None:
         """Return when the first searcher ends its backoff or its pause.
@@ -310,6 +289,41 @@
         for state in states.values():
             state.pool.close()
 
+    def _serve_waiting(self, now_s: float) -> None:
+        if self._waits:
+            self._waits.serve(self._choose, now_s)
+
+    def _choose(
+        self,
+        excluded: collections.abc.Collection[str],
+        request_class: cost_estimates.RequestClass,
+        now_s: float,
+    ) -> Choice | NoChoice:
+        found = self._filter.candidates(self._states.values(), excluded, now_s)
+        if isinstance(found, NoChoice):
+            return found
+        expected_s = request_class.expected_s
+        half_life_s = self._half_life_s()
+        policy = self._policy
+        cost, random = policy.cost, self._rng.random
+        best, best_rating = found[0], (math.inf, 0.0)
+        for state in found:
+            state.latency_half_life_s = half_life_s
+            # Ties are broken at random.
+            rating = (cost(state, request_class, now_s), random())
+            if rating < best_rating:
+                best, best_rating = state, rating
+        outstanding_s = best.outstanding_s(now_s)
+        self._next_key += 1
+        best.start(
+            self._next_key,
+            now_s,
+            policy.reference_s(request_class),
+            expected_s,
+        )
+        policy.record(request_class)
+        return Choice(best, self._next_key, policy, expected_s, outstanding_s)
+
     def _new_budget(self) -> budgets.Budget:
         return budgets.Budget(
             budgets.BudgetRatio(self._share.extra_ratio),
@@ -361,8 +375,3 @@
             left_s = max(left_s, self._parameters.warm_up_s)
         if left_s > 0:
             state.warm_up.set_cold(now_s + left_s)
-
-    def _run_capacity_callbacks(self) -> None:
-        callbacks, self._capacity_callbacks = self._capacity_callbacks, []
-        for callback in callbacks:
-            callback()
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -12,6 +12,7 @@
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import drain
+from corianderport_tier.process import send_order
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import forward_messages
@@ -50,7 +51,7 @@
         Called on the request's task.
         """
 
-    def on_capacity(self) -> None:
+    def on_capacity(self, send: send_order.WaitingSend) -> None:
         """Send the request if it had to wait for capacity."""
 
 
@@ -64,9 +65,10 @@
 
 @attrs.frozen
 class CapacityFreed:
-    """Event: a searcher of a service may have capacity."""
+    """Event: a send does not have to wait for capacity any longer."""
 
     part: SendOwner
+    send: send_order.WaitingSend
 
 
 @attrs.frozen
--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -261,7 +261,7 @@
         if isinstance(event, forward_send.SendFinished):
             event.send.part.on_result(event)
         elif isinstance(event, forward_send.CapacityFreed):
-            event.part.on_capacity()
+            event.part.on_capacity(event.send)
         elif isinstance(event, drain.DrainBegun):
             self._answer_by = min(self._answer_by, event.deadline)
         else:
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -11,6 +11,7 @@
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import route_latency
 from corianderport_tier.process import searcher_state
+from corianderport_tier.process import send_order
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
@@ -93,6 +94,7 @@
         self._sends: list[forward_send.SendAttempt] = []
         # The choices of all sends, for the log and the metrics.
         self.choices: list[service_searchers.Choice] = []
+        self._waiting: send_order.WaitingSend | None = None
         self._resume_at_s: float | None = None
         self._last_failure: tuple[Code, str] | None = None
         self._failed_reply: forward_messages.SearcherReply | None = None
@@ -168,9 +170,14 @@
         self._start(choice, hedge=True)
         return True
 
-    def on_capacity(self) -> None:
-        """Retry a send that had to wait for capacity."""
-        if self.state is PartState.PENDING and not self._sends:
+    def on_capacity(self, send: send_order.WaitingSend) -> None:
+        """Continue a send that had to wait for capacity."""
+        if send is not self._waiting:
+            return
+        self._waiting = None
+        if send.choice is not None:
+            self._send_to(send.choice)
+        else:
             self._send()
 
     def resume(self) -> None:
@@ -218,7 +225,10 @@
             self._on_error(send, event.reply)
 
     def cancel(self, at_once: bool = False) -> None:
-        """Cancel all running attempts."""
+        """Cancel all running attempts and the wait for capacity."""
+        if self._waiting is not None:
+            waiting, self._waiting = self._waiting, None
+            self.service.stop_waiting(waiting)
         for send in self._sends:
             send.cancel(at_once)
 
@@ -292,6 +302,13 @@
         if isinstance(choice, service_searchers.NoChoice):
             self._on_no_choice(choice, failed)
             return
+        self._send_to(choice, failed)
+
+    def _send_to(
+        self,
+        choice: service_searchers.Choice,
+        failed: tuple[Code, str] | None = None,
+    ) -> None:
         if self._history.sent and not self.service.try_extra():
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
@@ -335,9 +352,7 @@
         failed: tuple[Code, str] | None,
     ) -> None:
         if reason is service_searchers.NoChoice.FULL:
-            self.service.notify_on_capacity(
-                lambda: self._inbox.put(forward_send.CapacityFreed(self))
-            )
+            self._wait_for_capacity()
             return
         if (
             reason is service_searchers.NoChoice.PAUSED
@@ -347,6 +362,19 @@
         code, detail = failed or (Code.NO_UPSTREAM, reason.value)
         self._fail(code, detail)
 
+    def _wait_for_capacity(self) -> None:
+        self._waiting = send_order.WaitingSend(
+            frozenset(self._history.tried),
+            self._class,
+            send_order.Urgency.of_request(
+                self.authorization.rank(self._route),
+                self._goal.at_s - self._class.expected_s,
+                self._route.timeout_s,
+            ),
+            lambda s: self._inbox.put(forward_send.CapacityFreed(self, s)),
+        )
+        self.service.wait_for_capacity(self._waiting)
+
     def _wait_for_pause(self, failed: tuple[Code, str] | None) -> bool:
         """Wait for the end of a pause; return False if it ends too late."""
         resume_at_s = self.service.available_at_s()
--- a/packages/tier/src/corianderport_tier/version/routes.py
+++ b/packages/tier/src/corianderport_tier/version/routes.py
@@ -3,6 +3,7 @@
 Versioned routing of callers' requests to services.
 """
 
+import collections
 import collections.abc
 import functools
 
@@ -148,6 +149,21 @@
         other = {n for r in self.routes if r.rank != 0 for n in r.services}
         return frozenset(urgent & other)
 
+    @functools.cached_property
+    def services_by_urgency(self) -> frozenset[str]:
+        """Services whose requests may have different priorities.
+
+        The priority of a request is that of its workspace, else of its route.
+        """
+        by_workspace = {w.rank for w in self.workspaces or ()}
+        ranks: dict[str, set[int]] = collections.defaultdict(set)
+        for route in self.routes:
+            for name in route.services:
+                ranks[name] |= by_workspace
+                if self.workspaces is None or route.public:
+                    ranks[name].add(route.rank)
+        return frozenset(n for n, found in ranks.items() if len(found) > 1)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix."""
         prefixes = self._by_host.get(host)
--- a/tests/tier/test_service_searchers.py
+++ b/tests/tier/test_service_searchers.py
@@ -8,6 +8,7 @@
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import placement
 from corianderport_tier.process import searcher_state
+from corianderport_tier.process import send_order
 from corianderport_tier.process import service_searchers
 from corianderport_tier.process import stated_availability
 
@@ -147,10 +148,19 @@
 ) -> None:
     chosen = [_choose(service) for _ in range(9)]
     assert service.choose((), entries.request_class(0.01)) is NoChoice.FULL
-    woken = []
-    service.notify_on_capacity(lambda: woken.append(True))
+    woken: list[send_order.WaitingSend] = []
+    send = send_order.WaitingSend(
+        frozenset(),
+        entries.request_class(0.01),
+        send_order.Urgency(0, 0.0, 1.0),
+        woken.append,
+    )
+    service.wait_for_capacity(send)
+    assert woken == []
     service.finish(chosen[0], SendResult(failed=False))
-    assert woken == [True]
+    assert woken == [send]
+    assert send.choice is not None
+    assert send.choice.state is chosen[0].state
 
 
 def test_extra_sends_stay_within_the_share_of_requests(
