Explain the check of a key, the quota and the age of the store

corianderport explain where sends the key to the host in a header. The host previews its decision without spending a token, asking an owner or logging.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -36,6 +36,7 @@
 from corianderport_tier.process import service_searchers
 from corianderport_tier.process import store_freshness
 from corianderport_tier.request import deadlines
+from corianderport_tier.request import explanation
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forwarding
 from corianderport_tier.version import registrations
@@ -92,6 +93,11 @@
         :raises MalformedRequest: the request cannot be decoded.
         """
 
+    def given_key(
+        self, request: caller_listener.ReceivedRequest
+    ) -> explanation.GivenKey | None:
+        """Return the key of a request; None if it states none."""
+
     def answer(
         self,
         answer: forward_messages.ForwardAnswer,
@@ -373,7 +379,9 @@
             from corianderport_wire.request import explain_codec
 
             return explain_codec.respond(
-                received.target, self._forwarder.explainer.explain
+                received.target,
+                self._adapter.given_key(received),
+                self._forwarder.explainer.explain,
             )
         from corianderport_wire.process import metrics_text
 
--- a/packages/operator/src/corianderport_operator/process/where_command.py
+++ b/packages/operator/src/corianderport_operator/process/where_command.py
@@ -21,6 +21,9 @@
 _REQUEST_TIMEOUT_S = 5.0
 _EXIT_PROBLEM = 1
 _OK = 200
+# Sent to the host as a header instead of in the query, so that no log of
+# requests can hold the key.
+_KEY_HEADER = 'authorization'
 
 Fields = dict[str, typing.Any]
 
@@ -45,7 +48,9 @@
         method: method of the request.
         url: URL of the request, with the name of its host.
         host: metrics address of the host.
-        header: header of the request, NAME:VALUE; may be repeated.
+        header: header of the request, NAME:VALUE; may be repeated. With
+            'Authorization: Bearer KEY', the check of the key and the quota
+            are shown too; no token is spent, and the key is not shown.
         json: print JSON instead of tables.
     """
     parts = urllib.parse.urlsplit(url)
@@ -57,8 +62,13 @@
     if parts.query:
         target += f'?{parts.query}'
     query = [('method', method), ('host', parts.netloc), ('path', target)]
-    query += [('header', line) for line in header.splitlines() if line]
-    fields = _read(sources.parse_address('host', host), query)
+    keys = []
+    for line in filter(None, header.splitlines()):
+        if line.partition(':')[0].strip().lower() == _KEY_HEADER:
+            keys.append(line)
+        else:
+            query.append(('header', line))
+    fields = _read(sources.parse_address('host', host), query, keys)
     if json:
         output.print_json(fields)
     else:
@@ -67,12 +77,15 @@
         sys.exit(_EXIT_PROBLEM)
 
 
-def _read(address: str, query: list[tuple[str, str]]) -> Fields:
+def _read(
+    address: str, query: list[tuple[str, str]], keys: list[str]
+) -> Fields:
     client = curl_client.CurlClient(address, _CONNECT_TIMEOUT_S)
     try:
         reply = client.get(
             f'{explain_codec.PATH}?{urllib.parse.urlencode(query)}',
             _REQUEST_TIMEOUT_S,
+            keys,
         )
     finally:
         client.close()
@@ -88,7 +101,7 @@
 
 
 def _print(fields: Fields) -> None:
-    print(f'version {fields["version"]}')
+    print(f'version {fields["version"]}, {_store_age(fields)}')
     route = fields['route']
     if route is not None:
         kind = 'gather' if route['gather'] else 'single'
@@ -97,6 +110,8 @@
             f'{kind}, priority {route["priority"]}, expected cost '
             f'{fields["expected_s"] * 1e3:.1f} ms'
         )
+    if fields.get('key') is not None:
+        _print_key(fields['key'])
     print(f'refused: {fields["refusal"]}' if fields['refusal'] else 'admitted')
     if fields['services']:
         output.print_table(
@@ -109,6 +124,40 @@
         )  # fmt: skip
 
 
+def _store_age(fields: Fields) -> str:
+    # Hosts of earlier versions state no age.
+    age_s = fields.get('store_age_s')
+    if age_s is None:
+        return 'age of the knowledge of the store unknown'
+    return f'knowledge of the store {age_s:.1f} s old'
+
+
+def _print_key(key: Fields) -> None:
+    if not key['needed']:
+        print('key: not needed')
+    elif key['refusal']:
+        print(f'key: refused, {key["refusal"]}')
+    elif not key['workspace']:
+        print('key: the route is served without one')
+    else:
+        print(
+            f'key: accepted, workspace {key["workspace"]}, '
+            f'priority {key["priority"]}'
+        )
+        print(f'quota: {_quota(key["quota"])}')
+
+
+def _quota(quota: Fields | None) -> str:
+    if quota is None:
+        return 'none'
+    limit = f'{quota["rate_per_s"]:g} a second, burst {quota["burst"]:g}'
+    if quota['refusal']:
+        return f'{limit}; refused, {quota["refusal"]}'
+    if quota['tokens']:
+        return f'{limit}; admitted, the host holds {quota["tokens"]} tokens'
+    return f'{limit}; the host holds no token and would ask the owners'
+
+
 def _rows(service: Fields) -> list[tuple[object, ...]]:
     head = (
         service['service'],
--- a/packages/tier/src/corianderport_tier/process/quota_account.py
+++ b/packages/tier/src/corianderport_tier/process/quota_account.py
@@ -76,6 +76,10 @@
                 return QuotaToken(self.name, expires_s)
         return None
 
+    def held(self, now_s: float) -> int:
+        """Return the number of tokens that have not expired."""
+        return sum(expires_s > now_s for expires_s in self._tokens)
+
     def add(self, tokens: int, expires_s: float) -> None:
         """Add granted tokens."""
         self._tokens.extend([expires_s] * tokens)
--- a/packages/tier/src/corianderport_tier/process/quotas.py
+++ b/packages/tier/src/corianderport_tier/process/quotas.py
@@ -14,6 +14,7 @@
 from corianderport_tier.process import quota_account
 from corianderport_tier.process import quota_bucket
 from corianderport_tier.process import quota_calls
+from corianderport_tier.process import quota_outlook
 from corianderport_tier.version import workspaces
 
 __all__ = ['QuotaToken', 'Quotas']
@@ -90,6 +91,21 @@
             with account.condition:
                 account.waiting -= 1
 
+    def outlook(
+        self, workspace: workspaces.Workspace
+    ) -> quota_outlook.QuotaOutlook | None:
+        """Return what ``admit`` would decide now; change nothing.
+
+        :return: None if the workspace has no quota.
+        """
+        if self._bounds() is None or workspace.rate_per_s <= 0:
+            return None
+        with self._lock:
+            account = self._accounts.get(workspace.name)
+        return quota_outlook.outlook(
+            account, workspace, self._clock.monotonic()
+        )
+
     def give_back(self, token: quota_account.QuotaToken) -> None:
         """Return a token whose request no searcher has run."""
         account = self._account(token.workspace)
--- a/packages/tier/src/corianderport_tier/request/authorization.py
+++ b/packages/tier/src/corianderport_tier/request/authorization.py
@@ -3,6 +3,8 @@
 Decides by its key whether a request may be sent to searchers.
 """
 
+import collections.abc
+
 import attrs
 
 from corianderport_tier import errors
@@ -14,6 +16,10 @@
 
 __all__ = ['Authorization', 'Authorizer']
 
+_Confirm = collections.abc.Callable[
+    [str | None], workspaces_module.Workspace | None
+]
+
 
 class Authorizer:
     """Authorizes requests with the newest keys that this host knows."""
@@ -35,11 +41,22 @@
         :raises Unauthenticated: the route needs a key that is known.
         :raises KeyUnconfirmed: the key cannot be confirmed at present.
         """
+        return self._admit(route, credential, self.confirm)
+
+    def preview(
+        self, route: routes.Route, credential: str | None
+    ) -> 'Authorization':
+        """Return or raise what ``admit`` would; change and log nothing."""
+        return self._admit(route, credential, self._find)
+
+    def _admit(
+        self, route: routes.Route, credential: str | None, confirm: _Confirm
+    ) -> 'Authorization':
         if self._directory.workspaces is None:
             return Authorization(self, None, None, credential)
         try:
             workspace: workspaces_module.Workspace | None
-            workspace = self.confirm(credential)
+            workspace = confirm(credential)
         except (errors.Unauthenticated, errors.KeyUnconfirmed):
             if not route.public:
                 raise
@@ -57,6 +74,15 @@
         :raises Unauthenticated: the key is missing or unknown.
         :raises KeyUnconfirmed: the knowledge of the store is too old.
         """
+        try:
+            return self._find(credential)
+        except errors.KeyUnconfirmed:
+            self._freshness.observe()
+            raise
+
+    def _find(
+        self, credential: str | None
+    ) -> workspaces_module.Workspace | None:
         # The age is read first: it then holds for the keys that are read
         # after it, also if this process is suspended in between.
         fresh = self._freshness.fresh
@@ -66,7 +92,6 @@
         if credential is None:
             raise errors.Unauthenticated('the request has no valid key')
         if not fresh:
-            self._freshness.observe()
             raise errors.KeyUnconfirmed(
                 'the knowledge of the store is too old to confirm a key'
             )
--- a/packages/tier/src/corianderport_tier/request/explanation.py
+++ b/packages/tier/src/corianderport_tier/request/explanation.py
@@ -3,16 +3,30 @@
 Where a request would go now, and why, without sending it.
 """
 
+import math
+
 import attrs
 
+from corianderport_tier import errors
 from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import directory
+from corianderport_tier.process import quota_outlook
+from corianderport_tier.process import quotas as quotas_module
 from corianderport_tier.process import ratings
 from corianderport_tier.process import route_latency
+from corianderport_tier.process import store_freshness
+from corianderport_tier.request import authorization
 from corianderport_tier.request import route_admission
 from corianderport_tier.version import routes
 
-__all__ = ['Explainer', 'Explanation', 'RouteView', 'ServiceView']
+__all__ = [
+    'Explainer',
+    'Explanation',
+    'GivenKey',
+    'KeyView',
+    'RouteView',
+    'ServiceView',
+]
 
 
 @attrs.frozen
@@ -47,12 +61,38 @@
     searchers: tuple[ratings.Rating, ...] = ()
 
 
+@attrs.frozen
+class GivenKey:
+    """The key with which a request would come; None if it is not valid."""
+
+    credential: str | None = attrs.field(repr=False)
+
+
+@attrs.frozen
+class KeyView:
+    """What the check of a key and the quota would decide.
+
+    ``needed`` says whether requests need keys. ``refusal`` says why the key
+    would be refused; it is empty if the key would be accepted. ``workspace``
+    is empty if the request would be served without a key. ``quota`` is None
+    if the workspace has no quota.
+    """
+
+    needed: bool
+    refusal: str = ''
+    workspace: str = ''
+    priority: int | None = None
+    quota: quota_outlook.QuotaOutlook | None = None
+
+
 @attrs.frozen
 class Explanation:
     """Where a request would go now.
 
     ``refusal`` says why the request would not be admitted; it is empty if
-    the request would be admitted.
+    the request would be admitted. ``store_age_s`` is the age of what the host
+    knows of the store, None before it was known to be current. ``key`` is
+    None if no key was given.
     """
 
     version: int | None
@@ -60,6 +100,8 @@
     refusal: str
     expected_s: float = 0.0
     services: tuple[ServiceView, ...] = ()
+    store_age_s: float | None = None
+    key: KeyView | None = None
 
 
 class Explainer:
@@ -71,33 +113,77 @@
         admission: route_admission.RouteAdmission,
         latencies: route_latency.RouteLatencies,
         costs: cost_estimates.CostEstimates,
+        authorizer: authorization.Authorizer,
+        quotas: quotas_module.Quotas | None,
+        freshness: store_freshness.StoreFreshness,
     ) -> None:
         self._directory = searcher_directory
         self._admission = admission
         self._latencies = latencies
         self._costs = costs
+        self._authorizer = authorizer
+        self._quotas = quotas
+        self._freshness = freshness
 
-    def explain(self, host: str, path: str, body_bytes: int) -> Explanation:
-        """Return where a request would go now; change nothing."""
+    def explain(
+        self,
+        host: str,
+        path: str,
+        body_bytes: int,
+        given: GivenKey | None = None,
+    ) -> Explanation:
+        """Return where a request would go now; change nothing.
+
+        :param given: None to leave out the check of the key and the quota.
+        """
+        age_s = self._freshness.age_s
+        store_age_s = None if math.isinf(age_s) else age_s
         admission = self._admission.check(self._directory, host, path)
         version = admission.routing.version if admission.routing else None
         route = admission.route
         if route is None:
-            return Explanation(version, None, admission.detail)
+            return Explanation(
+                version, None, admission.detail, store_age_s=store_age_s
+            )
+        key = None if given is None else self._key_view(route, given)
         request_class = self._costs.peek(
             route, self._latencies.peek(route), body_bytes, path
         )
         return Explanation(
             version,
             _route_view(route),
-            admission.detail,
+            admission.detail or _refusal(key),
             request_class.expected_s,
             tuple(
                 _service_view(self._directory, name, share, request_class)
                 for name, share in _shares(route).items()
             ),
+            store_age_s,
+            key,
         )
 
+    def _key_view(self, route: routes.Route, given: GivenKey) -> KeyView:
+        needed = self._authorizer.needs_keys
+        try:
+            preview = self._authorizer.preview(route, given.credential)
+        except (errors.Unauthenticated, errors.KeyUnconfirmed) as error:
+            return KeyView(needed, str(error))
+        workspace = preview.workspace
+        if workspace is None:
+            return KeyView(needed, priority=route.rank)
+        return KeyView(
+            needed,
+            workspace=workspace.name,
+            priority=preview.rank(route),
+            quota=self._quotas.outlook(workspace) if self._quotas else None,
+        )
+
+
+def _refusal(key: KeyView | None) -> str:
+    if key is None:
+        return ''
+    return key.refusal or (key.quota.refusal if key.quota else '')
+
 
 def _shares(route: routes.Route) -> dict[str, float]:
     if isinstance(route.target, routes.Gather):
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -50,10 +50,11 @@
         quotas: quotas_module.Quotas | None = None,
     ) -> None:
         self._metrics = counts or metrics.Metrics()
+        freshness = freshness or store_freshness.StoreFreshness(
+            clock, log, lambda: False
+        )
         self._authorizer = authorization_module.Authorizer(
-            searcher_directory,
-            freshness
-            or store_freshness.StoreFreshness(clock, log, lambda: False),
+            searcher_directory, freshness
         )
         self._quotas = quotas
         self.drain = host_drain or drain.Drain(clock)
@@ -68,7 +69,13 @@
             self.drain, self._latencies
         )
         self.explainer = explanation.Explainer(
-            searcher_directory, self._admission, self._latencies, self._costs
+            searcher_directory,
+            self._admission,
+            self._latencies,
+            self._costs,
+            self._authorizer,
+            quotas,
+            freshness,
         )
 
     def latency(self, route: routes.Route) -> route_latency.RouteLatency:
--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -16,6 +16,9 @@
 
 __all__ = ['CurlClient', 'HttpReply', 'ReplyCollector']
 
+# An empty Expect header keeps libcurl from sending "Expect: 100-continue" with
+# large bodies, which costs a round trip.
+_HEADERS = ('Content-Type: application/json', 'Expect:')
 _KEEPALIVE_INTERVAL_S = 5
 # The connection is closed when sent data stays unacknowledged for longer.
 _USER_TIMEOUT_MS = 2_000
@@ -157,11 +160,7 @@
         handle.setopt(
             pycurl.CONNECTTIMEOUT_MS, max(1, int(connect_timeout_s * 1e3))
         )
-        # An empty Expect header keeps libcurl from sending "Expect:
-        # 100-continue" with large bodies, which costs a round trip.
-        handle.setopt(
-            pycurl.HTTPHEADER, ['Content-Type: application/json', 'Expect:']
-        )
+        handle.setopt(pycurl.HTTPHEADER, _HEADERS)
         self._handle = handle
 
     def post(self, path: str, body: bytes, timeout_s: float) -> HttpReply:
@@ -211,12 +210,19 @@
             handle.setopt(pycurl.FRESH_CONNECT, 0)
             self._fresh_connect = False
 
-    def get(self, path: str, timeout_s: float) -> HttpReply:
+    def get(
+        self,
+        path: str,
+        timeout_s: float,
+        headers: collections.abc.Sequence[str] = (),
+    ) -> HttpReply:
         """Send a GET request and wait; raises the same errors as post.
 
+        :param headers: further headers, each of the form ``Name: value``.
         :raises ReplyIncomplete: a part of the response arrived in time.
         :raises ReplyTooLarge: the response exceeds 16 MB.
         """
+        self._handle.setopt(pycurl.HTTPHEADER, [*_HEADERS, *headers])
         self._handle.setopt(pycurl.HTTPGET, 1)
         return self._perform(path, timeout_s)
 
--- a/packages/wire/src/corianderport_wire/request/explain_codec.py
+++ b/packages/wire/src/corianderport_wire/request/explain_codec.py
@@ -21,15 +21,22 @@
 _OK = 200
 _BAD_REQUEST = 400
 
-Explain = collections.abc.Callable[[str, str, int], explanation.Explanation]
+Explain = collections.abc.Callable[
+    [str, str, int, explanation.GivenKey | None], explanation.Explanation
+]
 
 
-def respond(target: bytes, explain: Explain) -> caller_listener.HttpResponse:
+def respond(
+    target: bytes, given: explanation.GivenKey | None, explain: Explain
+) -> caller_listener.HttpResponse:
     """Answer a request for an explanation.
 
     Its query has ``method``, ``host``, ``path`` and any number of ``header``,
     each of the form ``name:value``. Of the headers, ``content-length`` decides
-    on the class of the request.
+    on the class of the request. A key is no part of the query, since targets
+    of requests are logged in many places.
+
+    :param given: the key of the request for the explanation; None without.
     """
     query = urllib.parse.urlsplit(target.decode('latin-1')).query
     parameters = urllib.parse.parse_qs(query)
@@ -44,7 +51,7 @@
     length = headers.get('content-length', '0')
     if not length.isdecimal() or not length.isascii():
         return _error('content-length: not a number')
-    explained = explain(host, routes.path_of(path), int(length))
+    explained = explain(host, routes.path_of(path), int(length), given)
     fields = {
         'method': parameters.get('method', ['GET'])[0],
         'host': host,
--- a/tests/adapter/test_codecs.py
+++ b/tests/adapter/test_codecs.py
@@ -268,6 +268,8 @@
     """Guards against 401 because of spaces or the case of the scheme."""
     received = _received((b'authorization', value))
     assert caller_codec.request_from_http(received).credential == 'k1'
+    given = caller_codec.given_key(received)
+    assert given is not None and given.credential == 'k1'
 
 
 @pytest.mark.parametrize(
@@ -290,6 +292,9 @@
     """Guards against a key that is taken from a malformed header."""
     received = _received(*((b'authorization', v) for v in values))
     assert caller_codec.request_from_http(received).credential is None
+    given = caller_codec.given_key(received)
+    assert (given is None) == (not values)
+    assert given is None or given.credential is None
 
 
 def test_no_repr_of_a_request_holds_the_key() -> None:
--- a/tests/adapter/test_entry_process.py
+++ b/tests/adapter/test_entry_process.py
@@ -170,7 +170,7 @@
     return text
 
 
-def _where(host: _Host, url: str) -> str:
+def _where(host: _Host, url: str, *headers: str) -> str:
     """Return what ``corianderport explain where`` prints."""
     output = io.StringIO()
     with contextlib.redirect_stdout(output):
@@ -179,6 +179,7 @@
                 'explain', 'where', 'GET', url,
                 '--host', f'127.0.0.1:{host.metrics}',
                 '--header', 'content-length:5', '--header', 'accept:*/*',
+                *(f'--header={header}' for header in headers),
             ]
         )  # fmt: skip
     return output.getvalue()
@@ -225,6 +226,8 @@
 
     where = _where(host, 'http://a.example/all/x')
     assert 'route r1' in where
+    assert ' s old' in where
+    assert 'key:' not in where
     assert where.count(' chosen ') == 2
     assert 'corianderport_sub_requests_total 3' in _metrics(host)
 
@@ -532,6 +535,19 @@
         host.wait_until(host.is_ready)
 
         assert _status_with_key(host, 'secret-a2') == 200
+        where = _where(
+            host,
+            'http://a.example/one/x',
+            'Authorization: Bearer secret-a2',
+        )
+        assert 'key: accepted, workspace alpha' in where
+        assert 'secret' not in where
+        with pytest.raises(SystemExit):
+            _where(
+                host,
+                'http://a.example/one/x',
+                'Authorization: Bearer secret-unknown',
+            )
         assert _status_with_key(host, 'unknown') == 401
         assert _status_with_key(host, None) == 401
         assert _status_with_key(host, None, '/none/x') == 404
--- a/tests/operator/test_where_command.py
+++ b/tests/operator/test_where_command.py
@@ -63,11 +63,13 @@
         self.answer = _ANSWER
         self.status = 200
         self.targets: list[str] = []
+        self.keys: list[list[str] | None] = []
         host = self
 
         class _Handler(http.server.BaseHTTPRequestHandler):
             def do_GET(self) -> None:
                 host.targets.append(self.path)
+                host.keys.append(self.headers.get_all('authorization'))
                 body = json.dumps(host.answer).encode()
                 self.send_response(host.status)
                 self.send_header('content-length', str(len(body)))
@@ -134,6 +136,73 @@
     assert json.loads(capsys.readouterr().out) == _ANSWER
 
 
+def _key(**fields: object) -> dict[str, object]:
+    return {
+        'needed': True,
+        'refusal': '',
+        'workspace': 'kami',
+        'priority': 2,
+        'quota': None,
+        **fields,
+    }
+
+
+_QUOTA = {'rate_per_s': 11.0, 'burst': 5.0, 'tokens': 0, 'refusal': ''}
+
+
+@pytest.mark.parametrize(
+    ('key', 'shown'),
+    [
+        (None, []),
+        (_key(needed=False), ['key: not needed']),
+        (_key(refusal='unknown'), ['key: refused, unknown']),
+        (_key(workspace=''), ['key: the route is served without one']),
+        (_key(), ['accepted, workspace kami, priority 2', 'quota: none']),
+        (_key(quota=_QUOTA), ['11 a second, burst 5; the host holds no']),
+        (_key(quota={**_QUOTA, 'tokens': 3}), ['admitted, the host holds 3']),
+        (_key(quota={**_QUOTA, 'refusal': 'used up'}), ['refused, used up']),
+    ],
+)
+def test_decisions_on_the_key_and_age_are_shown(
+    host: _Host,
+    capsys: Capture,
+    key: dict[str, object] | None,
+    shown: list[str],
+) -> None:
+    """Guards against output that hides why a key is refused."""
+    host.answer = {**_ANSWER, 'store_age_s': 1.24, 'key': key}
+    _run(host)
+    text = capsys.readouterr().out
+    assert 'knowledge of the store 1.2 s old' in text
+    assert all(part in text for part in shown)
+    assert ('key:' in text) == (key is not None)
+
+
+@pytest.mark.parametrize('json_flag', [(), ('--json',)])
+@pytest.mark.parametrize('status', [200, 400])
+def test_key_is_sent_as_a_header_and_never_shown(
+    host: _Host, capsys: Capture, json_flag: tuple[str, ...], status: int
+) -> None:
+    """Guards against keys in logs of requests and in terminals.
+
+    Whatever the status, neither the output nor the target has the key.
+    """
+    host.status = status
+    header = 'Authorization: Bearer secret'
+    try:
+        _run(host, '--header', header, '--header', 'a:b', *json_flag)
+    except SystemExit:
+        assert status != 200
+    host.close()
+    with pytest.raises(SystemExit):
+        _run(host, '--header', header, *json_flag)
+    assert host.keys == [['Bearer secret']]
+    assert 'header=a%3Ab' in host.targets[0]
+    assert 'ecret' not in host.targets[0]
+    captured = capsys.readouterr()
+    assert 'secret' not in captured.out + captured.err
+
+
 def test_refusal_is_a_problem(host: _Host, capsys: Capture) -> None:
     host.answer = {
         'version': 7, 'route': None, 'refusal': 'no route', 'services': [],
