--- a/tests/tier/placement_simulation.py
+++ b/tests/tier/placement_simulation.py
@@ -24,7 +24,7 @@
 
 from . import entries
 
-_BOUNDS = fleet_share.FleetBounds(0.2, 52, 10, 1.5, 5)
+BOUNDS = fleet_share.FleetBounds(0.2, 52, 10, 1.5, 5)
 _NETWORK_S = 0.0005
 _SLOTS = 4
 
@@ -57,6 +57,7 @@
     # By default enough for every host to use every searcher.
     connections: int = 2_000
     by_urgency: bool = False
+    bounds: fleet_share.FleetBounds = BOUNDS
     # Replaces the expected run time of a class by a false one.
     falsify: collections.abc.Callable[['Kind', random.Random], float] | None
     falsify = None
@@ -78,8 +79,10 @@
         return
 
 
-@attrs.define
-class _Request:
+@attrs.define(eq=False)
+class Request:
+    """One send of a request."""
+
     kind: Kind
     work_s: float
     arrived_s: float
@@ -94,7 +97,7 @@
     def __init__(self, speed: float) -> None:
         self.speed = speed
         self.running = 0
-        self.queue: collections.deque[_Request] = collections.deque()
+        self.queue: collections.deque[Request] = collections.deque()
 
 
 class _Host:
@@ -107,10 +110,13 @@
         rng: random.Random,
         names: tuple[str, ...],
     ) -> None:
+        self.share = fleet_share.FleetShare(
+            case.bounds, name, lambda: names, clock
+        )
         self.service = service_searchers.ServiceSearchers(
             'stock',
             'dc-a',
-            fleet_share.FleetShare(_BOUNDS, name, lambda: names, clock),
+            self.share,
             lambda registration, limit: Pool(),
             clock,
             rng,
@@ -188,7 +194,7 @@
             rate = kind.load * slots / kind.mean_s
             at_s = rng.expovariate(rate)
             while at_s < seconds:
-                request = _Request(
+                request = Request(
                     kind,
                     kind.work(rng, at_s / seconds),
                     start_s + at_s,
@@ -203,7 +209,7 @@
     ) -> None:
         heapq.heappush(self._events, (at_s, next(self._order), action))
 
-    def _send(self, request: _Request) -> None:
+    def _send(self, request: Request) -> None:
         host = request.host
         host.service.count_request()
         request_class = host.request_class(request.kind)
@@ -230,9 +236,7 @@
             lambda: self._give_up(request, send),
         )
 
-    def _give_up(
-        self, request: _Request, send: send_order.WaitingSend
-    ) -> None:
+    def _give_up(self, request: Request, send: send_order.WaitingSend) -> None:
         """End a request that has not been sent within its timeout."""
         if request.choice is not None:
             return
@@ -240,7 +244,7 @@
         self.not_sent[request.kind.name] += 1
 
     def _start(
-        self, request: _Request, choice: service_searchers.Choice | None
+        self, request: Request, choice: service_searchers.Choice | None
     ) -> None:
         assert choice is not None
         request.choice = choice
@@ -251,23 +255,32 @@
         )
         self._at(request.sent_s + _NETWORK_S, lambda: self._arrive(request))
 
-    def _searcher(self, request: _Request) -> _Searcher:
+    def _searcher(self, request: Request) -> _Searcher:
         assert request.choice is not None
         return self._searchers[int(request.choice.state.name[1:])]
 
-    def _arrive(self, request: _Request) -> None:
+    def _arrive(self, request: Request) -> None:
         searcher = self._searcher(request)
         if searcher.running < _SLOTS:
             self._begin(searcher, request)
         else:
             searcher.queue.append(request)
 
-    def _begin(self, searcher: _Searcher, request: _Request) -> None:
+    def _begin(self, searcher: _Searcher, request: Request) -> None:
         searcher.running += 1
-        ends_s = self._clock.monotonic() + request.work_s / searcher.speed
-        self._at(ends_s, lambda: self._end(searcher, request))
+        run_s = self._run_time_s(
+            self._searchers.index(searcher), request.work_s / searcher.speed
+        )
+        self._at(
+            self._clock.monotonic() + run_s,
+            lambda: self._end(searcher, request),
+        )
+
+    def _run_time_s(self, number: int, work_s: float) -> float:
+        """Return the time in which the searcher of a number does work."""
+        return work_s
 
-    def _end(self, searcher: _Searcher, request: _Request) -> None:
+    def _end(self, searcher: _Searcher, request: Request) -> None:
         searcher.running -= 1
         if searcher.queue:
             self._begin(searcher, searcher.queue.popleft())
@@ -275,7 +288,7 @@
             self._clock.monotonic() + _NETWORK_S, lambda: self._reply(request)
         )
 
-    def _reply(self, request: _Request) -> None:
+    def _reply(self, request: Request) -> None:
         host, kind = request.host, request.kind
         now_s = self._clock.monotonic()
         elapsed_s = now_s - request.sent_s
