Defer parts of a gather that are expected after its goal

After searchers were taken away, two of 36 services of a deployment had one or two searchers left. All gathers of a class that may leave out one part (least coverage 0.95) waited for both until their deadline: 52 of 70 in two seconds were not answered. Such a gather now leaves out a part whose reply is expected after the goal, as many as its coverage can spare, and sends it if another part fails or the goal passes. It needs the estimates of the placement by expected finish, and so takes effect only where a configuration has routes of the highest priority beside others.

--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -53,7 +53,8 @@
     """A chosen searcher and the key of the send.
 
     ``expected_s`` is the expected run time of the request, and
-    ``outstanding_s`` the searcher's outstanding work before it.
+    ``outstanding_s`` the searcher's outstanding work before it. ``reply_s`` is
+    the expected time until the reply, None if the policy does not estimate it.
     """
 
     state: SearcherState
@@ -61,6 +62,7 @@
     policy: placement.PlacementPolicy
     expected_s: float
     outstanding_s: float
+    reply_s: float | None = None
 
 
 class ServiceSearchers:
@@ -192,6 +194,7 @@
                 if rating < best_rating:
                     best, best_rating = state, rating
             outstanding_s = best.outstanding_s(now_s)
+            reply_s = policy.reply_s(best, request_class, now_s)
             self._next_key += 1
             best.start(
                 self._next_key,
@@ -206,6 +209,7 @@
                 policy,
                 expected_s,
                 outstanding_s,
+                reply_s,
             )
 
     def ratings(
--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -21,6 +21,7 @@
 from corianderport_tier.process import unanswered_sends
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
+from corianderport_tier.request import first_sends
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import gather_progress
@@ -53,6 +54,10 @@
 Part = part_module.Part
 PartState = part_module.PartState
 Failure = forward_messages.Failure
+_WAITING_REASONS = {
+    PartState.PENDING: 'waiting',
+    PartState.DEFERRED: 'deferred',
+}
 
 
 class Caller(typing.Protocol):
@@ -148,8 +153,9 @@
         ):
             try:
                 self._create_parts()
-                for part in self._parts:
-                    part.send_first()
+                first_sends.send(
+                    self._parts, self._progress().spare, self._host.rng
+                )
                 return self._await_answer()
             finally:
                 for part in self._parts:
@@ -165,7 +171,9 @@
     def summary(self) -> dict[str, object]:
         """Return what the decision log records about the answer."""
         reasons = collections.Counter(
-            'waiting' if p.failure is None else p.failure.detail
+            _WAITING_REASONS.get(p.state, '')
+            if p.failure is None
+            else p.failure.detail
             for p in self._parts
             if p.state is not PartState.ANSWERED
         )
@@ -257,7 +265,7 @@
     def _awaited_replies(self) -> int:
         """Return how many successful replies the next decision needs."""
         return self._progress().awaited_replies(
-            goal_reached=self._clock.monotonic() >= self.goal_s,
+            goal_reached=self._goal_reached,
             hedge_denied=any(p.hedge_denied for p in self._parts),
         )
 
@@ -312,18 +320,31 @@
     ) -> forward_messages.ForwardAnswer | None:
         progress = self._progress()
         if progress.enough:
-            goal_reached = self._clock.monotonic() >= self.goal_s
-            if progress.pending == 0 or goal_reached:
+            if progress.pending == 0 or self._goal_reached:
                 self.answered_at_goal = (
                     progress.pending > 0 and self._enough_at_goal(progress)
                 )
                 return self._merged(target)
-        elif progress.out_of_reach:
-            return self._coverage_failure(progress)
+        elif progress.out_of_reach or self._goal_reached:
+            if self._send_deferred():
+                return None
+            if progress.out_of_reach:
+                return self._coverage_failure(progress)
         if self._answer_by.passed(self._clock):
             return self._deadline_failure()
         return None
 
+    @property
+    def _goal_reached(self) -> bool:
+        return self._clock.monotonic() >= self.goal_s
+
+    def _send_deferred(self) -> bool:
+        """Send the deferred parts; return False if there are none."""
+        deferred = [p for p in self._parts if p.state is PartState.DEFERRED]
+        for part in deferred:
+            part.send_deferred()
+        return bool(deferred)
+
     def _enough_at_goal(
         self, progress: gather_progress.GatherProgress
     ) -> bool:
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -40,6 +40,8 @@
     """State of a part."""
 
     PENDING = 'pending'
+    # Left out for now; sent if the other parts do not suffice.
+    DEFERRED = 'deferred'
     ANSWERED = 'answered'
     FAILED = 'failed'
 
@@ -139,10 +141,20 @@
         """Time at which a pause ends that the part waits for."""
         return self._resume_at_s
 
-    def send_first(self) -> None:
-        """Start the first attempt."""
-        self.service.count_request()
-        self._send()
+    def send_first(self, may_defer: bool = False) -> None:
+        """Start the first attempt.
+
+        :param may_defer: whether the part may be left out for now if its reply
+            is expected after the goal.
+        """
+        self._send(may_defer=may_defer)
+        if self.state is not PartState.DEFERRED:
+            self.service.count_request()
+
+    def send_deferred(self) -> None:
+        """Start the first attempt of a deferred part."""
+        self.state = PartState.PENDING
+        self.send_first()
 
     def hedge(self, among_last: bool) -> bool:
         """Send to another searcher because the response is late.
@@ -290,13 +302,20 @@
         else:
             self._send((code, reason))
 
-    def _send(self, failed: tuple[Code, str] | None = None) -> None:
+    def _send(
+        self,
+        failed: tuple[Code, str] | None = None,
+        may_defer: bool = False,
+    ) -> None:
         choice = self.service.choose(self._history.tried, self._class)
         if choice is service_searchers.NoChoice.ALL_TRIED and failed:
             choice = self.service.choose((), self._class)
         if isinstance(choice, service_searchers.NoChoice):
             self._on_no_choice(choice, failed)
             return
+        if may_defer and self._expected_late(choice):
+            self._defer(choice)
+            return
         if self._history.sent and not self.service.try_extra():
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
@@ -306,6 +325,19 @@
             return
         self._start(choice, hedge=False)
 
+    def _expected_late(self, choice: service_searchers.Choice) -> bool:
+        reply_s = choice.reply_s
+        return reply_s is not None and reply_s > self._goal.remaining(
+            self._clock
+        )
+
+    def _defer(self, choice: service_searchers.Choice) -> None:
+        self.service.finish(choice, searcher_state.SendResult(failed=False))
+        self.state = PartState.DEFERRED
+        self._log.record(
+            'deferred', choice.state.name, 'the reply is expected too late'
+        )
+
     def _start(self, choice: service_searchers.Choice, hedge: bool) -> None:
         call = forward_messages.SearcherCall(
             self._request.request_id,
