--- a/packages/tier/src/corianderport_tier/process/send_choice.py
+++ b/packages/tier/src/corianderport_tier/process/send_choice.py
@@ -16,7 +16,8 @@
     """A chosen searcher and the key of the send.
 
     ``expected_s`` is the expected run time of the request, and
-    ``outstanding_s`` the searcher's outstanding work before it.
+    ``outstanding_s`` the searcher's outstanding work before it. ``reply_s`` is
+    the expected time until the reply, None if the policy does not estimate it.
     """
 
     state: searcher_state.SearcherState
@@ -24,3 +25,4 @@
     policy: placement.PlacementPolicy
     expected_s: float
     outstanding_s: float
+    reply_s: float | None
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -172,6 +172,22 @@
             self._serve_waiting(now_s)
             return self._choose(excluded, request_class, now_s)
 
+    def least_reply_s(
+        self, request_class: cost_estimates.RequestClass
+    ) -> float | None:
+        """Return the expected time until a reply if no searcher were full.
+
+        None if the policy does not estimate it, or without searchers.
+        """
+        now_s = self._clock.monotonic()
+        with self._lock:
+            estimates_s = [
+                self._policy.reply_s(state, request_class, now_s)
+                for state in self._states.values()
+                if state.may_receive(now_s)
+            ]
+        return min((e for e in estimates_s if e is not None), default=None)
+
     def ratings(
         self, request_class: cost_estimates.RequestClass
     ) -> ratings.ServiceRatings:
@@ -314,6 +330,7 @@
             if rating < best_rating:
                 best, best_rating = state, rating
         outstanding_s = best.outstanding_s(now_s)
+        reply_s = policy.reply_s(best, request_class, now_s)
         self._next_key += 1
         best.start(
             self._next_key,
@@ -322,7 +339,9 @@
             expected_s,
         )
         policy.record(request_class)
-        return Choice(best, self._next_key, policy, expected_s, outstanding_s)
+        return Choice(
+            best, self._next_key, policy, expected_s, outstanding_s, reply_s
+        )
 
     def _new_budget(self) -> budgets.Budget:
         return budgets.Budget(
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -41,6 +41,8 @@
     """State of a part."""
 
     PENDING = 'pending'
+    # Left out for now; sent if the other parts do not suffice.
+    DEFERRED = 'deferred'
     ANSWERED = 'answered'
     FAILED = 'failed'
 
@@ -141,10 +143,20 @@
         """Time at which a pause ends that the part waits for."""
         return self._resume_at_s
 
-    def send_first(self) -> None:
-        """Start the first attempt."""
-        self.service.count_request()
-        self._send()
+    def send_first(self, may_defer: bool = False) -> None:
+        """Start the first attempt.
+
+        :param may_defer: whether the part may be left out for now if its reply
+            is expected after the goal.
+        """
+        self._send(may_defer=may_defer)
+        if self.state is not PartState.DEFERRED:
+            self.service.count_request()
+
+    def send_deferred(self) -> None:
+        """Start the first attempt of a deferred part."""
+        self.state = PartState.PENDING
+        self.send_first()
 
     def hedge(self, among_last: bool) -> bool:
         """Send to another searcher because the response is late.
@@ -300,13 +312,27 @@
         else:
             self._send((code, reason))
 
-    def _send(self, failed: tuple[Code, str] | None = None) -> None:
+    def _send(
+        self,
+        failed: tuple[Code, str] | None = None,
+        may_defer: bool = False,
+    ) -> None:
         choice = self.service.choose(self._history.tried, self._class)
         if choice is service_searchers.NoChoice.ALL_TRIED and failed:
             choice = self.service.choose((), self._class)
+        if choice is service_searchers.NoChoice.FULL and may_defer:
+            if self._expected_late(self.service.least_reply_s(self._class)):
+                self._defer()
+                return
         if isinstance(choice, service_searchers.NoChoice):
             self._on_no_choice(choice, failed)
             return
+        if may_defer and self._expected_late(choice.reply_s):
+            self.service.finish(
+                choice, searcher_state.SendResult(failed=False)
+            )
+            self._defer()
+            return
         self._send_to(choice, failed)
 
     def _send_to(
@@ -323,6 +349,17 @@
             return
         self._start(choice, hedge=False)
 
+    def _expected_late(self, reply_s: float | None) -> bool:
+        return reply_s is not None and reply_s > self._goal.remaining(
+            self._clock
+        )
+
+    def _defer(self) -> None:
+        self.state = PartState.DEFERRED
+        self._log.record(
+            'deferred', self.service.name, 'the reply is expected too late'
+        )
+
     def _start(self, choice: service_searchers.Choice, hedge: bool) -> None:
         call = forward_messages.SearcherCall(
             self._request.request_id,
