--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -33,6 +33,11 @@
 _MAX_SENDS_PER_PART = 4
 # Fraction of the budget slack that hedges leave to retries of failed sends.
 _HEDGE_RESERVE = 0.3
+# A part is deferred if its reply is expected after this fraction of the time
+# until the deadline. With replies after the goal alone, gathers of ten parts
+# left out a service whose searchers were merely slow at times, which cost
+# callers more than it saved.
+_DEFER_FRACTION = 0.5
 
 Code = result_codes.ResultCode
 
@@ -350,9 +355,10 @@
         self._start(choice, hedge=False)
 
     def _expected_late(self, reply_s: float | None) -> bool:
-        return reply_s is not None and reply_s > self._goal.remaining(
-            self._clock
-        )
+        if reply_s is None:
+            return False
+        left_s = self._request.deadline.remaining(self._clock)
+        return reply_s > _DEFER_FRACTION * left_s
 
     def _defer(self) -> None:
         self.state = PartState.DEFERRED
