--- a/packages/tier/src/corianderport_tier/process/membership.py
+++ b/packages/tier/src/corianderport_tier/process/membership.py
@@ -10,6 +10,7 @@
 import attrs
 
 from corianderport_tier import clocks
+from corianderport_tier.process import pause_detector
 from corianderport_tier.process import rumour_queue
 
 __all__ = [
@@ -130,9 +131,9 @@
         self._ended_incarnations: dict[str, str] = {}
         self._suspected_s: dict[str, float] = {}
         self._queue = rumour_queue.RumourQueue()
-        self._last_step_s = self._clock.monotonic()
-        self._awaiting_reply = False
-        self._resumed_s = 0.0
+        self._pauses = pause_detector.PauseDetector(
+            self._clock, self._times.pause_s
+        )
         self._view_stale = False
         self._view = View(0, (own,), (own,), {own.name: Standing.ALIVE})
 
@@ -155,8 +156,7 @@
     def awaiting_reply(self) -> bool:
         """Whether this host was paused and has had no reply since."""
         with self._lock:
-            self._check_pause()
-            return self._awaiting_reply
+            return self._pauses.awaiting_reply
 
     @property
     def view(self) -> View:
@@ -222,14 +222,9 @@
             return True
 
     def on_reply(self, sent_s: float) -> None:
-        """Handle the reply to a message that was sent at ``sent_s``.
-
-        A reply to a message from before the end of a pause is ignored.
-        """
+        """Handle the reply to a message that was sent at ``sent_s``."""
         with self._lock:
-            self._check_pause()
-            if sent_s >= self._resumed_s:
-                self._awaiting_reply = False
+            self._pauses.on_reply(sent_s)
 
     def suspect(self, member: Member, gone: bool = False) -> None:
         """Handle a failure to reach a host.
@@ -238,8 +233,7 @@
             process listens there.
         """
         with self._lock:
-            self._check_pause()
-            if self._awaiting_reply and not gone:
+            if self._pauses.awaiting_reply and not gone:
                 return
             if not self._same_region(member):
                 return
@@ -259,9 +253,7 @@
         """
         now_s = self._clock.monotonic()
         with self._lock:
-            self._check_pause()
-            self._last_step_s = now_s
-            if self._awaiting_reply:
+            if self._pauses.on_step():
                 # Refutations may have been sent during the pause, when this
                 # host did not read messages.
                 self._suspected_s = dict.fromkeys(self._suspected_s, now_s)
@@ -304,13 +296,6 @@
                 return Standing.GONE
             return record.standing
 
-    def _check_pause(self) -> None:
-        now_s = self._clock.monotonic()
-        if now_s - self._last_step_s > self._times.pause_s:
-            self._last_step_s = now_s
-            self._resumed_s = now_s
-            self._awaiting_reply = True
-
     def _outranks(self, rumour: Rumour) -> bool:
         name = rumour.member.name
         incarnation = rumour.member.incarnation
