Grant tokens of quotas as soon as starting hosts know each other

After a restart of all 80 hosts over 3 s, owners granted nothing until the known hosts changed by less than a tenth within a second, 5.5 to 6.3 s after the first host was back. A starting host now asks all seeds three times a second for what has changed. It grants once a majority of them has known it for 0.8 s and has been asked within 0.8 s: hosts for which this holds know each other.

Refusals in that time carry the time after which owners may grant, spread and in the order of the workspaces' priorities.

--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -82,7 +82,9 @@
             settings.seeds,
             executor,
             clock,
-            gossip.GossipTimes(),
+            gossip.GossipTimes(
+                starting_s=quota_hosts.YOUNG_S if settings.quota else 0.0
+            ),
             random.Random(),
             on_change,
         )
@@ -92,9 +94,9 @@
             lambda: self._gossip.hosts,
             lambda: self._gossip.joined,
             lambda: self._gossip.known_seeds,
-            incarnations.earliest_incarnation(
-                clock.time() - quota_hosts.YOUNG_S
-            ),
+            lambda: self._gossip.confirmed_in_s,
+            incarnations.started_s,
+            clock,
         )
 
     def __enter__(self) -> typing.Self:
--- a/packages/daemon/src/corianderport_daemon/process/incarnations.py
+++ b/packages/daemon/src/corianderport_daemon/process/incarnations.py
@@ -7,7 +7,7 @@
 
 from corianderport_tier import clocks
 
-__all__ = ['earliest_incarnation', 'new_incarnation']
+__all__ = ['new_incarnation', 'started_s']
 
 _RANDOM_BYTES = 6
 
@@ -15,12 +15,15 @@
 def new_incarnation(clock: clocks.Clock) -> str:
     """Return a unique identifier that sorts by the time of the call."""
     random_text = secrets.token_hex(_RANDOM_BYTES)
-    return f'{earliest_incarnation(clock.time())}.{random_text}'
+    return f'{int(clock.time() * 1e3):012x}.{random_text}'
 
 
-def earliest_incarnation(at_s: float) -> str:
-    """Return a text that sorts before the identifiers of later starts.
+def started_s(incarnation: str) -> float:
+    """Return the time of a start, in seconds since the Unix epoch.
 
-    :param at_s: seconds since the Unix epoch.
+    An identifier of unknown form counts as that of an early start.
     """
-    return f'{int(at_s * 1e3):012x}'
+    try:
+        return int(incarnation.partition('.')[0], 16) / 1e3
+    except ValueError:
+        return 0.0
--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -28,6 +28,7 @@
     'OutcomeUnknown',
     'Overloaded',
     'QuotaExceeded',
+    'QuotaPending',
     'Refusal',
     'ReplyIncomplete',
     'ReplyTooLarge',
@@ -89,6 +90,17 @@
     """The host cannot confirm the key of a request at present."""
 
 
+class QuotaPending(NotReady):
+    """The owners of the quota have just started and grant nothing yet.
+
+    :param retry_after_s: time after which there will be quota available.
+    """
+
+    def __init__(self, text: str, retry_after_s: float) -> None:
+        super().__init__(text)
+        self.retry_after_s = retry_after_s
+
+
 class Overloaded(Refusal):
     """The request cannot finish in time under the current load."""
 
--- a/packages/tier/src/corianderport_tier/process/gossip.py
+++ b/packages/tier/src/corianderport_tier/process/gossip.py
@@ -20,6 +20,8 @@
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import membership
 from corianderport_tier.process import periodic_task
+from corianderport_tier.process import seed_contact
+from corianderport_tier.process import seed_contacts
 
 __all__ = ['Gossip', 'GossipTimes']
 
@@ -37,7 +39,9 @@
     Seeds are contacted every ``first_seed_period_s`` until one has
     answered, since hosts start in any order, and then every
     ``seed_period_s``, so that separated partitions find each other again.
-    Random neighbours are replaced after ``neighbour_period_s``.
+    Random neighbours are replaced after ``neighbour_period_s``. For the
+    first ``starting_s`` the host asks the seeds so often that it knows at
+    once of all hosts that have started.
     """
 
     heartbeat: heartbeat_sender.HeartbeatTimes = (
@@ -50,6 +54,7 @@
     # An unreachable host may still be sending to searchers, so it is
     # counted for this time.
     dead_host_retention_s: float = 120.0
+    starting_s: float = 0.0
 
 
 class Gossip(periodic_task.PeriodicTask):
@@ -82,10 +87,12 @@
         self._on_change = on_change
         self._started_s = clock.monotonic()
         self._seeds_contacted_s = float('-inf')
-        self._seeds_answered = 0
-        # Addresses of seeds that have answered, or at which no process was
-        # listening. A seed may announce another address than this one.
-        self._reached_seeds: set[str] = set()
+        # Addresses of seeds that have answered. A seed may announce another
+        # address than this one.
+        self._answered_seeds: set[str] = set()
+        # Addresses at which no process listened when last tried.
+        self._refused_seeds: set[str] = set()
+        self._contacts = self._new_contacts()
         self._senders = heartbeat_sender_set.HeartbeatSenderSet(
             members,
             region_of,
@@ -106,7 +113,7 @@
         """Whether the seeds have answered or the join has timed out."""
         waited_s = self._clock.monotonic() - self._started_s
         return (
-            self._seeds_answered >= len(self._other_seeds)
+            len(self._answered_seeds) >= len(self._other_seeds)
             or waited_s >= self._times.join_timeout_s
         )
 
@@ -115,13 +122,30 @@
         """Fraction of the other seeds that are known, or known not to run.
 
         If it is small, this host may have started while it was cut off from
-        most hosts, and no heartbeat has told it of them.
+        most hosts, and no heartbeat has told it of them. So may one that has
+        found no host because no seed runs yet, unless it is a seed itself.
         """
         known = {m.peer_address for m in self._members.members()}
-        known |= self._reached_seeds
+        known |= self._answered_seeds
         seeds = self._other_seeds
+        if len(known) == 1 and seeds and self._own_address not in self._seeds:
+            return 0.0
+        known |= self._refused_seeds
         return sum(s in known for s in seeds) / len(seeds) if seeds else 1.0
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether ``hosts`` has all hosts that also rely on being known.
+
+        Only possible during the first ``GossipTimes.starting_s``.
+        """
+        return self._contacts.confirmed
+
+    @property
+    def confirmed_in_s(self) -> float:
+        """Time after which ``confirmed`` may be true, 0 if it is."""
+        return self._contacts.confirmed_in_s
+
     @property
     def hosts(self) -> tuple[str, ...]:
         """Names of the hosts that may be sending, including this one.
@@ -134,6 +158,7 @@
     def step(self) -> float:
         """Update suspicions, neighbours and the number of hosts."""
         self._members.step()
+        self._contacts.step()
         self._ask_seeds()
         self._senders.update(self._senders.neighbours())
         self._update_hosts()
@@ -145,11 +170,12 @@
         self._senders.send_now()
 
     def _release_resources(self) -> None:
+        self._contacts.close()
         self._senders.close()
 
     @property
     def _seed_period_s(self) -> float:
-        no_seed_answered = self._seeds_answered == 0
+        no_seed_answered = not self._answered_seeds
         return (
             self._times.first_seed_period_s
             if no_seed_answered
@@ -194,16 +220,50 @@
             finally:
                 transport.close()
         except errors.CorianderportError as error:
-            if isinstance(error, errors.ConnectRefused):
-                self._reached_seeds.add(address)
             _LOG.info('no heartbeat reply from seed %s: %s', address, error)
+            self._on_seed_failure(address, error)
             return
         self._exchange.on_reply(reply, sent_s)
-        self._reached_seeds.add(address)
-        self._seeds_answered += 1
+        self._on_seed_reply(address)
+
+    def _new_contacts(self) -> seed_contacts.SeedContacts:
+        seeds = sorted(self._seeds)[: seed_contacts.MAX_SEEDS]
+        contacts = [
+            seed_contact.SeedContact(
+                address,
+                self._exchange,
+                self._dialer,
+                self._clock,
+                self._on_seed_reply,
+                self._on_seed_failure,
+            )
+            for address in seeds
+            if address != self._own_address
+        ]
+        return seed_contacts.SeedContacts(
+            contacts,
+            self._own_address in seeds,
+            self._times.starting_s,
+            self._executor,
+            self._clock,
+        )
+
+    def _on_seed_reply(self, address: str) -> None:
+        self._answered_seeds.add(address)
         self.wake()
 
+    def _on_seed_failure(
+        self, address: str, error: errors.CorianderportError
+    ) -> None:
+        # A host that is cut off later can't tell whether a seed that refused
+        # the connection earlier runs by now.
+        if isinstance(error, errors.ConnectRefused):
+            self._refused_seeds.add(address)
+        else:
+            self._refused_seeds.discard(address)
+
     def _update_hosts(self) -> None:
+        current = self._contacts.current()
         view = self._members.view
         now_s = self._clock.monotonic()
         sending = []
@@ -234,6 +294,7 @@
             )
             self._hosts = hosts
             self._on_change()
+        self._contacts.apply(current)
 
 
 def _abbreviate(names: list[str]) -> str:
--- a/packages/tier/src/corianderport_tier/process/heartbeats.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeats.py
@@ -11,6 +11,9 @@
 
 __all__ = ['Heartbeat', 'HeartbeatExchange', 'VersionCallback']
 
+# A reply with more changes is incomplete, as is that to a joining host.
+_MAX_CHANGES = 1_000
+
 VersionCallback = collections.abc.Callable[[membership.Member, int], None]
 
 
@@ -20,13 +23,17 @@
 
     ``version`` is the sender's configuration version, 0 for none.
     ``joining`` requests everything that the receiver knows about other
-    hosts.
+    hosts. ``known_change`` requests all rumours that the receiver has stored
+    after this change of its own, and ``last_change`` of the reply is the
+    last change that it includes.
     """
 
     sender: membership.Rumour
     version: int
     rumours: tuple[membership.Rumour, ...] = ()
     joining: bool = False
+    known_change: int | None = None
+    last_change: int | None = None
 
 
 class HeartbeatExchange:
@@ -55,9 +62,26 @@
             joining=joining,
         )
 
+    def build_query(self, known_change: int) -> Heartbeat:
+        """Return a heartbeat that asks for what has changed.
+
+        It has no rumours, since it is sent so often that their limited
+        number of sends would be used up.
+
+        :param known_change: number of the receiver's last change that is
+            known, 0 for none.
+        """
+        return Heartbeat(
+            sender=self._members.own_rumour,
+            version=self._version(),
+            known_change=known_change,
+        )
+
     def receive(self, heartbeat: Heartbeat) -> Heartbeat:
         """Process a heartbeat and return the reply."""
         self._apply(heartbeat)
+        if heartbeat.known_change is not None:
+            return self._changes(heartbeat.known_change)
         sender = heartbeat.sender.member
         return Heartbeat(
             sender=self._members.own_rumour,
@@ -73,6 +97,16 @@
         self._members.on_reply(sent_s)
         self._apply(reply)
 
+    def _changes(self, known_change: int) -> Heartbeat:
+        last_change, rumours = self._members.changes(known_change)
+        complete = len(rumours) <= _MAX_CHANGES
+        return Heartbeat(
+            sender=self._members.own_rumour,
+            version=self._version(),
+            rumours=rumours[:_MAX_CHANGES],
+            last_change=last_change if complete else None,
+        )
+
     def _apply(self, heartbeat: Heartbeat) -> None:
         self._members.apply(heartbeat.sender)
         for rumour in heartbeat.rumours:
--- a/packages/tier/src/corianderport_tier/process/membership.py
+++ b/packages/tier/src/corianderport_tier/process/membership.py
@@ -4,13 +4,14 @@
 """
 
 import collections.abc
-import enum
 import threading
 
 import attrs
 
 from corianderport_tier import clocks
+from corianderport_tier.process import members as data
 from corianderport_tier.process import pause_detector
+from corianderport_tier.process import rumour_changes
 from corianderport_tier.process import rumour_queue
 
 __all__ = [
@@ -26,57 +27,12 @@
 
 _MAX_RUMOURS_FOR_JOINING = 1_000
 
-
-class MemberState(enum.Enum):
-    """State of a host in the platform's list or as the host announces it."""
-
-    LIVE = 'live'
-    LEAVING = 'leaving'
-
-
-@attrs.frozen
-class Member:
-    """One host; ``peer_address`` is ``ip:port``.
-
-    ``incarnation`` is a random text that identifies a process start and sorts
-    by start time. It is empty if only the host list contains the host.
-    """
-
-    name: str
-    data_centre: str
-    peer_address: str
-    state: MemberState = MemberState.LIVE
-    incarnation: str = ''
-
-
-class Standing(enum.IntEnum):
-    """Assumed liveness of a host; the greater value takes precedence.
-
-    ``GONE`` means that the host's process is known to have ended.
-    """
-
-    ALIVE = 0
-    SUSPECT = 1
-    DEAD = 2
-    GONE = 3
-
-
-@attrs.frozen
-class Rumour:
-    """A statement about one host that hosts pass on to each other.
-
-    A host increases its own ``refutation`` to override the rumours about
-    its incarnation.
-    """
-
-    member: Member
-    standing: Standing = Standing.ALIVE
-    refutation: int = 0
-
-    @property
-    def rank(self) -> tuple[str, int, int]:
-        """Rank among rumours about one host; the greatest takes precedence."""
-        return (self.member.incarnation, self.refutation, self.standing)
+# Other modules use these types through this module.
+Member = data.Member
+MemberState = data.MemberState
+Rumour = data.Rumour
+Standing = data.Standing
+View = data.View
 
 
 @attrs.frozen
@@ -88,16 +44,6 @@
     pause_s: float = 2.5
 
 
-@attrs.frozen
-class View:
-    """An immutable snapshot of the members; each has its own ``epoch``."""
-
-    epoch: int
-    members: tuple[Member, ...]
-    live: tuple[Member, ...]
-    standings: collections.abc.Mapping[str, Standing]
-
-
 RegionOf = collections.abc.Callable[[str], str | None]
 
 
@@ -131,6 +77,7 @@
         self._ended_incarnations: dict[str, str] = {}
         self._suspected_s: dict[str, float] = {}
         self._queue = rumour_queue.RumourQueue()
+        self._changes = rumour_changes.RumourChanges()
         self._pauses = pause_detector.PauseDetector(
             self._clock, self._times.pause_s
         )
@@ -283,6 +230,16 @@
             names = self._queue.take(lambda n: self._records[n].standing)
             return tuple(self._records[name] for name in names)
 
+    def changes(self, after: int) -> tuple[int, tuple[Rumour, ...]]:
+        """Return the rumours stored after a change, and the last change.
+
+        :param after: number of the change, 0 for all rumours.
+        """
+        with self._lock:
+            names = self._changes.after(after)
+            rumours = tuple(self._records[name] for name in names)
+            return self._changes.last, rumours
+
     def standing(self, member: Member) -> Standing:
         """Return the standing of one incarnation of a host."""
         with self._lock:
@@ -317,12 +274,14 @@
             self._suspected_s.pop(name, None)
         hosts = len(self._listed) + len(self._records)
         self._queue.add(name, hosts)
+        self._changes.note(name)
         self._view_stale = True
 
     def _forget(self, name: str) -> None:
         record = self._records.pop(name, None)
         self._suspected_s.pop(name, None)
         self._queue.discard(name)
+        self._changes.discard(name)
         if record is not None and record.member.incarnation:
             self._ended_incarnations[name] = record.member.incarnation
 
--- a/packages/tier/src/corianderport_tier/process/quota_account.py
+++ b/packages/tier/src/corianderport_tier/process/quota_account.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from corianderport_tier.process import quota_retries
+
 __all__ = ['QuotaAccount', 'QuotaToken']
 
 # Time constant of the recent rate of requests.
@@ -32,10 +34,18 @@
     asking task uses.
 
     :param first_owner: position of the owner to ask first.
+    :param retries: delays of requests that are refused after a start.
     """
 
-    def __init__(self, workspace: str, first_owner: int, now_s: float) -> None:
+    def __init__(
+        self,
+        workspace: str,
+        first_owner: int,
+        now_s: float,
+        retries: quota_retries.QuotaRetries,
+    ) -> None:
         self.name = workspace
+        self.retries = retries
         self.condition = threading.Condition()
         # Whether a task asks the owners, and how many wait for tokens.
         self.asking = False
@@ -45,6 +55,8 @@
         # because none could be reached.
         self.refused_until_s = -math.inf
         self.unreachable_until_s = -math.inf
+        # Whether owners have just started and grant nothing yet.
+        self.pending = False
         self._tokens: collections.deque[float] = collections.deque()
         self._rate = 0.0
         self._rate_s = now_s
--- a/packages/tier/src/corianderport_tier/process/quota_bucket.py
+++ b/packages/tier/src/corianderport_tier/process/quota_bucket.py
@@ -111,6 +111,10 @@
         # Time of the next token that no refused host has been told yet.
         self._promised_s = now_s
 
+    def add(self, tokens: float) -> None:
+        """Add tokens, up to those that may be saved."""
+        self._tokens = min(self._share.saved, self._tokens + tokens)
+
     def take(self, share: QuotaShare, tokens: int, now_s: float) -> int:
         """Take up to a number of tokens; return how many were taken."""
         self._refill(share, now_s)
--- a/packages/tier/src/corianderport_tier/process/quota_calls.py
+++ b/packages/tier/src/corianderport_tier/process/quota_calls.py
@@ -148,6 +148,23 @@
             )
         return replies
 
+    def retry_after_s(
+        self,
+        account: quota_account.QuotaAccount,
+        workspace: workspaces.Workspace,
+    ) -> float:
+        """Return after which time owners that have just started may grant.
+
+        The caller holds the condition of the account.
+        """
+        hosts = len(self._fleet.hosts.names)
+        return account.retries.retry_after_s(
+            workspace,
+            self._fleet.grants_in_s,
+            hosts,
+            self._clock.monotonic(),
+        )
+
     def expire(self) -> None:
         """Forget hosts that have not been avoided for some time."""
         with self._lock:
--- a/packages/tier/src/corianderport_tier/process/quota_owner.py
+++ b/packages/tier/src/corianderport_tier/process/quota_owner.py
@@ -23,11 +23,6 @@
 # for this time. The news of the new host reaches all hosts within five
 # seconds, and the new host grants nothing for eight.
 _RELEASE_S = 3.0
-# When all hosts start together, they grant once the known hosts have changed
-# by less than a tenth within a second. With the gossip of up to 195 hosts, the
-# parts of all hosts that take themselves for owners then sum up to 1.04.
-_CALM_PERIOD_S = 1.0
-_CALM_CHANGE = 0.1
 # After a pause of the process of this length, other hosts may have taken its
 # place. They do so after 120 s.
 _MAX_PAUSE_S = 60.0
@@ -65,7 +60,8 @@
 
     ``owners`` and ``known_fraction`` determine the part that this host had
     when it was last an owner, among the hosts in ``names``. ``released_s`` is
-    the time at which it lost its place.
+    the time at which it lost its place. ``initial_due`` is set while the
+    bucket lacks its initial tokens.
     """
 
     bucket: quota_bucket.QuotaBucket
@@ -73,6 +69,7 @@
     known_fraction: float
     names: tuple[str, ...]
     released_s: float | None = None
+    initial_due: bool = False
 
 
 class QuotaOwner:
@@ -102,10 +99,7 @@
         self._names: tuple[str, ...] = ()
         now_s = clock.monotonic()
         self._names_since_s = now_s
-        # The hosts known at the last check of how much they change.
-        self._checked_names: tuple[str, ...] = ()
-        self._checked_s = now_s
-        self._calm = False
+        # When this host began to find the fleet.
         self._started_s = now_s
         self._observed_s = now_s
         self._paused = False
@@ -176,20 +170,37 @@
         if names != self._names:
             self._names = names
             self._names_since_s = now_s
-        if now_s - self._checked_s >= _CALM_PERIOD_S:
-            changed = len(set(names).symmetric_difference(self._checked_names))
-            self._calm = changed < _CALM_CHANGE * len(names)
-            self._checked_names = names
-            self._checked_s = now_s
-        if self._granting_since_s is None and self._may_begin(now_s):
+        if self._granting_since_s is None and not self._fleet.connected:
+            # Other hosts don't know it yet, however long it has run.
+            self._started_s = now_s
+        if not self._may_grant(now_s):
+            if self._is_young(now_s):
+                # Another host may take the part over at once.
+                self._granting_since_s = None
+                self._owned.clear()
+        elif self._granting_since_s is None:
             self._granting_since_s = now_s
 
-    def _may_begin(self, now_s: float) -> bool:
+    def _may_grant(self, now_s: float) -> bool:
+        """Return whether no other host can be granting this host's parts.
+
+        A young host may if all hosts have started together and it knows
+        those that rely on it. The last one has begun before the first one is
+        no longer young and stops to look for others.
+        """
         if not self._fleet.serving:
             return False
-        if now_s - self._started_s >= quota_hosts.YOUNG_S:
+        if not self._is_young(now_s):
             return True
-        return self._calm and self._fleet.first_start and not self._paused
+        return (
+            not self._paused
+            and self._fleet.confirmed
+            and self._fleet.first_start
+            and (self._granting_since_s is not None or self._fleet.all_young)
+        )
+
+    def _is_young(self, now_s: float) -> bool:
+        return now_s - self._started_s < quota_hosts.YOUNG_S
 
     def _find(
         self,
@@ -204,14 +215,27 @@
         owners = self._owners(workspace, bounds, hosts, now_s)
         if not self._is_owner(workspace, hosts, owners):
             return None
-        # Nobody else has granted this host's part since then.
+        # Nobody else has granted this host's part since then. A young owner
+        # is replaced at once.
         assert self._granting_since_s is not None
-        since_s = max(self._names_since_s + _RELEASE_S, self._granting_since_s)
+        young = self._is_young(now_s)
+        release_s = 0.0 if young else _RELEASE_S
+        since_s = max(self._names_since_s + release_s, self._granting_since_s)
         share = bounds.share(workspace, owners, hosts.known_fraction)
+        if young:
+            # While hosts start, owners change so often that their initial
+            # tokens would exceed the slack. They are added later.
+            share = attrs.evolve(share, initial=0.0)
         bucket = quota_bucket.QuotaBucket(
             share, now_s, max(0.0, now_s - since_s)
         )
-        owned = _OwnedQuota(bucket, owners, hosts.known_fraction, hosts.names)
+        owned = _OwnedQuota(
+            bucket,
+            owners,
+            hosts.known_fraction,
+            hosts.names,
+            initial_due=young,
+        )
         self._owned[workspace.name] = owned
         return owned
 
@@ -232,10 +256,17 @@
             if self._is_owner(workspace, hosts, owners):
                 owned.owners = owners
                 owned.released_s = None
+            elif self._is_replaced_at_once(workspace, hosts, owners):
+                del self._owned[workspace.name]
+                return None
             elif owned.released_s is None:
                 owned.released_s = now_s
         if owned.released_s is None:
             owned.known_fraction = hosts.known_fraction
+        if owned.initial_due and self._is_stable(bounds, now_s):
+            share = bounds.share(workspace, owners, owned.known_fraction)
+            owned.bucket.add(share.initial)
+            owned.initial_due = False
         if (
             owned.released_s is not None
             and now_s - owned.released_s >= _RELEASE_S
@@ -244,6 +275,31 @@
             return None
         return owned
 
+    def _is_stable(
+        self, bounds: quota_bucket.QuotaBounds, now_s: float
+    ) -> bool:
+        """Return whether the owners have not changed for half a window.
+
+        Initial tokens are thus added at most twice in each window, however
+        often hosts restart.
+        """
+        assert self._granting_since_s is not None
+        since_s = max(self._names_since_s, self._granting_since_s)
+        return now_s - since_s >= bounds.window_s / 2
+
+    def _is_replaced_at_once(
+        self,
+        workspace: workspaces.Workspace,
+        hosts: quota_hosts.QuotaHosts,
+        owners: int,
+    ) -> bool:
+        """Return whether a new owner may not wait until all know it."""
+        if not self._is_young(self._names_since_s):
+            return False
+        names = [name for name in hosts.names if name not in hosts.late]
+        early = quota_hosts.QuotaHosts(tuple(names))
+        return not self._is_owner(workspace, early, owners)
+
     def _owners(
         self,
         workspace: workspaces.Workspace,
@@ -257,7 +313,7 @@
         that the quota is divided among the maximum number of owners.
         """
         count = len(hosts.names)
-        if now_s - self._started_s < quota_hosts.YOUNG_S:
+        if self._is_young(now_s):
             count = max(count, quota_bucket.MAX_OWNERS)
         return bounds.owners(workspace, count)
 
--- a/packages/tier/src/corianderport_tier/process/quotas.py
+++ b/packages/tier/src/corianderport_tier/process/quotas.py
@@ -14,6 +14,7 @@
 from corianderport_tier.process import quota_account
 from corianderport_tier.process import quota_bucket
 from corianderport_tier.process import quota_calls
+from corianderport_tier.process import quota_retries
 from corianderport_tier.version import workspaces
 
 __all__ = ['QuotaToken', 'Quotas']
@@ -72,6 +73,7 @@
         :param latest_s: time until which the request may wait.
         :return: None if the workspace has no quota.
         :raises QuotaExceeded: the quota is used up.
+        :raises QuotaPending: the owners have just started.
         :raises NotReady: no owner of the quota could be reached.
         """
         bounds = self._bounds()
@@ -127,6 +129,7 @@
                     name,
                     self._rng.randrange(_MAX_FIRST_OWNER),
                     self._clock.monotonic(),
+                    quota_retries.QuotaRetries(self._rng),
                 )
                 self._accounts[name] = account
             return account
@@ -147,7 +150,7 @@
                 if not account.asking:
                     self._check_refused(account, workspace, now_s)
                 if now_s >= deadline_s:
-                    raise self._unreachable(workspace)
+                    raise self._unreachable(account, workspace)
                 if not account.asking:
                     account.asking = True
                     return None
@@ -167,10 +170,20 @@
                 account.refused_until_s - now_s,
             )
         if account.unreachable_until_s > now_s:
-            raise self._unreachable(workspace)
+            raise self._unreachable(account, workspace)
 
-    def _unreachable(self, workspace: workspaces.Workspace) -> errors.NotReady:
+    def _unreachable(
+        self,
+        account: quota_account.QuotaAccount,
+        workspace: workspaces.Workspace,
+    ) -> errors.NotReady:
         self._count('quota-unreachable')
+        if account.pending:
+            return errors.QuotaPending(
+                f'the owners of the quota of workspace {workspace.name!r} '
+                'have just started',
+                self._calls.retry_after_s(account, workspace),
+            )
         return errors.NotReady(
             f'no owner of the quota of workspace {workspace.name!r} replied'
         )
@@ -213,6 +226,7 @@
             for host, until_s in account.empty_until_s.items()
             if until_s > now_s
         }
+        account.pending = replies.not_ready
         if replies.replied == 0:
             account.unreachable_until_s = now_s + _UNREACHABLE_S
         elif account.empty_until_s:
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -122,7 +122,7 @@
             return self._refuse(request, error.code, str(error), route.name)
         try:
             token = self._take_token(request, authorization)
-        except errors.QuotaExceeded as error:
+        except (errors.QuotaExceeded, errors.QuotaPending) as error:
             return self._refuse(
                 request,
                 error.code,
@@ -154,6 +154,7 @@
         """Take a token of the quota of the caller's workspace.
 
         :raises QuotaExceeded: the quota is used up.
+        :raises QuotaPending: the owners have just started.
         :raises NotReady: no owner of the quota could be reached.
         """
         workspace = authorization.workspace
--- a/packages/wire/src/corianderport_wire/connection/heartbeat_codec.py
+++ b/packages/wire/src/corianderport_wire/connection/heartbeat_codec.py
@@ -22,6 +22,8 @@
         version=message.version,
         rumours=[_rumour_to_thrift(r) for r in message.rumours] or None,
         joining=message.joining or None,
+        known_change=message.known_change,
+        last_change=message.last_change,
     )
 
 
@@ -32,6 +34,8 @@
         version=fields.version,
         rumours=tuple(_rumour_from_thrift(r) for r in fields.rumours or ()),
         joining=bool(fields.joining),
+        known_change=fields.known_change,
+        last_change=fields.last_change,
     )
 
 
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -22,6 +22,10 @@
     3: optional list<MemberRumour> rumours
     // The identifiers 4, 5, 7 and 8 were used by earlier versions.
     6: optional bool joining
+    // Asks for the rumours stored after this change of the receiver, and the
+    // last change that the reply includes.
+    9: optional i64 known_change
+    10: optional i64 last_change
 }
 
 struct ActionRequest {
--- a/tests/tier/quota_network.py
+++ b/tests/tier/quota_network.py
@@ -18,6 +18,7 @@
 from corianderport_tier.process import quota_messages
 from corianderport_tier.process import quota_owner
 from corianderport_tier.process import quotas
+from corianderport_tier.process import seed_contact
 from corianderport_tier.version import workspaces
 
 BOUNDS = quota_bucket.QuotaBounds(window_s=5, excess=0.25, slack=20)
@@ -30,6 +31,8 @@
 # Time until a starting host has contacted the seeds, and their number.
 _JOIN_S = (0.2, 1.5)
 _SEEDS = 3
+# A starting host queries the seeds this often.
+_QUERY_S = 0.3
 
 Standing = membership.Standing
 
@@ -87,6 +90,11 @@
         self._started_s = self._fleet.now_s
         self._joined_s = self._started_s
         self._contacted: set[str] = set()
+        # The start of each seed's process that knows this host, since when,
+        # and until when its knowledge is known.
+        self._registered: dict[str, tuple[float, float]] = {}
+        self._current: dict[str, float] = {}
+        self._queried_s = -math.inf
         if not settled:
             self._joined_s += rng.uniform(*_JOIN_S)
         self._known = collections.defaultdict(_Knowledge)
@@ -129,14 +137,27 @@
                     if known.standing is Standing.DEAD and not known.forgotten
                 ),
                 sum(known.forgotten for known in self._known.values()),
+                frozenset(
+                    name
+                    for name in self._known
+                    if self._fleet.hosts[name].started_at
+                    > self.started_at
+                    + quota_hosts.TOGETHER_S
+                    + quota_hosts.MAX_SKEW_S
+                ),
             )
         return self._hosts
 
     @property
     def serving(self) -> bool:
         """Implements ``QuotaFleet``."""
-        if self._fleet.now_s < self._joined_s:
+        if self._fleet.now_s < self._joined_s and not self.confirmed:
             return False
+        return self.connected
+
+    @property
+    def connected(self) -> bool:
+        """Implements ``QuotaFleet``."""
         return self._known_seeds() > 0.5
 
     def _known_seeds(self) -> float:
@@ -160,7 +181,9 @@
         for name, known in list(seed._known.items()):
             if known.standing is None:
                 continue
-            if self._known[name].standing is None:
+            unknown = self._known[name].standing is None
+            started = known.standing is Standing.ALIVE
+            if unknown or (started and self._fleet.hosts[name].running):
                 self.learn(name, known.standing, known.forgotten)
 
     @property
@@ -168,12 +191,56 @@
         """Implements ``QuotaFleet``."""
         if self._known_seeds() < 1:
             return False
-        young_since_s = self.started_at - quota_hosts.YOUNG_S
-        return not any(
-            self._fleet.hosts[name].started_at < young_since_s
+        earliest_s = self.started_at - quota_hosts.TOGETHER_S
+        return all(s >= earliest_s for s in self._starts())
+
+    @property
+    def all_young(self) -> bool:
+        """Implements ``QuotaFleet``."""
+        now_s = self.clock.time()
+        earliest_s = now_s - quota_hosts.YOUNG_S + quota_hosts.MAX_SKEW_S
+        latest_s = now_s + quota_hosts.MAX_SKEW_S
+        return all(earliest_s <= s <= latest_s for s in self._starts())
+
+    def _starts(self) -> list[float]:
+        return [
+            self._fleet.hosts[name].started_at
             for name, known in self._known.items()
             if known.standing is not None and known.standing < Standing.GONE
-        )
+        ]
+
+    @property
+    def confirmed(self) -> bool:
+        """Implements ``QuotaFleet``."""
+        oldest_s = self._fleet.now_s - seed_contact.LEASE_S
+        recent = sum(s > oldest_s for s in self._current.values())
+        return 2 * recent > _SEEDS
+
+    @property
+    def grants_in_s(self) -> float:
+        """Implements ``QuotaFleet``."""
+        young = self._fleet.now_s - self._started_s < quota_hosts.YOUNG_S
+        return 0.5 if young and not self.confirmed else 0.0
+
+    def query_seeds(self) -> None:
+        """Learn what the seeds know while this host is starting."""
+        now_s = self._fleet.now_s
+        if now_s - self._started_s >= quota_hosts.YOUNG_S:
+            return
+        if now_s - self._queried_s < _QUERY_S:
+            return
+        self._queried_s = now_s
+        for seed in [*self._fleet.hosts.values()][:_SEEDS]:
+            if seed.group != self.group or seed.frozen or not seed.running:
+                continue
+            if seed is not self:
+                self._join(seed)
+            registered = self._registered.get(seed.name)
+            if registered is None or registered[0] != seed._started_s:
+                registered = (seed._started_s, now_s)
+                self._registered[seed.name] = registered
+            if now_s - registered[1] >= seed_contact.LEASE_S:
+                self._current[seed.name] = now_s
 
     @property
     def started_at(self) -> float:
@@ -254,6 +321,7 @@
                 heapq.heappop(self._news)[2]()
             for host in self.hosts.values():
                 if host.running and not host.frozen:
+                    host.query_seeds()
                     host.owner.expire()
                     host.quotas.expire()
 
--- a/tests/tier/test_forwarding_quotas.py
+++ b/tests/tier/test_forwarding_quotas.py
@@ -88,6 +88,16 @@
     assert host.idle
 
 
+def test_owners_that_have_just_started_determine_the_retry_delay(
+    host: _Host,
+) -> None:
+    """Guards against callers that come back before there is quota."""
+    host.quotas.refusal = errors.QuotaPending('just started', 0.9)
+    host.start()
+    assert host.refusal(Code.NOT_READY).retry_after_s == 0.9
+    assert host.idle
+
+
 def test_token_of_a_request_that_no_searcher_ran_is_given_back(
     host: _Host,
 ) -> None:
--- a/tests/tier/test_gossip.py
+++ b/tests/tier/test_gossip.py
@@ -219,3 +219,31 @@
     network.run(7)
     # The host has heard of h3 from h2.
     assert host.known_seeds == 0.75
+
+
+def test_lone_host_knows_nothing_of_a_fleet_without_seeds() -> None:
+    """Guards against a host that takes itself for the whole fleet.
+
+    No process listens at the addresses of the seeds yet, so that hosts that
+    are no seeds don't find each other.
+    """
+    network = _Network(1, ('s1', 's2'))
+    network.stopped |= {'s1', 's2'}
+    network.run(3)
+    assert network.hosts['h0'].known_seeds == 0
+    network.start('s1', ('s1', 's2'), '1')
+    network.stopped.remove('s1')
+    network.run(8)
+    assert network.hosts['h0'].known_seeds == 1
+    assert network.hosts['s1'].known_seeds == 1
+
+
+def test_seed_that_refused_is_unknown_after_a_silence() -> None:
+    """Guards against a host that was cut off before the seeds started."""
+    network = _Network(2, ('h0', 'h1', 's1', 's2'))
+    network.stopped |= {'s1', 's2'}
+    network.run(3)
+    assert network.hosts['h0'].known_seeds == 1
+    network.cut |= {frozenset(('h0', 's1')), frozenset(('h0', 's2'))}
+    network.run(8)
+    assert network.hosts['h0'].known_seeds < 0.5
--- a/tests/tier/test_quota_hosts.py
+++ b/tests/tier/test_quota_hosts.py
@@ -1,11 +1,13 @@
 """Which hosts a host counts when quotas are divided."""
 
+from corianderport_daemon.process import incarnations
 from corianderport_testkit import clock as clock_module
 from corianderport_tier.process import membership
 from corianderport_tier.process import quota_hosts
 
 Standing = membership.Standing
 _OLD, _YOUNG, _NOW = '000000001000.x', '000000009000.x', '000000009100.x'
+_NOW_S = incarnations.started_s(_NOW)
 _OWN = membership.Member('own', 'dc-a', '127.0.0.1:1', incarnation=_NOW)
 _OTHER = membership.Member('other', 'dc-a', '127.0.0.1:2', incarnation=_YOUNG)
 
@@ -14,18 +16,21 @@
     """One host that knows another one."""
 
     def __init__(self) -> None:
-        self.clock = clock_module.ManualClock()
+        self.clock = clock_module.ManualClock(_NOW_S)
         self.members = membership.Membership(_OWN, self.clock)
         self.members.apply(membership.Rumour(_OTHER))
         self.names: tuple[str, ...] = ('other', 'own')
         self.joined = True
         self.known_seeds = 1.0
+        self.confirmed = False
         self.fleet = quota_hosts.MembershipHosts(
             self.members,
             lambda: self.names,
             lambda: self.joined,
             lambda: self.known_seeds,
-            '000000008000',
+            lambda: 0.0 if self.confirmed else 0.5,
+            incarnations.started_s,
+            self.clock,
         )
 
     def apply(
@@ -82,12 +87,49 @@
     assert host.fleet.first_start
 
 
+def test_hosts_that_have_started_recently() -> None:
+    """Guards against a host that begins when others no longer look for it."""
+    host = _Host()
+    assert host.fleet.all_young
+    host.clock.advance(quota_hosts.YOUNG_S - quota_hosts.MAX_SKEW_S - 0.3)
+    assert host.fleet.all_young
+    host.clock.advance(0.3)
+    assert not host.fleet.all_young
+
+
+def test_host_whose_clock_is_ahead_is_not_young() -> None:
+    """Guards against an old host that seems to start in the future."""
+    host = _Host()
+    ahead = membership.Member(
+        'ahead', 'dc-a', '127.0.0.1:3', incarnation='00000000ffff.x'
+    )
+    host.apply(Standing.ALIVE, ahead)
+    assert host.fleet.first_start
+    assert not host.fleet.all_young
+    assert host.fleet.hosts.late == {'ahead'}
+
+
+def test_unknown_form_of_incarnation_is_not_young() -> None:
+    """Guards against early grants beside a host of another version."""
+    host = _Host()
+    strange = membership.Member(
+        'strange', 'dc-a', '127.0.0.1:3', incarnation='x1'
+    )
+    host.apply(Standing.ALIVE, strange)
+    assert not host.fleet.first_start
+
+
 def test_serving() -> None:
     """Guards against tokens granted before joining or while leaving."""
     host = _Host()
     assert host.fleet.serving
     host.joined = False
     assert not host.fleet.serving
+    assert host.fleet.grants_in_s == 0.5
+    host.confirmed = True
+    assert host.fleet.serving
+    assert host.fleet.grants_in_s == 0
+    host.confirmed = False
     host.joined = True
     host.members.leave()
     assert not host.fleet.serving
--- a/tests/tier/test_quota_owner.py
+++ b/tests/tier/test_quota_owner.py
@@ -19,8 +19,11 @@
 
     def __init__(self) -> None:
         self.hosts = quota_hosts.QuotaHosts(_NAMES)
-        self.serving = True
+        self.serving = self.connected = True
         self.first_start = False
+        self.all_young = False
+        self.confirmed = False
+        self.grants_in_s = 0.0
 
 
 class _Owner:
@@ -72,21 +75,30 @@
     assert owner.grant() == 1 + int(11.25 * 1.0)
 
 
-def test_hosts_that_start_together_grant_soon() -> None:
-    """Guards against seconds without quotas after all hosts restarted."""
+def _early() -> _Owner:
+    """An owner that has started together with all others and knows them."""
     owner = _Owner()
-    owner.fleet.first_start = True
-    owner.advance(1)
-    with pytest.raises(errors.NotReady):
-        owner.grant()
-    owner.advance(1.25)
-    assert owner.grant() == 1
+    owner.fleet.first_start = owner.fleet.all_young = True
+    owner.fleet.confirmed = True
+    return owner
 
 
-def test_unsettled_fleet_gets_nothing() -> None:
+def test_hosts_that_start_together_grant_soon() -> None:
+    """Guards against seconds without quotas after all hosts restarted.
+
+    The bucket starts empty, so that a quarter second gives 2.8 tokens.
+    """
+    owner = _early()
+    assert owner.grant() == 0
+    owner.advance(0.25)
+    assert owner.grant() == 2
+
+
+@pytest.mark.parametrize('lacking', ['first_start', 'all_young', 'confirmed'])
+def test_unsettled_fleet_gets_nothing(lacking: str) -> None:
     """Guards against many owners while the hosts find each other."""
-    owner = _Owner()
-    owner.fleet.first_start = True
+    owner = _early()
+    setattr(owner.fleet, lacking, False)
     for number in range(6):
         owner.rename(*_NAMES[: number + 1])
         owner.advance(0.75)
@@ -94,6 +106,84 @@
             owner.grant()
 
 
+@pytest.mark.parametrize('lost', ['first_start', 'confirmed', 'serving'])
+def test_young_host_stops_when_it_loses_sight(lost: str) -> None:
+    """Guards against grants while an unknown host takes the part over.
+
+    Its bucket starts anew, since the other host may have used the tokens.
+    """
+    owner = _early()
+    owner.advance(2)
+    setattr(owner.fleet, lost, False)
+    with pytest.raises(errors.NotReady):
+        owner.grant()
+    setattr(owner.fleet, lost, True)
+    assert owner.grant() == 0
+
+
+def test_young_host_goes_on_when_the_others_grow_older() -> None:
+    """Guards against an interruption before all hosts are old enough."""
+    owner = _early()
+    owner.advance(0.5)
+    owner.fleet.all_young = False
+    owner.advance(6)
+    assert owner.grant() > 0
+    owner.fleet.first_start = owner.fleet.confirmed = False
+    owner.advance(2)
+    assert owner.grant() > 0
+
+
+def test_young_owner_is_replaced_at_once() -> None:
+    """Guards against two young hosts that grant the same part.
+
+    A host that has started much later does not grant before all know it, so
+    that the replaced owner may go on for three seconds.
+    """
+    owner = _early()
+    owner.advance(1)
+    assert owner.grant(1) == 1
+    first = quota_hosts.first_hosts('kami', (f'x{n}' for n in range(500)), 4)
+    names = (*_NAMES, *first)
+    owner.fleet.hosts = quota_hosts.QuotaHosts(names, late=frozenset(first))
+    owner.advance(1)
+    assert owner.grant(1) == 1
+    owner.rename(*names)
+    with pytest.raises(errors.NotOwner):
+        owner.grant(1)
+
+
+def test_initial_tokens_of_a_young_host() -> None:
+    """Guards against initial tokens at each of many changes of owners.
+
+    They are added when the owners have not changed for half a window.
+    """
+    owner = _early()
+    owner.workspaces = [workspaces.Workspace('kami', 0, 0.01, 10)]
+    assert owner.grant() == 0
+    owner.advance(2.25)
+    assert owner.grant() == 0
+    owner.advance(0.5)
+    assert owner.grant() == 1
+    owner.advance(6)
+    assert owner.grant() == 0
+
+
+def test_host_that_finds_the_fleet_late_waits() -> None:
+    """Guards against many hosts that find each other late and grant at once.
+
+    They have run for long, but no seed has been there.
+    """
+    owner = _Owner()
+    owner.fleet.connected = False
+    owner.advance(20)
+    owner.fleet.connected = True
+    owner.advance(7)
+    with pytest.raises(errors.NotReady):
+        owner.grant()
+    owner.advance(2)
+    assert owner.grant() > 0
+
+
 def test_host_that_leaves_grants_nothing() -> None:
     """Guards against tokens of a host whose place others take."""
     owner = _settled()
@@ -149,7 +239,8 @@
 def test_process_that_was_paused_for_long_starts_anew() -> None:
     """Guards against granting a part that others have taken over."""
     owner = _settled()
-    owner.fleet.first_start = True
+    owner.fleet.first_start = owner.fleet.all_young = True
+    owner.fleet.confirmed = True
     owner.grant(1)
     owner.clock.advance(130)
     with pytest.raises(errors.NotReady):
--- a/tests/wire/test_peer_versions.py
+++ b/tests/wire/test_peer_versions.py
@@ -54,6 +54,8 @@
     version=7,
     rumours=(_rumour(),),
     joining=True,
+    known_change=0,
+    last_change=2**40,
 )
 
 
