--- a/packages/tier/src/corianderport_tier/process/seed_contact.py
+++ b/packages/tier/src/corianderport_tier/process/seed_contact.py
@@ -78,9 +78,11 @@
     @property
     def current_in_s(self) -> float:
         """Time until what the seed knows may be counted, if it replies."""
-        since_s = min(self._registered_s, self._clock.boottime())
-        due_s = since_s + LEASE_S + _MARGIN_S - self._clock.boottime()
-        return max(0.0, due_s) + _PERIOD_S
+        waited_s = self._clock.boottime() - self._registered_s
+        if waited_s < 0:
+            # A seed that starts now is found after this time at most.
+            waited_s = -QUERY_TIMEOUT_S
+        return max(0.0, LEASE_S + _MARGIN_S - waited_s) + _PERIOD_S
 
     def step(self) -> float:
         """Query the seed once."""
