--- a/tests/tier/restart_cases.py
+++ b/tests/tier/restart_cases.py
@@ -7,7 +7,7 @@
 from . import restart_network
 
 _STEP_S = 0.02
-_PROBES = tuple(workspaces.Workspace(f'p{n}', 0, 40, 40) for n in range(12))
+PROBES = tuple(workspaces.Workspace(f'p{n}', 0, 40, 40) for n in range(12))
 
 
 @attrs.frozen
@@ -85,7 +85,7 @@
     """Run a case from the time at which the first host is back."""
     used = workspaces_of_fleet()
     network = restart_network.Network(
-        case.hosts, seed, (*used, *_PROBES), case.seeds
+        case.hosts, seed, (*used, *PROBES), case.seeds
     )
     rng = network.rng
     for workspace in used:
@@ -109,7 +109,7 @@
                 network.request(rng.choice(members), workspace.name)
         if at_s >= probe_s:
             probe_s += 0.25
-            sums = network.parts(w.name for w in _PROBES)
+            sums = network.parts(w.name for w in PROBES)
             mean = sum(sums) / len(sums)
             parts.append((round(at_s, 2), max(sums), mean))
     shares = tuple(
--- a/tests/tier/test_quota_start.py
+++ b/tests/tier/test_quota_start.py
@@ -107,6 +107,27 @@
     assert all(network.request(host, 'large') for host in others)
 
 
+@pytest.mark.parametrize('seed', [0, 1, 2])
+def test_seeds_that_restart_alone_grant_nothing_early(seed: int) -> None:
+    """Guards against seeds that take themselves for the whole fleet.
+
+    All of them restart together while the other hosts keep running.
+    """
+    probes = restart_cases.PROBES
+    network = restart_network.Network(12, seed, probes)
+    hosts = list(network.hosts.values())
+    for host in hosts:
+        network.start(host)
+    network.advance(20)
+    for host in hosts[:3]:
+        network.stop(host)
+        delay_s = network.rng.uniform(0.5, 1)
+        network.at(delay_s, lambda host=host: network.start(host))
+    for _ in range(48):
+        network.advance(0.25)
+        assert max(network.parts(w.name for w in probes)) <= 1.0
+
+
 def test_delays_of_requests_refused_after_a_restart() -> None:
     """Guards against retry delays after which there is still no quota.
 
