--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -26,9 +26,9 @@
 __all__ = ['Fleet']
 
 # A host that owns parts of quotas has a connection from each host that uses
-# them, besides those for heartbeats and registry changes. The largest
-# deployment has 195 hosts.
-_PEER_CONNECTIONS = 256
+# them, and a seed has one from each host that has just started, besides those
+# for heartbeats and registry changes. The largest deployment has 195 hosts.
+_PEER_CONNECTIONS = 450
 
 
 class Fleet(closing.Closing):
@@ -82,7 +82,9 @@
             settings.seeds,
             executor,
             clock,
-            gossip.GossipTimes(),
+            gossip.GossipTimes(
+                starting_s=quota_hosts.YOUNG_S if settings.quota else 0.0
+            ),
             random.Random(),
             on_change,
         )
@@ -92,9 +94,9 @@
             lambda: self._gossip.hosts,
             lambda: self._gossip.joined,
             lambda: self._gossip.known_seeds,
-            incarnations.earliest_incarnation(
-                clock.time() - quota_hosts.YOUNG_S
-            ),
+            lambda: self._gossip.confirmed_in_s,
+            incarnations.started_s,
+            clock,
         )
 
     def __enter__(self) -> typing.Self:
--- a/packages/tier/src/corianderport_tier/process/membership.py
+++ b/packages/tier/src/corianderport_tier/process/membership.py
@@ -4,12 +4,14 @@
 """
 
 import collections.abc
-import enum
 import threading
 
 import attrs
 
 from corianderport_tier import clocks
+from corianderport_tier.process import members as data
+from corianderport_tier.process import pause_detector
+from corianderport_tier.process import rumour_changes
 from corianderport_tier.process import rumour_queue
 
 __all__ = [
@@ -25,57 +27,12 @@
 
 _MAX_RUMOURS_FOR_JOINING = 1_000
 
-
-class MemberState(enum.Enum):
-    """State of a host in the platform's list or as the host announces it."""
-
-    LIVE = 'live'
-    LEAVING = 'leaving'
-
-
-@attrs.frozen
-class Member:
-    """One host; ``peer_address`` is ``ip:port``.
-
-    ``incarnation`` is a random text that identifies a process start and sorts
-    by start time. It is empty if only the host list contains the host.
-    """
-
-    name: str
-    data_centre: str
-    peer_address: str
-    state: MemberState = MemberState.LIVE
-    incarnation: str = ''
-
-
-class Standing(enum.IntEnum):
-    """Assumed liveness of a host; the greater value takes precedence.
-
-    ``GONE`` means that the host's process is known to have ended.
-    """
-
-    ALIVE = 0
-    SUSPECT = 1
-    DEAD = 2
-    GONE = 3
-
-
-@attrs.frozen
-class Rumour:
-    """A statement about one host that hosts pass on to each other.
-
-    A host increases its own ``refutation`` to override the rumours about
-    its incarnation.
-    """
-
-    member: Member
-    standing: Standing = Standing.ALIVE
-    refutation: int = 0
-
-    @property
-    def rank(self) -> tuple[str, int, int]:
-        """Rank among rumours about one host; the greatest takes precedence."""
-        return (self.member.incarnation, self.refutation, self.standing)
+# Other modules use these types through this module.
+Member = data.Member
+MemberState = data.MemberState
+Rumour = data.Rumour
+Standing = data.Standing
+View = data.View
 
 
 @attrs.frozen
@@ -87,16 +44,6 @@
     pause_s: float = 2.5
 
 
-@attrs.frozen
-class View:
-    """An immutable snapshot of the members; each has its own ``epoch``."""
-
-    epoch: int
-    members: tuple[Member, ...]
-    live: tuple[Member, ...]
-    standings: collections.abc.Mapping[str, Standing]
-
-
 RegionOf = collections.abc.Callable[[str], str | None]
 
 
@@ -130,9 +77,10 @@
         self._ended_incarnations: dict[str, str] = {}
         self._suspected_s: dict[str, float] = {}
         self._queue = rumour_queue.RumourQueue()
-        self._last_step_s = self._clock.monotonic()
-        self._awaiting_reply = False
-        self._resumed_s = 0.0
+        self._changes = rumour_changes.RumourChanges()
+        self._pauses = pause_detector.PauseDetector(
+            self._clock, self._times.pause_s
+        )
         self._view_stale = False
         self._view = View(0, (own,), (own,), {own.name: Standing.ALIVE})
 
@@ -155,8 +103,7 @@
     def awaiting_reply(self) -> bool:
         """Whether this host was paused and has had no reply since."""
         with self._lock:
-            self._check_pause()
-            return self._awaiting_reply
+            return self._pauses.awaiting_reply
 
     @property
     def view(self) -> View:
@@ -222,14 +169,9 @@
             return True
 
     def on_reply(self, sent_s: float) -> None:
-        """Handle the reply to a message that was sent at ``sent_s``.
-
-        A reply to a message from before the end of a pause is ignored.
-        """
+        """Handle the reply to a message that was sent at ``sent_s``."""
         with self._lock:
-            self._check_pause()
-            if sent_s >= self._resumed_s:
-                self._awaiting_reply = False
+            self._pauses.on_reply(sent_s)
 
     def suspect(self, member: Member, gone: bool = False) -> None:
         """Handle a failure to reach a host.
@@ -238,8 +180,7 @@
             process listens there.
         """
         with self._lock:
-            self._check_pause()
-            if self._awaiting_reply and not gone:
+            if self._pauses.awaiting_reply and not gone:
                 return
             if not self._same_region(member):
                 return
@@ -259,9 +200,7 @@
         """
         now_s = self._clock.monotonic()
         with self._lock:
-            self._check_pause()
-            self._last_step_s = now_s
-            if self._awaiting_reply:
+            if self._pauses.on_step():
                 # Refutations may have been sent during the pause, when this
                 # host did not read messages.
                 self._suspected_s = dict.fromkeys(self._suspected_s, now_s)
@@ -291,6 +230,16 @@
             names = self._queue.take(lambda n: self._records[n].standing)
             return tuple(self._records[name] for name in names)
 
+    def changes(self, after: int) -> tuple[int, tuple[Rumour, ...]]:
+        """Return the rumours stored after a change, and the last change.
+
+        :param after: number of the change, 0 for all rumours.
+        """
+        with self._lock:
+            names = self._changes.after(after)
+            rumours = tuple(self._records[name] for name in names)
+            return self._changes.last, rumours
+
     def standing(self, member: Member) -> Standing:
         """Return the standing of one incarnation of a host."""
         with self._lock:
@@ -304,13 +253,6 @@
                 return Standing.GONE
             return record.standing
 
-    def _check_pause(self) -> None:
-        now_s = self._clock.monotonic()
-        if now_s - self._last_step_s > self._times.pause_s:
-            self._last_step_s = now_s
-            self._resumed_s = now_s
-            self._awaiting_reply = True
-
     def _outranks(self, rumour: Rumour) -> bool:
         name = rumour.member.name
         incarnation = rumour.member.incarnation
@@ -332,12 +274,14 @@
             self._suspected_s.pop(name, None)
         hosts = len(self._listed) + len(self._records)
         self._queue.add(name, hosts)
+        self._changes.note(name)
         self._view_stale = True
 
     def _forget(self, name: str) -> None:
         record = self._records.pop(name, None)
         self._suspected_s.pop(name, None)
         self._queue.discard(name)
+        self._changes.discard(name)
         if record is not None and record.member.incarnation:
             self._ended_incarnations[name] = record.member.incarnation
 
