--- a/packages/tier/src/corianderport_tier/process/quota_owner.py
+++ b/packages/tier/src/corianderport_tier/process/quota_owner.py
@@ -99,6 +99,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._owned: dict[str, _OwnedQuota] = {}
+        # Tokens granted since the start of the process, by workspace.
+        self._granted: dict[str, int] = {}
         self._names: tuple[str, ...] = ()
         now_s = clock.monotonic()
         self._names_since_s = now_s
@@ -144,6 +146,8 @@
                 raise errors.NotOwner('other hosts own the quota')
             share = bounds.share(workspace, owned.owners, owned.known_fraction)
             granted = owned.bucket.take(share, request.tokens, now_s)
+            total = self._granted.get(workspace.name, 0) + granted
+            self._granted[workspace.name] = total
             retry_after_s = 0.0
             if granted < request.tokens:
                 retry_after_s = owned.bucket.retry_after_s(now_s)
@@ -151,6 +155,30 @@
                 granted, retry_after_s, bounds.valid_s
             )
 
+    def granted_totals(self) -> dict[str, int]:
+        """Return the tokens granted since the start, by workspace."""
+        with self._lock:
+            return dict(self._granted)
+
+    def part(self, workspace: workspaces.Workspace) -> float:
+        """Return the fraction of a quota that this host grants now."""
+        bounds = self._bounds()
+        if bounds is None or workspace.rate_per_s <= 0:
+            return 0.0
+        with self._lock:
+            now_s = self._clock.monotonic()
+            self._observe(now_s)
+            if self._granting_since_s is None or not self._fleet.serving:
+                return 0.0
+            owned = self._check_place(workspace, bounds, now_s)
+            if owned is not None:
+                return owned.known_fraction / owned.owners
+            hosts = self._fleet.hosts
+            owners = self._owners(workspace, bounds, hosts, now_s)
+            if not self._is_owner(workspace, hosts, owners):
+                return 0.0
+            return hosts.known_fraction / owners
+
     def expire(self) -> None:
         """Drop buckets that are no longer used; called periodically."""
         bounds = self._bounds()
@@ -163,6 +191,9 @@
                     del self._owned[name]
                 else:
                     self._check_place(workspace, bounds, now_s)
+            for name in list(self._granted):
+                if self._index.find(name) is None:
+                    del self._granted[name]
 
     def _observe(self, now_s: float) -> None:
         """Note changes of the fleet, and whether this host may grant."""
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -16,6 +16,7 @@
 from corianderport_tier.process import quotas as quotas_module
 from corianderport_tier.process import route_latency
 from corianderport_tier.process import store_freshness
+from corianderport_tier.process import workspace_counts
 from corianderport_tier.request import answer_summaries
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import explanation
@@ -32,6 +33,7 @@
 _NO_ROUTE = 'none'
 
 Code = result_codes.ResultCode
+Outcome = workspace_counts.Outcome
 Failure = forward_messages.Failure
 
 
@@ -48,6 +50,7 @@
         host_drain: drain.Drain | None = None,
         freshness: store_freshness.StoreFreshness | None = None,
         quotas: quotas_module.Quotas | None = None,
+        activity: workspace_counts.WorkspaceCounts | None = None,
     ) -> None:
         self._metrics = counts or metrics.Metrics()
         self._authorizer = authorization_module.Authorizer(
@@ -56,6 +59,7 @@
             or store_freshness.StoreFreshness(clock, log, lambda: False),
         )
         self._quotas = quotas
+        self._activity = activity
         self.drain = host_drain or drain.Drain(clock)
         self.directory = searcher_directory
         self.clock = clock
@@ -119,10 +123,12 @@
         try:
             authorization = self._authorizer.admit(route, request.credential)
         except (errors.Unauthenticated, errors.KeyUnconfirmed) as error:
+            self._count_key_refusal(None, error.code)
             return self._refuse(request, error.code, str(error), route.name)
         try:
             token = self._take_token(request, authorization)
         except errors.QuotaExceeded as error:
+            self._count(authorization, Outcome.OVER_QUOTA)
             return self._refuse(
                 request,
                 error.code,
@@ -131,13 +137,18 @@
                 max(forward_task.MIN_RETRY_AFTER_S, error.retry_after_s),
             )
         except errors.NotReady as error:
+            self._count(authorization, Outcome.NO_OWNER)
             return self._refuse(request, error.code, str(error), route.name)
+        self._count(authorization, Outcome.ADMITTED)
         task = forward_task.ForwardTask(self, request, route, authorization)
         try:
             answer = task.run(caller)
         finally:
             if token is not None and not task.may_have_run:
                 self._give_back(token)
+                self._count(authorization, Outcome.GIVEN_BACK)
+        if isinstance(answer, Failure) and authorization.workspace:
+            self._count_key_refusal(authorization.workspace.name, answer.code)
         if task.answered_at_goal:
             caller.call_when_sent(
                 lambda: self.answer_delay.record(
@@ -167,6 +178,25 @@
         assert self._quotas is not None
         self._quotas.give_back(token)
 
+    def _count(
+        self,
+        authorization: authorization_module.Authorization,
+        outcome: Outcome,
+    ) -> None:
+        if self._activity is None or authorization.identity is None:
+            return
+        workspace = authorization.workspace
+        name = None if workspace is None else workspace.name
+        self._activity.count(name, outcome)
+
+    def _count_key_refusal(self, name: str | None, code: Code) -> None:
+        if self._activity is None:
+            return
+        if code is Code.UNAUTHENTICATED:
+            self._activity.count(name, Outcome.KEY_REFUSED)
+        elif name is None:
+            self._activity.count(None, Outcome.KEY_UNCONFIRMED)
+
     def _refuse(
         self,
         request: forward_messages.ForwardRequest,
--- a/tests/tier/test_forwarding_quotas.py
+++ b/tests/tier/test_forwarding_quotas.py
@@ -5,6 +5,7 @@
 from corianderport_tier import errors
 from corianderport_tier.process import quota_account
 from corianderport_tier.process import quotas
+from corianderport_tier.process import workspace_counts
 from corianderport_tier.request import forward_messages
 from corianderport_tier import result_codes
 from corianderport_tier.version import workspaces
@@ -50,8 +51,17 @@
         )
         self.quotas = _Quotas()
         self.forwarder._quotas = self.quotas
+        self.counts = workspace_counts.WorkspaceCounts(
+            self.clock, lambda: 5.0, lambda: ('alpha',), dict
+        )
+        self.forwarder._activity = self.counts
         self.publish(test_forwarding_keys._keys(k1=_LIMITED))
 
+    def counted(self, name: str | None = 'alpha') -> dict[str, int]:
+        """Return the outcomes that were counted for a workspace."""
+        outcomes = self.counts.recent()[1][name].outcomes
+        return {o.value: n for o, n in outcomes.items() if n}
+
 
 @pytest.fixture(name='host')
 def _host() -> _Host:
@@ -136,3 +146,40 @@
     host.end(host.take(), test_forwarding.reply())
     assert isinstance(host.finish(), forward_messages.Relayed)
     assert host.quotas.admitted == admitted
+
+
+def test_each_outcome_is_counted_for_its_workspace(host: _Host) -> None:
+    """Guards against a report that hides why requests are refused."""
+    host.start()
+    host.end(host.take(), test_forwarding.reply())
+    host.finish()
+    assert host.counted() == {'admitted': 1}
+    host.quotas.refusal = errors.QuotaExceeded('used up', 0.7)
+    host.start()
+    host.refusal(Code.QUOTA_EXCEEDED)
+    host.quotas.refusal = errors.NotReady('no owner replied')
+    host.start()
+    host.refusal(Code.NOT_READY)
+    assert host.counted() == {'admitted': 1, 'over_quota': 1, 'no_owner': 1}
+    host.credential = 'unknown'
+    host.start()
+    host.refusal(Code.UNAUTHENTICATED)
+    assert host.counted(None) == {'key_refused': 1}
+
+
+def test_request_that_did_not_run_is_counted(host: _Host) -> None:
+    """Guards against admitted requests that seem to have run."""
+    host.start()
+    for _ in range(3):
+        host.end(host.take(), test_forwarding.reply(503, ran=False))
+    host.refusal(Code.UPSTREAM_REFUSED)
+    assert host.counted() == {'admitted': 1, 'given_back': 1}
+
+
+def test_requests_of_public_routes_have_no_workspace(host: _Host) -> None:
+    """Guards against requests that are counted for nobody."""
+    host.credential = None
+    host.start(path='/open/x')
+    host.end(host.take(), test_forwarding.reply())
+    host.finish()
+    assert host.counted(None) == {'admitted': 1}
--- a/tests/tier/test_quota_owner.py
+++ b/tests/tier/test_quota_owner.py
@@ -202,3 +202,21 @@
     owner.bounds = None
     with pytest.raises(errors.NotReady):
         owner.grant()
+
+
+def test_part_and_tokens_of_an_owner() -> None:
+    """Guards against a report that differs from what the owner grants."""
+    owner = _Owner()
+    assert owner.owner.part(_KAMI) == 0
+    owner.advance(60)
+    assert owner.owner.part(_KAMI) == 0.25
+    granted = owner.grant()
+    assert owner.owner.granted_totals() == {'kami': granted}
+    assert owner.owner.part(_KAMI) == 0.25
+    assert owner.owner.part(workspaces.Workspace('free', 0)) == 0
+    owner.rename(*(f'x{n}' for n in range(5_000)), owner.order[0])
+    owner.advance(10)
+    assert owner.owner.part(_KAMI) == 0
+    owner.workspaces = []
+    owner.advance(1)
+    assert owner.owner.granted_totals() == {}
