--- a/packages/daemon/src/corianderport_daemon/entry_main.py
+++ b/packages/daemon/src/corianderport_daemon/entry_main.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 
+from corianderport_daemon.process import adapters
 from corianderport_daemon.process import entry_host
 from corianderport_tier import errors
 from corianderport_wire.process import json_log
@@ -23,7 +24,7 @@
 _THREAD_STACK_BYTES = 512 * 1024
 
 
-def run(adapter: entry_host.Adapter) -> int:
+def run(adapter: adapters.Adapter) -> int:
     """Run a host until SIGTERM or SIGINT; SIGHUP reloads the settings."""
     threading.stack_size(_THREAD_STACK_BYTES)
     signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -13,10 +13,13 @@
 
 import attrs
 
+from corianderport_daemon.process import adapters
 from corianderport_daemon.process import entry_quotas
 from corianderport_daemon.process import entry_settings
 from corianderport_daemon.process import fleet
 from corianderport_daemon.process import host_listeners
+from corianderport_daemon.process import host_reports
+from corianderport_daemon.process import host_requests
 from corianderport_daemon.process import housekeeping
 from corianderport_daemon.process import registry_connection
 from corianderport_tier import clocks
@@ -36,12 +39,10 @@
 from corianderport_tier.process import service_searchers
 from corianderport_tier.process import store_freshness
 from corianderport_tier.request import deadlines
-from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forwarding
 from corianderport_tier.version import registrations
-from corianderport_wire.connection import caller_listener
 
-__all__ = ['Adapter', 'EntryHost']
+__all__ = ['EntryHost']
 
 _LOG = logging.getLogger(__name__)
 
@@ -52,52 +53,6 @@
 _EXIT_MARGIN_S = 0.4
 # Time before the end of the drain in which the last answers are sent.
 _LAST_ANSWER_MARGIN_S = 0.2
-_EXPLAIN_TARGET = b'/explain'
-
-
-class Adapter(typing.Protocol):
-    """Interface to the platform: its names, formats and calls."""
-
-    @property
-    def readiness_target(self) -> bytes:
-        """Path that the load balancer probes for readiness."""
-
-    @property
-    def prefix(self) -> str:
-        """Prefix of all registry keys that the host reads."""
-
-    def settings(self) -> entry_settings.EntrySettings:
-        """Load the settings.
-
-        :raises SettingInvalid: a setting is missing or invalid.
-        """
-
-    def settings_fingerprint(self) -> object:
-        """Return a value that changes whenever the settings change."""
-
-    def registry(self, address: str) -> transports.Registry:
-        """Return a connection to the registry, for use by one task."""
-
-    def decode(self, key: str, content: bytes) -> registrations.Published:
-        """Decode the content of a registry key."""
-
-    def dialer(self, clock: clocks.Clock) -> transports.SearcherDialer:
-        """Return a dialer for connections to searchers."""
-
-    def request(
-        self, request: caller_listener.ReceivedRequest
-    ) -> forward_messages.ForwardRequest:
-        """Decode a caller's request.
-
-        :raises MalformedRequest: the request cannot be decoded.
-        """
-
-    def answer(
-        self,
-        answer: forward_messages.ForwardAnswer,
-        request: caller_listener.ReceivedRequest,
-    ) -> caller_listener.HttpResponse:
-        """Encode the answer to a caller's request."""
 
 
 class EntryHost(closing.Closing):
@@ -106,7 +61,7 @@
     def __init__(
         self,
         settings: entry_settings.EntrySettings,
-        adapter: Adapter,
+        adapter: adapters.Adapter,
         clock: clocks.Clock,
     ) -> None:
         self._settings = settings
@@ -164,7 +119,7 @@
             )
         )
         self._drain = drain.Drain(clock)
-        self._forwarder = forwarding.Forwarder(
+        forwarder = forwarding.Forwarder(
             self._directory,
             clock,
             self._log,
@@ -174,13 +129,19 @@
             self._freshness,
             self._quotas.used,
         )
+        requests = host_requests.HostRequests(
+            adapter, forwarder, lambda: self.ready
+        )
+        reports = host_reports.HostReports(
+            self._metrics, self._freshness, forwarder.explainer
+        )
         self._listeners = host_listeners.HostListeners(
             settings,
             host_listeners.RequestHandlers(
-                self._serve,
-                self._wants_body,
-                self._serve_readiness,
-                self._serve_metrics,
+                requests.serve,
+                requests.wants_body,
+                requests.serve_readiness,
+                reports.serve,
             ),
             self._limits,
             self._log,
@@ -213,7 +174,7 @@
 
     @classmethod
     def from_adapter(
-        cls, adapter: Adapter, clock: clocks.Clock | None = None
+        cls, adapter: adapters.Adapter, clock: clocks.Clock | None = None
     ) -> 'EntryHost':
         """Build a host from the settings of an adapter.
 
@@ -328,62 +289,6 @@
         routing = self._directory.routing
         return None if routing is None else routing.limits
 
-    def _wants_body(self, head: caller_listener.ReceivedRequest) -> bool:
-        try:
-            request = self._adapter.request(head)
-        except errors.CorianderportError:
-            # The handler answers it.
-            return False
-        return self._forwarder.wants_body(request)
-
-    def _serve(
-        self,
-        received: caller_listener.ReceivedRequest,
-        caller: caller_listener.CallerConnection,
-    ) -> caller_listener.HttpResponse | None:
-        answer: forward_messages.ForwardAnswer | None
-        try:
-            request = self._adapter.request(received)
-            answer = self._forwarder.answer(request, caller)
-        except errors.CorianderportError as error:
-            answer = forward_messages.Failure(error.code, str(error))
-        return (
-            None if answer is None else self._adapter.answer(answer, received)
-        )
-
-    def _serve_readiness(
-        self,
-        received: caller_listener.ReceivedRequest,
-        caller: caller_listener.CallerConnection,
-    ) -> caller_listener.HttpResponse:
-        if received.target != self._adapter.readiness_target:
-            return caller_listener.HttpResponse(404, (), b'')
-        return caller_listener.HttpResponse(
-            200 if self.ready else 503, (), b''
-        )
-
-    def _serve_metrics(
-        self,
-        received: caller_listener.ReceivedRequest,
-        caller: caller_listener.CallerConnection,
-    ) -> caller_listener.HttpResponse:
-        # The libraries are imported when they are first needed, since a host
-        # without a scraper does not need the memory that they take.
-        if received.target.partition(b'?')[0] == _EXPLAIN_TARGET:
-            from corianderport_wire.request import explain_codec
-
-            return explain_codec.respond(
-                received.target, self._forwarder.explainer.explain
-            )
-        from corianderport_wire.process import metrics_text
-
-        content_type = metrics_text.CONTENT_TYPE.encode()
-        return caller_listener.HttpResponse(
-            200,
-            ((b'content-type', content_type),),
-            metrics_text.render(self._metrics.totals(), self._freshness.age_s),
-        )
-
     def _open_service(self, name: str) -> service_searchers.ServiceSearchers:
         return service_searchers.ServiceSearchers(
             name,
--- /dev/null
+++ b/packages/daemon/src/corianderport_daemon/process/host_reports.py
@@ -0,0 +1,57 @@
+"""corianderport_daemon.process.host_reports
+
+Serves what a host shows to operators and scrapers on its metrics address.
+"""
+
+from corianderport_tier.process import metrics
+from corianderport_tier.process import store_freshness
+from corianderport_tier.request import explanation
+from corianderport_wire.connection import caller_listener
+
+__all__ = ['HostReports']
+
+_EXPLAIN_TARGET = b'/explain'
+
+
+class HostReports:
+    """Answers the requests to the metrics address; changes nothing.
+
+    The libraries are imported when they are first needed, since a host
+    without a scraper does not need the memory that they take.
+    """
+
+    def __init__(
+        self,
+        counts: metrics.Metrics,
+        freshness: store_freshness.StoreFreshness,
+        explainer: explanation.Explainer,
+    ) -> None:
+        self._metrics = counts
+        self._freshness = freshness
+        self._explainer = explainer
+
+    def serve(
+        self,
+        received: caller_listener.ReceivedRequest,
+        caller: caller_listener.CallerConnection,
+    ) -> caller_listener.HttpResponse:
+        """Answer by path; all paths without a report get the metrics."""
+        path = received.target.partition(b'?')[0]
+        if path == _EXPLAIN_TARGET:
+            return self._explain(received.target)
+        return self._metrics_text()
+
+    def _explain(self, target: bytes) -> caller_listener.HttpResponse:
+        from corianderport_wire.request import explain_codec
+
+        return explain_codec.respond(target, self._explainer.explain)
+
+    def _metrics_text(self) -> caller_listener.HttpResponse:
+        from corianderport_wire.process import metrics_text
+
+        content_type = metrics_text.CONTENT_TYPE.encode()
+        return caller_listener.HttpResponse(
+            200,
+            ((b'content-type', content_type),),
+            metrics_text.render(self._metrics.totals(), self._freshness.age_s),
+        )
