--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -38,6 +38,7 @@
 from corianderport_tier.process import registry_source
 from corianderport_tier.process import service_searchers
 from corianderport_tier.process import store_freshness
+from corianderport_tier.process import workspace_activity
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forwarding
 from corianderport_tier.version import registrations
@@ -128,12 +129,22 @@
             self._drain,
             self._freshness,
             self._quotas.used,
+            self._quotas.counts,
         )
         requests = host_requests.HostRequests(
             adapter, forwarder, lambda: self.ready
         )
         reports = host_reports.HostReports(
-            self._metrics, self._freshness, forwarder.explainer
+            self._metrics,
+            self._freshness,
+            forwarder.explainer,
+            workspace_activity.ActivityReporter(
+                settings.host,
+                self._directory,
+                self._freshness,
+                self._quotas.counts,
+                self._quotas.part,
+            ),
         )
         self._listeners = host_listeners.HostListeners(
             settings,
--- a/packages/daemon/src/corianderport_daemon/process/entry_quotas.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_quotas.py
@@ -17,6 +17,7 @@
 from corianderport_tier.process import quota_messages
 from corianderport_tier.process import quota_owner
 from corianderport_tier.process import quotas
+from corianderport_tier.process import workspace_counts
 from corianderport_tier.version import workspaces
 
 __all__ = ['EntryQuotas']
@@ -64,6 +65,12 @@
             log,
         )
         self.used = quotas.Quotas(calls, lambda: self._bounds, clock, log, rng)
+        self.counts = workspace_counts.WorkspaceCounts(
+            clock,
+            self._window_s,
+            lambda: [workspace.name for workspace in newest() or ()],
+            self._owner.granted_totals,
+        )
 
     def set_bounds(self, bounds: quota_bucket.QuotaBounds | None) -> None:
         """Replace the bounds."""
@@ -78,11 +85,20 @@
         """
         return self._owner.grant(request)
 
+    def part(self, workspace: workspaces.Workspace) -> float:
+        """Return the fraction of a quota that this host grants."""
+        return self._owner.part(workspace)
+
     def expire(self) -> None:
         """Drop what is no longer used; called periodically."""
         self._owner.expire()
         self.used.expire()
+        self.counts.sample()
 
     def close(self) -> None:
         """Close the connections to owners."""
         self._connections.close()
+
+    def _window_s(self) -> float:
+        bounds = self._bounds
+        return bounds.window_s if bounds else workspace_counts.DEFAULT_WINDOW_S
--- a/packages/daemon/src/corianderport_daemon/process/host_reports.py
+++ b/packages/daemon/src/corianderport_daemon/process/host_reports.py
@@ -5,12 +5,14 @@
 
 from corianderport_tier.process import metrics
 from corianderport_tier.process import store_freshness
+from corianderport_tier.process import workspace_activity
 from corianderport_tier.request import explanation
 from corianderport_wire.connection import caller_listener
 
 __all__ = ['HostReports']
 
 _EXPLAIN_TARGET = b'/explain'
+_WORKSPACES_TARGET = b'/workspaces'
 
 
 class HostReports:
@@ -25,10 +27,12 @@
         counts: metrics.Metrics,
         freshness: store_freshness.StoreFreshness,
         explainer: explanation.Explainer,
+        activity: workspace_activity.ActivityReporter,
     ) -> None:
         self._metrics = counts
         self._freshness = freshness
         self._explainer = explainer
+        self._activity = activity
 
     def serve(
         self,
@@ -39,6 +43,8 @@
         path = received.target.partition(b'?')[0]
         if path == _EXPLAIN_TARGET:
             return self._explain(received.target)
+        if path == _WORKSPACES_TARGET:
+            return self._workspaces()
         return self._metrics_text()
 
     def _explain(self, target: bytes) -> caller_listener.HttpResponse:
@@ -46,6 +52,11 @@
 
         return explain_codec.respond(target, self._explainer.explain)
 
+    def _workspaces(self) -> caller_listener.HttpResponse:
+        from corianderport_wire.request import workspaces_codec
+
+        return workspaces_codec.respond(self._activity.report)
+
     def _metrics_text(self) -> caller_listener.HttpResponse:
         from corianderport_wire.process import metrics_text
 
--- a/packages/operator/src/corianderport_operator/main.py
+++ b/packages/operator/src/corianderport_operator/main.py
@@ -14,6 +14,7 @@
 from corianderport_operator.process import live_commands
 from corianderport_operator.process import log_commands
 from corianderport_operator.process import where_command
+from corianderport_operator.process import workspaces_command
 from corianderport_tier import errors
 
 __all__ = ['COMMANDS', 'main']
@@ -32,6 +33,7 @@
     'status': live_commands.status,
     'search': live_commands.search,
     'trace': log_commands.trace,
+    'workspaces': workspaces_command.workspaces,
 }
 
 # Words of a command that is not ``explain`` with a source named ``where``.
@@ -56,7 +58,9 @@
     known = COMMANDS
     if tuple(argv[:2]) == _WHERE:
         known = {'where': where_command.where}
-        argv = ['where', *_merge_headers(argv[2:])]
+        argv = ['where', *_merge_flags('--header', argv[2:])]
+    elif argv[:1] == ['workspaces']:
+        argv = _merge_flags('--host', argv)
     command = argv[:1] + [_quote_argument(argument) for argument in argv[1:]]
     try:
         try:
@@ -74,22 +78,22 @@
         sys.exit(_EXIT_INTERRUPTED)
 
 
-def _merge_headers(arguments: list[str]) -> list[str]:
-    """Merge all ``--header`` flags into one, whose value has a line for each.
+def _merge_flags(flag: str, arguments: list[str]) -> list[str]:
+    """Merge all flags of a name into one, whose value has a line for each.
 
     Fire keeps only the last one of repeated flags.
     """
     merged, values = [], []
     rest = iter(arguments)
     for argument in rest:
-        if argument == '--header':
+        if argument == flag:
             values.append(next(rest, ''))
-        elif argument.startswith('--header='):
+        elif argument.startswith(f'{flag}='):
             values.append(argument.partition('=')[2])
         else:
             merged.append(argument)
     if values:
-        merged.append('--header=' + '\n'.join(values))
+        merged.append(f'{flag}=' + '\n'.join(values))
     return merged
 
 
--- a/tests/adapter/test_entry_quotas.py
+++ b/tests/adapter/test_entry_quotas.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from corianderport_operator.connection import workspaces_client
 from corianderport_tier.process import quota_hosts
 
 from . import fakes
@@ -47,6 +48,38 @@
     return response.status, None if delay is None else float(delay)
 
 
+def _check_report(hosts: tuple[test_entry_process._Host, ...]) -> None:
+    """Check what operators see of the requests just before."""
+    addresses = [f'127.0.0.1:{host.metrics}' for host in hosts]
+    replies = workspaces_client.read_hosts(addresses)
+    activities = [reply.activity for reply in replies]
+    admitted = granted = 0
+    part = 0.0
+    for activity in activities:
+        assert activity is not None
+        assert activity.version == 8
+        assert activity.store_age_s is not None and activity.store_age_s < 5
+        assert 'secret' not in repr(activity)
+        alpha, beta = activity.workspaces
+        assert (alpha.name, alpha.rate_per_s, alpha.burst) == (
+            'alpha',
+            _RATE,
+            _BURST,
+        )
+        assert alpha.requests.over_quota > 0
+        assert alpha.requests.no_owner == 0
+        assert (beta.name, beta.quota_part) == ('beta', 0)
+        admitted += alpha.requests.admitted - alpha.requests.given_back
+        granted += alpha.tokens_granted
+        part += alpha.quota_part
+    assert part == pytest.approx(1)
+    assert 0 < admitted <= _MOST
+    assert 0 < granted <= _MOST
+    first = activities[0]
+    assert first is not None
+    assert first.workspaces[1].requests.admitted == 20
+
+
 def test_quota_over_two_hosts(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -114,6 +147,7 @@
         assert 'kind="quota-refused"' in text
         assert 'kind="quota-call-granted"' in text
         assert 'secret' not in text
+        _check_report(hosts)
 
         second.process.kill()
         second.process.wait()
