Give workspaces shares of services, extra sends and callers' tasks

A workspace that floods a service filled the queues of its searchers and left the others unserved. It now gets what they leave of a part of the slots; the rest of its requests is refused at once. Its extra sends and its running requests leave some of the budget and of the tasks to others.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -36,6 +36,7 @@
 from corianderport_tier.process import registry_reader
 from corianderport_tier.process import registry_relay
 from corianderport_tier.process import registry_source
+from corianderport_tier.process import running_requests
 from corianderport_tier.process import service_searchers
 from corianderport_tier.process import store_freshness
 from corianderport_tier.process import workspace_activity
@@ -130,6 +131,9 @@
             self._freshness,
             self._quotas.used,
             self._quotas.counts,
+            running_requests.RunningRequests(
+                settings.limits.callers.tasks, clock
+            ),
         )
         requests = host_requests.HostRequests(
             adapter, forwarder, lambda: self.ready
--- a/packages/operator/src/corianderport_operator/process/workspaces_command.py
+++ b/packages/operator/src/corianderport_operator/process/workspaces_command.py
@@ -75,8 +75,8 @@
     output.print_table(
         (
             'workspace', 'priority', 'rate/s', 'burst', 'host', 'admitted',
-            'not run', '429', '503 owners', '401', '503 keys', 'part',
-            'granted',
+            'not run', '429', '503 owners', '503 share', '401', '503 keys',
+            'part', 'granted',
         ),
         [
             *(
@@ -129,6 +129,7 @@
         counts.given_back,
         counts.over_quota,
         counts.no_owner,
+        counts.over_share,
         counts.key_refused,
         counts.key_unconfirmed,
     )
--- a/packages/tier/src/corianderport_tier/process/candidates.py
+++ b/packages/tier/src/corianderport_tier/process/candidates.py
@@ -24,6 +24,7 @@
     BACKING_OFF = 'every searcher has failed'
     COLD = 'every searcher is cold and has its share'
     FULL = 'every searcher has its share of requests'
+    SHARE = 'the workspace uses its share of the service'
 
 
 _Condition = tuple[NoChoice, collections.abc.Callable[[SearcherState], bool]]
--- a/packages/tier/src/corianderport_tier/process/cost_estimates.py
+++ b/packages/tier/src/corianderport_tier/process/cost_estimates.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import math
 import threading
 import zlib
 
@@ -31,6 +32,12 @@
 # evenly. Without it, the simulated paths of costs 1:10 gained nothing.
 _PATH_CLASSES = 8
 
+# Time constant of the mean run time without overload. It may not follow the
+# replies of the moments before an overload is noticed.
+_CALM_TIME_S = 30.0
+# The first samples replace the assumed time.
+_MIN_CALM_SAMPLES = 20
+
 # Name of a route, size class of a body and class of a path.
 _Key = tuple[str, int, int]
 
@@ -55,6 +62,10 @@
         limit_s: float,
     ) -> None:
         self.expected_s = min(assumed_s, limit_s)
+        # Mean time while no workspace took too much of its service.
+        self.calm_s = self.expected_s
+        self._calm_samples = 0
+        self._calm_at_s = 0.0
         self.limit_s = limit_s
         self._latency = latency
         self._samples: collections.deque[float] = collections.deque(
@@ -84,6 +95,21 @@
         expected_s = max(expected_s, least_recent_s)
         self.expected_s = min(expected_s, self.limit_s)
 
+    def record_calm(
+        self, seconds: float, now_s: float, contended: bool
+    ) -> None:
+        """Add the time of a reply of a service that is used fairly.
+
+        :param contended: whether replies take longer than usual.
+        """
+        age_s = max(0.0, now_s - self._calm_at_s) if self._calm_at_s else 0.0
+        weight = 1 - math.exp(-age_s / _CALM_TIME_S)
+        if self._calm_samples < _MIN_CALM_SAMPLES and not contended:
+            self._calm_samples += 1
+            weight = 1 / self._calm_samples
+        self.calm_s += weight * (min(seconds, self.limit_s) - self.calm_s)
+        self._calm_at_s = now_s
+
 
 class CostEstimates:
     """The classes of recent requests; the number of classes is bounded."""
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -14,6 +14,7 @@
 from corianderport_tier.process import budgets
 from corianderport_tier.process import candidates
 from corianderport_tier.process import cost_estimates
+from corianderport_tier.process import extra_shares
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import placement
 from corianderport_tier.process import ratings
@@ -21,6 +22,7 @@
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import send_interval
 from corianderport_tier.process import stated_availability
+from corianderport_tier.process import workspace_shares
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
 
@@ -53,7 +55,8 @@
     """A chosen searcher and the key of the send.
 
     ``expected_s`` is the expected run time of the request, and
-    ``outstanding_s`` the searcher's outstanding work before it.
+    ``outstanding_s`` the searcher's outstanding work before it. ``workspace``
+    is None for a request without a workspace.
     """
 
     state: SearcherState
@@ -61,6 +64,8 @@
     policy: placement.PlacementPolicy
     expected_s: float
     outstanding_s: float
+    request_class: cost_estimates.RequestClass
+    workspace: str | None
 
 
 class ServiceSearchers:
@@ -89,11 +94,13 @@
         self._next_key = 0
         self._capacity_callbacks: list[collections.abc.Callable[[], None]] = []
         self._extra = self._new_budget()
+        self._extra_shares = extra_shares.ExtraShares(self._extra.window_s)
         # In a large fleet the share of a host is one or two sends. Rounding
         # it down on every host would leave much of the bound unused; with a
         # random offset the hosts together use their shares on average.
         self._rounding = rng.random()
         self._send_interval = send_interval.SendInterval()
+        self._shares = workspace_shares.WorkspaceShares()
         self._filter = candidates.CandidateFilter(share)
         self._placement = placement_setting or placement.PlacementSetting()
         self._policy = placement.policy(placement.LEAST_LOADED)
@@ -148,6 +155,10 @@
             for state in previous_states.values():
                 state.pool.close()
             self._order_searchers()
+            self._shares.set_slots(
+                (s.registration.slots for s in self._states.values()),
+                self._share.hosts,
+            )
             self._availability.discard_obsolete(
                 {s.registration.lifetime for s in self._states.values()},
                 now_s,
@@ -168,18 +179,24 @@
         self,
         excluded: collections.abc.Collection[str],
         request_class: cost_estimates.RequestClass,
+        workspace: str | None = None,
     ) -> Choice | NoChoice:
         """Choose the searcher with the lowest cost and start a send to it.
 
         :param excluded: names of searchers that must not be chosen.
+        :param workspace: workspace of the request, None if it has none.
         """
         expected_s = request_class.expected_s
         now_s = self._clock.monotonic()
         with self._lock:
+            if not self._shares.permits(workspace, now_s):
+                return NoChoice.SHARE
             found = self._filter.candidates(
                 self._states.values(), excluded, now_s
             )
             if isinstance(found, NoChoice):
+                if found is NoChoice.FULL:
+                    self._shares.note_full(now_s)
                 return found
             half_life_s = self._half_life_s()
             policy = self._policy
@@ -200,12 +217,15 @@
                 expected_s,
             )
             policy.record(request_class)
+            self._shares.start(workspace, request_class.calm_s, now_s)
             return Choice(
                 best,
                 self._next_key,
                 policy,
                 expected_s,
                 outstanding_s,
+                request_class,
+                workspace,
             )
 
     def ratings(
@@ -245,7 +265,11 @@
                 choice.state.availability = self._availability.of(
                     choice.state.registration.lifetime
                 )
-            choice.state.finish(choice.key, result, self._clock.monotonic())
+            now_s = self._clock.monotonic()
+            choice.state.finish(choice.key, result, now_s)
+            self._shares.finish(
+                choice.workspace, choice.request_class, result.elapsed_s, now_s
+            )
             self._run_capacity_callbacks()
 
     def set_cold(self, state: SearcherState, seconds: float) -> None:
@@ -253,21 +277,37 @@
         with self._lock:
             state.warm_up.set_cold(self._clock.monotonic() + seconds)
 
-    def count_request(self) -> None:
-        """Count the first send of a request towards the extra budget."""
+    def count_request(
+        self, workspace: str | None = None, calm_s: float = 0.0
+    ) -> None:
+        """Count a request before its first send.
+
+        :param calm_s: mean run time of such requests without overload.
+        """
         with self._lock:
             now_s = self._clock.monotonic()
+            self._shares.arrive(workspace, calm_s, now_s)
             self._extra.count_request(now_s)
+            self._extra_shares.count_request(workspace, now_s)
             self._send_interval.record(now_s)
 
-    def try_extra(self, reserve: float = 0.0) -> bool:
+    def try_extra(
+        self, reserve: float = 0.0, workspace: str | None = None
+    ) -> bool:
         """Spend one extra send from this host's share of the budget.
 
         :param reserve: fraction of the slack that must remain.
         """
         slack = self._share.extra_slack * (1 - reserve) + self._rounding
         with self._lock:
-            return self._extra.try_spend(self._clock.monotonic(), slack=slack)
+            now_s = self._clock.monotonic()
+            ratio = self._extra.ratio.ratio
+            if not self._extra_shares.may_spend(
+                workspace, ratio, slack, now_s
+            ) or not self._extra.try_spend(now_s, slack=slack):
+                return False
+            self._extra_shares.spend(workspace, now_s)
+            return True
 
     def notify_on_capacity(
         self, callback: collections.abc.Callable[[], None]
@@ -320,6 +360,7 @@
         """Apply changed bounds."""
         if self._extra.window_s != self._share.extra_window_s:
             self._extra = self._new_budget()
+            self._extra_shares = extra_shares.ExtraShares(self._extra.window_s)
         self._extra.ratio = budgets.BudgetRatio(self._share.extra_ratio)
 
     def _half_life_s(self) -> float:
--- a/packages/tier/src/corianderport_tier/process/workspace_activity.py
+++ b/packages/tier/src/corianderport_tier/process/workspace_activity.py
@@ -27,15 +27,18 @@
 class RequestCounts:
     """Requests of a window; ``given_back`` are admitted ones that did not run.
 
-    ``over_quota`` were refused with 429, ``no_owner`` with 503 because no
-    owner of the quota replied. ``key_refused`` were refused with 401, and
-    ``key_unconfirmed`` with 503 because the key could not be confirmed.
+    ``over_quota`` were refused with 429. The others were refused with 503 or,
+    ``key_refused``, with 401: ``no_owner`` because no owner of the quota
+    replied, ``over_share`` because the workspace used its share of the host
+    or of a service, ``key_unconfirmed`` because the key could not be
+    confirmed.
     """
 
     admitted: int = 0
     given_back: int = 0
     over_quota: int = 0
     no_owner: int = 0
+    over_share: int = 0
     key_refused: int = 0
     key_unconfirmed: int = 0
 
--- a/packages/tier/src/corianderport_tier/process/workspace_counts.py
+++ b/packages/tier/src/corianderport_tier/process/workspace_counts.py
@@ -36,6 +36,7 @@
     GIVEN_BACK = 'given_back'
     OVER_QUOTA = 'over_quota'
     NO_OWNER = 'no_owner'
+    OVER_SHARE = 'over_share'
     KEY_REFUSED = 'key_refused'
     KEY_UNCONFIRMED = 'key_unconfirmed'
 
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -15,6 +15,7 @@
 from corianderport_tier.process import metrics
 from corianderport_tier.process import quotas as quotas_module
 from corianderport_tier.process import route_latency
+from corianderport_tier.process import running_requests
 from corianderport_tier.process import store_freshness
 from corianderport_tier.process import workspace_counts
 from corianderport_tier.request import answer_summaries
@@ -51,6 +52,7 @@
         freshness: store_freshness.StoreFreshness | None = None,
         quotas: quotas_module.Quotas | None = None,
         activity: workspace_counts.WorkspaceCounts | None = None,
+        running: running_requests.RunningRequests | None = None,
     ) -> None:
         self._metrics = counts or metrics.Metrics()
         self._authorizer = authorization_module.Authorizer(
@@ -60,6 +62,7 @@
         )
         self._quotas = quotas
         self._activity = activity
+        self._running = running
         self.drain = host_drain or drain.Drain(clock)
         self.directory = searcher_directory
         self.clock = clock
@@ -125,6 +128,32 @@
         except (errors.Unauthenticated, errors.KeyUnconfirmed) as error:
             self._count_key_refusal(None, error.code)
             return self._refuse(request, error.code, str(error), route.name)
+        workspace = authorization.workspace
+        name = None if workspace is None else workspace.name
+        if self._running is None:
+            return self._run(request, caller, routing, route, authorization)
+        if not self._running.enter(name):
+            self._count(authorization, Outcome.OVER_SHARE)
+            return self._refuse(
+                request,
+                Code.OVERLOADED,
+                'the workspace uses its share of the host',
+                route.name,
+            )
+        try:
+            return self._run(request, caller, routing, route, authorization)
+        finally:
+            self._running.leave(name)
+
+    def _run(
+        self,
+        request: forward_messages.ForwardRequest,
+        caller: forward_task.Caller,
+        routing: routes.RoutingVersion,
+        route: routes.Route,
+        authorization: authorization_module.Authorization,
+    ) -> forward_messages.ForwardAnswer | None:
+        """Run an authorized request within the quota of its workspace."""
         try:
             token = self._take_token(request, authorization)
         except errors.QuotaExceeded as error:
@@ -149,6 +178,8 @@
                 self._count(authorization, Outcome.GIVEN_BACK)
         if isinstance(answer, Failure) and authorization.workspace:
             self._count_key_refusal(authorization.workspace.name, answer.code)
+            if answer.code is Code.OVERLOADED:
+                self._count(authorization, Outcome.OVER_SHARE)
         if task.answered_at_goal:
             caller.call_when_sent(
                 lambda: self.answer_delay.record(
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -96,6 +96,8 @@
         self.sent_s = float('inf')
         self.answered_s = float('inf')
         self.failure: forward_messages.Failure | None = None
+        workspace = authorization.workspace
+        self._workspace = None if workspace is None else workspace.name
         self._request = request
         self._route = route
         self._gathered = isinstance(route.target, routes.Gather)
@@ -175,7 +177,7 @@
 
     def send_first(self) -> None:
         """Start the first attempt."""
-        self.service.count_request()
+        self.service.count_request(self._workspace, self._class.calm_s)
         self._send()
 
     def hedge(self, among_last: bool) -> bool:
@@ -190,10 +192,11 @@
         running = len(self._sends)
         if self._possible_runs + running >= self._route.attempts:
             return False
-        choice = self.service.choose(self._tried, self._class)
+        choice = self.service.choose(self._tried, self._class, self._workspace)
         if isinstance(choice, service_searchers.NoChoice):
             return False
-        if not self.service.try_extra(0.0 if among_last else _HEDGE_RESERVE):
+        reserve = 0.0 if among_last else _HEDGE_RESERVE
+        if not self.service.try_extra(reserve, self._workspace):
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
             )
@@ -323,13 +326,15 @@
             self._send((code, reason))
 
     def _send(self, failed: tuple[Code, str] | None = None) -> None:
-        choice = self.service.choose(self._tried, self._class)
+        choice = self.service.choose(self._tried, self._class, self._workspace)
         if choice is service_searchers.NoChoice.ALL_TRIED and failed:
-            choice = self.service.choose((), self._class)
+            choice = self.service.choose((), self._class, self._workspace)
         if isinstance(choice, service_searchers.NoChoice):
             self._on_no_choice(choice, failed)
             return
-        if self._sent_count and not self.service.try_extra():
+        if self._sent_count and not self.service.try_extra(
+            workspace=self._workspace
+        ):
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
             )
@@ -404,8 +409,9 @@
             and self._wait_for_pause(failed)
         ):
             return
-        code, detail = failed or (Code.NO_UPSTREAM, reason.value)
-        self._fail(code, detail)
+        shared = reason is service_searchers.NoChoice.SHARE
+        code = Code.OVERLOADED if shared else Code.NO_UPSTREAM
+        self._fail(*(failed or (code, reason.value)))
 
     def _wait_for_pause(self, failed: tuple[Code, str] | None) -> bool:
         """Wait for the end of a pause; return False if it ends too late."""
--- a/tests/operator/test_workspaces_command.py
+++ b/tests/operator/test_workspaces_command.py
@@ -78,8 +78,8 @@
 @pytest.fixture
 def hosts() -> collections.abc.Iterator[list[_Host]]:
     started = [
-        _Host(_activity('edge-1', 7, 40, Counts(100, 3, 20, 4, 5, 6))),
-        _Host(_activity('edge-2', 8, 50, Counts(10, 1, 2, 1, 1, 1))),
+        _Host(_activity('edge-1', 7, 40, Counts(100, 3, 20, 4, 8, 5, 6))),
+        _Host(_activity('edge-2', 8, 50, Counts(10, 1, 2, 1, 1, 1, 1))),
     ]
     yield started
     for host in started:
@@ -120,6 +120,7 @@
         'given_back': 4,
         'over_quota': 22,
         'no_owner': 5,
+        'over_share': 9,
         'key_refused': 6,
         'key_unconfirmed': 7,
     }
@@ -133,7 +134,8 @@
     lines = capsys.readouterr().out.splitlines()
     (total,) = (line for line in lines if line.startswith('alpha'))
     assert total.split() == [
-        'alpha', '1', '50', '80', 'all', '110', '4', '22', '5', '6', '7',
+        'alpha', '1', '50', '80', 'all', '110', '4', '22', '5', '9', '6',
+        '7',
         '0.50', '100',
     ]  # fmt: skip
     assert any('edge-1' in line and 'answered' in line for line in lines)
