Add 'corianderport check-routing' for documents of the platform

The reader of the hosts locates all faults of a document instead of raising the first one; the command adds checks of what hosts accept but nobody means.

--- a/packages/operator/src/corianderport_operator/main.py
+++ b/packages/operator/src/corianderport_operator/main.py
@@ -13,6 +13,7 @@
 from corianderport_operator.process import commands
 from corianderport_operator.process import live_commands
 from corianderport_operator.process import log_commands
+from corianderport_operator.process import routing_command
 from corianderport_operator.process import where_command
 from corianderport_operator.process import workspaces_command
 from corianderport_tier import errors
@@ -28,6 +29,7 @@
 COMMANDS: dict[str, Command] = {
     'print': commands.print_,
     'check': commands.check,
+    'check-routing': routing_command.check_routing,
     'diff': commands.diff,
     'explain': commands.explain,
     'status': live_commands.status,
@@ -44,7 +46,7 @@
 _STRING_FLAGS = (
     '--source', '--output_file', '--old', '--new', '--search', '--hosts',
     '--platform', '--host', '--name', '--query', '--customer', '--request_id',
-    '--header',
+    '--header', '--file',
 )  # fmt: skip
 
 
--- a/packages/tier/src/corianderport_tier/version/workspaces.py
+++ b/packages/tier/src/corianderport_tier/version/workspaces.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-__all__ = ['Workspace', 'Workspaces']
+__all__ = ['Workspace', 'Workspaces', 'conflicts']
 
 # Names are sent in headers and written to logs and metrics.
 _MAX_NAME_LENGTH = 200
@@ -87,20 +87,10 @@
         :raises ValueError: a key belongs to two workspaces, or two different
             workspaces have the same name.
         """
-        by_key: dict[str, Workspace] = {}
-        by_name: dict[str, Workspace] = {}
-        for key, workspace in pairs:
-            if by_name.setdefault(workspace.name, workspace) != workspace:
-                raise ValueError(
-                    f'workspace {workspace.name!r} is defined twice'
-                )
-            previous = by_key.setdefault(key, workspace)
-            if previous != workspace:
-                raise ValueError(
-                    f'workspace {workspace.name!r} has a key of workspace '
-                    f'{previous.name!r}'
-                )
-        return cls(by_key)
+        pairs = list(pairs)
+        for _, conflict in conflicts(pairs):
+            raise ValueError(conflict)
+        return cls(dict(pairs))
 
     def __repr__(self) -> str:
         return f'Workspaces({sorted(self._by_name)})'
@@ -122,3 +112,24 @@
     def find(self, key: str) -> Workspace | None:
         """Return the workspace of a key, None if the key is unknown."""
         return self._by_key.get(key)
+
+
+def conflicts(
+    pairs: collections.abc.Iterable[tuple[str, Workspace]],
+) -> collections.abc.Iterator[tuple[int, str]]:
+    """Yield the number of each pair that conflicts with an earlier one.
+
+    The text says why, without the key.
+    """
+    by_key: dict[str, Workspace] = {}
+    by_name: dict[str, Workspace] = {}
+    for number, (key, workspace) in enumerate(pairs):
+        name = workspace.name
+        if by_name.setdefault(name, workspace) != workspace:
+            yield number, f'workspace {name!r} is defined twice'
+        previous = by_key.setdefault(key, workspace)
+        if previous.name != name:
+            yield (
+                number,
+                f'workspace {name!r} has a key of workspace {previous.name!r}',
+            )
