--- a/packages/tier/src/corianderport_tier/process/extra_shares.py
+++ b/packages/tier/src/corianderport_tier/process/extra_shares.py
@@ -1,13 +1,16 @@
 """corianderport_tier.process.extra_shares
 
-Share of each workspace in a service's budget of extra sends.
+A service's budget of extra sends, and the share of each workspace in it.
 """
 
+import random
+
 import attrs
 
 from corianderport_tier.process import budgets
+from corianderport_tier.process import fleet_share
 
-__all__ = ['ExtraShares']
+__all__ = ['ExtraSends', 'ExtraShares']
 
 # Part of the slack that one workspace leaves to the others.
 _LEFT_TO_OTHERS = 0.25
@@ -87,3 +90,56 @@
             for name, share in self._shares.items()
             if now_s - share.seen_s < self._window_s
         }
+
+
+class ExtraSends:
+    """Extra sends of one service; guarded by the lock of the service."""
+
+    def __init__(
+        self, share: fleet_share.FleetShare, rng: random.Random
+    ) -> None:
+        self._share = share
+        self._budget = self._new_budget()
+        self._shares = ExtraShares(self._budget.window_s)
+        # In a large fleet the share of a host is one or two sends. Rounding
+        # it down on every host would leave much of the bound unused; with a
+        # random offset the hosts together use their shares on average.
+        self._rounding = rng.random()
+
+    def update(self) -> None:
+        """Apply changed bounds."""
+        if self._budget.window_s != self._share.extra_window_s:
+            self._budget = self._new_budget()
+            self._shares = ExtraShares(self._budget.window_s)
+        self._budget.ratio = budgets.BudgetRatio(self._share.extra_ratio)
+
+    def count_request(self, workspace: str | None, now_s: float) -> None:
+        """Count the first send of a request."""
+        self._budget.count_request(now_s)
+        self._shares.count_request(workspace, now_s)
+
+    def permitted(self, now_s: float) -> bool:
+        """Whether the slack permits another extra send."""
+        return self._budget.may_spend(now_s, slack=self._share.extra_slack)
+
+    def try_spend(
+        self, reserve: float, workspace: str | None, now_s: float
+    ) -> bool:
+        """Spend one extra send of a workspace if it has one left.
+
+        :param reserve: fraction of the slack that must remain.
+        """
+        slack = self._share.extra_slack * (1 - reserve) + self._rounding
+        ratio = self._budget.ratio.ratio
+        if not self._shares.may_spend(workspace, ratio, slack, now_s):
+            return False
+        if not self._budget.try_spend(now_s, slack=slack):
+            return False
+        self._shares.spend(workspace, now_s)
+        return True
+
+    def _new_budget(self) -> budgets.Budget:
+        return budgets.Budget(
+            budgets.BudgetRatio(self._share.extra_ratio),
+            self._share.extra_window_s,
+        )
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -11,7 +11,6 @@
 import attrs
 
 from corianderport_tier import clocks
-from corianderport_tier.process import budgets
 from corianderport_tier.process import candidates
 from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import extra_shares
@@ -93,12 +92,7 @@
         self._parameters: routes.ServiceParameters | None = None
         self._next_key = 0
         self._capacity_callbacks: list[collections.abc.Callable[[], None]] = []
-        self._extra = self._new_budget()
-        self._extra_shares = extra_shares.ExtraShares(self._extra.window_s)
-        # In a large fleet the share of a host is one or two sends. Rounding
-        # it down on every host would leave much of the bound unused; with a
-        # random offset the hosts together use their shares on average.
-        self._rounding = rng.random()
+        self._extra = extra_shares.ExtraSends(share, rng)
         self._send_interval = send_interval.SendInterval()
         self._shares = workspace_shares.WorkspaceShares()
         self._filter = candidates.CandidateFilter(share)
@@ -122,7 +116,7 @@
         """
         now_s = self._clock.monotonic()
         with self._lock:
-            self._update_budget()
+            self._extra.update()
             if parameters is not None:
                 self._parameters = parameters
                 self._filter.cold_rate = parameters.cold_rate
@@ -238,7 +232,7 @@
             return ratings.ServiceRatings(
                 self.name,
                 self._policy.name,
-                self._extra.may_spend(now_s, slack=self._share.extra_slack),
+                self._extra.permitted(now_s),
                 tuple(
                     ratings.rate(
                         self._policy,
@@ -287,8 +281,7 @@
         with self._lock:
             now_s = self._clock.monotonic()
             self._shares.arrive(workspace, calm_s, now_s)
-            self._extra.count_request(now_s)
-            self._extra_shares.count_request(workspace, now_s)
+            self._extra.count_request(workspace, now_s)
             self._send_interval.record(now_s)
 
     def try_extra(
@@ -298,16 +291,9 @@
 
         :param reserve: fraction of the slack that must remain.
         """
-        slack = self._share.extra_slack * (1 - reserve) + self._rounding
         with self._lock:
             now_s = self._clock.monotonic()
-            ratio = self._extra.ratio.ratio
-            if not self._extra_shares.may_spend(
-                workspace, ratio, slack, now_s
-            ) or not self._extra.try_spend(now_s, slack=slack):
-                return False
-            self._extra_shares.spend(workspace, now_s)
-            return True
+            return self._extra.try_spend(reserve, workspace, now_s)
 
     def notify_on_capacity(
         self, callback: collections.abc.Callable[[], None]
@@ -350,19 +336,6 @@
         for state in states.values():
             state.pool.close()
 
-    def _new_budget(self) -> budgets.Budget:
-        return budgets.Budget(
-            budgets.BudgetRatio(self._share.extra_ratio),
-            self._share.extra_window_s,
-        )
-
-    def _update_budget(self) -> None:
-        """Apply changed bounds."""
-        if self._extra.window_s != self._share.extra_window_s:
-            self._extra = self._new_budget()
-            self._extra_shares = extra_shares.ExtraShares(self._extra.window_s)
-        self._extra.ratio = budgets.BudgetRatio(self._share.extra_ratio)
-
     def _half_life_s(self) -> float:
         return max(
             searcher_state.MIN_LATENCY_HALF_LIFE_S,
