--- a/packages/tier/src/corianderport_tier/process/capacity_waits.py
+++ b/packages/tier/src/corianderport_tier/process/capacity_waits.py
@@ -18,6 +18,7 @@
     [
         collections.abc.Collection[str],
         cost_estimates.RequestClass,
+        str | None,
         float,
     ],
     send_choice.Choice | candidates.NoChoice,
@@ -87,7 +88,9 @@
         for send in self._order.in_order(now_s):
             if send.excluded in full:
                 continue
-            choice = choose(send.excluded, send.request_class, now_s)
+            choice = choose(
+                send.excluded, send.request_class, send.workspace, now_s
+            )
             if choice is candidates.NoChoice.FULL:
                 full.add(send.excluded)
                 if len(full) == len(self._exclusions):
--- a/packages/tier/src/corianderport_tier/process/send_choice.py
+++ b/packages/tier/src/corianderport_tier/process/send_choice.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import placement
 from corianderport_tier.process import searcher_state
 
@@ -18,6 +19,7 @@
     ``expected_s`` is the expected run time of the request, and
     ``outstanding_s`` the searcher's outstanding work before it. ``reply_s`` is
     the expected time until the reply, None if the policy does not estimate it.
+    ``workspace`` is None for a request without a workspace.
     """
 
     state: searcher_state.SearcherState
@@ -26,3 +28,5 @@
     expected_s: float
     outstanding_s: float
     reply_s: float | None
+    request_class: cost_estimates.RequestClass
+    workspace: str | None
--- a/packages/tier/src/corianderport_tier/process/send_order.py
+++ b/packages/tier/src/corianderport_tier/process/send_order.py
@@ -72,6 +72,7 @@
     request_class: cost_estimates.RequestClass
     urgency: Urgency
     notify: collections.abc.Callable[['WaitingSend'], None]
+    workspace: str | None = None
     choice: send_choice.Choice | None = None
     number: int = 0
     arrived_s: float = 0.0
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -9,10 +9,10 @@
 import threading
 
 from corianderport_tier import clocks
-from corianderport_tier.process import budgets
 from corianderport_tier.process import candidates
 from corianderport_tier.process import capacity_waits
 from corianderport_tier.process import cost_estimates
+from corianderport_tier.process import extra_shares
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import placement
 from corianderport_tier.process import ratings
@@ -22,6 +22,7 @@
 from corianderport_tier.process import send_interval
 from corianderport_tier.process import send_order
 from corianderport_tier.process import stated_availability
+from corianderport_tier.process import workspace_shares
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
 
@@ -75,12 +76,9 @@
         self._parameters: routes.ServiceParameters | None = None
         self._next_key = 0
         self._waits = capacity_waits.CapacityWaits()
-        self._extra = self._new_budget()
-        # In a large fleet the share of a host is one or two sends. Rounding
-        # it down on every host would leave much of the bound unused; with a
-        # random offset the hosts together use their shares on average.
-        self._rounding = rng.random()
+        self._extra = extra_shares.ExtraSends(share, rng)
         self._send_interval = send_interval.SendInterval()
+        self._shares = workspace_shares.WorkspaceShares()
         self._filter = candidates.CandidateFilter(share)
         self._placement = placement_setting or placement.PlacementSetting()
         self._policy = placement.policy(placement.LEAST_LOADED)
@@ -105,7 +103,7 @@
         """
         now_s = self._clock.monotonic()
         with self._lock:
-            self._update_budget()
+            self._extra.update()
             self._waits.set_order(
                 send_order.URGENCY if by_urgency else send_order.ARRIVAL
             )
@@ -141,6 +139,10 @@
             for state in previous_states.values():
                 state.pool.close()
             self._order_searchers()
+            self._shares.set_slots(
+                (s.registration.slots for s in self._states.values()),
+                self._share.hosts,
+            )
             self._availability.discard_obsolete(
                 {s.registration.lifetime for s in self._states.values()},
                 now_s,
@@ -161,16 +163,18 @@
         self,
         excluded: collections.abc.Collection[str],
         request_class: cost_estimates.RequestClass,
+        workspace: str | None = None,
     ) -> Choice | NoChoice:
         """Choose the searcher with the lowest cost and start a send to it.
 
         :param excluded: names of searchers that must not be chosen.
+        :param workspace: workspace of the request, None if it has none.
         """
         now_s = self._clock.monotonic()
         with self._lock:
             # Searchers may have ended their backoff since the last result.
             self._serve_waiting(now_s)
-            return self._choose(excluded, request_class, now_s)
+            return self._choose(excluded, request_class, workspace, now_s)
 
     def least_reply_s(
         self, request_class: cost_estimates.RequestClass
@@ -198,7 +202,7 @@
             return ratings.ServiceRatings(
                 self.name,
                 self._policy.name,
-                self._extra.may_spend(now_s, slack=self._share.extra_slack),
+                self._extra.permitted(now_s),
                 tuple(
                     ratings.rate(
                         self._policy,
@@ -227,6 +231,9 @@
                 )
             now_s = self._clock.monotonic()
             choice.state.finish(choice.key, result, now_s)
+            self._shares.finish(
+                choice.workspace, choice.request_class, result.elapsed_s, now_s
+            )
             self._serve_waiting(now_s)
 
     def set_cold(self, state: SearcherState, seconds: float) -> None:
@@ -234,21 +241,31 @@
         with self._lock:
             state.warm_up.set_cold(self._clock.monotonic() + seconds)
 
-    def count_request(self) -> None:
+    def arrive(self, workspace: str, calm_s: float) -> None:
+        """Record a workspace's request before its first send.
+
+        :param calm_s: mean run time of such requests without overload.
+        """
+        with self._lock:
+            self._shares.arrive(workspace, calm_s, self._clock.monotonic())
+
+    def count_request(self, workspace: str | None = None) -> None:
         """Count the first send of a request towards the extra budget."""
         with self._lock:
             now_s = self._clock.monotonic()
-            self._extra.count_request(now_s)
+            self._extra.count_request(workspace, now_s)
             self._send_interval.record(now_s)
 
-    def try_extra(self, reserve: float = 0.0) -> bool:
+    def try_extra(
+        self, reserve: float = 0.0, workspace: str | None = None
+    ) -> bool:
         """Spend one extra send from this host's share of the budget.
 
         :param reserve: fraction of the slack that must remain.
         """
-        slack = self._share.extra_slack * (1 - reserve) + self._rounding
         with self._lock:
-            return self._extra.try_spend(self._clock.monotonic(), slack=slack)
+            now_s = self._clock.monotonic()
+            return self._extra.try_spend(reserve, workspace, now_s)
 
     def wait_for_capacity(self, send: send_order.WaitingSend) -> None:
         """Notify a send when it is given capacity at a searcher.
@@ -313,10 +330,15 @@
         self,
         excluded: collections.abc.Collection[str],
         request_class: cost_estimates.RequestClass,
+        workspace: str | None,
         now_s: float,
     ) -> Choice | NoChoice:
+        if not self._shares.permits(workspace, now_s):
+            return NoChoice.SHARE
         found = self._filter.candidates(self._states.values(), excluded, now_s)
         if isinstance(found, NoChoice):
+            if found is NoChoice.FULL:
+                self._shares.note_full(now_s)
             return found
         expected_s = request_class.expected_s
         half_life_s = self._half_life_s()
@@ -339,22 +361,18 @@
             expected_s,
         )
         policy.record(request_class)
+        self._shares.start(workspace, request_class.calm_s, now_s)
         return Choice(
-            best, self._next_key, policy, expected_s, outstanding_s, reply_s
-        )
-
-    def _new_budget(self) -> budgets.Budget:
-        return budgets.Budget(
-            budgets.BudgetRatio(self._share.extra_ratio),
-            self._share.extra_window_s,
+            best,
+            self._next_key,
+            policy,
+            expected_s,
+            outstanding_s,
+            reply_s,
+            request_class,
+            workspace,
         )
 
-    def _update_budget(self) -> None:
-        """Apply changed bounds."""
-        if self._extra.window_s != self._share.extra_window_s:
-            self._extra = self._new_budget()
-        self._extra.ratio = budgets.BudgetRatio(self._share.extra_ratio)
-
     def _half_life_s(self) -> float:
         return max(
             searcher_state.MIN_LATENCY_HALF_LIFE_S,
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -3,6 +3,7 @@
 The part of a forwarded request that one service handles.
 """
 
+import collections.abc
 import enum
 
 from corianderport_tier import clocks
@@ -85,6 +86,8 @@
         self.sent_s = float('inf')
         self.answered_s = float('inf')
         self.failure: forward_messages.Failure | None = None
+        workspace = authorization.workspace
+        self._workspace = None if workspace is None else workspace.name
         self._request = request
         self._route = route
         self._gathered = isinstance(route.target, routes.Gather)
@@ -154,9 +157,11 @@
         :param may_defer: whether the part may be left out for now if its reply
             is expected after the goal.
         """
+        if self._workspace is not None:
+            self.service.arrive(self._workspace, self._class.calm_s)
         self._send(may_defer=may_defer)
         if self.state is not PartState.DEFERRED:
-            self.service.count_request()
+            self.service.count_request(self._workspace)
 
     def send_deferred(self) -> None:
         """Start the first attempt of a deferred part."""
@@ -174,10 +179,11 @@
         running = len(self._sends)
         if self._history.ran + running >= self._route.attempts:
             return False
-        choice = self.service.choose(self._history.tried, self._class)
+        choice = self._choose(self._history.tried)
         if isinstance(choice, service_searchers.NoChoice):
             return False
-        if not self.service.try_extra(0.0 if among_last else _HEDGE_RESERVE):
+        reserve = 0.0 if among_last else _HEDGE_RESERVE
+        if not self.service.try_extra(reserve, self._workspace):
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
             )
@@ -317,14 +323,19 @@
         else:
             self._send((code, reason))
 
+    def _choose(
+        self, excluded: collections.abc.Collection[str]
+    ) -> service_searchers.Choice | service_searchers.NoChoice:
+        return self.service.choose(excluded, self._class, self._workspace)
+
     def _send(
         self,
         failed: tuple[Code, str] | None = None,
         may_defer: bool = False,
     ) -> None:
-        choice = self.service.choose(self._history.tried, self._class)
+        choice = self._choose(self._history.tried)
         if choice is service_searchers.NoChoice.ALL_TRIED and failed:
-            choice = self.service.choose((), self._class)
+            choice = self._choose(())
         if choice is service_searchers.NoChoice.FULL and may_defer:
             if self._expected_late(self.service.least_reply_s(self._class)):
                 self._defer()
@@ -345,7 +356,9 @@
         choice: service_searchers.Choice,
         failed: tuple[Code, str] | None = None,
     ) -> None:
-        if self._history.sent and not self.service.try_extra():
+        if self._history.sent and not self.service.try_extra(
+            workspace=self._workspace
+        ):
             self.service.finish(
                 choice, searcher_state.SendResult(failed=False)
             )
@@ -407,8 +420,9 @@
             and self._wait_for_pause(failed)
         ):
             return
-        code, detail = failed or (Code.NO_UPSTREAM, reason.value)
-        self._fail(code, detail)
+        shared = reason is service_searchers.NoChoice.SHARE
+        code = Code.OVERLOADED if shared else Code.NO_UPSTREAM
+        self._fail(*(failed or (code, reason.value)))
 
     def _wait_for_capacity(self) -> None:
         self._waiting = send_order.WaitingSend(
@@ -420,6 +434,7 @@
                 self._route.timeout_s,
             ),
             lambda s: self._inbox.put(forward_send.CapacityFreed(self, s)),
+            self._workspace,
         )
         self.service.wait_for_capacity(self._waiting)
 
