--- a/packages/tier/src/corianderport_tier/process/expected_finish.py
+++ b/packages/tier/src/corianderport_tier/process/expected_finish.py
@@ -68,7 +68,6 @@
         now_s: float,
     ) -> float:
         """Return the seconds until the request is expected to be finished."""
-        work_s = searcher.outstanding_s(now_s) / searcher.slots
-        return searcher.opening_s + (
-            work_s + request.expected_s
+        return (
+            searcher.outstanding_s(now_s) / searcher.slots + request.expected_s
         ) * searcher.relative_latency(now_s)
--- a/packages/tier/src/corianderport_tier/process/placement.py
+++ b/packages/tier/src/corianderport_tier/process/placement.py
@@ -55,10 +55,6 @@
     def distance_factor(self) -> float:
         """Cost factor for another data centre; 1 for the own one."""
 
-    @property
-    def opening_s(self) -> float:
-        """Time to open a connection; 0 if one is idle."""
-
     def relative_latency(self, now_s: float) -> float:
         """Return the latency relative to the usual one; 1 if it is usual."""
 
--- a/packages/tier/src/corianderport_tier/process/searcher_state.py
+++ b/packages/tier/src/corianderport_tier/process/searcher_state.py
@@ -32,8 +32,6 @@
 _EXCESS_FALL_WEIGHT = 0.5
 MIN_LATENCY_HALF_LIFE_S = 1.5
 _MAX_RELATIVE_LATENCY = 40.0
-_INITIAL_OPENING_S = 0.005
-_OPENING_WEIGHT = 0.2
 _FAILURE_WEIGHT = 0.2
 # A searcher that refuses or fails every second request costs as much as one
 # with four more requests in flight.
@@ -69,10 +67,6 @@
 class SendPool(typing.Protocol):
     """Connection pool of one searcher."""
 
-    @property
-    def idle(self) -> int:
-        """Number of open connections without a job."""
-
     def submit(
         self, job: typing.Any, reuse: pool.Reuse = pool.ANY_CONNECTION
     ) -> None:
@@ -96,7 +90,6 @@
     None if the send is no measure of the latency; ``median_s`` is the usual
     latency of the request, as the placement policy defines it. ``leaving`` and
     ``pause_s`` are what the searcher stated; see ``stated_availability``.
-    ``opening_s`` is the time to open the connection, None if it was open.
     """
 
     failed: bool
@@ -107,7 +100,6 @@
     median_s: float = 0.0
     leaving: bool = False
     pause_s: float = 0.0
-    opening_s: float | None = None
 
 
 class SearcherState:
@@ -147,8 +139,6 @@
         self._in_flight_s = 0.0
         # Wait for the requests of other hosts, as in the latest replies.
         self._excess_s = 0.0
-        # Time from the start of a send to its first byte on a new connection.
-        self._opening_s = _INITIAL_OPENING_S
         self._pending: dict[int, _Pending] = {}
 
     @property
@@ -156,11 +146,6 @@
         """Whether a connection is available for one more request."""
         return self.in_flight < max(1, self.connections)
 
-    @property
-    def opening_s(self) -> float:
-        """Time to open a connection; 0 if one is idle."""
-        return 0.0 if self.pool.idle else self._opening_s
-
     @property
     def retry_at_s(self) -> float:
         """End of the backoff; no request is sent before it."""
@@ -254,10 +239,6 @@
                 min(expected_s, result.elapsed_s - expected_s - wait_s),
                 now_s,
             )
-        if result.opening_s is not None:
-            self._opening_s += _OPENING_WEIGHT * (
-                result.opening_s - self._opening_s
-            )
         if result.full:
             self._retry_at_s = max(self._retry_at_s, now_s + _FULL_BACKOFF_S)
         if result.failed or result.full:
--- a/packages/tier/src/corianderport_tier/request/first_sends.py
+++ b/packages/tier/src/corianderport_tier/request/first_sends.py
@@ -4,8 +4,8 @@
 
 If a service has too few searchers for its requests, all gathers that cover it
 wait in its queue, and none of their parts is answered in time. A gather that
-may leave out some parts defers those whose replies are expected after its
-goal, so that the queue stays short enough for the gathers that need them.
+may leave out some parts defers those whose replies are expected after its goal,
+so that the queue stays short enough for the gathers that need them.
 """
 
 import collections.abc
@@ -28,7 +28,7 @@
     for part in parts:
         part.send_first(may_defer=spare > 0)
     deferred = [p for p in parts if p.state is part_module.PartState.DEFERRED]
-    # If more services are overloaded than parts may be deferred, requests
-    # differ in what they leave out, so that all these services are relieved.
+    # If more services are overloaded than parts may be deferred, the requests
+    # differ in what they leave out, so that all of these services are relieved.
     for part in rng.sample(deferred, max(0, len(deferred) - spare)):
         part.send_deferred()
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -104,7 +104,6 @@
         self._transport: transports.SearcherTransport | None = None
         self._carrier: transports.SearcherTransport | None = None
         self._sent_s: float | None = None
-        self._opened = False
         self.finished_s = self.started_s
 
     @property
@@ -126,16 +125,6 @@
         """
         return self._sent_s
 
-    @property
-    def opening_s(self) -> float | None:
-        """Seconds from the start to the first byte on a new connection.
-
-        None if the connection was open already, or nothing was sent.
-        """
-        if not self._opened or self._sent_s is None:
-            return None
-        return self._sent_s - self.started_s
-
     @property
     def elapsed_s(self) -> float:
         """Seconds from sending to the reply or error."""
@@ -161,7 +150,6 @@
             is too close, the request is no longer authorized or the attempt
             was cancelled; nothing was sent.
         """
-        self._opened = True
         self._begin(transport)
         try:
             return transport.exchange(self._call)
--- a/packages/tier/src/corianderport_tier/request/send_results.py
+++ b/packages/tier/src/corianderport_tier/request/send_results.py
@@ -23,7 +23,7 @@
     """
     elapsed_s = send.elapsed_s
     if isinstance(reply, forward_messages.SearcherReply):
-        return _result_of_reply(reply, elapsed_s, median_s, send.opening_s)
+        return _result_of_reply(reply, elapsed_s, median_s)
     if isinstance(reply, errors.ConnectFailed):
         return SendResult(failed=True, unreachable=True)
     if isinstance(reply, errors.ConnectionStale | errors.Refusal):
@@ -34,10 +34,7 @@
 
 
 def _result_of_reply(
-    reply: forward_messages.SearcherReply,
-    elapsed_s: float,
-    median_s: float,
-    opening_s: float | None,
+    reply: forward_messages.SearcherReply, elapsed_s: float, median_s: float
 ) -> SendResult:
     if reply.pause_s > 0:
         # A searcher that asks for a pause is not failing.
@@ -51,7 +48,6 @@
             elapsed_s=elapsed_s,
             median_s=median_s,
             leaving=reply.leaving,
-            opening_s=opening_s,
         )
     return SendResult(
         failed=reply.other_searcher,
