--- /dev/null
+++ b/tests/adapter/test_request_forms.py
@@ -0,0 +1,148 @@
+"""Forms of requests: each row of docs/http-forms.md, end to end."""
+
+import collections.abc
+import socket
+
+import pytest
+
+from . import http_host
+
+_OK = b'HTTP/1.1 200 OK\r\nx-response-stamp: s\r\ncontent-length: 2\r\n\r\nok'
+_IDENTITY = b'host: a.example\r\nx-request-id: q1\r\n'
+_GET = b'GET /one/x?y=1 HTTP/1.1\r\n' + _IDENTITY
+_POST = b'POST /one/x HTTP/1.1\r\n' + _IDENTITY
+_LENGTH = b'content-length: 2\r\n'
+_CHUNKED = b'transfer-encoding: chunked\r\n'
+
+
+@pytest.fixture(scope='module')
+def host(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> collections.abc.Iterator[http_host.HttpHost]:
+    with http_host.running(tmp_path_factory.mktemp('host')) as started:
+        yield started
+
+
+def _get(fields: bytes = b'') -> bytes:
+    return _GET + fields + b'\r\n'
+
+
+def _post(fields: bytes, body: bytes) -> bytes:
+    return _POST + fields + b'\r\n' + body
+
+
+def _chunked(body: bytes) -> bytes:
+    return _post(_CHUNKED, body)
+
+
+# For each form: the request, and the field x and the body that reach the
+# searcher.
+_SERVED: dict[str, tuple[bytes, list[bytes], bytes]] = {
+    'white-space': (_get(b'x: \t a b\t \r\n'), [b'a b'], b''),
+    'empty-value': (_get(b'x:\r\nx: \r\n'), [b'', b''], b''),
+    'folded': (_get(b'x: a\r\n \t b\r\n'), [b'a b'], b''),
+    'equal-lengths': (_post(_LENGTH + _LENGTH, b'ab'), [], b'ab'),
+    'equal-lengths-list': (_post(b'content-length: 2, 2\r\n', b'ab'),
+                           [], b'ab'),
+    'chunked': (_chunked(b'1\r\na\r\n1\r\nb\r\n0\r\n\r\n'), [], b'ab'),
+    'chunked-case': (_post(b'Transfer-Encoding: CHUNKED\r\n',
+                           b'2\r\nab\r\n0\r\n\r\n'), [], b'ab'),
+    'chunk-extension': (_chunked(b'2;a=b;c="d"\r\nab\r\n0;e\r\n\r\n'),
+                        [], b'ab'),
+    'chunk-size-padded': (_chunked(b'02 \r\nab\r\n0\r\n\r\n'), [], b'ab'),
+    'trailers': (_chunked(b'2\r\nab\r\n0\r\nx: y\r\n\r\n'), [], b'ab'),
+    'http-1.2': (_get().replace(b'/1.1', b'/1.2'), [], b''),
+    'high-bytes': (_get(b'x: \x80\xc3\xbf\r\n'), [b'\x80\xc3\xbf'], b''),
+    'control-bytes': (_get(b'x: a\x01\x7fb\r\n'), [b'a\x01\x7fb'], b''),
+    'repeated-field': (_get(b'x: a\r\nX: b\r\n'), [b'a', b'b'], b''),
+    'unknown-expectation': (_post(b'expect: x\r\n' + _LENGTH, b'ab'),
+                            [], b'ab'),
+    'upgrade': (_get(b'connection: upgrade\r\nupgrade: websocket\r\n'),
+                [], b''),
+    'connection-list': (_get(b'connection: keep-alive , X\r\nx: 1\r\n'),
+                        [], b''),
+    'body-of-get': (_get(_LENGTH) + b'ab', [], b'ab'),
+    'no-body': (_post(b'content-length: 0\r\n', b''), [], b''),
+}  # fmt: skip
+
+# For each form: the request and the status of the host's response. The
+# connection ends after it.
+_REFUSED: dict[str, tuple[bytes, int]] = {
+    'folded-first-line': (_GET.replace(b'\r\nhost', b'\r\n host') + b'\r\n',
+                          400),
+    'unequal-lengths': (_post(_LENGTH + b'content-length: 3\r\n', b'ab'), 400),
+    'length-sign': (_post(b'content-length: +2\r\n', b'ab'), 400),
+    'length-empty': (_post(b'content-length:\r\n', b''), 400),
+    'identity': (_post(b'transfer-encoding: identity\r\n', b''), 501),
+    'other-coding': (_post(b'transfer-encoding: gzip, chunked\r\n',
+                           b'0\r\n\r\n'), 501),
+    'chunked-twice': (_post(_CHUNKED + _CHUNKED, b'0\r\n\r\n'), 501),
+    'chunk-size-plus': (_chunked(b'+2\r\nab\r\n0\r\n\r\n'), 400),
+    'chunk-size-minus': (_chunked(b'-2\r\nab\r\n0\r\n\r\n'), 400),
+    'chunk-size-hex-prefix': (_chunked(b'0x2\r\nab\r\n0\r\n\r\n'), 400),
+    'chunk-size-empty': (_chunked(b'\r\nab\r\n0\r\n\r\n'), 400),
+    'chunk-line-feed': (_chunked(b'2\nab\r\n0\r\n\r\n'), 400),
+    'chunk-extension-line-feed': (_chunked(b'2;a\nab\r\n0\r\n\r\n'), 400),
+    'chunk-end-line-feed': (_chunked(b'2\r\nab\n0\r\n\r\n'), 400),
+    'chunk-end-missing': (_chunked(b'2\r\nabxx0\r\n\r\n'), 400),
+    'trailer-malformed': (_chunked(b'0\r\nx : y\r\n\r\n'), 400),
+    'http-0.9': (b'GET /one/x\r\n\r\n', 400),
+    'line-feed-first': (b'\n' + _get(), 400),
+    'return-in-value': (_get(b'x: a\rb\r\n'), 400),
+    'return-at-line-end': (_get(b'x: a\r\r\n'), 400),
+    'nul': (_get(b'x: a\0b\r\n'), 400),
+    'space-before-colon': (_get(b'x : a\r\n'), 400),
+    'no-colon': (_get(b'x\r\n'), 400),
+    'empty-name': (_get(b': a\r\n'), 400),
+    'high-byte-in-name': (_get(b'x\xff: a\r\n'), 400),
+    'high-byte-in-target': (_get().replace(b'/x', b'/\xff'), 400),
+    'two-spaces': (_get().replace(b'GET ', b'GET  '), 400),
+    'two-hosts': (_get(b'host: a.example\r\n'), 400),
+    'no-host': (_get().replace(b'host: a.example\r\n', b''), 400),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize('form', _SERVED)
+def test_served(host: http_host.HttpHost, form: str) -> None:
+    """Guards against a permitted form that is refused or changed."""
+    request, values, body = _SERVED[form]
+    response, (sent,) = host.relay(request, _OK)
+    assert (response.status, response.body) == (200, b'ok')
+    message = http_host.split(sent)
+    assert (
+        message.start
+        == request.split()[0]
+        + (b' /one/x?y=1' if request.split()[0] == b'GET' else b' /one/x')
+        + b' HTTP/1.1'
+    )
+    assert message.values(b'x') == values
+    assert message.values(b'host') == [b'a.example']
+    assert message.body == body
+    assert message.values(b'transfer-encoding') == []
+    assert message.values(b'upgrade') == []
+
+
+@pytest.mark.parametrize('whole', [True, False])
+@pytest.mark.parametrize('form', _REFUSED)
+def test_refused(host: http_host.HttpHost, form: str, whole: bool) -> None:
+    """Guards against a malformed request that is served or not answered.
+
+    What follows it on the connection is not served: it may be the part of
+    the request that another parser does not see. The request arrives in one
+    read, and in single bytes.
+    """
+    request, status = _REFUSED[form]
+    host.searcher.reply = _OK
+    host.searcher.received.clear()
+    with host.connect() as caller:
+        caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        step = len(request) if whole else 1
+        responses = http_host.Responses(caller)
+        for at in range(0, len(request), step):
+            caller.sendall(request[at : at + step])
+        caller.sendall(_get())
+        response = responses.read()
+        assert response is not None
+        assert response.status == status
+        assert responses.at_end()
+    assert host.searcher.received == []
