Refuse requests with a length and chunks

h11 reads the chunks and ignores Content-Length, another parser may do the opposite and see a second request in the body. The same holds for chunks in HTTP/1.0, whose recipients read no body. Both are answered with 400.

--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -12,6 +12,7 @@
 
 from corianderport_tier.version import routes
 from corianderport_wire.connection import caller_messages
+from corianderport_wire.connection import request_framing
 
 __all__ = ['Event', 'RequestParser']
 
@@ -107,7 +108,8 @@
             head = RequestHead(
                 event.method, event.target, tuple(event.headers)
             )
-            self._check_declared_length(head)
+            if not request_framing.check_head(head, event.http_version):
+                self._check_declared_length(head)
             if self._after_head:
                 self._protocol.receive_data(self._after_head)
                 self._after_head = b''
@@ -130,10 +132,8 @@
 
     def _check_declared_length(self, head: RequestHead) -> None:
         """Reject a body before it arrives if its length is declared."""
-        headers = dict(head.headers)
-        if b'transfer-encoding' in headers:
-            return
-        if int(headers.get(b'content-length', 0)) > self._limits.body_bytes:
+        length = int(dict(head.headers).get(b'content-length', 0))
+        if length > self._limits.body_bytes:
             raise caller_messages.RequestRejected(_BODY_TOO_LARGE)
 
     def _check_trailers(self, end: h11.EndOfMessage) -> None:
