--- a/tests/adapter/test_request_forms.py
+++ b/tests/adapter/test_request_forms.py
@@ -91,6 +91,8 @@
     'chunk-end-missing': (_chunked(b'2\r\nabxx0\r\n\r\n'), 400),
     'trailer-malformed': (_chunked(b'0\r\nx : y\r\n\r\n'), 400),
     'http-0.9': (b'GET /one/x\r\n\r\n', 400),
+    'http-2.0': (_get().replace(b'/1.1', b'/2.0'), 505),
+    'http-2-preface': (b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n', 505),
     'line-feed-first': (b'\n' + _get(), 400),
     'return-in-value': (_get(b'x: a\rb\r\n'), 400),
     'return-at-line-end': (_get(b'x: a\r\r\n'), 400),
