Refuse line breaks other than CR LF in the head of a request

h11 takes a line feed alone for the end of a line, so that another parser may see a different head. The test that served such a request contradicted the rule that smuggling forms are refused; its rows now demand 400 for every division into reads.

--- a/packages/wire/src/corianderport_wire/connection/request_framing.py
+++ b/packages/wire/src/corianderport_wire/connection/request_framing.py
@@ -6,12 +6,53 @@
 the first one.
 """
 
+import re
+
 from corianderport_wire.connection import caller_messages
 
-__all__ = ['check_head']
+__all__ = ['BAD_REQUEST', 'HeadBytes', 'check_head']
 
-_BAD_REQUEST = 400
+BAD_REQUEST = 400
 _VERSION_NOT_SUPPORTED = 505
+_HEAD_END = b'\r\n\r\n'
+# Bytes of a head end that may have arrived with an earlier read.
+_HEAD_END_OVERLAP = 2
+_BARE_LINE_BREAK = re.compile(rb'(?<!\r)\n|\r(?!\n)')
+
+
+class HeadBytes:
+    """Separates the head of a request from what follows it."""
+
+    def __init__(self) -> None:
+        # A CR whose next byte has not arrived yet.
+        self._held = b''
+        # An empty first line ends the head.
+        self._tail = b'\r\n'
+        self.count = 0
+
+    def take(self, received: bytes) -> tuple[bytes, bytes | None]:
+        """Return further bytes of the head, and the bytes after its end.
+
+        The latter is None while the head is incomplete.
+
+        :raises RequestRejected: a line of the head does not end with CR LF.
+        """
+        content = self._held + received
+        self._held = b''
+        searched = self._tail + content
+        end = searched.find(_HEAD_END)
+        if end >= 0:
+            end += len(_HEAD_END) - len(self._tail)
+            head, after = content[:end], content[end:]
+        else:
+            head, after = content, None
+            if head.endswith(b'\r'):
+                head, self._held = head[:-1], b'\r'
+            self._tail = (self._tail + head)[-_HEAD_END_OVERLAP:]
+        if _BARE_LINE_BREAK.search(head):
+            raise caller_messages.RequestRejected(BAD_REQUEST)
+        self.count += len(head)
+        return head, after
 
 
 def check_head(head: caller_messages.RequestHead, version: bytes) -> bool:
@@ -28,5 +69,5 @@
         return False
     # HTTP/1.0 has no chunks: a recipient of that version reads no body.
     if b'content-length' in names or version == b'1.0':
-        raise caller_messages.RequestRejected(_BAD_REQUEST)
+        raise caller_messages.RequestRejected(BAD_REQUEST)
     return True
--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -6,8 +6,6 @@
 reads: the parser receives no byte after the head until the head is complete.
 """
 
-import re
-
 import h11
 
 from corianderport_tier.version import routes
@@ -18,10 +16,6 @@
 
 # Bytes that one read may add to an incomplete line of a chunked body.
 _MAX_READ_BYTES = 16_384
-# A line break and an empty line, as h11 recognizes them.
-_HEAD_END = re.compile(rb'\n\r?\n')
-# Bytes of a head end that may have arrived with earlier reads.
-_HEAD_END_OVERLAP = 2
 # Bytes of a header field besides its name and value.
 _FIELD_SEPARATOR_BYTES = 4
 _HEADERS_TOO_LARGE = 431
@@ -44,12 +38,9 @@
             h11.SERVER,
             max_incomplete_event_size=limits.header_bytes + _MAX_READ_BYTES,
         )
-        self._head_bytes = 0
-        self._head_complete = False
-        # The bytes before the request count as a line break, so that an
-        # empty first line ends the head.
-        self._head_tail = b'\n'
-        self._after_head = b''
+        self._head = request_framing.HeadBytes()
+        # Bytes after the head, once it is complete.
+        self._after_head: bytes | None = None
         self._body_bytes = 0
 
     @property
@@ -73,25 +64,16 @@
     def feed(self, received: bytes) -> None:
         """Add received bytes; none at the end of the connection.
 
-        :raises RequestRejected: the head is too large.
+        :raises RequestRejected: the head is malformed or too large.
         """
-        if self._head_complete or not received:
+        if self._after_head is not None or not received:
             self._protocol.receive_data(received)
             return
-        searched = self._head_tail + received
-        match = _HEAD_END.search(searched)
-        if match is None:
-            head, after_head = received, b''
-        else:
-            length = match.end() - len(self._head_tail)
-            head, after_head = received[:length], received[length:]
-        self._head_bytes += len(head)
-        if self._head_bytes > self._limits.header_bytes:
+        head, self._after_head = self._head.take(received)
+        if self._head.count > self._limits.header_bytes:
             raise caller_messages.RequestRejected(_HEADERS_TOO_LARGE)
-        self._head_complete = match is not None
-        self._head_tail = searched[-_HEAD_END_OVERLAP:]
-        self._after_head = after_head
-        self._protocol.receive_data(head)
+        if head:
+            self._protocol.receive_data(head)
 
     def next_event(self) -> Event | None:
         """Return the next event, or None when more bytes are needed.
@@ -110,9 +92,9 @@
             )
             if not request_framing.check_head(head, event.http_version):
                 self._check_declared_length(head)
-            if self._after_head:
-                self._protocol.receive_data(self._after_head)
-                self._after_head = b''
+            after_head, self._after_head = self._after_head, b''
+            if after_head:
+                self._protocol.receive_data(after_head)
             return head
         if isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
