Accept empty lines before a request

RFC 9112, section 2.2, asks servers to ignore them: some callers send one after a body. h11 refuses them.

--- a/packages/wire/src/corianderport_wire/connection/request_framing.py
+++ b/packages/wire/src/corianderport_wire/connection/request_framing.py
@@ -14,6 +14,7 @@
 
 BAD_REQUEST = 400
 _VERSION_NOT_SUPPORTED = 505
+_EMPTY_LINE = b'\r\n'
 _HEAD_END = b'\r\n\r\n'
 # Bytes of a head end that may have arrived with an earlier read.
 _HEAD_END_OVERLAP = 2
@@ -21,13 +22,16 @@
 
 
 class HeadBytes:
-    """Separates the head of a request from what follows it."""
+    """Separates the head of a request from what precedes and follows it.
+
+    Empty lines before the request are counted and left out.
+    """
 
     def __init__(self) -> None:
+        self._begun = False
         # A CR whose next byte has not arrived yet.
         self._held = b''
-        # An empty first line ends the head.
-        self._tail = b'\r\n'
+        self._tail = b''
         self.count = 0
 
     def take(self, received: bytes) -> tuple[bytes, bytes | None]:
@@ -39,6 +43,8 @@
         """
         content = self._held + received
         self._held = b''
+        if not self._begun:
+            content = self._without_empty_lines(content)
         searched = self._tail + content
         end = searched.find(_HEAD_END)
         if end >= 0:
@@ -54,6 +60,14 @@
         self.count += len(head)
         return head, after
 
+    def _without_empty_lines(self, content: bytes) -> bytes:
+        at = 0
+        while content.startswith(_EMPTY_LINE, at):
+            at += len(_EMPTY_LINE)
+        self.count += at
+        self._begun = content[at:] not in (b'', b'\r')
+        return content[at:]
+
 
 def check_head(head: caller_messages.RequestHead, version: bytes) -> bool:
     """Check the framing of a request; return whether its body is chunked.
--- a/tests/adapter/test_request_forms.py
+++ b/tests/adapter/test_request_forms.py
@@ -52,6 +52,8 @@
     'chunk-size-padded': (_chunked(b'02 \r\nab\r\n0\r\n\r\n'), [], b'ab'),
     'trailers': (_chunked(b'2\r\nab\r\n0\r\nx: y\r\n\r\n'), [], b'ab'),
     'http-1.2': (_get().replace(b'/1.1', b'/1.2'), [], b''),
+    'empty-line': (b'\r\n' + _get(), [], b''),
+    'empty-lines': (b'\r\n\r\n' + _get(), [], b''),
     'high-bytes': (_get(b'x: \x80\xc3\xbf\r\n'), [b'\x80\xc3\xbf'], b''),
     'control-bytes': (_get(b'x: a\x01\x7fb\r\n'), [b'a\x01\x7fb'], b''),
     'repeated-field': (_get(b'x: a\r\nX: b\r\n'), [b'a', b'b'], b''),
