--- a/packages/wire/src/corianderport_wire/connection/request_framing.py
+++ b/packages/wire/src/corianderport_wire/connection/request_framing.py
@@ -10,15 +10,19 @@
 
 from corianderport_wire.connection import caller_messages
 
-__all__ = ['BAD_REQUEST', 'HeadBytes', 'check_head']
+__all__ = ['BAD_REQUEST', 'ChunkLines', 'HeadBytes', 'check_head']
 
 BAD_REQUEST = 400
+_NOT_IMPLEMENTED = 501
 _VERSION_NOT_SUPPORTED = 505
 _EMPTY_LINE = b'\r\n'
 _HEAD_END = b'\r\n\r\n'
 # Bytes of a head end that may have arrived with an earlier read.
 _HEAD_END_OVERLAP = 2
 _BARE_LINE_BREAK = re.compile(rb'(?<!\r)\n|\r(?!\n)')
+_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,16})[ \t]*(?:;|\r\n)')
+# Bytes of a line end after the data of a chunk.
+_CHUNK_END_BYTES = 2
 
 
 class HeadBytes:
@@ -69,6 +73,53 @@
         return content[at:]
 
 
+class ChunkLines:
+    """Checks the lines between the chunks of a body, and its trailers."""
+
+    def __init__(self) -> None:
+        self._line = b''
+        # Bytes of the current chunk that have not arrived, with its line end.
+        self._chunk_bytes = 0
+        self._in_trailers = False
+        self._ended = False
+
+    def check(self, received: bytes) -> None:
+        """Check further bytes.
+
+        :raises RequestRejected: a line does not end with CR LF, or is not
+            the size of a chunk.
+        """
+        at = 0
+        while at < len(received) and not self._ended:
+            skipped = min(self._chunk_bytes, len(received) - at)
+            self._chunk_bytes -= skipped
+            at += skipped
+            if self._chunk_bytes or at == len(received):
+                return
+            end = received.find(b'\n', at) + 1
+            self._line += received[at : end or None]
+            if not end:
+                return
+            self._check_line(self._line)
+            self._line = b''
+            at = end
+
+    def _check_line(self, line: bytes) -> None:
+        if _BARE_LINE_BREAK.search(line):
+            raise caller_messages.RequestRejected(BAD_REQUEST)
+        if self._in_trailers:
+            self._ended = line == _EMPTY_LINE
+            return
+        size = _CHUNK_SIZE.match(line)
+        if size is None:
+            raise caller_messages.RequestRejected(BAD_REQUEST)
+        self._chunk_bytes = int(size[1], 16)
+        if self._chunk_bytes:
+            self._chunk_bytes += _CHUNK_END_BYTES
+        else:
+            self._in_trailers = True
+
+
 def check_head(head: caller_messages.RequestHead, version: bytes) -> bool:
     """Check the framing of a request; return whether its body is chunked.
 
--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -41,6 +41,7 @@
         self._head = request_framing.HeadBytes()
         # Bytes after the head, once it is complete.
         self._after_head: bytes | None = None
+        self._chunk_lines: request_framing.ChunkLines | None = None
         self._body_bytes = 0
 
     @property
@@ -67,7 +68,7 @@
         :raises RequestRejected: the head is malformed or too large.
         """
         if self._after_head is not None or not received:
-            self._protocol.receive_data(received)
+            self._receive_body(received)
             return
         head, self._after_head = self._head.take(received)
         if self._head.count > self._limits.header_bytes:
@@ -90,11 +91,13 @@
             head = RequestHead(
                 event.method, event.target, tuple(event.headers)
             )
-            if not request_framing.check_head(head, event.http_version):
+            if request_framing.check_head(head, event.http_version):
+                self._chunk_lines = request_framing.ChunkLines()
+            else:
                 self._check_declared_length(head)
             after_head, self._after_head = self._after_head, b''
             if after_head:
-                self._protocol.receive_data(after_head)
+                self._receive_body(after_head)
             return head
         if isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
@@ -112,6 +115,11 @@
         parts = [self._protocol.send(event) for event in events]
         return [part for part in parts if part]
 
+    def _receive_body(self, received: bytes) -> None:
+        if self._chunk_lines is not None:
+            self._chunk_lines.check(received)
+        self._protocol.receive_data(received)
+
     def _check_declared_length(self, head: RequestHead) -> None:
         """Reject a body before it arrives if its length is declared."""
         length = int(dict(head.headers).get(b'content-length', 0))
