Resolve absolute targets and refuse targets that name no path

A server must accept an absolute target, whose host replaces the Host field; such requests were answered with 404. CONNECT is answered with 501, and targets that HTTP does not permit with 400.

--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -11,6 +11,7 @@
 from corianderport_tier.version import routes
 from corianderport_wire.connection import caller_messages
 from corianderport_wire.connection import request_framing
+from corianderport_wire.connection import request_target
 
 __all__ = ['Event', 'RequestParser']
 
@@ -98,7 +99,7 @@
             after_head, self._after_head = self._after_head, b''
             if after_head:
                 self._receive_body(after_head)
-            return head
+            return request_target.resolved(head)
         if isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
             if self._body_bytes > self._limits.body_bytes:
--- a/tests/adapter/test_request_forms.py
+++ b/tests/adapter/test_request_forms.py
@@ -64,6 +64,12 @@
     'connection-list': (_get(b'connection: keep-alive , X\r\nx: 1\r\n'),
                         [], b''),
     'body-of-get': (_get(_LENGTH) + b'ab', [], b'ab'),
+    'absolute-target': (_get().replace(b'/one', b'HTTP://a.example/one')
+                        .replace(b'host: a', b'host: b'), [], b''),
+    'absolute-target-without-host': (
+        _get().replace(b'/one', b'https://a.example/one')
+        .replace(b'/1.1', b'/1.0').replace(b'host: a.example\r\n', b''),
+        [], b''),
     'no-body': (_post(b'content-length: 0\r\n', b''), [], b''),
 }  # fmt: skip
 
@@ -110,6 +116,15 @@
     'high-byte-in-name': (_get(b'x\xff: a\r\n'), 400),
     'high-byte-in-target': (_get().replace(b'/x', b'/\xff'), 400),
     'two-spaces': (_get().replace(b'GET ', b'GET  '), 400),
+    'connect': (_get().replace(b'GET /one/x?y=1', b'CONNECT a.example:80'),
+                501),
+    'asterisk-target': (_get().replace(b'/one/x?y=1', b'*'), 400),
+    'fragment': (_get().replace(b'?y=1', b'#y'), 400),
+    'target-without-slash': (_get().replace(b'/one/', b'one/'), 400),
+    'target-with-user': (_get().replace(b'/one', b'http://u@a.example/one'),
+                         400),
+    'target-of-other-scheme': (_get().replace(b'/one', b'ftp://a.example/one'),
+                               400),
     'two-hosts': (_get(b'host: a.example\r\n'), 400),
     'no-host': (_get().replace(b'host: a.example\r\n', b''), 400),
 }  # fmt: skip
@@ -159,3 +174,10 @@
         assert response.status == status
         assert responses.at_end()
     assert host.searcher.received == []
+
+
+def test_options_of_the_whole_server(host: http_host.HttpHost) -> None:
+    """Guards against a target without a path that is taken for a path."""
+    request = _get().replace(b'GET /one/x?y=1', b'OPTIONS *')
+    response, sent = host.relay(request, _OK)
+    assert (response.status, sent) == (404, [])
