--- a/tests/adapter/test_request_forms.py
+++ b/tests/adapter/test_request_forms.py
@@ -181,3 +181,114 @@
     request = _get().replace(b'GET /one/x?y=1', b'OPTIONS *')
     response, sent = host.relay(request, _OK)
     assert (response.status, sent) == (404, [])
+
+
+def _read_all(
+    caller: socket.socket, methods: list[bytes]
+) -> list[http_host.Message]:
+    responses = http_host.Responses(caller)
+    messages = [responses.read(method) for method in methods]
+    return [message for message in messages if message is not None]
+
+
+def test_pipelined_requests_are_answered_in_turn(
+    host: http_host.HttpHost,
+) -> None:
+    """Guards against a request whose bounds are lost among others."""
+    host.searcher.reply = _OK
+    host.searcher.received.clear()
+    requests = [_SERVED[form][0] for form in ('trailers', 'body-of-get')] * 3
+    with host.connect() as caller:
+        caller.sendall(b''.join(requests))
+        answers = _read_all(caller, [b'GET'] * len(requests))
+    assert [answer.status for answer in answers] == [200] * len(requests)
+    bodies = [http_host.split(sent).body for sent in host.searcher.received]
+    assert bodies == [b'ab'] * len(requests)
+
+
+@pytest.mark.parametrize('framing', [_LENGTH, _CHUNKED])
+def test_continue_is_sent_before_the_body(
+    host: http_host.HttpHost, framing: bytes
+) -> None:
+    """Guards against a caller that waits for leave to send its body."""
+    host.searcher.reply = _OK
+    host.searcher.received.clear()
+    with host.connect() as caller:
+        responses = http_host.Responses(caller)
+        caller.sendall(_post(framing + b'expect: 100-continue\r\n', b''))
+        interim = responses.read()
+        assert interim is not None
+        assert interim.status == 100
+        body = b'ab' if framing == _LENGTH else b'2\r\nab\r\n0\r\n\r\n'
+        caller.sendall(body)
+        response = responses.read()
+        assert response is not None
+        assert response.status == 200
+    (sent,) = host.searcher.received
+    assert http_host.split(sent).values(b'expect') == []
+    assert http_host.split(sent).body == b'ab'
+
+
+@pytest.mark.parametrize(
+    ('request_bytes', 'status'),
+    [
+        # The body follows without waiting.
+        (_post(b'expect: 100-continue\r\n' + _LENGTH, b'ab'), 200),
+        # An HTTP/1.0 caller does not know interim responses.
+        (_post(b'expect: 100-continue\r\n' + _LENGTH, b'ab').replace(
+            b'/1.1', b'/1.0'), 200),
+        # The body is refused before it is sent.
+        (_post(b'expect: 100-continue\r\ncontent-length: 999999\r\n', b''),
+         413),
+    ],
+)  # fmt: skip
+def test_continue_is_not_sent_without_need(
+    host: http_host.HttpHost, request_bytes: bytes, status: int
+) -> None:
+    """Guards against an interim response that nobody waits for."""
+    response, _ = host.relay(request_bytes, _OK)
+    assert response.status == status
+
+
+@pytest.mark.parametrize('field', [b'', b'connection: keep-alive\r\n'])
+def test_http_1_0_connection_ends_with_the_response(
+    host: http_host.HttpHost, field: bytes
+) -> None:
+    """Guards against a response whose end an old caller does not see."""
+    host.searcher.reply = _OK
+    with host.connect() as caller:
+        caller.sendall(_get(field).replace(b'/1.1', b'/1.0'))
+        responses = http_host.Responses(caller)
+        response = responses.read()
+        assert response is not None
+        assert (response.status, response.body) == (200, b'ok')
+        assert response.values(b'connection') == [b'close']
+        assert responses.at_end()
+
+
+def test_connection_close_in_a_list_ends_the_connection(
+    host: http_host.HttpHost,
+) -> None:
+    """Guards against a connection that stays open unasked."""
+    host.searcher.reply = _OK
+    with host.connect() as caller:
+        caller.sendall(_get(b'connection: x , Close\r\n'))
+        responses = http_host.Responses(caller)
+        assert responses.read() is not None
+        assert responses.at_end()
+
+
+def test_fields_that_route_a_request_are_not_hop_by_hop(
+    host: http_host.HttpHost,
+) -> None:
+    """Guards against a request without the fields that every request has.
+
+    A caller may name them in Connection, although HTTP forbids it.
+    """
+    fields = b'connection: host, x-request-id, x\r\nx: 1\r\n'
+    response, (sent,) = host.relay(_get(fields), _OK)
+    assert response.status == 200
+    message = http_host.split(sent)
+    assert message.values(b'host') == [b'a.example']
+    assert message.values(b'x-request-id') == [b'q1']
+    assert message.values(b'x') == []
