--- a/tests/adapter/test_request_forms.py
+++ b/tests/adapter/test_request_forms.py
@@ -292,3 +292,11 @@
     assert message.values(b'host') == [b'a.example']
     assert message.values(b'x-request-id') == [b'q1']
     assert message.values(b'x') == []
+
+
+def test_post_without_body_states_its_length(
+    host: http_host.HttpHost,
+) -> None:
+    """Guards against a searcher that waits for a body or asks for a length."""
+    _, (sent,) = host.relay(_post(b'content-length: 0\r\n', b''), _OK)
+    assert http_host.split(sent).values(b'content-length') == [b'0']
