--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -306,7 +306,7 @@
             response = HttpResponse(_BAD_GATEWAY, (), b'')
             head = caller_messages.response_head(response, closing)
         events: list[h11.Event] = [head]
-        if response.body:
+        if caller_messages.has_body(response, parser.method):
             events.append(h11.Data(data=response.body))
         events.append(h11.EndOfMessage())
         self._write(parser.encode(*events))
--- a/packages/wire/src/corianderport_wire/connection/caller_messages.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_messages.py
@@ -17,9 +17,14 @@
     'RequestHead',
     'RequestRejected',
     'WantsBody',
+    'has_body',
     'response_head',
 ]
 
+_HEAD = b'HEAD'
+# Statuses of responses that have no body.
+_BODILESS = frozenset({204, 304})
+
 
 @attrs.frozen
 class RequestHead:
@@ -86,6 +91,18 @@
 WantsBody = collections.abc.Callable[[ReceivedRequest], bool]
 
 
+def has_body(response: HttpResponse, method: bytes) -> bool:
+    """Whether the body of a response is sent.
+
+    :param method: of the request; empty if it is unknown.
+    """
+    return (
+        bool(response.body)
+        and method != _HEAD
+        and response.status not in _BODILESS
+    )
+
+
 def response_head(response: HttpResponse, closing: bool) -> h11.Response:
     """Return the head of a response.
 
--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -44,6 +44,8 @@
         self._after_head: bytes | None = None
         self._chunk_lines: request_framing.ChunkLines | None = None
         self._body_bytes = 0
+        # Method of the request; empty until its head is complete.
+        self.method = b''
 
     @property
     def awaits_continue(self) -> bool:
@@ -92,6 +94,7 @@
             head = RequestHead(
                 event.method, event.target, tuple(event.headers)
             )
+            self.method = head.method
             if request_framing.check_head(head, event.http_version):
                 self._chunk_lines = request_framing.ChunkLines()
             else:
