--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -297,14 +297,18 @@
         closing: bool,
     ) -> None:
         try:
-            head = caller_messages.response_head(response, closing)
+            head = caller_messages.response_head(
+                response, closing, parser.method
+            )
         except h11.LocalProtocolError as error:
             _LOG.warning(
                 'a response that cannot be passed on is replaced: %.200s',
                 error,
             )
             response = HttpResponse(_BAD_GATEWAY, (), b'')
-            head = caller_messages.response_head(response, closing)
+            head = caller_messages.response_head(
+                response, closing, parser.method
+            )
         events: list[h11.Event] = [head]
         if caller_messages.has_body(response, parser.method):
             events.append(h11.Data(data=response.body))
--- a/packages/wire/src/corianderport_wire/connection/caller_messages.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_messages.py
@@ -22,6 +22,7 @@
 ]
 
 _HEAD = b'HEAD'
+_CONTENT_LENGTH = b'content-length'
 # Statuses of responses that have no body.
 _BODILESS = frozenset({204, 304})
 
@@ -64,7 +65,10 @@
 
 @attrs.frozen
 class HttpResponse:
-    """A response; its Content-Length is added when it is sent."""
+    """A response; its Content-Length is added when it is sent.
+
+    Only the relayed response to HEAD and 304 have that of the searcher.
+    """
 
     status: int
     headers: http_exchange.Headers
@@ -103,15 +107,20 @@
     )
 
 
-def response_head(response: HttpResponse, closing: bool) -> h11.Response:
+def response_head(
+    response: HttpResponse, closing: bool, method: bytes = b''
+) -> h11.Response:
     """Return the head of a response.
 
+    The length of a body that is not sent is stated only if the response has
+    it: the body of a relayed one is unknown.
+
+    :param method: of the request; empty if it is unknown.
     :raises LocalProtocolError: HTTP does not permit the status or a header.
     """
-    headers = [
-        *response.headers,
-        (b'content-length', str(len(response.body)).encode()),
-    ]
+    headers = list(response.headers)
+    if response.body or not (method == _HEAD or response.status in _BODILESS):
+        headers.append((_CONTENT_LENGTH, str(len(response.body)).encode()))
     if closing:
         headers.append((b'connection', b'close'))
     return h11.Response(status_code=response.status, headers=headers)
