Answer 502 if the reply of a searcher is malformed or too large

Such a reply was answered with 504, as if none had arrived, and the reason of a limit was lost in the parser's callback. The result has a code of its own and is counted as reply-invalid.

--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -30,6 +30,7 @@
     'QuotaExceeded',
     'Refusal',
     'ReplyIncomplete',
+    'ReplyInvalid',
     'ReplyTooLarge',
     'SettingInvalid',
     'StoreUnavailable',
@@ -205,6 +206,12 @@
     """The connection closed after bytes may have been sent."""
 
 
+class ReplyInvalid(ConnectionBroken):
+    """The reply is malformed or too large and cannot be passed on."""
+
+    code = result_codes.ResultCode.REPLY_INVALID
+
+
 class ReplyTooLarge(ConnectionBroken):
     """The reply exceeds the largest size that is accepted."""
 
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -28,6 +28,8 @@
 _LOG_KINDS = {False: 'retry', True: 'hedge'}
 # First sends are only counted; the decision line of the answer implies them.
 _FIRST_SEND = decision_log.Decision('route', '', '', 'first send')
+# Counted besides the line of the failed send, which has the reason.
+_REPLY_INVALID = decision_log.Decision('reply-invalid', '', '', '')
 # Without this limit, one request to a service that refuses every send would
 # use up the budget of extra sends shared by all requests.
 _MAX_SENDS_PER_PART = 4
@@ -302,6 +304,9 @@
             return
         self._possible_runs += 1
         code = Code.OUTCOME_UNKNOWN
+        if isinstance(error, errors.ReplyInvalid):
+            code = error.code
+            self._log.count(_REPLY_INVALID)
         self._retry_or_fail(send, code, f'{type(error).__name__}: {error}')
 
     def _retry_or_fail(
--- a/packages/tier/src/corianderport_tier/result_codes.py
+++ b/packages/tier/src/corianderport_tier/result_codes.py
@@ -42,6 +42,7 @@
     UPSTREAM_FAILED = 200
     COVERAGE_NOT_MET = 201
     OUTCOME_UNKNOWN = 300
+    REPLY_INVALID = 301
     CONFIGURATION_INVALID = 400
     CONFIGURATION_STALE = 401
     SETTING_INVALID = 402
@@ -50,7 +51,7 @@
     @property
     def ran(self) -> Ran:
         """Whether an upstream acted on a request with this code."""
-        if self in (ResultCode.OUTCOME_UNKNOWN, ResultCode.INTERNAL_ERROR):
+        if 300 <= self < 400 or self is ResultCode.INTERNAL_ERROR:
             return Ran.UNKNOWN
         if 100 <= self < 200 or 400 <= self < 500:
             return Ran.NO
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -125,8 +125,8 @@
         :raises ConnectionStale: the connection was no longer usable;
             nothing was sent.
         :raises ConnectionSilent: no complete response before the deadline.
-        :raises ConnectionBroken: the connection was closed, or the server
-            sent no valid response.
+        :raises ReplyInvalid: the server sent no valid response.
+        :raises ConnectionBroken: the connection was closed.
         """
         self._check_reusable()
         self._reusable = False
--- a/packages/wire/src/corianderport_wire/connection/reply_allowance.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_allowance.py
@@ -42,18 +42,18 @@
     def count_read(self, size_bytes: int) -> None:
         """Count received bytes before they are parsed.
 
-        :raises ConnectionBroken: the response takes too many reads, or the
+        :raises ReplyInvalid: the response takes too many reads, or the
             quota of the host is spent.
         """
         self._bytes += size_bytes
         self._reads += 1
         if self._reads > _MAX_READS + self._bytes // _MIN_BYTES_PER_READ:
-            raise errors.ConnectionBroken('response in too many pieces')
+            raise errors.ReplyInvalid('response in too many pieces')
         usual = self._bytes <= _FREE_BYTES and self._reads <= _FREE_READS
         if self._quota is None or usual:
             return
         if not self._quota.try_spend(size_bytes):
-            raise errors.ConnectionBroken(
+            raise errors.ReplyInvalid(
                 'responses of all searchers are too large'
             )
 
@@ -64,9 +64,9 @@
     def check_overhead(self) -> None:
         """Check the bytes that belong to no body.
 
-        :raises ConnectionBroken: there are too many.
+        :raises ReplyInvalid: there are too many.
         """
         overhead = self._bytes - self._body_bytes
         allowed = self._body_bytes // _MIN_BODY_PER_FRAMING
         if overhead > _MAX_OVERHEAD_BYTES + allowed:
-            raise errors.ConnectionBroken('response head is too large')
+            raise errors.ReplyInvalid('response head is too large')
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -84,8 +84,9 @@
     def receive(self, content: bytes) -> None:
         """Parse the next bytes; an empty value means end of stream.
 
-        :raises ConnectionBroken: the bytes are not a valid response or
-            exceed a limit, or the stream ends before the response is
+        :raises ReplyInvalid: the bytes are not a valid response or exceed a
+            limit.
+        :raises ConnectionBroken: the stream ends before the response is
             complete.
         """
         if not content:
@@ -112,7 +113,7 @@
             return
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > _MAX_HEADER_BYTES:
-            raise errors.ConnectionBroken('response headers are too large')
+            raise errors.ReplyInvalid('response headers are too large')
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -129,7 +130,7 @@
         self._allowance.count_body(len(content))
         self._body_bytes += len(content)
         if self._body_bytes > _MAX_BODY_BYTES:
-            raise errors.ConnectionBroken('response body is too large')
+            raise errors.ReplyInvalid('response body is too large')
         self._body.write(content)
 
     def on_message_complete(self) -> None:
@@ -163,13 +164,17 @@
         try:
             self._parser.feed_data(content)
         except httptools.HttpParserUpgrade as error:
-            raise errors.ConnectionBroken('protocol upgrade') from error
+            raise errors.ReplyInvalid('protocol upgrade') from error
         except httptools.HttpParserError as error:
             # Invalid bytes after a complete response rule out reuse, but do
             # not invalidate that response.
             self._broken = True
-            if not self._replies:
-                raise errors.ConnectionBroken(str(error)) from error
+            if self._replies:
+                return
+            if isinstance(error.__context__, errors.ReplyInvalid):
+                # Raised by one of the callbacks.
+                raise error.__context__ from None
+            raise errors.ReplyInvalid(str(error)) from error
 
     def _complete(self) -> None:
         self._in_message = self._in_body = False
--- a/packages/wire/src/corianderport_wire/request/caller_app.py
+++ b/packages/wire/src/corianderport_wire/request/caller_app.py
@@ -56,6 +56,7 @@
     result_codes.ResultCode.COVERAGE_NOT_MET: 502,
     result_codes.ResultCode.UPSTREAM_FAILED: 502,
     result_codes.ResultCode.OUTCOME_UNKNOWN: 502,
+    result_codes.ResultCode.REPLY_INVALID: 502,
     result_codes.ResultCode.INTERNAL_ERROR: 500,
 }
 _DEFAULT_STATUS = 503
--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -84,3 +84,93 @@
         response = responses.read()
         assert response is not None
         assert b'corianderport_decisions_total' in response.body
+
+
+def _ok(fields: bytes, body: bytes = b'ok') -> bytes:
+    return _OK + fields + b'\r\n' + body
+
+
+def _chunked(body: bytes) -> bytes:
+    return _ok(_CHUNKED, body)
+
+
+# For each form, the reply.
+_REFUSED: dict[str, bytes] = {
+    'unequal-lengths': _ok(_LENGTH + b'content-length: 3\r\n'),
+    'unequal-lengths-list': _ok(b'content-length: 2, 3\r\n'),
+    'length-sign': _ok(b'content-length: +2\r\n'),
+    'length-empty': _ok(b'content-length:\r\n'),
+    'length-overflow': _ok(b'content-length: 99999999999999999999999\r\n'),
+    'length-and-chunked': _ok(_LENGTH + _CHUNKED, b'2\r\nok\r\n0\r\n\r\n'),
+    'chunked-and-length': _ok(_CHUNKED + _LENGTH, b'2\r\nok\r\n0\r\n\r\n'),
+    'identity-and-length': _ok(b'transfer-encoding: identity\r\n' + _LENGTH),
+    'chunk-size-plus': _chunked(b'+2\r\nok\r\n0\r\n\r\n'),
+    'chunk-size-minus': _chunked(b'-2\r\nok\r\n0\r\n\r\n'),
+    'chunk-size-hex-prefix': _chunked(b'0x2\r\nok\r\n0\r\n\r\n'),
+    'chunk-size-empty': _chunked(b'\r\nok\r\n0\r\n\r\n'),
+    'chunk-size-padded': _chunked(b'2 \r\nok\r\n0\r\n\r\n'),
+    'chunk-size-overflow': _chunked(b'fffffffffffffffff\r\nok\r\n'),
+    'chunk-extension-padded': _chunked(b'2 ; a=b\r\nok\r\n0\r\n\r\n'),
+    'chunk-line-feed': _chunked(b'2\nok\r\n0\r\n\r\n'),
+    'chunk-extension-line-feed': _chunked(b'2;a\nok\r\n0\r\n\r\n'),
+    'chunk-extension-return': _chunked(b'2;a\rb\r\nok\r\n0\r\n\r\n'),
+    'chunk-end-line-feed': _chunked(b'2\r\nok\n0\r\n\r\n'),
+    'chunk-end-missing': _chunked(b'2\r\nokxx0\r\n\r\n'),
+    'trailer-length': _chunked(b'2\r\nok\r\n0\r\ncontent-length: 3\r\n\r\n'),
+    'trailer-malformed': _chunked(b'2\r\nok\r\n0\r\nx : y\r\n\r\n'),
+    'http-0.9': b'ok\r\n\r\n',
+    'http-1.2': _PLAIN.replace(b'/1.1', b'/1.2'),
+    'status-short': _PLAIN.replace(b'200', b'20'),
+    'status-long': _PLAIN.replace(b'200', b'2000'),
+    'upgrade-unasked': b'HTTP/1.1 101 S\r\nconnection: upgrade\r\n'
+                       b'upgrade: x\r\n\r\n',
+    'upgrade-without-field': b'HTTP/1.1 101 S\r\n\r\n' + _PLAIN,
+    'folded-first-line': _ok(b' x: a\r\n' + _LENGTH).replace(
+        _STAMP, b''),
+    'folded-empty': _ok(_LENGTH + b'x: a\r\n \r\n'),
+    'line-feed-in-head': _ok(_LENGTH + b'x: a\ny: b\r\n'),
+    'return-in-value': _ok(_LENGTH + b'x: a\rb\r\n'),
+    'return-at-line-end': _ok(_LENGTH + b'x: a\r\r\n'),
+    'nul': _ok(_LENGTH + b'x: a\0b\r\n'),
+    'control-bytes': _ok(_LENGTH + b'x: a\x01b\r\n'),
+    'space-before-colon': _ok(_LENGTH + b'x : a\r\n'),
+    'no-colon': _ok(_LENGTH + b'x\r\n'),
+    'empty-name': _ok(_LENGTH + b': a\r\n'),
+    'high-byte-in-name': _ok(_LENGTH + b'x\xff: a\r\n'),
+    'long-head': _ok(_LENGTH + b'x: ' + b'a' * 70_000 + b'\r\n'),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize('form', _REFUSED)
+def test_refused(
+    host: http_host.HttpHost, form: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a malformed reply that is passed on or not answered.
+
+    The caller gets 502 at once, the log has the reason, and the next request
+    on its connection is served.
+    """
+    host.searcher.reply, host.searcher.ends = _REFUSED[form], False
+    count = host.count('reply-invalid')
+    caplog.set_level('INFO')
+    with host.connect() as caller:
+        responses = http_host.Responses(caller)
+        caller.sendall(_GET)
+        response = responses.read()
+        assert response is not None
+        assert (response.status, response.body) == (502, b'')
+        host.searcher.reply = _PLAIN
+        caller.sendall(_GET)
+        response = responses.read()
+        assert response is not None
+        assert (response.status, response.body) == (200, b'ok')
+    assert host.count('reply-invalid') == count + 1
+    reasons = [
+        decision.reason
+        for record in caplog.records
+        if (decision := getattr(record, 'decision', None)) is not None
+        and decision.kind == 'send-failed'
+    ]
+    assert len(reasons) == 1
+    assert reasons[0].startswith('ReplyInvalid: ')
+    assert 'callback' not in reasons[0]
