--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -174,3 +174,50 @@
     assert len(reasons) == 1
     assert reasons[0].startswith('ReplyInvalid: ')
     assert 'callback' not in reasons[0]
+
+
+# For each form: the reply, whether its connection ends after it, and the
+# field x that reaches the caller.
+_SERVED: dict[str, tuple[bytes, bool, list[bytes]]] = {
+    'white-space': (_ok(b'x: \t a b\t \r\n' + _LENGTH), False, [b'a b']),
+    'padded-length': (_ok(b'content-length: \t2 \t\r\n'), False, []),
+    'padded-chunked': (_ok(b'transfer-encoding: chunked \r\n',
+                           b'2\r\nok\r\n0\r\n\r\n'), False, []),
+    'empty-value': (_ok(b'x:\r\nx: \r\n' + _LENGTH), False, [b'', b'']),
+    'chunked': (_chunked(b'1\r\no\r\n1\r\nk\r\n0\r\n\r\n'), False, []),
+    'chunked-case': (_ok(b'Transfer-Encoding: CHUNKED\r\n',
+                         b'2\r\nok\r\n0\r\n\r\n'), False, []),
+    'chunk-extension': (_chunked(b'2;a=b;c="d"\r\nok\r\n0;e\r\n\r\n'),
+                        False, []),
+    'trailers': (_chunked(b'2\r\nok\r\n0\r\nx: y\r\n\r\n'), False, []),
+    'unframed': (_ok(b''), True, []),
+    'http-1.0': (_PLAIN.replace(b'/1.1', b'/1.0'), True, []),
+    'no-reason': (_PLAIN.replace(b' OK', b''), False, []),
+    'high-byte-in-reason': (_PLAIN.replace(b'OK', b'\xc3\xa4'), False, []),
+    'empty-line': (b'\r\n' + _PLAIN, False, []),
+    'high-bytes': (_ok(b'x: \x80\xc3\xbf\r\n' + _LENGTH), False,
+                   [b'\x80\xc3\xbf']),
+    'repeated-field': (_ok(b'x: a\r\nX: b\r\n' + _LENGTH), False,
+                       [b'a', b'b']),
+    'upgrade-offered': (_ok(b'connection: upgrade\r\nupgrade: x\r\n'
+                            + _LENGTH), False, []),
+    'connection-list': (_ok(b'connection: keep-alive , X\r\nx: 1\r\n'
+                            + _LENGTH), False, []),
+    'connection-close': (_ok(b'connection: a, Close\r\n' + _LENGTH), True,
+                         []),
+    'interim': (b'HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nx: a\r\n\r\n'
+                + _PLAIN, False, []),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize('form', _SERVED)
+def test_served(host: http_host.HttpHost, form: str) -> None:
+    """Guards against a permitted form that is refused or changed."""
+    reply, ends, values = _SERVED[form]
+    response, _ = host.relay(_GET, reply, ends)
+    assert (response.status, response.body) == (200, b'ok')
+    assert response.values(b'x') == values
+    assert response.values(b'x-response-stamp') == [b's']
+    assert response.values(b'content-length') == [b'2']
+    assert response.values(b'transfer-encoding') == []
+    assert response.values(b'upgrade') == []
