Read each head of a reply apart, also after an interim response

White space was removed from the first head in a read only. If an interim response or empty lines preceded the reply, a padded value was replaced by 502 and a padded 'chunked' was not recognised.

--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -10,6 +10,7 @@
 
 from corianderport_tier import errors
 from corianderport_wire.connection import reply_allowance
+from corianderport_wire.connection import reply_head
 
 __all__ = ['HttpReply', 'ReplyParser']
 
@@ -21,9 +22,6 @@
 _TRANSFER_ENCODING = b'transfer-encoding'
 _HEAD = b'HEAD'
 _LINE_END = b'\r\n'
-_HEAD_END = b'\r\n\r\n'
-_WHITE_SPACE = b' \t'
-_PADDED_ENDINGS = (b' \r\n', b'\t\r\n')
 
 
 @attrs.frozen
@@ -79,7 +77,9 @@
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another request."""
-        return self._keep_alive and not self._in_message and not self._broken
+        # An incomplete head belongs to no request.
+        unread = self._in_message or self._head
+        return self._keep_alive and not unread and not self._broken
 
     def receive(self, content: bytes) -> None:
         """Parse the next bytes; an empty value means end of stream.
@@ -143,22 +143,21 @@
         self._complete()
 
     def _receive_head(self, content: bytes) -> None:
-        """Parse the head of a response once it is complete.
-
-        httptools keeps white space at the end of a header line, which is no
-        part of the value, and then does not recognise values such as
-        ``chunked``.
-        """
+        """Parse complete heads until one has a body, and what follows it."""
         self._head += content
-        end = self._head.find(_HEAD_END)
-        if end < 0:
-            return
-        head, self._head = self._head, b''
-        if any(ending in head for ending in _PADDED_ENDINGS):
-            lines = head[:end].split(_LINE_END)
-            stripped = _LINE_END.join(map(_strip_line_end, lines))
-            head = stripped + head[end:]
-        self._parse(head)
+        while self._head and not (self._in_message or self._broken):
+            while self._head.startswith(_LINE_END):
+                self._head = self._head[len(_LINE_END) :]
+            end = self._head.find(reply_head.HEAD_END)
+            if end < 0:
+                return
+            end += len(reply_head.HEAD_END)
+            head, self._head = self._head[:end], self._head[end:]
+            self._parse(reply_head.normalized(head))
+        if self._in_message:
+            rest, self._head = self._head, b''
+            if rest:
+                self._parse(rest)
 
     def _parse(self, content: bytes) -> None:
         try:
@@ -196,11 +195,3 @@
             raise errors.ConnectionBroken('closed before a complete response')
         self._complete()
         self._keep_alive = False
-
-
-def _strip_line_end(line: bytes) -> bytes:
-    if line.startswith((b' ', b'\t')):
-        # Continues the line before, which the parser refuses. Stripped, it
-        # could be the empty line that ends the head.
-        return line
-    return line.rstrip(_WHITE_SPACE)
--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -207,6 +207,12 @@
                          []),
     'interim': (b'HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nx: a\r\n\r\n'
                 + _PLAIN, False, []),
+    'interim-then-padded': (
+        b'HTTP/1.1 100 C\r\nx: a \r\n\r\n'
+        + _ok(b'x: b \r\ntransfer-encoding: chunked\t\r\n',
+              b'2\r\nok\r\n0\r\n\r\n'), False, [b'b']),
+    'empty-lines-then-padded': (b'\r\n\r\n' + _ok(b'x: a \r\n' + _LENGTH),
+                                False, [b'a']),
 }  # fmt: skip
 
 
