--- a/packages/wire/src/corianderport_wire/connection/reply_head.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_head.py
@@ -3,9 +3,13 @@
 Rewrites heads of replies that httptools and h11 read differently.
 """
 
+from corianderport_tier import errors
+
 __all__ = ['HEAD_END', 'normalized']
 
 HEAD_END = b'\r\n\r\n'
+# httptools accepts HTTP/2.0 too.
+_VERSIONS = (b'HTTP/1.1 ', b'HTTP/1.0 ')
 _LINE_END = b'\r\n'
 _WHITE_SPACE = b' \t'
 _PADDED_ENDINGS = (b' \r\n', b'\t\r\n')
@@ -16,7 +20,11 @@
 
     httptools keeps white space at the end of a header line, which is no part
     of the value, and then does not recognize values such as ``chunked``.
+
+    :raises ReplyInvalid: the reply is not of HTTP/1.
     """
+    if not head.startswith(_VERSIONS):
+        raise errors.ReplyInvalid('not a reply of HTTP/1')
     if not any(ending in head for ending in _PADDED_ENDINGS):
         return head
     lines = head[: -len(HEAD_END)].split(_LINE_END)
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -21,6 +21,8 @@
 _CONTENT_LENGTH = b'content-length'
 _TRANSFER_ENCODING = b'transfer-encoding'
 _HEAD = b'HEAD'
+# httptools accepts smaller numbers, which are no interim responses either.
+_MIN_STATUS = 100
 _LINE_END = b'\r\n'
 
 
@@ -119,6 +121,8 @@
     def on_headers_complete(self) -> None:
         """Expect the body, or complete a response that has none."""
         self._in_body = True
+        if self._parser.get_status_code() < _MIN_STATUS:
+            raise errors.ReplyInvalid('invalid status')
         if self._bodiless and self._parser.get_status_code() >= 200:
             self._complete()
             # httptools still waits for the announced body, so that the
@@ -153,12 +157,22 @@
                 return
             end += len(reply_head.HEAD_END)
             head, self._head = self._head[:end], self._head[end:]
-            self._parse(reply_head.normalized(head))
+            self._parse_head(head)
         if self._in_message:
             rest, self._head = self._head, b''
             if rest:
                 self._parse(rest)
 
+    def _parse_head(self, head: bytes) -> None:
+        try:
+            head = reply_head.normalized(head)
+        except errors.ReplyInvalid:
+            self._broken = True
+            if not self._replies:
+                raise
+            return
+        self._parse(head)
+
     def _parse(self, content: bytes) -> None:
         try:
             self._parser.feed_data(content)
--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -138,6 +138,8 @@
     'empty-name': _ok(_LENGTH + b': a\r\n'),
     'high-byte-in-name': _ok(_LENGTH + b'x\xff: a\r\n'),
     'long-head': _ok(_LENGTH + b'x: ' + b'a' * 70_000 + b'\r\n'),
+    'http-2.0': _PLAIN.replace(b'/1.1', b'/2.0'),
+    'status-below-100': _PLAIN.replace(b'200', b'099'),
 }  # fmt: skip
 
 
