Unfold header lines of replies

A gateway may do so or answer 502 (RFC 9112, section 5.2). h11 unfolds those of requests, and refusing a reply loses a request that has run.

--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -215,6 +215,9 @@
               b'2\r\nok\r\n0\r\n\r\n'), False, [b'b']),
     'empty-lines-then-padded': (b'\r\n\r\n' + _ok(b'x: a \r\n' + _LENGTH),
                                 False, [b'a']),
+    'folded': (_ok(b'x: a \r\n \t b\r\n\tc\r\n' + _LENGTH), False,
+               [b'a b c']),
+    'folded-length': (_ok(b'content-length:\r\n 2\r\n'), False, []),
 }  # fmt: skip
 
 
