--- a/packages/wire/src/corianderport_wire/connection/reply_head.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_head.py
@@ -12,8 +12,8 @@
 _VERSIONS = (b'HTTP/1.1 ', b'HTTP/1.0 ')
 _LINE_END = b'\r\n'
 _WHITE_SPACE = b' \t'
-# Padded and folded lines.
-_UNUSUAL = (b' \r\n', b'\t\r\n', b'\r\n ', b'\r\n\t')
+_LENGTH = b'content-length'
+_LENGTH_START = b'\r\ncontent-length:'
 
 
 def normalized(head: bytes) -> bytes:
@@ -21,17 +21,34 @@
 
     httptools keeps white space at the end of a header line, which is no part
     of the value, and then does not recognize values such as ``chunked``. It
-    refuses lines that continue the one before.
+    refuses lines that continue the one before, and repeated equal lengths.
 
     :raises ReplyInvalid: the reply is not of HTTP/1.
     """
     if not head.startswith(_VERSIONS):
         raise errors.ReplyInvalid('not a reply of HTTP/1')
-    if any(mark in head for mark in _UNUSUAL):
-        start, *lines = head[: -len(HEAD_END)].split(_LINE_END)
-        fields = _unfolded(lines)
-        head = _LINE_END.join((start.rstrip(_WHITE_SPACE), *fields, b'', b''))
-    return head
+    if not _is_unusual(head):
+        return head
+    start, *lines = head[: -len(HEAD_END)].split(_LINE_END)
+    fields = _with_one_length(_unfolded(lines))
+    return _LINE_END.join((start.rstrip(_WHITE_SPACE), *fields, b'', b''))
+
+
+def _is_unusual(head: bytes) -> bool:
+    """Whether a line is padded or folded, or a length is repeated."""
+    if (
+        b' \r\n' in head
+        or b'\t\r\n' in head
+        or b'\r\n ' in head
+        or b'\r\n\t' in head
+    ):
+        return True
+    lower = head.lower()
+    start = lower.find(_LENGTH_START)
+    if start < 0:
+        return False
+    end = lower.find(_LINE_END, start + len(_LENGTH_START))
+    return b',' in lower[start:end] or lower.find(_LENGTH_START, end) >= 0
 
 
 def _unfolded(lines: list[bytes]) -> list[bytes]:
@@ -50,3 +67,31 @@
         else:
             fields.append(line)
     return fields
+
+
+def _with_one_length(fields: list[bytes]) -> list[bytes]:
+    """Return the fields with one of several equal lengths.
+
+    Unequal ones are kept, so that httptools refuses them.
+    """
+    lengths = _values(fields, _LENGTH)
+    if len(lengths) < 2 or len(set(lengths)) > 1:
+        return fields
+    return [b'%s: %s' % (_LENGTH, lengths[0]), *_without(fields, _LENGTH)]
+
+
+def _values(fields: list[bytes], name: bytes) -> list[bytes]:
+    return [
+        value.strip(_WHITE_SPACE)
+        for field in fields
+        if _name(field) == name
+        for value in field.partition(b':')[2].split(b',')
+    ]
+
+
+def _without(fields: list[bytes], name: bytes) -> list[bytes]:
+    return [field for field in fields if _name(field) != name]
+
+
+def _name(field: bytes) -> bytes:
+    return field.partition(b':')[0].lower()
--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -218,6 +218,9 @@
     'folded': (_ok(b'x: a \r\n \t b\r\n\tc\r\n' + _LENGTH), False,
                [b'a b c']),
     'folded-length': (_ok(b'content-length:\r\n 2\r\n'), False, []),
+    'equal-lengths': (_ok(_LENGTH + b'x: a\r\nContent-Length: 2\r\n'), False,
+                      [b'a']),
+    'equal-lengths-list': (_ok(b'content-length: 2 , 2\r\n'), False, []),
 }  # fmt: skip
 
 
