--- a/packages/wire/src/corianderport_wire/connection/reply_head.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_head.py
@@ -14,6 +14,9 @@
 _WHITE_SPACE = b' \t'
 _LENGTH = b'content-length'
 _LENGTH_START = b'\r\ncontent-length:'
+_CODING = b'transfer-encoding'
+_CODING_START = b'\r\ntransfer-encoding'
+_CHUNKED = b'chunked'
 
 
 def normalized(head: bytes) -> bytes:
@@ -23,7 +26,8 @@
     of the value, and then does not recognize values such as ``chunked``. It
     refuses lines that continue the one before, and repeated equal lengths.
 
-    :raises ReplyInvalid: the reply is not of HTTP/1.
+    :raises ReplyInvalid: the reply is not of HTTP/1, or its body has a coding
+        that this host does not decode.
     """
     if not head.startswith(_VERSIONS):
         raise errors.ReplyInvalid('not a reply of HTTP/1')
@@ -31,11 +35,12 @@
         return head
     start, *lines = head[: -len(HEAD_END)].split(_LINE_END)
     fields = _with_one_length(_unfolded(lines))
+    _check_codings(fields, start)
     return _LINE_END.join((start.rstrip(_WHITE_SPACE), *fields, b'', b''))
 
 
 def _is_unusual(head: bytes) -> bool:
-    """Whether a line is padded or folded, or a length is repeated."""
+    """Whether a line is padded or folded, or the framing is to be checked."""
     if (
         b' \r\n' in head
         or b'\t\r\n' in head
@@ -44,6 +49,8 @@
     ):
         return True
     lower = head.lower()
+    if _CODING_START in lower:
+        return True
     start = lower.find(_LENGTH_START)
     if start < 0:
         return False
@@ -80,6 +87,19 @@
     return [b'%s: %s' % (_LENGTH, lengths[0]), *_without(fields, _LENGTH)]
 
 
+def _check_codings(fields: list[bytes], start: bytes) -> None:
+    """Refuse bodies with other codings than chunks.
+
+    The coding is not passed on, so that the caller could not undo it.
+    HTTP/1.0 has no chunks: its recipients read until the connection ends.
+    """
+    codings = [value.lower() for value in _values(fields, _CODING)]
+    if not codings:
+        return
+    if codings != [_CHUNKED] or not start.startswith(_VERSIONS[0]):
+        raise errors.ReplyInvalid('unsupported transfer coding')
+
+
 def _values(fields: list[bytes], name: bytes) -> list[bytes]:
     return [
         value.strip(_WHITE_SPACE)
--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -140,6 +140,17 @@
     'long-head': _ok(_LENGTH + b'x: ' + b'a' * 70_000 + b'\r\n'),
     'http-2.0': _PLAIN.replace(b'/1.1', b'/2.0'),
     'status-below-100': _PLAIN.replace(b'200', b'099'),
+    'other-coding': _ok(b'transfer-encoding: gzip, chunked\r\n',
+                        b'2\r\nok\r\n0\r\n\r\n'),
+    'other-coding-unframed': _ok(b'transfer-encoding: gzip\r\n'),
+    'chunked-twice': _ok(_CHUNKED + _CHUNKED, b'2\r\nok\r\n0\r\n\r\n'),
+    'chunked-twice-list': _ok(b'transfer-encoding: chunked, chunked\r\n',
+                              b'2\r\nok\r\n0\r\n\r\n'),
+    'chunked-not-last': _ok(b'transfer-encoding: chunked, identity\r\n',
+                            b'2\r\nok\r\n0\r\n\r\n'),
+    'coding-empty': _ok(b'transfer-encoding:\r\n' + _LENGTH),
+    'chunked-http-1.0': _chunked(b'2\r\nok\r\n0\r\n\r\n').replace(
+        b'/1.1', b'/1.0'),
 }  # fmt: skip
 
 
