Accept replies with the transfer coding identity

RFC 2616 had it for a body without coding, and servers still send it. The body ends with the connection. With a length, it is refused as ambiguous.

--- a/packages/wire/src/corianderport_wire/connection/reply_head.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_head.py
@@ -17,6 +17,7 @@
 _CODING = b'transfer-encoding'
 _CODING_START = b'\r\ntransfer-encoding'
 _CHUNKED = b'chunked'
+_NO_CODING = b'identity'
 
 
 def normalized(head: bytes) -> bytes:
@@ -35,7 +36,7 @@
         return head
     start, *lines = head[: -len(HEAD_END)].split(_LINE_END)
     fields = _with_one_length(_unfolded(lines))
-    _check_codings(fields, start)
+    fields = _with_known_coding(fields, start)
     return _LINE_END.join((start.rstrip(_WHITE_SPACE), *fields, b'', b''))
 
 
@@ -87,17 +88,23 @@
     return [b'%s: %s' % (_LENGTH, lengths[0]), *_without(fields, _LENGTH)]
 
 
-def _check_codings(fields: list[bytes], start: bytes) -> None:
-    """Refuse bodies with other codings than chunks.
+def _with_known_coding(fields: list[bytes], start: bytes) -> list[bytes]:
+    """Return the fields without the coding that means none.
+
+    Bodies with other codings than chunks are refused.
 
     The coding is not passed on, so that the caller could not undo it.
     HTTP/1.0 has no chunks: its recipients read until the connection ends.
     """
     codings = [value.lower() for value in _values(fields, _CODING)]
     if not codings:
-        return
+        return fields
+    if codings == [_NO_CODING] and not _values(fields, _LENGTH):
+        # Earlier versions of HTTP had it. The connection ends the body.
+        return _without(fields, _CODING)
     if codings != [_CHUNKED] or not start.startswith(_VERSIONS[0]):
         raise errors.ReplyInvalid('unsupported transfer coding')
+    return fields
 
 
 def _values(fields: list[bytes], name: bytes) -> list[bytes]:
--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -232,6 +232,7 @@
     'equal-lengths': (_ok(_LENGTH + b'x: a\r\nContent-Length: 2\r\n'), False,
                       [b'a']),
     'equal-lengths-list': (_ok(b'content-length: 2 , 2\r\n'), False, []),
+    'identity': (_ok(b'transfer-encoding: Identity\r\n'), True, []),
 }  # fmt: skip
 
 
