--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -154,6 +154,7 @@
                 self._head = self._head[len(_LINE_END) :]
             end = self._head.find(reply_head.HEAD_END)
             if end < 0:
+                self._check_line_ends()
                 return
             end += len(reply_head.HEAD_END)
             head, self._head = self._head[:end], self._head[end:]
@@ -163,6 +164,18 @@
             if rest:
                 self._parse(rest)
 
+    def _check_line_ends(self) -> None:
+        """Refuse a head whose end is not going to be found.
+
+        A server that ends lines with LF alone would otherwise be taken for
+        one that is slow.
+        """
+        if self._head.count(b'\n') == self._head.count(_LINE_END):
+            return
+        self._broken = True
+        if not self._replies:
+            raise errors.ReplyInvalid('a line does not end with CR LF')
+
     def _parse_head(self, head: bytes) -> None:
         try:
             head = reply_head.normalized(head)
--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -151,6 +151,7 @@
     'coding-empty': _ok(b'transfer-encoding:\r\n' + _LENGTH),
     'chunked-http-1.0': _chunked(b'2\r\nok\r\n0\r\n\r\n').replace(
         b'/1.1', b'/1.0'),
+    'line-feeds': _PLAIN.replace(b'\r\n', b'\n'),
 }  # fmt: skip
 
 
