Check heads of replies that follow another reply in the same read

Only httptools saw them, so that white space and codings were taken over. The caller gets 502 with the reason if the reply to its request is malformed.

--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -178,7 +178,9 @@
                 self._apply_keep_alive(reply)
                 return reply
             if not parser.replies and not parser.reusable:
-                raise errors.ConnectionBroken('response to another request')
+                raise parser.invalid or errors.ConnectionBroken(
+                    'response to another request'
+                )
         raise errors.ConnectionBroken('too many responses to other requests')
 
     def _send(self, content: bytes, deadline: deadlines.Deadline) -> None:
--- a/packages/wire/src/corianderport_wire/connection/reply_head.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_head.py
@@ -5,7 +5,7 @@
 
 from corianderport_tier import errors
 
-__all__ = ['HEAD_END', 'normalized']
+__all__ = ['HEAD_END', 'check_fields', 'normalized']
 
 HEAD_END = b'\r\n\r\n'
 # httptools accepts HTTP/2.0 too.
@@ -17,6 +17,7 @@
 _CODING = b'transfer-encoding'
 _CODING_START = b'\r\ntransfer-encoding'
 _CHUNKED = b'chunked'
+_UNSUPPORTED = 'unsupported transfer coding'
 _NO_CODING = b'identity'
 
 
@@ -40,6 +41,17 @@
     return _LINE_END.join((start.rstrip(_WHITE_SPACE), *fields, b'', b''))
 
 
+def check_fields(fields: list[tuple[bytes, bytes]]) -> None:
+    """Check the fields of a head that was not normalized.
+
+    :raises ReplyInvalid: the body has a coding that this host does not
+        decode.
+    """
+    codings = [value.lower() for name, value in fields if name == _CODING]
+    if codings not in ([], [_CHUNKED]):
+        raise errors.ReplyInvalid(_UNSUPPORTED)
+
+
 def _is_unusual(head: bytes) -> bool:
     """Whether a line is padded or folded, or the framing is to be checked."""
     if (
@@ -103,7 +115,7 @@
         # Earlier versions of HTTP had it. The connection ends the body.
         return _without(fields, _CODING)
     if codings != [_CHUNKED] or not start.startswith(_VERSIONS[0]):
-        raise errors.ReplyInvalid('unsupported transfer coding')
+        raise errors.ReplyInvalid(_UNSUPPORTED)
     return fields
 
 
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -4,6 +4,7 @@
 """
 
 import io
+import re
 
 import attrs
 import httptools
@@ -24,6 +25,8 @@
 # httptools accepts smaller numbers, which are no interim responses either.
 _MIN_STATUS = 100
 _LINE_END = b'\r\n'
+_EMPTY_LINES = re.compile(rb'(?:\r\n)+')
+_WHITE_SPACE = b' \t'
 
 
 @attrs.frozen
@@ -66,16 +69,25 @@
         self._header_bytes = 0
         self._body = io.BytesIO()
         self._body_bytes = 0
+        # False while the parser reads the head of another response that
+        # followed a body in the same read.
+        self._head_normalized = False
         self._in_message = False
         self._in_body = False
         self._keep_alive = True
         self._broken = False
+        self._invalid: errors.ReplyInvalid | None = None
 
     @property
     def replies(self) -> list[HttpReply]:
         """Complete responses so far; the user of the parser removes them."""
         return self._replies
 
+    @property
+    def invalid(self) -> errors.ReplyInvalid | None:
+        """Why the bytes after a complete response are no response."""
+        return self._invalid
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another request."""
@@ -116,13 +128,15 @@
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > _MAX_HEADER_BYTES:
             raise errors.ReplyInvalid('response headers are too large')
-        self._headers.append((name.lower(), value))
+        self._headers.append((name.lower(), value.rstrip(_WHITE_SPACE)))
 
     def on_headers_complete(self) -> None:
         """Expect the body, or complete a response that has none."""
         self._in_body = True
         if self._parser.get_status_code() < _MIN_STATUS:
             raise errors.ReplyInvalid('invalid status')
+        if not self._head_normalized:
+            reply_head.check_fields(self._headers)
         if self._bodiless and self._parser.get_status_code() >= 200:
             self._complete()
             # httptools still waits for the announced body, so that the
@@ -150,8 +164,8 @@
         """Parse complete heads until one has a body, and what follows it."""
         self._head += content
         while self._head and not (self._in_message or self._broken):
-            while self._head.startswith(_LINE_END):
-                self._head = self._head[len(_LINE_END) :]
+            if self._head.startswith(_LINE_END):
+                self._head = _EMPTY_LINES.sub(b'', self._head, count=1)
             end = self._head.find(reply_head.HEAD_END)
             if end < 0:
                 self._check_line_ends()
@@ -172,35 +186,37 @@
         """
         if self._head.count(b'\n') == self._head.count(_LINE_END):
             return
-        self._broken = True
-        if not self._replies:
-            raise errors.ReplyInvalid('a line does not end with CR LF')
+        self._refuse(errors.ReplyInvalid('a line does not end with CR LF'))
 
     def _parse_head(self, head: bytes) -> None:
         try:
             head = reply_head.normalized(head)
-        except errors.ReplyInvalid:
-            self._broken = True
-            if not self._replies:
-                raise
+        except errors.ReplyInvalid as error:
+            self._refuse(error)
             return
+        self._head_normalized = True
         self._parse(head)
+        self._head_normalized = False
 
     def _parse(self, content: bytes) -> None:
         try:
             self._parser.feed_data(content)
-        except httptools.HttpParserUpgrade as error:
-            raise errors.ReplyInvalid('protocol upgrade') from error
-        except httptools.HttpParserError as error:
-            # Invalid bytes after a complete response rule out reuse, but do
-            # not invalidate that response.
-            self._broken = True
-            if self._replies:
-                return
-            if isinstance(error.__context__, errors.ReplyInvalid):
-                # Raised by one of the callbacks.
-                raise error.__context__ from None
-            raise errors.ReplyInvalid(str(error)) from error
+        except (
+            httptools.HttpParserUpgrade,
+            httptools.HttpParserError,
+        ) as error:
+            self._refuse(_reason(error))
+
+    def _refuse(self, error: errors.ReplyInvalid) -> None:
+        """Raise an error unless a response is complete.
+
+        Invalid bytes after a complete response rule out reuse, but do not
+        invalidate that response.
+        """
+        self._broken = True
+        if not self._replies:
+            raise error
+        self._invalid = error
 
     def _complete(self) -> None:
         self._in_message = self._in_body = False
@@ -222,3 +238,12 @@
             raise errors.ConnectionBroken('closed before a complete response')
         self._complete()
         self._keep_alive = False
+
+
+def _reason(error: Exception) -> errors.ReplyInvalid:
+    if isinstance(error.__context__, errors.ReplyInvalid):
+        # Raised by one of the callbacks.
+        return error.__context__
+    if isinstance(error, httptools.HttpParserUpgrade):
+        return errors.ReplyInvalid('protocol upgrade')
+    return errors.ReplyInvalid(str(error))
--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -152,6 +152,13 @@
     'chunked-http-1.0': _chunked(b'2\r\nok\r\n0\r\n\r\n').replace(
         b'/1.1', b'/1.0'),
     'line-feeds': _PLAIN.replace(b'\r\n', b'\n'),
+    'other-coding-after-another-reply': (
+        _ok(b'x-request-id: q0\r\n' + _LENGTH)
+        + _ok(b'transfer-encoding: gzip, chunked\r\n',
+              b'2\r\nok\r\n0\r\n\r\n')),
+    'upgrade-after-another-reply': (
+        _ok(b'x-request-id: q0\r\n' + _LENGTH)
+        + b'HTTP/1.1 101 S\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n'),
 }  # fmt: skip
 
 
@@ -234,6 +241,9 @@
                       [b'a']),
     'equal-lengths-list': (_ok(b'content-length: 2 , 2\r\n'), False, []),
     'identity': (_ok(b'transfer-encoding: Identity\r\n'), True, []),
+    'padded-after-another-reply': (
+        _ok(b'x-request-id: q0\r\n' + _LENGTH) + _ok(b'x: a \t\r\n' + _LENGTH),
+        False, [b'a']),
 }  # fmt: skip
 
 
