Count and log errors that end the task of a connection

Errors of h11, thrift and handlers ended connections with a line at debug level or one for each error, and without a response. A failed handler is answered with 500, a connection without a thread with 503, and a failed callback no longer ends the watch for disconnects.

--- a/packages/tier/src/corianderport_tier/process/limit_events.py
+++ b/packages/tier/src/corianderport_tier/process/limit_events.py
@@ -1,6 +1,6 @@
 """corianderport_tier.process.limit_events
 
-Counts and logs how often a limit on callers takes effect.
+Counts and logs limits that take effect and errors on connections.
 """
 
 import collections
@@ -26,6 +26,19 @@
     'caller_bytes_evicted',
     'caller_bytes_refused',
     'caller_response_evicted',
+    # A response that HTTP does not permit was replaced by 502.
+    'caller_response_replaced',
+    # Unexpected errors, which end a connection unless stated otherwise.
+    'caller_protocol_error',
+    'caller_task_failed',
+    'caller_task_not_started',
+    'caller_dispatch_failed',
+    'disconnect_watch_failed',
+    'accept_failed',
+    'listener_failed',
+    'peer_call_failed',
+    'searcher_task_failed',
+    'quota_call_failed',
 ]
 
 
@@ -41,8 +54,17 @@
         self._logged_s: dict[LimitEvent, float] = {}
         self._unlogged: collections.Counter[LimitEvent] = collections.Counter()
 
-    def record(self, event: LimitEvent) -> None:
-        """Count an event."""
+    def record(
+        self,
+        event: LimitEvent,
+        detail: str = '',
+        error: BaseException | None = None,
+    ) -> None:
+        """Count an event.
+
+        :param detail: logged with the event, if it is logged.
+        :param error: cause of the event, whose traceback is logged.
+        """
         self._log.count(decision_log.Decision(event, '', '', ''))
         now_s = self._clock.monotonic()
         with self._lock:
@@ -52,4 +74,11 @@
                 return
             self._logged_s[event] = now_s
             count = self._unlogged.pop(event)
-        _LOG.warning('%s: %d since the last such line', event, count)
+        _LOG.warning(
+            '%s: %d since the last such line%s%.200s',
+            event,
+            count,
+            ', the latest: ' if detail else '',
+            detail,
+            exc_info=error,
+        )
--- a/packages/wire/src/corianderport_wire/connection/acceptor.py
+++ b/packages/wire/src/corianderport_wire/connection/acceptor.py
@@ -9,6 +9,8 @@
 import threading
 
 from corianderport_tier import clocks
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import limit_events
 
 __all__ = ['Acceptor']
 
@@ -28,6 +30,7 @@
     :param backlog: maximum number of connections waiting to be accepted.
     :param buffer_bytes: size of the send buffer and of the receive buffer of
         each connection; None leaves both to the system.
+    :param events: counts connections that could not be accepted or served.
     """
 
     def __init__(
@@ -37,8 +40,12 @@
         backlog: int,
         clock: clocks.Clock,
         buffer_bytes: int | None = None,
+        events: limit_events.LimitEvents | None = None,
     ) -> None:
         self._clock = clock
+        self._events = events or limit_events.LimitEvents(
+            decision_log.DecisionLog(), clock
+        )
         self._listener = socket.create_server((host, port), backlog=backlog)
         if buffer_bytes is not None:
             # Accepted connections inherit the sizes.
@@ -66,14 +73,14 @@
                 # The client closed the connection before it was accepted,
                 # or the process has no free file descriptor. Neither ends
                 # the listener: a later accept may succeed.
-                _LOG.warning('accepting a connection failed: %s', error)
+                self._events.record('accept_failed', str(error))
                 self._wait_before_retry()
                 continue
             try:
                 on_accept(connection)
-            except Exception:
+            except Exception as error:
                 # The process may have no room for another thread.
-                _LOG.exception('an accepted connection cannot be served')
+                self._events.record('accept_failed', repr(error), error)
                 connection.close()
                 self._wait_before_retry()
 
--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -38,9 +38,15 @@
 # Fewer bytes of a request are no progress, so that a caller that sends a byte
 # now and then counts as stalled.
 _PROGRESS_BYTES = 512
+_BAD_REQUEST = 400
+_INTERNAL_ERROR = 500
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _REQUEST_TIMEOUT = 408
+# Sent in place of a response of which h11 has taken a part.
+_LAST_RESPONSE = (
+    b'HTTP/1.1 502 \r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
+)
 
 Phase = caller_table.Phase
 HttpResponse = caller_messages.HttpResponse
@@ -144,7 +150,7 @@
                     return True
                 if not received or not self._serve_request(received):
                     return False
-        except (OSError, h11.ProtocolError) as error:
+        except OSError as error:
             _LOG.debug('connection of a caller closed: %s', error)
         except _ClosedByHost:
             _LOG.debug('connection of a caller closed to limit their use')
@@ -221,6 +227,13 @@
         except caller_messages.RequestRejected as rejected:
             self._reject(parser, rejected)
             return False
+        except h11.RemoteProtocolError as error:
+            # An error in the head or the body is raised as RequestRejected.
+            self._serving.events.record(
+                'caller_protocol_error', str(error), error
+            )
+            self._reject(parser, caller_messages.RequestRejected(_BAD_REQUEST))
+            return False
         except byte_charge.BudgetExceeded:
             self._serving.events.record('caller_bytes_refused')
             retry_after_s = self._serving.refusals.retry_after_s()
@@ -233,7 +246,7 @@
             return False
         self._on_sent = None
         self._begin(Phase.RUNNING)
-        response = self._serving.serve(request, self)
+        response = self._serve(request)
         if response is None or self._disconnected:
             return False
         del request, reader
@@ -245,6 +258,17 @@
             self._on_sent()
         return not closing and parser.reusable
 
+    def _serve(
+        self, request: caller_messages.ReceivedRequest
+    ) -> HttpResponse | None:
+        try:
+            return self._serving.serve(request, self)
+        except Exception as error:
+            self._serving.events.record(
+                'caller_task_failed', repr(error), error
+            )
+            return HttpResponse(_INTERNAL_ERROR, (), b'')
+
     def _arrival(self) -> caller_messages.Arrival:
         """Return how the request that begins now has arrived."""
         noticed_s, self._noticed_s = self._noticed_s, None
@@ -301,10 +325,7 @@
                 response, closing, parser.method
             )
         except h11.LocalProtocolError as error:
-            _LOG.warning(
-                'a response that cannot be passed on is replaced: %.200s',
-                error,
-            )
+            self._record_replaced(error)
             response = HttpResponse(_BAD_GATEWAY, (), b'')
             head = caller_messages.response_head(
                 response, closing, parser.method
@@ -313,7 +334,18 @@
         if caller_messages.has_body(response, parser.method):
             events.append(h11.Data(data=response.body))
         events.append(h11.EndOfMessage())
-        self._write(parser.encode(*events))
+        try:
+            parts = parser.encode(*events)
+        except h11.LocalProtocolError as error:
+            self._record_replaced(error)
+            parts = [_LAST_RESPONSE]
+        self._write(parts)
+
+    def _record_replaced(self, error: h11.LocalProtocolError) -> None:
+        self._serving.events.record(
+            'caller_response_replaced',
+            f'a response that cannot be passed on is replaced: {error}',
+        )
 
     def _write(self, parts: list[bytes]) -> None:
         """Write all parts.
--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -105,7 +105,12 @@
             self._serving, self._start
         )
         self._acceptor = acceptor.Acceptor(
-            host, int(port), _BACKLOG, clock, bounds.socket_bytes
+            host,
+            int(port),
+            _BACKLOG,
+            clock,
+            bounds.socket_bytes,
+            self._serving.events,
         )
 
     @property
@@ -147,8 +152,8 @@
     def _dispatch(self) -> None:
         try:
             self._dispatcher.run()
-        except Exception:
-            _LOG.exception('waiting for the connections of callers failed')
+        except Exception as error:
+            self._serving.events.record('listener_failed', repr(error), error)
 
     def _handle_connection(self, caller_socket: socket.socket) -> None:
         caller_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -169,15 +174,18 @@
             self._executor.submit(self._run, connection)
         except RuntimeError as error:
             # No thread could be started.
-            _LOG.warning('an accepted connection is not served: %s', error)
+            self._serving.events.record('caller_task_not_started', str(error))
+            connection.refuse()
             self._dispatcher.end(connection)
 
     def _run(self, connection: CallerConnection) -> None:
         idle = False
         try:
             idle = connection.run()
-        except Exception:
-            _LOG.exception('serving the connection of a caller failed')
+        except Exception as error:
+            self._serving.events.record(
+                'caller_task_failed', repr(error), error
+            )
         finally:
             if idle:
                 self._dispatcher.park(connection)
--- a/packages/wire/src/corianderport_wire/connection/connection_dispatcher.py
+++ b/packages/wire/src/corianderport_wire/connection/connection_dispatcher.py
@@ -57,10 +57,12 @@
         while not (self._stopped and len(self._table) == 0):
             try:
                 self._wait_and_handle()
-            except Exception:
+            except Exception as error:
                 # The process may be short of memory. All connections of the
                 # listener depend on this task.
-                _LOG.exception('handling the idle connections failed')
+                self._serving.events.record(
+                    'caller_dispatch_failed', repr(error), error
+                )
                 with self._pause:
                     self._serving.clock.wait(self._pause, _RECHECK_S)
 
--- a/packages/wire/src/corianderport_wire/connection/disconnect_watcher.py
+++ b/packages/wire/src/corianderport_wire/connection/disconnect_watcher.py
@@ -13,6 +13,10 @@
 import socket
 import threading
 
+from corianderport_tier import clocks
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import limit_events
+
 __all__ = ['DisconnectWatcher']
 
 _CLOSED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
@@ -22,9 +26,15 @@
 
 
 class DisconnectWatcher:
-    """Calls back once when the remote end closes a socket."""
+    """Calls back once when the remote end closes a socket.
+
+    :param events: counts callbacks that failed.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, events: limit_events.LimitEvents | None = None) -> None:
+        self._events = events or limit_events.LimitEvents(
+            decision_log.DecisionLog(), clocks.SystemClock()
+        )
         self._poll = select.epoll()
         self._lock = threading.Lock()
         self._callbacks: dict[int, Callback] = {}
@@ -68,5 +78,10 @@
     def _call(self, descriptor: int) -> None:
         with self._lock:
             callback = self._callbacks.pop(descriptor, None)
-        if callback is not None:
+        if callback is None:
+            return
+        try:
             callback()
+        except Exception as error:
+            # The requests of all callers depend on this task.
+            self._events.record('disconnect_watch_failed', repr(error), error)
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -15,8 +15,10 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import decision_log
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
+from corianderport_tier.process import limit_events
 from corianderport_tier.process import quota_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
@@ -155,6 +157,7 @@
     :param connections: maximum number of concurrent connections; further
         ones are closed.
     :param keys: a client must prove that it holds one of these keys.
+    :param events: counts calls that failed unexpectedly.
     """
 
     def __init__(
@@ -164,14 +167,20 @@
         clock: clocks.Clock,
         connections: int,
         keys: peer_authentication.SharedKeys,
+        events: limit_events.LimitEvents | None = None,
     ) -> None:
         self._keys = keys
+        self._events = events or limit_events.LimitEvents(
+            decision_log.DecisionLog(), clock
+        )
         self._unauthenticated_slots = threading.BoundedSemaphore(
             _MAX_UNAUTHENTICATED
         )
         self._service: PeerService | None = None
         self._clock = clock
-        self._acceptor = acceptor.Acceptor(host, port, _BACKLOG, clock)
+        self._acceptor = acceptor.Acceptor(
+            host, port, _BACKLOG, clock, events=self._events
+        )
         self._executor = concurrent.futures.ThreadPoolExecutor(
             connections, thread_name_prefix='peer'
         )
@@ -228,6 +237,8 @@
         try:
             if self._authenticate(connection):
                 self._serve_peer(connection)
+        except Exception as error:
+            self._record_failed(error)
         finally:
             connection.close()
             with self._condition:
@@ -265,10 +276,15 @@
         try:
             while not self._closed:
                 processor.process(protocol, protocol)
-        except (OSError, EOFError, thriftpy2.thrift.TException) as error:
+        except (
+            OSError,
+            EOFError,
+            thriftpy2.transport.TTransportException,
+        ) as error:
             _LOG.debug('peer connection closed: %s', error)
-        except Exception:
-            _LOG.exception('peer call failed')
+
+    def _record_failed(self, error: Exception) -> None:
+        self._events.record('peer_call_failed', repr(error), error)
 
     def _shutdown_all(self, how: int) -> None:
         with self._condition:
