Count unexpected errors on connections to searchers and quota owners

Each was logged as an error with a traceback, without a bound, and not counted. Callbacks of the disconnect watch, calls of other hosts and tasks of the listeners are counted in the host's metrics too.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -28,6 +28,7 @@
 from corianderport_tier.process import directory
 from corianderport_tier.process import drain
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import limit_events
 from corianderport_tier.process import metrics
 from corianderport_tier.process import placement
 from corianderport_tier.process import registry_reader
@@ -122,6 +123,7 @@
         )
         self._metrics = metrics.Metrics()
         self._log = decision_log.DecisionLog(observer=self._metrics)
+        self._events = limit_events.LimitEvents(self._log, clock)
         relay = registry_relay.RegistryRelay(clock, settings.link_bytes_s)
         self._fleet = fleet.Fleet(
             settings,
@@ -132,6 +134,7 @@
             self._fleet_changed,
             relay,
             lambda request: self._quotas.grant(request),
+            self._events,
         )
         self._fleet_share = fleet_share.FleetShare(
             settings.fleet,
@@ -404,6 +407,7 @@
             self._clock,
             pool.PoolLimits(connections),
             lambda transport: transport.usable_until_s,
+            self._events,
         )
 
     def _expire_and_reload(self) -> None:
--- a/packages/daemon/src/corianderport_daemon/process/entry_quotas.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_quotas.py
@@ -11,6 +11,7 @@
 from corianderport_tier import clocks
 from corianderport_tier import closing
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import limit_events
 from corianderport_tier.process import owner_connections
 from corianderport_tier.process import quota_bucket
 from corianderport_tier.process import quota_calls
@@ -54,6 +55,7 @@
             fleet.process_ended,
             executor,
             clock,
+            limit_events.LimitEvents(log, clock),
         )
         calls = quota_calls.QuotaCalls(
             own_name,
--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -16,6 +16,7 @@
 from corianderport_tier import closing
 from corianderport_tier.process import gossip
 from corianderport_tier.process import heartbeats
+from corianderport_tier.process import limit_events
 from corianderport_tier.process import membership
 from corianderport_tier.process import quota_hosts
 from corianderport_tier.process import registry_relay
@@ -39,6 +40,7 @@
     :param on_change: called after the number of hosts has changed.
     :param relay: provides registry changes to other hosts.
     :param grant: grants tokens of quotas to other hosts.
+    :param events: counts calls of other hosts that failed unexpectedly.
     """
 
     def __init__(
@@ -51,13 +53,14 @@
         on_change: collections.abc.Callable[[], None],
         relay: registry_relay.RegistryRelay,
         grant: gossip_handler.Grant,
+        events: limit_events.LimitEvents,
     ) -> None:
         self._executor = executor
         self._stack = contextlib.ExitStack()
         keys = peer_authentication.SharedKeys.from_text(settings.shared_keys)
         host, _, port = settings.peer_address.rpartition(':')
         self._server = peer_server.PeerServer(
-            host, int(port), clock, _PEER_CONNECTIONS, keys
+            host, int(port), clock, _PEER_CONNECTIONS, keys, events
         )
         self._stack.callback(self._server.close)
         own = membership.Member(
--- a/packages/daemon/src/corianderport_daemon/process/host_listeners.py
+++ b/packages/daemon/src/corianderport_daemon/process/host_listeners.py
@@ -5,7 +5,6 @@
 
 import collections.abc
 import concurrent.futures
-import logging
 import typing
 
 import attrs
@@ -23,8 +22,6 @@
 
 __all__ = ['HostListeners', 'RequestHandlers']
 
-_LOG = logging.getLogger(__name__)
-
 # Tasks of a listener besides those for connections: one accepts connections,
 # one waits for the idle ones.
 _LISTENER_TASKS = 2
@@ -66,11 +63,11 @@
         bounds = settings.limits
         self._limits = limits
         self._clock = clock
-        self._watcher = disconnect_watcher.DisconnectWatcher()
         self._budgets = byte_budget.CallerBudgets.from_bounds(
             bounds.callers, clock
         )
         self._events = limit_events.LimitEvents(log, clock)
+        self._watcher = disconnect_watcher.DisconnectWatcher(self._events)
         self._executor = concurrent.futures.ThreadPoolExecutor(
             bounds.callers.tasks + _LISTENER_TASKS + 1,
             thread_name_prefix='caller',
@@ -102,10 +99,10 @@
         ]
 
     def __enter__(self) -> typing.Self:
-        self._executor.submit(_run, self._watcher.run)
-        self._executor.submit(_run, self.callers.run)
+        self._executor.submit(self._run, self._watcher.run)
+        self._executor.submit(self._run, self.callers.run)
         for listener in self._admin:
-            self._admin_executor.submit(_run, listener.run)
+            self._admin_executor.submit(self._run, listener.run)
         return self
 
     def close(self) -> None:
@@ -138,13 +135,12 @@
             self._events,
         )
 
+    def _run(self, task: collections.abc.Callable[[], None]) -> None:
+        try:
+            task()
+        except Exception as error:
+            self._events.record('listener_failed', repr(error), error)
+
 
 def _wants_no_body(head: caller_listener.ReceivedRequest) -> bool:
     return False
-
-
-def _run(task: collections.abc.Callable[[], None]) -> None:
-    try:
-        task()
-    except Exception:
-        _LOG.exception('a task of a listener failed')
--- a/packages/tier/src/corianderport_tier/connection/owner_connection.py
+++ b/packages/tier/src/corianderport_tier/connection/owner_connection.py
@@ -5,7 +5,6 @@
 
 import collections
 import collections.abc
-import logging
 import threading
 
 import attrs
@@ -13,11 +12,11 @@
 from corianderport_tier import clocks
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
+from corianderport_tier.process import limit_events
 from corianderport_tier.process import quota_messages
 
 __all__ = ['IDLE_S', 'OwnerConnection']
 
-_LOG = logging.getLogger(__name__)
 # A connection without a call for this time is closed.
 IDLE_S = 20.0
 
@@ -37,9 +36,13 @@
     """Makes the calls of all tasks one after the other, on its own task.
 
     :param dial: opens a connection within a number of seconds.
+    :param events: counts calls that failed unexpectedly.
     """
 
-    def __init__(self, dial: Dial, clock: clocks.Clock) -> None:
+    def __init__(
+        self, dial: Dial, clock: clocks.Clock, events: limit_events.LimitEvents
+    ) -> None:
+        self._events = events
         self._dial = dial
         self._clock = clock
         self._condition = threading.Condition()
@@ -115,7 +118,7 @@
         except errors.CorianderportError as error:
             outcome = error
         except Exception as error:
-            _LOG.exception('a call to the owner of a quota failed')
+            self._events.record('quota_call_failed', repr(error), error)
             self._disconnect()
             outcome = errors.ConnectionBroken(repr(error))
         self._finish(call, outcome)
--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -5,7 +5,6 @@
 
 import collections.abc
 import concurrent.futures
-import logging
 import threading
 import typing
 
@@ -13,6 +12,8 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import limit_events
 
 __all__ = [
     'ANY_CONNECTION',
@@ -24,8 +25,6 @@
     'Reuse',
 ]
 
-_LOG = logging.getLogger('corianderport.pool')
-
 
 class Closeable(typing.Protocol):
     """A transport that can be closed."""
@@ -158,7 +157,7 @@
             transport = self._pool.dial()
         except Exception as error:
             self._pool.forget(self)
-            first.job.finish(_as_error(error))
+            first.job.finish(self._pool.as_error(error))
             return None
         self._transport = transport
         self._replies = 0
@@ -191,7 +190,7 @@
             reply = error
         except Exception as error:
             self._pool.forget(self)
-            job.finish(_as_error(error))
+            job.finish(self._pool.as_error(error))
             return False
         self._replies += 1
         self._verified_s = self._pool.clock.monotonic()
@@ -247,6 +246,7 @@
 
     :param usable_until_s: returns the time until which an idle transport can
         carry another job, in seconds of the monotonic clock.
+    :param events: counts jobs that failed unexpectedly.
     """
 
     def __init__(
@@ -258,7 +258,11 @@
         usable_until_s: collections.abc.Callable[
             [T], float
         ] = _usable_for_good,
+        events: limit_events.LimitEvents | None = None,
     ) -> None:
+        self._events = events or limit_events.LimitEvents(
+            decision_log.DecisionLog(), clock
+        )
         self.dial = dial
         self.usable_until_s = usable_until_s
         self.clock = clock
@@ -354,6 +358,14 @@
         for connection in connections:
             connection.close()
 
+    def as_error(self, error: Exception) -> errors.CorianderportError:
+        """Return what a job gets for an error, and count unexpected ones."""
+        if isinstance(error, errors.CorianderportError):
+            return error
+        self._events.record('searcher_task_failed', repr(error), error)
+        # The call may have been sent before the error.
+        return errors.ConnectionBroken(f'connection task failed: {error!r}')
+
     def _retire(self, connection: Connection[T]) -> None:
         """Stop counting a connection, whose task may still be closing it."""
         self._all.discard(connection)
@@ -377,11 +389,3 @@
             if connection.abandon():
                 self.forget(connection)
                 raise errors.NotReady(f'no thread: {error}') from error
-
-
-def _as_error(error: Exception) -> errors.CorianderportError:
-    if isinstance(error, errors.CorianderportError):
-        return error
-    _LOG.error('connection task failed', exc_info=error)
-    # The call may have been sent before the error.
-    return errors.ConnectionBroken(f'connection task failed: {error!r}')
--- a/packages/tier/src/corianderport_tier/process/owner_connections.py
+++ b/packages/tier/src/corianderport_tier/process/owner_connections.py
@@ -12,6 +12,8 @@
 from corianderport_tier.connection import owner_connection
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import limit_events
 from corianderport_tier.process import membership
 from corianderport_tier.process import quota_messages
 
@@ -24,6 +26,7 @@
     :param view: returns the current view of the membership.
     :param on_refused: called with a host on whose address no process
         listens.
+    :param events: counts calls that failed unexpectedly.
     """
 
     def __init__(
@@ -33,7 +36,11 @@
         on_refused: collections.abc.Callable[[membership.Member], None],
         executor: concurrent.futures.Executor,
         clock: clocks.Clock,
+        events: limit_events.LimitEvents | None = None,
     ) -> None:
+        self._events = events or limit_events.LimitEvents(
+            decision_log.DecisionLog(), clock
+        )
         self._dialer = dialer
         self._view = view
         self._on_refused = on_refused
@@ -108,6 +115,7 @@
             connection = owner_connection.OwnerConnection(
                 lambda timeout_s: self._dialer.dial(member, timeout_s),
                 self._clock,
+                self._events,
             )
             self._connections[key] = connection
         try:
--- a/tests/tier/test_owner_connections.py
+++ b/tests/tier/test_owner_connections.py
@@ -10,7 +10,10 @@
 from corianderport_testkit import clock as clock_module
 from corianderport_tier.connection import owner_connection
 from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import limit_events
 from corianderport_tier.process import membership
+from corianderport_tier.process import metrics
 from corianderport_tier.process import owner_connections
 from corianderport_tier.process import quota_messages
 
@@ -70,6 +73,7 @@
         self.clock = clock_module.ManualClock()
         self.dialer = _Dialer()
         self.refused: list[str] = []
+        self.counts = metrics.Metrics()
         own = membership.Member('own', 'dc-a', '127.0.0.1:1')
         self.members = membership.Membership(own, self.clock)
         self.members.replace([own, _OWNER])
@@ -80,6 +84,9 @@
             lambda member: self.refused.append(member.name),
             self.executor,
             self.clock,
+            limit_events.LimitEvents(
+                decision_log.DecisionLog(observer=self.counts), self.clock
+            ),
         )
 
     def ask(self) -> quota_messages.QuotaGrant:
@@ -198,3 +205,15 @@
     assert host.dialer.opened[0].closed.wait(_WAIT_S)
     with pytest.raises(errors.TransportError):
         host.ask()
+
+
+def test_unexpected_error_is_counted(
+    host: _Connections, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against errors that fill the log or that nothing counts."""
+    for _ in range(3):
+        host.dialer.outcomes.append(ZeroDivisionError())
+        with pytest.raises(errors.ConnectionBroken):
+            host.ask()
+    assert host.counts.totals().decisions == {'quota_call_failed': 3}
+    assert [record.levelname for record in caplog.records] == ['WARNING']
--- a/tests/tier/test_pool.py
+++ b/tests/tier/test_pool.py
@@ -10,6 +10,9 @@
 from corianderport_testkit import clock as manual
 from corianderport_tier.connection import pool
 from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import limit_events
+from corianderport_tier.process import metrics
 
 
 class _Transport:
@@ -264,3 +267,33 @@
     # The tasks have ended by themselves.
     assert connections.size == 0
     assert all(t.closed for t in dialled)
+
+
+def _fail() -> object:
+    raise ZeroDivisionError
+
+
+def test_unexpected_errors_are_counted_and_logged_at_intervals(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against errors that fill the log or that nothing counts.
+
+    Each request to a searcher may meet the same fault of a library.
+    """
+    counts = metrics.Metrics()
+    clock = manual.ManualClock()
+    events = limit_events.LimitEvents(
+        decision_log.DecisionLog(observer=counts), clock
+    )
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        connections = pool.ConnectionPool(
+            _Transport, executor, clock, pool.PoolLimits(1), events=events
+        )
+        for _ in range(3):
+            job = _Job(_fail)
+            connections.submit(job)
+            assert isinstance(job.done.result(10), errors.ConnectionBroken)
+            executor.submit(lambda: None).result(10)
+        connections.close()
+    assert counts.totals().decisions == {'searcher_task_failed': 3}
+    assert [record.levelname for record in caplog.records] == ['WARNING']
