--- a/packages/wire/src/corianderport_wire/connection/reply_head.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_head.py
@@ -28,11 +28,14 @@
     of the value, and then does not recognize values such as ``chunked``. It
     refuses lines that continue the one before, and repeated equal lengths.
 
-    :raises ReplyInvalid: the reply is not of HTTP/1, or its body has a coding
-        that this host does not decode.
+    :raises ReplyInvalid: the reply is not of HTTP/1, has NUL in its head, or
+        has a body with a coding that this host does not decode.
     """
     if not head.startswith(_VERSIONS):
         raise errors.ReplyInvalid('not a reply of HTTP/1')
+    if b'\0' in head:
+        # httptools permits it in the reason phrase.
+        raise errors.ReplyInvalid('NUL in the head')
     if not _is_unusual(head):
         return head
     start, *lines = head[: -len(HEAD_END)].split(_LINE_END)
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -181,12 +181,12 @@
     def _check_line_ends(self) -> None:
         """Refuse a head whose end is not going to be found.
 
-        A server that ends lines with LF alone would otherwise be taken for
-        one that is slow.
+        A server that ends lines otherwise would be taken for a slow one.
         """
-        if self._head.count(b'\n') == self._head.count(_LINE_END):
-            return
-        self._refuse(errors.ReplyInvalid('a line does not end with CR LF'))
+        lines = self._head.count(_LINE_END)
+        returns = self._head.count(b'\r') - self._head.endswith(b'\r')
+        if self._head.count(b'\n') != lines or returns != lines:
+            self._refuse(errors.ReplyInvalid('a line does not end in CR LF'))
 
     def _parse_head(self, head: bytes) -> None:
         try:
--- a/tests/adapter/test_reply_forms.py
+++ b/tests/adapter/test_reply_forms.py
@@ -159,6 +159,10 @@
     'upgrade-after-another-reply': (
         _ok(b'x-request-id: q0\r\n' + _LENGTH)
         + b'HTTP/1.1 101 S\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n'),
+    'return-in-last-line': (_OK + _LENGTH + b'\r\r\n'),
+    'return-first': b'\r' + _PLAIN,
+    'line-feed-first': b'\n' + _PLAIN,
+    'nul-in-reason': _PLAIN.replace(b'OK', b'O\0K'),
 }  # fmt: skip
 
 
