--- a/tests/adapter/http_host.py
+++ b/tests/adapter/http_host.py
@@ -24,6 +24,7 @@
 _POLL_INTERVAL_S = 0.01
 _SEARCHER = 'i-desk'
 _HEAD_END = b'\r\n\r\n'
+_SHOWN_DECISIONS = 12
 
 
 @attrs.frozen
@@ -95,8 +96,10 @@
                     continue
                 self.received.append(received)
                 received = b''
-                accepted.sendall(self.reply)
-                if self.ends:
+                # Once the reply arrives, the test may prepare the next one.
+                reply, ends = self.reply, self.ends
+                accepted.sendall(reply)
+                if ends:
                     return
 
 
@@ -162,6 +165,11 @@
         """Return how many decisions of a kind were counted."""
         return self.host._metrics.totals().decisions.get(kind, 0)
 
+    def decisions(self) -> str:
+        """Return the last decisions, which say why a request failed."""
+        recent = self.host._log.recent()[-_SHOWN_DECISIONS:]
+        return '; '.join(f'{d.kind} {d.choice}: {d.reason}' for d in recent)
+
     def _connect(self, number: int) -> socket.socket:
         listeners = self.host._listeners
         listener = (listeners.callers, *listeners._admin)[number]
--- a/tests/adapter/test_http_grammar.py
+++ b/tests/adapter/test_http_grammar.py
@@ -55,18 +55,19 @@
     """
     host.searcher.reply, host.searcher.ends = _OK, False
     host.searcher.received.clear()
-    messages = (first, second)
+    # A connection of HTTP/1.0 ends with the first response.
+    old = b' HTTP/1.0\r\n' in first.content[: first.head_bytes]
+    messages = (first,) if old else (first, second)
     content = b''.join(_with_id(m.content) for m in messages)
-    old = [b' HTTP/1.0\r\n' in m.content[: m.head_bytes] for m in messages]
     with host.connect() as caller:
         for piece in data.draw(http_grammar.divisions(content)):
             caller.sendall(piece)
         responses = http_host.Responses(caller)
-        # A connection of HTTP/1.0 ends with the first response.
-        for message in messages[: 1 if old[0] else 2]:
+        for message in messages:
             response = responses.read()
             assert response is not None
-            assert (response.status, response.body) == (200, b'ok')
+            assert response.status == 200, host.decisions()
+            assert response.body == b'ok'
             sent = http_host.split(host.searcher.received.pop(0))
             assert sent.start == message.start
             assert sent.values(b'host') == [_HOST]
@@ -123,7 +124,7 @@
     response, _ = host.relay(request, content, reply.ends)
     # The host would rest a searcher that sends several errors in turn.
     host.relay(_GET, _OK)
-    assert response.start.split()[1] == reply.start
+    assert response.start.split()[1] == reply.start, host.decisions()
     assert _custom(response) == reply.values
     assert response.body == (b'' if method == b'HEAD' else reply.body)
 
@@ -146,7 +147,7 @@
             caller.sendall(_GET)
             response = responses.read()
             assert response is not None
-            assert response.status == status
+            assert response.status == status, host.decisions()
     assert host.count('reply-invalid') == count + 1
 
 
