--- a/packages/testkit/src/corianderport_testkit/process/bench_output.py
+++ b/packages/testkit/src/corianderport_testkit/process/bench_output.py
@@ -20,13 +20,16 @@
 Run = collections.abc.Mapping[str, experiments.Outcome]
 
 _TABLE_FIGURES = frozenset({
-    'answered', 'cold_in_flight', 'configuration_calls_per_s',
+    'answered', 'chunked_reply_allocated', 'chunked_reply_peak_bytes',
+    'chunked_reply_us', 'cold_in_flight', 'configuration_calls_per_s',
     'coverage_least', 'cpu_ms', 'cpu_percent', 'decode_us_a_searcher',
     'document_bytes_a_searcher', 'extra', 'failed', 'full_share_s',
     'heartbeat_bytes', 'late_searches', 'memory_mb', 'overruns', 'p50_ms',
     'p99_ms', 'rank_us_a_pair', 'recovered_s', 'refusal_p99_ms',
-    'rumour_bytes', 'state_bytes_a_searcher', 'worst_second_p99_ms',
-    'worth_answered', 'worth_share',
+    'reply_allocated', 'reply_peak_bytes', 'reply_us', 'request_allocated',
+    'request_peak_bytes', 'request_us', 'rumour_bytes',
+    'state_bytes_a_searcher', 'worst_second_p99_ms', 'worth_answered',
+    'worth_share',
 })  # fmt: skip
 
 
--- a/packages/testkit/src/corianderport_testkit/process/experiments.py
+++ b/packages/testkit/src/corianderport_testkit/process/experiments.py
@@ -33,6 +33,7 @@
     'log': 'cost_experiments:LogCost',
     'idle': 'cost_experiments:Idle',
     'state': 'state_costs:StateCost',
+    'parsers': 'parser_costs:ParserCosts',
 }
 
 
--- a/packages/wire/src/corianderport_wire/connection/reply_head.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_head.py
@@ -17,6 +17,7 @@
 _CODING = b'transfer-encoding'
 _CODING_START = b'\r\ntransfer-encoding'
 _CHUNKED = b'chunked'
+_CHUNKED_LINE = b'\r\ntransfer-encoding: chunked\r\n'
 _UNSUPPORTED = 'unsupported transfer coding'
 _NO_CODING = b'identity'
 
@@ -65,8 +66,11 @@
     ):
         return True
     lower = head.lower()
-    if _CODING_START in lower:
-        return True
+    coding = lower.find(_CODING_START)
+    if coding >= 0:
+        usual = lower.startswith(_CHUNKED_LINE, coding)
+        repeated = lower.find(_CODING_START, coding + 1) >= 0
+        return repeated or not (usual and head.startswith(_VERSIONS[0]))
     start = lower.find(_LENGTH_START)
     if start < 0:
         return False
