--- a/packages/tier/src/corianderport_tier/connection/direct_connection.py
+++ b/packages/tier/src/corianderport_tier/connection/direct_connection.py
@@ -131,7 +131,7 @@
             self._on_transport_error(error, started_s)
         else:
             self._pool.forget(self)
-        job.finish(pooled_connection.as_error(error))
+        job.finish(self._pool.as_error(error))
 
     def _next(self) -> pooled_connection.Assignment[T] | None:
         transport = self._transport
--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -13,6 +13,8 @@
 from corianderport_tier import clocks
 from corianderport_tier.connection import pooled_connection
 from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import limit_events
 
 __all__ = [
     'ANY_CONNECTION',
@@ -62,6 +64,7 @@
 
     :param usable_until_s: returns the time until which an idle transport can
         carry another job, in seconds of the monotonic clock.
+    :param events: counts jobs that failed unexpectedly.
     :param open_connection: creates a connection for its first job.
     """
 
@@ -74,8 +77,12 @@
         usable_until_s: collections.abc.Callable[
             [T], float
         ] = _usable_for_good,
+        events: limit_events.LimitEvents | None = None,
         open_connection: OpenConnection[T] = Connection,
     ) -> None:
+        self._events = events or limit_events.LimitEvents(
+            decision_log.DecisionLog(), clock
+        )
         self.dial = dial
         self.usable_until_s = usable_until_s
         self.clock = clock
@@ -182,6 +189,14 @@
         for connection in connections:
             connection.close()
 
+    def as_error(self, error: Exception) -> errors.CorianderportError:
+        """Return what a job gets for an error, and count unexpected ones."""
+        if isinstance(error, errors.CorianderportError):
+            return error
+        self._events.record('searcher_task_failed', repr(error), error)
+        # The call may have been sent before the error.
+        return errors.ConnectionBroken(f'connection task failed: {error!r}')
+
     def _retire(self, connection: PooledConnection[T]) -> None:
         """Stop counting a connection, whose task may still be closing it."""
         self._all.discard(connection)
--- a/packages/tier/src/corianderport_tier/connection/pooled_connection.py
+++ b/packages/tier/src/corianderport_tier/connection/pooled_connection.py
@@ -4,7 +4,6 @@
 """
 
 import collections.abc
-import logging
 import threading
 import typing
 
@@ -21,11 +20,8 @@
     'Owner',
     'PooledConnection',
     'Reuse',
-    'as_error',
 ]
 
-_LOG = logging.getLogger('corianderport.pool')
-
 
 class Closeable(typing.Protocol):
     """A transport that can be closed."""
@@ -107,6 +103,9 @@
     def close_unverified(self, since_s: float) -> None:
         """Close idle connections without a reply after ``since_s``."""
 
+    def as_error(self, error: Exception) -> errors.CorianderportError:
+        """Return what a job gets for an error, and count unexpected ones."""
+
 
 class PooledConnection(typing.Protocol[T_co]):
     """How a connection gets its jobs."""
@@ -206,7 +205,7 @@
             transport = self._pool.dial()
         except Exception as error:
             self._pool.forget(self)
-            first.job.finish(as_error(error))
+            first.job.finish(self._pool.as_error(error))
             return None
         self._transport = transport
         self._replies = 0
@@ -250,7 +249,7 @@
             reply = error
         except Exception as error:
             self._pool.forget(self)
-            job.finish(as_error(error))
+            job.finish(self._pool.as_error(error))
             return False
         self._replies += 1
         self._verified_s = self._pool.clock.monotonic()
@@ -293,12 +292,3 @@
             assignment.job.finish(
                 errors.NotReady('the connection task has ended')
             )
-
-
-def as_error(error: Exception) -> errors.CorianderportError:
-    """Return the error that a job gets for an exception."""
-    if isinstance(error, errors.CorianderportError):
-        return error
-    _LOG.error('connection task failed', exc_info=error)
-    # The call may have been sent before the error.
-    return errors.ConnectionBroken(f'connection task failed: {error!r}')
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -303,6 +303,9 @@
             return
         self._history.ran += 1
         code = Code.OUTCOME_UNKNOWN
+        if isinstance(error, errors.ReplyInvalid):
+            code = error.code
+            self._log.reply_invalid()
         self._retry_or_fail(send, code, f'{type(error).__name__}: {error}')
 
     def _retry_or_fail(
--- a/packages/tier/src/corianderport_tier/request/part_log.py
+++ b/packages/tier/src/corianderport_tier/request/part_log.py
@@ -11,6 +11,8 @@
 __all__ = ['PartLog']
 
 _SEND_KINDS = {False: 'retry', True: 'hedge'}
+# Counted besides the line of the failed send, which has the reason.
+_REPLY_INVALID = decision_log.Decision('reply-invalid', '', '', '')
 # First sends are only counted; the decision line of the answer implies them.
 _FIRST_SEND = decision_log.Decision('route', '', '', 'first send')
 
@@ -34,6 +36,10 @@
         """Count the first send."""
         self._log.count(_FIRST_SEND)
 
+    def reply_invalid(self) -> None:
+        """Count a malformed reply; the line of the send has the reason."""
+        self._log.count(_REPLY_INVALID)
+
     def another_send(self, searcher: str, hedge: bool) -> None:
         """Record a send after the first one."""
         self.record(_SEND_KINDS[hedge], searcher, 'another searcher')
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -130,8 +130,8 @@
         :raises ConnectionStale: the connection was no longer usable;
             nothing was sent.
         :raises ConnectionSilent: no complete response before the deadline.
-        :raises ConnectionBroken: the connection was closed, or the server
-            sent no valid response.
+        :raises ReplyInvalid: the server sent no valid response.
+        :raises ConnectionBroken: the connection was closed.
         """
         self.send(request, deadline)
         return self.receive(deadline, matches)
@@ -217,7 +217,9 @@
                 self._apply_keep_alive(reply)
                 return reply
             if not parser.replies and not parser.reusable:
-                raise errors.ConnectionBroken('response to another request')
+                raise parser.invalid or errors.ConnectionBroken(
+                    'response to another request'
+                )
         raise errors.ConnectionBroken('too many responses to other requests')
 
     def _send(self, content: bytes, deadline: deadlines.Deadline) -> None:
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -4,12 +4,14 @@
 """
 
 import io
+import re
 
 import attrs
 import httptools
 
 from corianderport_tier import errors
 from corianderport_wire.connection import reply_allowance
+from corianderport_wire.connection import reply_head
 
 __all__ = ['HttpReply', 'ReplyParser']
 
@@ -20,10 +22,11 @@
 _CONTENT_LENGTH = b'content-length'
 _TRANSFER_ENCODING = b'transfer-encoding'
 _HEAD = b'HEAD'
+# httptools accepts smaller numbers, which are no interim responses either.
+_MIN_STATUS = 100
 _LINE_END = b'\r\n'
-_HEAD_END = b'\r\n\r\n'
+_EMPTY_LINES = re.compile(rb'(?:\r\n)+')
 _WHITE_SPACE = b' \t'
-_PADDED_ENDINGS = (b' \r\n', b'\t\r\n')
 
 
 @attrs.frozen
@@ -66,26 +69,38 @@
         self._header_bytes = 0
         self._body = io.BytesIO()
         self._body_bytes = 0
+        # False while the parser reads the head of another response that
+        # followed a body in the same read.
+        self._head_normalized = False
         self._in_message = False
         self._in_body = False
         self._keep_alive = True
         self._broken = False
+        self._invalid: errors.ReplyInvalid | None = None
 
     @property
     def replies(self) -> list[HttpReply]:
         """Complete responses so far; the user of the parser removes them."""
         return self._replies
 
+    @property
+    def invalid(self) -> errors.ReplyInvalid | None:
+        """Why the bytes after a complete response are no response."""
+        return self._invalid
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another request."""
-        return self._keep_alive and not self._in_message and not self._broken
+        # An incomplete head belongs to no request.
+        unread = self._in_message or self._head
+        return self._keep_alive and not unread and not self._broken
 
     def receive(self, content: bytes) -> None:
         """Parse the next bytes; an empty value means end of stream.
 
-        :raises ConnectionBroken: the bytes are not a valid response or
-            exceed a limit, or the stream ends before the response is
+        :raises ReplyInvalid: the bytes are not a valid response or exceed a
+            limit.
+        :raises ConnectionBroken: the stream ends before the response is
             complete.
         """
         if not content:
@@ -112,12 +127,16 @@
             return
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > _MAX_HEADER_BYTES:
-            raise errors.ConnectionBroken('response headers are too large')
-        self._headers.append((name.lower(), value))
+            raise errors.ReplyInvalid('response headers are too large')
+        self._headers.append((name.lower(), value.rstrip(_WHITE_SPACE)))
 
     def on_headers_complete(self) -> None:
         """Expect the body, or complete a response that has none."""
         self._in_body = True
+        if self._parser.get_status_code() < _MIN_STATUS:
+            raise errors.ReplyInvalid('invalid status')
+        if not self._head_normalized:
+            reply_head.check_fields(self._headers)
         if self._bodiless and self._parser.get_status_code() >= 200:
             self._complete()
             # httptools still waits for the announced body, so that the
@@ -129,7 +148,7 @@
         self._allowance.count_body(len(content))
         self._body_bytes += len(content)
         if self._body_bytes > _MAX_BODY_BYTES:
-            raise errors.ConnectionBroken('response body is too large')
+            raise errors.ReplyInvalid('response body is too large')
         self._body.write(content)
 
     def on_message_complete(self) -> None:
@@ -142,34 +161,62 @@
         self._complete()
 
     def _receive_head(self, content: bytes) -> None:
-        """Parse the head of a response once it is complete.
+        """Parse complete heads until one has a body, and what follows it."""
+        self._head += content
+        while self._head and not (self._in_message or self._broken):
+            if self._head.startswith(_LINE_END):
+                self._head = _EMPTY_LINES.sub(b'', self._head, count=1)
+            end = self._head.find(reply_head.HEAD_END)
+            if end < 0:
+                self._check_line_ends()
+                return
+            end += len(reply_head.HEAD_END)
+            head, self._head = self._head[:end], self._head[end:]
+            self._parse_head(head)
+        if self._in_message:
+            rest, self._head = self._head, b''
+            if rest:
+                self._parse(rest)
 
-        httptools keeps white space at the end of a header line, which is no
-        part of the value, and then does not recognise values such as
-        ``chunked``.
+    def _check_line_ends(self) -> None:
+        """Refuse a head whose end is not going to be found.
+
+        A server that ends lines otherwise would be taken for a slow one.
         """
-        self._head += content
-        end = self._head.find(_HEAD_END)
-        if end < 0:
+        lines = self._head.count(_LINE_END)
+        returns = self._head.count(b'\r') - self._head.endswith(b'\r')
+        if self._head.count(b'\n') != lines or returns != lines:
+            self._refuse(errors.ReplyInvalid('a line does not end in CR LF'))
+
+    def _parse_head(self, head: bytes) -> None:
+        try:
+            head = reply_head.normalized(head)
+        except errors.ReplyInvalid as error:
+            self._refuse(error)
             return
-        head, self._head = self._head, b''
-        if any(ending in head for ending in _PADDED_ENDINGS):
-            lines = head[:end].split(_LINE_END)
-            stripped = _LINE_END.join(map(_strip_line_end, lines))
-            head = stripped + head[end:]
+        self._head_normalized = True
         self._parse(head)
+        self._head_normalized = False
 
     def _parse(self, content: bytes) -> None:
         try:
             self._parser.feed_data(content)
-        except httptools.HttpParserUpgrade as error:
-            raise errors.ConnectionBroken('protocol upgrade') from error
-        except httptools.HttpParserError as error:
-            # Invalid bytes after a complete response rule out reuse, but do
-            # not invalidate that response.
-            self._broken = True
-            if not self._replies:
-                raise errors.ConnectionBroken(str(error)) from error
+        except (
+            httptools.HttpParserUpgrade,
+            httptools.HttpParserError,
+        ) as error:
+            self._refuse(_reason(error))
+
+    def _refuse(self, error: errors.ReplyInvalid) -> None:
+        """Raise an error unless a response is complete.
+
+        Invalid bytes after a complete response rule out reuse, but do not
+        invalidate that response.
+        """
+        self._broken = True
+        if not self._replies:
+            raise error
+        self._invalid = error
 
     def _complete(self) -> None:
         self._in_message = self._in_body = False
@@ -193,9 +240,10 @@
         self._keep_alive = False
 
 
-def _strip_line_end(line: bytes) -> bytes:
-    if line.startswith((b' ', b'\t')):
-        # Continues the line before, which the parser refuses. Stripped, it
-        # could be the empty line that ends the head.
-        return line
-    return line.rstrip(_WHITE_SPACE)
+def _reason(error: Exception) -> errors.ReplyInvalid:
+    if isinstance(error.__context__, errors.ReplyInvalid):
+        # Raised by one of the callbacks.
+        return error.__context__
+    if isinstance(error, httptools.HttpParserUpgrade):
+        return errors.ReplyInvalid('protocol upgrade')
+    return errors.ReplyInvalid(str(error))
--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -6,21 +6,17 @@
 reads: the parser receives no byte after the head until the head is complete.
 """
 
-import re
-
 import h11
 
 from corianderport_tier.version import routes
 from corianderport_wire.connection import caller_messages
+from corianderport_wire.connection import request_framing
+from corianderport_wire.connection import request_target
 
 __all__ = ['Event', 'RequestParser']
 
 # Bytes that one read may add to an incomplete line of a chunked body.
 _MAX_READ_BYTES = 16_384
-# A line break and an empty line, as h11 recognizes them.
-_HEAD_END = re.compile(rb'\n\r?\n')
-# Bytes of a head end that may have arrived with earlier reads.
-_HEAD_END_OVERLAP = 2
 # Bytes of a header field besides its name and value.
 _FIELD_SEPARATOR_BYTES = 4
 _HEADERS_TOO_LARGE = 431
@@ -43,13 +39,13 @@
             h11.SERVER,
             max_incomplete_event_size=limits.header_bytes + _MAX_READ_BYTES,
         )
-        self._head_bytes = 0
-        self._head_complete = False
-        # The bytes before the request count as a line break, so that an
-        # empty first line ends the head.
-        self._head_tail = b'\n'
-        self._after_head = b''
+        self._head = request_framing.HeadBytes()
+        # Bytes after the head, once it is complete.
+        self._after_head: bytes | None = None
+        self._chunk_lines: request_framing.ChunkLines | None = None
         self._body_bytes = 0
+        # Method of the request; empty until its head is complete.
+        self.method = b''
 
     @property
     def awaits_continue(self) -> bool:
@@ -72,25 +68,16 @@
     def feed(self, received: bytes) -> None:
         """Add received bytes; none at the end of the connection.
 
-        :raises RequestRejected: the head is too large.
+        :raises RequestRejected: the head is malformed or too large.
         """
-        if self._head_complete or not received:
-            self._protocol.receive_data(received)
+        if self._after_head is not None or not received:
+            self._receive_body(received)
             return
-        searched = self._head_tail + received
-        match = _HEAD_END.search(searched)
-        if match is None:
-            head, after_head = received, b''
-        else:
-            length = match.end() - len(self._head_tail)
-            head, after_head = received[:length], received[length:]
-        self._head_bytes += len(head)
-        if self._head_bytes > self._limits.header_bytes:
+        head, self._after_head = self._head.take(received)
+        if self._head.count > self._limits.header_bytes:
             raise caller_messages.RequestRejected(_HEADERS_TOO_LARGE)
-        self._head_complete = match is not None
-        self._head_tail = searched[-_HEAD_END_OVERLAP:]
-        self._after_head = after_head
-        self._protocol.receive_data(head)
+        if head:
+            self._protocol.receive_data(head)
 
     def next_event(self) -> Event | None:
         """Return the next event, or None when more bytes are needed.
@@ -107,11 +94,15 @@
             head = RequestHead(
                 event.method, event.target, tuple(event.headers)
             )
-            self._check_declared_length(head)
-            if self._after_head:
-                self._protocol.receive_data(self._after_head)
-                self._after_head = b''
-            return head
+            self.method = head.method
+            if request_framing.check_head(head, event.http_version):
+                self._chunk_lines = request_framing.ChunkLines()
+            else:
+                self._check_declared_length(head)
+            after_head, self._after_head = self._after_head, b''
+            if after_head:
+                self._receive_body(after_head)
+            return request_target.resolved(head)
         if isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
             if self._body_bytes > self._limits.body_bytes:
@@ -128,12 +119,15 @@
         parts = [self._protocol.send(event) for event in events]
         return [part for part in parts if part]
 
+    def _receive_body(self, received: bytes) -> None:
+        if self._chunk_lines is not None:
+            self._chunk_lines.check(received)
+        self._protocol.receive_data(received)
+
     def _check_declared_length(self, head: RequestHead) -> None:
         """Reject a body before it arrives if its length is declared."""
-        headers = dict(head.headers)
-        if b'transfer-encoding' in headers:
-            return
-        if int(headers.get(b'content-length', 0)) > self._limits.body_bytes:
+        length = int(dict(head.headers).get(b'content-length', 0))
+        if length > self._limits.body_bytes:
             raise caller_messages.RequestRejected(_BODY_TOO_LARGE)
 
     def _check_trailers(self, end: h11.EndOfMessage) -> None:
