--- a/packages/testkit/src/corianderport_testkit/connection/crowd_behaviours.py
+++ b/packages/testkit/src/corianderport_testkit/connection/crowd_behaviours.py
@@ -10,6 +10,10 @@
     'body_in_chunks_short_of_its_end',
     'body_in_pieces',
     'body_in_pieces_short_of_its_end',
+    'byte_of_body_a_second',
+    'byte_of_chunk_a_second',
+    'byte_of_head_a_second',
+    'byte_read_a_second',
     'chunks_with_long_extensions',
     'endless_head',
     'endless_line',
@@ -17,14 +21,17 @@
     'half_closed_after_request',
     'long_chunk_extension',
     'one_byte_chunks',
+    'one_byte_chunks_whole',
+    'ordinary',
+    'ordinary_repeated',
     'oversized_body',
     'oversized_body_expecting',
     'oversized_chunks',
     'oversized_chunks_expecting',
-    'ordinary',
     'pipelined',
     'pipelined_with_bodies',
     'reset',
+    'reset_with_unread_responses',
     'short_fields',
     'short_fields_and_unfinished_body',
     'short_fields_short_of_their_end',
@@ -46,6 +53,8 @@
 _BODY = bytes(crowd_caller.BODY_BYTES)
 _CHUNKED = 'Transfer-Encoding: chunked'
 _EXPECT = 'Expect: 100-continue'
+# Slower than any progress that a host counts.
+_SECOND_S = 1.0
 
 
 def _length(count: int) -> str:
@@ -243,3 +252,41 @@
 def ordinary(caller: crowd_caller.Caller) -> None:
     caller.send(crowd_caller.request_head(caller.path, method='GET'))
     caller.hold()
+
+
+def ordinary_repeated(caller: crowd_caller.Caller) -> None:
+    """Send a request each second and read the answer to it."""
+    caller.send_and_read(
+        crowd_caller.request_head(caller.path, method='GET'), _SECOND_S
+    )
+
+
+def one_byte_chunks_whole(caller: crowd_caller.Caller) -> None:
+    caller.send(crowd_caller.request_head(caller.path, _CHUNKED))
+    caller.send(5_000 * b'1\r\nx\r\n' + b'0\r\n\r\n')
+    caller.hold()
+
+
+def byte_of_head_a_second(caller: crowd_caller.Caller) -> None:
+    caller.send_slowly(crowd_caller.request_head(caller.path), _SECOND_S)
+
+
+def byte_of_body_a_second(caller: crowd_caller.Caller) -> None:
+    caller.send(crowd_caller.request_head(caller.path, _length(len(_BODY))))
+    caller.send_slowly(_BODY, _SECOND_S)
+
+
+def byte_of_chunk_a_second(caller: crowd_caller.Caller) -> None:
+    caller.send(crowd_caller.request_head(caller.path, _CHUNKED))
+    caller.send_slowly(_BODY_IN_CHUNKS, _SECOND_S)
+
+
+def byte_read_a_second(caller: crowd_caller.Caller) -> None:
+    caller.send(20 * crowd_caller.request_head(caller.path, method='GET'))
+    caller.read_slowly(_SECOND_S)
+
+
+def reset_with_unread_responses(caller: crowd_caller.Caller) -> None:
+    caller.send(20 * crowd_caller.request_head(caller.path, method='GET'))
+    caller.pause(crowd_caller.SLOW_INTERVAL_S)
+    caller.reset()
--- a/packages/testkit/src/corianderport_testkit/connection/crowd_caller.py
+++ b/packages/testkit/src/corianderport_testkit/connection/crowd_caller.py
@@ -107,25 +107,43 @@
         for start in range(0, len(content), size):
             self.send(content[start : start + size])
 
-    def send_slowly(self, content: bytes) -> None:
+    def send_slowly(
+        self, content: bytes, interval_s: float = SLOW_INTERVAL_S
+    ) -> None:
         """Send one byte now and then until the crowd ends."""
         for number in range(len(content)):
-            if self._crowd.pause(SLOW_INTERVAL_S):
+            if self._crowd.pause(interval_s):
                 return
             self.send(content[number : number + 1])
             self._crowd.done_sending(self._client)
 
-    def read_slowly(self) -> None:
+    def read_slowly(self, interval_s: float = SLOW_INTERVAL_S) -> None:
         """Read one byte now and then until the crowd ends."""
-        self._connection.settimeout(SLOW_INTERVAL_S)
+        self._connection.settimeout(interval_s)
         while True:
             with contextlib.suppress(TimeoutError):
                 if not self._connection.recv(1):
                     return
             self._crowd.done_sending(self._client)
-            if self._crowd.pause(SLOW_INTERVAL_S):
+            if self._crowd.pause(interval_s):
+                return
+
+    def send_and_read(self, request: bytes, interval_s: float) -> None:
+        """Send a request and read what arrives, until the crowd ends."""
+        while True:
+            self.send(request)
+            self._connection.settimeout(interval_s)
+            with contextlib.suppress(TimeoutError):
+                if not self._connection.recv(65_536):
+                    return
+            self._crowd.done_sending(self._client)
+            if self._crowd.pause(interval_s):
                 return
 
+    def pause(self, seconds: float) -> None:
+        """Send and read nothing for some time."""
+        self._crowd.pause(seconds)
+
     def end_sending(self) -> None:
         """Close the connection's sending side only."""
         self._connection.shutdown(socket.SHUT_WR)
--- a/packages/testkit/src/corianderport_testkit/process/limited_host.py
+++ b/packages/testkit/src/corianderport_testkit/process/limited_host.py
@@ -247,11 +247,20 @@
                 self.process.kill()
 
 
-def _routing() -> dict[str, typing.Any]:
+def _routing(endless_connections: int | None) -> dict[str, typing.Any]:
     """Return a configuration with one route for each service."""
+    backends = [
+        {
+            'name': _ENDLESS,
+            'health_path': '/healthz',
+            'max_conns': endless_connections,
+            'proto': 'h1',
+            'tls': False,
+        }
+    ]
     return {
         'version': 7,
-        'backends': [],
+        'backends': [] if endless_connections is None else backends,
         'routes': [
             {
                 'name': service,
@@ -286,10 +295,13 @@
     directory: pathlib.Path,
     endless: raw_searcher.Answer = _SHORT_ANSWER,
     machine: Machine = TEST_MACHINE,
+    endless_connections: int | None = None,
 ) -> collections.abc.Iterator[LimitedHost]:
     """Start a host with searchers of its own and wait until it is ready.
 
     :param endless: answer of the searchers of the route ``/endless/``.
+    :param endless_connections: connections that each of these searchers
+        accepts; None for one to each.
     """
     with contextlib.ExitStack() as stack:
         store = store_double.Store()
@@ -317,7 +329,7 @@
                     'born': 1,
                 },
             )
-        store.put('op/config', _routing())
+        store.put('op/config', _routing(endless_connections))
         host = LimitedHost(directory / 'boot.toml', store.address, machine)
         stack.callback(host.close)
         deadline_s = time.monotonic() + _LONG_S
--- a/tests/adapter/test_untrusted_clients.py
+++ b/tests/adapter/test_untrusted_clients.py
@@ -98,6 +98,10 @@
             _check_limits(host)
 
 
+@pytest.mark.parametrize(
+    'connections',
+    [pytest.param(None, id='one'), pytest.param(25, id='many')],
+)
 @pytest.mark.parametrize(
     'answer',
     [
@@ -107,16 +111,21 @@
     ],
 )
 def test_crowd_of_searchers(
-    tmp_path: pathlib.Path, answer: raw_searcher.Answer
+    tmp_path: pathlib.Path,
+    answer: raw_searcher.Answer,
+    connections: int | None,
 ) -> None:
     """Guards against searchers' answers without an end that exhaust a host.
 
-    Many requests wait for such answers at the same time.
+    Many requests wait for such answers at the same time, on one connection
+    to each searcher or on many.
     """
-    with limited_host.started_host(tmp_path, answer) as host:
+    with limited_host.started_host(
+        tmp_path, answer, endless_connections=connections
+    ) as host:
         assert limited_host.answer_to_ordinary_request(host)[-1] == 200
         with (
-            _figures(host, 'searchers', _FEW),
+            _figures(host, f'searchers-{connections}', _FEW),
             crowds.Crowd(
                 host.front,
                 crowd_rows.ENDLESS.path,
