--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -81,8 +81,13 @@
     def decode(self, key: str, content: bytes) -> registrations.Published:
         """Decode the content of a registry key."""
 
-    def dialer(self, clock: clocks.Clock) -> transports.SearcherDialer:
-        """Return a dialer for connections to searchers."""
+    def dialer(
+        self, clock: clocks.Clock, reply_bytes: int
+    ) -> transports.SearcherDialer:
+        """Return a dialer for connections to searchers.
+
+        :param reply_bytes: memory of the responses that arrive on all of them.
+        """
 
     def request(
         self, request: caller_listener.ReceivedRequest
@@ -141,7 +146,7 @@
             restarted=not settings.first_start,
         )
         self._placement = placement.PlacementSetting(settings.placement)
-        self._dialer = adapter.dialer(clock)
+        self._dialer = adapter.dialer(clock, settings.limits.reply_bytes)
         self._directory = directory.Directory(
             self._open_service, clock, self._log
         )
--- a/packages/tier/src/corianderport_tier/process/host_bounds.py
+++ b/packages/tier/src/corianderport_tier/process/host_bounds.py
@@ -33,6 +33,9 @@
 _MAX_TASKS = 1_500
 _BUDGET_MEMORY_SHARE = 0.125
 _MIN_BUDGET_BYTES = 2_000_000
+# Responses that arrive from searchers. 72 connections with bodies without an
+# end took 77 MB on a host of 96 MB without this bound.
+_REPLY_MEMORY_SHARE = 0.125
 
 
 @attrs.frozen
@@ -41,12 +44,14 @@
 
     ``admin`` holds for the readiness address and for the metrics address;
     their requests use the budget of ``callers``. ``upstream_tasks`` bounds
-    the tasks for searchers, peers and the host itself.
+    the tasks for searchers, peers and the host itself, and ``reply_bytes``
+    the memory of the responses that arrive from all searchers.
     """
 
     callers: caller_bounds.CallerBounds
     admin: caller_bounds.CallerBounds
     upstream_tasks: int
+    reply_bytes: int
 
     @classmethod
     def from_machine(
@@ -75,6 +80,9 @@
                 tasks=_ADMIN_TASKS,
             ),
             upstream_tasks=_tasks(_UPSTREAM_TASK_MEMORY_SHARE * memory_bytes),
+            reply_bytes=max(
+                _MIN_BUDGET_BYTES, int(_REPLY_MEMORY_SHARE * memory_bytes)
+            ),
         )
 
 
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -21,6 +21,7 @@
 
 from corianderport_tier import clocks
 from corianderport_tier import errors
+from corianderport_tier.process import byte_budget
 from corianderport_tier.request import deadlines
 from corianderport_wire.connection import reply_allowance
 from corianderport_wire.connection import reply_parser
@@ -83,6 +84,7 @@
     """Sends requests one at a time and never repeats one.
 
     :param quota: limits the responses on all connections of the host.
+    :param budget: memory of the responses that arrive on all of them.
     """
 
     def __init__(
@@ -90,8 +92,10 @@
         connection: socket.socket,
         clock: clocks.Clock,
         quota: reply_allowance.Quota | None = None,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
         self._quota = quota
+        self._budget = budget
         # A socket with a timeout costs two more system calls per operation.
         connection.setblocking(False)
         self._socket = connection
@@ -166,9 +170,22 @@
         matches: ReplyMatcher,
     ) -> HttpReply:
         self._send(_encode(request), deadline)
-        parser = reply_parser.ReplyParser(
-            request.method, reply_allowance.ReplyAllowance(self._quota)
-        )
+        allowance = reply_allowance.ReplyAllowance(self._quota, self._budget)
+        try:
+            return self._receive_reply(
+                reply_parser.ReplyParser(request.method, allowance),
+                deadline,
+                matches,
+            )
+        finally:
+            allowance.release()
+
+    def _receive_reply(
+        self,
+        parser: reply_parser.ReplyParser,
+        deadline: deadlines.Deadline,
+        matches: ReplyMatcher,
+    ) -> HttpReply:
         for _ in range(_MAX_UNMATCHED_REPLIES + 1):
             while not parser.replies:
                 parser.receive(self._receive(deadline))
--- a/tests/wire/test_endless_replies.py
+++ b/tests/wire/test_endless_replies.py
@@ -8,6 +8,7 @@
 
 from corianderport_testkit import clock as clock_module
 from corianderport_tier import errors
+from corianderport_tier.process import byte_budget
 from corianderport_wire.connection import reply_allowance
 from corianderport_wire.connection import reply_parser
 from corianderport_wire.process import reply_quota
@@ -92,6 +93,34 @@
     assert accepted_bytes <= 40 * 1024 * 1024
 
 
+def test_memory_of_all_responses_is_bounded_and_released() -> None:
+    """Guards against responses without an end that fill a small host.
+
+    The quota alone let through 32 MB at once, on a host of any size.
+    """
+    clock = clock_module.ManualClock()
+    budget = byte_budget.ByteBudget(4_000_000, clock)
+    allowances = [
+        reply_allowance.ReplyAllowance(None, budget) for _ in range(100)
+    ]
+    broken = 0
+    for allowance in allowances:
+        with contextlib.suppress(errors.ConnectionBroken):
+            for _ in range(4):
+                allowance.count_read(_PIECE_BYTES)
+            continue
+        broken += 1
+    assert broken > 40
+    assert budget.used_bytes <= 4_000_000
+    for allowance in allowances:
+        allowance.release()
+    assert budget.used_bytes == 0
+    # A response alone is bounded by its own limits only.
+    alone = reply_allowance.ReplyAllowance(None, budget)
+    alone.count_read(8_000_000)
+    alone.release()
+
+
 def test_usual_responses_do_not_use_the_quota() -> None:
     """Guards against usual load that is taken for a faulty searcher."""
     quota = reply_quota.ReplyQuota(clock_module.ManualClock())
