Bound the texts and the number of queued log records

A request id may be as long as a head: 20,000 queued records could hold 330 MB while the output was blocked.

--- a/packages/tier/src/corianderport_tier/process/decision_log.py
+++ b/packages/tier/src/corianderport_tier/process/decision_log.py
@@ -13,6 +13,17 @@
 __all__ = ['Decision', 'DecisionLog', 'DecisionObserver']
 
 _MAX_RECENT_DECISIONS = 256
+# Callers choose request ids, of any length up to that of a head.
+_MAX_REQUEST_ID_CHARS = 200
+_MAX_REASON_CHARS = 500
+
+
+def _shortened_id(text: str) -> str:
+    return text[:_MAX_REQUEST_ID_CHARS]
+
+
+def _shortened_reason(text: str) -> str:
+    return text[:_MAX_REASON_CHARS]
 
 
 @attrs.frozen
@@ -20,13 +31,13 @@
     """A decision for a request, with its reason.
 
     ``inputs`` are the values that the decision is based on, with their age
-    or version.
+    or version. Long request ids and reasons are cut.
     """
 
     kind: str
-    request_id: str
+    request_id: str = attrs.field(converter=_shortened_id)
     choice: str
-    reason: str
+    reason: str = attrs.field(converter=_shortened_reason)
     alternatives: tuple[str, ...] = ()
     inputs: collections.abc.Mapping[str, object] = attrs.Factory(dict)
 
--- a/packages/wire/src/corianderport_wire/process/json_log.py
+++ b/packages/wire/src/corianderport_wire/process/json_log.py
@@ -19,8 +19,8 @@
 LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
 # Further records are dropped, so that memory stays bounded while the output
-# is blocked.
-_MAX_QUEUED_RECORDS = 20_000
+# is blocked. A record takes 1.2 kB, and 2 kB with the longest texts.
+_MAX_QUEUED_RECORDS = 8_000
 
 
 class JsonFormatter(logging.Formatter):
