Count the time of a pipelined request from its first byte

It counted from the end of the request before it, so that searchers got more time than was left of X-Deadline-Ms.

--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -91,6 +91,7 @@
         self._requests = 0
         # When bytes were noticed that no task has read yet.
         self._noticed_s: float | None = None
+        self._received_s = 0.0
         self._disconnected = False
         self._on_sent: collections.abc.Callable[[], None] | None = None
 
@@ -238,6 +239,9 @@
             return False
         del request, reader
         self._surplus = parser.surplus
+        if self._surplus:
+            # The last read brought the first bytes of the next request.
+            self._noticed_s = self._received_s
         self._charge.reduce_to(len(self._surplus))
         closing = self._serving.closing
         self._respond(parser, response, closing)
@@ -288,7 +292,9 @@
         return received
 
     def _receive(self) -> bytes:
-        return self._socket.recv(_RECEIVE_BYTES)
+        received = self._socket.recv(_RECEIVE_BYTES)
+        self._received_s = self._clock.monotonic()
+        return received
 
     def _respond(
         self,
--- a/tests/wire/test_caller_listener.py
+++ b/tests/wire/test_caller_listener.py
@@ -114,6 +114,31 @@
     assert answers.index(b'/1') < answers.index(b'/2')
 
 
+def test_pipelined_request_is_timed_from_its_first_byte() -> None:
+    """Guards against searchers that get more time than the caller has.
+
+    A request that arrived with the one before it was timed from the response
+    to that one.
+    """
+    received_s: list[float] = []
+    ended_s: list[float] = []
+
+    def serve(
+        request: caller_listener.ReceivedRequest,
+        caller: caller_listener.CallerConnection,
+    ) -> caller_listener.HttpResponse:
+        received_s.append(request.received_s)
+        ended_s.append(_CLOCK.monotonic())
+        return _echo(request, caller)
+
+    one = b'GET /1 HTTP/1.1\r\nhost: a\r\n\r\n'
+    two = b'GET /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'
+    with listening(serve) as listener, _connect(listener) as caller:
+        caller.sendall(one + two)
+        _receive_all(caller)
+    assert received_s[1] < ended_s[0]
+
+
 @pytest.mark.parametrize(
     ('sent', 'status'),
     [
