Apply lower limits to the connections that a pool holds

An idle connection waited for the idle time that was in force at its start, 20 s instead of 0.5 s, and connections beyond a smaller share stayed open. Hosts that joined a fleet found too few connections left of a searcher.

--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -132,6 +132,11 @@
             self._assigned = _Assignment(job, fresh)
             self._condition.notify()
 
+    def check_idle_time(self) -> None:
+        """Apply a changed idle time to a wait in progress."""
+        with self._condition:
+            self._condition.notify()
+
     def close(self) -> None:
         """End the task after its current job."""
         with self._condition:
@@ -213,15 +218,21 @@
             self._pool.close_unverified(started_s)
 
     def _next(self) -> _Assignment[T] | None:
+        clock = self._pool.clock
+        idle_since_s = clock.monotonic()
         with self._condition:
-            if self._assigned is None and not self._closed:
-                self._pool.clock.wait(self._condition, self._idle_limit_s())
+            while self._assigned is None and not self._closed:
+                # The pool may change the limit during the wait.
+                left_s = self._idle_left_s(idle_since_s)
+                if not clock.wait(self._condition, left_s):
+                    break
         # A job can still be assigned until the pool removes the connection.
         return None if self._pool.remove_if_idle(self) else self._take()
 
-    def _idle_limit_s(self) -> float:
-        until_s = self._usable_until_s - self._pool.clock.monotonic()
-        return max(0.0, min(self._pool.limits.idle_s, until_s))
+    def _idle_left_s(self, idle_since_s: float) -> float:
+        until_s = idle_since_s + self._pool.limits.idle_s
+        until_s = min(until_s, self._usable_until_s)
+        return max(0.0, until_s - self._pool.clock.monotonic())
 
     def _take(self) -> _Assignment[T] | None:
         with self._condition:
@@ -306,18 +317,36 @@
         self._start(connection)
 
     def limit_connections(self, limit: int) -> None:
-        """Set the maximum number of connections."""
-        self.limits = attrs.evolve(self.limits, connections=limit)
+        """Set the maximum number of connections.
+
+        Idle connections beyond it are closed, and busy ones after their job.
+        """
+        with self._lock:
+            self.limits = attrs.evolve(self.limits, connections=limit)
+            surplus = self._idle[: max(0, len(self._all) - limit)]
+            for connection in surplus:
+                self._retire(connection)
+        for connection in surplus:
+            connection.close()
 
     def limit_idle_time(self, idle_s: float) -> None:
         """Set the time after which an idle connection is closed."""
-        self.limits = attrs.evolve(self.limits, idle_s=idle_s)
+        with self._lock:
+            if idle_s == self.limits.idle_s:
+                return
+            self.limits = attrs.evolve(self.limits, idle_s=idle_s)
+            idle = list(self._idle)
+        for connection in idle:
+            connection.check_idle_time()
 
     def mark_idle(self, connection: Connection[T]) -> None:
         """Make a connection available for the next job."""
         with self._lock:
             if self._closed:
                 connection.close()
+            elif len(self._all) > self.limits.connections:
+                self._retire(connection)
+                connection.close()
             else:
                 self._idle.append(connection)
 
--- a/tests/tier/test_pool.py
+++ b/tests/tier/test_pool.py
@@ -2,7 +2,9 @@
 
 import collections.abc
 import concurrent.futures
+import contextlib
 import threading
+import time
 import typing
 
 import pytest
@@ -11,6 +13,8 @@
 from corianderport_tier.connection import pool
 from corianderport_tier import errors
 
+_LONG_S = 5.0
+
 
 class _Transport:
     def __init__(self) -> None:
@@ -264,3 +268,106 @@
     # The tasks have ended by themselves.
     assert connections.size == 0
     assert all(t.closed for t in dialled)
+
+
+class _Closing(_Transport):
+    """Transport that tells when it is closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ended = threading.Event()
+
+    def close(self) -> None:
+        super().close()
+        self.ended.set()
+
+
+@contextlib.contextmanager
+def _pool_with_threads(
+    connections: int,
+) -> collections.abc.Iterator[
+    tuple[pool.ConnectionPool[_Closing], manual.ManualClock, list[_Closing]]
+]:
+    clock = manual.ManualClock()
+    dialled: list[_Closing] = []
+
+    def dial() -> _Closing:
+        dialled.append(_Closing())
+        return dialled[-1]
+
+    with concurrent.futures.ThreadPoolExecutor(8) as executor:
+        tested: pool.ConnectionPool[_Closing] = pool.ConnectionPool(
+            dial, executor, clock, pool.PoolLimits(connections, 20.0)
+        )
+        try:
+            yield tested, clock, dialled
+        finally:
+            tested.close()
+
+
+def _idle_connections(
+    tested: pool.ConnectionPool[_Closing],
+    clock: manual.ManualClock,
+    count: int,
+) -> None:
+    """Leave some connections idle."""
+    may_end = threading.Event()
+    jobs = [_Job(lambda: may_end.wait(_LONG_S)) for _ in range(count)]
+    for job in jobs:
+        tested.submit(job)
+    may_end.set()
+    for job in jobs:
+        job.done.result(_LONG_S)
+    clock.await_waiters(count)
+
+
+def test_lower_idle_time_ends_the_wait_of_idle_connections() -> None:
+    """Guards against connections that stay open for an earlier idle time.
+
+    A searcher that has left the share of a host may be kept for 0.5 s only,
+    and its connection waited for the 20 s of the share.
+    """
+    with _pool_with_threads(2) as (tested, clock, dialled):
+        _idle_connections(tested, clock, 1)
+        tested.limit_idle_time(0.5)
+        # The wait begins anew on another thread, at any of these times.
+        for _ in range(100):
+            clock.advance(0.02)
+            if dialled[0].ended.wait(0.02):
+                break
+        assert dialled[0].closed
+        assert tested.size == 0
+
+
+def test_lower_limit_closes_idle_connections() -> None:
+    """Guards against hosts that hold connections of others' shares.
+
+    When hosts join, the share of each becomes smaller. Connections beyond it
+    stayed open while they were used now and then.
+    """
+    with _pool_with_threads(3) as (tested, clock, dialled):
+        _idle_connections(tested, clock, 3)
+        tested.limit_connections(1)
+        assert tested.size == 1
+        for transport in dialled[:2]:
+            assert transport.ended.wait(_LONG_S)
+        assert not dialled[2].closed
+
+
+def test_lower_limit_closes_busy_connections_after_their_jobs() -> None:
+    """Guards against a job that is cut off, or a connection that stays."""
+    with _pool_with_threads(2) as (tested, _, dialled):
+        may_end = threading.Event()
+        jobs = [_Job(lambda: may_end.wait(_LONG_S)) for _ in range(2)]
+        for job in jobs:
+            tested.submit(job)
+        tested.limit_connections(1)
+        assert tested.size == 2
+        may_end.set()
+        for job in jobs:
+            assert job.done.result(_LONG_S) is True
+        deadline_s = time.monotonic() + _LONG_S
+        while not any(t.closed for t in dialled):
+            assert time.monotonic() < deadline_s
+            time.sleep(0.01)
+        assert tested.size == 1
