--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -280,7 +280,8 @@
     def reload(self) -> None:
         """Reload the settings and apply those that have changed.
 
-        Changed addresses take effect only when the process restarts.
+        Changed addresses and limits of the machine take effect only when the
+        process restarts.
         """
         self._settings_fingerprint = self._adapter.settings_fingerprint()
         try:
@@ -302,6 +303,7 @@
         self._freshness.set_revoke_s(settings.revoke_s)
         self._quotas.set_bounds(settings.quota)
         self._placement.value = settings.placement
+        self._reader.set_watch_s(settings.watch_s)
         self._settings = settings
         self._directory.refresh()
 
--- a/packages/tier/src/corianderport_tier/process/registry_reader.py
+++ b/packages/tier/src/corianderport_tier/process/registry_reader.py
@@ -77,6 +77,10 @@
         self._revision: registrations.Revision | None = None
         self._failures = 0
 
+    def set_watch_s(self, watch_s: float) -> None:
+        """Set the length of the watches that begin from now on."""
+        self._times = attrs.evolve(self._times, watch_s=watch_s)
+
     def step(self) -> float:
         """Read or watch once, then wait if there was a change or failure."""
         try:
--- a/tests/tier/test_registry_reader.py
+++ b/tests/tier/test_registry_reader.py
@@ -113,6 +113,20 @@
     assert waits == [4.0, 0.0, 4.0]
 
 
+def test_changed_length_of_a_watch_applies_to_the_next_one(
+    directory: _Directory,
+) -> None:
+    """Guards against settings that are read anew and have no effect."""
+    registry = _Registry(_EMPTY, _EMPTY, _EMPTY)
+    reader = _reader(registry, directory)
+    for _ in range(2):
+        reader.step()
+    reader.set_watch_s(1.5)
+    reader.step()
+    waits = [wait_s for call, wait_s in registry.calls if 'watch' in call]
+    assert waits == [4.0, 1.5]
+
+
 @pytest.mark.parametrize('returned', [False, True])
 def test_end_of_an_outage_is_passed_on(
     directory: _Directory, returned: bool
