--- a/packages/testkit/src/corianderport_testkit/connection/raw_searcher.py
+++ b/packages/testkit/src/corianderport_testkit/connection/raw_searcher.py
@@ -16,6 +16,7 @@
     'EndlessBody',
     'EndlessChunks',
     'EndlessHead',
+    'NoAnswer',
     'PlainAnswer',
     'RawSearcher',
 ]
@@ -123,6 +124,20 @@
         _send_without_end(connection, first, 100 * b'a:b\r\n', stopped)
 
 
+@attrs.frozen
+class NoAnswer:
+    """Leaves requests without an answer."""
+
+    def send(
+        self,
+        connection: socket.socket,
+        request_id: bytes,
+        stopped: threading.Event,
+    ) -> None:
+        """Wait until the searcher stops."""
+        stopped.wait()
+
+
 class RawSearcher:
     """A searcher without limits of its own, on a free port.
 
--- a/packages/testkit/src/corianderport_testkit/process/held_sizes.py
+++ b/packages/testkit/src/corianderport_testkit/process/held_sizes.py
@@ -43,6 +43,8 @@
 _BUSY_CONNECTIONS = 200
 # Their charges together have to stay within the budget.
 _LARGE_HEADS = 30
+# To each of eight searchers, so that 200 requests use 168 connections.
+_SEARCHER_CONNECTIONS = 25
 _BODY_BYTES = 100_000
 _RECORDS = 2_000
 _SETTLE_S = 2.0
@@ -75,6 +77,7 @@
             pathlib.Path(directory),
             answer or raw_searcher.PlainAnswer(b'0123456789abcdef'),
             _MACHINE,
+            _SEARCHER_CONNECTIONS,
         ) as host:
             limited_host.answer_to_ordinary_request(host)
             yield host
@@ -134,10 +137,10 @@
         f'connection, unread response of {_RESPONSE_BYTES} B', 20, large
     )
     yield _per_connection(
-        'connection, searcher that sends a head without an end',
+        'connection, with a request to a silent searcher',
         busy,
         endless,
-        answer=raw_searcher.EndlessHead(),
+        answer=raw_searcher.NoAnswer(),
     )
 
 
