--- a/packages/daemon/src/corianderport_daemon/process/adapters.py
+++ b/packages/daemon/src/corianderport_daemon/process/adapters.py
@@ -42,8 +42,13 @@
     def decode(self, key: str, content: bytes) -> registrations.Published:
         """Decode the content of a registry key."""
 
-    def dialer(self, clock: clocks.Clock) -> transports.SearcherDialer:
-        """Return a dialer for connections to searchers."""
+    def dialer(
+        self, clock: clocks.Clock, reply_bytes: int
+    ) -> transports.SearcherDialer:
+        """Return a dialer for connections to searchers.
+
+        :param reply_bytes: memory of the responses that arrive on all of them.
+        """
 
     def request(
         self, request: caller_listener.ReceivedRequest
--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -102,7 +102,7 @@
             restarted=not settings.first_start,
         )
         self._placement = placement.PlacementSetting(settings.placement)
-        self._dialer = adapter.dialer(clock)
+        self._dialer = adapter.dialer(clock, settings.limits.reply_bytes)
         self._directory = directory.Directory(
             self._open_service, clock, self._log
         )
@@ -257,7 +257,8 @@
     def reload(self) -> None:
         """Reload the settings and apply those that have changed.
 
-        Changed addresses take effect only when the process restarts.
+        Changed addresses and limits of the machine take effect only when the
+        process restarts.
         """
         self._settings_fingerprint = self._adapter.settings_fingerprint()
         try:
@@ -279,6 +280,7 @@
         self._freshness.set_revoke_s(settings.revoke_s)
         self._quotas.set_bounds(settings.quota)
         self._placement.value = settings.placement
+        self._reader.set_watch_s(settings.watch_s)
         self._settings = settings
         self._directory.refresh()
 
--- a/packages/tier/src/corianderport_tier/process/host_bounds.py
+++ b/packages/tier/src/corianderport_tier/process/host_bounds.py
@@ -33,6 +33,10 @@
 _MAX_TASKS = 1_500
 _BUDGET_MEMORY_SHARE = 0.125
 _MIN_BUDGET_BYTES = 2_000_000
+# Responses that arrive from searchers. Bodies without an end on many
+# connections took 77 MB of a host of 96 MB without this bound. Twice the share
+# is resident, since the buffers grow step by step.
+_REPLY_MEMORY_SHARE = 0.1
 
 
 @attrs.frozen
@@ -41,12 +45,14 @@
 
     ``admin`` holds for the readiness address and for the metrics address;
     their requests use the budget of ``callers``. ``upstream_tasks`` bounds
-    the tasks for searchers, peers and the host itself.
+    the tasks for searchers, peers and the host itself, and ``reply_bytes``
+    the memory of the responses that arrive from all searchers.
     """
 
     callers: caller_bounds.CallerBounds
     admin: caller_bounds.CallerBounds
     upstream_tasks: int
+    reply_bytes: int
 
     @classmethod
     def from_machine(
@@ -75,6 +81,9 @@
                 tasks=_ADMIN_TASKS,
             ),
             upstream_tasks=_tasks(_UPSTREAM_TASK_MEMORY_SHARE * memory_bytes),
+            reply_bytes=max(
+                _MIN_BUDGET_BYTES, int(_REPLY_MEMORY_SHARE * memory_bytes)
+            ),
         )
 
 
