--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -155,7 +155,7 @@
         """Start the first attempt.
 
         :param may_defer: whether the part may be left out for now if its reply
-            is expected after the goal.
+            is expected late.
         """
         if self._workspace is not None:
             self.service.arrive(self._workspace, self._class.calm_s)
@@ -166,7 +166,8 @@
     def send_deferred(self) -> None:
         """Start the first attempt of a deferred part."""
         self.state = PartState.PENDING
-        self.send_first()
+        self._send()
+        self.service.count_request(self._workspace)
 
     def hedge(self, among_last: bool) -> bool:
         """Send to another searcher because the response is late.
