--- a/tests/adapter/test_slow_bodies.py
+++ b/tests/adapter/test_slow_bodies.py
@@ -45,16 +45,19 @@
         self.given: list[tuple[float, float]] = []
         self.status = 200
 
-    def exchange(
-        self,
-        request: http_exchange.HttpRequest,
-        deadline: deadlines.Deadline,
-        matches: http_exchange.ReplyMatcher,
-    ) -> http_exchange.HttpReply:
+    def send(
+        self, request: http_exchange.HttpRequest, deadline: deadlines.Deadline
+    ) -> None:
         fields = dict(request.headers)
         self.given.append(
             (self._clock.monotonic(), float(fields[b'x-deadline-ms']))
         )
+
+    def receive(
+        self,
+        deadline: deadlines.Deadline,
+        matches: http_exchange.ReplyMatcher,
+    ) -> http_exchange.HttpReply:
         if self.status != 200:
             # Each of the sends that follow has to leave less time.
             self._clock.advance(0.05)
