--- a/tests/tier/hedge_charge_cases.py
+++ b/tests/tier/hedge_charge_cases.py
@@ -159,9 +159,10 @@
             charge = int(ratio)
         now_s = self._clock.monotonic()
         slack = (
-            host.share.extra_slack * (1 - _RESERVE) + host.service._rounding
+            host.share.extra_slack * (1 - _RESERVE)
+            + host.service._extra._rounding
         )
-        budget = host.service._extra
+        budget = host.service._extra._budget
         if self._charge == IN_ADVANCE:
             slack -= charge - 1
         if not budget.may_spend(now_s, slack=slack):
