Look at the other workspaces only when one demands too much

Each choice of a searcher listed all workspaces of the service while replies were late, on hosts whose processor binds.

--- a/packages/tier/src/corianderport_tier/process/workspace_shares.py
+++ b/packages/tier/src/corianderport_tier/process/workspace_shares.py
@@ -207,8 +207,16 @@
         demand = use.demand.at(now_s)
         most = max(_LEAST_PILE, _EXCESSIVE_PILE * self._slots)
         piled = use.in_flight > most + demand
-        contended = now_s < self._contended_until_s
-        if not (use.limited or piled or contended):
+        # The measured demand of few requests is too high at times.
+        least_demand = demand - _DEVIATIONS * math.sqrt(
+            demand * use.cost_s / (2 * _RATE_TIME_S)
+        )
+        excessive = now_s < self._contended_until_s and (
+            least_demand > _EXCESSIVE_DEMAND * self._slots
+            or use.occupied.at(now_s) > _EXCESSIVE_QUEUE * self._slots
+        )
+        # Most requests end here, before all workspaces are looked at.
+        if not (use.limited or piled or excessive):
             return False
         others = [
             other
@@ -217,10 +225,6 @@
         ]
         if not others:
             return False
-        # The measured demand of few requests is too high at times.
-        least_demand = demand - _DEVIATIONS * math.sqrt(
-            demand * use.cost_s / (2 * _RATE_TIME_S)
-        )
         if use.limited:
             # The same load would cause contention again.
             load = least_demand + sum(o.used.at(now_s) for o in others)
@@ -228,15 +232,8 @@
                 now_s < use.limited_s + _LEAST_LIMITED_S
                 or load > _RELEASED_LOAD * self._slots
             )
-        excessive = (
-            least_demand > _EXCESSIVE_DEMAND * self._slots
-            or use.occupied.at(now_s) > _EXCESSIVE_QUEUE * self._slots
-        )
-        return piled or (
-            excessive
-            and contended
-            and demand
-            > _FAIR * self._fair_share(use, self._used(now_s), now_s)
+        return piled or demand > _FAIR * self._fair_share(
+            use, self._used(now_s), now_s
         )
 
     def _used(self, now_s: float) -> float:
