Split the modules that had more than one job

part: waits, deferral and what an ended send means have modules of their own. forward_task: the fields of the decision line. service_searchers: retry delays. caller_connection: writing responses. No change of behaviour.

--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -17,6 +17,7 @@
 from corianderport_tier.process import placement
 from corianderport_tier.process import ratings
 from corianderport_tier.process import rendezvous
+from corianderport_tier.process import retry_delays
 from corianderport_tier.process import searcher_state
 from corianderport_tier.process import send_choice
 from corianderport_tier.process import send_interval
@@ -34,11 +35,6 @@
 # the service. A host with little traffic would otherwise have forgotten which
 # searchers are slow whenever it sends again.
 _LATENCY_HALF_LIFE_SENDS = 4
-# Suggested retry delay when no searcher is registered that may be used.
-_DEFAULT_RETRY_DELAY_S = 1.0
-# Maximum extra delay of a caller's retry after a pause, as a fraction of the
-# pause, so that refused callers do not return at the same moment.
-_PAUSE_SPREAD = 0.5
 # Idle time of connections to searchers of this host's share, and of those to
 # other searchers. The latter are few at any time if they are closed soon, so
 # that they fit into what the shares leave of a searcher's connections.
@@ -236,6 +232,10 @@
             )
             self._serve_waiting(now_s)
 
+    def take_back(self, choice: Choice) -> None:
+        """Release a chosen searcher to which nothing is sent."""
+        self.finish(choice, searcher_state.SendResult(failed=False))
+
     def set_cold(self, state: SearcherState, seconds: float) -> None:
         """Mark a searcher as cold after it has reported so."""
         with self._lock:
@@ -286,7 +286,7 @@
             if self._waits.remove(send):
                 return
         if send.choice is not None:
-            self.finish(send.choice, searcher_state.SendResult(failed=False))
+            self.take_back(send.choice)
 
     def available_at_s(self) -> float | None:
         """Return when the first searcher ends its backoff or its pause.
@@ -294,26 +294,15 @@
         :return: None if there is no searcher to wait for.
         """
         with self._lock:
-            return self._first_available_s()
+            return retry_delays.available_at_s(self._states.values())
 
     def retry_delay_s(self) -> float:
-        """Return the seconds after which a refused caller should return.
-
-        It is the time until the first backoff or pause of a searcher ends;
-        the time after a pause differs between callers.
-        """
+        """Return the seconds after which a refused caller should return."""
         now_s = self._clock.monotonic()
         with self._lock:
-            first_s = self._first_available_s()
-            if first_s is None:
-                return _DEFAULT_RETRY_DELAY_S
-            delay_s = max(0.0, first_s - now_s)
-            if any(
-                s.availability.paused_until_s > now_s
-                for s in self._states.values()
-            ):
-                delay_s *= self._rng.uniform(1.0, 1.0 + _PAUSE_SPREAD)
-        return delay_s
+            return retry_delays.retry_delay_s(
+                self._states.values(), now_s, self._rng
+            )
 
     def close(self) -> None:
         """Close all connections."""
@@ -388,16 +377,6 @@
         for position, state in enumerate(ordered):
             state.set_position(position, len(ordered))
 
-    def _first_available_s(self) -> float | None:
-        return min(
-            (
-                s.available_at_s
-                for s in self._states.values()
-                if not s.availability.leaving
-            ),
-            default=None,
-        )
-
     def _connections(self, searcher: str) -> int:
         max_connections = (
             self._parameters.connections if self._parameters else 1
--- a/packages/tier/src/corianderport_tier/request/authorization.py
+++ b/packages/tier/src/corianderport_tier/request/authorization.py
@@ -119,6 +119,11 @@
     workspace: workspaces_module.Workspace | None
     _credential: str | None = attrs.field(repr=False)
 
+    @property
+    def workspace_name(self) -> str | None:
+        """Name of the workspace, None without one."""
+        return None if self.workspace is None else self.workspace.name
+
     def rank(self, route: routes.Route) -> int:
         """Return the priority of the request, 0 being the highest."""
         return route.rank if self.workspace is None else self.workspace.rank
--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -3,7 +3,6 @@
 One forwarded request: its parts, its hedges and when it is answered.
 """
 
-import collections
 import collections.abc
 import random
 import typing
@@ -29,6 +28,7 @@
 from corianderport_tier.request import part as part_module
 from corianderport_tier.request import records
 from corianderport_tier.request import task_hedges
+from corianderport_tier.request import task_summaries
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
@@ -54,10 +54,6 @@
 Part = part_module.Part
 PartState = part_module.PartState
 Failure = forward_messages.Failure
-_WAITING_REASONS = {
-    PartState.PENDING: 'waiting',
-    PartState.DEFERRED: 'deferred',
-}
 
 
 class Caller(typing.Protocol):
@@ -170,40 +166,12 @@
 
     def summary(self) -> dict[str, object]:
         """Return what the decision log records about the answer."""
-        reasons = collections.Counter(
-            _WAITING_REASONS.get(p.state, '')
-            if p.failure is None
-            else p.failure.detail
-            for p in self._parts
-            if p.state is not PartState.ANSWERED
-        )
-        summary: dict[str, object] = {
-            'route': self._route.name,
-            'parts': len(self._parts),
-            'not_answered': dict(reasons),
-            'sent_ms': self._spread_ms(p.sent_s for p in self._parts),
-            'arrived_ms': self._spread_ms(p.answered_s for p in self._parts),
-        }
-        workspace = self._authorization.workspace
-        if workspace is not None:
-            summary['workspace'] = workspace.name
-            summary['rank'] = self._authorization.rank(self._route)
-        return summary
-
-    def _spread_ms(
-        self, times_s: collections.abc.Iterable[float]
-    ) -> list[float]:
-        """Return the earliest, the median and the latest of some times.
-
-        In milliseconds since the request was received; empty without times.
-        """
-        ordered = sorted(t for t in times_s if t != float('inf'))
-        chosen = ordered and (
-            ordered[0],
-            ordered[len(ordered) // 2],
-            ordered[-1],
+        return task_summaries.describe(
+            self._parts,
+            self._route,
+            self._authorization,
+            self._request.received_s,
         )
-        return [round((t - self._request.received_s) * 1e3, 1) for t in chosen]
 
     def _create_parts(self) -> None:
         target = self._route.target
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -137,8 +137,7 @@
         except (errors.Unauthenticated, errors.KeyUnconfirmed) as error:
             self._count_key_refusal(None, error.code)
             return self._refuse(request, error.code, str(error), route.name)
-        workspace = authorization.workspace
-        name = None if workspace is None else workspace.name
+        name = authorization.workspace_name
         if self._running is None:
             return self._run(request, caller, routing, route, authorization)
         if not self._running.enter(name):
@@ -231,9 +230,7 @@
     ) -> None:
         if self._activity is None or authorization.identity is None:
             return
-        workspace = authorization.workspace
-        name = None if workspace is None else workspace.name
-        self._activity.count(name, outcome)
+        self._activity.count(authorization.workspace_name, outcome)
 
     def _count_key_refusal(self, name: str | None, code: Code) -> None:
         if self._activity is None:
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -11,17 +11,18 @@
 from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import route_latency
-from corianderport_tier.process import searcher_state
 from corianderport_tier.process import send_order
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
+from corianderport_tier.request import deferral
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import hedge_timing
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import part_failures
 from corianderport_tier.request import part_log
+from corianderport_tier.request import part_waits
 from corianderport_tier.request import send_history
 from corianderport_tier.request import send_results
 from corianderport_tier import result_codes
@@ -29,16 +30,8 @@
 
 __all__ = ['Part', 'PartState']
 
-# Without this limit, one request to a service that refuses every send would
-# use up the budget of extra sends shared by all requests.
-_MAX_SENDS_PER_PART = 4
 # Fraction of the budget slack that hedges leave to retries of failed sends.
 _HEDGE_RESERVE = 0.3
-# A part is deferred if its reply is expected after this fraction of the time
-# until the deadline. With replies after the goal alone, gathers of ten parts
-# left out a service whose searchers were merely slow at times, which cost
-# callers more than it saved.
-_DEFER_FRACTION = 0.5
 
 Code = result_codes.ResultCode
 
@@ -86,8 +79,7 @@
         self.sent_s = float('inf')
         self.answered_s = float('inf')
         self.failure: forward_messages.Failure | None = None
-        workspace = authorization.workspace
-        self._workspace = None if workspace is None else workspace.name
+        self._workspace = authorization.workspace_name
         self._request = request
         self._route = route
         self._gathered = isinstance(route.target, routes.Gather)
@@ -104,9 +96,13 @@
         self._sends: list[forward_send.SendAttempt] = []
         # The choices of all sends, for the log and the metrics.
         self.choices: list[service_searchers.Choice] = []
-        self._waiting: send_order.WaitingSend | None = None
-        self._resume_at_s: float | None = None
-        self._last_failure: tuple[Code, str] | None = None
+        self._waits = part_waits.PartWaits(
+            service,
+            request_class,
+            goal,
+            self._history,
+            lambda s: inbox.put(forward_send.CapacityFreed(self, s)),
+        )
         self._failed_reply: forward_messages.SearcherReply | None = None
 
     @property
@@ -149,7 +145,7 @@
     @property
     def resume_at_s(self) -> float | None:
         """Time at which a pause ends that the part waits for."""
-        return self._resume_at_s
+        return self._waits.resume_at_s
 
     def send_first(self, may_defer: bool = False) -> None:
         """Start the first attempt.
@@ -185,9 +181,7 @@
             return False
         reserve = 0.0 if among_last else _HEDGE_RESERVE
         if not self.service.try_extra(reserve, self._workspace):
-            self.service.finish(
-                choice, searcher_state.SendResult(failed=False)
-            )
+            self.service.take_back(choice)
             self._hedge_timing.denied = not among_last
             self._log.record('no-hedge', choice.state.name, 'budget is spent')
             return False
@@ -196,9 +190,8 @@
 
     def on_capacity(self, send: send_order.WaitingSend) -> None:
         """Continue a send that had to wait for capacity."""
-        if send is not self._waiting:
+        if not self._waits.end(send):
             return
-        self._waiting = None
         if send.choice is not None:
             self._send_to(send.choice)
         else:
@@ -206,9 +199,9 @@
 
     def resume(self) -> None:
         """Retry a send that had to wait for the end of a pause."""
-        self._resume_at_s = None
+        failed = self._waits.resume()
         if self.state is PartState.PENDING and not self._sends:
-            self._send(self._last_failure)
+            self._send(failed)
 
     def post_result(
         self, send: forward_send.SendAttempt, reply: object
@@ -223,22 +216,16 @@
             self._class.record(send.elapsed_s)
         # Before all parts of a gather have answered, a success alone decides
         # nothing.
-        succeeded = (
-            isinstance(reply, forward_messages.SearcherReply)
-            and reply.succeeded
-        )
         self._inbox.put(
             forward_send.SendFinished(send, reply),
-            urgent=not (self._gathered and succeeded),
+            urgent=not (self._gathered and send_results.succeeded(reply)),
         )
 
     def on_result(self, event: forward_send.SendFinished) -> None:
         """Handle the result of a send attempt."""
         send = event.send
         self._sends.remove(send)
-        if send.carrier is not None:
-            self._history.carriers.append(send.carrier)
-            self._history.sent += 1
+        self._history.record_end(send)
         if send.sent_s is not None:
             self.sent_s = min(self.sent_s, send.sent_s)
         if self.state is not PartState.PENDING:
@@ -255,9 +242,7 @@
 
     def cancel(self, at_once: bool = False) -> None:
         """Cancel all running attempts and the wait for capacity."""
-        if self._waiting is not None:
-            waiting, self._waiting = self._waiting, None
-            self.service.stop_waiting(waiting)
+        self._waits.cancel()
         for send in self._sends:
             send.cancel(at_once)
 
@@ -291,23 +276,10 @@
             if not self._sends:
                 self._fail(error.code, str(error))
             return
-        not_sent = not send.sent or isinstance(
-            error, errors.ConnectFailed | errors.ConnectionStale
-        )
-        if not_sent:
-            if send.sent:
-                self._history.sent -= 1
-            if isinstance(error, errors.ConnectionStale):
-                # The connection was stale; the searcher may be tried again.
-                self._history.tried.remove(send.searcher)
-            self._retry_or_fail(send, Code.NO_UPSTREAM, str(error))
-            return
-        self._history.ran += 1
-        code = Code.OUTCOME_UNKNOWN
-        if isinstance(error, errors.ReplyInvalid):
-            code = error.code
+        code, reason = self._history.record_error(send, error)
+        if code is Code.REPLY_INVALID:
             self._log.reply_invalid()
-        self._retry_or_fail(send, code, f'{type(error).__name__}: {error}')
+        self._retry_or_fail(send, code, reason)
 
     def _retry_or_fail(
         self, send: forward_send.SendAttempt, code: Code, reason: str
@@ -316,16 +288,10 @@
         self._log.record('send-failed', send.searcher, reason)
         if self._sends:
             return
-        ran = self._history.ran
-        if ran and not self._route.idempotent:
-            self._fail(code, reason)
-        elif (
-            ran >= self._route.attempts
-            or self._history.sent >= _MAX_SENDS_PER_PART
-        ):
-            self._fail(code, reason)
-        else:
+        if self._history.permits_another(self._route):
             self._send((code, reason))
+        else:
+            self._fail(code, reason)
 
     def _choose(
         self, excluded: collections.abc.Collection[str]
@@ -334,54 +300,50 @@
 
     def _send(
         self,
-        failed: tuple[Code, str] | None = None,
+        failed: part_waits.LastFailure = None,
         may_defer: bool = False,
     ) -> None:
         choice = self._choose(self._history.tried)
         if choice is service_searchers.NoChoice.ALL_TRIED and failed:
             choice = self._choose(())
-        if choice is service_searchers.NoChoice.FULL and may_defer:
-            if self._expected_late(self.service.least_reply_s(self._class)):
-                self._defer()
-                return
+        if may_defer and self._defers(choice):
+            return
         if isinstance(choice, service_searchers.NoChoice):
             self._on_no_choice(choice, failed)
             return
-        if may_defer and self._expected_late(choice.reply_s):
-            self.service.finish(
-                choice, searcher_state.SendResult(failed=False)
-            )
-            self._defer()
-            return
         self._send_to(choice, failed)
 
     def _send_to(
         self,
         choice: service_searchers.Choice,
-        failed: tuple[Code, str] | None = None,
+        failed: part_waits.LastFailure = None,
     ) -> None:
         if self._history.sent and not self.service.try_extra(
             workspace=self._workspace
         ):
-            self.service.finish(
-                choice, searcher_state.SendResult(failed=False)
-            )
+            self.service.take_back(choice)
             self._fail(*(failed or (Code.OVERLOADED, '')))
             self._log.record('no-retry', choice.state.name, 'budget is spent')
             return
         self._start(choice, hedge=False)
 
-    def _expected_late(self, reply_s: float | None) -> bool:
-        if reply_s is None:
+    def _defers(
+        self, choice: service_searchers.Choice | service_searchers.NoChoice
+    ) -> bool:
+        """Leave the part out for now if its reply is expected late."""
+        if isinstance(choice, service_searchers.NoChoice):
+            if choice is not service_searchers.NoChoice.FULL:
+                return False
+            reply_s = self.service.least_reply_s(self._class)
+        else:
+            reply_s = choice.reply_s
+        if not deferral.is_late(reply_s, self._request.deadline, self._clock):
             return False
-        left_s = self._request.deadline.remaining(self._clock)
-        return reply_s > _DEFER_FRACTION * left_s
-
-    def _defer(self) -> None:
+        if isinstance(choice, service_searchers.Choice):
+            self.service.take_back(choice)
         self.state = PartState.DEFERRED
-        self._log.record(
-            'deferred', self.service.name, 'the reply is expected too late'
-        )
+        self._log.deferred()
+        return True
 
     def _start(self, choice: service_searchers.Choice, hedge: bool) -> None:
         call = forward_messages.SearcherCall(
@@ -414,46 +376,24 @@
     def _on_no_choice(
         self,
         reason: service_searchers.NoChoice,
-        failed: tuple[Code, str] | None,
+        failed: part_waits.LastFailure,
     ) -> None:
         if reason is service_searchers.NoChoice.FULL:
-            self._wait_for_capacity()
+            self._waits.wait_for_capacity(
+                self.authorization.rank(self._route),
+                self._route.timeout_s,
+                self._workspace,
+            )
             return
         if (
             reason is service_searchers.NoChoice.PAUSED
-            and self._wait_for_pause(failed)
+            and self._waits.wait_for_pause(failed, self._latency.median_s)
         ):
             return
         shared = reason is service_searchers.NoChoice.SHARE
         code = Code.OVERLOADED if shared else Code.NO_UPSTREAM
         self._fail(*(failed or (code, reason.value)))
 
-    def _wait_for_capacity(self) -> None:
-        self._waiting = send_order.WaitingSend(
-            frozenset(self._history.tried),
-            self._class,
-            send_order.Urgency.of_request(
-                self.authorization.rank(self._route),
-                self._goal.at_s - self._class.expected_s,
-                self._route.timeout_s,
-            ),
-            lambda s: self._inbox.put(forward_send.CapacityFreed(self, s)),
-            self._workspace,
-        )
-        self.service.wait_for_capacity(self._waiting)
-
-    def _wait_for_pause(self, failed: tuple[Code, str] | None) -> bool:
-        """Wait for the end of a pause; return False if it ends too late."""
-        resume_at_s = self.service.available_at_s()
-        if resume_at_s is None:
-            return False
-        latest_s = self._goal.at_s - self._latency.median_s
-        if resume_at_s > latest_s:
-            return False
-        self._resume_at_s = resume_at_s
-        self._last_failure = failed
-        return True
-
     def _fail(self, code: Code, reason: str) -> None:
         self.state = PartState.FAILED
         may_have_run = self._history.ran > 0
--- a/packages/tier/src/corianderport_tier/request/send_results.py
+++ b/packages/tier/src/corianderport_tier/request/send_results.py
@@ -8,7 +8,7 @@
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 
-__all__ = ['send_result']
+__all__ = ['send_result', 'succeeded']
 
 SendResult = searcher_state.SendResult
 
@@ -33,6 +33,13 @@
     )
 
 
+def succeeded(reply: object) -> bool:
+    """Whether a send ended with a reply that is an answer."""
+    return isinstance(reply, forward_messages.SearcherReply) and (
+        reply.succeeded
+    )
+
+
 def _result_of_reply(
     reply: forward_messages.SearcherReply, elapsed_s: float, median_s: float
 ) -> SendResult:
--- /dev/null
+++ b/packages/tier/src/corianderport_tier/request/task_summaries.py
@@ -0,0 +1,62 @@
+"""corianderport_tier.request.task_summaries
+
+What the decision log records about the parts of a request.
+"""
+
+import collections
+import collections.abc
+
+from corianderport_tier.request import authorization as authorization_module
+from corianderport_tier.request import part as part_module
+from corianderport_tier.version import routes
+
+__all__ = ['describe']
+
+PartState = part_module.PartState
+_WAITING_REASONS = {
+    PartState.PENDING: 'waiting',
+    PartState.DEFERRED: 'deferred',
+}
+
+
+def describe(
+    parts: collections.abc.Sequence[part_module.Part],
+    route: routes.Route,
+    authorization: authorization_module.Authorization,
+    received_s: float,
+) -> dict[str, object]:
+    """Return the fields of the decision line of an answer."""
+    reasons = collections.Counter(
+        _WAITING_REASONS.get(p.state, '')
+        if p.failure is None
+        else p.failure.detail
+        for p in parts
+        if p.state is not PartState.ANSWERED
+    )
+    summary: dict[str, object] = {
+        'route': route.name,
+        'parts': len(parts),
+        'not_answered': dict(reasons),
+        'sent_ms': _spread_ms((p.sent_s for p in parts), received_s),
+        'arrived_ms': _spread_ms((p.answered_s for p in parts), received_s),
+    }
+    if authorization.workspace_name is not None:
+        summary['workspace'] = authorization.workspace_name
+        summary['rank'] = authorization.rank(route)
+    return summary
+
+
+def _spread_ms(
+    times_s: collections.abc.Iterable[float], received_s: float
+) -> list[float]:
+    """Return the earliest, the median and the latest of some times.
+
+    In milliseconds since the request was received; empty without times.
+    """
+    ordered = sorted(t for t in times_s if t != float('inf'))
+    chosen = ordered and (
+        ordered[0],
+        ordered[len(ordered) // 2],
+        ordered[-1],
+    )
+    return [round((t - received_s) * 1e3, 1) for t in chosen]
--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -25,6 +25,7 @@
 from corianderport_wire.connection import disconnect_watcher
 from corianderport_wire.connection import request_parser
 from corianderport_wire.connection import request_reader
+from corianderport_wire.connection import response_writer
 from corianderport_wire.connection import round_trip
 from corianderport_wire.connection import task_pressure
 
@@ -40,13 +41,8 @@
 _PROGRESS_BYTES = 512
 _BAD_REQUEST = 400
 _INTERNAL_ERROR = 500
-_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _REQUEST_TIMEOUT = 408
-# Sent in place of a response of which h11 has taken a part.
-_LAST_RESPONSE = (
-    b'HTTP/1.1 502 \r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
-)
 
 Phase = caller_table.Phase
 HttpResponse = caller_messages.HttpResponse
@@ -90,8 +86,15 @@
         self._charge = byte_charge.ByteCharge(
             serving.budgets.requests, self._close_stalled_request
         )
-        self._response_charge = byte_charge.ByteCharge(
-            serving.budgets.responses, self._close_stalled_response
+        self._writer = response_writer.ResponseWriter(
+            connection,
+            byte_charge.ByteCharge(
+                serving.budgets.responses, self._close_stalled_response
+            ),
+            serving.bounds.write_timeout_s,
+            serving.events,
+            serving.clock,
+            lambda: self._begin(Phase.SENDING),
         )
         self._progress_bytes = 0
         self._requests = 0
@@ -157,7 +160,7 @@
             _LOG.debug('connection of a caller closed to limit their use')
         finally:
             self._charge.reduce_to(len(self._surplus))
-            self._response_charge.reduce_to(0)
+            self._writer.charge.reduce_to(0)
         return False
 
     def abort(self) -> None:
@@ -257,7 +260,7 @@
             self._noticed_s = self._received_s
         self._charge.reduce_to(len(self._surplus))
         closing = self._serving.closing
-        self._respond(parser, response, closing)
+        self._writer.respond(parser, response, closing)
         if self._on_sent is not None:
             self._on_sent()
         return not closing and parser.reusable
@@ -291,11 +294,11 @@
         rejected: caller_messages.RequestRejected,
     ) -> None:
         self._charge.reduce_to(0)
-        self._respond(parser, rejected.response, True)
+        self._writer.respond(parser, rejected.response, True)
         self._begin(Phase.LINGERING)
         self._socket.shutdown(socket.SHUT_WR)
         deadline = deadlines.Deadline.after(self._clock, _LINGER_S)
-        while self._await(select.POLLIN, deadline) and self._receive():
+        while self._await_bytes(deadline) and self._receive():
             continue
 
     def _read(self, interim: bytes, deadline: deadlines.Deadline) -> bytes:
@@ -304,9 +307,9 @@
         :raises RequestRejected: the request was not received in time.
         """
         if interim:
-            self._write([interim])
+            self._writer.write([interim])
             self._begin(Phase.RECEIVING)
-        if not self._await(select.POLLIN, deadline):
+        if not self._await_bytes(deadline):
             raise caller_messages.RequestRejected(_REQUEST_TIMEOUT)
         received = self._receive()
         self._progress_bytes += len(received)
@@ -320,70 +323,11 @@
         self._received_s = self._clock.monotonic()
         return received
 
-    def _respond(
-        self,
-        parser: request_parser.RequestParser,
-        response: HttpResponse,
-        closing: bool,
-    ) -> None:
-        try:
-            head = caller_messages.response_head(
-                response, closing, parser.method
-            )
-        except h11.LocalProtocolError as error:
-            self._record_replaced(error)
-            response = HttpResponse(_BAD_GATEWAY, (), b'')
-            head = caller_messages.response_head(
-                response, closing, parser.method
-            )
-        events: list[h11.Event] = [head]
-        if caller_messages.has_body(response, parser.method):
-            events.append(h11.Data(data=response.body))
-        events.append(h11.EndOfMessage())
-        try:
-            parts = parser.encode(*events)
-        except h11.LocalProtocolError as error:
-            self._record_replaced(error)
-            parts = [_LAST_RESPONSE]
-        self._write(parts)
-
-    def _record_replaced(self, error: h11.LocalProtocolError) -> None:
-        self._serving.events.record(
-            'caller_response_replaced',
-            f'a response that cannot be passed on is replaced: {error}',
+    def _await_bytes(self, deadline: deadlines.Deadline) -> bool:
+        return response_writer.await_ready(
+            self._socket, select.POLLIN, deadline, self._clock
         )
 
-    def _write(self, parts: list[bytes]) -> None:
-        """Write all parts.
-
-        :raises TimeoutError: the caller does not read them in time.
-        """
-        deadline = deadlines.Deadline.after(
-            self._clock, self._serving.bounds.write_timeout_s
-        )
-        unsent = [memoryview(part) for part in parts]
-        while True:
-            try:
-                unsent = _skip(unsent, self._socket.sendmsg(unsent))
-            except BlockingIOError:
-                _LOG.debug('a caller does not read its response')
-            if not unsent:
-                self._response_charge.reduce_to(0)
-                return
-            self._begin(Phase.SENDING)
-            if not self._response_charge.held:
-                # The request has run, so that its response is not refused.
-                self._response_charge.add_in_any_case(sum(map(len, parts)))
-            if not self._await(select.POLLOUT, deadline):
-                raise TimeoutError('a response was not read in time')
-
-    def _await(self, event: int, deadline: deadlines.Deadline) -> bool:
-        """Wait until the socket is ready; return False at the deadline."""
-        poll = select.poll()
-        poll.register(self._socket, event)
-        left_s = max(deadline.remaining(self._clock), 0.001)
-        return bool(poll.poll(left_s * 1e3))
-
     def _begin(self, phase: Phase) -> None:
         if not self._serving.table.begin(self, phase):
             raise _ClosedByHost
@@ -407,14 +351,3 @@
         self._serving.events.record(event)
         victim.connection.abort()
         return True
-
-
-def _skip(views: list[memoryview], count: int) -> list[memoryview]:
-    """Return the views without their first bytes."""
-    rest = []
-    for view in views:
-        skipped = min(count, len(view))
-        count -= skipped
-        if skipped < len(view):
-            rest.append(view[skipped:])
-    return rest
