--- a/tests/tier/hedge_charge_cases.py
+++ b/tests/tier/hedge_charge_cases.py
@@ -9,7 +9,6 @@
 import itertools
 import random
 import statistics
-import sys
 
 import attrs
 
@@ -18,6 +17,7 @@
 from corianderport_tier.process import service_searchers
 
 from . import entries
+from . import placement_cases
 from . import placement_simulation
 
 _SECONDS = 60.0
@@ -240,21 +240,7 @@
     jobs = list(itertools.product(CASES, CHARGES, range(_SEEDS)))
     with concurrent.futures.ProcessPoolExecutor(_PROCESSES) as executor:
         results = dict(zip(jobs, executor.map(_run_job, jobs), strict=True))
-    lines = [f'| case | requests | {" | ".join(CHARGES)} |']
-    lines.append('| --- | --- | --- | --- | --- |')
-    for name, case in CASES.items():
-        for kind in case.kinds:
-            cells = [
-                _cell(
-                    [
-                        results[name, charge, seed][kind.name]
-                        for seed in range(_SEEDS)
-                    ]
-                )
-                for charge in CHARGES
-            ]
-            lines.append(f'| {name} | {kind.name} | {" | ".join(cells)} |')
-    sys.stdout.write('\n'.join(lines) + '\n')
+    placement_cases.write_table(CASES, CHARGES, results, _cell, _SEEDS)
 
 
 if __name__ == '__main__':
--- a/tests/tier/placement_cases.py
+++ b/tests/tier/placement_cases.py
@@ -4,10 +4,12 @@
 prints the table of docs/measurements.md.
 """
 
+import collections.abc
 import concurrent.futures
 import random
 import statistics
 import sys
+import typing
 
 import attrs
 
@@ -151,6 +153,35 @@
     return ' / '.join(f'{figure:.1f}' for figure in figures)
 
 
+def write_table(
+    cases: collections.abc.Mapping[str, placement_simulation.Case],
+    variants: collections.abc.Sequence[str],
+    results: collections.abc.Mapping[tuple[str, str, int], typing.Any],
+    cell: collections.abc.Callable[[list[typing.Any]], str],
+    seeds: int,
+) -> None:
+    """Write a line for each kind of request of each case.
+
+    :param results: results by kind, for each case, variant and seed.
+    :param cell: combines the results of all seeds.
+    """
+    lines = [f'| case | requests | {" | ".join(variants)} |']
+    lines.append(f'| --- | --- |{" --- |" * len(variants)}')
+    for name, case in cases.items():
+        for kind in case.kinds:
+            cells = [
+                cell(
+                    [
+                        results[name, variant, seed][kind.name]
+                        for seed in range(seeds)
+                    ]
+                )
+                for variant in variants
+            ]
+            lines.append(f'| {name} | {kind.name} | {" | ".join(cells)} |')
+    sys.stdout.write('\n'.join(lines) + '\n')
+
+
 def main() -> None:
     """Print the table: mean, median and p99 in ms, medians of the seeds."""
     jobs = [
@@ -161,21 +192,7 @@
     ]
     with concurrent.futures.ProcessPoolExecutor(_PROCESSES) as executor:
         results = dict(zip(jobs, executor.map(_run_job, jobs), strict=True))
-    lines = ['| case | requests | least-loaded | expected-finish |']
-    lines.append('| --- | --- | --- | --- |')
-    for name, case in CASES.items():
-        for kind in case.kinds:
-            cells = [
-                _cell(
-                    [
-                        results[name, policy, seed][kind.name]
-                        for seed in range(_SEEDS)
-                    ]
-                )
-                for policy in POLICIES
-            ]
-            lines.append(f'| {name} | {kind.name} | {" | ".join(cells)} |')
-    sys.stdout.write('\n'.join(lines) + '\n')
+    write_table(CASES, POLICIES, results, _cell, _SEEDS)
 
 
 if __name__ == '__main__':
