--- a/packages/tier/src/corianderport_tier/process/expected_finish.py
+++ b/packages/tier/src/corianderport_tier/process/expected_finish.py
@@ -41,7 +41,8 @@
         """Return the weighted seconds until the request is finished."""
         expected_s = request.expected_s
         cost = (
-            self.reply_s(searcher, request, now_s)
+            (searcher.outstanding_s(now_s) / searcher.slots + expected_s)
+            * searcher.relative_latency(now_s)
             * searcher.failure_factor
             * searcher.distance_factor
         )
@@ -60,14 +61,3 @@
     def reference_s(self, request: RequestClass) -> float:
         """Return the expected run time of the class."""
         return request.expected_s
-
-    def reply_s(
-        self,
-        searcher: placement.Searcher,
-        request: RequestClass,
-        now_s: float,
-    ) -> float:
-        """Return the seconds until the request is expected to be finished."""
-        return (
-            searcher.outstanding_s(now_s) / searcher.slots + request.expected_s
-        ) * searcher.relative_latency(now_s)
--- a/packages/tier/src/corianderport_tier/process/placement.py
+++ b/packages/tier/src/corianderport_tier/process/placement.py
@@ -89,14 +89,6 @@
         The latency of a searcher is measured relative to it.
         """
 
-    def reply_s(
-        self, searcher: Searcher, request: RequestClass, now_s: float
-    ) -> float | None:
-        """Return the seconds until the reply to one more request.
-
-        None if the policy makes no such estimate.
-        """
-
 
 class LeastLoaded:
     """Rates by the number of requests in flight and the relative latency.
@@ -124,12 +116,6 @@
         """Return the median latency of the route."""
         return request.median_s
 
-    def reply_s(
-        self, searcher: Searcher, request: RequestClass, now_s: float
-    ) -> float | None:
-        """Make no estimate."""
-        return None
-
 
 def _expected_finish() -> PlacementPolicy:
     # Most deployments never use it.
--- a/packages/tier/src/corianderport_tier/process/send_choice.py
+++ b/packages/tier/src/corianderport_tier/process/send_choice.py
@@ -17,8 +17,7 @@
     """A chosen searcher and the key of the send.
 
     ``expected_s`` is the expected run time of the request, and
-    ``outstanding_s`` the searcher's outstanding work before it. ``reply_s`` is
-    the expected time until the reply, None if the policy does not estimate it.
+    ``outstanding_s`` the searcher's outstanding work before it.
     ``workspace`` is None for a request without a workspace.
     """
 
@@ -27,6 +26,5 @@
     policy: placement.PlacementPolicy
     expected_s: float
     outstanding_s: float
-    reply_s: float | None
     request_class: cost_estimates.RequestClass
     workspace: str | None
--- a/packages/tier/src/corianderport_tier/process/service_searchers.py
+++ b/packages/tier/src/corianderport_tier/process/service_searchers.py
@@ -172,22 +172,6 @@
             self._serve_waiting(now_s)
             return self._choose(excluded, request_class, workspace, now_s)
 
-    def least_reply_s(
-        self, request_class: cost_estimates.RequestClass
-    ) -> float | None:
-        """Return the expected time until a reply if no searcher were full.
-
-        None if the policy does not estimate it, or without searchers.
-        """
-        now_s = self._clock.monotonic()
-        with self._lock:
-            estimates_s = [
-                self._policy.reply_s(state, request_class, now_s)
-                for state in self._states.values()
-                if state.may_receive(now_s)
-            ]
-        return min((e for e in estimates_s if e is not None), default=None)
-
     def ratings(
         self, request_class: cost_estimates.RequestClass
     ) -> ratings.ServiceRatings:
@@ -341,7 +325,6 @@
             if rating < best_rating:
                 best, best_rating = state, rating
         outstanding_s = best.outstanding_s(now_s)
-        reply_s = policy.reply_s(best, request_class, now_s)
         self._next_key += 1
         best.start(
             self._next_key,
@@ -357,7 +340,6 @@
             policy,
             expected_s,
             outstanding_s,
-            reply_s,
             request_class,
             workspace,
         )
--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -20,7 +20,6 @@
 from corianderport_tier.process import unanswered_sends
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
-from corianderport_tier.request import first_sends
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import gather_progress
@@ -149,9 +148,8 @@
         ):
             try:
                 self._create_parts()
-                first_sends.send(
-                    self._parts, self._progress().spare, self._host.rng
-                )
+                for part in self._parts:
+                    part.send_first()
                 return self._await_answer()
             finally:
                 for part in self._parts:
@@ -293,11 +291,8 @@
                     progress.pending > 0 and self._enough_at_goal(progress)
                 )
                 return self._merged(target)
-        elif progress.out_of_reach or self._goal_reached:
-            if self._send_deferred():
-                return None
-            if progress.out_of_reach:
-                return self._coverage_failure(progress)
+        elif progress.out_of_reach:
+            return self._coverage_failure(progress)
         if self._answer_by.passed(self._clock):
             return self._deadline_failure()
         return None
@@ -306,13 +301,6 @@
     def _goal_reached(self) -> bool:
         return self._clock.monotonic() >= self.goal_s
 
-    def _send_deferred(self) -> bool:
-        """Send the deferred parts; return False if there are none."""
-        deferred = [p for p in self._parts if p.state is PartState.DEFERRED]
-        for part in deferred:
-            part.send_deferred()
-        return bool(deferred)
-
     def _enough_at_goal(
         self, progress: gather_progress.GatherProgress
     ) -> bool:
--- a/packages/tier/src/corianderport_tier/request/gather_progress.py
+++ b/packages/tier/src/corianderport_tier/request/gather_progress.py
@@ -43,12 +43,6 @@
         possible = self.answered + self.pending
         return possible < self.min_coverage * self.total
 
-    @property
-    def spare(self) -> int:
-        """Parts without which there would still be enough for an answer."""
-        needed = math.ceil(self.min_coverage * self.total)
-        return max(0, self.answered + self.pending - max(1, needed))
-
     @property
     def lacking(self) -> int:
         """Parts that must still answer before there is an answer."""
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -15,7 +15,6 @@
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
-from corianderport_tier.request import deferral
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import hedge_timing
@@ -40,8 +39,6 @@
     """State of a part."""
 
     PENDING = 'pending'
-    # Left out for now; sent if the other parts do not suffice.
-    DEFERRED = 'deferred'
     ANSWERED = 'answered'
     FAILED = 'failed'
 
@@ -147,23 +144,12 @@
         """Time at which a pause ends that the part waits for."""
         return self._waits.resume_at_s
 
-    def send_first(self, may_defer: bool = False) -> None:
-        """Start the first attempt.
-
-        :param may_defer: whether the part may be left out for now if its reply
-            is expected late.
-        """
+    def send_first(self) -> None:
+        """Start the first attempt."""
         if self._workspace is not None:
             self.service.arrive(self._workspace, self._class.calm_s)
-        self._send(may_defer=may_defer)
-        if self.state is not PartState.DEFERRED:
-            self.service.count_request(self._workspace)
-
-    def send_deferred(self) -> None:
-        """Start the first attempt of a deferred part."""
-        self.state = PartState.PENDING
-        self._send()
         self.service.count_request(self._workspace)
+        self._send()
 
     def hedge(self, among_last: bool) -> bool:
         """Send to another searcher because the response is late.
@@ -298,16 +284,10 @@
     ) -> service_searchers.Choice | service_searchers.NoChoice:
         return self.service.choose(excluded, self._class, self._workspace)
 
-    def _send(
-        self,
-        failed: part_waits.LastFailure = None,
-        may_defer: bool = False,
-    ) -> None:
+    def _send(self, failed: part_waits.LastFailure = None) -> None:
         choice = self._choose(self._history.tried)
         if choice is service_searchers.NoChoice.ALL_TRIED and failed:
             choice = self._choose(())
-        if may_defer and self._defers(choice):
-            return
         if isinstance(choice, service_searchers.NoChoice):
             self._on_no_choice(choice, failed)
             return
@@ -327,24 +307,6 @@
             return
         self._start(choice, hedge=False)
 
-    def _defers(
-        self, choice: service_searchers.Choice | service_searchers.NoChoice
-    ) -> bool:
-        """Leave the part out for now if its reply is expected late."""
-        if isinstance(choice, service_searchers.NoChoice):
-            if choice is not service_searchers.NoChoice.FULL:
-                return False
-            reply_s = self.service.least_reply_s(self._class)
-        else:
-            reply_s = choice.reply_s
-        if not deferral.is_late(reply_s, self._request.deadline, self._clock):
-            return False
-        if isinstance(choice, service_searchers.Choice):
-            self.service.take_back(choice)
-        self.state = PartState.DEFERRED
-        self._log.deferred()
-        return True
-
     def _start(self, choice: service_searchers.Choice, hedge: bool) -> None:
         call = forward_messages.SearcherCall(
             self._request.request_id,
--- a/packages/tier/src/corianderport_tier/request/part_log.py
+++ b/packages/tier/src/corianderport_tier/request/part_log.py
@@ -40,10 +40,6 @@
         """Count a malformed reply; the line of the send has the reason."""
         self._log.count(_REPLY_INVALID)
 
-    def deferred(self) -> None:
-        """Record that the part is left out for now."""
-        self.record('deferred', self._service, 'the reply is expected late')
-
     def another_send(self, searcher: str, hedge: bool) -> None:
         """Record a send after the first one."""
         self.record(_SEND_KINDS[hedge], searcher, 'another searcher')
--- a/packages/tier/src/corianderport_tier/request/task_summaries.py
+++ b/packages/tier/src/corianderport_tier/request/task_summaries.py
@@ -13,10 +13,6 @@
 __all__ = ['describe']
 
 PartState = part_module.PartState
-_WAITING_REASONS = {
-    PartState.PENDING: 'waiting',
-    PartState.DEFERRED: 'deferred',
-}
 
 
 def describe(
@@ -27,9 +23,7 @@
 ) -> dict[str, object]:
     """Return the fields of the decision line of an answer."""
     reasons = collections.Counter(
-        _WAITING_REASONS.get(p.state, '')
-        if p.failure is None
-        else p.failure.detail
+        'waiting' if p.failure is None else p.failure.detail
         for p in parts
         if p.state is not PartState.ANSWERED
     )
