Serve waiting sends by urgency only where the setting asks for it

The order by urgency took effect wherever priorities differ, which is so on most deployments. CORIANDERPORT_SEND_ORDER selects the order; the default is that of arrival.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -39,6 +39,7 @@
 from corianderport_tier.process import registry_relay
 from corianderport_tier.process import registry_source
 from corianderport_tier.process import running_requests
+from corianderport_tier.process import send_order
 from corianderport_tier.process import service_searchers
 from corianderport_tier.process import store_freshness
 from corianderport_tier.process import workspace_activity
@@ -103,8 +104,9 @@
         )
         self._placement = placement.PlacementSetting(settings.placement)
         self._dialer = adapter.dialer(clock, settings.limits.reply_bytes)
+        self._order = send_order.OrderSetting(settings.send_order)
         self._directory = directory.Directory(
-            self._open_service, clock, self._log
+            self._open_service, clock, self._log, self._order
         )
         self._freshness = store_freshness.StoreFreshness(
             clock,
@@ -280,6 +282,7 @@
         self._freshness.set_revoke_s(settings.revoke_s)
         self._quotas.set_bounds(settings.quota)
         self._placement.value = settings.placement
+        self._order.value = settings.send_order
         self._reader.set_watch_s(settings.watch_s)
         self._settings = settings
         self._directory.refresh()
--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -12,6 +12,7 @@
 from corianderport_tier.process import placement
 from corianderport_tier.process import quota_bucket
 from corianderport_tier.process import registry_relay
+from corianderport_tier.process import send_order
 
 __all__ = ['EntrySettings']
 
@@ -29,7 +30,8 @@
     what is known is not checked. ``first_start`` is True only when all hosts
     of the deployment start for the first time. ``quota`` bounds the requests
     of workspaces over all hosts; None if they are not limited.
-    ``placement`` is one of ``placement.SETTINGS``.
+    ``placement`` is one of ``placement.SETTINGS``, and ``send_order`` one of
+    ``send_order.SETTINGS``.
     """
 
     host: str
@@ -51,6 +53,7 @@
         host_bounds.HostBounds.from_machine
     )
     placement: str = placement.AUTO
+    send_order: str = send_order.ARRIVAL
     log_level: str = 'INFO'
     revoke_s: float | None = None
     quota: quota_bucket.QuotaBounds | None = None
--- a/packages/tier/src/corianderport_tier/process/directory.py
+++ b/packages/tier/src/corianderport_tier/process/directory.py
@@ -14,6 +14,7 @@
 
 from corianderport_tier import clocks
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import send_order
 from corianderport_tier.process import service_searchers
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
@@ -43,6 +44,8 @@
     """Holds the newest entries and keeps the services up to date.
 
     :param create_service: creates the state of a new service.
+    :param order: order of the sends that wait for capacity; a changed value
+        takes effect with the next ``refresh``.
     """
 
     def __init__(
@@ -50,8 +53,10 @@
         create_service: ServiceFactory,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
+        order: send_order.OrderSetting | None = None,
     ) -> None:
         self._create_service = create_service
+        self._order = order or send_order.OrderSetting()
         self._clock = clock
         self._log = log
         self._lock = threading.Lock()
@@ -324,7 +329,9 @@
             self._routing.mixed_rank_services if self._routing else frozenset()
         )
         by_urgency: frozenset[str] = (
-            self._routing.services_by_urgency if self._routing else frozenset()
+            self._routing.services_by_urgency
+            if self._routing and self._order.value == send_order.URGENCY
+            else frozenset()
         )
         names = usable.keys() | parameters.keys()
         services = dict(self._services)
--- a/packages/tier/src/corianderport_tier/process/send_order.py
+++ b/packages/tier/src/corianderport_tier/process/send_order.py
@@ -16,6 +16,8 @@
 __all__ = [
     'ARRIVAL',
     'ArrivalOrder',
+    'OrderSetting',
+    'SETTINGS',
     'SendOrder',
     'URGENCY',
     'Urgency',
@@ -26,6 +28,8 @@
 
 ARRIVAL = 'arrival'
 URGENCY = 'urgency'
+# Values of the setting ``send_order``.
+SETTINGS = (ARRIVAL, URGENCY)
 
 # Fraction of the route's timeout after which a waiting send is served before
 # all that came after it, whatever their urgency.
@@ -216,3 +220,14 @@
 def order(name: str) -> SendOrder:
     """Return an empty order of this name."""
     return _ORDERS[name]()
+
+
+@attrs.define
+class OrderSetting:
+    """The setting in force; ``value`` is one of ``SETTINGS``.
+
+    ``URGENCY`` applies to services whose requests may have different
+    priorities.
+    """
+
+    value: str = ARRIVAL
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -276,6 +276,20 @@
     assert settings.load(environment).placement == expected
 
 
+@pytest.mark.parametrize(
+    ('variable', 'expected'), [(None, 'arrival'), ('urgency', 'urgency')]
+)
+def test_send_order(
+    tmp_path: pathlib.Path, variable: str | None, expected: str
+) -> None:
+    """Guards against a changed order of sends where none is set."""
+    (tmp_path / 'x').write_text(TEXT)
+    environment = {settings.PATH_VARIABLE: str(tmp_path / 'x')}
+    if variable is not None:
+        environment['CORIANDERPORT_SEND_ORDER'] = variable
+    assert settings.load(environment).send_order == expected
+
+
 def test_unknown_placement_is_named(tmp_path: pathlib.Path) -> None:
     """Guards against a host that ignores a misspelt policy."""
     (tmp_path / 'x').write_text(TEXT)
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -17,6 +17,7 @@
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import send_order
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
@@ -112,6 +113,7 @@
         *host_routes: routes.Route,
         replicas: int = 3,
         open_pool: service_searchers.OpenPool | None = None,
+        order: str = send_order.ARRIVAL,
     ) -> None:
         self.clock = clock_module.ManualClock()
         self.sends: queue.Queue[forward_send.SendAttempt] = queue.Queue()
@@ -131,6 +133,7 @@
             ),
             self.clock,
             decision_log.DecisionLog(),
+            send_order.OrderSetting(order),
         )
         self.forwarder = forwarding.Forwarder(
             self.directory, self.clock, decision_log.DecisionLog(), rng
--- a/tests/tier/test_send_order.py
+++ b/tests/tier/test_send_order.py
@@ -355,15 +355,19 @@
 
 
 @pytest.mark.parametrize(
-    ('census_rank', 'expected'),
-    [(1, ['find', 'census']), (0, ['census', 'find'])],
+    ('order', 'census_rank', 'expected'),
+    [
+        (send_order.URGENCY, 1, ['find', 'census']),
+        (send_order.URGENCY, 0, ['census', 'find']),
+        (send_order.ARRIVAL, 1, ['census', 'find']),
+    ],
 )
 def test_urgent_request_is_sent_before_a_waiting_census(
-    census_rank: int, expected: list[str]
+    order: str, census_rank: int, expected: list[str]
 ) -> None:
     """Guards against an order that requests do not follow.
 
-    With equal priorities, the order of arrival stays.
+    Without the setting or with equal priorities, the order of arrival stays.
     """
     host = test_forwarding.Host(
         entries.route(rank=0, timeout_s=20.0, goal_s=1.0),
@@ -375,6 +379,7 @@
             goal_s=5.0,
         ),
         replicas=1,
+        order=order,
     )
     service = host.directory.service('stock')
     assert service is not None
