Serve by urgency by default where the placement by expected finish is used

With the order of arrival as the default, deployments whose urgent requests compete with others would lose the order that they ask for by a route of the highest priority. The value auto applies it there, as the placement does; other deployments keep the order of arrival.

--- a/packages/daemon/src/corianderport_daemon/process/entry_settings.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_settings.py
@@ -53,7 +53,7 @@
         host_bounds.HostBounds.from_machine
     )
     placement: str = placement.AUTO
-    send_order: str = send_order.ARRIVAL
+    send_order: str = send_order.AUTO
     log_level: str = 'INFO'
     revoke_s: float | None = None
     quota: quota_bucket.QuotaBounds | None = None
--- a/packages/tier/src/corianderport_tier/process/directory.py
+++ b/packages/tier/src/corianderport_tier/process/directory.py
@@ -329,8 +329,8 @@
             self._routing.mixed_rank_services if self._routing else frozenset()
         )
         by_urgency: frozenset[str] = (
-            self._routing.services_by_urgency
-            if self._routing and self._order.value == send_order.URGENCY
+            self._order.services_by_urgency(self._routing)
+            if self._routing
             else frozenset()
         )
         names = usable.keys() | parameters.keys()
--- a/packages/tier/src/corianderport_tier/process/send_order.py
+++ b/packages/tier/src/corianderport_tier/process/send_order.py
@@ -12,9 +12,11 @@
 
 from corianderport_tier.process import cost_estimates
 from corianderport_tier.process import send_choice
+from corianderport_tier.version import routes
 
 __all__ = [
     'ARRIVAL',
+    'AUTO',
     'ArrivalOrder',
     'OrderSetting',
     'SETTINGS',
@@ -26,10 +28,11 @@
     'order',
 ]
 
+AUTO = 'auto'
 ARRIVAL = 'arrival'
 URGENCY = 'urgency'
 # Values of the setting ``send_order``.
-SETTINGS = (ARRIVAL, URGENCY)
+SETTINGS = (AUTO, ARRIVAL, URGENCY)
 
 # Fraction of the route's timeout after which a waiting send is served before
 # all that came after it, whatever their urgency.
@@ -224,10 +227,16 @@
 
 @attrs.define
 class OrderSetting:
-    """The setting in force; ``value`` is one of ``SETTINGS``.
-
-    ``URGENCY`` applies to services whose requests may have different
-    priorities.
-    """
-
-    value: str = ARRIVAL
+    """The setting in force; ``value`` is one of ``SETTINGS``."""
+
+    value: str = AUTO
+
+    def services_by_urgency(
+        self, routing: routes.RoutingVersion
+    ) -> frozenset[str]:
+        """Return the services whose waiting sends are served by urgency."""
+        if self.value == ARRIVAL:
+            return frozenset()
+        if self.value == URGENCY:
+            return routing.services_by_urgency
+        return routing.services_by_urgency & routing.mixed_rank_services
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -277,7 +277,7 @@
 
 
 @pytest.mark.parametrize(
-    ('variable', 'expected'), [(None, 'arrival'), ('urgency', 'urgency')]
+    ('variable', 'expected'), [(None, 'auto'), ('urgency', 'urgency')]
 )
 def test_send_order(
     tmp_path: pathlib.Path, variable: str | None, expected: str
--- a/tests/tier/test_forwarding.py
+++ b/tests/tier/test_forwarding.py
@@ -113,7 +113,7 @@
         *host_routes: routes.Route,
         replicas: int = 3,
         open_pool: service_searchers.OpenPool | None = None,
-        order: str = send_order.ARRIVAL,
+        order: str = send_order.AUTO,
     ) -> None:
         self.clock = clock_module.ManualClock()
         self.sends: queue.Queue[forward_send.SendAttempt] = queue.Queue()
--- a/tests/tier/test_send_order.py
+++ b/tests/tier/test_send_order.py
@@ -354,10 +354,35 @@
     assert routing.services_by_urgency == by_urgency
 
 
+@pytest.mark.parametrize(
+    ('value', 'rank', 'by_urgency'),
+    [
+        (send_order.AUTO, 0, {'both'}),
+        (send_order.AUTO, 1, set()),
+        (send_order.URGENCY, 1, {'both'}),
+        (send_order.ARRIVAL, 0, set()),
+    ],
+)
+def test_order_of_a_service(
+    value: str, rank: int, by_urgency: set[str]
+) -> None:
+    """Guards against an order that a configuration does not ask for.
+
+    Without a route of the highest priority, requests of low priority lost
+    more than the others gained.
+    """
+    routing = _routing(
+        entries.route(('both', 'one'), name='a', rank=rank),
+        entries.route(('both', 'two'), name='b', rank=2),
+    )
+    setting = send_order.OrderSetting(value)
+    assert setting.services_by_urgency(routing) == by_urgency
+
+
 @pytest.mark.parametrize(
     ('order', 'census_rank', 'expected'),
     [
-        (send_order.URGENCY, 1, ['find', 'census']),
+        (send_order.AUTO, 1, ['find', 'census']),
         (send_order.URGENCY, 0, ['census', 'find']),
         (send_order.ARRIVAL, 1, ['census', 'find']),
     ],
@@ -367,7 +392,7 @@
 ) -> None:
     """Guards against an order that requests do not follow.
 
-    Without the setting or with equal priorities, the order of arrival stays.
+    With that setting or equal priorities, the order of arrival stays.
     """
     host = test_forwarding.Host(
         entries.route(rank=0, timeout_s=20.0, goal_s=1.0),
