Read a reply without polling its socket a second time

The task of a connection waits until its socket is readable, and the exchange polled it again before each read. It reads first now, after a look at the deadline.

--- a/packages/tier/src/corianderport_tier/process/byte_budget.py
+++ b/packages/tier/src/corianderport_tier/process/byte_budget.py
@@ -32,7 +32,9 @@
         self._total_bytes = total_bytes
         self._unreserved_bytes = int(total_bytes * (1 - _RESERVED_SHARE))
         self._clock = clock
-        self._condition = threading.Condition()
+        self._lock = threading.Lock()
+        self._released = threading.Condition(self._lock)
+        self._waiting = 0
         self._used_bytes = 0
 
     @property
@@ -51,7 +53,7 @@
         Wait up to ``wait_s`` for other requests to release theirs; return
         False if the bytes are not available.
         """
-        with self._condition:
+        with self._lock:
             if not self._available(amount, held) and not self._await(
                 amount, held, wait_s
             ):
@@ -61,14 +63,15 @@
 
     def charge_in_any_case(self, amount: int) -> None:
         """Add bytes that are stored already."""
-        with self._condition:
+        with self._lock:
             self._used_bytes += amount
 
     def release(self, amount: int) -> None:
         """Return bytes of a request."""
-        with self._condition:
+        with self._lock:
             self._used_bytes -= amount
-            self._condition.notify_all()
+            if self._waiting:
+                self._released.notify_all()
 
     def _await(self, amount: int, held: int, wait_s: float) -> bool:
         until = deadlines.Deadline.after(self._clock, wait_s)
@@ -76,7 +79,11 @@
             left_s = until.remaining(self._clock)
             if left_s <= 0:
                 return False
-            self._clock.wait(self._condition, left_s)
+            self._waiting += 1
+            try:
+                self._clock.wait(self._released, left_s)
+            finally:
+                self._waiting -= 1
         return True
 
     def _available(self, amount: int, held: int) -> bool:
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -251,11 +251,14 @@
 
     def _receive(self, deadline: deadlines.Deadline) -> bytes:
         while True:
-            _wait(self._read_poll, self._remaining_ms(deadline))
+            remaining_ms = self._remaining_ms(deadline)
+            if remaining_ms <= 0:
+                raise TimeoutError('the deadline has passed')
             try:
+                # Most tasks have waited for the reply before.
                 return self._socket.recv(_RECEIVE_BYTES)
             except BlockingIOError:
-                continue
+                _wait(self._read_poll, remaining_ms)
 
     def _remaining_ms(self, deadline: deadlines.Deadline) -> float:
         return deadline.remaining(self._clock) * 1e3
