Charge what rejected requests, dropped bodies and trailers hold

The charge of a rejected request ended before its response was written, while the error and its traceback kept the body until the connection had lingered, up to 11 s. A body that no route needs was not charged at all, so that incomplete chunk lines of up to 32 KB, which the parser and the check of its lines hold each, were in no budget. Trailers were charged as bytes, although short fields take 25 times as much.

The reader and the error are dropped before a rejection is written, and what the parser has not parsed stays charged. A dropped body is charged as it arrives and released once it is parsed, but for the incomplete part of its framing. The copy of an incomplete line and the fields of trailers are charged in addition.

--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -227,28 +227,13 @@
         )
         # The bytes of the surplus are charged again as part of the request.
         self._charge.reduce_to(0)
-        try:
-            request = reader.receive(received, self._read)
-        except caller_messages.RequestRejected as rejected:
-            self._reject(parser, rejected)
-            return False
-        except h11.RemoteProtocolError as error:
-            # An error in the head or the body is raised as RequestRejected.
-            self._serving.events.record(
-                'caller_protocol_error', str(error), error
-            )
-            self._reject(parser, caller_messages.RequestRejected(_BAD_REQUEST))
-            return False
-        except byte_charge.BudgetExceeded:
-            self._serving.events.record('caller_bytes_refused')
-            retry_after_s = self._serving.refusals.retry_after_s()
-            self._reject(
-                parser,
-                caller_messages.RequestRejected(_UNAVAILABLE, retry_after_s),
-            )
-            return False
+        request = self._receive_request(reader, received)
         if request is None:
             return False
+        if isinstance(request, caller_messages.RequestRejected):
+            del reader
+            self._reject(parser, request)
+            return False
         self._on_sent = None
         self._begin(Phase.RUNNING)
         response = self._serve(request)
@@ -267,6 +252,34 @@
             on_sent()
         return not closing and parser.reusable
 
+    def _receive_request(
+        self, reader: request_reader.RequestReader, received: bytes
+    ) -> (
+        caller_messages.ReceivedRequest
+        | caller_messages.RequestRejected
+        | None
+    ):
+        """Return the request, why it is rejected, or None at the end.
+
+        Raised errors refer to the reader, so that none is kept while the
+        caller reads the response.
+        """
+        try:
+            return reader.receive(received, self._read)
+        except caller_messages.RequestRejected as rejected:
+            return attrs.evolve(rejected)
+        except h11.RemoteProtocolError as error:
+            # An error in the head or the body is raised as RequestRejected.
+            self._serving.events.record(
+                'caller_protocol_error', str(error), error
+            )
+            return caller_messages.RequestRejected(_BAD_REQUEST)
+        except byte_charge.BudgetExceeded:
+            self._serving.events.record('caller_bytes_refused')
+            return caller_messages.RequestRejected(
+                _UNAVAILABLE, self._serving.refusals.retry_after_s()
+            )
+
     def _serve(
         self, request: caller_messages.ReceivedRequest
     ) -> HttpResponse | None:
@@ -295,7 +308,8 @@
         parser: request_parser.RequestParser,
         rejected: caller_messages.RequestRejected,
     ) -> None:
-        self._charge.reduce_to(0)
+        # The parser keeps what it has not parsed until the connection ends.
+        self._charge.reduce_to(len(parser.surplus))
         self._writer.respond(parser, rejected.response, True)
         self._begin(Phase.LINGERING)
         self._socket.shutdown(socket.SHUT_WR)
--- a/packages/wire/src/corianderport_wire/connection/request_framing.py
+++ b/packages/wire/src/corianderport_wire/connection/request_framing.py
@@ -82,6 +82,19 @@
         self._chunk_bytes = 0
         self._in_trailers = False
         self._ended = False
+        # Lines of the trailer section, and their bytes.
+        self.trailer_lines = 0
+        self._trailer_bytes = 0
+
+    @property
+    def line_bytes(self) -> int:
+        """Bytes of the incomplete line, which are held here."""
+        return len(self._line)
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes that a parser holds until the line or trailers end."""
+        return len(self._line) + self._trailer_bytes
 
     def check(self, received: bytes) -> None:
         """Check further bytes.
@@ -108,6 +121,8 @@
         if _BARE_LINE_BREAK.search(line):
             raise caller_messages.RequestRejected(BAD_REQUEST)
         if self._in_trailers:
+            self.trailer_lines += 1
+            self._trailer_bytes += len(line)
             self._ended = line == _EMPTY_LINE
             return
         size = _CHUNK_SIZE.match(line)
--- a/packages/wire/src/corianderport_wire/connection/request_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/request_parser.py
@@ -57,6 +57,24 @@
         """Bytes received after the end of the request."""
         return self._protocol.trailing_data[0]
 
+    @property
+    def line_bytes(self) -> int:
+        """Bytes of an incomplete line of the framing, held a second time."""
+        lines = self._chunk_lines
+        return 0 if lines is None else lines.line_bytes
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes of the framing that are held until they are complete."""
+        lines = self._chunk_lines
+        return 0 if lines is None else lines.incomplete_bytes
+
+    @property
+    def trailer_lines(self) -> int:
+        """Number of lines of the trailers so far."""
+        lines = self._chunk_lines
+        return 0 if lines is None else lines.trailer_lines
+
     @property
     def reusable(self) -> bool:
         """Whether the connection may carry another request."""
--- a/packages/wire/src/corianderport_wire/connection/request_reader.py
+++ b/packages/wire/src/corianderport_wire/connection/request_reader.py
@@ -54,6 +54,10 @@
         self._head: caller_messages.RequestHead | None = None
         self._body = io.BytesIO()
         self._body_wanted: bool | None = None
+        # What is charged for the head, and for the objects of the framing
+        # besides its received bytes.
+        self._head_charge = 0
+        self._framing_charge = 0
 
     def receive(
         self, received: bytes, read: CallerBytes
@@ -71,6 +75,7 @@
         while True:
             event = self._parser.next_event()
             if event is None:
+                self._release_dropped()
                 interim = b''
                 if self._parser.awaits_continue:
                     interim = b''.join(self._parser.encode(_CONTINUE))
@@ -78,6 +83,7 @@
             elif isinstance(event, caller_messages.RequestHead):
                 deadline = self._deadline_after(self._limits.idle_timeout_s)
                 self._head = event
+                self._head_charge = self._charge.held
             elif isinstance(event, h11.Data):
                 self._store(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -91,12 +97,34 @@
         amount = len(received)
         if self._head is None:
             amount += _FIELD_BYTES * received.count(b'\n')
-        elif self._body_wanted is False:
-            amount = 0
         else:
             amount += amount // _BUFFER_GROWTH
         self._charge.add(amount)
         self._parser.feed(received)
+        self._charge_framing()
+
+    def _charge_framing(self) -> None:
+        """Charge the copy of an incomplete line and the trailers' fields."""
+        charge = (
+            self._parser.line_bytes + _FIELD_BYTES * self._parser.trailer_lines
+        )
+        grown, self._framing_charge = charge - self._framing_charge, charge
+        if grown > 0:
+            self._charge.add(grown)
+        elif grown < 0:
+            self._charge.reduce_to(self._charge.held + grown)
+
+    def _release_dropped(self) -> None:
+        """Release what was charged for a body that is dropped.
+
+        The parser still holds what is incomplete of its framing.
+        """
+        if self._body_wanted is False:
+            self._charge.reduce_to(
+                self._head_charge
+                + self._framing_charge
+                + self._parser.incomplete_bytes
+            )
 
     def _store(self, data: bytes) -> None:
         assert self._head is not None
