Apply changed limits of a pool to connections that are idle

Cause: a connection's task read the idle time once, when its wait began, and the pool read the connection limit only when it opened a connection. After a change in the host's share, an idle connection outlasted a lower idle time or ended early under a higher one, and a pool kept more connections than its limit until they expired. Both kinds of connection were affected: that of a gather waits on its socket, which a change does not wake.

Change: the end of the idle time is calculated from the limits in force whenever it is checked: before a job is assigned, after each wait, and once a second during a wait. A lower idle time closes the connections that are past it at once, and a lower limit closes the idle ones beyond it; busy ones are closed after their job.

Two tests assumed that a wait has one time-out. The clock on which every wait times out now also advances, and the test of a server's idle time awaits a wait only where one is due.

--- a/packages/testkit/src/corianderport_testkit/clock.py
+++ b/packages/testkit/src/corianderport_testkit/clock.py
@@ -81,6 +81,11 @@
         with self._lock:
             self._lock.wait_for(lambda: len(self._waiters) >= count)
 
+    def waits_on(self, condition: threading.Condition) -> bool:
+        """Whether a wait with a timeout is pending on a condition."""
+        with self._lock:
+            return any(c is condition for _, c in self._waiters.values())
+
     @property
     def waiter_count(self) -> int:
         """Number of pending waits with a timeout."""
--- a/packages/tier/src/corianderport_tier/connection/direct_connection.py
+++ b/packages/tier/src/corianderport_tier/connection/direct_connection.py
@@ -136,14 +136,8 @@
     def _next(self) -> pooled_connection.Assignment[T] | None:
         transport = self._transport
         assert transport is not None
-        with self._condition:
-            self._waiting = self._may_wait
-        if self._waiting:
-            # If the reply to a written request is late, the job itself waits
-            # for it until its deadline.
-            transport.await_readable(self._idle_limit_s())
-        with self._condition:
-            self._waiting = False
+        while self._await_event(transport):
+            pass
         while not self._pool.remove_if_idle(self):
             with self._condition:
                 while self._being_written:
@@ -153,6 +147,21 @@
                     return self._take()
         return None
 
+    def _await_event(self, transport: T) -> bool:
+        """Wait on the socket; return whether to wait again.
+
+        If the reply to a written request is late, the job itself waits for it
+        until its deadline.
+        """
+        with self._condition:
+            self._waiting = self._may_wait
+            if not self._waiting:
+                return False
+        readable = transport.await_readable(self._idle_wait_s())
+        with self._condition:
+            self._waiting = False
+            return not readable and self._may_stay_idle
+
     @property
     def _may_wait(self) -> bool:
         if self._assigned is None:
--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -41,7 +41,8 @@
 class PoolLimits:
     """Limits of one pool.
 
-    A connection without a job for ``idle_s`` seconds is closed.
+    A connection without a job for ``idle_s`` seconds is closed. A change
+    applies to connections that are already idle.
     """
 
     connections: int
@@ -57,6 +58,13 @@
     return float('inf')
 
 
+def _close(
+    connections: collections.abc.Iterable[PooledConnection[typing.Any]],
+) -> None:
+    for connection in connections:
+        connection.close()
+
+
 class ConnectionPool(typing.Generic[T]):
     """Connections of this host to one address.
 
@@ -141,17 +149,35 @@
             self._start(connection)
 
     def limit_connections(self, limit: int) -> None:
-        """Set the maximum number of connections."""
-        self.limits = attrs.evolve(self.limits, connections=limit)
+        """Set the maximum number of connections.
+
+        Idle connections beyond it are closed at once, and busy ones after
+        their job.
+        """
+        if limit == self.limits.connections:
+            return
+        with self._lock:
+            self.limits = attrs.evolve(self.limits, connections=limit)
+            surplus = self._idle[: max(0, len(self._all) - limit)]
+            self._retire(surplus)
+        _close(surplus)
 
     def limit_idle_time(self, idle_s: float) -> None:
         """Set the time after which an idle connection is closed."""
-        self.limits = attrs.evolve(self.limits, idle_s=idle_s)
+        if idle_s == self.limits.idle_s:
+            return
+        with self._lock:
+            self.limits = attrs.evolve(self.limits, idle_s=idle_s)
+            now_s = self.clock.monotonic()
+            ended = [c for c in self._idle if c.idle_too_long(now_s)]
+            self._retire(ended)
+        _close(ended)
 
     def mark_idle(self, connection: PooledConnection[T]) -> None:
-        """Make a connection available for the next job."""
+        """Make a connection available for the next job, or close it."""
         with self._lock:
-            if self._closed:
+            if self._closed or len(self._all) > self.limits.connections:
+                self._retire([connection])
                 connection.close()
             else:
                 self._idle.append(connection)
@@ -163,22 +189,20 @@
             # connections.
             if connection.has_job:
                 return False
-            self._retire(connection)
+            self._retire([connection])
             return True
 
     def forget(self, connection: PooledConnection[T]) -> None:
         """Remove a connection whose task is ending."""
         with self._lock:
-            self._retire(connection)
+            self._retire([connection])
 
     def close_unverified(self, since_s: float) -> None:
         """Close idle connections without a reply after ``since_s``."""
         with self._lock:
             unverified = [c for c in self._idle if c.verified_s <= since_s]
-            for connection in unverified:
-                self._retire(connection)
-        for connection in unverified:
-            connection.close()
+            self._retire(unverified)
+        _close(unverified)
 
     def close(self) -> None:
         """Close idle connections now and busy ones after their job."""
@@ -197,11 +221,14 @@
         # The call may have been sent before the error.
         return errors.ConnectionBroken(f'connection task failed: {error!r}')
 
-    def _retire(self, connection: PooledConnection[T]) -> None:
-        """Stop counting a connection, whose task may still be closing it."""
-        self._all.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
+    def _retire(
+        self, connections: collections.abc.Iterable[PooledConnection[T]]
+    ) -> None:
+        """Stop counting connections, whose tasks may still be closing them."""
+        for connection in connections:
+            self._all.discard(connection)
+            if connection in self._idle:
+                self._idle.remove(connection)
 
     def _latest_idle(self, reuse: Reuse) -> PooledConnection[T] | None:
         """Return the permitted connection that was used last."""
--- a/packages/tier/src/corianderport_tier/connection/pooled_connection.py
+++ b/packages/tier/src/corianderport_tier/connection/pooled_connection.py
@@ -34,6 +34,11 @@
 T_co = typing.TypeVar('T_co', bound=Closeable, covariant=True)
 T_contra = typing.TypeVar('T_contra', contravariant=True)
 
+# A connection's idle time is read at least this often, since it may become
+# shorter while its task waits on a socket, which only an event of the socket
+# ends. With 200 idle connections, that takes 0.4% of a core.
+_IDLE_CHECK_S = 1.0
+
 
 class Job(typing.Protocol[T_contra]):
     """A call that is made on one connection of a pool."""
@@ -121,6 +126,9 @@
     def permitted_by(self, reuse: Reuse, now_s: float) -> bool:
         """Whether the idle connection may carry a job."""
 
+    def idle_too_long(self, now_s: float) -> bool:
+        """Whether the idle connection has to be closed."""
+
     def assign(self, job: Job[T_co], fresh: bool) -> None:
         """Assign the next job to the idle connection.
 
@@ -160,10 +168,14 @@
 
     def permitted_by(self, reuse: Reuse, now_s: float) -> bool:
         """Whether the idle connection may carry a job."""
-        return now_s < self._usable_until_s and reuse.permits(
+        return not self.idle_too_long(now_s) and reuse.permits(
             self._verified_s, self._transport
         )
 
+    def idle_too_long(self, now_s: float) -> bool:
+        """Whether the idle connection has to be closed."""
+        return now_s >= self._idle_until_s
+
     @property
     def has_job(self) -> bool:
         """Whether an assigned job has not started yet."""
@@ -272,14 +284,28 @@
 
     def _next(self) -> Assignment[T] | None:
         with self._condition:
-            if self._assigned is None and not self._closed:
-                self._pool.clock.wait(self._condition, self._idle_limit_s())
+            while self._may_stay_idle:
+                self._pool.clock.wait(self._condition, self._idle_wait_s())
         # A job can still be assigned until the pool removes the connection.
         return None if self._pool.remove_if_idle(self) else self._take()
 
-    def _idle_limit_s(self) -> float:
-        until_s = self._usable_until_s - self._pool.clock.monotonic()
-        return max(0.0, min(self._pool.idle_s, until_s))
+    @property
+    def _idle_until_s(self) -> float:
+        """When the connection is closed without a job, as limits are now."""
+        return min(self._verified_s + self._pool.idle_s, self._usable_until_s)
+
+    @property
+    def _may_stay_idle(self) -> bool:
+        return (
+            self._assigned is None
+            and not self._closed
+            and not self.idle_too_long(self._pool.clock.monotonic())
+        )
+
+    def _idle_wait_s(self) -> float:
+        """Return how long to wait before the limits are read again."""
+        left_s = self._idle_until_s - self._pool.clock.monotonic()
+        return max(0.0, min(left_s, _IDLE_CHECK_S))
 
     def _take(self) -> Assignment[T] | None:
         with self._condition:
--- a/tests/tier/test_pool.py
+++ b/tests/tier/test_pool.py
@@ -61,6 +61,7 @@
     def wait(
         self, condition: threading.Condition, timeout_s: float | None
     ) -> bool:
+        self._now_s += timeout_s or 0.0
         return False
 
 
@@ -260,7 +261,7 @@
             job = _Job()
             connections.submit(job)
             assert job.done.result(10.0) == 'reply'
-            if usable_s > 0:
+            if clock.monotonic() < until_s:
                 clock.await_waiters(1)
             clock.advance(max(0.0, usable_s))
         assert len(dialled) == 2
@@ -269,6 +270,101 @@
     assert all(t.closed for t in dialled)
 
 
+def _warm(
+    connections: pool.ConnectionPool[_Transport], count: int = 1
+) -> None:
+    """Leave idle connections behind."""
+    may_end = threading.Event()
+    jobs = [_Job(lambda: may_end.wait(10.0)) for _ in range(count)]
+    for job in jobs:
+        connections.submit(job)
+    may_end.set()
+    for job in jobs:
+        assert job.done.result(10.0) is True
+
+
+def test_idle_connection_keeps_the_idle_time_in_force() -> None:
+    """Guards against an idle time that was in force before a change.
+
+    A connection that is kept too long is closed by its server while a request
+    is sent; one that is closed too early has to be opened anew.
+    """
+    clock = manual.ManualClock()
+    dialled: list[_Transport] = []
+
+    def dial() -> _Transport:
+        dialled.append(_Transport())
+        return dialled[-1]
+
+    with concurrent.futures.ThreadPoolExecutor(4) as executor:
+        connections = pool.ConnectionPool(
+            dial, executor, clock, pool.PoolLimits(1, 20.0)
+        )
+        _warm(connections)
+        clock.await_waiters(1)
+        connections.limit_idle_time(40.0)
+        clock.advance(30.0)
+        _warm(connections)
+        assert len(dialled) == 1
+        clock.await_waiters(1)
+        clock.advance(5.0)
+        # The connection has been idle for longer than the new time.
+        connections.limit_idle_time(0.5)
+        assert connections.size == 0
+        _warm(connections)
+        assert len(dialled) == 2
+        connections.close()
+
+
+def test_expired_connection_is_not_used_before_its_task_wakes() -> None:
+    """Guards against a request on a connection that is being closed.
+
+    The connection's task has not noticed that the idle time is over.
+    """
+    clock = manual.ManualClock()
+    executor = _Deferred()
+    connections: pool.ConnectionPool[_Transport] = pool.ConnectionPool(
+        _Transport, executor, clock, pool.PoolLimits(2, 20.0)
+    )
+    task = threading.Thread(target=lambda: executor.calls.pop()(), daemon=True)
+    first = _Job()
+    connections.submit(first)
+    task.start()
+    assert first.done.result(10.0) == 'reply'
+    clock.await_waiters(1)
+    clock._now_s += 21.0
+    connections.submit(_Job())
+    # The second job opens a connection, whose task the executor still holds.
+    assert len(executor.calls) == 1
+    connections.close()
+    task.join(10.0)
+
+
+@pytest.mark.parametrize('busy', [0, 1, 3])
+def test_connections_beyond_a_lower_limit_are_closed(busy: int) -> None:
+    """Guards against more connections than the share of this host.
+
+    Idle connections are closed at once, and busy ones after their job.
+    """
+    may_end = threading.Event()
+    running = [_Job(lambda: may_end.wait(10.0)) for _ in range(busy)]
+    with concurrent.futures.ThreadPoolExecutor(4) as executor:
+        connections: pool.ConnectionPool[_Transport] = pool.ConnectionPool(
+            _Transport, executor, manual.ManualClock(), pool.PoolLimits(3)
+        )
+        _warm(connections, 3)
+        for job in running:
+            connections.submit(job)
+        connections.limit_connections(1)
+        assert connections.size == max(1, busy)
+        assert connections.idle == (0 if busy else 1)
+        may_end.set()
+        for job in running:
+            job.done.result(10.0)
+        assert connections.size == connections.idle == 1
+        connections.close()
+
+
 def _fail() -> object:
     raise ZeroDivisionError
 
