Write a request to a searcher once if an earlier start is late

Cause: a job that replaces an idle connection is assigned and then started by the submitting task. If the connection's idle time ends in between, its task takes and performs the job before that start. The late start then applied to the next job assigned to the connection, and the task that had assigned that one started it too: its request was written twice, also one that may run only once.

Change: a job that has been started is not started again.

--- a/packages/tier/src/corianderport_tier/connection/direct_connection.py
+++ b/packages/tier/src/corianderport_tier/connection/direct_connection.py
@@ -86,7 +86,10 @@
         """Write the assigned job's request on the calling task."""
         with self._condition:
             assignment, transport = self._assigned, self._transport
-            if assignment is None or transport is None:
+            # Another task may have started the assigned job: if this task is
+            # late, the job that it assigned has ended, and the next one is
+            # assigned. Starting that one again would send it twice.
+            if assignment is None or transport is None or self._started:
                 return
             if assignment.fresh:
                 self._wake()
--- a/tests/tier/test_direct_connection.py
+++ b/tests/tier/test_direct_connection.py
@@ -304,6 +304,61 @@
     direct.executor.shutdown()
 
 
+class _LateStart(direct_connection.DirectConnection[_Transport]):
+    """Connection whose first start goes on only when the test permits."""
+
+    begun = threading.Event()
+    permitted = threading.Event()
+    starts = 0
+
+    def start(self) -> None:
+        type(self).starts += 1
+        if self.starts == 1:
+            self.begun.set()
+            assert self.permitted.wait(_LONG_S)
+        super().start()
+
+
+def test_request_is_written_once_if_an_earlier_start_is_late() -> None:
+    """Guards against a request that is sent twice.
+
+    The task that assigned a job goes on only after the connection's task has
+    performed it, because the idle time had ended, and a second job has been
+    assigned and started.
+    """
+    direct = _Pool(1)
+    direct.pool.close()
+    direct.pool = pool.ConnectionPool(
+        direct._dial,
+        direct.executor,
+        direct.clock,
+        pool.PoolLimits(1, _IDLE_S),
+        open_connection=_LateStart,
+    )
+    direct.warm()
+    first, second = _Job(), _Job()
+    submitting = threading.Thread(
+        target=direct.pool.submit,
+        args=(first, pool.NEW_CONNECTION),
+        daemon=True,
+    )
+    submitting.start()
+    assert _LateStart.begun.wait(_LONG_S)
+    direct.clock.advance(_IDLE_S + 1.0)
+    assert first.done.result(_LONG_S) == 'reply'
+    transport = direct.transports[-1]
+    assert transport.waits.acquire(timeout=_LONG_S)
+    direct.pool.submit(second)
+    _LateStart.permitted.set()
+    submitting.join(_LONG_S)
+    assert second.transport is transport
+    assert transport.sends == 2
+    transport.make_readable()
+    assert second.done.result(_LONG_S) == 'reply'
+    direct.pool.close()
+    direct.executor.shutdown()
+
+
 class _Unsteady(_Transport):
     """Replies at once, and is closed by its server before each third send."""
 
