Do not mark a connection idle whose task has ended

Cause: if the idle time of a connection ends while the submitting task's send is refused, the connection's task removes it from the pool and ends before the submitting task marks it idle. It then stays in the list of idle connections, and a job that is to replace it at the connection limit is never performed or finished.

Change: a connection that the pool no longer counts is not marked idle.

Result: the new test finds one idle connection in a pool of size zero without the change and none with it.

--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -179,7 +179,9 @@
             if self._closed or len(self._all) > self.limits.connections:
                 self._retire([connection])
                 connection.close()
-            else:
+            # The task of a connection on which a send was refused may have
+            # ended meanwhile.
+            elif connection in self._all:
                 self._idle.append(connection)
 
     def remove_if_idle(self, connection: PooledConnection[T]) -> bool:
--- a/tests/tier/test_direct_connection.py
+++ b/tests/tier/test_direct_connection.py
@@ -10,6 +10,7 @@
 from corianderport_testkit import clock as manual
 from corianderport_tier.connection import direct_connection
 from corianderport_tier.connection import pool
+from corianderport_tier.connection import pooled_connection
 from corianderport_tier import errors
 
 _LONG_S = 20.0
@@ -304,6 +305,34 @@
     direct.executor.shutdown()
 
 
+def test_refused_send_leaves_no_connection_that_has_ended(
+    direct: _Pool,
+) -> None:
+    """Guards against a job for a connection whose task has ended.
+
+    The idle time ends while the send is refused, and the pool hears of the
+    refusal last. Nothing would run a job that is assigned then.
+    """
+    transport = direct.warm()
+    real = direct.pool.mark_idle
+
+    def mark_idle(
+        connection: pooled_connection.PooledConnection[_Transport],
+    ) -> None:
+        assert transport.closed.wait(_LONG_S)
+        real(connection)
+
+    def refuse() -> None:
+        direct.clock.advance(_IDLE_S + 1.0)
+        raise errors.DeadlinePast('too late')
+
+    direct.pool.mark_idle = mark_idle  # type: ignore[method-assign]
+    refused = _Job(start=refuse)
+    direct.pool.submit(refused)
+    assert isinstance(refused.done.result(0), errors.DeadlinePast)
+    assert direct.pool.size == direct.pool.idle == 0
+
+
 class _LateStart(direct_connection.DirectConnection[_Transport]):
     """Connection whose first start goes on only when the test permits."""
 
