Apply a changed share to all pools of a service

Cause: after a change in the number of hosts or in a service's limits, the connection limit was set only on the pool of the searcher that got the next request. The pools of the others kept more connections than the share until these expired.

Change: a new version, and the next request to any searcher of the service, set the limit on all of its pools.

--- a/packages/tier/src/corianderport_tier/process/upstream_services.py
+++ b/packages/tier/src/corianderport_tier/process/upstream_services.py
@@ -64,8 +64,7 @@
             if upstream_pool is None:
                 upstream_pool = self._new_pool(searcher)
                 self._pools[searcher.address] = upstream_pool
-            elif upstream_pool.limits.connections != self._connections:
-                upstream_pool.limit_connections(self._connections)
+            self._limit_connections()
             return upstream_pool
 
     def update(
@@ -82,6 +81,8 @@
         # Set last: it shows unlocked readers that the version has been
         # applied.
         self.service = service
+        with self._lock:
+            self._limit_connections()
         for removed_pool in removed_pools:
             removed_pool.close()
 
@@ -98,6 +99,12 @@
         """This host's share of the connections that a searcher accepts."""
         return max(1, self.service.limits.connections // self._hosts.count)
 
+    def _limit_connections(self) -> None:
+        """Apply this host's share to all pools, also to those not in use."""
+        connections = self._connections
+        for upstream_pool in self._pools.values():
+            upstream_pool.limit_connections(connections)
+
     def _new_pool(self, searcher: configuration.Searcher) -> UpstreamPool:
         return pool.ConnectionPool(
             lambda: self._dialer.dial(searcher, _DIAL_TIMEOUT_S),
