--- a/packages/tier/src/corianderport_tier/connection/direct_connection.py
+++ b/packages/tier/src/corianderport_tier/connection/direct_connection.py
@@ -86,7 +86,10 @@
         """Write the assigned job's request on the calling task."""
         with self._condition:
             assignment, transport = self._assigned, self._transport
-            if assignment is None or transport is None:
+            # Another task may have started the assigned job: if this task is
+            # late, the job that it assigned has ended, and the next one is
+            # assigned. Starting that one again would send it twice.
+            if assignment is None or transport is None or self._started:
                 return
             if assignment.fresh:
                 self._wake()
@@ -136,14 +139,8 @@
     def _next(self) -> pooled_connection.Assignment[T] | None:
         transport = self._transport
         assert transport is not None
-        with self._condition:
-            self._waiting = self._may_wait
-        if self._waiting:
-            # If the reply to a written request is late, the job itself waits
-            # for it until its deadline.
-            transport.await_readable(self._idle_limit_s())
-        with self._condition:
-            self._waiting = False
+        while self._await_event(transport):
+            pass
         while not self._pool.remove_if_idle(self):
             with self._condition:
                 while self._being_written:
@@ -153,6 +150,21 @@
                     return self._take()
         return None
 
+    def _await_event(self, transport: T) -> bool:
+        """Wait on the socket; return whether to wait again.
+
+        If the reply to a written request is late, the job itself waits for it
+        until its deadline.
+        """
+        with self._condition:
+            self._waiting = self._may_wait
+            if not self._waiting:
+                return False
+        readable = transport.await_readable(self._idle_wait_s())
+        with self._condition:
+            self._waiting = False
+            return not readable and self._may_stay_idle
+
     @property
     def _may_wait(self) -> bool:
         if self._assigned is None:
--- a/tests/tier/test_direct_connection.py
+++ b/tests/tier/test_direct_connection.py
@@ -10,6 +10,7 @@
 from corianderport_testkit import clock as manual
 from corianderport_tier.connection import direct_connection
 from corianderport_tier.connection import pool
+from corianderport_tier.connection import pooled_connection
 from corianderport_tier import errors
 
 _LONG_S = 20.0
@@ -247,6 +248,146 @@
     assert transport.closed.wait(_LONG_S)
 
 
+def test_lower_idle_time_ends_an_idle_connection(direct: _Pool) -> None:
+    """Guards against the idle time that was in force when the wait began.
+
+    Nothing happens on the socket that the connection's task waits on.
+    """
+    transport = direct.warm()
+    direct.pool.limit_idle_time(5.0)
+    direct.clock.advance(4.0)
+    assert transport.waits.acquire(timeout=_LONG_S)
+    assert direct.pool.idle == 1
+    direct.clock.await_waiters(1)
+    direct.clock.advance(1.0)
+    assert transport.closed.wait(_LONG_S)
+
+
+def test_connection_beyond_its_new_idle_time_ends_at_once(
+    direct: _Pool,
+) -> None:
+    """Guards against a connection that outlasts a much lower idle time."""
+    transport = direct.warm()
+    direct.clock.advance(10.0)
+    direct.pool.limit_idle_time(0.5)
+    assert direct.pool.size == 0
+    assert transport.closed.wait(_LONG_S)
+
+
+def test_higher_idle_time_keeps_an_idle_connection(direct: _Pool) -> None:
+    """Guards against opening a connection anew for each rare request."""
+    transport = direct.warm()
+    direct.pool.limit_idle_time(2 * _IDLE_S)
+    direct.clock.advance(_IDLE_S + 1.0)
+    assert transport.waits.acquire(timeout=_LONG_S)
+    job = _Job()
+    direct.pool.submit(job)
+    assert job.transport is transport
+    transport.make_readable()
+    assert job.done.result(_LONG_S) == 'reply'
+
+
+def test_busy_connection_beyond_a_lower_limit_ends_after_its_job() -> None:
+    """Guards against more idle connections than this host's share."""
+    direct = _Pool(2)
+    transport = direct.warm()
+    job = _Job()
+    direct.pool.submit(job)
+    other = direct.warm()
+    direct.pool.limit_connections(1)
+    assert direct.pool.size == 1
+    assert other.closed.wait(_LONG_S)
+    assert not transport.aborted
+    transport.make_readable()
+    assert job.done.result(_LONG_S) == 'reply'
+    assert direct.pool.size == direct.pool.idle == 1
+    direct.pool.close()
+    direct.executor.shutdown()
+
+
+def test_refused_send_leaves_no_connection_that_has_ended(
+    direct: _Pool,
+) -> None:
+    """Guards against a job for a connection whose task has ended.
+
+    The idle time ends while the send is refused, and the pool hears of the
+    refusal last. Nothing would run a job that is assigned then.
+    """
+    transport = direct.warm()
+    real = direct.pool.mark_idle
+
+    def mark_idle(
+        connection: pooled_connection.PooledConnection[_Transport],
+    ) -> None:
+        assert transport.closed.wait(_LONG_S)
+        real(connection)
+
+    def refuse() -> None:
+        direct.clock.advance(_IDLE_S + 1.0)
+        raise errors.DeadlinePast('too late')
+
+    direct.pool.mark_idle = mark_idle  # type: ignore[method-assign]
+    refused = _Job(start=refuse)
+    direct.pool.submit(refused)
+    assert isinstance(refused.done.result(0), errors.DeadlinePast)
+    assert direct.pool.size == direct.pool.idle == 0
+
+
+class _LateStart(direct_connection.DirectConnection[_Transport]):
+    """Connection whose first start goes on only when the test permits."""
+
+    begun = threading.Event()
+    permitted = threading.Event()
+    starts = 0
+
+    def start(self) -> None:
+        type(self).starts += 1
+        if self.starts == 1:
+            self.begun.set()
+            assert self.permitted.wait(_LONG_S)
+        super().start()
+
+
+def test_request_is_written_once_if_an_earlier_start_is_late() -> None:
+    """Guards against a request that is sent twice.
+
+    The task that assigned a job goes on only after the connection's task has
+    performed it, because the idle time had ended, and a second job has been
+    assigned and started.
+    """
+    direct = _Pool(1)
+    direct.pool.close()
+    direct.pool = pool.ConnectionPool(
+        direct._dial,
+        direct.executor,
+        direct.clock,
+        pool.PoolLimits(1, _IDLE_S),
+        open_connection=_LateStart,
+    )
+    direct.warm()
+    first, second = _Job(), _Job()
+    submitting = threading.Thread(
+        target=direct.pool.submit,
+        args=(first, pool.NEW_CONNECTION),
+        daemon=True,
+    )
+    submitting.start()
+    assert _LateStart.begun.wait(_LONG_S)
+    direct.clock.advance(_IDLE_S + 1.0)
+    assert first.done.result(_LONG_S) == 'reply'
+    transport = direct.transports[-1]
+    assert transport.waits.acquire(timeout=_LONG_S)
+    direct.pool.submit(second)
+    _LateStart.permitted.set()
+    submitting.join(_LONG_S)
+    assert second.transport is transport
+    assert transport.sends == 2
+    transport.make_readable()
+    assert second.done.result(_LONG_S) == 'reply'
+    direct.pool.close()
+    direct.executor.shutdown()
+
+
 class _Unsteady(_Transport):
     """Replies at once, and is closed by its server before each third send."""
 
