Count the bytes that a host exchanges by kind and place

Nobody could tell what most of the bytes between data centres consist of.

A host counts bytes and messages that it sends and receives, by kind (caller, searcher, health-check, heartbeat, registry-relay, quota, other-peer, store) and by place (own data centre, another one, unknown). Each thread has its own counters, as those of the results, so that no task waits for another one. The calls for changes and for quotas do not say which host sends them; its data centre is found by its IP address.

--- a/packages/daemon/src/corianderport_daemon/process/adapters.py
+++ b/packages/daemon/src/corianderport_daemon/process/adapters.py
@@ -8,6 +8,7 @@
 from corianderport_daemon.process import entry_settings
 from corianderport_tier import clocks
 from corianderport_tier.connection import transports
+from corianderport_tier.process import link_bytes
 from corianderport_tier.request import explanation
 from corianderport_tier.request import forward_messages
 from corianderport_tier.version import registrations
@@ -36,18 +37,27 @@
     def settings_fingerprint(self) -> object:
         """Return a value that changes whenever the settings change."""
 
-    def registry(self, address: str) -> transports.Registry:
-        """Return a connection to the registry, for use by one task."""
+    def registry(
+        self, address: str, links: link_bytes.LinkBytes
+    ) -> transports.Registry:
+        """Return a connection to the registry, for use by one task.
+
+        :param links: counts the bytes.
+        """
 
     def decode(self, key: str, content: bytes) -> registrations.Published:
         """Decode the content of a registry key."""
 
     def dialer(
-        self, clock: clocks.Clock, reply_bytes: int
+        self,
+        clock: clocks.Clock,
+        reply_bytes: int,
+        links: link_bytes.LinkBytes,
     ) -> transports.SearcherDialer:
         """Return a dialer for connections to searchers.
 
         :param reply_bytes: memory of the responses that arrive on all of them.
+        :param links: counts the bytes.
         """
 
     def request(
--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -33,6 +33,7 @@
 from corianderport_tier.process import drain
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import limit_events
+from corianderport_tier.process import link_bytes
 from corianderport_tier.process import metrics
 from corianderport_tier.process import placement
 from corianderport_tier.process import registry_reader
@@ -81,6 +82,7 @@
             settings.limits.upstream_tasks, thread_name_prefix='task'
         )
         self._metrics = metrics.Metrics()
+        self._links = link_bytes.LinkBytes(settings.data_centre)
         self._log = decision_log.DecisionLog(observer=self._metrics)
         self._events = limit_events.LimitEvents(self._log, clock)
         relay = registry_relay.RegistryRelay(clock, settings.link_bytes_s)
@@ -94,6 +96,7 @@
             relay,
             lambda request: self._quotas.grant(request),
             self._events,
+            self._links,
         )
         self._fleet_share = fleet_share.FleetShare(
             settings.fleet,
@@ -103,7 +106,9 @@
             restarted=not settings.first_start,
         )
         self._placement = placement.PlacementSetting(settings.placement)
-        self._dialer = adapter.dialer(clock, settings.limits.reply_bytes)
+        self._dialer = adapter.dialer(
+            clock, settings.limits.reply_bytes, self._links
+        )
         self._order = send_order.OrderSetting(settings.send_order)
         self._directory = directory.Directory(
             self._open_service, clock, self._log, self._order
@@ -169,6 +174,7 @@
             self._limits,
             self._log,
             clock,
+            self._links,
         )
         self._settings_fingerprint = adapter.settings_fingerprint()
         self._housekeeping = housekeeping.Housekeeping(
@@ -177,7 +183,7 @@
         self._reader = registry_reader.RegistryReader(
             adapter.prefix,
             registry_source.RegistrySource(
-                adapter.registry(settings.store_address),
+                adapter.registry(settings.store_address, self._links),
                 relay,
                 self._stack.enter_context(
                     registry_connection.RegistryConnection(self._fleet.dialer)
--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -16,7 +16,9 @@
 from corianderport_tier import closing
 from corianderport_tier.process import gossip
 from corianderport_tier.process import heartbeats
+from corianderport_tier.process import host_places
 from corianderport_tier.process import limit_events
+from corianderport_tier.process import link_bytes
 from corianderport_tier.process import membership
 from corianderport_tier.process import quota_hosts
 from corianderport_tier.process import registry_relay
@@ -41,6 +43,7 @@
     :param relay: provides registry changes to other hosts.
     :param grant: grants tokens of quotas to other hosts.
     :param events: counts calls of other hosts that failed unexpectedly.
+    :param links: counts the bytes between hosts.
     """
 
     def __init__(
@@ -54,13 +57,22 @@
         relay: registry_relay.RegistryRelay,
         grant: gossip_handler.Grant,
         events: limit_events.LimitEvents,
+        links: link_bytes.LinkBytes,
     ) -> None:
         self._executor = executor
         self._stack = contextlib.ExitStack()
         keys = peer_authentication.SharedKeys.from_text(settings.shared_keys)
         host, _, port = settings.peer_address.rpartition(':')
+        places = host_places.HostPlaces(lambda: self._members.view)
         self._server = peer_server.PeerServer(
-            host, int(port), clock, _PEER_CONNECTIONS, keys, events
+            host,
+            int(port),
+            clock,
+            _PEER_CONNECTIONS,
+            keys,
+            events,
+            links,
+            places.data_centre,
         )
         self._stack.callback(self._server.close)
         own = membership.Member(
@@ -73,7 +85,7 @@
         self._members = membership.Membership(own, clock, region_of)
         self._relay = relay
         self._grant = grant
-        self.dialer = peer_client.ThriftPeerDialer(clock, keys)
+        self.dialer = peer_client.ThriftPeerDialer(clock, keys, links)
         self._exchange = heartbeats.HeartbeatExchange(
             self._members, version, on_version
         )
--- a/packages/daemon/src/corianderport_daemon/process/host_listeners.py
+++ b/packages/daemon/src/corianderport_daemon/process/host_listeners.py
@@ -16,6 +16,7 @@
 from corianderport_tier.process import caller_bounds
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import limit_events
+from corianderport_tier.process import link_bytes
 from corianderport_wire.connection import caller_listener
 from corianderport_wire.connection import caller_messages
 from corianderport_wire.connection import disconnect_watcher
@@ -50,6 +51,7 @@
     readiness wait for them.
 
     :param limits: returns the configured limits of callers' requests.
+    :param links: counts the bytes of callers and probes.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         limits: caller_listener.Limits,
         log: decision_log.DecisionLog,
         clock: clocks.Clock,
+        links: link_bytes.LinkBytes,
     ) -> None:
         bounds = settings.limits
         self._limits = limits
@@ -82,6 +85,7 @@
             handlers.wants_body,
             self._executor,
             bounds.callers,
+            links.link(link_bytes.LinkKind.CALLER),
         )
         self._admin = [
             self._listener(
@@ -90,6 +94,7 @@
                 _wants_no_body,
                 self._admin_executor,
                 bounds.admin,
+                links.link(link_bytes.LinkKind.HEALTH_CHECK),
             )
             for address, handler in (
                 (settings.ready_address, handlers.readiness),
@@ -121,6 +126,7 @@
         wants_body: caller_messages.WantsBody,
         executor: concurrent.futures.Executor,
         bounds: caller_bounds.CallerBounds,
+        link: link_bytes.Link,
     ) -> caller_listener.CallerListener:
         return caller_listener.CallerListener(
             address,
@@ -133,6 +139,7 @@
             wants_body,
             self._budgets,
             self._events,
+            link,
         )
 
     def _run(self, task: collections.abc.Callable[[], None]) -> None:
--- a/packages/tier/src/corianderport_tier/process/metrics.py
+++ b/packages/tier/src/corianderport_tier/process/metrics.py
@@ -7,11 +7,11 @@
 import collections
 import collections.abc
 import enum
-import threading
 
 import attrs
 
 from corianderport_tier.process import decision_log
+from corianderport_tier.process import thread_counters
 from corianderport_tier import result_codes
 
 __all__ = [
@@ -70,38 +70,6 @@
 _Key = _ResultKey | _DecisionKey | _BucketKey | _LatencySumKey | _PlacementKey
 
 
-class _ThreadCounters:
-    """Counters for each thread, which are summed when they are read.
-
-    Counting does not contend for a shared lock.
-    """
-
-    def __init__(self) -> None:
-        self._local = threading.local()
-        self._lock = threading.Lock()
-        self._threads: list[dict[_Key, float]] = []
-
-    def add(self, key: _Key, amount: float = 1) -> None:
-        """Add to a counter of the calling thread."""
-        counts: dict[_Key, float] | None
-        counts = getattr(self._local, 'counts', None)
-        if counts is None:
-            counts = {}
-            self._local.counts = counts
-            with self._lock:
-                self._threads.append(counts)
-        counts[key] = counts.get(key, 0) + amount
-
-    def totals(self) -> dict[_Key, float]:
-        """Return the sums over all threads."""
-        with self._lock:
-            threads = list(self._threads)
-        total: collections.Counter[_Key] = collections.Counter()
-        for counts in threads:
-            total.update(counts.copy())
-        return dict(total)
-
-
 @attrs.frozen
 class LatencyHistogram:
     """Latency histogram of one kind of requests.
@@ -163,7 +131,7 @@
     """Counts results and decisions on the calling tasks."""
 
     def __init__(self) -> None:
-        self._counters = _ThreadCounters()
+        self._counters = thread_counters.ThreadCounters[_Key]()
 
     def finished(
         self, request: str, code: result_codes.ResultCode, latency_s: float
--- a/packages/wire/src/corianderport_wire/connection/caller_connection.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_connection.py
@@ -19,6 +19,7 @@
 from corianderport_tier.process import caller_refusals
 from corianderport_tier.process import caller_table
 from corianderport_tier.process import limit_events
+from corianderport_tier.process import link_bytes
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import routes
 from corianderport_wire.connection import caller_messages
@@ -65,6 +66,7 @@
     events: limit_events.LimitEvents
     refusals: caller_refusals.CallerRefusals
     pressure: task_pressure.TaskPressure
+    link: link_bytes.Link
     clock: clocks.Clock
     closing: bool = False
 
@@ -95,6 +97,7 @@
             serving.events,
             serving.clock,
             lambda: self._begin(Phase.SENDING),
+            serving.link,
         )
         self._progress_bytes = 0
         self._requests = 0
@@ -174,13 +177,14 @@
         """Refuse to serve the connection, without waiting for the caller."""
         retry_after_s = self._serving.refusals.retry_after_s()
         try:
-            self._socket.send(
+            sent_bytes = self._socket.send(
                 b'HTTP/1.1 503 \r\nretry-after: %.3f\r\nconnection: close\r\n'
                 b'content-length: 0\r\n\r\n' % retry_after_s
             )
+            self._serving.link.sent(sent_bytes, 1)
             self._socket.shutdown(socket.SHUT_WR)
             # Unread bytes would make the close discard the response.
-            self._socket.recv(_RECEIVE_BYTES)
+            self._serving.link.received(len(self._socket.recv(_RECEIVE_BYTES)))
         except OSError as error:
             _LOG.debug('refusing a connection of a caller failed: %s', error)
 
@@ -248,6 +252,7 @@
             return False
         if request is None:
             return False
+        self._serving.link.received(0, 1)
         self._on_sent = None
         self._begin(Phase.RUNNING)
         response = self._serve(request)
@@ -320,6 +325,7 @@
 
     def _receive(self) -> bytes:
         received = self._socket.recv(_RECEIVE_BYTES)
+        self._serving.link.received(len(received))
         self._received_s = self._clock.monotonic()
         return received
 
--- a/packages/wire/src/corianderport_wire/connection/caller_listener.py
+++ b/packages/wire/src/corianderport_wire/connection/caller_listener.py
@@ -16,6 +16,7 @@
 from corianderport_tier.process import caller_table
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import limit_events
+from corianderport_tier.process import link_bytes
 from corianderport_tier.request import deadlines
 from corianderport_tier.version import routes
 from corianderport_wire.connection import acceptor
@@ -65,6 +66,7 @@
     :param wants_body: says whether the body of a request is stored.
     :param budgets: bound the memory of requests and responses.
     :param events: counts how often a bound takes effect.
+    :param link: counts the bytes.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         wants_body: caller_messages.WantsBody = _wants_every_body,
         budgets: byte_budget.CallerBudgets | None = None,
         events: limit_events.LimitEvents | None = None,
+        link: link_bytes.Link | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
         bounds = bounds or caller_bounds.CallerBounds()
@@ -99,6 +102,7 @@
             or limit_events.LimitEvents(decision_log.DecisionLog(), clock),
             caller_refusals.CallerRefusals(random.Random()),
             task_pressure.TaskPressure(),
+            link or link_bytes.LinkBytes().link(link_bytes.LinkKind.CALLER),
             clock,
         )
         self._dispatcher = connection_dispatcher.ConnectionDispatcher(
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -22,6 +22,7 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.process import byte_budget
+from corianderport_tier.process import link_bytes
 from corianderport_tier.request import deadlines
 from corianderport_wire.connection import reply_allowance
 from corianderport_wire.connection import reply_parser
@@ -85,6 +86,7 @@
 
     :param quota: limits the responses on all connections of the host.
     :param budget: memory of the responses that arrive on all of them.
+    :param link: counts the bytes.
     """
 
     def __init__(
@@ -93,7 +95,11 @@
         clock: clocks.Clock,
         quota: reply_allowance.Quota | None = None,
         budget: byte_budget.ByteBudget | None = None,
+        link: link_bytes.Link | None = None,
     ) -> None:
+        self._link = link or link_bytes.LinkBytes().link(
+            link_bytes.LinkKind.SEARCHER
+        )
         self._quota = quota
         self._budget = budget
         # A socket with a timeout costs two more system calls per operation.
@@ -226,6 +232,7 @@
             while not parser.replies:
                 parser.receive(self._receive(deadline))
             reply = parser.replies.pop(0)
+            self._link.received(0, 1)
             if matches(reply):
                 self._reusable = parser.reusable and not parser.replies
                 self._apply_keep_alive(reply)
@@ -240,7 +247,9 @@
         unsent = memoryview(content)
         while True:
             try:
-                unsent = unsent[self._socket.send(unsent) :]
+                sent_bytes = self._socket.send(unsent)
+                unsent = unsent[sent_bytes:]
+                self._link.sent(sent_bytes, 0 if unsent else 1)
             except BlockingIOError:
                 pass
             if not unsent:
@@ -253,7 +262,9 @@
         while True:
             _wait(self._read_poll, self._remaining_ms(deadline))
             try:
-                return self._socket.recv(_RECEIVE_BYTES)
+                received = self._socket.recv(_RECEIVE_BYTES)
+                self._link.received(len(received))
+                return received
             except BlockingIOError:
                 continue
 
--- a/packages/wire/src/corianderport_wire/connection/peer_authentication.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_authentication.py
@@ -25,6 +25,9 @@
 from corianderport_wire.connection import stream_wrapper
 
 __all__ = [
+    'CLIENT_BYTES',
+    'MESSAGES',
+    'SERVER_BYTES',
     'FrameLimiter',
     'SharedKeys',
     'authenticate_to_server',
@@ -35,6 +38,10 @@
 _NONCE_BYTES = 32
 _PROOF_BYTES = 32
 _FRAME_LENGTH_BYTES = 4
+# Bytes that each side sends in a successful authentication, in two messages.
+CLIENT_BYTES = len(_MAGIC) + _NONCE_BYTES + 2 * _PROOF_BYTES
+SERVER_BYTES = _NONCE_BYTES + _PROOF_BYTES
+MESSAGES = 2
 
 
 @attrs.frozen
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -15,11 +15,13 @@
 from corianderport_tier import errors
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
+from corianderport_tier.process import link_bytes
 from corianderport_tier.process import membership
 from corianderport_tier.process import quota_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import action_codec
+from corianderport_wire.connection import counted_stream
 from corianderport_wire.connection import deadline_stream
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.connection import peer_authentication
@@ -36,14 +38,28 @@
 
 
 class ThriftPeerTransport:
-    """A persistent connection to another host."""
+    """A persistent connection to another host.
 
-    def __init__(self, stream: typing.Any, clock: clocks.Clock) -> None:
+    :param stream: thriftpy2 socket.
+    :param links: counts the bytes by kind and place.
+    :param data_centre: that of the other host, empty if it is unknown.
+    """
+
+    def __init__(
+        self,
+        stream: typing.Any,
+        clock: clocks.Clock,
+        links: link_bytes.LinkBytes,
+        data_centre: str,
+    ) -> None:
         self._stream = deadline_stream.DeadlineStream(stream, clock)
+        self._counted = counted_stream.CountedStream(
+            self._stream, links, data_centre
+        )
         self._clock = clock
         transport = thriftpy2.transport.TFramedTransport(
             peer_authentication.FrameLimiter(
-                self._stream, peer_codec.MAX_FRAME_BYTES
+                self._counted, peer_codec.MAX_FRAME_BYTES
             )
         )
         protocol = thriftpy2.protocol.TBinaryProtocol(transport)
@@ -68,7 +84,10 @@
     ) -> bytes | None:
         """Return the document if the peer's is newer, else None."""
         reply = self._call(
-            self._client.configuration, known_version, timeout_s
+            self._client.configuration,
+            known_version,
+            timeout_s,
+            link_bytes.LinkKind.REGISTRY_RELAY,
         )
         return typing.cast(bytes | None, reply.content)
 
@@ -77,9 +96,17 @@
     ) -> heartbeats.Heartbeat:
         """Send a heartbeat and wait for the reply."""
         fields = heartbeat_codec.heartbeat_to_thrift(message)
-        return heartbeat_codec.heartbeat_from_thrift(
-            self._call(self._client.heartbeat, fields, timeout_s)
+        reply = heartbeat_codec.heartbeat_from_thrift(
+            self._call(
+                self._client.heartbeat,
+                fields,
+                timeout_s,
+                link_bytes.LinkKind.HEARTBEAT,
+            )
         )
+        # Of a seed, only the address is known before.
+        self._counted.data_centre = reply.sender.member.data_centre
+        return reply
 
     def registry_changes(
         self, after: registrations.Revision, wait_s: float, timeout_s: float
@@ -88,7 +115,12 @@
         fields = registry_codec.request_to_thrift(after, wait_s)
         timer = registry_codec.CallTimer(self._clock)
         return timer.entries_from_thrift(
-            self._call(self._client.news, fields, timeout_s)
+            self._call(
+                self._client.news,
+                fields,
+                timeout_s,
+                link_bytes.LinkKind.REGISTRY_RELAY,
+            )
         )
 
     def registry_entries(
@@ -97,7 +129,12 @@
         """Return all registry entries that the peer knows."""
         timer = registry_codec.CallTimer(self._clock)
         return timer.entries_from_thrift(
-            self._call(lambda _: self._client.entries(), None, timeout_s)
+            self._call(
+                lambda _: self._client.entries(),
+                None,
+                timeout_s,
+                link_bytes.LinkKind.REGISTRY_RELAY,
+            )
         )
 
     def quota(
@@ -106,20 +143,27 @@
         """Ask for tokens of a workspace's quota."""
         fields = quota_codec.request_to_thrift(request)
         return quota_codec.grant_from_thrift(
-            self._call(self._client.quota, fields, timeout_s)
+            self._call(
+                self._client.quota,
+                fields,
+                timeout_s,
+                link_bytes.LinkKind.QUOTA,
+            )
         )
 
     def close(self) -> None:
         """Close the connection."""
-        self._stream.close()
+        self._counted.close()
 
     def _call(
         self,
         method: collections.abc.Callable[[typing.Any], typing.Any],
         argument: object,
         timeout_s: float,
+        kind: link_bytes.LinkKind = link_bytes.LinkKind.OTHER_PEER,
     ) -> typing.Any:
         self._stream.begin_call(max(_MIN_TIMEOUT_S, timeout_s))
+        self._counted.begin_call(kind)
         try:
             return method(argument)
         except peer_codec.PEER.Refused as refused:
@@ -131,13 +175,20 @@
 
 
 class ThriftPeerDialer:
-    """Opens connections to other hosts."""
+    """Opens connections to other hosts.
+
+    :param links: counts the bytes by kind and place.
+    """
 
     def __init__(
-        self, clock: clocks.Clock, keys: peer_authentication.SharedKeys
+        self,
+        clock: clocks.Clock,
+        keys: peer_authentication.SharedKeys,
+        links: link_bytes.LinkBytes | None = None,
     ) -> None:
         self._clock = clock
         self._keys = keys
+        self._links = links or link_bytes.LinkBytes()
 
     def dial(
         self, member: membership.Member, timeout_s: float
@@ -165,5 +216,16 @@
         except (OSError, errors.Unauthenticated) as error:
             connection.close()
             raise errors.ConnectFailed(f'{peer}: {error}') from error
+        link = self._links.link(
+            link_bytes.LinkKind.OTHER_PEER, member.data_centre
+        )
+        link.sent(
+            peer_authentication.CLIENT_BYTES, peer_authentication.MESSAGES
+        )
+        link.received(
+            peer_authentication.SERVER_BYTES, peer_authentication.MESSAGES
+        )
         stream = thriftpy2.transport.TSocket(sock=connection)
-        return ThriftPeerTransport(stream, self._clock)
+        return ThriftPeerTransport(
+            stream, self._clock, self._links, member.data_centre
+        )
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -3,6 +3,7 @@
 Thrift server for other hosts; each connection is served on its own task.
 """
 
+import collections.abc
 import concurrent.futures
 import logging
 import socket
@@ -19,11 +20,13 @@
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import limit_events
+from corianderport_tier.process import link_bytes
 from corianderport_tier.process import quota_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import acceptor
 from corianderport_wire.connection import action_codec
+from corianderport_wire.connection import counted_stream
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
@@ -40,6 +43,13 @@
 _CLOSE_TIMEOUT_S = 1.0
 
 
+DataCentreOf = collections.abc.Callable[[str], str]
+
+
+def _unknown_data_centre(ip: str) -> str:
+    return ''
+
+
 class PeerService(typing.Protocol):
     """Calls that a host serves to other hosts."""
 
@@ -83,17 +93,26 @@
     The methods have the names of the calls in ``peer.thrift``.
     """
 
-    def __init__(self, service: PeerService, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        service: PeerService,
+        clock: clocks.Clock,
+        stream: counted_stream.CountedStream,
+    ) -> None:
         self._service = service
         self._clock = clock
+        self._stream = stream
 
     def heartbeat(self, message: typing.Any) -> typing.Any:
         decoded = heartbeat_codec.heartbeat_from_thrift(message)
+        self._stream.data_centre = decoded.sender.member.data_centre
+        self._stream.begin_call(link_bytes.LinkKind.HEARTBEAT)
         return heartbeat_codec.heartbeat_to_thrift(
             self._service.heartbeat(decoded)
         )
 
     def act_with_ticket(self, request: typing.Any) -> typing.Any:
+        self._stream.begin_call(link_bytes.LinkKind.OTHER_PEER)
         decoded = action_codec.request_from_thrift(request, self._clock)
         try:
             answer = self._service.act_with_ticket(decoded)
@@ -102,6 +121,7 @@
         return action_codec.answer_to_thrift(answer)
 
     def hand_over(self, part: typing.Any) -> None:
+        self._stream.begin_call(link_bytes.LinkKind.OTHER_PEER)
         decoded = action_codec.hand_over_from_thrift(part, self._clock)
         try:
             self._service.hand_over(decoded)
@@ -109,6 +129,7 @@
             raise _refused(error) from error
 
     def news(self, request: typing.Any) -> typing.Any:
+        self._stream.begin_call(link_bytes.LinkKind.REGISTRY_RELAY)
         timer = registry_codec.CallTimer(self._clock)
         try:
             stored = self._service.registry_changes(
@@ -119,6 +140,7 @@
         return timer.entries_to_thrift(stored)
 
     def entries(self) -> typing.Any:
+        self._stream.begin_call(link_bytes.LinkKind.REGISTRY_RELAY)
         timer = registry_codec.CallTimer(self._clock)
         try:
             stored = self._service.registry_entries()
@@ -127,6 +149,7 @@
         return timer.entries_to_thrift(stored)
 
     def quota(self, request: typing.Any) -> typing.Any:
+        self._stream.begin_call(link_bytes.LinkKind.QUOTA)
         try:
             decoded = quota_codec.request_from_thrift(request)
             grant = self._service.quota(decoded)
@@ -135,6 +158,7 @@
         return quota_codec.grant_to_thrift(grant)
 
     def configuration(self, known_version: int) -> typing.Any:
+        self._stream.begin_call(link_bytes.LinkKind.REGISTRY_RELAY)
         try:
             version, content = self._service.document(known_version)
         except errors.CorianderportError as error:
@@ -158,6 +182,9 @@
         ones are closed.
     :param keys: a client must prove that it holds one of these keys.
     :param events: counts calls that failed unexpectedly.
+    :param links: counts the bytes by kind and place.
+    :param data_centre_of: returns the data centre of the host at an IP
+        address, empty if it is unknown.
     """
 
     def __init__(
@@ -168,8 +195,12 @@
         connections: int,
         keys: peer_authentication.SharedKeys,
         events: limit_events.LimitEvents | None = None,
+        links: link_bytes.LinkBytes | None = None,
+        data_centre_of: DataCentreOf = _unknown_data_centre,
     ) -> None:
         self._keys = keys
+        self._links = links or link_bytes.LinkBytes()
+        self._data_centre_of = data_centre_of
         self._events = events or limit_events.LimitEvents(
             decision_log.DecisionLog(), clock
         )
@@ -263,25 +294,48 @@
     def _serve_peer(self, connection: socket.socket) -> None:
         stream = thriftpy2.transport.TSocket()
         stream.set_handle(connection)
+        counted = self._counted(stream, connection)
         transport = thriftpy2.transport.TFramedTransport(
             peer_authentication.FrameLimiter(
-                stream, peer_codec.MAX_FRAME_BYTES
+                counted, peer_codec.MAX_FRAME_BYTES
             )
         )
         protocol = thriftpy2.protocol.TBinaryProtocol(transport)
         assert self._service is not None
         processor = thriftpy2.thrift.TProcessor(
-            peer_codec.PEER.Peer, _Handler(self._service, self._clock)
+            peer_codec.PEER.Peer,
+            _Handler(self._service, self._clock, counted),
         )
         try:
             while not self._closed:
                 processor.process(protocol, protocol)
+                counted.end_call()
         except (
             OSError,
             EOFError,
             thriftpy2.transport.TTransportException,
         ) as error:
             _LOG.debug('peer connection closed: %s', error)
+        finally:
+            counted.count_rest()
+
+    def _counted(
+        self, stream: typing.Any, connection: socket.socket
+    ) -> counted_stream.CountedStream:
+        """Return a stream that counts, and count the authentication."""
+        data_centre = ''
+        try:
+            data_centre = self._data_centre_of(connection.getpeername()[0])
+        except OSError as error:
+            _LOG.debug('peer connection closed: %s', error)
+        link = self._links.link(link_bytes.LinkKind.OTHER_PEER, data_centre)
+        link.received(
+            peer_authentication.CLIENT_BYTES, peer_authentication.MESSAGES
+        )
+        link.sent(
+            peer_authentication.SERVER_BYTES, peer_authentication.MESSAGES
+        )
+        return counted_stream.CountedStream(stream, self._links, data_centre)
 
     def _record_failed(self, error: Exception) -> None:
         self._events.record('peer_call_failed', repr(error), error)
--- a/packages/wire/src/corianderport_wire/connection/response_writer.py
+++ b/packages/wire/src/corianderport_wire/connection/response_writer.py
@@ -14,6 +14,7 @@
 from corianderport_tier import clocks
 from corianderport_tier.connection import byte_charge
 from corianderport_tier.process import limit_events
+from corianderport_tier.process import link_bytes
 from corianderport_tier.request import deadlines
 from corianderport_wire.connection import caller_messages
 from corianderport_wire.connection import request_parser
@@ -36,6 +37,7 @@
 
     :param charge: memory of a response that the caller does not read.
     :param on_stalled: called before each wait for the caller.
+    :param link: counts the bytes.
     """
 
     connection: socket.socket
@@ -44,6 +46,7 @@
     events: limit_events.LimitEvents
     clock: clocks.Clock
     on_stalled: collections.abc.Callable[[], None]
+    link: link_bytes.Link
 
     def respond(
         self,
@@ -72,6 +75,7 @@
             self._record_replaced(error)
             parts = [_LAST_RESPONSE]
         self.write(parts)
+        self.link.sent(0, 1)
 
     def write(self, parts: list[bytes]) -> None:
         """Write all parts.
@@ -82,7 +86,9 @@
         unsent = [memoryview(part) for part in parts]
         while True:
             try:
-                unsent = _skip(unsent, self.connection.sendmsg(unsent))
+                sent_bytes = self.connection.sendmsg(unsent)
+                self.link.sent(sent_bytes)
+                unsent = _skip(unsent, sent_bytes)
             except BlockingIOError:
                 _LOG.debug('a caller does not read its response')
             if not unsent:
