Show the bytes of hosts by kind and place to operators

/metrics has link_bytes_total and link_messages_total with direction, kind and place, /links the same as JSON, and 'corianderport links' shows it for each host and in total.

The clients of the reports of workspaces and of links share the reading from hosts, whose replies hold a 'report'; test_entry_quotas uses the new name and also checks that two hosts count what passes between them.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -34,6 +34,7 @@
 from corianderport_tier.process import fleet_share
 from corianderport_tier.process import limit_events
 from corianderport_tier.process import link_bytes
+from corianderport_tier.process import link_report
 from corianderport_tier.process import metrics
 from corianderport_tier.process import placement
 from corianderport_tier.process import registry_reader
@@ -161,6 +162,7 @@
                 self._quotas.counts,
                 self._quotas.part,
             ),
+            link_report.LinkReporter(settings.host, self._links, clock),
             adapter.given_key,
         )
         self._listeners = host_listeners.HostListeners(
--- a/packages/daemon/src/corianderport_daemon/process/host_reports.py
+++ b/packages/daemon/src/corianderport_daemon/process/host_reports.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 
+from corianderport_tier.process import link_report
 from corianderport_tier.process import metrics
 from corianderport_tier.process import store_freshness
 from corianderport_tier.process import workspace_activity
@@ -19,6 +20,7 @@
 
 _EXPLAIN_TARGET = b'/explain'
 _WORKSPACES_TARGET = b'/workspaces'
+_LINKS_TARGET = b'/links'
 
 
 class HostReports:
@@ -34,12 +36,14 @@
         freshness: store_freshness.StoreFreshness,
         explainer: explanation.Explainer,
         activity: workspace_activity.ActivityReporter,
+        links: link_report.LinkReporter,
         given_key: GivenKeyDecoder,
     ) -> None:
         self._metrics = counts
         self._freshness = freshness
         self._explainer = explainer
         self._activity = activity
+        self._links = links
         self._given_key = given_key
 
     def serve(
@@ -53,6 +57,8 @@
             return self._explain(received)
         if path == _WORKSPACES_TARGET:
             return self._workspaces()
+        if path == _LINKS_TARGET:
+            return self._host_links()
         return self._metrics_text()
 
     def _explain(
@@ -71,6 +77,11 @@
 
         return workspaces_codec.respond(self._activity.report)
 
+    def _host_links(self) -> caller_listener.HttpResponse:
+        from corianderport_wire.request import links_codec
+
+        return links_codec.respond(self._links.report)
+
     def _metrics_text(self) -> caller_listener.HttpResponse:
         from corianderport_wire.process import metrics_text
 
@@ -78,5 +89,9 @@
         return caller_listener.HttpResponse(
             200,
             ((b'content-type', content_type),),
-            metrics_text.render(self._metrics.totals(), self._freshness.age_s),
+            metrics_text.render(
+                self._metrics.totals(),
+                self._freshness.age_s,
+                self._links.totals(),
+            ),
         )
--- a/packages/operator/src/corianderport_operator/main.py
+++ b/packages/operator/src/corianderport_operator/main.py
@@ -11,6 +11,7 @@
 import fire
 
 from corianderport_operator.process import commands
+from corianderport_operator.process import links_command
 from corianderport_operator.process import live_commands
 from corianderport_operator.process import log_commands
 from corianderport_operator.process import routing_command
@@ -36,11 +37,15 @@
     'search': live_commands.search,
     'trace': log_commands.trace,
     'workspaces': workspaces_command.workspaces,
+    'links': links_command.links,
 }
 
 # Words of a command that is not ``explain`` with a source named ``where``.
 _WHERE = ('explain', 'where')
 
+# Commands with several hosts, each given by a flag.
+_REPEATED_HOST = (['workspaces'], ['links'])
+
 # Flags with string values. Fire would parse a query such as ``1`` or a file
 # name such as ``None`` as a Python literal of another type.
 _STRING_FLAGS = (
@@ -61,7 +66,7 @@
     if tuple(argv[:2]) == _WHERE:
         known = {'where': where_command.where}
         argv = ['where', *_merge_flags('--header', argv[2:])]
-    elif argv[:1] == ['workspaces']:
+    elif argv[:1] in _REPEATED_HOST:
         argv = _merge_flags('--host', argv)
     command = argv[:1] + [_quote_argument(argument) for argument in argv[1:]]
     try:
--- a/packages/operator/src/corianderport_operator/process/sources.py
+++ b/packages/operator/src/corianderport_operator/process/sources.py
@@ -15,7 +15,12 @@
 from corianderport_tier import errors
 from corianderport_tier.version import configuration
 
-__all__ = ['load', 'parse_address', 'parse_addresses']
+__all__ = [
+    'load',
+    'parse_address',
+    'parse_addresses',
+    'parse_repeated_addresses',
+]
 
 _MAX_PORT = 65_535
 
@@ -73,6 +78,21 @@
     return tuple(parse_address(name, part) for part in parts)
 
 
+def parse_repeated_addresses(name: str, value: str) -> tuple[str, ...]:
+    """Return the different addresses of a repeated flag, one in each line.
+
+    :raises SettingInvalid: there is none, or one is not ``ip:port``.
+    """
+    parts = dict.fromkeys(
+        parse_address(name, line) for line in value.splitlines()
+    )
+    if not parts:
+        raise errors.SettingInvalid(
+            f'{name}: no address is given, such as 127.0.0.1:9464'
+        )
+    return tuple(parts)
+
+
 def _is_address(value: str) -> bool:
     host, _, port = value.rpartition(':')
     try:
--- a/packages/operator/src/corianderport_operator/process/workspace_totals.py
+++ b/packages/operator/src/corianderport_operator/process/workspace_totals.py
@@ -75,21 +75,21 @@
         """Add up the replies of hosts."""
         found: dict[str, list[tuple[int, str, Activity]]] = {}
         for reply in replies:
-            if reply.activity is None:
+            if reply.report is None:
                 continue
-            for workspace in reply.activity.workspaces:
+            for workspace in reply.report.workspaces:
                 found.setdefault(workspace.name, []).append(
-                    (reply.activity.version or 0, reply.address, workspace)
+                    (reply.report.version or 0, reply.address, workspace)
                 )
         return cls(
-            any(reply.activity is None for reply in replies),
+            any(reply.report is None for reply in replies),
             tuple(map(_summary, replies)),
             tuple(_total(name, found[name]) for name in sorted(found)),
         )
 
 
 def _summary(reply: workspaces_client.HostReply) -> HostSummary:
-    activity = reply.activity
+    activity = reply.report
     if activity is None:
         return HostSummary(reply.address, reply.problem)
     return HostSummary(
--- a/packages/operator/src/corianderport_operator/process/workspaces_command.py
+++ b/packages/operator/src/corianderport_operator/process/workspaces_command.py
@@ -10,7 +10,6 @@
 from corianderport_operator.process import output
 from corianderport_operator.process import sources
 from corianderport_operator.process import workspace_totals
-from corianderport_tier import errors
 from corianderport_tier.process import workspace_activity
 
 __all__ = ['workspaces']
@@ -34,16 +33,7 @@
         host: metrics address of a host; may be repeated.
         json: print JSON instead of tables.
     """
-    addresses = list(
-        dict.fromkeys(
-            sources.parse_address('host', address)
-            for address in host.splitlines()
-        )
-    )
-    if not addresses:
-        raise errors.SettingInvalid(
-            'host: no address is given, such as 127.0.0.1:9464'
-        )
+    addresses = sources.parse_repeated_addresses('host', host)
     activity = workspace_totals.FleetActivity.from_replies(
         workspaces_client.read_hosts(addresses)
     )
--- a/packages/tier/src/corianderport_tier/process/link_bytes.py
+++ b/packages/tier/src/corianderport_tier/process/link_bytes.py
@@ -3,7 +3,6 @@
 Counts the bytes and messages that a host exchanges, by kind and place.
 """
 
-import collections.abc
 import enum
 
 import attrs
@@ -122,7 +121,7 @@
         """Return the counters for a data centre, empty if it is unknown."""
         return self._links[kind, self._place(data_centre)]
 
-    def totals(self) -> collections.abc.Sequence[LinkTotal]:
+    def totals(self) -> tuple[LinkTotal, ...]:
         """Return the totals that are not zero, in a fixed order."""
         counts = self._counters.totals()
         return tuple(
--- a/packages/wire/src/corianderport_wire/process/metrics_text.py
+++ b/packages/wire/src/corianderport_wire/process/metrics_text.py
@@ -3,12 +3,14 @@
 Renders the metrics of a host in the Prometheus text format.
 """
 
+import collections.abc
 import math
 
 import aioprometheus.collectors
 import aioprometheus.formats.text
 import aioprometheus.histogram
 
+from corianderport_tier.process import link_bytes
 from corianderport_tier.process import metrics
 
 __all__ = ['CONTENT_TYPE', 'render']
@@ -19,11 +21,16 @@
 Counter = aioprometheus.collectors.Counter
 
 
-def render(totals: metrics.Totals, store_age_s: float = math.inf) -> bytes:
+def render(
+    totals: metrics.Totals,
+    store_age_s: float = math.inf,
+    links: collections.abc.Iterable[link_bytes.LinkTotal] = (),
+) -> bytes:
     """Return the response body of one scrape.
 
     :param store_age_s: age of what the host knows of the store, in seconds;
         infinite if it is unknown.
+    :param links: bytes and messages by kind and place.
     """
     registry = Registry()
     _add_results(registry, totals)
@@ -31,6 +38,7 @@
     _add_decisions(registry, totals)
     _add_placements(registry, totals)
     _add_latencies(registry, totals)
+    _add_links(registry, links)
     if store_age_s < math.inf:
         gauge = aioprometheus.collectors.Gauge(
             'corianderport_store_age_seconds',
@@ -103,6 +111,29 @@
         outstanding.set(labels, placed.outstanding_s)
 
 
+def _add_links(
+    registry: Registry, links: collections.abc.Iterable[link_bytes.LinkTotal]
+) -> None:
+    bytes_counter = _counter(
+        registry,
+        'link_bytes_total',
+        'Bytes exchanged, by what they belong to and by data centre.',
+    )
+    messages_counter = _counter(
+        registry,
+        'link_messages_total',
+        'Messages exchanged, by what they belong to and by data centre.',
+    )
+    for link in links:
+        labels = {
+            'direction': link.direction.value,
+            'kind': link.kind.value,
+            'place': link.place.value,
+        }
+        bytes_counter.set(labels, link.bytes)
+        messages_counter.set(labels, link.messages)
+
+
 def _add_latencies(registry: Registry, totals: metrics.Totals) -> None:
     bounds = (*metrics.LATENCY_BOUNDS_S, math.inf)
     histogram = aioprometheus.collectors.Histogram(
--- a/tests/adapter/test_entry_quotas.py
+++ b/tests/adapter/test_entry_quotas.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from corianderport_operator.connection import links_client
 from corianderport_operator.connection import workspaces_client
+from corianderport_tier.process import link_bytes
 from corianderport_tier.process import quota_hosts
 
 from . import fakes
@@ -52,7 +54,7 @@
     """Check what operators see of the requests just before."""
     addresses = [f'127.0.0.1:{host.metrics}' for host in hosts]
     replies = workspaces_client.read_hosts(addresses)
-    activities = [reply.activity for reply in replies]
+    activities = [reply.report for reply in replies]
     admitted = granted = 0
     part = 0.0
     for activity in activities:
@@ -80,6 +82,29 @@
     assert first.workspaces[1].requests.admitted == 20
 
 
+def _check_links(hosts: tuple[test_entry_process._Host, ...]) -> None:
+    """Check that both hosts count what passes between them, as own place."""
+    expected = {
+        (direction, kind)
+        for direction in link_bytes.Direction
+        for kind in (
+            link_bytes.LinkKind.HEARTBEAT,
+            link_bytes.LinkKind.QUOTA,
+            link_bytes.LinkKind.OTHER_PEER,
+        )
+    }
+    for reply in links_client.read_hosts(
+        [f'127.0.0.1:{host.metrics}' for host in hosts]
+    ):
+        assert reply.report is not None
+        counted = {
+            (total.direction, total.kind)
+            for total in reply.report.links
+            if total.place is link_bytes.Place.OWN and total.messages > 0
+        }
+        assert expected <= counted
+
+
 def test_quota_over_two_hosts(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -148,6 +173,7 @@
         assert 'kind="quota-call-granted"' in text
         assert 'secret' not in text
         _check_report(hosts)
+        _check_links(hosts)
 
         second.process.kill()
         second.process.wait()
