--- a/tests/tier/restart_network.py
+++ b/tests/tier/restart_network.py
@@ -226,9 +226,9 @@
     ) -> '_Transport':
         network = self._process.network
         other = network.by_address[member.peer_address]
-        return _Transport(
-            self._process, network.reach(self._process.host, other)
-        )
+        process = network.reach(self._process.host, other)
+        network.connected(self._process.host, other)
+        return _Transport(self._process, process)
 
 
 class _Transport:
@@ -244,7 +244,7 @@
         if network.reach(self._own.host, self._other.host) is not self._other:
             raise errors.ConnectionBroken('ended')
         reply = self._other.exchange.receive(message)
-        network.rumours += len(message.rumours) + len(reply.rumours)
+        network.exchanged(self._own.host, self._other.host, message, reply)
         return reply
 
     def close(self) -> None:
@@ -361,6 +361,19 @@
             raise errors.ConnectRefused('refused')
         return other.process
 
+    def connected(self, sender: Host, other: Host) -> None:
+        """Observe a new connection; does nothing here."""
+
+    def exchanged(
+        self,
+        sender: Host,
+        other: Host,
+        message: heartbeats.Heartbeat,
+        reply: heartbeats.Heartbeat,
+    ) -> None:
+        """Observe a heartbeat and its reply."""
+        self.rumours += len(message.rumours) + len(reply.rumours)
+
     def round_trip_s(self, sender: Host, address: object) -> float:
         """Return the duration of a call, also of one without a reply."""
         other = self.by_address.get(str(address))
