--- a/packages/tier/src/corianderport_tier/process/heartbeat_sender_set.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeat_sender_set.py
@@ -68,22 +68,12 @@
         )
         if view.epoch != self._neighbours_epoch or period_ended:
             self._neighbours_epoch = view.epoch
-            # While hosts come and go, each view would otherwise bring other
-            # random neighbours, with new connections and complete lists.
-            keep: set[str] = set()
-            if period_ended:
-                self._neighbours_chosen_s = now_s
-            else:
-                keep = {
-                    m.name
-                    for m in self._neighbours[neighbours.RING_NEIGHBOURS :]
-                }
+            self._neighbours_chosen_s = now_s
             self._neighbours = neighbours.choose(
                 self._members.own,
                 _reachable(view),
                 self._region_of,
                 self._rng,
-                keep,
             )
         return self._neighbours
 
--- a/packages/tier/src/corianderport_tier/process/neighbours.py
+++ b/packages/tier/src/corianderport_tier/process/neighbours.py
@@ -21,7 +21,6 @@
     members: collections.abc.Sequence[membership.Member],
     region_of: membership.RegionOf,
     rng: random.Random,
-    keep: collections.abc.Container[str] = (),
 ) -> list[membership.Member]:
     """Return ring successors plus random hosts.
 
@@ -30,9 +29,6 @@
     the region if there are too few. The random hosts are in any data centre,
     one of them in another region, if there is one, so that membership updates
     reach all of them.
-
-    :param keep: names of hosts that are preferred to other random ones. A new
-        neighbour costs a connection.
     """
     region = region_of(own_host.data_centre)
     local: list[membership.Member] = []
@@ -47,21 +43,9 @@
     successors = [*_successors(own_host, near), *_successors(own_host, far)]
     ring = successors[:RING_NEIGHBOURS]
     others = [m for m in local if m not in ring]
-    chosen = _sample(remote, _RANDOM_NEIGHBOURS // 2, keep, rng)
-    count = _RANDOM_NEIGHBOURS - len(chosen)
-    return [*ring, *chosen, *_sample(others, count, keep, rng)]
-
-
-def _sample(
-    members: list[membership.Member],
-    count: int,
-    keep: collections.abc.Container[str],
-    rng: random.Random,
-) -> list[membership.Member]:
-    """Return the members to keep, and random ones up to a number."""
-    kept = [m for m in members if m.name in keep][:count]
-    others = [m for m in members if m not in kept] if kept else members
-    return kept + rng.sample(others, min(len(others), count - len(kept)))
+    chosen = rng.sample(remote, min(len(remote), _RANDOM_NEIGHBOURS // 2))
+    count = min(len(others), _RANDOM_NEIGHBOURS - len(chosen))
+    return [*ring, *chosen, *rng.sample(others, count)]
 
 
 def _successors(
