--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -22,6 +22,7 @@
 from corianderport_tier import clocks
 from corianderport_tier import errors
 from corianderport_tier.process import byte_budget
+from corianderport_tier.process import link_bytes
 from corianderport_tier.request import deadlines
 from corianderport_wire.connection import byte_views
 from corianderport_wire.connection import reply_allowance
@@ -86,6 +87,7 @@
 
     :param quota: limits the responses on all connections of the host.
     :param budget: memory of the responses that arrive on all of them.
+    :param link: counts the bytes.
     """
 
     def __init__(
@@ -94,7 +96,11 @@
         clock: clocks.Clock,
         quota: reply_allowance.Quota | None = None,
         budget: byte_budget.ByteBudget | None = None,
+        link: link_bytes.Link | None = None,
     ) -> None:
+        self._link = link or link_bytes.LinkBytes().link(
+            link_bytes.LinkKind.SEARCHER
+        )
         self._quota = quota
         self._budget = budget
         # A socket with a timeout costs two more system calls per operation.
@@ -228,6 +234,7 @@
             while not parser.replies:
                 parser.receive(self._receive(deadline))
             reply = parser.replies.pop(0)
+            self._link.received(0, 1)
             if matches(reply):
                 self._reusable = parser.reusable and not parser.replies
                 self._apply_keep_alive(reply)
@@ -242,7 +249,9 @@
         unsent = [memoryview(part) for part in parts]
         while True:
             try:
-                unsent = byte_views.after(unsent, self._socket.sendmsg(unsent))
+                sent_bytes = self._socket.sendmsg(unsent)
+                unsent = byte_views.after(unsent, sent_bytes)
+                self._link.sent(sent_bytes, 0 if unsent else 1)
             except BlockingIOError:
                 pass
             if not unsent:
@@ -258,7 +267,9 @@
                 raise TimeoutError('the deadline has passed')
             try:
                 # Most tasks have waited for the reply before.
-                return self._socket.recv(_RECEIVE_BYTES)
+                received = self._socket.recv(_RECEIVE_BYTES)
+                self._link.received(len(received))
+                return received
             except BlockingIOError:
                 _wait(self._read_poll, remaining_ms)
 
