Read the store with httptools instead of libcurl

Errors tell as before whether the connection was new and whether a part had arrived.

A response above 16 MB is read up to the limit before it is reported as too large; libcurl saw the length. ReplyTooLarge is a kind of ReplyInvalid now, and the parser of replies raises it for bodies.

--- a/packages/tier/src/corianderport_tier/errors.py
+++ b/packages/tier/src/corianderport_tier/errors.py
@@ -224,8 +224,8 @@
     code = result_codes.ResultCode.REPLY_INVALID
 
 
-class ReplyTooLarge(ConnectionBroken):
-    """The reply exceeds the largest size that is accepted."""
+class ReplyTooLarge(ReplyInvalid):
+    """The body of the reply exceeds the largest size that is accepted."""
 
 
 class StoreUnavailable(ConnectionBroken):
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -110,6 +110,7 @@
         self._reusable = True
         # Method of the request that was sent last.
         self._method = b''
+        self._received_bytes = 0
         self._usable_until_s = float('inf')
 
     @property
@@ -121,6 +122,11 @@
         """
         return self._usable_until_s if self._reusable else float('-inf')
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received since the last request, of any response."""
+        return self._received_bytes
+
     def exchange(
         self,
         request: HttpRequest,
@@ -148,6 +154,7 @@
         :raises ConnectionSilent: the request was not sent by the deadline.
         :raises ConnectionBroken: the connection was closed.
         """
+        self._received_bytes = 0
         self._check_reusable()
         self._reusable = False
         self._method = request.method
@@ -253,9 +260,11 @@
         while True:
             _wait(self._read_poll, self._remaining_ms(deadline))
             try:
-                return self._socket.recv(_RECEIVE_BYTES)
+                received = self._socket.recv(_RECEIVE_BYTES)
             except BlockingIOError:
                 continue
+            self._received_bytes += len(received)
+            return received
 
     def _remaining_ms(self, deadline: deadlines.Deadline) -> float:
         return deadline.remaining(self._clock) * 1e3
--- a/packages/wire/src/corianderport_wire/connection/reply_parser.py
+++ b/packages/wire/src/corianderport_wire/connection/reply_parser.py
@@ -148,7 +148,7 @@
         self._allowance.count_body(len(content))
         self._body_bytes += len(content)
         if self._body_bytes > _MAX_BODY_BYTES:
-            raise errors.ReplyInvalid('response body is too large')
+            raise errors.ReplyTooLarge('response body is too large')
         self._body.write(content)
 
     def on_message_complete(self) -> None:
