Free the source that attrs keeps of generated methods

linecache holds 0.6 MB of source of methods that attrs has generated for the data classes. Tracebacks through them lose these lines.

--- a/packages/daemon/src/corianderport_daemon/entry_main.py
+++ b/packages/daemon/src/corianderport_daemon/entry_main.py
@@ -3,6 +3,7 @@
 Runs an entry host that sends directly to searchers.
 """
 
+import linecache
 import logging
 import os
 import signal
@@ -26,6 +27,9 @@
 
 def run(adapter: adapters.Adapter) -> int:
     """Run a host until SIGTERM or SIGINT; SIGHUP reloads the settings."""
+    # attrs keeps the source of the methods that it has generated, 0.6 MB, for
+    # tracebacks.
+    linecache.clearcache()
     threading.stack_size(_THREAD_STACK_BYTES)
     signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
     with json_log.JsonLog(sys.stdout, logging.getLevelName(logging.INFO)):
