--- a/packages/daemon/src/corianderport_daemon/entry_main.py
+++ b/packages/daemon/src/corianderport_daemon/entry_main.py
@@ -3,6 +3,7 @@
 Runs an entry host that sends directly to searchers.
 """
 
+import linecache
 import logging
 import os
 import signal
@@ -27,6 +28,9 @@
 
 def run(adapter: adapters.Adapter) -> int:
     """Run a host until SIGTERM or SIGINT; SIGHUP reloads the settings."""
+    # attrs keeps the source of the methods that it has generated, 0.6 MB, for
+    # tracebacks.
+    linecache.clearcache()
     threading.stack_size(_THREAD_STACK_BYTES)
     allocator.limit_arenas()
     signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
