Let test doubles of searchers reply in their own way

Cause: the fault soak needs searchers that see the whole head of a request, and a store whose clients may reset their connections.

Change: RawSearcher replies in a method of its own, which a subclass may replace. The store double prints no traceback for a client that has ended its connection; other errors are still printed.

--- a/tests/adapter/raw_searcher.py
+++ b/tests/adapter/raw_searcher.py
@@ -182,12 +182,14 @@
                     if not self._receive(connection, received):
                         return
                 del received[:total]
-                request_id = _REQUEST_ID.search(head)
-                self._answer.send(
-                    connection,
-                    request_id[1] if request_id else b'',
-                    self._stopped,
-                )
+                self._reply(connection, head)
+
+    def _reply(self, connection: socket.socket, head: bytes) -> None:
+        """Answer a request; an OSError closes the connection."""
+        request_id = _REQUEST_ID.search(head)
+        self._answer.send(
+            connection, request_id[1] if request_id else b'', self._stopped
+        )
 
     def _receive(self, connection: socket.socket, received: bytearray) -> bool:
         content = connection.recv(65_536)
--- a/tests/adapter/store_double.py
+++ b/tests/adapter/store_double.py
@@ -6,6 +6,7 @@
 import http.server
 import json
 import socket
+import sys
 import threading
 import time
 import typing
@@ -34,6 +35,11 @@
     daemon_threads = True
     owner: typing.Any
 
+    def handle_error(self, request: typing.Any, address: typing.Any) -> None:
+        # Clients that end a connection while a reply is due are expected.
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, address)
+
 
 class Handler(http.server.BaseHTTPRequestHandler):
     """One connection of a client of a double."""
