Let several searchers of the soak misbehave, and take time

One searcher at a time sent copies, seldom the one whose requests may run once, and searchers replied at once, so that no copy arrived while a request was running.

Change: a fault of behaviour concerns one or more searchers. A searcher takes up to 60 ms for a request.

--- a/tests/adapter/soak/process/searcher.py
+++ b/tests/adapter/soak/process/searcher.py
@@ -66,6 +66,9 @@
         """Return how the next request is answered."""
 
 
+# Time that a searcher takes for a request. A second copy of a reply arrives
+# while the next request on the connection runs only if that takes some time.
+_SERVICE_S = (0.0, 0.06)
 # Share of refusals of a full searcher, and the pause that it asks for: long
 # enough for a second copy to arrive first.
 _FULL_SHARE = 0.05
@@ -213,6 +216,7 @@
             content = _REFUSAL % (request_id.encode(), outcome.fields)
         else:
             content = self._run(request_id, text, fields, outcome)
+            time.sleep(self._random.uniform(*_SERVICE_S))
         connection.sendall(content)
         if outcome.copy_s:
             timer = threading.Timer(
--- a/tests/adapter/soak/version/faults.py
+++ b/tests/adapter/soak/version/faults.py
@@ -67,11 +67,11 @@
 
 
 class Fault(typing.Protocol):
-    """One fault; ``place`` is what no other fault may act upon."""
+    """One fault; ``places`` are what no other fault may act upon."""
 
     @property
-    def place(self) -> str:
-        """Name of what the fault acts upon."""
+    def places(self) -> tuple[str, ...]:
+        """Names of what the fault acts upon."""
 
     def begin(self, site: Site) -> None:
         """Start the fault."""
@@ -88,9 +88,9 @@
     effect: proxy.Effect
 
     @property
-    def place(self) -> str:
+    def places(self) -> tuple[str, ...]:
         """The link."""
-        return self.link
+        return (f'link of {self.link}',)
 
     def begin(self, site: Site) -> None:
         """Set the effect."""
@@ -103,25 +103,27 @@
 
 @attrs.frozen
 class Behave:
-    """A searcher that replies in an unusual way."""
+    """Searchers that reply in an unusual way."""
 
-    searcher: str
+    searchers: tuple[str, ...]
     behaviour: str
 
     @property
-    def place(self) -> str:
-        """The searcher."""
-        return f'behaviour of {self.searcher}'
+    def places(self) -> tuple[str, ...]:
+        """The searchers."""
+        return tuple(f'behaviour of {name}' for name in self.searchers)
 
     def begin(self, site: Site) -> None:
         """Change the behaviour."""
-        site.behave(self.searcher, self.behaviour)
+        for searcher in self.searchers:
+            site.behave(searcher, self.behaviour)
 
     def end(self, site: Site) -> None:
         """Restore it; a searcher that left returns as a new lifetime."""
-        site.behave(self.searcher, 'ordinary')
-        if self.behaviour == 'leaving':
-            site.list_anew(self.searcher)
+        for searcher in self.searchers:
+            site.behave(searcher, 'ordinary')
+            if self.behaviour == 'leaving':
+                site.list_anew(searcher)
 
 
 @attrs.frozen
@@ -131,9 +133,9 @@
     searcher: str
 
     @property
-    def place(self) -> str:
+    def places(self) -> tuple[str, ...]:
         """The entry of the searcher."""
-        return f'entry of {self.searcher}'
+        return (f'entry of {self.searcher}',)
 
     def begin(self, site: Site) -> None:
         """Remove the entry."""
@@ -149,9 +151,9 @@
     host: int
 
     @property
-    def place(self) -> str:
+    def places(self) -> tuple[str, ...]:
         """The host."""
-        return f'host {self.host}'
+        return (f'host {self.host}',)
 
 
 @attrs.frozen
@@ -213,7 +215,7 @@
 
     limits: tuple[tuple[str, int], ...]
     max_connections: int
-    place: str = 'limits'
+    places: tuple[str, ...] = ('limits',)
 
     def begin(self, site: Site) -> None:
         """Set the limits."""
@@ -236,7 +238,7 @@
 
     workspace: str
     rate_per_s: float
-    place: str = 'rate'
+    places: tuple[str, ...] = ('rate',)
 
     def begin(self, site: Site) -> None:
         """Set the rate."""
@@ -255,7 +257,7 @@
     """A route that is split between more services."""
 
     desk_weight: float
-    place: str = 'routes'
+    places: tuple[str, ...] = ('routes',)
 
     def begin(self, site: Site) -> None:
         """Add a service to the route."""
@@ -273,7 +275,7 @@
     """A key that is removed and restored."""
 
     workspace: str
-    place: str = 'key'
+    places: tuple[str, ...] = ('key',)
 
     def begin(self, site: Site) -> None:
         """Remove the key."""
--- a/tests/adapter/soak/version/timeline.py
+++ b/tests/adapter/soak/version/timeline.py
@@ -90,9 +90,9 @@
     places: set[str] = set()
     for _ in range(rng.randint(1, _MOST_FAULTS)):
         fault = rng.choice(_KINDS)(rng, hosts)
-        if fault.place in places:
+        if not places.isdisjoint(fault.places):
             continue
-        places.add(fault.place)
+        places.update(fault.places)
         if isinstance(fault, faults.RemoveKey):
             begin_s, duration_s = _FIRST_S, rng.uniform(*_KEY_REMOVAL_S)
         elif isinstance(fault, faults.Unlist):
@@ -119,9 +119,9 @@
     rng: random.Random, places: set[str], until_s: float
 ) -> list[Event]:
     fault = faults.DisturbLink('store', proxy.Silence())
-    if fault.place in places:
+    if not places.isdisjoint(fault.places):
         return []
-    places.add(fault.place)
+    places.update(fault.places)
     begin_s = until_s - 0.1
     return [Event(begin_s, begin_s + rng.uniform(*_DURATION_S), fault)]
 
@@ -169,7 +169,9 @@
 
 
 def _behave(rng: random.Random, hosts: int) -> faults.Fault:
-    return faults.Behave(rng.choice(searcher_names()), rng.choice(_BEHAVIOURS))
+    names = searcher_names()
+    chosen = rng.sample(names, rng.randint(1, len(names)))
+    return faults.Behave(tuple(chosen), rng.choice(_BEHAVIOURS))
 
 
 def _unlist(rng: random.Random, hosts: int) -> faults.Fault:
