--- a/tests/adapter/soak/connection/proxy.py
+++ b/tests/adapter/soak/connection/proxy.py
@@ -148,18 +148,20 @@
     def __init__(self, near: socket.socket, far: socket.socket) -> None:
         self._sockets = {'request': near, 'reply': far}
         self.silent: set[Direction] = set()
+        self._resets = False
 
     def close(self, resets: bool = False) -> None:
         """Wake both tasks of the link, which then close the sockets."""
+        self._resets = self._resets or resets
         for connection in self._sockets.values():
             with contextlib.suppress(OSError):
-                if resets:
+                if self._resets:
                     connection.setsockopt(
                         socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
                     )
                 # The end of the sending side would be sent before the reset.
                 connection.shutdown(
-                    socket.SHUT_RD if resets else socket.SHUT_RDWR
+                    socket.SHUT_RD if self._resets else socket.SHUT_RDWR
                 )
 
     def read(self, direction: Direction) -> bytes:
