--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -22,7 +22,7 @@
     assert result.record.runs
 
 
-@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('seed', [3, 4, 6])
 def test_faults_of_a_seed(tmp_path: pathlib.Path, seed: int) -> None:
     """Guards against guarantees that fail when faults overlap."""
     _check(timeline.generate(seed), tmp_path)
