--- a/packages/wire/src/corianderport_wire/connection/curl_client.py
+++ b/packages/wire/src/corianderport_wire/connection/curl_client.py
@@ -12,7 +12,6 @@
 import pycurl
 
 from corianderport_tier import errors
-from corianderport_tier.process import link_bytes
 from corianderport_wire.connection import reply_allowance
 
 __all__ = ['CurlClient', 'HttpReply', 'ReplyCollector']
@@ -129,7 +128,6 @@
         may send a request twice. Otherwise the call raises
         ConnectionBroken.
     :param quota: limits the responses on all connections of the host.
-    :param link: counts the bytes, without the framing of chunks.
     """
 
     def __init__(
@@ -138,10 +136,8 @@
         connect_timeout_s: float,
         reconnect: bool = True,
         quota: reply_allowance.Quota | None = None,
-        link: link_bytes.Link | None = None,
     ) -> None:
         self._address = address
-        self._link = link
         self._quota = quota
         self._reconnect = reconnect
         self._fresh_connect = False
@@ -279,7 +275,7 @@
         handle.setopt(pycurl.WRITEFUNCTION, collector.on_body)
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1e3)))
         try:
-            self._perform_counted()
+            handle.perform()
         except pycurl.error as error:
             if collector.rejected:
                 raise errors.ConnectionBroken(
@@ -297,22 +293,6 @@
             )
         return HttpReply(handle.getinfo(pycurl.RESPONSE_CODE), collector.body)
 
-    def _perform_counted(self) -> None:
-        handle = self._handle
-        replies = 0
-        try:
-            handle.perform()
-            replies = 1
-        finally:
-            if self._link is not None:
-                request_bytes = handle.getinfo(pycurl.REQUEST_SIZE)
-                self._link.sent(request_bytes, int(request_bytes > 0))
-                self._link.received(
-                    handle.getinfo(pycurl.HEADER_SIZE)
-                    + handle.getinfo(pycurl.SIZE_DOWNLOAD_T),
-                    replies,
-                )
-
     def _close_socket(self) -> None:
         with self._lock:
             if self._socket is not None:
