--- a/tests/wire/test_link_counts.py
+++ b/tests/wire/test_link_counts.py
@@ -25,12 +25,12 @@
 from corianderport_tier.version import registrations
 from corianderport_tier.version import routes
 from corianderport_wire.connection import caller_listener
-from corianderport_wire.connection import curl_client
 from corianderport_wire.connection import disconnect_watcher
 from corianderport_wire.connection import http_exchange
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_client
 from corianderport_wire.connection import peer_server
+from corianderport_wire.connection import persistent_client
 
 _CLOCK = clocks.SystemClock()
 _KEYS = peer_authentication.SharedKeys.from_text('a key of the tests')
@@ -305,11 +305,11 @@
 
 
 def test_call_of_the_store() -> None:
-    """Guards against sizes that libcurl reports for another part."""
+    """Guards against calls of the store that are not counted."""
     links = link_bytes.LinkBytes('dc-a')
     address, received = _serve_once(_REPLY)
-    client = curl_client.CurlClient(
-        address, _LONG_S, link=links.link(_Kind.STORE, 'dc-b')
+    client = persistent_client.PersistentClient(
+        address, _LONG_S, _CLOCK, links.link(_Kind.STORE, 'dc-b')
     )
     assert client.get('/x?prefix=/a', _LONG_S).body == b'ok'
     client.close()
@@ -322,7 +322,9 @@
     links = link_bytes.LinkBytes()
     link = links.link(_Kind.STORE)
     address, received = _serve_once(b'HTTP/1.1 200 OK\r\ncontent-le')
-    client = curl_client.CurlClient(address, _LONG_S, link=link)
+    client = persistent_client.PersistentClient(
+        address, _LONG_S, _CLOCK, link
+    )
     with pytest.raises(errors.TransportError):
         client.get('/', 0.3)
     client.close()
@@ -330,7 +332,7 @@
     listener = socket.create_server(('127.0.0.1', 0))
     closed = f'127.0.0.1:{listener.getsockname()[1]}'
     listener.close()
-    client = curl_client.CurlClient(closed, _LONG_S, link=link)
+    client = persistent_client.PersistentClient(closed, _LONG_S, _CLOCK, link)
     with pytest.raises(errors.ConnectFailed):
         client.get('/', _LONG_S)
     client.close()
--- a/tests/wire/test_persistent_client.py
+++ b/tests/wire/test_persistent_client.py
@@ -218,13 +218,14 @@
 
     def __init__(self, connection: socket.socket) -> None:
         self._connection = connection
-        self._reads = 0
+        self._received = False
 
     def recv(self, size: int) -> bytes:
-        self._reads += 1
-        if self._reads > 1:
+        if self._received:
             raise OSError(errno.ETIMEDOUT, 'connection timed out')
-        return self._connection.recv(size)
+        received = self._connection.recv(size)
+        self._received = True
+        return received
 
     def __getattr__(self, name: str) -> typing.Any:
         return getattr(self._connection, name)
