--- a/tests/wire/test_link_counts.py
+++ b/tests/wire/test_link_counts.py
@@ -322,9 +322,7 @@
     links = link_bytes.LinkBytes()
     link = links.link(_Kind.STORE)
     address, received = _serve_once(b'HTTP/1.1 200 OK\r\ncontent-le')
-    client = persistent_client.PersistentClient(
-        address, _LONG_S, _CLOCK, link
-    )
+    client = persistent_client.PersistentClient(address, _LONG_S, _CLOCK, link)
     with pytest.raises(errors.TransportError):
         client.get('/', 0.3)
     client.close()
