Show the log of the host process if its test fails

The output of the run in which test_a_calm_day failed was lost, so that its cause could not be found.

--- a/tests/adapter/test_entry_process.py
+++ b/tests/adapter/test_entry_process.py
@@ -94,6 +94,9 @@
             self.process.kill()
         self.process.wait(_LONG_S)
         self._reader.join(_LONG_S)
+        # Shown if the test fails.
+        print('exit status', self.process.returncode)
+        print(''.join(self.lines))
         for reserved in self._reserved:
             reserved.close()
 
