--- a/packages/tier/src/corianderport_tier/process/heartbeat_sender.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeat_sender.py
@@ -117,7 +117,8 @@
         self.member = responder
         self._exchange.on_reply(reply, sent_s)
         if joining:
-            self._refresh.received(len(reply.rumours), self._members.view)
+            hosts = len(self._members.members())
+            self._refresh.received(len(reply.rumours), hosts)
 
     def _wants_all_rumours(self) -> bool:
         if self._members.awaiting_reply:
@@ -127,7 +128,7 @@
             return False
         # A host that was cut off may know others that are also cut off.
         dead = self._members.standing(self.member) >= membership.Standing.DEAD
-        return dead or self._refresh.due(self._members.view)
+        return dead or self._refresh.due(len(self._members.members()))
 
     def _disconnect(self) -> None:
         transport = self._transport
