--- a/packages/tier/src/corianderport_tier/process/heartbeat_sender.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeat_sender.py
@@ -12,7 +12,6 @@
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
 from corianderport_tier.process import heartbeats
-from corianderport_tier.process import list_refresh
 from corianderport_tier.process import membership
 from corianderport_tier.process import periodic_task
 
@@ -32,7 +31,6 @@
 class HeartbeatSender(periodic_task.PeriodicTask):
     """Sends heartbeats to one host over a persistent connection.
 
-    :param refresh: decides whether the first heartbeat asks for all rumours.
     :param on_failure: called after the host could not be reached.
     """
 
@@ -44,7 +42,6 @@
         dialer: transports.PeerDialer,
         clock: clocks.Clock,
         times: HeartbeatTimes,
-        refresh: list_refresh.ListRefresh,
         on_failure: collections.abc.Callable[[], None],
     ) -> None:
         super().__init__(clock)
@@ -53,7 +50,6 @@
         self._members = members
         self._dialer = dialer
         self._times = times
-        self._refresh = refresh
         self._on_failure = on_failure
         self._transport: transports.PeerTransport | None = None
         self._attempted = False
@@ -106,8 +102,7 @@
 
     def _send(self, transport: transports.PeerTransport) -> None:
         sent_s = self._clock.monotonic()
-        joining = self._wants_all_rumours()
-        message = self._exchange.build(self.member, joining)
+        message = self._exchange.build(self.member, not self._attempted)
         reply = transport.heartbeat(message, self._times.timeout_s)
         responder = reply.sender.member
         if responder.name != self.member.name:
@@ -116,19 +111,6 @@
             )
         self.member = responder
         self._exchange.on_reply(reply, sent_s)
-        if joining:
-            hosts = len(self._members.members())
-            self._refresh.received(len(reply.rumours), hosts)
-
-    def _wants_all_rumours(self) -> bool:
-        if self._members.awaiting_reply:
-            # This host was paused and may have missed rumours.
-            self._refresh.expire()
-        if self._attempted:
-            return False
-        # A host that was cut off may know others that are also cut off.
-        dead = self._members.standing(self.member) >= membership.Standing.DEAD
-        return dead or self._refresh.due(len(self._members.members()))
 
     def _disconnect(self) -> None:
         transport = self._transport
--- a/packages/tier/src/corianderport_tier/process/heartbeat_sender_set.py
+++ b/packages/tier/src/corianderport_tier/process/heartbeat_sender_set.py
@@ -11,7 +11,6 @@
 from corianderport_tier.connection import transports
 from corianderport_tier.process import heartbeat_sender
 from corianderport_tier.process import heartbeats
-from corianderport_tier.process import list_refresh
 from corianderport_tier.process import membership
 from corianderport_tier.process import neighbours
 
@@ -48,7 +47,6 @@
         self._neighbour_period_s = neighbour_period_s
         self._rng = rng
         self._on_failure = on_failure
-        self._refresh = list_refresh.ListRefresh(clock)
         self._senders: dict[
             tuple[str, str], heartbeat_sender.HeartbeatSender
         ] = {}
@@ -111,7 +109,6 @@
             self._dialer,
             self._clock,
             self._times,
-            self._refresh,
             self._on_failure,
         )
 
--- a/tests/tier/heartbeat_cost.py
+++ b/tests/tier/heartbeat_cost.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import collections.abc
 import statistics
 import sys
 
@@ -202,20 +201,21 @@
     return _cost(name, network, seconds)
 
 
-def run(hosts: int, seed: int = 1) -> collections.abc.Iterator[Cost]:
-    """Yield the cost of each phase at its end."""
+def run(hosts: int, seed: int = 1) -> list[Cost]:
+    """Return the cost of each phase."""
     network = CountedNetwork(hosts + 1, seed)
     *started, joining = network.hosts.values()
     network.start_known(started)
     network.advance(_SETTLE_S)
-    yield _phase(network, 'steady', _STEADY_S)
+    costs = [_phase(network, 'steady', _STEADY_S)]
     network.start(joining)
-    yield _phase(network, 'one joins', _JOIN_S)
+    costs.append(_phase(network, 'one joins', _JOIN_S))
     network.advance(_SETTLE_S)
     for host in network.hosts.values():
         if host.data_centre == _LOST:
             network.stop(host, off=True)
-    yield _phase(network, 'a third lost', _LOSS_S)
+    costs.append(_phase(network, 'a third lost', _LOSS_S))
+    return costs
 
 
 def main() -> None:
