Send at once only where urgent requests compete with others

The tasks of the other connections wait for each reply themselves again, so that a reply is read without a poll only after a wait that showed it.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -24,10 +24,10 @@
 from corianderport_daemon.process import registry_connection
 from corianderport_tier import clocks
 from corianderport_tier import closing
-from corianderport_tier.connection import direct_connection
 from corianderport_tier.connection import pool
 from corianderport_tier.connection import transports
 from corianderport_tier import errors
+from corianderport_tier.process import connection_kinds
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
 from corianderport_tier.process import drain
@@ -114,6 +114,9 @@
         self._directory = directory.Directory(
             self._open_service, clock, self._log, self._order
         )
+        self._connection_kinds = connection_kinds.ConnectionKinds(
+            lambda: self._directory.routing
+        )
         self._freshness = store_freshness.StoreFreshness(
             clock,
             self._log,
@@ -344,7 +347,7 @@
             pool.PoolLimits(connections),
             lambda transport: transport.usable_until_s,
             self._events,
-            direct_connection.DirectConnection,
+            self._connection_kinds.for_service(registration.service),
         )
 
     def _expire_and_reload(self) -> None:
--- a/packages/tier/src/corianderport_tier/connection/pool.py
+++ b/packages/tier/src/corianderport_tier/connection/pool.py
@@ -22,6 +22,7 @@
     'ConnectionPool',
     'Job',
     'NEW_CONNECTION',
+    'OpenConnection',
     'PoolLimits',
     'Reuse',
 ]
--- a/packages/wire/src/corianderport_wire/connection/http_exchange.py
+++ b/packages/wire/src/corianderport_wire/connection/http_exchange.py
@@ -118,6 +118,8 @@
         # Method of the request that was sent last.
         self._method = b''
         self._received_bytes = 0
+        # Whether a wait has shown that the socket can be read now.
+        self._readable = False
         self._usable_until_s = float('inf')
 
     @property
@@ -177,7 +179,8 @@
 
         :return: False if neither happened in time.
         """
-        return bool(self._read_poll.poll(timeout_s * 1e3))
+        self._readable = bool(self._read_poll.poll(timeout_s * 1e3))
+        return self._readable
 
     def receive(
         self,
@@ -269,14 +272,13 @@
 
     def _receive(self, deadline: deadlines.Deadline) -> bytes:
         while True:
-            remaining_ms = self._remaining_ms(deadline)
-            if remaining_ms <= 0:
-                raise TimeoutError('the deadline has passed')
+            if self._readable:
+                self._readable = False
+            else:
+                _wait(self._read_poll, self._remaining_ms(deadline))
             try:
-                # Most tasks have waited for the reply before.
                 received = self._socket.recv(_RECEIVE_BYTES)
             except BlockingIOError:
-                _wait(self._read_poll, remaining_ms)
                 continue
             self._received_bytes += len(received)
             self._link.received(len(received))
