--- a/tests/adapter/soak/connection/proxy.py
+++ b/tests/adapter/soak/connection/proxy.py
@@ -165,7 +165,10 @@
                 )
 
     def read(self, direction: Direction) -> bytes:
-        return self._sockets[direction].recv(_READ_BYTES)
+        content = self._sockets[direction].recv(_READ_BYTES)
+        # Bytes that arrive after the receiving side was shut down are still
+        # returned.
+        return b'' if self._resets else content
 
     def write(self, direction: Direction, content: bytes) -> None:
         other: Direction = 'reply' if direction == 'request' else 'request'
