--- a/packages/daemon/src/corianderport_daemon/process/host_reports.py
+++ b/packages/daemon/src/corianderport_daemon/process/host_reports.py
@@ -73,14 +73,14 @@
         )
 
     def _workspaces(self) -> caller_listener.HttpResponse:
-        from corianderport_wire.request import workspaces_codec
+        from corianderport_wire.request import report_codec
 
-        return workspaces_codec.respond(self._activity.report)
+        return report_codec.WORKSPACES.respond(self._activity.report)
 
     def _host_links(self) -> caller_listener.HttpResponse:
-        from corianderport_wire.request import links_codec
+        from corianderport_wire.request import report_codec
 
-        return links_codec.respond(self._links.report)
+        return report_codec.LINKS.respond(self._links.report)
 
     def _metrics_text(self) -> caller_listener.HttpResponse:
         from corianderport_wire.process import metrics_text
--- a/packages/operator/src/corianderport_operator/connection/links_client.py
+++ b/packages/operator/src/corianderport_operator/connection/links_client.py
@@ -7,7 +7,7 @@
 
 from corianderport_operator.connection import reports_client
 from corianderport_tier.process import link_report
-from corianderport_wire.request import links_codec
+from corianderport_wire.request import report_codec
 
 __all__ = ['TIMEOUT_S', 'HostReply', 'read_hosts']
 
@@ -21,6 +21,4 @@
     addresses: collections.abc.Sequence[str],
 ) -> tuple[HostReply, ...]:
     """Query all hosts in parallel; results are in the given order."""
-    return reports_client.read_hosts(
-        addresses, links_codec.PATH, links_codec.decode, TIMEOUT_S
-    )
+    return reports_client.read_hosts(addresses, report_codec.LINKS, TIMEOUT_S)
--- a/packages/operator/src/corianderport_operator/connection/reports_client.py
+++ b/packages/operator/src/corianderport_operator/connection/reports_client.py
@@ -11,6 +11,7 @@
 
 from corianderport_tier import errors
 from corianderport_wire.connection import curl_client
+from corianderport_wire.request import report_codec
 
 __all__ = ['NOT_SUPPORTED', 'HostReply', 'read_hosts']
 
@@ -18,8 +19,6 @@
 _MAX_WORKERS = 64
 
 T = typing.TypeVar('T')
-# Decodes status and body; None if the host has no such report.
-Decoder = collections.abc.Callable[[int, bytes], T | None]
 
 
 @attrs.frozen
@@ -33,8 +32,7 @@
 
 def read_hosts(
     addresses: collections.abc.Sequence[str],
-    path: str,
-    decode: Decoder[T],
+    codec: report_codec.ReportCodec[T],
     timeout_s: float,
 ) -> tuple[HostReply[T], ...]:
     """Query all hosts in parallel; results are in the given order.
@@ -43,21 +41,21 @@
     """
 
     def read(address: str) -> HostReply[T]:
-        return _read_host(address, path, decode, timeout_s)
+        return _read_host(address, codec, timeout_s)
 
     with concurrent.futures.ThreadPoolExecutor(_MAX_WORKERS) as executor:
         return tuple(executor.map(read, addresses))
 
 
 def _read_host(
-    address: str, path: str, decode: Decoder[T], timeout_s: float
+    address: str, codec: report_codec.ReportCodec[T], timeout_s: float
 ) -> HostReply[T]:
     client = curl_client.CurlClient(address, timeout_s)
     try:
-        reply = client.get(path, timeout_s)
+        reply = client.get(codec.path, timeout_s)
     except errors.TransportError as error:
         return HostReply(address, None, f'no answer: {error}')
     finally:
         client.close()
-    report = decode(reply.status, reply.body)
+    report = codec.decode(reply.status, reply.body)
     return HostReply(address, report, '' if report else NOT_SUPPORTED)
--- a/packages/operator/src/corianderport_operator/connection/workspaces_client.py
+++ b/packages/operator/src/corianderport_operator/connection/workspaces_client.py
@@ -7,7 +7,7 @@
 
 from corianderport_operator.connection import reports_client
 from corianderport_tier.process import workspace_activity
-from corianderport_wire.request import workspaces_codec
+from corianderport_wire.request import report_codec
 
 __all__ = ['TIMEOUT_S', 'HostReply', 'read_hosts']
 
@@ -22,5 +22,5 @@
 ) -> tuple[HostReply, ...]:
     """Query all hosts in parallel; results are in the given order."""
     return reports_client.read_hosts(
-        addresses, workspaces_codec.PATH, workspaces_codec.decode, TIMEOUT_S
+        addresses, report_codec.WORKSPACES, TIMEOUT_S
     )
--- a/packages/tier/src/corianderport_tier/process/connection_kinds.py
+++ b/packages/tier/src/corianderport_tier/process/connection_kinds.py
@@ -26,7 +26,7 @@
     task of each connection does: if the request's tasks sent there too, wide
     gathers would take so much from narrow ones of lower priority on a
     deployment of 58 hosts that these earned 0.38 of their worth in place of
-    0.57.
+    0.56.
 
     :param routing: returns the routing in force, None before one has been
         read.
--- a/tests/adapter/test_host_links.py
+++ b/tests/adapter/test_host_links.py
@@ -5,7 +5,7 @@
 
 from corianderport_tier.process import link_bytes
 from corianderport_tier.process import link_report
-from corianderport_wire.request import links_codec
+from corianderport_wire.request import report_codec
 
 from . import http_host
 
@@ -32,7 +32,7 @@
 
 def _report(host: http_host.HttpHost) -> link_report.HostLinks:
     response = _get(host, b'/links')
-    report = links_codec.decode(response.status, response.body)
+    report = report_codec.LINKS.decode(response.status, response.body)
     assert report is not None
     return report
 
--- a/tests/operator/test_links_command.py
+++ b/tests/operator/test_links_command.py
@@ -1,19 +1,19 @@
 """Tests of the command that shows the bytes that hosts exchange."""
 
 import collections.abc
-import http.server
 import json
-import threading
 import typing
 
 import pytest
 
 from corianderport_operator import main
+from corianderport_testkit.process import report_host
 from corianderport_tier.process import link_bytes
 from corianderport_tier.process import link_report
-from corianderport_wire.request import links_codec
+from corianderport_wire.request import report_codec
 
 Capture = pytest.CaptureFixture[str]
+Host = report_host.ReportHost
 _METRICS = b'# HELP corianderport_results_total results\n'
 _SENT = link_bytes.Direction.SENT
 _RECEIVED = link_bytes.Direction.RECEIVED
@@ -27,62 +27,27 @@
     return link_bytes.LinkTotal(direction, _HEARTBEAT, _OTHER, size, messages)
 
 
-class _Host:
-    """Stands in for the metrics address of a host."""
+def _host(
+    host: str,
+    data_centre: str,
+    running_s: float,
+    *totals: link_bytes.LinkTotal,
+) -> Host:
+    report = link_report.HostLinks(host, data_centre, running_s, totals)
+    return Host(report_codec.LINKS.respond(lambda: report).body)
 
-    def __init__(self, report: link_report.HostLinks) -> None:
-        self.status = 200
-        self.body = links_codec.respond(lambda: report).body
-        self.targets: list[str] = []
-        host = self
 
-        class _Handler(http.server.BaseHTTPRequestHandler):
-            def do_GET(self) -> None:
-                host.targets.append(self.path)
-                self.send_response(host.status)
-                self.send_header('content-length', str(len(host.body)))
-                self.end_headers()
-                self.wfile.write(host.body)
-
-            def log_message(self, *arguments: object) -> None:
-                return
-
-        self._server = http.server.ThreadingHTTPServer(
-            ('127.0.0.1', 0), _Handler
-        )
-        self.address = f'127.0.0.1:{self._server.server_port}'
-        threading.Thread(
-            target=self._server.serve_forever, daemon=True
-        ).start()
-
-    def close(self) -> None:
-        self._server.shutdown()
-        self._server.server_close()
+@pytest.fixture
+def hosts() -> collections.abc.Iterator[list[Host]]:
+    totals = _total(_SENT, 1_000, 5), _total(_RECEIVED, 4_000, 7)
+    with (
+        _host('edge-1', 'west', 10.0, *totals) as first,
+        _host('edge-2', 'east', 100.0, _total(_SENT, 500, 2)) as second,
+    ):
+        yield [first, second]
 
 
-@pytest.fixture
-def hosts() -> collections.abc.Iterator[list[_Host]]:
-    started = [
-        _Host(
-            link_report.HostLinks(
-                'edge-1',
-                'west',
-                10.0,
-                (_total(_SENT, 1_000, 5), _total(_RECEIVED, 4_000, 7)),
-            )
-        ),
-        _Host(
-            link_report.HostLinks(
-                'edge-2', 'east', 100.0, (_total(_SENT, 500, 2),)
-            )
-        ),
-    ]
-    yield started
-    for host in started:
-        host.close()
-
-
-def _run(hosts: list[_Host], *arguments: str) -> int:
+def _run(hosts: list[Host], *arguments: str) -> int:
     flags = [f for host in hosts for f in ('--host', host.address)]
     try:
         main.main(['links', *flags, *arguments])
@@ -98,7 +63,7 @@
     return fields
 
 
-def test_sum_and_each_host(hosts: list[_Host], capsys: Capture) -> None:
+def test_sum_and_each_host(hosts: list[Host], capsys: Capture) -> None:
     """Guards against a repeated flag that is lost, and against wrong sums.
 
     The hosts have run for different times, so that the rates are added up
@@ -127,7 +92,7 @@
     assert second['address'] == hosts[1].address
 
 
-def test_tables(hosts: list[_Host], capsys: Capture) -> None:
+def test_tables(hosts: list[Host], capsys: Capture) -> None:
     """Guards against columns in another order than their headings."""
     assert _run(hosts) == 0
     lines = capsys.readouterr().out.splitlines()
@@ -143,7 +108,7 @@
 
 @pytest.mark.parametrize(('status', 'body'), [(200, _METRICS), (404, b'')])
 def test_older_host_is_listed(
-    hosts: list[_Host], capsys: Capture, status: int, body: bytes
+    hosts: list[Host], capsys: Capture, status: int, body: bytes
 ) -> None:
     """Guards against a sum that seems to include a host without the path."""
     hosts[1].status, hosts[1].body = status, body
@@ -157,7 +122,7 @@
 
 
 def test_closed_host_and_invalid_address(
-    hosts: list[_Host], capsys: Capture
+    hosts: list[Host], capsys: Capture
 ) -> None:
     """Guards against a traceback for a host that is down or a mistake."""
     hosts[0].close()
--- a/tests/operator/test_where_command.py
+++ b/tests/operator/test_where_command.py
@@ -1,17 +1,17 @@
 """Tests of the command that asks a host where a request would go."""
 
 import collections.abc
-import http.server
 import json
-import threading
 import typing
 import urllib.parse
 
 import pytest
 
 from corianderport_operator import main
+from corianderport_testkit.process import report_host
 
 Capture = pytest.CaptureFixture[str]
+Host = report_host.ReportHost
 
 
 def _searcher(name: str, **fields: object) -> dict[str, object]:
@@ -56,48 +56,13 @@
 }
 
 
-class _Host:
-    """Stands in for the metrics address of a host."""
-
-    def __init__(self) -> None:
-        self.answer = _ANSWER
-        self.status = 200
-        self.targets: list[str] = []
-        self.keys: list[list[str] | None] = []
-        host = self
-
-        class _Handler(http.server.BaseHTTPRequestHandler):
-            def do_GET(self) -> None:
-                host.targets.append(self.path)
-                host.keys.append(self.headers.get_all('authorization'))
-                body = json.dumps(host.answer).encode()
-                self.send_response(host.status)
-                self.send_header('content-length', str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
-
-            def log_message(self, *arguments: object) -> None:
-                return
-
-        self._server = http.server.HTTPServer(('127.0.0.1', 0), _Handler)
-        self.address = f'127.0.0.1:{self._server.server_port}'
-        threading.Thread(
-            target=self._server.serve_forever, daemon=True
-        ).start()
-
-    def close(self) -> None:
-        self._server.shutdown()
-        self._server.server_close()
-
-
 @pytest.fixture
-def host() -> collections.abc.Iterator[_Host]:
-    started = _Host()
-    yield started
-    started.close()
+def host() -> collections.abc.Iterator[Host]:
+    with Host(json.dumps(_ANSWER).encode()) as started:
+        yield started
 
 
-def _run(host: _Host, *arguments: str) -> None:
+def _run(host: Host, *arguments: str) -> None:
     main.main(
         [
             'explain', 'where', 'GET', 'http://a.example/find/x?q=1',
@@ -107,7 +72,7 @@
 
 
 def test_table_names_the_state_of_each_searcher(
-    host: _Host, capsys: Capture
+    host: Host, capsys: Capture
 ) -> None:
     """Guards against a table that hides why a searcher is not used."""
     _run(host)
@@ -123,7 +88,7 @@
     assert all('budget is spent' in row for row in rows)
 
 
-def test_all_headers_reach_the_host(host: _Host, capsys: Capture) -> None:
+def test_all_headers_reach_the_host(host: Host, capsys: Capture) -> None:
     """Guards against losing all headers but the last."""
     _run(host, '--header', 'content-length:5', '--header=a:b=c', '--json')
     query = urllib.parse.parse_qs(urllib.parse.urlsplit(host.targets[0]).query)
@@ -164,13 +129,14 @@
     ],
 )
 def test_decisions_on_the_key_and_age_are_shown(
-    host: _Host,
+    host: Host,
     capsys: Capture,
     key: dict[str, object] | None,
     shown: list[str],
 ) -> None:
     """Guards against output that hides why a key is refused."""
-    host.answer = {**_ANSWER, 'store_age_s': 1.24, 'key': key}
+    answer = {**_ANSWER, 'store_age_s': 1.24, 'key': key}
+    host.body = json.dumps(answer).encode()
     _run(host)
     text = capsys.readouterr().out
     assert 'knowledge of the store 1.2 s old' in text
@@ -181,7 +147,7 @@
 @pytest.mark.parametrize('json_flag', [(), ('--json',)])
 @pytest.mark.parametrize('status', [200, 400])
 def test_key_is_sent_as_a_header_and_never_shown(
-    host: _Host, capsys: Capture, json_flag: tuple[str, ...], status: int
+    host: Host, capsys: Capture, json_flag: tuple[str, ...], status: int
 ) -> None:
     """Guards against keys in logs of requests and in terminals.
 
@@ -203,22 +169,24 @@
     assert 'secret' not in captured.out + captured.err
 
 
-def test_refusal_is_a_problem(host: _Host, capsys: Capture) -> None:
-    host.answer = {
+def test_refusal_is_a_problem(host: Host, capsys: Capture) -> None:
+    answer = {
         'version': 7, 'route': None, 'refusal': 'no route', 'services': [],
     }  # fmt: skip
+    host.body = json.dumps(answer).encode()
     with pytest.raises(SystemExit) as stopped:
         _run(host)
     assert stopped.value.code == 1
     assert 'refused: no route' in capsys.readouterr().out
 
 
-def test_usage_errors_are_one_line(host: _Host, capsys: Capture) -> None:
+def test_usage_errors_are_one_line(host: Host, capsys: Capture) -> None:
     """Guards against tracebacks for mistakes of the caller."""
     with pytest.raises(SystemExit) as stopped:
         main.main(['explain', 'where', 'GET', '/find/x'])
     assert stopped.value.code == 2
-    host.status, host.answer = 400, {'error': 'content-length: not a number'}
+    host.status = 400
+    host.body = b'{"error": "content-length: not a number"}'
     with pytest.raises(SystemExit) as stopped:
         _run(host)
     assert stopped.value.code == 2
--- a/tests/operator/test_workspaces_command.py
+++ b/tests/operator/test_workspaces_command.py
@@ -1,29 +1,27 @@
 """Tests of the command that shows the requests of each workspace."""
 
 import collections.abc
-import contextlib
-import http.server
 import json
-import threading
-import time
 import typing
 
 import pytest
 
 from corianderport_operator.connection import workspaces_client
 from corianderport_operator import main
+from corianderport_testkit.process import report_host
 from corianderport_tier.process import workspace_activity
-from corianderport_wire.request import workspaces_codec
+from corianderport_wire.request import report_codec
 
 Capture = pytest.CaptureFixture[str]
 Counts = workspace_activity.RequestCounts
+Host = report_host.ReportHost
 _METRICS = b'# HELP corianderport_results_total results\n'
 
 
-def _activity(
+def _host(
     host: str, version: int, rate_per_s: float, requests: Counts
-) -> workspace_activity.HostActivity:
-    return workspace_activity.HostActivity(
+) -> Host:
+    activity = workspace_activity.HostActivity(
         host,
         version,
         0.5,
@@ -35,61 +33,19 @@
             ),
         ),
     )
-
-
-class _Host:
-    """Stands in for the metrics address of a host."""
-
-    def __init__(
-        self, activity: workspace_activity.HostActivity | None = None
-    ) -> None:
-        self.status = 200
-        self.delay_s = 0.0
-        self.body = _METRICS
-        if activity is not None:
-            self.body = workspaces_codec.respond(lambda: activity).body
-        self.targets: list[str] = []
-        host = self
-
-        class _Handler(http.server.BaseHTTPRequestHandler):
-            def do_GET(self) -> None:
-                host.targets.append(self.path)
-                time.sleep(host.delay_s)
-                # The command may have given up in the meantime.
-                with contextlib.suppress(ConnectionError):
-                    self.send_response(host.status)
-                    self.send_header('content-length', str(len(host.body)))
-                    self.end_headers()
-                    self.wfile.write(host.body)
-
-            def log_message(self, *arguments: object) -> None:
-                return
-
-        self._server = http.server.ThreadingHTTPServer(
-            ('127.0.0.1', 0), _Handler
-        )
-        self.address = f'127.0.0.1:{self._server.server_port}'
-        threading.Thread(
-            target=self._server.serve_forever, daemon=True
-        ).start()
-
-    def close(self) -> None:
-        self._server.shutdown()
-        self._server.server_close()
+    return Host(report_codec.WORKSPACES.respond(lambda: activity).body)
 
 
 @pytest.fixture
-def hosts() -> collections.abc.Iterator[list[_Host]]:
-    started = [
-        _Host(_activity('edge-1', 7, 40, Counts(100, 3, 20, 4, 8, 5, 6))),
-        _Host(_activity('edge-2', 8, 50, Counts(10, 1, 2, 1, 1, 1, 1))),
-    ]
-    yield started
-    for host in started:
-        host.close()
+def hosts() -> collections.abc.Iterator[list[Host]]:
+    with (
+        _host('edge-1', 7, 40, Counts(100, 3, 20, 4, 8, 5, 6)) as first,
+        _host('edge-2', 8, 50, Counts(10, 1, 2, 1, 1, 1, 1)) as second,
+    ):
+        yield [first, second]
 
 
-def _run(hosts: list[_Host], *arguments: str) -> int:
+def _run(hosts: list[Host], *arguments: str) -> int:
     flags = [f for host in hosts for f in ('--host', host.address)]
     try:
         main.main(['workspaces', *flags, *arguments])
@@ -105,7 +61,7 @@
     return fields
 
 
-def test_sum_and_each_host(hosts: list[_Host], capsys: Capture) -> None:
+def test_sum_and_each_host(hosts: list[Host], capsys: Capture) -> None:
     """Guards against a repeated flag that is lost, and against wrong sums.
 
     Rate and burst are those of the newest version.
@@ -131,7 +87,7 @@
     assert [h['requests']['admitted'] for h in alpha['hosts']] == [100, 10]
 
 
-def test_tables(hosts: list[_Host], capsys: Capture) -> None:
+def test_tables(hosts: list[Host], capsys: Capture) -> None:
     """Guards against columns in another order than their headings."""
     assert _run(hosts) == 0
     lines = capsys.readouterr().out.splitlines()
@@ -147,7 +103,7 @@
 
 @pytest.mark.parametrize(('status', 'body'), [(200, _METRICS), (404, b'')])
 def test_older_host_is_listed(
-    hosts: list[_Host], capsys: Capture, status: int, body: bytes
+    hosts: list[Host], capsys: Capture, status: int, body: bytes
 ) -> None:
     """Guards against a sum that seems to include a host without the path.
 
@@ -165,13 +121,13 @@
 
 
 def test_silent_host_is_listed_in_time(
-    hosts: list[_Host], capsys: Capture, monkeypatch: pytest.MonkeyPatch
+    hosts: list[Host], capsys: Capture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a command that waits for a host that hangs."""
     assert workspaces_client.TIMEOUT_S == 2.0
     monkeypatch.setattr(workspaces_client, 'TIMEOUT_S', 0.2)
     hosts[0].delay_s = 1.0
-    closed = _Host()
+    closed = Host(_METRICS)
     closed.close()
     assert _run([*hosts, closed], '--json') == 1
     problems = [host['problem'] for host in _json(capsys)['hosts']]
@@ -182,7 +138,7 @@
 
 def test_all_hosts_silent(capsys: Capture) -> None:
     """Guards against an error instead of a list of the hosts."""
-    closed = _Host()
+    closed = Host(_METRICS)
     closed.close()
     assert _run([closed], '--json') == 1
     fields = _json(capsys)
