--- a/tests/adapter/soak/process/checks.py
+++ b/tests/adapter/soak/process/checks.py
@@ -66,7 +66,7 @@
     ]
 
 
-def once_means_once(record: Record) -> list[str]:
+def non_idempotent_requests_run_at_most_once(record: Record) -> list[str]:
     """Return requests that may run once and ran more often."""
     runs = record.runs_by_id()
     return [
@@ -274,7 +274,7 @@
 
 GUARANTEES: tuple[Check, ...] = (
     refused_requests_have_not_run,
-    once_means_once,
+    non_idempotent_requests_run_at_most_once,
     responses_belong_to_requests,
     keys_stay_secret,
     removed_keys_are_refused,
--- a/tests/adapter/test_soak_checks.py
+++ b/tests/adapter/test_soak_checks.py
@@ -87,7 +87,10 @@
     ('check', 'record'),
     [
         (checks.refused_requests_have_not_run, _sent(**_REFUSED)),
-        (checks.once_means_once, _record(runs=(_RUN, _RUN))),
+        (
+            checks.non_idempotent_requests_run_at_most_once,
+            _record(runs=(_RUN, _RUN)),
+        ),
         (checks.responses_belong_to_requests, _sent(answered_id='q2')),
         (checks.responses_belong_to_requests, _sent(body=b'bod')),
         (checks.responses_belong_to_requests, _sent(status=404)),
