Give the hosts of the review's cases ports outside of the ephemeral range

Cause: while a host is started again, one of the thousands of connections of a crowd could take its port. Change: ports are drawn below the range that connections get.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import resource
 import shutil
 import signal
@@ -329,13 +330,24 @@
 
 
 def _free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.socket()) for _ in range(count)
-        ]
-        for opened in sockets:
-            opened.bind(('127.0.0.1', 0))
-        return [opened.getsockname()[1] for opened in sockets]
+    """Return free ports that no connection gets as its own.
+
+    A host that starts again needs its ports, and a crowd opens thousands of
+    connections meanwhile.
+    """
+    range_text = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+    first = int(range_text.read_text().split()[0])
+    ports = []
+    for port in random.sample(range(10_000, max(first, 20_000)), 2_000):
+        with socket.socket() as opened:
+            try:
+                opened.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CannotRun('no free ports')
 
 
 class Host:
