--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -23,7 +23,6 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-DISRUPTED = os.environ.get('TROUBLE', '1') != '0'
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 ZONES = ('west-a', 'west-b', 'west-c')
 HEAD_END = b'\r\n\r\n'
@@ -515,8 +514,11 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
 
 
-def run(case, file):
-    """Run ``case(record, deployment)``; exit with its verdict."""
+def run(case, file, disrupted):
+    """Run ``case(record, deployment)``; exit with its verdict.
+
+    :param disrupted: whether the case has its disruption, for the record.
+    """
     record = Record(pathlib.Path(file).resolve().parent)
     folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
 
@@ -536,7 +538,7 @@
     finally:
         shutil.rmtree(folder, ignore_errors=True)
     record.say(
-        f'disruption {"on" if DISRUPTED else "off"}, exit status {verdict}'
+        f'disruption {"on" if disrupted else "off"}, exit status {verdict}'
     )
     record.close()
     sys.exit(verdict)
