Log the bytes of a gather's replies and the waits for connections

The decision lines told late sends from late arrivals, but not whether the arrivals were limited by this host's link: what the replies weighed was not logged, and a send that waited for a new connection looked like one that waited for the processor. The answer line now has reply_bytes and connection_wait_ms. Needed by the hypotheses in docs/incidents/2026-12-gathers-limited-by-the-receiving-host.md; no decision changes.

--- a/packages/tier/src/corianderport_tier/request/forward_messages.py
+++ b/packages/tier/src/corianderport_tier/request/forward_messages.py
@@ -123,6 +123,11 @@
     leaving: bool = False
     pause_s: float = 0.0
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the header fields and the body."""
+        return len(self.body) + sum(len(n) + len(v) for n, v in self.headers)
+
     @property
     def succeeded(self) -> bool:
         """Whether the searcher ran the request and it succeeded."""
--- a/packages/tier/src/corianderport_tier/request/part.py
+++ b/packages/tier/src/corianderport_tier/request/part.py
@@ -75,6 +75,10 @@
         # part arrived.
         self.sent_s = float('inf')
         self.answered_s = float('inf')
+        # Seconds that the first send waited for its connection, and bytes of
+        # the reply of an answered part.
+        self.connection_wait_s = 0.0
+        self.reply_bytes = 0
         self.failure: forward_messages.Failure | None = None
         self._workspace = authorization.workspace_name
         # None once the part has been released.
@@ -212,8 +216,9 @@
         send = event.send
         self._sends.remove(send)
         self._history.record_end(send)
-        if send.sent_s is not None:
-            self.sent_s = min(self.sent_s, send.sent_s)
+        if send.sent_s is not None and send.sent_s < self.sent_s:
+            self.sent_s = send.sent_s
+            self.connection_wait_s = send.sent_s - send.started_s
         if self.state is not PartState.PENDING:
             return
         if isinstance(event.reply, forward_messages.SearcherReply):
@@ -250,6 +255,7 @@
         if reply.succeeded if self._gathered else reply.final:
             self._latency.record(send.elapsed_s)
             self.reply = reply
+            self.reply_bytes = reply.size_bytes
             self.answered_s = send.finished_s
             self.state = PartState.ANSWERED
             return
--- a/packages/tier/src/corianderport_tier/request/task_summaries.py
+++ b/packages/tier/src/corianderport_tier/request/task_summaries.py
@@ -33,6 +33,10 @@
         'not_answered': dict(reasons),
         'sent_ms': _spread_ms((p.sent_s for p in parts), received_s),
         'arrived_ms': _spread_ms((p.answered_s for p in parts), received_s),
+        'connection_wait_ms': _spread_ms(
+            (p.connection_wait_s for p in parts), 0.0
+        ),
+        'reply_bytes': sum(p.reply_bytes for p in parts),
     }
     if authorization.workspace_name is not None:
         summary['workspace'] = authorization.workspace_name
@@ -41,11 +45,11 @@
 
 
 def _spread_ms(
-    times_s: collections.abc.Iterable[float], received_s: float
+    times_s: collections.abc.Iterable[float], since_s: float
 ) -> list[float]:
-    """Return the earliest, the median and the latest of some times.
+    """Return the least, the median and the greatest of some times.
 
-    In milliseconds since the request was received; empty without times.
+    In milliseconds after ``since_s``; empty without times.
     """
     ordered = sorted(t for t in times_s if t != float('inf'))
     chosen = ordered and (
@@ -53,4 +57,4 @@
         ordered[len(ordered) // 2],
         ordered[-1],
     )
-    return [round((t - received_s) * 1e3, 1) for t in chosen]
+    return [round((t - since_s) * 1e3, 1) for t in chosen]
--- a/tests/adapter/held_sizes.py
+++ b/tests/adapter/held_sizes.py
@@ -223,6 +223,8 @@
             'not_answered': {},
             'sent_ms': [0.5, 0.6, 0.7],
             'arrived_ms': [10.5, 10.6, 10.7],
+            'connection_wait_ms': [0.1, 0.2, 6.3],
+            'reply_bytes': 84_210,
         },
     )
     logger = logging.getLogger('corianderport.decision')
