Reproduce late gathers at a host with a small link, without a network

Two requests that a balancer gives to one host with 10.5 Mbit/s at the same time share its link: 126 replies of 1,300 bytes take 125 ms of it, whatever the searchers do. The simulation moves time only while all tasks wait, with searchers that reply after 11 ms.

--- a/packages/testkit/src/corianderport_testkit/clock.py
+++ b/packages/testkit/src/corianderport_testkit/clock.py
@@ -3,10 +3,14 @@
 A clock whose time changes only when a test advances it.
 """
 
+import collections.abc
 import threading
 
 __all__ = ['ManualClock']
 
+# Real time between two checks whether all tasks wait.
+_IDLE_CHECK_S = 0.0005
+
 
 class ManualClock:
     """Implements ``corianderport_tier.clocks.Clock`` for tests.
@@ -81,6 +85,20 @@
         with self._lock:
             self._lock.wait_for(lambda: len(self._waiters) >= count)
 
+    def await_idle(self, tasks: collections.abc.Callable[[], int]) -> None:
+        """Block until as many tasks as given wait and none is being woken.
+
+        :param tasks: returns the number of tasks, each of which ends or waits
+            with a timeout.
+        """
+        with self._lock:
+            while len(self._waiters) != tasks() or any(
+                # A notified waiter is removed at once, before its thread runs.
+                not getattr(condition, '_waiters')
+                for _, condition in self._waiters.values()
+            ):
+                self._lock.wait(_IDLE_CHECK_S)
+
     def waits_on(self, condition: threading.Condition) -> bool:
         """Whether a wait with a timeout is pending on a condition."""
         with self._lock:
--- /dev/null
+++ b/tests/tier/gather_network.py
@@ -0,0 +1,303 @@
+"""Hosts that gather over links of limited capacity, on simulated time."""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import heapq
+import itertools
+import random
+import threading
+import typing
+
+from corianderport_testkit import clock as clock_module
+from corianderport_tier.connection import pool
+from corianderport_tier import errors
+from corianderport_tier.process import decision_log
+from corianderport_tier.process import directory
+from corianderport_tier.process import fleet_share
+from corianderport_tier.process import service_searchers
+from corianderport_tier.request import deadlines
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import forward_send
+from corianderport_tier.request import forwarding
+from corianderport_tier.version import routes
+
+from . import entries
+
+# A link of 10.5 Mbit/s, and one of 100 Mbit/s.
+SMALL_LINK = 1_312_500.0
+WIDE_LINK = 12_500_000.0
+_BOUNDS = fleet_share.FleetBounds(0.2, 430, 10, 1.5, 5)
+_STEP_S = 0.0005
+_WORK_S = 0.011
+_PART_BYTES = 1_300
+_WAIT_S = 10.0
+
+Event = tuple[float, int, collections.abc.Callable[[], None]]
+
+
+class _Searcher:
+    """Transport to a searcher that replies over the host's link."""
+
+    def __init__(self, proof: str) -> None:
+        self._proof = proof
+        self.aborted = False
+
+    def send(self, call: forward_messages.SearcherCall) -> None:
+        return
+
+    def receive(
+        self, call: forward_messages.SearcherCall
+    ) -> forward_messages.SearcherReply:
+        return forward_messages.SearcherReply(
+            200, (), b'r' * 1_000, self._proof, True
+        )
+
+    def abort(self) -> None:
+        self.aborted = True
+
+    def close(self) -> None:
+        return
+
+
+class _SearcherPool:
+    """Writes each send at once and lets its reply arrive later."""
+
+    def __init__(self, host: 'SimulatedHost') -> None:
+        self._host = host
+
+    def submit(
+        self,
+        job: forward_send.SendAttempt,
+        reuse: pool.Reuse = pool.ANY_CONNECTION,
+    ) -> None:
+        self._host.send(job)
+
+    def limit_connections(self, limit: int) -> None:
+        return
+
+    def limit_idle_time(self, idle_s: float) -> None:
+        return
+
+    def close(self) -> None:
+        return
+
+
+class Caller:
+    """The connection of a caller that stays until it is told to go."""
+
+    def __init__(self) -> None:
+        self.on_disconnect: collections.abc.Callable[[], None] | None = None
+
+    @contextlib.contextmanager
+    def watch(
+        self, on_disconnect: collections.abc.Callable[[], None]
+    ) -> collections.abc.Iterator[None]:
+        self.on_disconnect = on_disconnect
+        yield
+
+    def call_when_sent(
+        self, on_sent: collections.abc.Callable[[], None]
+    ) -> None:
+        return
+
+
+class SimulatedHost:
+    """One host with a link, and the searchers that it sends to."""
+
+    def __init__(
+        self,
+        network: 'GatherNetwork',
+        name: str,
+        link_bytes_s: float,
+        routing: routes.RoutingVersion,
+    ) -> None:
+        self._network = network
+        self._link_bytes_s = link_bytes_s
+        self._link_busy_until_s = 0.0
+        # Searchers whose replies never arrive, by service.
+        self.lost_services: set[str] = set()
+        self.sends: list[forward_send.SendAttempt] = []
+        self.log = decision_log.DecisionLog()
+        rng = random.Random(1)
+        share = fleet_share.FleetShare(
+            _BOUNDS, name, lambda: (name,), network.clock
+        )
+        self.directory = directory.Directory(
+            lambda service: service_searchers.ServiceSearchers(
+                service,
+                'dc-a',
+                share,
+                lambda registration, limit: _SearcherPool(self),
+                network.clock,
+                rng,
+            ),
+            network.clock,
+            self.log,
+        )
+        self.forwarder = forwarding.Forwarder(
+            self.directory,
+            network.clock,
+            self.log,
+            rng,
+        )
+        self.apply(routing)
+
+    def apply(self, routing: routes.RoutingVersion) -> None:
+        """Publish a routing version and its searchers to this host."""
+        services = sorted(routing.named_services)
+        changes = [entries.entry(routing.version, routing)]
+        changes += [
+            entries.entry(
+                routing.version,
+                entries.registration(f'{service}-{n}', service),
+            )
+            for service in services
+            for n in range(3)
+        ]
+        self.directory.apply(changes)
+
+    def send(self, job: forward_send.SendAttempt) -> None:
+        """Write a send; its reply arrives after those before it."""
+        self.sends.append(job)
+        searcher = _Searcher(f'{job.searcher}-{len(self.sends)}')
+        try:
+            job.start(typing.cast(typing.Any, searcher))
+        except errors.CorianderportError as error:
+            job.finish(error)
+            return
+        if job.part.service.name in self.lost_services:
+            return
+        ready_s = self._network.clock.monotonic() + _WORK_S
+        self._network.after(ready_s, lambda: self._receive(job, searcher))
+
+    def _receive(
+        self, job: forward_send.SendAttempt, searcher: _Searcher
+    ) -> None:
+        """Let a reply take its turn on the link."""
+        now_s = self._network.clock.monotonic()
+        self._link_busy_until_s = (
+            max(now_s, self._link_busy_until_s)
+            + _PART_BYTES / self._link_bytes_s
+        )
+
+        def arrive() -> None:
+            transport = typing.cast(typing.Any, searcher)
+            job.finish(job.complete(transport))
+
+        self._network.after(self._link_busy_until_s, arrive)
+
+
+class Request:
+    """One request of a caller, which runs on a task."""
+
+    def __init__(
+        self, host: SimulatedHost, clock: clock_module.ManualClock
+    ) -> None:
+        self._clock = clock
+        self._host = host
+        self.caller = Caller()
+        self.started_s = clock.monotonic()
+        self.answered_s = float('inf')
+        self.answer: forward_messages.ForwardAnswer | None = None
+
+    @property
+    def elapsed_s(self) -> float:
+        """Time until the answer, infinite without one."""
+        return self.answered_s - self.started_s
+
+    def run(self) -> None:
+        """Wait for the answer."""
+        request = forward_messages.ForwardRequest(
+            'q1',
+            'a.example',
+            '/find/x',
+            forward_messages.Payload(b'GET', b'/find/x', (), b''),
+            deadlines.Deadline.after(self._clock, 0.8),
+            self.started_s,
+        )
+        self.answer = self._host.forwarder.answer(request, self.caller)
+        self.answered_s = self._clock.monotonic()
+
+
+class GatherNetwork:
+    """Simulated hosts; hosts ``h1`` to ``h4`` have small links.
+
+    ``wide`` has a wide one. Time moves only while all tasks wait.
+    """
+
+    def __init__(self, services: int = 63) -> None:
+        self.clock = clock_module.ManualClock()
+        self._pool = concurrent.futures.ThreadPoolExecutor(64)
+        self._lock = threading.Lock()
+        self._tasks = 0
+        self._events: list[Event] = []
+        self._numbers = itertools.count()
+        self.routing = self.routing_version(1, services)
+        links = {f'h{n}': SMALL_LINK for n in range(1, 5)}
+        links['wide'] = WIDE_LINK
+        self.hosts = {
+            name: SimulatedHost(self, name, link, self.routing)
+            for name, link in links.items()
+        }
+
+    @staticmethod
+    def routing_version(
+        version: int, services: int = 63
+    ) -> routes.RoutingVersion:
+        """Return a version with one gather over some services."""
+        names = tuple(f's{n:02}' for n in range(services))
+        route = entries.route(
+            names, 0.95, name='sweep', goal_s=0.0953, timeout_s=0.8
+        )
+        return entries.routing(version, route)
+
+    def submit(
+        self, task: collections.abc.Callable[[], object]
+    ) -> concurrent.futures.Future[object]:
+        """Run a task on a thread."""
+        with self._lock:
+            self._tasks += 1
+
+        def run() -> object:
+            try:
+                return task()
+            finally:
+                with self._lock:
+                    self._tasks -= 1
+
+        return self._pool.submit(run)
+
+    def after(
+        self, at_s: float, event: collections.abc.Callable[[], None]
+    ) -> None:
+        """Call a function at a point in time."""
+        with self._lock:
+            heapq.heappush(self._events, (at_s, next(self._numbers), event))
+
+    def start(self, name: str) -> Request:
+        """Start a request at a host."""
+        request = Request(self.hosts[name], self.clock)
+        self.submit(request.run)
+        return request
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until_s = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < until_s:
+            self._settle()
+            while (event := self._due()) is not None:
+                event()
+                self._settle()
+            self.clock.advance(_STEP_S)
+        self._settle()
+
+    def _due(self) -> collections.abc.Callable[[], None] | None:
+        with self._lock:
+            if self._events and self._events[0][0] <= self.clock.monotonic():
+                return heapq.heappop(self._events)[2]
+        return None
+
+    def _settle(self) -> None:
+        """Return once every task waits and none has been notified."""
+        self.clock.await_idle(lambda: self._tasks)
