Let a host with a wide link gather for hosts with small ones

Cause: the host that a balancer happens to pick receives all replies of a gather, whatever its link can carry in the time that is left. Ruled out as the main cause: slow searchers, since the same searchers answer hosts with a wide link in the same seconds; late sends (median 8.6 ms) and waits for connections (median 3.7 ms) add to it.

Change: hosts state their link in gossip. A host whose link is below a third of that of a host in its data centre offers it each gather whose replies would take 15% of the time until the goal. An offer that is refused, for another version, a stop or too much work, or not answered within 15 ms leaves all attempts to the host itself; a gather that was given is never sent again. The connection is closed when the caller leaves, and the other host then stops. Hosts that gather get up to three connections to each searcher.

The test that failed before: two gathers at one small host took 133 ms for a goal of 89; now 18.5 and 25 ms.

--- a/packages/daemon/src/corianderport_daemon/process/entry_host.py
+++ b/packages/daemon/src/corianderport_daemon/process/entry_host.py
@@ -32,6 +32,9 @@
 from corianderport_tier.process import directory
 from corianderport_tier.process import drain
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import gather_capacity
+from corianderport_tier.process import gather_hosts
+from corianderport_tier.process import gather_roles
 from corianderport_tier.process import limit_events
 from corianderport_tier.process import link_bytes
 from corianderport_tier.process import link_report
@@ -99,12 +102,14 @@
             self._events,
             self._links,
         )
+        self._gather_roles = gather_roles.GatherRoles(lambda: self._fleet.view)
         self._fleet_share = fleet_share.FleetShare(
             settings.fleet,
             settings.host,
             lambda: self._fleet.hosts,
             clock,
             restarted=not settings.first_start,
+            gather_hosts=lambda: self._gather_roles.names,
         )
         self._placement = placement.PlacementSetting(settings.placement)
         self._dialer = adapter.dialer(
@@ -136,6 +141,17 @@
             )
         )
         self._drain = drain.Drain(clock)
+        self._gather_hosts = self._stack.enter_context(
+            gather_hosts.GatherHosts(
+                self._fleet.own,
+                self._gather_roles,
+                self._fleet.dialer,
+                self._executor,
+                clock,
+                self._log,
+                self._rng,
+            )
+        )
         forwarder = forwarding.Forwarder(
             self._directory,
             clock,
@@ -149,6 +165,10 @@
             running_requests.RunningRequests(
                 settings.limits.callers.tasks, clock
             ),
+            self._gather_hosts,
+        )
+        self._host_gathers = forwarder.gathers(
+            gather_capacity.GatherCapacity(settings.link_bytes_s)
         )
         self._unanswered_sends = forwarder.unanswered_sends
         requests = host_requests.HostRequests(
@@ -222,6 +242,7 @@
             self._reader.run,
         ]
         self._stack.enter_context(self._fleet)
+        self._fleet.serve(self._host_gathers)
         for task in tasks:
             self._executor.submit(self._run, task)
         self._stack.enter_context(self._listeners)
@@ -357,6 +378,7 @@
         self._quotas.expire()
         self._unanswered_sends.abort_overdue()
         self._directory.close_expired_connections()
+        self._gather_hosts.refresh()
         if self._adapter.settings_fingerprint() != self._settings_fingerprint:
             self.reload()
 
--- a/packages/daemon/src/corianderport_daemon/process/fleet.py
+++ b/packages/daemon/src/corianderport_daemon/process/fleet.py
@@ -22,6 +22,7 @@
 from corianderport_tier.process import membership
 from corianderport_tier.process import quota_hosts
 from corianderport_tier.process import registry_relay
+from corianderport_tier.request import host_gathers
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_client
 from corianderport_wire.connection import peer_server
@@ -80,6 +81,7 @@
             settings.data_centre,
             self._server.address,
             incarnation=incarnations.new_incarnation(clock),
+            link_bytes_s=settings.link_bytes_s,
         )
         region_of = settings.regions.get
         self._members = membership.Membership(own, clock, region_of)
@@ -115,13 +117,16 @@
         )
 
     def __enter__(self) -> typing.Self:
+        self._executor.submit(self._gossip.run)
+        return self
+
+    def serve(self, gathers: host_gathers.HostGathers) -> None:
+        """Accept the calls of other hosts."""
         self._server.start(
             gossip_handler.GossipHandler(
-                self._exchange, self._relay, self._grant
+                self._exchange, self._relay, self._grant, gathers
             )
         )
-        self._executor.submit(self._gossip.run)
-        return self
 
     def close(self) -> None:
         """Stop the task and close all connections."""
--- a/packages/daemon/src/corianderport_daemon/process/gossip_handler.py
+++ b/packages/daemon/src/corianderport_daemon/process/gossip_handler.py
@@ -10,6 +10,10 @@
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import quota_messages
 from corianderport_tier.process import registry_relay
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import forward_task
+from corianderport_tier.request import gather_messages
+from corianderport_tier.request import host_gathers
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 
@@ -23,17 +27,19 @@
 
 
 class GossipHandler:
-    """Serves heartbeats, registry changes and quotas; refuses other calls."""
+    """Serves what entry hosts ask of each other; refuses other calls."""
 
     def __init__(
         self,
         exchange: heartbeats.HeartbeatExchange,
         relay: registry_relay.RegistryRelay,
         grant: Grant,
+        gathers: host_gathers.HostGathers,
     ) -> None:
         self._exchange = exchange
         self._relay = relay
         self._grant = grant
+        self._gathers = gathers
 
     def heartbeat(self, message: heartbeats.Heartbeat) -> heartbeats.Heartbeat:
         """Process a heartbeat and return the reply."""
@@ -55,6 +61,18 @@
         """Grant tokens of a quota of which this host owns a part."""
         return self._grant(request)
 
+    def gather_availability(self) -> gather_messages.GatherAvailability:
+        """Return whether this host takes a gather now."""
+        return self._gathers.availability()
+
+    def gather(
+        self,
+        call: gather_messages.GatherCall,
+        caller: forward_task.DisconnectWatch,
+    ) -> forward_messages.ForwardAnswer | None:
+        """Gather the parts of another host's request."""
+        return self._gathers.gather(call, caller)
+
     def act_with_ticket(
         self, request: messages.ActionRequest
     ) -> messages.ActionAnswer:
--- a/packages/daemon/src/corianderport_daemon/process/peer_handler.py
+++ b/packages/daemon/src/corianderport_daemon/process/peer_handler.py
@@ -10,12 +10,16 @@
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import quota_messages
 from corianderport_tier.process import shutdown
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import forward_task
+from corianderport_tier.request import gather_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 
 __all__ = ['PeerHandler']
 
 _NO_REGISTRY = 'this host reads no registry'
+_NO_GATHERS = 'this host runs no gathers of other hosts'
 
 
 class PeerHandler:
@@ -66,6 +70,18 @@
         """Refuse, since this host has no workspaces."""
         raise errors.NotOwner('this host grants no quotas')
 
+    def gather_availability(self) -> gather_messages.GatherAvailability:
+        """Refuse, since this host sends batches and not gathers."""
+        raise errors.NotReady(_NO_GATHERS)
+
+    def gather(
+        self,
+        call: gather_messages.GatherCall,
+        caller: forward_task.DisconnectWatch,
+    ) -> forward_messages.ForwardAnswer | None:
+        """Refuse, since this host sends batches and not gathers."""
+        raise errors.NotReady(_NO_GATHERS)
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the current version, and its document if it is newer."""
         accepted = self._store.accepted()
--- a/packages/tier/src/corianderport_tier/connection/transports.py
+++ b/packages/tier/src/corianderport_tier/connection/transports.py
@@ -11,6 +11,7 @@
 from corianderport_tier.process import membership
 from corianderport_tier.process import quota_messages
 from corianderport_tier.request import forward_messages
+from corianderport_tier.request import gather_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import configuration
 from corianderport_tier.version import registrations
@@ -209,6 +210,28 @@
         :raises ConnectionBroken: the connection was closed.
         """
 
+    def gather_availability(
+        self, timeout_s: float
+    ) -> gather_messages.GatherAvailability:
+        """Ask whether the peer takes a gather now.
+
+        :raises ConnectionSilent: no reply arrived within the timeout.
+        :raises ConnectionBroken: the connection was closed.
+        """
+
+    def gather(
+        self, call: gather_messages.GatherCall, timeout_s: float
+    ) -> forward_messages.ForwardAnswer:
+        """Give a gather to the peer and wait for its answer.
+
+        :raises Refusal: the peer has sent nothing to a searcher.
+        :raises ConnectionSilent: no reply arrived within the timeout.
+        :raises ConnectionBroken: the connection was closed.
+        """
+
+    def abort(self) -> None:
+        """Abort the call in progress; called from another task."""
+
     def heartbeat(
         self, message: heartbeats.Heartbeat, timeout_s: float
     ) -> heartbeats.Heartbeat:
--- a/packages/tier/src/corianderport_tier/process/drain.py
+++ b/packages/tier/src/corianderport_tier/process/drain.py
@@ -37,6 +37,11 @@
         self._deadline: deadlines.Deadline | None = None
         self._callbacks: set[Callback] = set()
 
+    @property
+    def begun(self) -> bool:
+        """Whether the host is stopping."""
+        return self._deadline is not None
+
     def begin(self, deadline: deadlines.Deadline) -> None:
         """Set the deadline and pass it to the running requests."""
         with self._lock:
--- a/packages/tier/src/corianderport_tier/process/fleet_share.py
+++ b/packages/tier/src/corianderport_tier/process/fleet_share.py
@@ -16,10 +16,16 @@
 __all__ = ['FleetBounds', 'FleetShare']
 
 HostNames = collections.abc.Callable[[], collections.abc.Sequence[str]]
+NameSet = collections.abc.Callable[[], collections.abc.Set[str]]
 
 # Clients other than these hosts may hold connections too, and a searcher
 # accepts fewer connections while its queue is long.
 _CONNECTION_FACTOR = 0.85
+# Hosts that gather for others send most of their requests. They get this
+# fraction of a searcher's connections, and no more for each than the gathers
+# that it runs at the same time can use.
+_GATHER_HOSTS_FRACTION = 0.5
+_MAX_GATHER_HOST_CONNECTIONS = 3
 # Hosts may disagree about the number of hosts for several seconds.
 _RATE_FACTOR = 0.8
 # The windows of different hosts are not aligned.
@@ -56,6 +62,8 @@
         including this one.
     :param restarted: whether the host may have been sending before it
         started.
+    :param gather_hosts: returns the names of the hosts that gather for
+        others.
     """
 
     def __init__(
@@ -65,17 +73,26 @@
         hosts: HostNames,
         clock: clocks.Clock,
         restarted: bool = False,
+        gather_hosts: NameSet = frozenset,
     ) -> None:
         self._bounds = bounds
         self._own_name = own_name
         self._hosts = hosts
         self._clock = clock
+        self._gather_hosts = gather_hosts
         self._restarted_s = clock.monotonic() if restarted else float('-inf')
         # A sequence of hosts and, for each searcher, this host's rank among
         # them. Services read the pair under different locks, so it is
         # replaced as a whole.
         self._ranks: tuple[collections.abc.Sequence[str], dict[str, int]]
         self._ranks = ((), {})
+        # The same for the hosts that do not gather for others.
+        self._receiving_ranks: tuple[
+            collections.abc.Sequence[str],
+            collections.abc.Set[str],
+            dict[str, int],
+        ]
+        self._receiving_ranks = ((), frozenset(), {})
 
     def set_bounds(self, bounds: FleetBounds) -> None:
         """Replace the bounds."""
@@ -97,9 +114,17 @@
         """
         bound = _CONNECTION_FACTOR * max_connections
         hosts = self.hosts
-        if bound >= hosts:
-            return int(bound / hosts)
-        return int(self._rank(searcher) < max(1, int(bound)))
+        gather_hosts = self._gather_hosts()
+        part = self._gather_host_connections(bound, len(gather_hosts))
+        if part <= bound / hosts:
+            return _even_part(bound, hosts, lambda: self._rank(searcher))
+        if self._own_name in gather_hosts:
+            return part
+        return _even_part(
+            bound - part * len(gather_hosts),
+            hosts - len(gather_hosts),
+            lambda: self._receiving_rank(searcher, gather_hosts),
+        )
 
     @property
     def extra_ratio(self) -> float:
@@ -139,12 +164,39 @@
             return int(bound / hosts)
         return int(self._rank(searcher) < int(bound))
 
+    @staticmethod
+    def _gather_host_connections(bound: float, gather_hosts: int) -> int:
+        """Return the connections of each host that gathers for others."""
+        if not gather_hosts:
+            return 0
+        part = int(_GATHER_HOSTS_FRACTION * bound / gather_hosts)
+        return min(part, _MAX_GATHER_HOST_CONNECTIONS)
+
     def _rank(self, searcher: str) -> int:
         hosts = self._hosts()
         ranked_hosts, ranks = self._ranks
         if ranked_hosts is not hosts:
             ranks = {}
             self._ranks = (hosts, ranks)
+        return self._rank_among(hosts, searcher, ranks)
+
+    def _receiving_rank(
+        self, searcher: str, gather_hosts: collections.abc.Set[str]
+    ) -> int:
+        hosts = self._hosts()
+        ranked_hosts, excluded, ranks = self._receiving_ranks
+        if ranked_hosts is not hosts or excluded is not gather_hosts:
+            ranks = {}
+            self._receiving_ranks = (hosts, gather_hosts, ranks)
+        receiving = (name for name in hosts if name not in gather_hosts)
+        return self._rank_among(receiving, searcher, ranks)
+
+    def _rank_among(
+        self,
+        hosts: collections.abc.Iterable[str],
+        searcher: str,
+        ranks: dict[str, int],
+    ) -> int:
         rank = ranks.get(searcher)
         if rank is None:
             own_weight = rendezvous.weight(searcher, self._own_name)
@@ -155,3 +207,12 @@
             )
             ranks[searcher] = rank
         return rank
+
+
+def _even_part(
+    bound: float, hosts: int, rank: collections.abc.Callable[[], int]
+) -> int:
+    """Divide connections evenly; the first hosts get one if there are few."""
+    if bound >= hosts:
+        return int(bound / hosts)
+    return int(rank() < max(1, int(bound)))
--- a/packages/tier/src/corianderport_tier/process/link_bytes.py
+++ b/packages/tier/src/corianderport_tier/process/link_bytes.py
@@ -30,6 +30,8 @@
     # Changes of the store and configurations, from or to another host.
     REGISTRY_RELAY = 'registry-relay'
     QUOTA = 'quota'
+    # Gathers that one host gives to another, and their merged answers.
+    GATHER = 'gather'
     # Among others, the authentication of each new connection.
     OTHER_PEER = 'other-peer'
     STORE = 'store'
--- a/packages/tier/src/corianderport_tier/process/members.py
+++ b/packages/tier/src/corianderport_tier/process/members.py
@@ -24,6 +24,8 @@
 
     ``incarnation`` is a random text that identifies a process start and sorts
     by start time. It is empty if only the host list contains the host.
+    ``link_bytes_s`` is the capacity of the host's link in bytes per second,
+    as the host states it; 0 if that is unknown.
     """
 
     name: str
@@ -31,6 +33,7 @@
     peer_address: str
     state: MemberState = MemberState.LIVE
     incarnation: str = ''
+    link_bytes_s: float = 0.0
 
 
 class Standing(enum.IntEnum):
--- a/packages/tier/src/corianderport_tier/request/forward_send.py
+++ b/packages/tier/src/corianderport_tier/request/forward_send.py
@@ -20,6 +20,7 @@
 __all__ = [
     'CallerDisconnected',
     'CapacityFreed',
+    'DelegationEnded',
     'Event',
     'SendAttempt',
     'SendFinished',
@@ -74,12 +75,25 @@
     send: send_order.WaitingSend
 
 
+@attrs.frozen
+class DelegationEnded:
+    """Event: another host has answered or refused the gather."""
+
+    reply: object
+
+
 @attrs.frozen
 class CallerDisconnected:
     """Event: the caller closed its connection."""
 
 
-Event = SendFinished | CapacityFreed | CallerDisconnected | drain.DrainBegun
+Event = (
+    SendFinished
+    | CapacityFreed
+    | DelegationEnded
+    | CallerDisconnected
+    | drain.DrainBegun
+)
 
 
 class SendAttempt:
--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -20,6 +20,7 @@
 from corianderport_tier.process import unanswered_sends
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
+from corianderport_tier.request import delegation as delegation_module
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import gather_progress
@@ -31,7 +32,13 @@
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
-__all__ = ['Caller', 'ForwardTask', 'HostState', 'MIN_RETRY_AFTER_S']
+__all__ = [
+    'Caller',
+    'DisconnectWatch',
+    'ForwardTask',
+    'HostState',
+    'MIN_RETRY_AFTER_S',
+]
 
 # Time reserved for returning the response before the caller's deadline.
 _ANSWER_MARGIN_S = 0.01
@@ -55,14 +62,18 @@
 Failure = forward_messages.Failure
 
 
-class Caller(typing.Protocol):
-    """The connection on which a request arrived."""
+class DisconnectWatch(typing.Protocol):
+    """A connection whose end is noticed while its request runs."""
 
     def watch(
         self, on_disconnect: collections.abc.Callable[[], None]
     ) -> typing.ContextManager[object]:
         """Call ``on_disconnect`` on a close within the context."""
 
+
+class Caller(DisconnectWatch, typing.Protocol):
+    """The connection on which a request arrived."""
+
     def call_when_sent(
         self, on_sent: collections.abc.Callable[[], None]
     ) -> None:
@@ -78,6 +89,8 @@
     drain: drain.Drain
     directory: directory.Directory
     answer_delay: answer_delay.AnswerDelay
+    # None if all gathers run on this host.
+    delegator: delegation_module.Delegator | None
     unanswered_sends: unanswered_sends.UnansweredSends
 
     def latency(self, route: routes.Route) -> route_latency.RouteLatency:
@@ -90,7 +103,12 @@
 
 
 class ForwardTask:
-    """Forwards one request on the task of the caller's connection."""
+    """Forwards one request on the task of the caller's connection.
+
+    :param version: version of the routing that contains the route.
+    :param goal: when the answer has to leave, if another host has received
+        the request; such a gather is not given away.
+    """
 
     def __init__(
         self,
@@ -98,8 +116,11 @@
         request: forward_messages.ForwardRequest,
         route: routes.Route,
         authorization: authorization_module.Authorization,
+        version: int = 0,
+        goal: deadlines.Deadline | None = None,
     ) -> None:
         self._host = host
+        self._version = version
         self._clock = host.clock
         self._route = route
         self._authorization = authorization
@@ -111,13 +132,18 @@
         self._parts: list[Part] = []
         self._unknown_services: list[str] = []
         self._disconnected = False
-        self.goal_s = (
-            request.received_s
+        self._delegator = host.delegator if goal is None else None
+        self._delegation: delegation_module.Delegation | None = None
+        self._delegated_answer: forward_messages.ForwardAnswer | None = None
+        left_at_s = (
+            goal.at_s
+            if goal is not None
+            else request.received_s
             + route.goal_s
             - (request.path_s or _DEFAULT_PATH_S)
             - _PATH_MARGIN_S
-            - host.answer_delay.expected_s
         )
+        self.goal_s = left_at_s - host.answer_delay.expected_s
         self._hedges = task_hedges.TaskHedges(
             self._parts,
             host.latency(route),
@@ -137,7 +163,21 @@
         """The choices of all sends so far."""
         return [choice for part in self._parts for choice in part.choices]
 
-    def run(self, caller: Caller) -> forward_messages.ForwardAnswer | None:
+    @property
+    def send_s_per_part(self) -> float | None:
+        """Seconds between two sends of a gather; None if there are too few.
+
+        The median leaves out the sends that waited for a new connection.
+        """
+        sent_s = sorted(p.sent_s for p in self._parts)
+        middle = len(sent_s) // 2
+        if middle == 0 or sent_s[middle] == float('inf'):
+            return None
+        return (sent_s[middle] - sent_s[0]) / middle
+
+    def run(
+        self, caller: DisconnectWatch
+    ) -> forward_messages.ForwardAnswer | None:
         """Return the answer, or None if the caller disconnected."""
         with (
             caller.watch(
@@ -146,11 +186,13 @@
             self._host.drain.watching(self._inbox.put),
         ):
             try:
-                self._create_parts()
-                for part in self._parts:
-                    part.send_first()
+                self._delegation = self._delegate()
+                if self._delegation is None:
+                    self._send_parts()
                 return self._await_answer()
             finally:
+                if self._delegation is not None:
+                    self._delegation.cancel()
                 for part in self._parts:
                     part.cancel(at_once=self._disconnected)
                     for send in part.unanswered_sends:
@@ -162,16 +204,54 @@
     @property
     def may_have_run(self) -> bool:
         """Whether any searcher may have run the request."""
+        if self._delegation is not None and self._delegation.given:
+            return True
         return any(part.may_have_run for part in self._parts)
 
     def summary(self) -> dict[str, object]:
         """Return what the decision log records about the answer."""
-        return task_summaries.describe(
+        summary = task_summaries.describe(
             self._parts,
             self._route,
             self._authorization,
             self._request.received_s,
         )
+        if self._delegation is not None:
+            summary['gathered_by'] = self._delegation.host_name
+        return summary
+
+    def _delegate(self) -> delegation_module.Delegation | None:
+        """Offer the gather to another host; None if it runs here."""
+        if self._delegator is None or self._authorization.identity is not None:
+            return None
+        return self._delegator.offer(
+            self._request,
+            self._route,
+            self._version,
+            self.goal_s,
+            lambda reply: self._inbox.put(forward_send.DelegationEnded(reply)),
+        )
+
+    def _on_delegation_ended(self, reply: object) -> None:
+        if self._delegation is None:
+            return
+        self._delegated_answer = self._delegation.answer(reply)
+        if self._delegated_answer is None:
+            self._gather_here(str(reply))
+
+    def _gather_here(self, reason: str) -> None:
+        """Send the parts of a gather that no other host has taken."""
+        assert self._delegation is not None and self._delegator is not None
+        self._delegator.not_given(
+            self._request.request_id, self._delegation, reason
+        )
+        self._delegation = None
+        self._send_parts()
+
+    def _send_parts(self) -> None:
+        self._create_parts()
+        for part in self._parts:
+            part.send_first()
 
     def _create_parts(self) -> None:
         target = self._route.target
@@ -242,6 +322,8 @@
             event.send.part.on_result(event)
         elif isinstance(event, forward_send.CapacityFreed):
             event.part.on_capacity(event.send)
+        elif isinstance(event, forward_send.DelegationEnded):
+            self._on_delegation_ended(event.reply)
         elif isinstance(event, drain.DrainBegun):
             self._answer_by = min(self._answer_by, event.deadline)
         else:
@@ -249,6 +331,10 @@
 
     def _next_timer(self) -> deadlines.Deadline:
         timers_s = [self._answer_by.at_s]
+        if self._delegation is not None:
+            if not self._delegation.given:
+                timers_s.append(self._delegation.offered_until_s)
+            return deadlines.Deadline(min(timers_s))
         now_s = self._clock.monotonic()
         if self.goal_s > now_s:
             timers_s.append(self.goal_s)
@@ -260,16 +346,30 @@
 
     def _on_timer(self) -> None:
         now_s = self._clock.monotonic()
+        if self._delegation is not None:
+            if self._delegation.offered_until_s <= now_s:
+                if self._delegation.withdraw():
+                    self._gather_here('did not accept it in time')
+            return
         for part in self._parts:
             if part.resume_at_s is not None and part.resume_at_s <= now_s:
                 part.resume()
         self._hedges.on_timer(now_s, self._progress)
 
     def _decide(self) -> forward_messages.ForwardAnswer | None:
+        if self._delegation is not None:
+            return self._decide_delegated()
         if isinstance(self._route.target, routes.Gather):
             return self._decide_gather(self._route.target)
         return self._decide_single()
 
+    def _decide_delegated(self) -> forward_messages.ForwardAnswer | None:
+        if self._delegated_answer is None and self._answer_by.passed(
+            self._clock
+        ):
+            return self._deadline_failure()
+        return self._delegated_answer
+
     def _decide_single(self) -> forward_messages.ForwardAnswer | None:
         if not self._parts:
             return self._refusal(Code.NO_UPSTREAM, 'the service is unknown')
@@ -349,6 +449,8 @@
 
     def _cancel_sends(self) -> bool:
         """Cancel all attempts; return whether the request may have run."""
+        if self._delegation is not None:
+            self._delegation.cancel()
         for part in self._parts:
             part.cancel()
         return self.may_have_run
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -12,6 +12,8 @@
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
 from corianderport_tier.process import drain
+from corianderport_tier.process import gather_capacity
+from corianderport_tier.process import gather_hosts as gather_hosts_module
 from corianderport_tier.process import metrics
 from corianderport_tier.process import quotas as quotas_module
 from corianderport_tier.process import route_latency
@@ -21,9 +23,11 @@
 from corianderport_tier.process import workspace_counts
 from corianderport_tier.request import answer_summaries
 from corianderport_tier.request import authorization as authorization_module
+from corianderport_tier.request import delegation
 from corianderport_tier.request import explanation
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_task
+from corianderport_tier.request import host_gathers
 from corianderport_tier.request import placements
 from corianderport_tier.request import route_admission
 from corianderport_tier import result_codes
@@ -40,7 +44,11 @@
 
 
 class Forwarder:
-    """Forwards requests and holds the state that they share."""
+    """Forwards requests and holds the state that they share.
+
+    :param gather_hosts: the hosts to which gathers can be given; None if all
+        run on this host.
+    """
 
     def __init__(
         self,
@@ -54,6 +62,7 @@
         quotas: quotas_module.Quotas | None = None,
         activity: workspace_counts.WorkspaceCounts | None = None,
         running: running_requests.RunningRequests | None = None,
+        gather_hosts: gather_hosts_module.GatherHosts | None = None,
     ) -> None:
         self._metrics = counts or metrics.Metrics()
         freshness = freshness or store_freshness.StoreFreshness(
@@ -70,6 +79,11 @@
         self.clock = clock
         self.log = log
         self.rng = rng
+        self.delegator = (
+            None
+            if gather_hosts is None
+            else delegation.Delegator(gather_hosts, clock, log)
+        )
         self.answer_delay = answer_delay.AnswerDelay()
         self.unanswered_sends = unanswered_sends.UnansweredSends()
         self._costs = cost_estimates.CostEstimates()
@@ -87,6 +101,14 @@
             freshness,
         )
 
+    def gathers(
+        self, capacity: gather_capacity.GatherCapacity
+    ) -> host_gathers.HostGathers:
+        """Return what serves the gathers of other hosts."""
+        return host_gathers.HostGathers(
+            self, self._admission, self._authorizer, capacity
+        )
+
     def latency(self, route: routes.Route) -> route_latency.RouteLatency:
         """Return the latency statistics of a route."""
         return self._latencies.of(route)
@@ -182,7 +204,9 @@
             self._count(authorization, Outcome.NO_OWNER)
             return self._refuse(request, error.code, str(error), route.name)
         self._count(authorization, Outcome.ADMITTED)
-        task = forward_task.ForwardTask(self, request, route, authorization)
+        task = forward_task.ForwardTask(
+            self, request, route, authorization, routing.version
+        )
         try:
             answer = task.run(caller)
         finally:
--- a/packages/wire/src/corianderport_wire/connection/peer_client.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_client.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import socket
+import threading
 import typing
 
 import thriftpy2.protocol
@@ -18,11 +19,14 @@
 from corianderport_tier.process import link_bytes
 from corianderport_tier.process import membership
 from corianderport_tier.process import quota_messages
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import gather_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import action_codec
 from corianderport_wire.connection import counted_stream
 from corianderport_wire.connection import deadline_stream
+from corianderport_wire.connection import gather_codec
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
@@ -43,6 +47,7 @@
     :param stream: thriftpy2 socket.
     :param links: counts the bytes by kind and place.
     :param data_centre: that of the other host, empty if it is unknown.
+    :param abort: ends the call in progress; not called after ``close``.
     """
 
     def __init__(
@@ -51,12 +56,16 @@
         clock: clocks.Clock,
         links: link_bytes.LinkBytes,
         data_centre: str,
+        abort: collections.abc.Callable[[], None],
     ) -> None:
         self._stream = deadline_stream.DeadlineStream(stream, clock)
         self._counted = counted_stream.CountedStream(
             self._stream, links, data_centre
         )
         self._clock = clock
+        self._abort = abort
+        self._lock = threading.Lock()
+        self._closed = False
         transport = thriftpy2.transport.TFramedTransport(
             peer_authentication.FrameLimiter(
                 self._counted, peer_codec.MAX_FRAME_BYTES
@@ -151,9 +160,44 @@
             )
         )
 
+    def gather_availability(
+        self, timeout_s: float
+    ) -> gather_messages.GatherAvailability:
+        """Ask whether the peer takes a gather now."""
+        return gather_codec.availability_from_thrift(
+            self._call(
+                lambda _: self._client.gather_availability(),
+                None,
+                timeout_s,
+                link_bytes.LinkKind.GATHER,
+            )
+        )
+
+    def gather(
+        self, call: gather_messages.GatherCall, timeout_s: float
+    ) -> forward_messages.ForwardAnswer:
+        """Give a gather to the peer and wait for its answer."""
+        fields = gather_codec.call_to_thrift(call, self._clock)
+        return gather_codec.answer_from_thrift(
+            self._call(
+                self._client.gather,
+                fields,
+                timeout_s,
+                link_bytes.LinkKind.GATHER,
+            )
+        )
+
+    def abort(self) -> None:
+        """Abort the call in progress; called from another task."""
+        with self._lock:
+            if not self._closed:
+                self._abort()
+
     def close(self) -> None:
         """Close the connection."""
-        self._counted.close()
+        with self._lock:
+            self._closed = True
+            self._counted.close()
 
     def _call(
         self,
@@ -227,5 +271,17 @@
         )
         stream = thriftpy2.transport.TSocket(sock=connection)
         return ThriftPeerTransport(
-            stream, self._clock, self._links, member.data_centre
+            stream,
+            self._clock,
+            self._links,
+            member.data_centre,
+            lambda: _shut_down(connection),
         )
+
+
+def _shut_down(connection: socket.socket) -> None:
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # No longer connected.
+        return
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -22,11 +22,16 @@
 from corianderport_tier.process import limit_events
 from corianderport_tier.process import link_bytes
 from corianderport_tier.process import quota_messages
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import forward_task
+from corianderport_tier.request import gather_messages
 from corianderport_tier.request import messages
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import acceptor
 from corianderport_wire.connection import action_codec
 from corianderport_wire.connection import counted_stream
+from corianderport_wire.connection import disconnect_watcher
+from corianderport_wire.connection import gather_codec
 from corianderport_wire.connection import heartbeat_codec
 from corianderport_wire.connection import peer_authentication
 from corianderport_wire.connection import peer_codec
@@ -83,10 +88,42 @@
         :raises CorianderportError: its result code is sent to the peer.
         """
 
+    def gather_availability(self) -> gather_messages.GatherAvailability:
+        """Return whether this host takes a gather now."""
+
+    def gather(
+        self,
+        call: gather_messages.GatherCall,
+        caller: forward_task.DisconnectWatch,
+    ) -> forward_messages.ForwardAnswer | None:
+        """Gather the parts of a request of another host.
+
+        :return: None if the other host disconnected.
+        :raises CorianderportError: its result code is sent to the peer.
+        """
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the current version, and its document if it is newer."""
 
 
+class _PeerConnection:
+    """The connection of a host that waits for the end of its call."""
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        watcher: disconnect_watcher.DisconnectWatcher,
+    ) -> None:
+        self._connection = connection
+        self._watcher = watcher
+
+    def watch(
+        self, on_disconnect: collections.abc.Callable[[], None]
+    ) -> typing.ContextManager[object]:
+        """Call ``on_disconnect`` on a close within the context."""
+        return self._watcher.watching(self._connection, on_disconnect)
+
+
 class _Handler:
     """Decodes the calls of one connection and encodes the replies.
 
@@ -98,10 +135,12 @@
         service: PeerService,
         clock: clocks.Clock,
         stream: counted_stream.CountedStream,
+        peer: _PeerConnection,
     ) -> None:
         self._service = service
         self._clock = clock
         self._stream = stream
+        self._peer = peer
 
     def heartbeat(self, message: typing.Any) -> typing.Any:
         decoded = heartbeat_codec.heartbeat_from_thrift(message)
@@ -157,6 +196,25 @@
             raise _refused(error) from error
         return quota_codec.grant_to_thrift(grant)
 
+    def gather_availability(self) -> typing.Any:
+        self._stream.begin_call(link_bytes.LinkKind.GATHER)
+        try:
+            availability = self._service.gather_availability()
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        return gather_codec.availability_to_thrift(availability)
+
+    def gather(self, call: typing.Any) -> typing.Any:
+        self._stream.begin_call(link_bytes.LinkKind.GATHER)
+        try:
+            decoded = gather_codec.call_from_thrift(call, self._clock)
+            answer = self._service.gather(decoded, self._peer)
+        except errors.CorianderportError as error:
+            raise _refused(error) from error
+        if answer is None:
+            raise ConnectionResetError('the other host has disconnected')
+        return gather_codec.answer_to_thrift(answer)
+
     def configuration(self, known_version: int) -> typing.Any:
         self._stream.begin_call(link_bytes.LinkKind.REGISTRY_RELAY)
         try:
@@ -209,6 +267,7 @@
         )
         self._service: PeerService | None = None
         self._clock = clock
+        self._watcher = disconnect_watcher.DisconnectWatcher(self._events)
         self._acceptor = acceptor.Acceptor(
             host, port, _BACKLOG, clock, events=self._events
         )
@@ -234,6 +293,9 @@
             name='peer-accept',
             daemon=True,
         ).start()
+        threading.Thread(
+            target=self._watcher.run, name='peer-watch', daemon=True
+        ).start()
 
     def close(self) -> None:
         """Stop accepting and close all connections.
@@ -246,6 +308,7 @@
         with self._condition:
             self._condition.wait_for(lambda: not self._open, _CLOSE_TIMEOUT_S)
         self._shutdown_all(socket.SHUT_RDWR)
+        self._watcher.close()
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _handle_connection(self, connection: socket.socket) -> None:
@@ -304,7 +367,12 @@
         assert self._service is not None
         processor = thriftpy2.thrift.TProcessor(
             peer_codec.PEER.Peer,
-            _Handler(self._service, self._clock, counted),
+            _Handler(
+                self._service,
+                self._clock,
+                counted,
+                _PeerConnection(connection, self._watcher),
+            ),
         )
         try:
             while not self._closed:
--- a/packages/wire/src/corianderport_wire/peer.thrift
+++ b/packages/wire/src/corianderport_wire/peer.thrift
@@ -14,6 +14,8 @@
     5: string incarnation
     6: i32 standing
     7: i64 refutation
+    // Capacity of the host's link in bytes per second, absent if unknown.
+    8: optional double link_bytes_s
 }
 
 struct Heartbeat {
@@ -96,6 +98,40 @@
     3: double valid_ms
 }
 
+struct HeaderField {
+    1: binary name
+    2: binary value
+}
+
+struct GatherAvailability {
+    1: i64 version
+    2: bool accepts
+}
+
+struct GatherCall {
+    1: string sender
+    2: i64 version
+    3: string request_id
+    4: string host
+    5: string path
+    6: binary method
+    7: binary target
+    8: list<HeaderField> headers
+    9: binary body
+    10: double remaining_ms
+    11: double goal_ms
+}
+
+// Either the first three fields or a failure.
+struct GatherAnswer {
+    1: optional list<string> execution_proofs
+    2: optional i32 missing
+    3: optional binary body
+    4: optional i32 code
+    5: optional string detail
+    6: optional double retry_after_ms
+}
+
 exception Refused {
     1: i32 code
     2: string text
@@ -111,5 +147,9 @@
     StoredEntries entries() throws (1: Refused refused)
     // Tokens of a workspace's quota. Absent in earlier versions.
     QuotaGrant quota(1: QuotaRequest request) throws (1: Refused refused)
+    // Whether the host takes a gather of another host now, and the gather
+    // itself. Absent in earlier versions.
+    GatherAvailability gather_availability() throws (1: Refused refused)
+    GatherAnswer gather(1: GatherCall call) throws (1: Refused refused)
     Document configuration(1: i64 known_version) throws (1: Refused refused)
 }
--- a/tests/tier/gather_network.py
+++ b/tests/tier/gather_network.py
@@ -10,16 +10,22 @@
 import typing
 
 from corianderport_testkit import clock as clock_module
+from corianderport_tier import closing
 from corianderport_tier.connection import pool
 from corianderport_tier import errors
 from corianderport_tier.process import decision_log
 from corianderport_tier.process import directory
 from corianderport_tier.process import fleet_share
+from corianderport_tier.process import gather_capacity
+from corianderport_tier.process import gather_hosts
+from corianderport_tier.process import gather_roles
+from corianderport_tier.process import membership
 from corianderport_tier.process import service_searchers
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_send
 from corianderport_tier.request import forwarding
+from corianderport_tier.request import gather_messages
 from corianderport_tier.version import routes
 
 from . import entries
@@ -31,11 +37,17 @@
 _STEP_S = 0.0005
 _WORK_S = 0.011
 _PART_BYTES = 1_300
-_WAIT_S = 10.0
 
 Event = tuple[float, int, collections.abc.Callable[[], None]]
 
 
+def deadline_after(
+    clock: clock_module.ManualClock, seconds: float
+) -> deadlines.Deadline:
+    """Return a deadline on simulated time."""
+    return deadlines.Deadline.after(clock, seconds)
+
+
 class _Searcher:
     """Transport to a searcher that replies over the host's link."""
 
@@ -102,6 +114,40 @@
         return
 
 
+class _PeerTransport:
+    """Calls another simulated host on the task of the connection."""
+
+    def __init__(self, host: 'SimulatedHost') -> None:
+        self._host = host
+        self._caller = Caller()
+
+    def gather_availability(
+        self, timeout_s: float
+    ) -> gather_messages.GatherAvailability:
+        if self._host.silent:
+            self._host.wait(timeout_s)
+            raise errors.ConnectionSilent('no reply')
+        return self._host.gathers.availability()
+
+    def gather(
+        self, call: gather_messages.GatherCall, timeout_s: float
+    ) -> forward_messages.ForwardAnswer:
+        self._host.gathers_received += 1
+        if self._host.breaks:
+            raise errors.ConnectionBroken('reset')
+        answer = self._host.gathers.gather(call, self._caller)
+        if answer is None:
+            raise errors.ConnectionBroken('aborted')
+        return answer
+
+    def abort(self) -> None:
+        assert self._caller.on_disconnect is not None
+        self._caller.on_disconnect()
+
+    def close(self) -> None:
+        return
+
+
 class SimulatedHost:
     """One host with a link, and the searchers that it sends to."""
 
@@ -115,10 +161,17 @@
         self._network = network
         self._link_bytes_s = link_bytes_s
         self._link_busy_until_s = 0.0
+        self._condition = threading.Condition()
         # Searchers whose replies never arrive, by service.
         self.lost_services: set[str] = set()
+        self.silent = False
+        self.breaks = False
+        self.gathers_received = 0
         self.sends: list[forward_send.SendAttempt] = []
         self.log = decision_log.DecisionLog()
+        self.member = membership.Member(
+            name, 'dc-a', f'{name}:1', link_bytes_s=link_bytes_s
+        )
         rng = random.Random(1)
         share = fleet_share.FleetShare(
             _BOUNDS, name, lambda: (name,), network.clock
@@ -135,11 +188,24 @@
             network.clock,
             self.log,
         )
+        self.hosts = gather_hosts.GatherHosts(
+            self.member,
+            gather_roles.GatherRoles(lambda: network.view),
+            network,
+            network.executor,
+            network.clock,
+            self.log,
+            rng,
+        )
         self.forwarder = forwarding.Forwarder(
             self.directory,
             network.clock,
             self.log,
             rng,
+            gather_hosts=self.hosts,
+        )
+        self.gathers = self.forwarder.gathers(
+            gather_capacity.GatherCapacity(link_bytes_s)
         )
         self.apply(routing)
 
@@ -171,6 +237,11 @@
         ready_s = self._network.clock.monotonic() + _WORK_S
         self._network.after(ready_s, lambda: self._receive(job, searcher))
 
+    def wait(self, seconds: float) -> None:
+        """Block the calling task for a simulated time."""
+        with self._condition:
+            self._network.clock.wait(self._condition, seconds)
+
     def _receive(
         self, job: forward_send.SendAttempt, searcher: _Searcher
     ) -> None:
@@ -220,7 +291,7 @@
         self.answered_s = self._clock.monotonic()
 
 
-class GatherNetwork:
+class GatherNetwork(closing.Closing):
     """Simulated hosts; hosts ``h1`` to ``h4`` have small links.
 
     ``wide`` has a wide one. Time moves only while all tasks wait.
@@ -228,7 +299,6 @@
 
     def __init__(self, services: int = 63) -> None:
         self.clock = clock_module.ManualClock()
-        self._pool = concurrent.futures.ThreadPoolExecutor(64)
         self._lock = threading.Lock()
         self._tasks = 0
         self._events: list[Event] = []
@@ -236,10 +306,14 @@
         self.routing = self.routing_version(1, services)
         links = {f'h{n}': SMALL_LINK for n in range(1, 5)}
         links['wide'] = WIDE_LINK
+        self.view = membership.View(0, (), (), {})
         self.hosts = {
             name: SimulatedHost(self, name, link, self.routing)
             for name, link in links.items()
         }
+        members = tuple(h.member for h in self.hosts.values())
+        self.view = membership.View(1, members, members, {})
+        self.refresh()
 
     @staticmethod
     def routing_version(
@@ -252,21 +326,37 @@
         )
         return entries.routing(version, route)
 
-    def submit(
-        self, task: collections.abc.Callable[[], object]
-    ) -> concurrent.futures.Future[object]:
+    @property
+    def executor(self) -> concurrent.futures.Executor:
+        """Runs tasks that the network waits for; see ``submit``."""
+        return typing.cast(concurrent.futures.Executor, self)
+
+    def submit(self, task: collections.abc.Callable[[], object]) -> None:
         """Run a task on a thread."""
         with self._lock:
             self._tasks += 1
 
-        def run() -> object:
+        def run() -> None:
             try:
-                return task()
+                task()
             finally:
                 with self._lock:
                     self._tasks -= 1
 
-        return self._pool.submit(run)
+        threading.Thread(target=run, daemon=True).start()
+
+    def close(self) -> None:
+        """End the tasks of all connections between hosts."""
+        for host in self.hosts.values():
+            host.hosts.close()
+
+    def dial(self, member: membership.Member, timeout_s: float) -> typing.Any:
+        """Connect to a host."""
+        host = self.hosts[member.name]
+        if host.silent:
+            host.wait(timeout_s)
+            raise errors.ConnectFailed('no reply')
+        return _PeerTransport(host)
 
     def after(
         self, at_s: float, event: collections.abc.Callable[[], None]
@@ -281,6 +371,12 @@
         self.submit(request.run)
         return request
 
+    def refresh(self) -> None:
+        """Let all hosts follow the membership and probe each other."""
+        for host in self.hosts.values():
+            host.hosts.refresh()
+        self.run(0.002)
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         until_s = self.clock.monotonic() + seconds
--- a/tests/tier/test_gather_links.py
+++ b/tests/tier/test_gather_links.py
@@ -1,5 +1,9 @@
 """Wide gathers do not depend on the link of the host that receives them."""
 
+import collections.abc
+
+import pytest
+
 from corianderport_tier.request import forward_messages
 
 from . import gather_network
@@ -8,9 +12,16 @@
 _IN_TIME_S = 0.0953 - 0.0065
 
 
-def test_gathers_that_fill_a_small_link_are_answered_in_time() -> None:
+@pytest.fixture(name='network')
+def _network() -> collections.abc.Iterator[gather_network.GatherNetwork]:
+    with gather_network.GatherNetwork() as network:
+        yield network
+
+
+def test_gathers_that_fill_a_small_link_are_answered_in_time(
+    network: gather_network.GatherNetwork,
+) -> None:
     """Guards against late answers at hosts that a balancer picks twice."""
-    network = gather_network.GatherNetwork()
     requests = [network.start('h1') for _ in range(2)]
     network.run(0.4)
     for request in requests:
