--- a/packages/daemon/src/corianderport_daemon/process/gossip_handler.py
+++ b/packages/daemon/src/corianderport_daemon/process/gossip_handler.py
@@ -11,10 +11,10 @@
 from corianderport_tier.process import quota_messages
 from corianderport_tier.process import registry_relay
 from corianderport_tier.request import forward_messages
-from corianderport_tier.request import forward_task
 from corianderport_tier.request import gather_messages
 from corianderport_tier.request import host_gathers
 from corianderport_tier.request import messages
+from corianderport_tier.request import request_context
 from corianderport_tier.version import registrations
 
 __all__ = ['GossipHandler', 'Grant']
@@ -68,7 +68,7 @@
     def gather(
         self,
         call: gather_messages.GatherCall,
-        caller: forward_task.DisconnectWatch,
+        caller: request_context.DisconnectWatch,
     ) -> forward_messages.ForwardAnswer | None:
         """Gather the parts of another host's request."""
         return self._gathers.gather(call, caller)
--- a/packages/daemon/src/corianderport_daemon/process/peer_handler.py
+++ b/packages/daemon/src/corianderport_daemon/process/peer_handler.py
@@ -11,9 +11,9 @@
 from corianderport_tier.process import quota_messages
 from corianderport_tier.process import shutdown
 from corianderport_tier.request import forward_messages
-from corianderport_tier.request import forward_task
 from corianderport_tier.request import gather_messages
 from corianderport_tier.request import messages
+from corianderport_tier.request import request_context
 from corianderport_tier.version import registrations
 
 __all__ = ['PeerHandler']
@@ -77,7 +77,7 @@
     def gather(
         self,
         call: gather_messages.GatherCall,
-        caller: forward_task.DisconnectWatch,
+        caller: request_context.DisconnectWatch,
     ) -> forward_messages.ForwardAnswer | None:
         """Refuse, since this host sends batches and not gathers."""
         raise errors.NotReady(_NO_GATHERS)
--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -3,21 +3,10 @@
 One forwarded request: its parts, its hedges and when it is answered.
 """
 
-import collections.abc
-import random
-import typing
-
 import attrs
 
-from corianderport_tier import clocks
-from corianderport_tier.process import answer_delay
-from corianderport_tier.process import cost_estimates
-from corianderport_tier.process import decision_log
-from corianderport_tier.process import directory
 from corianderport_tier.process import drain
-from corianderport_tier.process import route_latency
 from corianderport_tier.process import service_searchers
-from corianderport_tier.process import unanswered_sends
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import delegation as delegation_module
@@ -27,18 +16,13 @@
 from corianderport_tier.request import inboxes
 from corianderport_tier.request import part as part_module
 from corianderport_tier.request import records
+from corianderport_tier.request import request_context
 from corianderport_tier.request import task_hedges
 from corianderport_tier.request import task_summaries
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
 
-__all__ = [
-    'Caller',
-    'DisconnectWatch',
-    'ForwardTask',
-    'HostState',
-    'MIN_RETRY_AFTER_S',
-]
+__all__ = ['ForwardTask', 'MIN_RETRY_AFTER_S']
 
 # Time reserved for returning the response before the caller's deadline.
 _ANSWER_MARGIN_S = 0.01
@@ -62,46 +46,6 @@
 Failure = forward_messages.Failure
 
 
-class DisconnectWatch(typing.Protocol):
-    """A connection whose end is noticed while its request runs."""
-
-    def watch(
-        self, on_disconnect: collections.abc.Callable[[], None]
-    ) -> typing.ContextManager[object]:
-        """Call ``on_disconnect`` on a close within the context."""
-
-
-class Caller(DisconnectWatch, typing.Protocol):
-    """The connection on which a request arrived."""
-
-    def call_when_sent(
-        self, on_sent: collections.abc.Callable[[], None]
-    ) -> None:
-        """Call ``on_sent`` once the answer is written to the network."""
-
-
-class HostState(typing.Protocol):
-    """What all requests of a host share."""
-
-    clock: clocks.Clock
-    log: decision_log.DecisionLog
-    rng: random.Random
-    drain: drain.Drain
-    directory: directory.Directory
-    answer_delay: answer_delay.AnswerDelay
-    # None if all gathers run on this host.
-    delegator: delegation_module.Delegator | None
-    unanswered_sends: unanswered_sends.UnansweredSends
-
-    def latency(self, route: routes.Route) -> route_latency.RouteLatency:
-        """Return the latency statistics of a route."""
-
-    def request_class(
-        self, route: routes.Route, request: forward_messages.ForwardRequest
-    ) -> cost_estimates.RequestClass:
-        """Return the class of a request, by its expected cost."""
-
-
 class ForwardTask:
     """Forwards one request on the task of the caller's connection.
 
@@ -112,7 +56,7 @@
 
     def __init__(
         self,
-        host: HostState,
+        host: request_context.HostState,
         request: forward_messages.ForwardRequest,
         route: routes.Route,
         authorization: authorization_module.Authorization,
@@ -176,7 +120,7 @@
         return (sent_s[middle] - sent_s[0]) / middle
 
     def run(
-        self, caller: DisconnectWatch
+        self, caller: request_context.DisconnectWatch
     ) -> forward_messages.ForwardAnswer | None:
         """Return the answer, or None if the caller disconnected."""
         with (
--- a/packages/tier/src/corianderport_tier/request/forwarding.py
+++ b/packages/tier/src/corianderport_tier/request/forwarding.py
@@ -29,6 +29,7 @@
 from corianderport_tier.request import forward_task
 from corianderport_tier.request import host_gathers
 from corianderport_tier.request import placements
+from corianderport_tier.request import request_context
 from corianderport_tier.request import route_admission
 from corianderport_tier import result_codes
 from corianderport_tier.version import routes
@@ -135,7 +136,7 @@
     def answer(
         self,
         request: forward_messages.ForwardRequest,
-        caller: forward_task.Caller,
+        caller: request_context.Caller,
     ) -> forward_messages.ForwardAnswer | None:
         """Serve a request; return None if the caller disconnected."""
         admission = self._admission.check(
@@ -178,7 +179,7 @@
     def _run(
         self,
         request: forward_messages.ForwardRequest,
-        caller: forward_task.Caller,
+        caller: request_context.Caller,
         routing: routes.RoutingVersion,
         route: routes.Route,
         authorization: authorization_module.Authorization,
--- a/packages/tier/src/corianderport_tier/request/host_gathers.py
+++ b/packages/tier/src/corianderport_tier/request/host_gathers.py
@@ -12,6 +12,7 @@
 from corianderport_tier.request import forward_messages
 from corianderport_tier.request import forward_task
 from corianderport_tier.request import gather_messages
+from corianderport_tier.request import request_context
 from corianderport_tier.request import route_admission
 from corianderport_tier.version import routes
 
@@ -31,7 +32,7 @@
 
     def __init__(
         self,
-        host: forward_task.HostState,
+        host: request_context.HostState,
         admission: route_admission.RouteAdmission,
         authorizer: authorization_module.Authorizer,
         capacity: gather_capacity.GatherCapacity,
@@ -52,7 +53,7 @@
     def gather(
         self,
         call: gather_messages.GatherCall,
-        caller: forward_task.DisconnectWatch,
+        caller: request_context.DisconnectWatch,
     ) -> forward_messages.ForwardAnswer | None:
         """Gather the parts of another host's request.
 
--- a/packages/wire/src/corianderport_wire/connection/peer_server.py
+++ b/packages/wire/src/corianderport_wire/connection/peer_server.py
@@ -23,9 +23,9 @@
 from corianderport_tier.process import link_bytes
 from corianderport_tier.process import quota_messages
 from corianderport_tier.request import forward_messages
-from corianderport_tier.request import forward_task
 from corianderport_tier.request import gather_messages
 from corianderport_tier.request import messages
+from corianderport_tier.request import request_context
 from corianderport_tier.version import registrations
 from corianderport_wire.connection import acceptor
 from corianderport_wire.connection import action_codec
@@ -94,7 +94,7 @@
     def gather(
         self,
         call: gather_messages.GatherCall,
-        caller: forward_task.DisconnectWatch,
+        caller: request_context.DisconnectWatch,
     ) -> forward_messages.ForwardAnswer | None:
         """Gather the parts of a request of another host.
 
