Check the shares of connections with hosts that gather for others

All shares together stay within a searcher's connections, and a host that knows more gathering hosts than hosts that may be sending still has a share: its even part is the larger one whenever fewer than half of the hosts gather, so that the others are never divided by none.

--- a/tests/tier/test_fleet_share.py
+++ b/tests/tier/test_fleet_share.py
@@ -31,6 +31,48 @@
     assert 0 < total <= most
 
 
+@pytest.mark.parametrize('hosts', [6, 58, 75, 195])
+@pytest.mark.parametrize('most', [1, 25, 70, 125, 1_200])
+@pytest.mark.parametrize('gathering', [1, 2, 15])
+def test_connections_of_hosts_that_gather_for_others(
+    hosts: int, most: int, gathering: int
+) -> None:
+    """Guards against hosts that exceed a searcher's connections together.
+
+    Those that gather for others must not get fewer than the others either.
+    """
+    names = tuple(f'h{n}' for n in range(hosts))
+    gather_hosts = frozenset(names[: min(gathering, hosts // 3)])
+    connections = {
+        name: fleet_share.FleetShare(
+            _BOUNDS,
+            name,
+            lambda: names,
+            clock_module.ManualClock(),
+            gather_hosts=lambda: gather_hosts,
+        ).connections('s1', most)
+        for name in names
+    }
+    assert 0 < sum(connections.values()) <= most
+    mean = sum(connections.values()) / hosts
+    if most >= 3 * len(gather_hosts):
+        assert all(connections[n] >= int(mean) for n in gather_hosts)
+
+
+def test_share_of_the_last_host_that_is_left() -> None:
+    """Guards against a division by no hosts once most have gone."""
+    gather_hosts = frozenset(f'g{n}' for n in range(15))
+    share = fleet_share.FleetShare(
+        _BOUNDS,
+        'h1',
+        lambda: ('h1',),
+        clock_module.ManualClock(),
+        gather_hosts=lambda: gather_hosts,
+    )
+    assert share.connections('s1', 125) > 0
+    assert share.connections('s1', 2) > 0
+
+
 def test_each_searcher_gets_different_hosts() -> None:
     """Every host must be able to use some searchers of a service.
 
