--- a/packages/testkit/src/corianderport_testkit/process/control_group.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_group.py
@@ -129,6 +129,15 @@
     def quota(self, request: typing.Any, timeout_s: float) -> typing.Any:
         raise NotImplementedError
 
+    def gather_availability(self, timeout_s: float) -> typing.Any:
+        raise NotImplementedError
+
+    def gather(self, call: typing.Any, timeout_s: float) -> typing.Any:
+        raise NotImplementedError
+
+    def abort(self) -> None:
+        raise NotImplementedError
+
     def close(self) -> None:
         return
 
--- a/packages/testkit/src/corianderport_testkit/process/control_peers.py
+++ b/packages/testkit/src/corianderport_testkit/process/control_peers.py
@@ -14,7 +14,10 @@
 from corianderport_tier.process import handed_over
 from corianderport_tier.process import heartbeats
 from corianderport_tier.process import quota_messages
+from corianderport_tier.request import forward_messages
+from corianderport_tier.request import gather_messages
 from corianderport_tier.request import messages
+from corianderport_tier.request import request_context
 from corianderport_tier.version import registrations
 
 __all__ = ['ControlPeer', 'abandoning_executor', 'exit_process']
@@ -60,6 +63,18 @@
         """Refuse the call, since this host grants no quotas."""
         raise errors.NotOwner('this host grants no quotas')
 
+    def gather_availability(self) -> gather_messages.GatherAvailability:
+        """Refuse the call, since this host sends to no searchers."""
+        raise errors.NotReady('this host sends to no searchers')
+
+    def gather(
+        self,
+        call: gather_messages.GatherCall,
+        caller: request_context.DisconnectWatch,
+    ) -> forward_messages.ForwardAnswer | None:
+        """Refuse the call, since this host sends to no searchers."""
+        raise errors.NotReady('this host sends to no searchers')
+
     def document(self, known_version: int) -> tuple[int, bytes | None]:
         """Return the current version, and its document if it is newer."""
         accepted = self._store.accepted()
