--- a/tests/daemon/test_registry_connection.py
+++ b/tests/daemon/test_registry_connection.py
@@ -45,7 +45,9 @@
         # No test here sends a heartbeat.
         exchange = typing.cast(heartbeats.HeartbeatExchange, None)
         self._server.start(
-            gossip_handler.GossipHandler(exchange, self.relay, _no_quota)
+            gossip_handler.GossipHandler(
+                exchange, self.relay, _no_quota, typing.cast(typing.Any, None)
+            )
         )
         self.member = membership.Member('reader', 'dc-a', self._server.address)
 
