--- a/packages/tier/src/corianderport_tier/process/gather_capacity.py
+++ b/packages/tier/src/corianderport_tier/process/gather_capacity.py
@@ -50,9 +50,10 @@
 
     @property
     def available(self) -> bool:
-        """Whether one more gather is likely to be accepted.
+        """Whether the running gathers leave room for one more.
 
-        It is assumed to be as large as those that run.
+        The call for the gather states its size and its goal, and may still be
+        refused.
         """
         return self._parts * self._part_s < (
             _PROCESSOR_FRACTION * _USUAL_GOAL_S
