--- a/packages/daemon/src/corianderport_daemon/process/control_plane.py
+++ b/packages/daemon/src/corianderport_daemon/process/control_plane.py
@@ -20,6 +20,7 @@
 from corianderport_tier.process import peers
 from corianderport_tier.process import readers
 from corianderport_wire.connection import peer_authentication
+from corianderport_wire.connection import peer_calls
 from corianderport_wire.connection import peer_client
 from corianderport_wire.connection import peer_server
 from corianderport_wire.connection import platform_client
@@ -60,7 +61,7 @@
         """Address that other hosts connect to, ``ip:port``."""
         return self._server.address
 
-    def start(self, service: peer_server.PeerService) -> None:
+    def start(self, service: peer_calls.PeerService) -> None:
         """Start the peer server and all tasks."""
         self._server.start(service)
         self._store.add_listener(self.control.version_changed)
--- a/tests/wire/test_connection_faults.py
+++ b/tests/wire/test_connection_faults.py
@@ -19,6 +19,7 @@
 from corianderport_wire.connection import caller_listener
 from corianderport_wire.connection import disconnect_watcher
 from corianderport_wire.connection import peer_authentication
+from corianderport_wire.connection import peer_calls
 from corianderport_wire.connection import peer_server
 
 _CLOCK = clocks.SystemClock()
@@ -282,7 +283,7 @@
         peer_authentication.SharedKeys.from_text('test-key'),
         counts.events,
     )
-    server.start(typing.cast(peer_server.PeerService, object()))
+    server.start(typing.cast(peer_calls.PeerService, object()))
     host, _, port = server.address.rpartition(':')
     malformed = b'\0\0\0\4abcd'
     for frame in (malformed, malformed, b''):
