--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -7,6 +7,7 @@
 
 from corianderport_tier.process import drain
 from corianderport_tier.process import service_searchers
+from corianderport_tier.request import answer_goals
 from corianderport_tier.request import authorization as authorization_module
 from corianderport_tier.request import deadlines
 from corianderport_tier.request import delegation as delegation_module
@@ -26,13 +27,6 @@
 
 # Time reserved for returning the response before the caller's deadline.
 _ANSWER_MARGIN_S = 0.01
-# Assumed time that a request and its answer spend outside this host if the
-# connection does not tell. A route's latency goal includes it, and the delay
-# with which this host answers.
-_DEFAULT_PATH_S = 0.0065
-# Variation of that time. From busy hosts with links of 20 Mbit/s, answers
-# reach their callers 4 ms later than the round trip explains.
-_PATH_MARGIN_S = 0.005
 # Maximum retry delay given to a refused caller, as a fraction of its
 # remaining time: a caller does not wait past its deadline.
 _MAX_RETRY_AFTER_FRACTION = 0.25
@@ -79,15 +73,8 @@
         self._delegator = host.delegator if goal is None else None
         self._delegation: delegation_module.Delegation | None = None
         self._delegated_answer: forward_messages.ForwardAnswer | None = None
-        left_at_s = (
-            goal.at_s
-            if goal is not None
-            else request.received_s
-            + route.goal_s
-            - (request.path_s or _DEFAULT_PATH_S)
-            - _PATH_MARGIN_S
-        )
-        self.goal_s = left_at_s - host.answer_delay.expected_s
+        leave_by = goal or answer_goals.leave_by(request, route)
+        self.goal_s = leave_by.at_s - host.answer_delay.expected_s
         self._hedges = task_hedges.TaskHedges(
             self._parts,
             host.latency(route),
@@ -109,15 +96,8 @@
 
     @property
     def send_s_per_part(self) -> float | None:
-        """Seconds between two sends of a gather; None if there are too few.
-
-        The median leaves out the sends that waited for a new connection.
-        """
-        sent_s = sorted(p.sent_s for p in self._parts)
-        middle = len(sent_s) // 2
-        if middle == 0 or sent_s[middle] == float('inf'):
-            return None
-        return (sent_s[middle] - sent_s[0]) / middle
+        """Seconds between two sends of a gather; None if there are too few."""
+        return task_summaries.send_s_per_part(self._parts)
 
     def run(
         self, caller: request_context.DisconnectWatch
--- a/packages/tier/src/corianderport_tier/request/task_summaries.py
+++ b/packages/tier/src/corianderport_tier/request/task_summaries.py
@@ -10,7 +10,7 @@
 from corianderport_tier.request import part as part_module
 from corianderport_tier.version import routes
 
-__all__ = ['describe']
+__all__ = ['describe', 'send_s_per_part']
 
 PartState = part_module.PartState
 
@@ -44,6 +44,21 @@
     return summary
 
 
+def send_s_per_part(
+    parts: collections.abc.Sequence[part_module.Part],
+) -> float | None:
+    """Return the seconds between two sends; None if there are too few.
+
+    The first half of the sends counts, which leaves out those that waited for
+    a new connection.
+    """
+    sent_s = sorted(p.sent_s for p in parts)
+    middle = len(sent_s) // 2
+    if middle == 0 or sent_s[middle] == float('inf'):
+        return None
+    return (sent_s[middle] - sent_s[0]) / middle
+
+
 def _spread_ms(
     times_s: collections.abc.Iterable[float], since_s: float
 ) -> list[float]:
