Send nothing more once a request's caller has left

Callers saw nothing; searchers got sends for a caller that had gone. When the end of an offer, a failed send or a timer was handled together with the caller's close, it was handled after it: the parts of the gather were sent, and cancelled at once. Found by reading the change again. The events after the close are left out: their sends are cancelled and their capacity is taken back with the rest of the request.

--- a/packages/tier/src/corianderport_tier/request/forward_task.py
+++ b/packages/tier/src/corianderport_tier/request/forward_task.py
@@ -208,7 +208,7 @@
             )
 
     def _await_answer(self) -> forward_messages.ForwardAnswer | None:
-        while not self._disconnected:
+        while True:
             answer = self._decide()
             if answer is not None:
                 return answer
@@ -217,8 +217,9 @@
             )
             for event in events:
                 self._on_event(event)
+                if self._disconnected:
+                    return None
             self._on_timer()
-        return None
 
     def _progress(self) -> gather_progress.GatherProgress:
         target = self._route.target
--- a/tests/tier/gather_network.py
+++ b/tests/tier/gather_network.py
@@ -168,7 +168,9 @@
         self.breaks = False
         self.gathers_received = 0
         self.sends: list[forward_send.SendAttempt] = []
-        self.log = decision_log.DecisionLog()
+        # Called on the task that has made a decision.
+        self.on_decision: collections.abc.Callable[[str], None] | None = None
+        self.log = decision_log.DecisionLog(observer=self)
         self.member = membership.Member(
             name, 'dc-a', f'{name}:1', link_bytes_s=link_bytes_s
         )
@@ -237,6 +239,11 @@
         ready_s = self._network.clock.monotonic() + _WORK_S
         self._network.after(ready_s, lambda: self._receive(job, searcher))
 
+    def decided(self, decision: decision_log.Decision) -> None:
+        """Pass on the kind of a decision."""
+        if self.on_decision is not None:
+            self.on_decision(decision.kind)
+
     def wait(self, seconds: float) -> None:
         """Block the calling task for a simulated time."""
         with self._condition:
@@ -367,10 +374,14 @@
 
     def start(self, name: str) -> Request:
         """Start a request at a host."""
-        request = Request(self.hosts[name], self.clock)
+        request = self.request(name)
         self.submit(request.run)
         return request
 
+    def request(self, name: str) -> Request:
+        """Return a request at a host that has not been started."""
+        return Request(self.hosts[name], self.clock)
+
     def refresh(self) -> None:
         """Let all hosts follow the membership and probe each other."""
         for host in self.hosts.values():
--- a/tests/tier/test_delegation.py
+++ b/tests/tier/test_delegation.py
@@ -113,6 +113,28 @@
     assert len(wide.sends) == 63
 
 
+def test_nothing_is_sent_once_the_caller_has_left(
+    network: gather_network.GatherNetwork,
+) -> None:
+    """Guards against parts that are sent when an offer ends too late."""
+    host = network.hosts['h1']
+    network.hosts['wide'].silent = True
+    request = network.request('h1')
+
+    def leave(kind: str) -> None:
+        if kind == 'gather-offered':
+            assert request.caller.on_disconnect is not None
+            request.caller.on_disconnect()
+            network.clock.advance(0.02)
+
+    host.on_decision = leave
+    network.submit(request.run)
+    network.run(0.3)
+    assert request.elapsed_s < 0.3
+    assert request.answer is None
+    assert not host.sends
+
+
 def test_searchers_that_are_lost_are_hedged_by_the_other_host(
     network: gather_network.GatherNetwork,
 ) -> None:
